--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Each target sets up what it needs in .venv and .tox.
+PYTHON ?= python3.11
+VENV := .venv
+TOX := $(VENV)/bin/tox run -q
+
+.PHONY: demo test lint bench binary docs clean
+
+$(VENV)/.ready: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q "tox>=4.23" -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(VENV)/bin/boragefold demo
+
+test: $(VENV)/.ready
+	$(TOX) -e test
+
+lint: $(VENV)/.ready
+	$(TOX) -e fix,type,docs -- --check src tests tools
+
+bench: $(VENV)/.ready
+	$(VENV)/bin/boragefold bench
+
+binary: $(VENV)/.ready
+	$(VENV)/bin/pip install -q "shiv>=1.0.8"
+	tools/build-binary.sh
+
+clean:
+	rm -rf $(VENV) .tox build dist docs/_build
--- /dev/null
+++ b/src/boragefold/__init__.py
@@ -0,0 +1,3 @@
+"""A serving layer for very many LoRA adapters on a few base models."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks of the decisions, with their regression bounds."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/coordination/link.py
@@ -0,0 +1,56 @@
+"""What coordination needs of the link between entry instances."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from typing import Any
+from typing import TypeVar
+
+from boragefold.protocol import ids
+
+Body = TypeVar("Body")
+
+
+class PeerLink(abc.ABC):
+    """An unreliable message service between entry instances.
+
+    A message may be lost, delayed, doubled or overtaken. It is given only to
+    the incarnation it was addressed to.
+    """
+
+    @property
+    @abc.abstractmethod
+    def self_id(self) -> ids.InstanceId:
+        """Tell who we are.
+
+        :return: the identity that messages are sent under
+        """
+
+    @abc.abstractmethod
+    def send(self, *, to: ids.InstanceId, body: Any) -> None:
+        """Send a message, without waiting and without a promise of delivery.
+
+        An empty incarnation in ``to`` addresses whichever process listens at
+        the address now; only greetings use it.
+
+        :param to: the receiver
+        :param body: an object of a registered message kind
+        """
+
+    @abc.abstractmethod
+    def subscribe(
+        self,
+        kind: type[Body],
+        handler: Callable[[ids.InstanceId, Body], None],
+    ) -> None:
+        """Receive one kind of message; each kind has one subscriber.
+
+        :param kind: the message type
+        :param handler: called with the sender and the message
+        """
+
+
+__all__ = [
+    "PeerLink",
+]
--- /dev/null
+++ b/src/boragefold/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""What travels between processes: typed messages, codecs and outcomes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/protocol/envelope.py
@@ -0,0 +1,84 @@
+"""The codec of messages between entry instances."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from boragefold.protocol import ids
+
+
+class Envelope(NamedTuple):
+    """A message as it travels: who sent it, what it is, what it says."""
+
+    sender: ids.InstanceId
+    kind: str
+    body: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Malformed:
+    """Bytes that are not a message of ours."""
+
+    reason: str
+    remedy: str = "run the same release on every instance of the data centre"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Received:
+    """A message that was understood."""
+
+    sender: ids.InstanceId
+    body: Any
+
+
+class Codec:
+    """Turns message types, which are ``NamedTuple`` classes, into bytes."""
+
+    def __init__(self, *, kinds: Iterable[type]) -> None:
+        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+            kind.__name__: msgspec.msgpack.Decoder(kind) for kind in kinds
+        }
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelopes = msgspec.msgpack.Decoder(Envelope)
+
+    def encode(self, *, sender: ids.InstanceId, body: Any) -> bytes:
+        """Pack a message.
+
+        :param sender: the instance that sends it
+        :param body: an object of one of the kinds
+        :return: MessagePack, an array of sender, kind and body
+        """
+        kind = type(body).__name__
+        if kind not in self._decoders:
+            raise TypeError(f"{kind} is no registered message; add it")
+        raw = msgspec.Raw(self._encoder.encode(body))
+        return self._encoder.encode(Envelope(sender, kind, raw))
+
+    def decode(self, data: bytes) -> Received | Malformed:
+        """Unpack a message.
+
+        :param data: bytes from a peer
+        :return: the message, or why the bytes are none
+        """
+        try:
+            envelope = self._envelopes.decode(data)
+            decoder = self._decoders.get(envelope.kind)
+            if decoder is None:
+                return Malformed(reason="unknown_kind")
+            body = decoder.decode(envelope.body)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return Malformed(reason="undecodable")
+        return Received(sender=envelope.sender, body=body)
+
+
+__all__ = [
+    "Codec",
+    "Envelope",
+    "Malformed",
+    "Received",
+]
--- /dev/null
+++ b/src/boragefold/protocol/ids.py
@@ -0,0 +1,31 @@
+"""Names of the processes that take part."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+import uuid
+
+
+class InstanceId(NamedTuple):
+    """One incarnation of one entry instance."""
+
+    data_centre: str
+    address: str
+    incarnation: str
+
+
+def new_incarnation() -> str:
+    """Make a name for a process that has just started.
+
+    A restarted process remembers nothing, so it must not be taken for its
+    predecessor at the same address.
+
+    :return: 32 hexadecimal digits, never used before
+    """
+    return uuid.uuid4().hex
+
+
+__all__ = [
+    "InstanceId",
+    "new_incarnation",
+]
--- /dev/null
+++ b/src/boragefold/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Counters, latency histograms and log lines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/timing/__init__.py
@@ -0,0 +1,3 @@
+"""Clocks, and the timer service that the other parts subscribe to."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/timing/timers.py
@@ -0,0 +1,122 @@
+"""The timer service: one heap of callbacks for the whole process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import itertools
+
+from boragefold.timing import clock as clocks
+
+Callback = Callable[[], None]
+
+
+class Subscription:
+    """A callback that waits for its time, and can be cancelled."""
+
+    def __init__(
+        self, *, callback: Callback, period_seconds: float | None
+    ) -> None:
+        self.callback = callback
+        self.period_seconds = period_seconds
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Never call back again."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Calls subscribers back when their time has come."""
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._order = itertools.count()
+
+    def now_seconds(self) -> float:
+        """Read the clock that the service runs on.
+
+        :return: seconds since an arbitrary start
+        """
+        return self._clock.now_seconds()
+
+    def once(
+        self, *, delay_seconds: float, callback: Callback
+    ) -> Subscription:
+        """Call back one time.
+
+        :param delay_seconds: how long from now
+        :param callback: what to call
+        :return: a subscription that can be cancelled
+        """
+        subscription = Subscription(callback=callback, period_seconds=None)
+        self._push(delay_seconds, subscription)
+        return subscription
+
+    def every(
+        self,
+        *,
+        period_seconds: float,
+        callback: Callback,
+        first_delay_seconds: float | None = None,
+    ) -> Subscription:
+        """Call back again and again.
+
+        A period missed while the process was paused is called back once, not
+        once for each period that went by.
+
+        :param period_seconds: the time between two calls
+        :param callback: what to call
+        :param first_delay_seconds: the time to the first call, if it differs
+        :return: a subscription that can be cancelled
+        """
+        subscription = Subscription(
+            callback=callback, period_seconds=period_seconds
+        )
+        first_seconds = (
+            period_seconds
+            if first_delay_seconds is None
+            else first_delay_seconds
+        )
+        self._push(first_seconds, subscription)
+        return subscription
+
+    def next_due_seconds(self) -> float | None:
+        """Tell when the next callback is due.
+
+        :return: a reading of the clock, or None when nobody waits
+        """
+        while self._heap and self._heap[0][2].cancelled:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def run_due(self) -> int:
+        """Call back everyone whose time has come.
+
+        :return: how many callbacks ran
+        """
+        now_seconds = self.now_seconds()
+        ran = 0
+        while (due := self.next_due_seconds()) is not None:
+            if due > now_seconds:
+                break
+            subscription = heapq.heappop(self._heap)[2]
+            if subscription.period_seconds is not None:
+                self._push(subscription.period_seconds, subscription)
+            subscription.callback()
+            ran += 1
+        return ran
+
+    def _push(self, delay_seconds: float, subscription: Subscription) -> None:
+        due_seconds = self.now_seconds() + delay_seconds
+        heapq.heappush(
+            self._heap, (due_seconds, next(self._order), subscription)
+        )
+
+
+__all__ = [
+    "Callback",
+    "Subscription",
+    "TimerService",
+]
--- /dev/null
+++ b/tests/timing/test_timers.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+from boragefold.timing import clock as clocks
+from boragefold.timing import timers
+
+
+def test_a_paused_process_catches_up_once() -> None:
+    # A process is stopped for a minute and then continued. Its heartbeats
+    # were due sixty times; sending all of them at once would be a burst.
+    clock = clocks.VirtualClock()
+    service = timers.TimerService(clock=clock)
+    calls: list[float] = []
+    service.every(
+        period_seconds=1.0,
+        callback=lambda: calls.append(clock.now_seconds()),
+    )
+    clock.move_to(60.0)
+    service.run_due()
+    assert calls == [60.0]
+    assert service.next_due_seconds() == 61.0
+
+
+def test_a_cancelled_subscription_is_never_called() -> None:
+    clock = clocks.VirtualClock()
+    service = timers.TimerService(clock=clock)
+    calls: list[int] = []
+    subscription = service.once(
+        delay_seconds=1.0, callback=lambda: calls.append(1)
+    )
+    subscription.cancel()
+    clock.move_to(2.0)
+    assert service.run_due() == 0
+    assert not calls
