--- a/src/boragefold/coordination/rights.py
+++ b/src/boragefold/coordination/rights.py
@@ -91,7 +91,9 @@
     return max(
         view.members,
         key=lambda member: (
-            xxhash.xxh3_64_intdigest(f"{member.incarnation}\0{right}"),
+            xxhash.xxh3_64_intdigest(
+                f"{member.incarnation}\0{right}".encode()
+            ),
             member,
         ),
     )
--- /dev/null
+++ b/src/boragefold/policy/work.py
@@ -0,0 +1,38 @@
+"""What the decisions know of one request."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class AdapterVersion(NamedTuple):
+    """One version of one adapter; an empty adapter is the bare base model."""
+
+    model: str
+    adapter: str
+    version: str
+
+
+class Work(NamedTuple):
+    """A request as the decisions see it.
+
+    Moments are readings of the process clock. ``give_up_at_seconds`` is when
+    the caller stops waiting. ``prefix`` names the prompt's beginning, so that
+    requests that share it can share a prompt cache; empty when unknown.
+    """
+
+    request_id: str
+    workspace: str
+    needs: AdapterVersion
+    prompt_tokens: int
+    max_tokens: int
+    arrived_at_seconds: float
+    give_up_at_seconds: float
+    late_sensitive: bool = False
+    prefix: str = ""
+
+
+__all__ = [
+    "AdapterVersion",
+    "Work",
+]
