--- /dev/null
+++ b/src/boragefold/coordination/once/runner.py
@@ -0,0 +1,371 @@
+"""The runner: takes an attempt through both registers of its ticket."""
+
+from __future__ import annotations
+
+import abc
+import itertools
+
+from boragefold.coordination import link as links
+from boragefold.coordination.once import register as registers
+from boragefold.protocol import ids
+from boragefold.protocol import once_messages
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+
+# Three times the longest round trip between data centres seen in the sizes of
+# today (3 ms) would do; a busy peer's loop may add some 100 ms.
+ASK_TIMEOUT_SECONDS = 0.4
+ASKS_PER_REGISTER = 2
+# A release or an answer is told again until acknowledged: half a minute spans
+# a partition that heals quickly, and costs at most 15 messages.
+RETELL_SECONDS = 2.0
+RETELLS = 15
+
+Told = once_messages.Release | once_messages.Store
+
+
+class AttemptHandler(abc.ABC):
+    """Learns, exactly once, what became of an attempt's permission."""
+
+    @abc.abstractmethod
+    def go(self, attempt: once_messages.Attempt) -> None:
+        """Send now; both registers have recorded the attempt.
+
+        :param attempt: to be given to ``finished`` or ``release`` later
+        """
+
+    @abc.abstractmethod
+    def replay(self, answer: once_messages.StoredAnswer) -> None:
+        """Pass on the answer of an earlier attempt; nothing runs.
+
+        :param answer: what the endpoint answered then
+        """
+
+    @abc.abstractmethod
+    def not_run(self, reason: str) -> None:
+        """Tell the caller that the ticket hasn't run.
+
+        :param reason: ``ticket_sealed``, ``ticket_expired``,
+            ``ticket_foreign``, ``register_full``, ``register_unreachable``,
+            ``request_differs`` or ``deadline``
+        """
+
+    @abc.abstractmethod
+    def unknown(self, reason: str) -> None:
+        """Tell the caller that the ticket may have run.
+
+        :param reason: ``already_sent`` or ``registers_unreachable``
+        """
+
+
+class Asking:
+    """One attempt, or one question, on its way through the registers."""
+
+    def __init__(
+        self,
+        *,
+        ticket: once_messages.Ticket,
+        attempt: once_messages.Attempt,
+        digest: str,
+        handler: AttemptHandler,
+        give_up_at_seconds: float,
+        question_only: bool,
+    ) -> None:
+        self.ticket = ticket
+        self.attempt = attempt
+        self.digest = digest
+        self.handler = handler
+        self.give_up_at_seconds = give_up_at_seconds
+        self.sealing = question_only
+        self.question_only = question_only
+        self.register = ticket.first
+        self.asks_left = ASKS_PER_REGISTER
+        self.claimed_at: list[ids.InstanceId] = []
+        self.timer: timing.Subscription | None = None
+
+
+class Runner:
+    """Runs attempts of this instance, one number each."""
+
+    def __init__(
+        self,
+        *,
+        link: links.PeerLink,
+        timers: timing.TimerService,
+        register: registers.Register,
+        counters: telemetry.Counters,
+    ) -> None:
+        self._link = link
+        self._timers = timers
+        self._register = register
+        self._counters = counters
+        self._numbers = itertools.count(1)
+        self._asking: dict[once_messages.Attempt, Asking] = {}
+        self._tickets: dict[once_messages.Attempt, once_messages.Ticket] = {}
+        self._telling: dict[
+            tuple[ids.InstanceId, once_messages.Attempt], Told
+        ] = {}
+        link.subscribe(once_messages.ClaimReply, self._on_reply)
+        link.subscribe(once_messages.Released, self._on_told)
+        link.subscribe(once_messages.Stored, self._on_told)
+
+    def begin(
+        self,
+        *,
+        ticket: once_messages.Ticket,
+        digest: str,
+        give_up_at_seconds: float,
+        handler: AttemptHandler,
+    ) -> None:
+        """Try to run a ticket.
+
+        :param ticket: as the caller sent it
+        :param digest: of the request, so that a ticket runs only one
+        :param give_up_at_seconds: the clock reading after which not to send
+        :param handler: learns the decision
+        """
+        self._start(ticket, digest, give_up_at_seconds, handler, False)
+
+    def ask(
+        self,
+        *,
+        ticket: once_messages.Ticket,
+        give_up_at_seconds: float,
+        handler: AttemptHandler,
+    ) -> None:
+        """Find out what became of a ticket, without running it.
+
+        A ticket that was never claimed is sealed, so that "not run" stays
+        true however late a delayed attempt arrives.
+
+        :param ticket: as the caller sent it
+        :param give_up_at_seconds: the clock reading after which to stop
+        :param handler: learns the outcome; never told to go
+        """
+        self._start(ticket, "", give_up_at_seconds, handler, True)
+
+    def finished(
+        self,
+        attempt: once_messages.Attempt,
+        answer: once_messages.StoredAnswer,
+    ) -> None:
+        """Keep the answer of an attempt at its registers.
+
+        :param attempt: from ``go``
+        :param answer: the whole answer of the endpoint
+        """
+        ticket = self._tickets.pop(attempt)
+        store = once_messages.Store(ticket.serial, attempt, answer)
+        for register in _registers(ticket):
+            self._tell(register, store, RETELLS)
+
+    def release(self, attempt: once_messages.Attempt) -> None:
+        """Give an attempt up that sent no byte.
+
+        The attempt is forgotten here first: from then on nothing can send it.
+
+        :param attempt: from ``go``
+        """
+        ticket = self._tickets.pop(attempt)
+        release = once_messages.Release(ticket.serial, attempt)
+        for register in _registers(ticket):
+            self._tell(register, release, RETELLS)
+
+    def lost(self, attempt: once_messages.Attempt) -> None:
+        """Leave an attempt recorded whose outcome nobody knows.
+
+        :param attempt: from ``go``
+        """
+        self._tickets.pop(attempt, None)
+
+    def _start(
+        self,
+        ticket: once_messages.Ticket,
+        digest: str,
+        give_up_at_seconds: float,
+        handler: AttemptHandler,
+        question_only: bool,
+    ) -> None:
+        attempt = once_messages.Attempt(
+            self._link.self_id, next(self._numbers)
+        )
+        asking = Asking(
+            ticket=ticket,
+            attempt=attempt,
+            digest=digest,
+            handler=handler,
+            give_up_at_seconds=give_up_at_seconds,
+            question_only=question_only,
+        )
+        self._asking[attempt] = asking
+        self._ask_register(asking)
+
+    def _ask_register(self, asking: Asking) -> None:
+        asking.asks_left -= 1
+        kind = once_messages.Seal if asking.sealing else once_messages.Claim
+        message = kind(asking.ticket, asking.attempt, asking.digest)
+        if asking.register == self._link.self_id:
+            self._ask_ourselves(message)
+            return
+        asking.timer = self._timers.once(
+            delay_seconds=ASK_TIMEOUT_SECONDS,
+            callback=lambda: self._on_silence(asking),
+        )
+        self._link.send(to=asking.register, body=message)
+
+    def _ask_ourselves(
+        self, message: once_messages.Claim | once_messages.Seal
+    ) -> None:
+        if isinstance(message, once_messages.Seal):
+            reply = self._register.seal(message)
+        else:
+            reply = self._register.claim(message)
+        self._on_reply(self._link.self_id, reply)
+
+    def _on_reply(
+        self, sender: ids.InstanceId, reply: once_messages.ClaimReply
+    ) -> None:
+        asking = self._asking.get(reply.attempt)
+        if asking is None or sender != asking.register:
+            return
+        if asking.timer is not None:
+            asking.timer.cancel()
+        if reply.verdict == "granted":
+            self._granted(asking)
+        else:
+            self._refused(asking, reply)
+
+    def _granted(self, asking: Asking) -> None:
+        asking.claimed_at.append(asking.register)
+        second = asking.ticket.second
+        if asking.register == asking.ticket.first and second is not None:
+            asking.register = second
+            asking.asks_left = ASKS_PER_REGISTER
+            self._ask_register(asking)
+            return
+        del self._asking[asking.attempt]
+        self._tickets[asking.attempt] = asking.ticket
+        # The process may have slept between the first register's answer and
+        # this line, long enough that the caller was told something else.
+        if self._timers.now_seconds() > asking.give_up_at_seconds:
+            self.release(asking.attempt)
+            self._end_not_run(asking, "deadline")
+            return
+        asking.handler.go(asking.attempt)
+
+    def _refused(
+        self, asking: Asking, reply: once_messages.ClaimReply
+    ) -> None:
+        self._give_back(asking)
+        del self._asking[asking.attempt]
+        if reply.answer is not None and reply.verdict != "mismatch":
+            self._counters.add("once_outcomes", "replayed")
+            asking.handler.replay(reply.answer)
+        elif reply.verdict == "taken":
+            self._end_unknown(asking, "already_sent")
+        else:
+            self._end_not_run(asking, NOT_RUN_REASONS[reply.verdict])
+
+    def _on_silence(self, asking: Asking) -> None:
+        if asking.attempt not in self._asking:
+            return
+        if asking.asks_left > 0:
+            self._counters.add("once_asks_repeated", "silence")
+            self._ask_register(asking)
+        elif asking.register == asking.ticket.first:
+            self._first_is_silent(asking)
+        else:
+            self._second_is_silent(asking)
+
+    def _first_is_silent(self, asking: Asking) -> None:
+        second = asking.ticket.second
+        if second is None:
+            del self._asking[asking.attempt]
+            self._end_unknown(asking, "registers_unreachable")
+            return
+        # The first register may be dead. Nothing can run without the second
+        # one, so sealing there makes "not run" true for good.
+        asking.sealing = True
+        asking.register = second
+        asking.asks_left = ASKS_PER_REGISTER
+        self._ask_register(asking)
+
+    def _second_is_silent(self, asking: Asking) -> None:
+        del self._asking[asking.attempt]
+        if asking.claimed_at:
+            self._give_back(asking)
+            self._end_not_run(asking, "register_unreachable")
+        else:
+            self._end_unknown(asking, "registers_unreachable")
+
+    def _give_back(self, asking: Asking) -> None:
+        # Also where the reply was lost, so that a repeat isn't taken for the
+        # second run of something that never ran.
+        if not asking.claimed_at:
+            return
+        release = once_messages.Release(asking.ticket.serial, asking.attempt)
+        for register in _registers(asking.ticket):
+            self._tell(register, release, RETELLS)
+
+    def _end_not_run(self, asking: Asking, reason: str) -> None:
+        self._counters.add("once_outcomes", reason)
+        asking.handler.not_run(reason)
+
+    def _end_unknown(self, asking: Asking, reason: str) -> None:
+        self._counters.add("once_outcomes", reason)
+        asking.handler.unknown(reason)
+
+    def _tell(
+        self, register: ids.InstanceId, told: Told, retells_left: int
+    ) -> None:
+        if register == self._link.self_id:
+            self._tell_ourselves(told)
+            return
+        self._telling[(register, told.attempt)] = told
+        self._link.send(to=register, body=told)
+        if retells_left > 0:
+            self._timers.once(
+                delay_seconds=RETELL_SECONDS,
+                callback=lambda: self._retell(register, told, retells_left),
+            )
+        else:
+            del self._telling[(register, told.attempt)]
+
+    def _retell(
+        self, register: ids.InstanceId, told: Told, retells_left: int
+    ) -> None:
+        if self._telling.get((register, told.attempt)) is told:
+            self._tell(register, told, retells_left - 1)
+
+    def _tell_ourselves(self, told: Told) -> None:
+        if isinstance(told, once_messages.Store):
+            self._register.store(told)
+        else:
+            self._register.release(told)
+
+    def _on_told(
+        self,
+        sender: ids.InstanceId,
+        told: once_messages.Released | once_messages.Stored,
+    ) -> None:
+        self._telling.pop((sender, told.attempt), None)
+
+
+NOT_RUN_REASONS = {
+    "sealed": "ticket_sealed",
+    "foreign": "ticket_foreign",
+    "expired": "ticket_expired",
+    "full": "register_full",
+    "mismatch": "request_differs",
+}
+
+
+def _registers(ticket: once_messages.Ticket) -> list[ids.InstanceId]:
+    second = ticket.second
+    return [ticket.first] if second is None else [ticket.first, second]
+
+
+__all__ = [
+    "AttemptHandler",
+    "Runner",
+]
--- /dev/null
+++ b/src/boragefold/protocol/once_messages.py
@@ -0,0 +1,112 @@
+"""Messages between an attempt and the registers of its ticket."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from boragefold.protocol import ids
+
+
+class Ticket(NamedTuple):
+    """An idempotency key minted by the system.
+
+    ``issued_at_seconds`` is a reading of the first register's own clock.
+    ``second`` is None when no other instance was known.
+    """
+
+    serial: str
+    workspace: str
+    first: ids.InstanceId
+    second: ids.InstanceId | None
+    issued_at_seconds: float
+    seal: bytes
+
+
+class Attempt(NamedTuple):
+    """One attempt to run a ticket, by one incarnation; never used twice."""
+
+    runner: ids.InstanceId
+    number: int
+
+
+class StoredAnswer(NamedTuple):
+    """What the endpoint answered; ``body`` is None when it was too large."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+class Claim(NamedTuple):
+    """Ask a register to record an attempt before it is sent."""
+
+    ticket: Ticket
+    attempt: Attempt
+    digest: str
+
+
+class ClaimReply(NamedTuple):
+    """A register's decision.
+
+    ``verdict`` is ``granted``, ``taken``, ``sealed``, ``foreign``,
+    ``expired``, ``mismatch`` or ``full``.
+    """
+
+    serial: str
+    attempt: Attempt
+    verdict: str
+    answer: StoredAnswer | None
+
+
+class Seal(NamedTuple):
+    """Ask a register never to grant a ticket that it hasn't granted yet."""
+
+    ticket: Ticket
+    attempt: Attempt
+    digest: str
+
+
+class Release(NamedTuple):
+    """Tell a register that an attempt sent nothing and never will."""
+
+    serial: str
+    attempt: Attempt
+
+
+class Released(NamedTuple):
+    """Acknowledge a release."""
+
+    serial: str
+    attempt: Attempt
+
+
+class Store(NamedTuple):
+    """Tell a register what the endpoint answered."""
+
+    serial: str
+    attempt: Attempt
+    answer: StoredAnswer
+
+
+class Stored(NamedTuple):
+    """Acknowledge a stored answer."""
+
+    serial: str
+    attempt: Attempt
+
+
+MESSAGES = (Claim, ClaimReply, Release, Released, Seal, Store, Stored)
+
+__all__ = [
+    "MESSAGES",
+    "Attempt",
+    "Claim",
+    "ClaimReply",
+    "Release",
+    "Released",
+    "Seal",
+    "Store",
+    "Stored",
+    "StoredAnswer",
+    "Ticket",
+]
--- /dev/null
+++ b/src/boragefold/transport/http_client.py
@@ -0,0 +1,385 @@
+"""HTTP/1.1 towards endpoints, services and the platform."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import dataclasses
+from typing import NamedTuple
+
+import h11
+
+from boragefold.timing import timers as timing
+from boragefold.transport import sockets
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+SWEEP_SECONDS = 0.1
+# An idle connection that a device in between has forgotten looks open. The
+# longer it idled the likelier that is, so old ones are not used again.
+MAX_IDLE_SECONDS = 15.0
+MAX_IDLE_PER_ADDRESS = 32
+MAX_HEADER_BYTES = 32_768
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Failure:
+    """No whole answer came.
+
+    ``may_have_arrived`` is False only when no byte of the request was given
+    to a connection that was open; only then is a repeat always lawful.
+    """
+
+    reason: str
+    may_have_arrived: bool
+
+
+class AnswerSink(abc.ABC):
+    """Receives one answer; ends with exactly one ``end`` or ``failed``."""
+
+    @abc.abstractmethod
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head.
+
+        :param status: the HTTP status
+        :param headers: names in lower case
+        """
+
+    @abc.abstractmethod
+    def data(self, data: bytes) -> None:
+        """Take a piece of the body.
+
+        :param data: at least one byte
+        """
+
+    @abc.abstractmethod
+    def end(self) -> None:
+        """Learn that the answer was whole."""
+
+    @abc.abstractmethod
+    def failed(self, failure: Failure) -> None:
+        """Learn that no whole answer will come.
+
+        :param failure: why
+        """
+
+
+class Call(NamedTuple):
+    """One request to send.
+
+    ``fresh`` asks for a new connection. ``progress_seconds`` is how long the
+    other end may be silent, not how long the whole answer may take.
+    """
+
+    address: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    fresh: bool
+    progress_seconds: float
+
+
+class Pending:
+    """A call whose answer has not ended."""
+
+    def __init__(self, *, call: Call, sink: AnswerSink) -> None:
+        self.call = call
+        self.sink = sink
+        self.connection: ClientConnection | None = None
+
+    def cancel(self) -> None:
+        """Give the call up; its sink hears nothing more."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.cancel()
+
+    def pause(self) -> None:
+        """Stop reading the answer, because its reader is slow."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self.connection is not None:
+            self.connection.resume()
+
+
+class ClientConnection(sockets.StreamHandler):
+    """One connection to one address, for one call at a time."""
+
+    stream: sockets.Stream
+
+    def __init__(self, *, client: HttpClient, address: str) -> None:
+        self._client = client
+        self.address = address
+        self.pending: Pending | None = None
+        self.paused = False
+        self.used_before = False
+        self.sent_any = False
+        self.answer_began = False
+        self.progressed_at_seconds = 0.0
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    def begin(self, pending: Pending) -> None:
+        """Send a call, at once or when the connection opens.
+
+        :param pending: the call and who takes its answer
+        """
+        self.pending = pending
+        pending.connection = self
+        self.sent_any = False
+        self.answer_began = False
+        self.progressed_at_seconds = self._client.now_seconds()
+        if not self.stream.connecting:
+            self._send_call()
+
+    def connected(self) -> None:
+        """Send the call that waited for the connection."""
+        self.progressed_at_seconds = self._client.now_seconds()
+        self._send_call()
+
+    def received(self, data: bytes) -> None:
+        """Parse a part of the answer.
+
+        :param data: bytes
+        """
+        self.progressed_at_seconds = self._client.now_seconds()
+        self.answer_began = True
+        try:
+            self._parser.receive_data(data)
+            while self._take(self._parser.next_event()):
+                pass
+        except h11.RemoteProtocolError:
+            self.stream.abort("malformed_answer")
+
+    def drained(self) -> None:
+        """Do nothing: a call is written at once."""
+
+    def closed(self, reason: str) -> None:
+        """Fail the running call, or let the parser see the end.
+
+        :param reason: why the connection is gone
+        """
+        self._client.forget(self)
+        if self.pending is None:
+            return
+        if reason == "eof" and self._ended_by_close():
+            return
+        self._fail(reason)
+
+    def cancel(self) -> None:
+        """Give up the running call; the sink hears nothing more."""
+        self.pending = None
+        self.stream.abort()
+
+    def pause(self) -> None:
+        """Stop reading; a paused connection has no progress timeout."""
+        self.paused = True
+        self.stream.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        self.paused = False
+        self.progressed_at_seconds = self._client.now_seconds()
+        self.stream.resume_reading()
+
+    def _ended_by_close(self) -> bool:
+        try:
+            self._parser.receive_data(b"")
+            while self._take(self._parser.next_event()):
+                pass
+        except h11.RemoteProtocolError:
+            return False
+        return self.pending is None
+
+    def _fail(self, reason: str) -> None:
+        pending, self.pending = self.pending, None
+        if pending is None:
+            return
+        pending.connection = None
+        failure = Failure(reason=reason, may_have_arrived=self.sent_any)
+        stale = self.used_before and not self.answer_began
+        self._client.call_failed(pending, failure, stale=stale)
+
+    def _send_call(self) -> None:
+        if self.pending is None:
+            self.stream.close()
+            return
+        call = self.pending.call
+        self.sent_any = True
+        head = h11.Request(
+            method=call.method,
+            target=call.target,
+            headers=[
+                ("Host", call.address),
+                ("Content-Length", str(len(call.body))),
+                *call.headers,
+            ],
+        )
+        parts = [self._parser.send(head)]
+        if call.body:
+            parts.append(self._parser.send(h11.Data(data=call.body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        self.stream.write(b"".join(part for part in parts if part))
+
+    def _take(self, event: object) -> bool:
+        if event in (h11.NEED_DATA, h11.PAUSED):
+            return False
+        if isinstance(event, h11.ConnectionClosed):
+            return False
+        if self.pending is None:
+            return False
+        sink = self.pending.sink
+        if isinstance(event, h11.Response):
+            headers = {
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in event.headers
+            }
+            sink.head(event.status_code, headers)
+        elif isinstance(event, h11.Data):
+            sink.data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._end(self.pending)
+            return False
+        return self.pending is not None
+
+    def _end(self, pending: Pending) -> None:
+        self.pending = None
+        pending.connection = None
+        if self._parser.our_state is h11.DONE and (
+            self._parser.their_state is h11.DONE
+        ):
+            self._parser.start_next_cycle()
+            self.used_before = True
+            self._client.release(self)
+        else:
+            self.stream.close()
+        pending.sink.end()
+
+
+class HttpClient:
+    """Sends calls over pooled or fresh connections."""
+
+    def __init__(
+        self, *, sockets_: sockets.SocketSet, timers: timing.TimerService
+    ) -> None:
+        self._sockets = sockets_
+        self._timers = timers
+        self._idle: dict[str, collections.deque[ClientConnection]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._busy: set[ClientConnection] = set()
+        timers.every(period_seconds=SWEEP_SECONDS, callback=self._sweep)
+
+    def now_seconds(self) -> float:
+        """Read the clock.
+
+        :return: seconds
+        """
+        return self._timers.now_seconds()
+
+    def send(self, call: Call, sink: AnswerSink) -> Pending:
+        """Send a call.
+
+        :param call: what to send
+        :param sink: who takes the answer; never called inside this call
+        :return: a handle that can cancel the call
+        """
+        pending = Pending(call=call, sink=sink)
+        self._dispatch(pending, fresh=call.fresh)
+        return pending
+
+    def call_failed(
+        self, pending: Pending, failure: Failure, *, stale: bool
+    ) -> None:
+        """Repeat a call on a new connection, or tell its sink.
+
+        :param pending: the call
+        :param failure: what went wrong
+        :param stale: whether a reused connection died before any answer
+        """
+        # A connection that idled may be dead without a sign: the write goes
+        # through and nothing comes back. That says nothing about the
+        # endpoint, so it is tried again on a new connection, once. Calls
+        # that may not run twice never use an idle connection.
+        if stale:
+            self._dispatch(pending, fresh=True)
+        else:
+            pending.sink.failed(failure)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Keep a connection for a later call.
+
+        :param connection: one whose call is over
+        """
+        self._busy.discard(connection)
+        idle = self._idle[connection.address]
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.stream.close()
+        else:
+            idle.append(connection)
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Drop a connection that is gone.
+
+        :param connection: which
+        """
+        self._busy.discard(connection)
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+        if idle is not None and not idle:
+            del self._idle[connection.address]
+
+    def _dispatch(self, pending: Pending, *, fresh: bool) -> None:
+        address = pending.call.address
+        connection = None if fresh else self._take_idle(address)
+        if connection is None:
+            connection = self._open(address)
+        self._busy.add(connection)
+        connection.begin(pending)
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.stream.open:
+                return connection
+        return None
+
+    def _open(self, address: str) -> ClientConnection:
+        host, _, port = address.rpartition(":")
+        connection = ClientConnection(client=self, address=address)
+        connection.stream = self._sockets.connect(
+            host=host, port=int(port), handler=connection
+        )
+        return connection
+
+    def _sweep(self) -> None:
+        now_seconds = self.now_seconds()
+        for connection in list(self._busy):
+            silent = now_seconds - connection.progressed_at_seconds
+            allowed = self._allowed_seconds(connection)
+            if silent > allowed and not connection.paused:
+                connection.stream.abort("timeout")
+        for idle in list(self._idle.values()):
+            while idle and (
+                now_seconds - idle[0].progressed_at_seconds > MAX_IDLE_SECONDS
+            ):
+                idle[0].stream.abort()
+
+    def _allowed_seconds(self, connection: ClientConnection) -> float:
+        if connection.stream.connecting or connection.pending is None:
+            return CONNECT_TIMEOUT_SECONDS
+        return connection.pending.call.progress_seconds
+
+
+__all__ = [
+    "AnswerSink",
+    "Call",
+    "Failure",
+    "HttpClient",
+    "Pending",
+]
--- /dev/null
+++ b/src/boragefold/transport/http_server.py
@@ -0,0 +1,295 @@
+"""HTTP/1.1 towards callers: parsed by h11, with bounds on everything."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+from urllib import parse
+
+import h11
+import msgspec
+
+from boragefold.transport import sockets
+
+MAX_HEADER_BYTES = 32_768
+MAX_BODY_BYTES = 4_194_304
+STATUS_BAD_REQUEST = 400
+STATUS_TOO_LARGE = 413
+
+Headers = list[tuple[str, str]]
+
+
+class Request(NamedTuple):
+    """One whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Exchange:
+    """One request and the answer to it."""
+
+    def __init__(self, *, connection: ServerConnection) -> None:
+        self._connection = connection
+        self.started = False
+        self.finished = False
+        self.on_closed: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer; the body follows in pieces.
+
+        :param status: the HTTP status
+        :param headers: names and values; without a length the body is chunked
+        """
+        if self.started or self.finished:
+            return
+        self.started = True
+        self._connection.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+    def send(self, data: bytes) -> bool:
+        """Send a piece of the body.
+
+        :param data: the piece
+        :return: whether the caller keeps up; if not, wait for ``on_drained``
+        """
+        if self.finished or not data:
+            return not self.finished
+        return self._connection.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer; only a whole answer may be ended."""
+        if not self.finished:
+            self.finished = True
+            self._connection.finish()
+
+    def abort(self) -> None:
+        """Cut the connection, so the caller sees that the answer is cut.
+
+        Ending a chunked body in the usual way would show a broken answer as
+        a whole one.
+        """
+        if not self.finished:
+            self.finished = True
+            self._connection.abort()
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer.
+
+        :param status: the HTTP status
+        :param headers: without the length, which is added
+        :param body: the whole body
+        """
+        length = ("Content-Length", str(len(body)))
+        self.start(status, [*headers, length])
+        self.send(body)
+        self.finish()
+
+    def closed(self) -> None:
+        """Learn that the caller is gone; called by the connection."""
+        self.finished = True
+        if self.on_closed is not None:
+            self.on_closed()
+
+    def drained(self) -> None:
+        """Learn that the caller caught up; called by the connection."""
+        if self.on_drained is not None and not self.finished:
+            self.on_drained()
+
+
+def bad_request_body(reason: str) -> bytes:
+    """Write the body that tells a caller its bytes were no request.
+
+    :param reason: why
+    :return: JSON
+    """
+    error = {
+        "outcome": "not_run",
+        "reason": reason,
+        "remedy": "send one well-formed HTTP/1.1 request within the limits",
+    }
+    return msgspec.json.encode({"error": error})
+
+
+Application = Callable[[Request, Exchange], None]
+
+
+class ServerConnection(sockets.StreamHandler):
+    """One caller's connection: requests one after the other."""
+
+    stream: sockets.Stream
+
+    def __init__(
+        self,
+        *,
+        application: Application,
+        on_bad_request: Callable[[str], None],
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        self._application = application
+        self._on_bad_request = on_bad_request
+        self._max_body_bytes = max_body_bytes
+        self._parser = self._new_parser()
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._exchange: Exchange | None = None
+
+    def connected(self) -> None:
+        """Do nothing: the caller speaks first."""
+
+    def received(self, data: bytes) -> None:
+        """Parse what the caller sent.
+
+        :param data: bytes
+        """
+        try:
+            self._parser.receive_data(data)
+        except h11.RemoteProtocolError:
+            self._refuse("malformed", STATUS_BAD_REQUEST)
+            return
+        self._parse()
+
+    def drained(self) -> None:
+        """Pass on that the caller caught up."""
+        if self._exchange is not None:
+            self._exchange.drained()
+
+    def closed(self, reason: str) -> None:
+        """Tell the running exchange that its caller is gone.
+
+        :param reason: why
+        """
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None and not exchange.finished:
+            exchange.closed()
+
+    def send(self, event: h11.Event) -> bool:
+        """Send a part of the answer.
+
+        :param event: head or data
+        :return: whether the caller keeps up
+        """
+        if not self.stream.open:
+            return False
+        data = self._parser.send(event)
+        return self.stream.write(data) if data else True
+
+    def finish(self) -> None:
+        """End the answer and turn to the next request, if one waits."""
+        if not self.stream.open:
+            return
+        self.stream.write(self._parser.send(h11.EndOfMessage()) or b"")
+        self._exchange = None
+        self._head = None
+        if self._parser.our_state is h11.MUST_CLOSE:
+            self.stream.close()
+            return
+        if self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+            self.stream.resume_reading()
+            self._parse()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._exchange = None
+        self.stream.abort()
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    def _parse(self) -> None:
+        while self.stream.open and self._exchange is None:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse("malformed", error.error_status_hint)
+                return
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if not self._take(event):
+                return
+        if self._exchange is not None and self._parser.trailing_data[0]:
+            # A pipelined request waits in the parser. Reading on would let a
+            # caller that never reads its answers grow that buffer for good.
+            self.stream.pause_reading()
+
+    def _take(self, event: object) -> bool:
+        if isinstance(event, h11.Request):
+            return self._take_head(event)
+        if isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._max_body_bytes:
+                self._refuse("body_too_large", STATUS_TOO_LARGE)
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            self._dispatch()
+        elif isinstance(event, h11.ConnectionClosed):
+            return False
+        return True
+
+    def _take_head(self, head: h11.Request) -> bool:
+        names = {name for name, _ in head.headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            # Two framings: a proxy in front may follow the other one, and a
+            # second request hidden in the body would be answered to someone
+            # else. The parser alone would accept it.
+            self._refuse("conflicting_framing", STATUS_BAD_REQUEST)
+            return False
+        self._head = head
+        self._body = bytearray()
+        expected = dict(head.headers).get(b"expect", b"")
+        if expected.lower() == b"100-continue":
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return True
+
+    def _dispatch(self) -> None:
+        head = self._head
+        if head is None:
+            return
+        target = parse.urlsplit(head.target.decode("latin-1"))
+        request = Request(
+            method=head.method.decode("latin-1"),
+            path=parse.unquote(target.path),
+            query=target.query,
+            headers={
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in head.headers
+            },
+            body=bytes(self._body),
+        )
+        self._body = bytearray()
+        self._exchange = Exchange(connection=self)
+        self._application(request, self._exchange)
+
+    def _refuse(self, reason: str, status: int) -> None:
+        self._on_bad_request(reason)
+        body = bad_request_body(reason)
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = h11.Response(
+                status_code=status,
+                headers=[
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", str(len(body))),
+                    ("Connection", "close"),
+                ],
+            )
+            events = (response, h11.Data(data=body), h11.EndOfMessage())
+            for event in events:
+                self.stream.write(self._parser.send(event) or b"")
+        self.stream.close()
+
+
+__all__ = [
+    "Application",
+    "Exchange",
+    "Headers",
+    "Request",
+    "ServerConnection",
+]
