Add the peer link

Cause: instances had no way to talk. Change: one PULL socket and a PUSH socket per peer, heartbeats of ZeroMQ against silent connections, CURVE keys checked through ZAP. Ruled out: queueing only to connected peers, which drops the first message to every peer.

--- /dev/null
+++ b/src/boragefold/transport/peer_link.py
@@ -0,0 +1,209 @@
+"""The link between entry instances, over ZeroMQ."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import circuits
+from circuits.core import pollers
+import zmq
+
+from boragefold.coordination import link as links
+from boragefold.protocol import envelope
+from boragefold.protocol import ids
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import peer_keys
+
+# A peer that takes nothing for this many messages is as good as silent; more
+# would only arrive too late to matter.
+SEND_QUEUE_MESSAGES = 1_000
+# ZeroMQ's own heartbeats find connections that a device in between forgot.
+HEARTBEAT_MILLISECONDS = 1_000
+HEARTBEAT_TIMEOUT_MILLISECONDS = 3_000
+RECONNECT_MILLISECONDS = 100
+RECONNECT_MAX_MILLISECONDS = 1_000
+# A socket to an address that we stopped talking to is closed.
+IDLE_SECONDS = 60.0
+MAX_MESSAGE_BYTES = 2_097_152
+
+
+class Route(NamedTuple):
+    """The socket to one address, and when it was last used."""
+
+    socket: zmq.Socket[bytes]
+    used_at_seconds: float
+
+
+class ZmqPeerLink(  # type: ignore[misc]
+    circuits.BaseComponent, links.PeerLink
+):
+    """Receives on one PULL socket, sends on one PUSH socket per peer."""
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        *,
+        poller: pollers.BasePoller,
+        timers: timing.TimerService,
+        self_id: ids.InstanceId,
+        codec: envelope.Codec,
+        counters: telemetry.Counters,
+        keys: peer_keys.PeerKeys | None = None,
+    ) -> None:
+        super().__init__()
+        self._self_id = self_id
+        self._timers = timers
+        self._codec = codec
+        self._counters = counters
+        self._keys = keys
+        self._handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {}
+        self._routes: dict[str, Route] = {}
+        self.is_cut: Callable[[ids.InstanceId], bool] = lambda peer: False
+        self._context = zmq.Context()
+        self._gate = (
+            None
+            if keys is None
+            else peer_keys.Gate(context=self._context, keys=keys)
+        )
+        self._inbox = self._bind(self_id.address)
+        self._descriptors = self._watch(poller)
+        timers.every(
+            period_seconds=IDLE_SECONDS / 2, callback=self._close_idle
+        )
+
+    @property
+    def self_id(self) -> ids.InstanceId:
+        """Tell who we are.
+
+        :return: our identity
+        """
+        return self._self_id
+
+    def send(self, *, to: ids.InstanceId, body: Any) -> None:
+        """Send a message, or drop it when the peer takes none.
+
+        :param to: the receiver
+        :param body: an object of a registered message kind
+        """
+        if self.is_cut(to):
+            return
+        data = self._codec.encode(sender=self._self_id, body=body)
+        frames = [to.incarnation.encode(), data]
+        try:
+            self._route(to.address).send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again:
+            self._counters.add("peer_messages_dropped", "queue_full")
+            return
+        self._counters.add("peer_messages_sent", type(body).__name__)
+        self._counters.add("peer_bytes_sent", "", sum(map(len, frames)))
+
+    def subscribe(self, kind: Any, handler: Any) -> None:
+        """Receive one kind of message.
+
+        :param kind: the message type
+        :param handler: called with the sender and the message
+        """
+        self._handlers[kind] = handler
+
+    def close(self) -> None:
+        """Close every socket; unsent messages are dropped."""
+        for route in self._routes.values():
+            route.socket.close(linger=0)
+        self._routes.clear()
+        self._inbox.close(linger=0)
+        if self._gate is not None:
+            self._gate.close()
+
+    @circuits.handler("_read")  # type: ignore[untyped-decorator]
+    def _on_read(self, descriptor: int) -> None:
+        if self._gate is not None:
+            self._gate.answer()
+        # The descriptor of a ZeroMQ socket is edge-triggered: unless all is
+        # read now, the loop sleeps on messages that are already here.
+        while True:
+            try:
+                frames = self._inbox.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._take(frames)
+
+    def _take(self, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self._counters.add("peer_messages_refused", "frames")
+            return
+        incarnation, data = frames
+        if incarnation not in (b"", self._self_id.incarnation.encode()):
+            # It was meant for a process that ran at this address before us,
+            # and speaks of rights and records that we don't have.
+            self._counters.add("peer_messages_refused", "incarnation")
+            return
+        received = self._codec.decode(data)
+        if isinstance(received, envelope.Malformed):
+            self._counters.add("peer_messages_refused", received.reason)
+            return
+        if self.is_cut(received.sender):
+            return
+        handler = self._handlers.get(type(received.body))
+        if handler is not None:
+            self._counters.add("peer_bytes_received", "", len(data))
+            handler(received.sender, received.body)
+
+    def _bind(self, address: str) -> zmq.Socket[bytes]:
+        inbox = self._context.socket(zmq.PULL)
+        inbox.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._set_heartbeat(inbox)
+        if self._keys is not None:
+            self._keys.guard(inbox)
+        inbox.bind(f"tcp://{address}")
+        return inbox
+
+    def _watch(self, poller: pollers.BasePoller) -> list[int]:
+        descriptors = [int(self._inbox.getsockopt(zmq.FD))]
+        if self._gate is not None:
+            descriptors.append(self._gate.descriptor)
+        for descriptor in descriptors:
+            poller.addReader(self, descriptor)
+        return descriptors
+
+    def _route(self, address: str) -> zmq.Socket[bytes]:
+        route = self._routes.get(address)
+        socket = self._connect(address) if route is None else route.socket
+        self._routes[address] = Route(socket, self._timers.now_seconds())
+        return socket
+
+    def _connect(self, address: str) -> zmq.Socket[bytes]:
+        socket = self._context.socket(zmq.PUSH)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MILLISECONDS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MILLISECONDS)
+        self._set_heartbeat(socket)
+        if self._keys is not None:
+            self._keys.introduce(socket)
+        socket.connect(f"tcp://{address}")
+        return socket
+
+    def _set_heartbeat(self, socket: zmq.Socket[bytes]) -> None:
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MILLISECONDS)
+        socket.setsockopt(
+            zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MILLISECONDS
+        )
+
+    def _close_idle(self) -> None:
+        oldest_seconds = self._timers.now_seconds() - IDLE_SECONDS
+        idle = [
+            address
+            for address, route in self._routes.items()
+            if route.used_at_seconds < oldest_seconds
+        ]
+        for address in idle:
+            self._routes.pop(address).socket.close(linger=0)
+
+
+__all__ = [
+    "ZmqPeerLink",
+]
