--- /dev/null
+++ b/src/boragefold/coordination/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""The published configuration: read by few, passed on to all."""
+
+from __future__ import annotations
