Serve a request end to end, as separate processes

Cause: no request reached an endpoint.

Found on the way: a payout repeated through a second instance got 'unknown'. Ruled out: the edge-triggered descriptor (it was readable and watched) and the timeout. Cause: the link kept its subscribers under the name _handlers, which is where circuits keeps a component's event handlers, so no read event ever came. The link's test had called the handler itself and so hid it; it now only turns the loop. Conclusion: the thin way stands; endpoint choice is still a stand-in.

--- /dev/null
+++ b/src/boragefold/cli/main.py
@@ -0,0 +1,20 @@
+"""The command ``boragefold`` and its subcommands."""
+
+from __future__ import annotations
+
+import click
+
+from boragefold.cli import serve
+
+
+@click.group(context_settings={"auto_envvar_prefix": "BORAGEFOLD"})
+@click.version_option(package_name="boragefold")
+def main() -> None:
+    """Serve very many LoRA adapters on a few base models."""
+
+
+main.add_command(serve.serve)
+
+__all__ = [
+    "main",
+]
--- /dev/null
+++ b/src/boragefold/cli/serve.py
@@ -0,0 +1,54 @@
+"""The subcommand ``serve``: one entry instance."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import click
+
+from boragefold.entry import instance as instances
+from boragefold.settings import serve as serve_settings
+from boragefold.telemetry import logs
+
+EXIT_BAD_SETTINGS = 2
+
+
+@click.command()
+@click.option("--listen", required=True, help="Callers' face: IP:PORT.")
+@click.option("--peer-listen", required=True, help="Peer link: IP:PORT.")
+@click.option(
+    "--operators-listen", required=True, help="Operators' face: IP:PORT."
+)
+@click.option(
+    "--platform", required=True, help="The configuration service: IP:PORT."
+)
+@click.option("--data-centre", required=True, help="As it is published.")
+@click.option("--peer-secret", default="", help="CURVE secret of the fleet.")
+@click.option("--tls-certificate", default="", help="PEM, callers' face.")
+@click.option("--tls-key", default="", help="PEM, callers' face.")
+@click.option(
+    "--stop-notice-seconds",
+    default=5.0,
+    show_default=True,
+    help="How long to go on accepting after turning not ready.",
+)
+@click.option("--json-logs/--text-logs", default=False, show_default=True)
+def serve(**options: Any) -> None:
+    """Run one entry instance."""
+    settings = serve_settings.ServeSettings(**options)
+    faults = serve_settings.faults(settings)
+    for fault in faults:
+        flag = fault.setting.replace("_", "-")
+        click.echo(f"--{flag}: {fault.remedy}", err=True)
+    if faults:
+        sys.exit(EXIT_BAD_SETTINGS)
+    logs.begin(json_lines=settings.json_logs)
+    instance = instances.Instance(settings=settings)
+    instance.start()
+    instance.loop.run()
+
+
+__all__ = [
+    "serve",
+]
--- /dev/null
+++ b/src/boragefold/entry/__init__.py
@@ -0,0 +1,3 @@
+"""One entry instance: what it does with callers' requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragefold/entry/chat_face.py
@@ -0,0 +1,176 @@
+"""The chat interface: checks a request and hands it to the decisions."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+from boragefold.entry import answers
+from boragefold.entry import identity
+from boragefold.entry import live_chat
+from boragefold.policy import work as works
+from boragefold.protocol import chat
+from boragefold.protocol import outcome as outcomes
+from boragefold.state import catalogue as catalogues
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import http_client
+from boragefold.transport import http_server
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+HEADER_DEADLINE = "boragefold-deadline-seconds"
+MAX_DEADLINE_SECONDS = 600.0
+
+
+class Desk(abc.ABC):
+    """Takes checked chats in and sees them through."""
+
+    @abc.abstractmethod
+    def offer(self, live: live_chat.LiveChat) -> None:
+        """Take a chat in; it will be answered or refused.
+
+        :param live: the chat
+        """
+
+
+class ChatFace:
+    """Answers ``POST /v1/chat/completions``."""
+
+    def __init__(
+        self,
+        *,
+        catalogue: catalogues.Catalogue,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        client: http_client.HttpClient,
+        desk: Desk,
+        events: live_chat.ChatEvents,
+        new_request_id: Callable[[], str],
+    ) -> None:
+        self._catalogue = catalogue
+        self._timers = timers
+        self._counters = counters
+        self._client = client
+        self._desk = desk
+        self._events = events
+        self._new_request_id = new_request_id
+
+    def handle(
+        self,
+        request: http_server.Request,
+        exchange: http_server.Exchange,
+        caller: identity.Caller,
+    ) -> None:
+        """Take one chat request in.
+
+        :param request: as it came
+        :param exchange: where the answer goes
+        :param caller: whose key came with it
+        """
+        request_id = self._new_request_id()
+        parsed = chat.parse(request.body)
+        if isinstance(parsed, chat.BadChatRequest):
+            refusal = outcomes.NotRun(
+                status=STATUS_BAD_REQUEST,
+                reason=parsed.reason,
+                remedy=parsed.remedy,
+            )
+            self._refuse(exchange, refusal, request_id)
+            return
+        needs = self._resolve(caller, parsed["model"])
+        if isinstance(needs, outcomes.NotRun):
+            self._refuse(exchange, needs, request_id)
+            return
+        work = self._work(request_id, request, parsed, caller, needs)
+        live = live_chat.LiveChat(
+            work=work,
+            request=parsed,
+            key_digest=caller.digest,
+            exchange=exchange,
+            events=self._events,
+            client=self._client,
+        )
+        self._desk.offer(live)
+
+    def _resolve(
+        self, caller: identity.Caller, model: str
+    ) -> works.AdapterVersion | outcomes.NotRun:
+        target = chat.target(model)
+        if self._catalogue.model(target.name) is not None:
+            return works.AdapterVersion(target.name, "", "")
+        record = self._catalogue.adapter(
+            workspace=caller.settings.workspace, name=target.name
+        )
+        if record is None:
+            return outcomes.NotRun(
+                status=STATUS_NOT_FOUND,
+                reason="adapter_unknown",
+                remedy="name a base model or an adapter of your workspace",
+            )
+        version = target.version or record.versions[-1]
+        if version not in record.versions:
+            return outcomes.NotRun(
+                status=STATUS_NOT_FOUND,
+                reason="version_unknown",
+                remedy=f"use one of: {', '.join(record.versions)}",
+            )
+        return works.AdapterVersion(record.model, record.qualified, version)
+
+    def _work(
+        self,
+        request_id: str,
+        request: http_server.Request,
+        parsed: chat.ChatRequest,
+        caller: identity.Caller,
+        needs: works.AdapterVersion,
+    ) -> works.Work:
+        settings = caller.settings
+        now_seconds = self._timers.now_seconds()
+        wanted = parsed.get("max_tokens", settings.max_tokens)
+        deadline = read_deadline_seconds(request, settings.deadline_seconds)
+        return works.Work(
+            request_id=request_id,
+            workspace=settings.workspace,
+            needs=needs,
+            prompt_tokens=chat.estimate_tokens(parsed),
+            max_tokens=min(wanted, settings.max_tokens),
+            arrived_at_seconds=now_seconds,
+            give_up_at_seconds=now_seconds + deadline,
+            late_sensitive=settings.late_sensitive,
+            prefix=parsed["messages"][0]["content"][:64],
+        )
+
+    def _refuse(
+        self,
+        exchange: http_server.Exchange,
+        refusal: outcomes.NotRun,
+        request_id: str,
+    ) -> None:
+        self._counters.add("requests_refused", refusal.reason)
+        answers.refuse(exchange, refusal, request_id)
+
+
+def read_deadline_seconds(
+    request: http_server.Request, default_seconds: float
+) -> float:
+    """Read how long the caller is willing to wait.
+
+    :param request: as it came
+    :param default_seconds: of the workspace
+    :return: seconds; the default for a value that is no positive number
+    """
+    try:
+        seconds = float(request.headers.get(HEADER_DEADLINE, ""))
+    except ValueError:
+        return default_seconds
+    if not 0 < seconds <= MAX_DEADLINE_SECONDS:
+        return default_seconds
+    return seconds
+
+
+__all__ = [
+    "ChatFace",
+    "Desk",
+    "read_deadline_seconds",
+]
--- /dev/null
+++ b/src/boragefold/entry/engine_answer.py
@@ -0,0 +1,172 @@
+"""Reading an engine's streamed answer, and trusting none of it."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from boragefold.policy import work as works
+from boragefold.protocol import chat
+from boragefold.transport import http_client
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+EVENT_END = b"\n\n"
+EVENT_PREFIX = b"data: "
+DONE_PAYLOAD = b"[DONE]"
+MAX_EVENT_BYTES = 1_048_576
+
+
+class AnswerReader(abc.ABC):
+    """Receives the checked tokens of one attempt."""
+
+    @abc.abstractmethod
+    def began(self, incarnation: str) -> None:
+        """Learn that the engine accepted the request.
+
+        :param incarnation: of the engine
+        """
+
+    @abc.abstractmethod
+    def tokens(self, texts: list[str]) -> None:
+        """Take tokens that arrived together, in order and without a gap.
+
+        :param texts: at least one
+        """
+
+    @abc.abstractmethod
+    def whole(self, usage: dict[str, int]) -> None:
+        """Learn that the answer is complete.
+
+        :param usage: tokens as the engine counted them
+        """
+
+    @abc.abstractmethod
+    def broken(self, reason: str, *, may_have_run: bool) -> None:
+        """Learn that this attempt will not complete.
+
+        :param reason: ``adapter_not_resident``, ``wrong_adapter``,
+            ``crossed``, ``cut``, ``refused``, ``timeout``, ``reset``,
+            ``engine_error`` or ``malformed_answer``
+        :param may_have_run: whether the engine may have worked on it
+        """
+
+
+class EngineAnswer(http_client.AnswerSink):
+    """Checks each event of an answer before passing it on.
+
+    An engine that lost its slots between our report and our request could
+    answer with another adapter, and a connection that was crossed could carry
+    another answer. Both would reach the caller as a well-formed text. Every
+    event names its adapter, version and place, so each is held against what
+    was asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        needs: works.AdapterVersion,
+        next_token: int,
+        reader: AnswerReader,
+    ) -> None:
+        self._needs = needs
+        self._next_token = next_token
+        self._reader = reader
+        self._buffer = b""
+        self._usage: dict[str, int] | None = None
+        self._done = False
+        self._ended = False
+        self.pending: http_client.Pending | None = None
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Check the head.
+
+        :param status: the HTTP status
+        :param headers: the engine's headers
+        """
+        if status == STATUS_CONFLICT:
+            self._break("adapter_not_resident", may_have_run=False)
+        elif status == STATUS_UNAVAILABLE:
+            self._break("engine_busy", may_have_run=False)
+        elif status != STATUS_OK:
+            self._break("engine_error", may_have_run=True)
+        else:
+            self._reader.began(headers.get("engine-incarnation", ""))
+
+    def data(self, data: bytes) -> None:
+        """Check the events that are complete and pass their tokens on.
+
+        :param data: a piece of the body
+        """
+        if self._ended:
+            return
+        *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self._break("malformed_answer", may_have_run=True)
+            return
+        texts: list[str] = []
+        fault = next(filter(None, (self._take(e, texts) for e in events)), "")
+        if texts:
+            self._reader.tokens(texts)
+        if fault:
+            self._break(fault, may_have_run=True)
+
+    def end(self) -> None:
+        """Accept the end only after the terminator."""
+        if self._ended:
+            return
+        if not self._done or self._usage is None:
+            # A proxy that closes in good order makes a cut answer look like
+            # a short one. Without the terminator it isn't whole.
+            self._break("cut", may_have_run=True)
+            return
+        self._ended = True
+        self._reader.whole(self._usage)
+
+    def failed(self, failure: http_client.Failure) -> None:
+        """Pass a failed connection on.
+
+        :param failure: why
+        """
+        if not self._ended:
+            self._break(failure.reason, may_have_run=failure.may_have_arrived)
+
+    def _take(self, event: bytes, texts: list[str]) -> str:
+        payload = event.removeprefix(EVENT_PREFIX)
+        if payload == DONE_PAYLOAD:
+            self._done = True
+            return ""
+        try:
+            decoded = _DECODER.decode(payload)
+        except msgspec.MsgspecError:
+            return "malformed_answer"
+        if decoded.usage is not None:
+            self._usage = decoded.usage
+            return ""
+        return self._take_token(decoded, texts)
+
+    def _take_token(self, event: chat.EngineEvent, texts: list[str]) -> str:
+        named = (event.adapter, event.version)
+        if named != (self._needs.adapter, self._needs.version):
+            return "wrong_adapter"
+        if event.index != self._next_token:
+            return "crossed"
+        self._next_token += 1
+        texts.append(event.choices[0]["delta"]["content"])
+        return ""
+
+    def _break(self, reason: str, *, may_have_run: bool) -> None:
+        self._ended = True
+        if self.pending is not None:
+            self.pending.cancel()
+        self._reader.broken(reason, may_have_run=may_have_run)
+
+
+_DECODER = msgspec.json.Decoder(chat.EngineEvent)
+
+__all__ = [
+    "AnswerReader",
+    "EngineAnswer",
+]
--- /dev/null
+++ b/src/boragefold/entry/live_chat.py
@@ -0,0 +1,224 @@
+"""One caller's chat request, from its arrival to its last byte."""
+
+from __future__ import annotations
+
+import abc
+
+from boragefold.entry import answers
+from boragefold.entry import engine_answer
+from boragefold.policy import work as works
+from boragefold.protocol import chat
+from boragefold.protocol import outcome as outcomes
+from boragefold.transport import http_client
+from boragefold.transport import http_server
+
+STATUS_OK = 200
+STATUS_BAD_GATEWAY = 502
+# Engines send a token each 28 ms, or nothing while they read a long prompt.
+# Silence for this long is a dead connection, not a slow engine.
+PROGRESS_SECONDS = 10.0
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+
+
+class ChatEvents(abc.ABC):
+    """Learns what becomes of a chat, to decide what happens next."""
+
+    @abc.abstractmethod
+    def answered(self, live: LiveChat) -> None:
+        """Learn that the first token arrived.
+
+        :param live: the chat
+        """
+
+    @abc.abstractmethod
+    def completed(self, live: LiveChat) -> None:
+        """Learn that the whole answer was passed on.
+
+        :param live: the chat
+        """
+
+    @abc.abstractmethod
+    def attempt_broken(
+        self, live: LiveChat, reason: str, *, may_have_run: bool
+    ) -> None:
+        """Learn that the attempt failed; resume, retry or give up.
+
+        :param live: the chat
+        :param reason: why
+        :param may_have_run: whether the engine may have worked on it
+        """
+
+    @abc.abstractmethod
+    def caller_gone(self, live: LiveChat) -> None:
+        """Learn that the caller closed the connection.
+
+        :param live: the chat
+        """
+
+
+class LiveChat(engine_answer.AnswerReader):
+    """The state of one chat request at this instance."""
+
+    def __init__(
+        self,
+        *,
+        work: works.Work,
+        request: chat.ChatRequest,
+        key_digest: str,
+        exchange: http_server.Exchange,
+        events: ChatEvents,
+        client: http_client.HttpClient,
+    ) -> None:
+        self.work = work
+        self.request = request
+        self.key_digest = key_digest
+        self.endpoint = ""
+        self.incarnation = ""
+        self.attempts = 0
+        self.generated_tokens = 0
+        self.usage: dict[str, int] | None = None
+        self.finished = False
+        self._exchange = exchange
+        self._events = events
+        self._client = client
+        self._streaming = request.get("stream", False)
+        self._texts: list[str] = []
+        self._answer: engine_answer.EngineAnswer | None = None
+        exchange.on_closed = self._on_caller_gone
+        exchange.on_drained = self._on_caller_caught_up
+
+    def send(self, *, endpoint: str, address: str, body: bytes) -> None:
+        """Send the request to an endpoint, from the next token on.
+
+        :param endpoint: the endpoint's name
+        :param address: where it listens
+        :param body: the engine's request
+        """
+        self.endpoint = endpoint
+        self.attempts += 1
+        self._answer = engine_answer.EngineAnswer(
+            needs=self.work.needs,
+            next_token=self.generated_tokens,
+            reader=self,
+        )
+        call = http_client.Call(
+            address=address,
+            method="POST",
+            target="/v1/chat/completions",
+            headers=[answers.JSON],
+            body=body,
+            fresh=False,
+            progress_seconds=PROGRESS_SECONDS,
+        )
+        self._answer.pending = self._client.send(call, self._answer)
+
+    def refuse(self, refusal: outcomes.NotRun | outcomes.Unknown) -> None:
+        """Give the caller its final answer without a whole result.
+
+        :param refusal: what happened and what to do
+        """
+        if self.finished:
+            return
+        self.finished = True
+        self._cancel_attempt()
+        if self._exchange.started:
+            # Part of the answer is with the caller already. The error event
+            # and the missing terminator both show that it isn't whole.
+            self._exchange.send(
+                b"data: " + answers.error_body(refusal, {}) + b"\n\n"
+            )
+            self._exchange.abort()
+        else:
+            answers.refuse(self._exchange, refusal, self.work.request_id)
+
+    def began(self, incarnation: str) -> None:
+        """Note which incarnation of the engine answers.
+
+        :param incarnation: the engine's
+        """
+        self.incarnation = incarnation
+
+    def tokens(self, texts: list[str]) -> None:
+        """Pass tokens on to the caller.
+
+        :param texts: the tokens
+        """
+        first = self.generated_tokens == 0
+        self.generated_tokens += len(texts)
+        if first:
+            self._events.answered(self)
+        text = "".join(texts)
+        if not self._streaming:
+            self._texts.append(text)
+            return
+        self._start_stream()
+        keeps_up = self._exchange.send(
+            chat.chunk(self.work.request_id, self.request["model"], text)
+        )
+        if not keeps_up and self._answer is not None:
+            pending = self._answer.pending
+            if pending is not None:
+                pending.pause()
+
+    def whole(self, usage: dict[str, int]) -> None:
+        """End the caller's answer.
+
+        :param usage: tokens as the engine counted them
+        """
+        self.finished = True
+        self.usage = usage
+        if self._streaming:
+            self._start_stream()
+            self._exchange.send(chat.DONE)
+            self._exchange.finish()
+        else:
+            self._reply_whole(usage)
+        self._events.completed(self)
+
+    def broken(self, reason: str, *, may_have_run: bool) -> None:
+        """Pass a failed attempt on.
+
+        :param reason: why
+        :param may_have_run: whether the engine may have worked on it
+        """
+        self._answer = None
+        if not self.finished:
+            self._events.attempt_broken(
+                self, reason, may_have_run=may_have_run
+            )
+
+    def _start_stream(self) -> None:
+        if not self._exchange.started:
+            headers = answers.outcome_headers("ran", "", self.work.request_id)
+            self._exchange.start(STATUS_OK, [EVENT_STREAM, *headers])
+
+    def _reply_whole(self, usage: dict[str, int]) -> None:
+        headers = answers.outcome_headers("ran", "", self.work.request_id)
+        body = chat.whole(
+            self.work.request_id,
+            self.request["model"],
+            "".join(self._texts),
+            usage,
+        )
+        self._exchange.reply(STATUS_OK, [answers.JSON, *headers], body)
+
+    def _cancel_attempt(self) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None and answer.pending is not None:
+            answer.pending.cancel()
+
+    def _on_caller_gone(self) -> None:
+        if not self.finished:
+            self.finished = True
+            self._cancel_attempt()
+            self._events.caller_gone(self)
+
+    def _on_caller_caught_up(self) -> None:
+        if self._answer is not None and self._answer.pending is not None:
+            self._answer.pending.resume()
+
+
+__all__ = [
+    "ChatEvents",
+    "LiveChat",
+]
--- /dev/null
+++ b/src/boragefold/entry/once_call.py
@@ -0,0 +1,149 @@
+"""A non-idempotent call of a plain service, under its ticket."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from boragefold.coordination.once import runner as runners
+from boragefold.entry import answers
+from boragefold.entry import plain_call
+from boragefold.protocol import once_messages
+from boragefold.protocol import outcome as outcomes
+from boragefold.transport import http_server
+from boragefold.transport import whole_answer
+
+STATUS_CONFLICT = 409
+STATUS_GONE = 410
+STATUS_UNPROCESSABLE = 422
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+ASK_AGAIN_SECONDS = 2.0
+
+REFUSALS = {
+    "ticket_sealed": (STATUS_GONE, "fetch a new ticket and repeat the call"),
+    "ticket_expired": (STATUS_GONE, "fetch a new ticket and repeat the call"),
+    "ticket_foreign": (STATUS_GONE, "fetch a new ticket and repeat the call"),
+    "request_differs": (
+        STATUS_UNPROCESSABLE,
+        "use one ticket for one request; fetch a new one for another",
+    ),
+    "register_full": (STATUS_UNAVAILABLE, "repeat the call later"),
+    "register_unreachable": (
+        STATUS_UNAVAILABLE,
+        "fetch a new ticket and repeat the call",
+    ),
+    "deadline": (STATUS_GATEWAY_TIMEOUT, "repeat the call"),
+    "service_unreachable": (STATUS_UNAVAILABLE, "repeat the call later"),
+}
+
+StartCall = Callable[[Callable[[plain_call.Result], None]], None]
+
+
+class OnceCall(runners.AttemptHandler):
+    """Runs the call if its registers permit, and says truthfully what was.
+
+    The caller may disconnect at any time; that cancels nothing, and the
+    outcome can be asked for under the ticket.
+    """
+
+    def __init__(
+        self,
+        *,
+        runner: runners.Runner,
+        exchange: http_server.Exchange,
+        request_id: str,
+        start_call: StartCall,
+        refused: Callable[[str], None],
+    ) -> None:
+        self._runner = runner
+        self._exchange = exchange
+        self._request_id = request_id
+        self._start_call = start_call
+        self._refused = refused
+
+    def go(self, attempt: once_messages.Attempt) -> None:
+        """Send the call.
+
+        :param attempt: recorded by both registers
+        """
+        self._start_call(lambda result: self._ended(attempt, result))
+
+    def replay(self, answer: once_messages.StoredAnswer) -> None:
+        """Answer with what an earlier attempt got.
+
+        :param answer: as stored
+        """
+        headers = answers.outcome_headers("ran", "replayed", self._request_id)
+        body = answer.body
+        if body is None:
+            body = b'{"outcome": "ran", "reason": "answer_not_kept"}'
+        content_type = ("Content-Type", answer.content_type)
+        self._exchange.reply(answer.status, [content_type, *headers], body)
+
+    def not_run(self, reason: str) -> None:
+        """Refuse truthfully.
+
+        :param reason: why nothing ran
+        """
+        status, remedy = REFUSALS[reason]
+        waits = status == STATUS_UNAVAILABLE
+        self._refused(reason)
+        refusal = outcomes.NotRun(
+            status=status,
+            reason=reason,
+            remedy=remedy,
+            retry_after_seconds=1.0 if waits else None,
+        )
+        answers.refuse(self._exchange, refusal, self._request_id)
+
+    def unknown(self, reason: str) -> None:
+        """Say that nobody can tell whether the call ran.
+
+        :param reason: why
+        """
+        self._refused(reason)
+        refusal = outcomes.Unknown(
+            status=STATUS_CONFLICT,
+            reason=reason,
+            remedy="ask GET /v1/outcomes/TICKET; don't use a new ticket "
+            "before you know",
+            retry_after_seconds=ASK_AGAIN_SECONDS,
+        )
+        answers.refuse(self._exchange, refusal, self._request_id)
+
+    def _ended(
+        self, attempt: once_messages.Attempt, result: plain_call.Result
+    ) -> None:
+        if isinstance(result, plain_call.NotSent):
+            self._runner.release(attempt)
+            self.not_run("service_unreachable")
+        elif isinstance(result, plain_call.AnswerLost):
+            self._runner.lost(attempt)
+            self.unknown("answer_lost")
+        else:
+            self._confirm(attempt, result)
+
+    def _confirm(
+        self,
+        attempt: once_messages.Attempt,
+        answer: whole_answer.WholeAnswer,
+    ) -> None:
+        content_type = answer.headers.get(
+            "content-type", plain_call.DEFAULT_CONTENT_TYPE
+        )
+        stored = once_messages.StoredAnswer(
+            answer.status, content_type, answer.body
+        )
+        self._runner.finished(attempt, stored)
+        headers = answers.outcome_headers("ran", "", self._request_id)
+        self._exchange.reply(
+            answer.status,
+            [("Content-Type", content_type), *headers],
+            answer.body,
+        )
+
+
+__all__ = [
+    "OnceCall",
+]
--- /dev/null
+++ b/src/boragefold/entry/plain_call.py
@@ -0,0 +1,135 @@
+"""Sending a call to a plain service, at one address after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+from typing import NamedTuple
+
+from boragefold.telemetry import counters as telemetry
+from boragefold.transport import http_client
+from boragefold.transport import http_server
+from boragefold.transport import whole_answer
+
+FORWARDED_HEADERS = ("accept", "accept-language", "content-type")
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class PlainRequest(NamedTuple):
+    """What goes to the service; nothing of the caller's key is in it."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotSent:
+    """No address took a connection; no byte of the call was sent."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerLost:
+    """The call was sent and no whole answer came back."""
+
+    reason: str
+
+
+Result = whole_answer.WholeAnswer | NotSent | AnswerLost
+
+
+class PlainCall:
+    """Tries addresses in turn, as far as that is lawful.
+
+    A call that may not be repeated goes on a connection of its own: on a
+    reused one that is silently dead, the write succeeds and nobody can tell
+    whether the service got it. It moves on to the next address only while no
+    byte can have reached one.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: http_client.HttpClient,
+        counters: telemetry.Counters,
+        request: PlainRequest,
+        addresses: list[str],
+        idempotent: bool,
+        progress_seconds: float,
+        done: Callable[[Result], None],
+    ) -> None:
+        self._client = client
+        self._counters = counters
+        self._request = request
+        self._addresses = list(addresses)
+        self._idempotent = idempotent
+        self._progress_seconds = progress_seconds
+        self._done = done
+
+    def begin(self) -> None:
+        """Send to the first address."""
+        self._next(NotSent(reason="no_address"))
+
+    def _next(self, otherwise: Result) -> None:
+        if not self._addresses:
+            self._done(otherwise)
+            return
+        call = http_client.Call(
+            address=self._addresses.pop(0),
+            method=self._request.method,
+            target=self._request.target,
+            headers=self._request.headers,
+            body=self._request.body,
+            fresh=not self._idempotent,
+            progress_seconds=self._progress_seconds,
+        )
+        sink = whole_answer.WholeAnswerSink(done=self._ended)
+        self._client.send(call, sink)
+
+    def _ended(
+        self, answer: whole_answer.WholeAnswer | http_client.Failure
+    ) -> None:
+        if isinstance(answer, whole_answer.WholeAnswer):
+            self._done(answer)
+            return
+        self._counters.add("service_attempts_broken", answer.reason)
+        if not answer.may_have_arrived:
+            self._next(NotSent(reason=answer.reason))
+        elif self._idempotent:
+            self._next(AnswerLost(reason=answer.reason))
+        else:
+            self._done(AnswerLost(reason=answer.reason))
+
+
+def prepare(
+    request: http_server.Request, path: str, serial: str = ""
+) -> PlainRequest:
+    """Write the call as the service gets it.
+
+    :param request: the caller's
+    :param path: the path at the service
+    :param serial: the ticket's serial, for services that deduplicate too
+    :return: the call
+    """
+    headers = [
+        (name.title(), request.headers[name])
+        for name in FORWARDED_HEADERS
+        if name in request.headers
+    ]
+    if serial:
+        headers.append(("Idempotency-Key", serial))
+    target = f"{path}?{request.query}" if request.query else path
+    return PlainRequest(request.method, target, headers, request.body)
+
+
+__all__ = [
+    "AnswerLost",
+    "NotSent",
+    "PlainCall",
+    "PlainRequest",
+    "Result",
+    "prepare",
+]
--- /dev/null
+++ b/src/boragefold/settings/serve.py
@@ -0,0 +1,116 @@
+"""The settings of one entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import ipaddress
+import pathlib
+from typing import NamedTuple
+
+from boragefold.state import paths
+from boragefold.transport import peer_keys
+
+HIGHEST_PORT = 65_535
+
+
+class ServeSettings(NamedTuple):
+    """What ``boragefold serve`` is told; see the operators' page."""
+
+    listen: str
+    peer_listen: str
+    operators_listen: str
+    platform: str
+    data_centre: str
+    peer_secret: str = ""
+    tls_certificate: str = ""
+    tls_key: str = ""
+    stop_notice_seconds: float = 5.0
+    json_logs: bool = False
+
+
+class Fault(NamedTuple):
+    """A setting that can't be used, and what to do."""
+
+    setting: str
+    remedy: str
+
+
+def faults(settings: ServeSettings) -> list[Fault]:
+    """Check all settings.
+
+    :param settings: as given
+    :return: every fault, not just the first
+    """
+    return [
+        *_address_faults(settings),
+        *_data_centre_faults(settings),
+        *_peer_secret_faults(settings),
+        *_tls_faults(settings),
+        *_stop_faults(settings),
+    ]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Take an address apart.
+
+    :param address: IP number and port
+    :return: both
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _address_faults(settings: ServeSettings) -> Iterator[Fault]:
+    names = ("listen", "peer_listen", "operators_listen", "platform")
+    for name in names:
+        if not _is_address(getattr(settings, name)):
+            yield Fault(name, "give an IPv4 number and a port: 10.0.0.1:8080")
+    if settings.peer_listen.startswith("0.0.0.0:"):
+        yield Fault(
+            "peer_listen",
+            "give the IP number that peers can reach, not 0.0.0.0",
+        )
+
+
+def _data_centre_faults(settings: ServeSettings) -> Iterator[Fault]:
+    if not paths.is_name(settings.data_centre):
+        yield Fault("data_centre", "give the data centre's published name")
+
+
+def _peer_secret_faults(settings: ServeSettings) -> Iterator[Fault]:
+    if settings.peer_secret:
+        keys = peer_keys.read(settings.peer_secret)
+        if isinstance(keys, peer_keys.BadPeerKey):
+            yield Fault("peer_secret", keys.remedy)
+
+
+def _tls_faults(settings: ServeSettings) -> Iterator[Fault]:
+    named = (settings.tls_certificate, settings.tls_key)
+    if any(named) and not all(named):
+        yield Fault("tls_key", "give certificate and key, or neither")
+    for name in ("tls_certificate", "tls_key"):
+        file = getattr(settings, name)
+        if file and not pathlib.Path(file).is_file():
+            yield Fault(name, "name a readable PEM file")
+
+
+def _stop_faults(settings: ServeSettings) -> Iterator[Fault]:
+    if settings.stop_notice_seconds < 0:
+        yield Fault("stop_notice_seconds", "give zero or more seconds")
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        return 0 < int(port) <= HIGHEST_PORT
+    except ValueError:
+        return False
+
+
+__all__ = [
+    "Fault",
+    "ServeSettings",
+    "faults",
+    "split_address",
+]
--- /dev/null
+++ b/src/boragefold/telemetry/logs.py
@@ -0,0 +1,44 @@
+"""Log lines: only changes of state, as text or as JSON."""
+
+from __future__ import annotations
+
+import logging as standard_logging
+
+from absl import logging
+import msgspec
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Writes one JSON object a line."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Write a record.
+
+        :param record: what was logged
+        :return: JSON
+        """
+        line = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "module": record.module,
+            "message": record.getMessage(),
+        }
+        return msgspec.json.encode(line).decode()
+
+
+def begin(*, json_lines: bool) -> None:
+    """Send log lines to the standard error.
+
+    :param json_lines: whether to write JSON instead of text
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    if json_lines:
+        handler.setFormatter(JsonFormatter())
+
+
+__all__ = [
+    "JsonFormatter",
+    "begin",
+]
--- a/src/boragefold/transport/peer_link.py
+++ b/src/boragefold/transport/peer_link.py
@@ -37,8 +37,9 @@
     used_at_seconds: float
 
 
-class ZmqPeerLink(  # type: ignore[misc]
-    circuits.BaseComponent, links.PeerLink
+class ZmqPeerLink(
+    circuits.BaseComponent,  # type: ignore[misc]
+    links.PeerLink,
 ):
     """Receives on one PULL socket, sends on one PUSH socket per peer."""
 
@@ -60,7 +61,10 @@
         self._codec = codec
         self._counters = counters
         self._keys = keys
-        self._handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {}
+        # Not "_handlers": circuits keeps the event handlers under that name.
+        self._subscribers: dict[
+            type, Callable[[ids.InstanceId, Any], None]
+        ] = {}
         self._routes: dict[str, Route] = {}
         self.is_cut: Callable[[ids.InstanceId], bool] = lambda peer: False
         self._context = zmq.Context()
@@ -107,7 +111,7 @@
         :param kind: the message type
         :param handler: called with the sender and the message
         """
-        self._handlers[kind] = handler
+        self._subscribers[kind] = handler
 
     def close(self) -> None:
         """Close every socket; unsent messages are dropped."""
@@ -147,7 +151,7 @@
             return
         if self.is_cut(received.sender):
             return
-        handler = self._handlers.get(type(received.body))
+        handler = self._subscribers.get(type(received.body))
         if handler is not None:
             self._counters.add("peer_bytes_received", "", len(data))
             handler(received.sender, received.body)
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -3,7 +3,6 @@
 import socket
 from typing import NamedTuple
 
-import circuits
 import pytest
 import zmq
 
@@ -31,24 +30,24 @@
 
 class Pair:
     def __init__(self, first_keys=None, second_keys=None):
-        timers = timing.TimerService(clock=clocks.BootClock())
-        self.loop = loops.Loop(timers=timers)
         self.counters = telemetry.Counters()
-        self.links = [
-            peer_link.ZmqPeerLink(
-                poller=self.loop.poller,
+        self.loops = []
+        self.links = []
+        for name, keys in (("one", first_keys), ("two", second_keys)):
+            timers = timing.TimerService(clock=clocks.BootClock())
+            loop = loops.Loop(timers=timers)
+            loop._running = True
+            link = peer_link.ZmqPeerLink(
+                poller=loop.poller,
                 timers=timers,
                 self_id=ids.InstanceId("a", free_address(), name),
                 codec=envelope.Codec(kinds=[Ping]),
                 counters=self.counters,
                 keys=keys,
             )
-            for name, keys in (("one", first_keys), ("two", second_keys))
-        ]
-        # One loop, two links; each answers on its own channel.
-        for number, link in enumerate(self.links):
-            link.channel = f"peers{number}"
-            link.register(self.loop)
+            link.register(loop)
+            self.loops.append(loop)
+            self.links.append(link)
         self.got = []
         self.links[1].subscribe(Ping, lambda who, ping: self.got.append(ping))
 
@@ -56,10 +55,8 @@
         for _ in range(TICKS):
             if until():
                 return
-            self.loop.fire(circuits.Event())
-            for link in self.links:
-                link._on_read(0)
-            self.loop.tick(timeout=0.01)
+            for loop in self.loops:
+                loop.tick(timeout=0.005)
 
     def close(self):
         for link in self.links:
