--- /dev/null
+++ b/src/boragefold/policy/backoff.py
@@ -0,0 +1,88 @@
+"""When something that failed may be tried again.
+
+Load pattern: an adapter's weights are damaged, or the store fails for a
+while. Without this, each failure is followed by the next attempt at once, and
+the load rate is spent on what can't succeed.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Generic
+from typing import NamedTuple
+from typing import TypeVar
+
+Key = TypeVar("Key")
+
+# Twice a load of a quarter of a second, so a single failure costs little.
+FIRST_SECONDS = 0.5
+# A damaged adapter is tried once a minute: seldom enough to cost nothing,
+# often enough that its repair is noticed.
+MAX_SECONDS = 60.0
+# Attempts that failed together must not come back together.
+JITTER = 0.5
+MAX_DOUBLINGS = 8
+
+
+class Failures(NamedTuple):
+    """The failures in a row, and when the next attempt may be made."""
+
+    in_a_row: int
+    not_before_seconds: float
+
+
+class Backoff(Generic[Key]):
+    """Doubles the pause after each failure in a row."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._failures: dict[Key, Failures] = {}
+
+    def __len__(self) -> int:
+        return len(self._failures)
+
+    def allows(self, key: Key, *, now_seconds: float) -> bool:
+        """Tell whether an attempt may be made.
+
+        :param key: what is attempted
+        :param now_seconds: reading of the process clock
+        :return: whether no pause is left
+        """
+        failures = self._failures.get(key)
+        return failures is None or failures.not_before_seconds <= now_seconds
+
+    def failed(self, key: Key, *, now_seconds: float) -> None:
+        """Note a failure.
+
+        :param key: what was attempted
+        :param now_seconds: reading of the process clock
+        """
+        before = self._failures.get(key, Failures(0, 0.0)).in_a_row
+        pause_seconds = min(
+            FIRST_SECONDS * 2 ** min(before, MAX_DOUBLINGS), MAX_SECONDS
+        )
+        pause_seconds *= 1 + JITTER * (2 * self._rng.random() - 1)
+        self._failures[key] = Failures(before + 1, now_seconds + pause_seconds)
+
+    def succeeded(self, key: Key) -> None:
+        """Forget the failures.
+
+        :param key: what was attempted
+        """
+        self._failures.pop(key, None)
+
+    def forget_old(self, *, now_seconds: float) -> None:
+        """Drop what was not tried again for long, to bound the memory.
+
+        :param now_seconds: reading of the process clock
+        """
+        self._failures = {
+            key: failures
+            for key, failures in self._failures.items()
+            if now_seconds - failures.not_before_seconds < MAX_SECONDS
+        }
+
+
+__all__ = [
+    "Backoff",
+]
--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -8,13 +8,39 @@
 
 from __future__ import annotations
 
+import bisect
+from collections.abc import Sequence
 import dataclasses
 import random
 
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import prefixes
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
+# Up to this fill of its batch an endpoint is preferred for what it already
+# serves: generating for half a batch costs little more than for one request.
+CONCENTRATE_FILL = 0.5
+# From there on requests are passed on, with a chance that reaches one at this
+# fill. A sharp limit would be crossed by every instance at the same moment,
+# because all see the same late report.
+SPREAD_FILL = 1.0
+# Holders tried in their common order; hardly an adapter needs more copies.
+ORDERED_HOLDERS = 8
+# Two choices remove most of the imbalance of one; two more make up for those
+# that turn out full or slow.
+RANDOM_CHOICES = 4
+# If those are all full, this many neighbours are looked through for room;
+# the bound keeps the decision's time from growing with the fleet.
+SCANNED_HOLDERS = 32
+# Assumed where nothing was measured yet: the first token within 0.4 s.
+DEFAULT_LATENCY_SECONDS = 0.4
+# A farther data centre must be better by more than its distance: its reports
+# are later, and its own callers need it.
+FAR_MARGIN_SECONDS = 0.05
+# Below this weight a near endpoint is compared with farther ones.
+POOR_WEIGHT = 0.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Chosen:
@@ -52,28 +78,190 @@
         self._endpoints = endpoints
         self._rng = rng
         self._counters = counters
+        self._prefixes = prefixes.Prefixes()
 
     def choose(
         self,
         work: works.Work,
         *,
         excluded: frozenset[str] = frozenset(),
+        queued_seconds: float = 0.0,
     ) -> Chosen | NoHolder | NoRoom:
         """Choose an endpoint.
 
         :param work: the request
         :param excluded: endpoints that failed this request already
+        :param queued_seconds: how long it would wait in the fair queue if it
+            weren't sent now; a far data centre is used only to save more
         :return: the endpoint, or why there is none
         """
-        raise NotImplementedError
+        holders = self._endpoints.holders(work.needs)
+        if not holders:
+            return NoHolder()
+        near, far = _split(holders)
+        chosen = self._concentrate(near, work, excluded)
+        if chosen is None:
+            chosen = self._spread(near, work, excluded)
+        if far and (chosen is None or chosen.weight < POOR_WEIGHT):
+            chosen = self._spill_over(
+                chosen, near, far, work, excluded, queued_seconds
+            )
+        if chosen is None:
+            usable = any(each.spec.name not in excluded for each in holders)
+            return NoRoom() if usable else NoHolder()
+        self._prefixes.note(work, chosen.spec.name)
+        return Chosen(
+            endpoint=chosen.spec.name, wait_seconds=_cost(chosen, work)
+        )
 
     def has_room(self, adapter: works.AdapterVersion) -> bool:
         """Tell whether an adapter's next request could start at once.
 
         :param adapter: the adapter version
-        :return: whether a holder has room
+        :return: whether a near holder has room
         """
-        raise NotImplementedError
+        holders = self._endpoints.holders(adapter)
+        if not holders:
+            return False
+        near, _far = _split(holders)
+        return any(each.has_room() for each in self._neighbours(near))
+
+    def _concentrate(
+        self,
+        near: Sequence[fleet.EndpointState],
+        work: works.Work,
+        excluded: frozenset[str],
+    ) -> fleet.EndpointState | None:
+        # Every instance tries the same holders in the same order, so they
+        # fill one batch together instead of starting one each.
+        cached = self._cached(near, work)
+        if cached is not None and self._accepts(cached, excluded):
+            self._counters.add("requests_chosen", "prefix")
+            return cached
+        if not work.needs.adapter:
+            return None
+        return next(
+            (
+                state
+                for state in near[:ORDERED_HOLDERS]
+                if self._accepts(state, excluded)
+            ),
+            None,
+        )
+
+    def _cached(
+        self, near: Sequence[fleet.EndpointState], work: works.Work
+    ) -> fleet.EndpointState | None:
+        name = self._prefixes.get(work)
+        state = self._endpoints.get(name) if name is not None else None
+        if state is None or not state.serves(work.needs):
+            return None
+        distance_seconds = near[0].spec.distance_seconds
+        return (
+            state if state.spec.distance_seconds == distance_seconds else None
+        )
+
+    def _accepts(
+        self, state: fleet.EndpointState, excluded: frozenset[str]
+    ) -> bool:
+        if state.spec.name in excluded:
+            return False
+        over = state.fill() - CONCENTRATE_FILL
+        chance = 1.0 - max(over, 0.0) / (SPREAD_FILL - CONCENTRATE_FILL)
+        return self._rng.random() < chance * state.weight
+
+    def _spread(
+        self,
+        holders: Sequence[fleet.EndpointState],
+        work: works.Work,
+        excluded: frozenset[str],
+    ) -> fleet.EndpointState | None:
+        usable = [
+            state
+            for state in self._sample(holders)
+            if state.has_room() and state.spec.name not in excluded
+        ]
+        if not usable:
+            return next(
+                (
+                    state
+                    for state in self._neighbours(holders)
+                    if state.has_room() and state.spec.name not in excluded
+                ),
+                None,
+            )
+        # A slow endpoint comes up as often as its weight says, and alone
+        # only where nothing else is left.
+        healthy = [
+            state for state in usable if self._rng.random() < state.weight
+        ]
+        return min(
+            healthy or usable,
+            key=lambda state: (_cost(state, work), self._rng.random()),
+        )
+
+    def _spill_over(
+        self,
+        chosen: fleet.EndpointState | None,
+        near: Sequence[fleet.EndpointState],
+        far: Sequence[fleet.EndpointState],
+        work: works.Work,
+        excluded: frozenset[str],
+        queued_seconds: float,
+    ) -> fleet.EndpointState | None:
+        best = self._spread(far, work, excluded)
+        if best is None:
+            return chosen
+        if chosen is not None:
+            near_seconds = _cost(chosen, work)
+        elif all(state.spec.name in excluded for state in near):
+            near_seconds = float("inf")
+        else:
+            near_seconds = queued_seconds + _cost(near[0], work)
+        if _cost(best, work) + FAR_MARGIN_SECONDS >= near_seconds:
+            return chosen
+        self._counters.add("requests_chosen", "other_data_centre")
+        return best
+
+    def _sample(
+        self, holders: Sequence[fleet.EndpointState]
+    ) -> Sequence[fleet.EndpointState]:
+        if len(holders) <= RANDOM_CHOICES:
+            return holders
+        count = len(holders)
+        return [
+            holders[int(self._rng.random() * count)]
+            for _ in range(RANDOM_CHOICES)
+        ]
+
+    def _neighbours(
+        self, holders: Sequence[fleet.EndpointState]
+    ) -> Sequence[fleet.EndpointState]:
+        if len(holders) <= SCANNED_HOLDERS:
+            return holders
+        start = int(self._rng.random() * len(holders))
+        found = holders[start : start + SCANNED_HOLDERS]
+        return [*found, *holders[: SCANNED_HOLDERS - len(found)]]
+
+
+def _split(
+    holders: Sequence[fleet.EndpointState],
+) -> tuple[Sequence[fleet.EndpointState], Sequence[fleet.EndpointState]]:
+    # Holders come in order of distance.
+    distance = holders[0].spec.distance_seconds
+    if holders[-1].spec.distance_seconds == distance:
+        return holders, ()
+    count = bisect.bisect_right(
+        holders, distance, key=lambda state: state.spec.distance_seconds
+    )
+    return holders[:count], holders[count:]
+
+
+def _cost(state: fleet.EndpointState, work: works.Work) -> float:
+    latency = state.latency
+    if latency is None:
+        latency = DEFAULT_LATENCY_SECONDS
+    return state.spec.distance_seconds + latency * (1.0 + state.fill())
 
 
 __all__ = [
--- /dev/null
+++ b/src/boragefold/policy/demand.py
@@ -0,0 +1,55 @@
+"""What waits for one adapter version, for placement and for estimates."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from boragefold.policy import work as works
+
+
+@dataclasses.dataclass(kw_only=True)
+class Demand:
+    """What waits for one adapter version."""
+
+    requests: int = 0
+    tokens: float = 0.0
+    by_workspace: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def add(self, work: works.Work) -> None:
+        """Count a request that begins to wait.
+
+        :param work: the request
+        """
+        tokens = works.tokens_of(work)
+        before = self.by_workspace.get(work.workspace, 0.0)
+        self.by_workspace[work.workspace] = before + tokens
+        self.tokens += tokens
+        self.requests += 1
+
+    def subtract(self, work: works.Work) -> None:
+        """Count a request that waits no longer.
+
+        :param work: one that was added
+        """
+        tokens = works.tokens_of(work)
+        self.by_workspace[work.workspace] -= tokens
+        if self.by_workspace[work.workspace] <= 0:
+            del self.by_workspace[work.workspace]
+        self.tokens -= tokens
+        self.requests -= 1
+
+    def ahead_tokens(self, work: works.Work) -> float:
+        """Estimate the tokens served before a new request for the adapter.
+
+        :param work: a request that isn't waiting yet
+        :return: tokens
+        """
+        own = self.by_workspace.get(work.workspace, 0.0)
+        others = len(self.by_workspace) - (work.workspace in self.by_workspace)
+        share = others * (own + works.tokens_of(work))
+        return own + min(self.tokens - own, share)
+
+
+__all__ = [
+    "Demand",
+]
--- /dev/null
+++ b/src/boragefold/policy/drains.py
@@ -0,0 +1,68 @@
+"""Which adapter in use gives up its slot to one that waits too long.
+
+Load pattern: more adapters are hot than there are slots, and none is ever
+idle. Without this, nothing can be evicted, and a cold adapter's callers wait
+until they give up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import load_wants
+from boragefold.policy import loads
+from boragefold.policy import places as places_module
+from boragefold.telemetry import counters as telemetry
+
+
+class Drains:
+    """Stops new requests of an adapter, so that its slot becomes free."""
+
+    def __init__(
+        self,
+        *,
+        endpoints: fleet.Endpoints,
+        places: places_module.Places,
+        counters: telemetry.Counters,
+    ) -> None:
+        self._endpoints = endpoints
+        self._places = places
+        self._counters = counters
+
+    def find(
+        self,
+        want: load_wants.Want,
+        wants: Sequence[load_wants.Want],
+        states: Sequence[fleet.EndpointState],
+        *,
+        now_seconds: float,
+    ) -> Iterator[loads.Drain]:
+        """Drain one slot for an adapter that found none for too long.
+
+        :param want: the adapter that found no slot
+        :param wants: all wanted adapters; no more slots are drained than
+            there are adapters waiting too long
+        :param states: endpoints that may be given orders
+        :param now_seconds: reading of the process clock
+        :return: at most one order
+        """
+        starving = sum(each.is_starving(now_seconds) for each in wants)
+        draining = sum(bool(state.blocked_at) for state in states)
+        if not want.is_starving(now_seconds) or draining >= starving:
+            return
+        place = self._places.to_drain(
+            want.adapter, states, now_seconds=now_seconds
+        )
+        if place is None or place.evict is None:
+            return
+        name = place.endpoint.spec.name
+        self._endpoints.evicted(name, place.evict, now_seconds=now_seconds)
+        self._counters.add("adapters_drained", "slot_needed")
+        yield loads.Drain(name, place.evict, want.workspace)
+
+
+__all__ = [
+    "Drains",
+]
--- /dev/null
+++ b/src/boragefold/policy/endpoint_state.py
@@ -0,0 +1,286 @@
+"""One endpoint as this instance sees it.
+
+Load pattern: load reports lag by a second or so. Without adding what was sent
+since the report, an instance goes on sending to the endpoint that looked idle
+in it until the next report shows it as the fullest of all.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+from typing import NamedTuple
+
+from boragefold.policy import endpoint_spec
+from boragefold.policy import work as works
+
+# A tenth of the weight per answer: single long answers don't matter, ten
+# slow ones in a row do.
+LATENCY_SMOOTHING = 0.1
+# Prompt tokens that cost as much as the fixed part of a first token; latencies
+# of long and short prompts are compared after dividing by tokens plus this.
+FIXED_COST_TOKENS = 256
+# Reports come about once a second; after five lost in a row the last one says
+# nothing, and an endpoint must not be held full by it for good.
+REPORT_STALE_SECONDS = 5.0
+# Reports miss what other instances have sent since; a tenth more than a batch
+# may be sent, so that a batch that just lost a request is filled up again.
+ROOM_FILL = 1.1
+# How many former incarnations a late report is recognised by.
+FORMER_INCARNATIONS = 4
+
+
+class Sent(NamedTuple):
+    """A request of ours that an endpoint works on."""
+
+    adapter: works.AdapterVersion
+    prompt_tokens: int
+    sent_at_seconds: float
+
+
+class Ended(NamedTuple):
+    """A request of ours that a report may still count as running."""
+
+    sent_at_seconds: float
+    ended_at_seconds: float
+
+    def counted_by(self, measured_at_seconds: float) -> bool:
+        """Tell whether a report counts this request as running.
+
+        :param measured_at_seconds: when the report was measured
+        :return: whether the request began before and ended after
+        """
+        began = self.sent_at_seconds <= measured_at_seconds
+        return began and measured_at_seconds < self.ended_at_seconds
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class EndpointState:
+    """What was reported of an endpoint, and what we did there since."""
+
+    spec: endpoint_spec.EndpointSpec
+    incarnation: str = ""
+    former: collections.deque[str] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
+    )
+    resident: set[works.AdapterVersion] = dataclasses.field(
+        default_factory=set
+    )
+    loaded_at: dict[works.AdapterVersion, float] = dataclasses.field(
+        default_factory=dict
+    )
+    blocked_at: dict[works.AdapterVersion, float] = dataclasses.field(
+        default_factory=dict
+    )
+    pinned_elsewhere: frozenset[works.AdapterVersion] = frozenset()
+    reported: int = 0
+    measured_at_seconds: float = float("-inf")
+    in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    unanswered: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    in_use: collections.Counter[works.AdapterVersion] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    sent_since: int = 0
+    gone_since: int = 0
+    ended: list[Ended] = dataclasses.field(default_factory=list)
+    latency: float | None = None
+    answered_at_seconds: float = float("-inf")
+    duration_seconds: float | None = None
+    health: float = 1.0
+    weight: float = 1.0
+
+    def estimated_running(self) -> int:
+        """Estimate what runs and waits there.
+
+        :return: requests: reported, plus sent, less finished since
+        """
+        estimate = self.reported + self.sent_since - self.gone_since
+        return max(estimate, len(self.in_flight))
+
+    def fill(self) -> float:
+        """Tell how full the endpoint's batch is estimated to be.
+
+        :return: 1.0 when it is full, more when requests wait there
+        """
+        return self.estimated_running() / max(self.spec.batch_size, 1)
+
+    def has_room(self) -> bool:
+        """Tell whether another request may be sent.
+
+        :return: whether it would start about at once
+        """
+        return self.fill() < ROOM_FILL
+
+    def serves(self, adapter: works.AdapterVersion) -> bool:
+        """Tell whether an adapter's requests may be sent.
+
+        :param adapter: the adapter version; an empty one is the bare model
+        :return: whether it is there and the endpoint isn't leaving
+        """
+        if self.spec.leaving or adapter.model != self.spec.model:
+            return False
+        return not adapter.adapter or adapter in self.resident
+
+    def occupied_slots(self) -> int:
+        """Count the slots that hold an adapter.
+
+        :return: slots, those included that are being emptied
+        """
+        return len(self.resident) + len(self.blocked_at)
+
+    def is_pinned(self, adapter: works.AdapterVersion) -> bool:
+        """Tell whether an adapter serves a request there.
+
+        :param adapter: the adapter version
+        :return: whether it must not be evicted
+        """
+        return adapter in self.in_use or adapter in self.pinned_elsewhere
+
+    def take_report(self, report: endpoint_spec.LoadReport) -> None:
+        """Replace the reported load; what was sent since is added to it.
+
+        :param report: of the present incarnation, later than the last
+        """
+        self.reported = report.running + report.waiting
+        self.measured_at_seconds = report.measured_at_seconds
+        self.sent_since = sum(
+            sent.sent_at_seconds > report.measured_at_seconds
+            for sent in self.in_flight.values()
+        )
+        self.ended = [
+            ended
+            for ended in self.ended
+            if ended.ended_at_seconds > report.measured_at_seconds
+        ]
+        self.gone_since = sum(
+            ended.counted_by(report.measured_at_seconds)
+            for ended in self.ended
+        )
+
+    def restart(self, incarnation: str) -> None:
+        """Forget everything that ended with the former incarnation.
+
+        :param incarnation: the new one
+        """
+        if self.incarnation:
+            self.former.append(self.incarnation)
+        self.incarnation = incarnation
+        self.resident.clear()
+        self.loaded_at.clear()
+        self.blocked_at.clear()
+        self.pinned_elsewhere = frozenset()
+        self.in_flight.clear()
+        self.unanswered.clear()
+        self.in_use.clear()
+        self.ended.clear()
+        self.gone_since = 0
+        self.sent_since = 0
+        self.latency = None
+
+    def begin(self, work: works.Work, *, now_seconds: float) -> None:
+        """Count a request that goes out.
+
+        :param work: the request
+        :param now_seconds: reading of the process clock
+        """
+        sent = Sent(work.needs, work.prompt_tokens, now_seconds)
+        self.in_flight[work.request_id] = sent
+        self.unanswered[work.request_id] = sent
+        self.in_use[work.needs] += 1
+        self.sent_since += now_seconds > self.measured_at_seconds
+
+    def answer(self, request_id: str, *, now_seconds: float) -> None:
+        """Measure the latency of the first byte.
+
+        :param request_id: the request
+        :param now_seconds: reading of the process clock
+        """
+        sent = self.unanswered.pop(request_id, None)
+        if sent is None:
+            return
+        sample = self._scaled(sent, now_seconds)
+        if self.latency is None:
+            self.latency = sample
+        self.latency += LATENCY_SMOOTHING * (sample - self.latency)
+        self.answered_at_seconds = now_seconds
+
+    def end(self, request_id: str, *, now_seconds: float) -> None:
+        """Count a request that has ended.
+
+        :param request_id: the request
+        :param now_seconds: reading of the process clock
+        """
+        self.unanswered.pop(request_id, None)
+        sent = self.in_flight.pop(request_id, None)
+        if sent is None:
+            return
+        self.in_use[sent.adapter] -= 1
+        if not self.in_use[sent.adapter]:
+            del self.in_use[sent.adapter]
+        elapsed_seconds = now_seconds - sent.sent_at_seconds
+        if self.duration_seconds is None:
+            self.duration_seconds = elapsed_seconds
+        self.duration_seconds += LATENCY_SMOOTHING * (
+            elapsed_seconds - self.duration_seconds
+        )
+        # The next report may have been measured before this moment, so the
+        # request stays on the list until a later report.
+        self.ended.append(Ended(sent.sent_at_seconds, now_seconds))
+        if sent.sent_at_seconds > self.measured_at_seconds:
+            self.sent_since -= 1
+        else:
+            self.gone_since += 1
+
+    def present_latency(self, *, now_seconds: float) -> float | None:
+        """Tell the latency, with the age of what was never answered.
+
+        An endpoint that has gone silent gives no samples; the age of its
+        oldest unanswered request stands for them.
+
+        :param now_seconds: reading of the process clock
+        :return: seconds per prompt of the fixed cost, None when unknown
+        """
+        oldest = next(iter(self.unanswered.values()), None)
+        if oldest is None:
+            return self.latency
+        age = self._scaled(oldest, now_seconds)
+        return age if self.latency is None else max(age, self.latency)
+
+    def forget_stale_report(self, *, now_seconds: float) -> None:
+        """Count only our own requests when reports have stopped.
+
+        :param now_seconds: reading of the process clock
+        """
+        if now_seconds - self.measured_at_seconds > REPORT_STALE_SECONDS:
+            self.reported = 0
+            self.sent_since = len(self.in_flight)
+            self.measured_at_seconds = float("-inf")
+            self.gone_since = 0
+            self.ended.clear()
+
+    def unblocked(
+        self, report: endpoint_spec.LoadReport
+    ) -> Iterator[works.AdapterVersion]:
+        """Go through the reported adapters that may be used.
+
+        :param report: a report that lists adapters
+        :return: those that were not evicted by our own order
+        """
+        return (
+            adapter
+            for adapter in report.resident or ()
+            if adapter not in self.blocked_at
+        )
+
+    def _scaled(self, sent: Sent, now_seconds: float) -> float:
+        elapsed = now_seconds - sent.sent_at_seconds
+        scale = 1 + sent.prompt_tokens / FIXED_COST_TOKENS
+        return max(elapsed - self.spec.distance_seconds, 0.0) / scale
+
+
+__all__ = [
+    "EndpointState",
+    "REPORT_STALE_SECONDS",
+    "Sent",
+]
--- a/src/boragefold/policy/endpoints.py
+++ b/src/boragefold/policy/endpoints.py
@@ -1,87 +1,40 @@
 """What this instance knows of the endpoints it may send to.
 
-Load pattern: reports of load lag, and several instances send to the same
-endpoints. Without counting what was sent since the report, every instance
-sends to the endpoint that looked idle, which then is the fullest.
+Load pattern: adapters come and go by the second among hundreds of endpoints.
+Without an index by adapter, each decision would scan the fleet.
 """
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
-import dataclasses
-from typing import NamedTuple
-
-from boragefold.policy import work as works
-
-
-class EndpointSpec(NamedTuple):
-    """What is published of an endpoint, and how far away it is.
-
-    ``distance_seconds`` is the round trip from this instance.
-    """
-
-    name: str
-    data_centre: str
-    model: str
-    role: str
-    slots: int
-    batch_size: int
-    distance_seconds: float = 0.0
-    leaving: bool = False
-
-
-class LoadReport(NamedTuple):
-    """What an endpoint said of itself.
-
-    ``measured_at_seconds`` is on our own clock: the arrival of the report
-    less its age. ``resident`` is None when the report doesn't list adapters.
-    """
-
-    endpoint: str
-    incarnation: str
-    running: int
-    waiting: int
-    measured_at_seconds: float
-    resident: tuple[works.AdapterVersion, ...] | None = None
 
+import xxhash
 
-@dataclasses.dataclass(kw_only=True)
-class EndpointState:
-    """One endpoint as this instance sees it."""
-
-    spec: EndpointSpec
-    incarnation: str = ""
-    resident: set[works.AdapterVersion] = dataclasses.field(
-        default_factory=set
-    )
-    weight: float = 1.0
-
-    def estimated_running(self) -> int:
-        """Estimate what runs and waits there.
-
-        :return: requests: reported, plus sent, less finished since
-        """
-        raise NotImplementedError
-
-    def is_pinned(self, adapter: works.AdapterVersion) -> bool:
-        """Tell whether an adapter serves a request there.
+from boragefold.policy import endpoint_spec
+from boragefold.policy import endpoint_state
+from boragefold.policy import slow_endpoints
+from boragefold.policy import work as works
 
-        :param adapter: the adapter version
-        :return: whether it must not be evicted
-        """
-        raise NotImplementedError
+EndpointSpec = endpoint_spec.EndpointSpec
+EndpointState = endpoint_state.EndpointState
+LoadReport = endpoint_spec.LoadReport
 
 
 class Endpoints:
     """The endpoints, indexed by name and by the adapters they hold."""
 
+    def __init__(self) -> None:
+        self._by_name: dict[str, EndpointState] = {}
+        self._holders: dict[works.AdapterVersion, list[EndpointState]] = {}
+
     def __len__(self) -> int:
-        raise NotImplementedError
+        return len(self._by_name)
 
     def __iter__(self) -> Iterator[EndpointState]:
-        raise NotImplementedError
+        return iter(self._by_name.values())
 
     def get(self, name: str) -> EndpointState | None:
         """Look an endpoint up.
@@ -89,21 +42,31 @@
         :param name: the endpoint
         :return: its state, or None
         """
-        raise NotImplementedError
+        return self._by_name.get(name)
 
     def put(self, spec: EndpointSpec) -> None:
         """Add an endpoint or change what is published of it.
 
         :param spec: as published; a change of model empties it
         """
-        raise NotImplementedError
+        state = self._by_name.get(spec.name)
+        if state is None:
+            state = EndpointState(spec=spec)
+            self._by_name[spec.name] = state
+        self._unindex(state)
+        if state.spec.model != spec.model:
+            state.restart(state.incarnation)
+        state.spec = spec
+        self._index(state)
 
     def drop(self, name: str) -> None:
         """Forget an endpoint.
 
         :param name: the endpoint
         """
-        raise NotImplementedError
+        state = self._by_name.pop(name, None)
+        if state is not None:
+            self._unindex(state)
 
     def report(self, report: LoadReport) -> bool:
         """Take in a load report.
@@ -111,23 +74,59 @@
         :param report: of a known endpoint; others are ignored
         :return: whether the endpoint is a new incarnation, thus empty
         """
-        raise NotImplementedError
-
-    def loaded(self, name: str, adapter: works.AdapterVersion) -> None:
+        state = self._by_name.get(report.endpoint)
+        if state is None or report.incarnation in state.former:
+            return False
+        known = state.incarnation or report.incarnation
+        restarted = known != report.incarnation
+        if restarted:
+            self._restart(state, report.incarnation)
+        elif report.measured_at_seconds < state.measured_at_seconds:
+            return False
+        state.incarnation = report.incarnation
+        state.take_report(report)
+        if report.resident is not None:
+            self._reconcile(state, report)
+        return restarted
+
+    def loaded(
+        self, name: str, adapter: works.AdapterVersion, *, now_seconds: float
+    ) -> None:
         """Note that an endpoint holds an adapter now.
 
         :param name: the endpoint
         :param adapter: the adapter version
+        :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
-
-    def evicted(self, name: str, adapter: works.AdapterVersion) -> None:
+        if (state := self._by_name.get(name)) is None:
+            return
+        state.blocked_at.pop(adapter, None)
+        state.loaded_at[adapter] = now_seconds
+        self._add(state, adapter)
+
+    def evicted(
+        self, name: str, adapter: works.AdapterVersion, *, now_seconds: float
+    ) -> None:
         """Note that an endpoint must not be sent an adapter's requests.
 
+        :param name: the endpoint
+        :param adapter: the adapter version
+        :param now_seconds: reading of the process clock
+        """
+        if (state := self._by_name.get(name)) is None:
+            return
+        if adapter in state.resident:
+            state.blocked_at[adapter] = now_seconds
+        self._remove(state, adapter)
+
+    def gone(self, name: str, adapter: works.AdapterVersion) -> None:
+        """Note that an evicted adapter has left its slot.
+
         :param name: the endpoint
         :param adapter: the adapter version
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            state.blocked_at.pop(adapter, None)
 
     def pin_elsewhere(
         self, name: str, adapters: Iterable[works.AdapterVersion]
@@ -137,7 +136,8 @@
         :param name: the endpoint
         :param adapters: replaces what was noted before
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            state.pinned_elsewhere = frozenset(adapters)
 
     def sent(self, name: str, work: works.Work, *, now_seconds: float) -> None:
         """Note that a request goes out, before its first byte does.
@@ -146,7 +146,8 @@
         :param work: the request
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            state.begin(work, now_seconds=now_seconds)
 
     def answered(
         self, name: str, request_id: str, *, now_seconds: float
@@ -157,7 +158,8 @@
         :param request_id: the request
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            state.answer(request_id, now_seconds=now_seconds)
 
     def finished(
         self, name: str, request_id: str, *, now_seconds: float
@@ -168,22 +170,25 @@
         :param request_id: the request
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            state.end(request_id, now_seconds=now_seconds)
 
-    def failed(self, name: str, *, now_seconds: float) -> None:
+    def failed(self, name: str) -> None:
         """Note that an endpoint failed a request; it loses traffic.
 
         :param name: the endpoint
-        :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if (state := self._by_name.get(name)) is not None:
+            slow_endpoints.punish(state)
 
     def refresh(self, *, now_seconds: float) -> None:
         """Compare the endpoints' latencies; call it once a second.
 
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        for state in self:
+            state.forget_stale_report(now_seconds=now_seconds)
+        slow_endpoints.weigh(self, now_seconds=now_seconds)
 
     def holders(
         self, adapter: works.AdapterVersion
@@ -191,9 +196,85 @@
         """Look up who holds an adapter and isn't leaving.
 
         :param adapter: the adapter version; an empty one is the bare model
-        :return: a live view in an order that all instances share
+        :return: a live view, nearest first, in an order that all instances
+            of a data centre share
         """
-        raise NotImplementedError
+        return self._holders.get(adapter, ())
+
+    def _index(self, state: EndpointState) -> None:
+        if not state.spec.leaving:
+            for adapter in (*state.resident, _bare(state.spec.model)):
+                self._enlist(state, adapter)
+
+    def _unindex(self, state: EndpointState) -> None:
+        for adapter in (*state.resident, _bare(state.spec.model)):
+            self._delist(state, adapter)
+
+    def _restart(self, state: EndpointState, incarnation: str) -> None:
+        # An engine that restarted holds nothing. Seen as a holder it would
+        # be sent requests that it answers with the bare model or an error.
+        self._unindex(state)
+        state.restart(incarnation)
+        self._index(state)
+
+    def _reconcile(self, state: EndpointState, report: LoadReport) -> None:
+        listed = frozenset(report.resident or ())
+        measured_at = report.measured_at_seconds
+        # A report older than our own order shows what was before it.
+        for adapter, blocked_at in list(state.blocked_at.items()):
+            if adapter not in listed and blocked_at < measured_at:
+                del state.blocked_at[adapter]
+        for adapter in list(state.resident - listed):
+            if state.loaded_at.get(adapter, measured_at) <= measured_at:
+                self._remove(state, adapter)
+        for adapter in state.unblocked(report):
+            self._add(state, adapter)
+
+    def _add(
+        self, state: EndpointState, adapter: works.AdapterVersion
+    ) -> None:
+        if adapter in state.resident:
+            return
+        state.resident.add(adapter)
+        if not state.spec.leaving:
+            self._enlist(state, adapter)
+
+    def _remove(
+        self, state: EndpointState, adapter: works.AdapterVersion
+    ) -> None:
+        state.resident.discard(adapter)
+        state.loaded_at.pop(adapter, None)
+        self._delist(state, adapter)
+
+    def _enlist(
+        self, state: EndpointState, adapter: works.AdapterVersion
+    ) -> None:
+        holders = self._holders.setdefault(adapter, [])
+        if state not in holders:
+            bisect.insort(
+                holders, state, key=lambda each: _rank(each, adapter)
+            )
+
+    def _delist(
+        self, state: EndpointState, adapter: works.AdapterVersion
+    ) -> None:
+        holders = self._holders.get(adapter, [])
+        if state in holders:
+            holders.remove(state)
+        if not holders:
+            self._holders.pop(adapter, None)
+
+
+def _bare(model: str) -> works.AdapterVersion:
+    return works.AdapterVersion(model, "", "")
+
+
+def _rank(
+    state: EndpointState, adapter: works.AdapterVersion
+) -> tuple[float, int]:
+    text = "\0".join((*adapter, state.spec.name))
+    digest = xxhash.xxh3_64_intdigest(text.encode())
+    return state.spec.distance_seconds, digest
 
 
 __all__ = [
--- a/src/boragefold/policy/fair_queue.py
+++ b/src/boragefold/policy/fair_queue.py
@@ -12,10 +12,25 @@
 from collections.abc import Mapping
 import dataclasses
 
+from boragefold.policy import demand as demands
+from boragefold.policy import queue_class
 from boragefold.policy import refusal
+from boragefold.policy import removable_heap
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
+# Late-sensitive work gets up to four fifths while ordinary work waits too:
+# it waits a quarter longer than alone, and ordinary work still moves.
+LATE_SENSITIVE_SHARE = 0.8
+# A request that would start later than this part of its caller's patience is
+# refused; the rest of the patience is for the answer itself.
+START_PATIENCE_SHARE = 0.7
+# A workspace is above its share with half more waiting than the mean: of two
+# workspaces, one that has three times what the other has.
+ABOVE_SHARE_FACTOR = 1.5
+# Queues change within this time; to come back sooner is to be refused again.
+MIN_RETRY_AFTER_SECONDS = 0.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Queued:
@@ -25,13 +40,7 @@
     tag: str = "queued"
 
 
-@dataclasses.dataclass(kw_only=True)
-class Demand:
-    """What waits for one adapter version."""
-
-    requests: int = 0
-    tokens: float = 0.0
-    by_workspace: dict[str, float] = dataclasses.field(default_factory=dict)
+Demand = demands.Demand
 
 
 class FairQueue:
@@ -39,9 +48,17 @@
 
     def __init__(self, *, counters: telemetry.Counters) -> None:
         self._counters = counters
+        self._late = queue_class.QueueClass()
+        self._ordinary = queue_class.QueueClass()
+        self._ordinary_credit_tokens = 0.0
+        self._works: dict[str, works.Work] = {}
+        self._expiry: removable_heap.RemovableHeap[str] = (
+            removable_heap.RemovableHeap()
+        )
+        self._demand: dict[works.AdapterVersion, Demand] = {}
 
     def __len__(self) -> int:
-        raise NotImplementedError
+        return len(self._works)
 
     def offer(
         self,
@@ -59,7 +76,17 @@
         :param adapter_tokens_per_second: what its adapter is served with
         :return: queued, or refused with the time to come back after
         """
-        raise NotImplementedError
+        start_in_seconds = self.estimate_start_seconds(
+            work,
+            service_tokens_per_second=service_tokens_per_second,
+            adapter_tokens_per_second=adapter_tokens_per_second,
+        )
+        patience_seconds = work.give_up_at_seconds - now_seconds
+        bound_seconds = START_PATIENCE_SHARE * patience_seconds
+        if start_in_seconds > bound_seconds:
+            return self._refuse(start_in_seconds - bound_seconds)
+        self.push(work, now_seconds=now_seconds)
+        return Queued(start_in_seconds=start_in_seconds)
 
     def push(self, work: works.Work, *, now_seconds: float) -> None:
         """Append a request without a look at its caller's patience.
@@ -67,7 +94,12 @@
         :param work: the request; its id must not be waiting already
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if work.request_id in self._works:
+            raise ValueError(f"{work.request_id} waits already; push it once")
+        self._works[work.request_id] = work
+        self._expiry.push(work.request_id, work.give_up_at_seconds)
+        self._class_of(work).push(work)
+        self._demand.setdefault(work.needs, Demand()).add(work)
 
     def pop(
         self,
@@ -84,7 +116,16 @@
         :param now_seconds: reading of the process clock
         :return: the request, or None when none of them is waited for
         """
-        raise NotImplementedError
+        wanted = [each for each in candidates if each in self._demand]
+        late = self._late.first(wanted)
+        ordinary = self._ordinary.first(wanted)
+        position = self._next_class(late, ordinary)
+        if position is None:
+            return None
+        work = self._works[position.request_id]
+        self._class_of(work).charge(work)
+        self._take_out(work)
+        return work
 
     def settle(self, work: works.Work, *, used_tokens: float) -> None:
         """Correct the charge of a request that has ended.
@@ -92,7 +133,7 @@
         :param work: a request that :meth:`pop` returned
         :param used_tokens: prompt and generated tokens really spent
         """
-        raise NotImplementedError
+        self._class_of(work).settle(work, used_tokens=used_tokens)
 
     def remove(self, request_id: str) -> works.Work | None:
         """Take out a request whose caller has gone.
@@ -100,7 +141,10 @@
         :param request_id: the request
         :return: the request, or None if it doesn't wait
         """
-        raise NotImplementedError
+        work = self._works.get(request_id)
+        if work is not None:
+            self._take_out(work)
+        return work
 
     def expire(self, *, now_seconds: float) -> list[works.Work]:
         """Take out the requests whose callers stopped waiting.
@@ -108,21 +152,43 @@
         :param now_seconds: reading of the process clock
         :return: the requests
         """
-        raise NotImplementedError
+        expired = []
+        while (first := self._expiry.first()) is not None:
+            give_up_at_seconds, request_id = first
+            if give_up_at_seconds > now_seconds:
+                break
+            work = self._works[request_id]
+            self._take_out(work)
+            self._counters.add("requests_refused", "caller_gave_up")
+            expired.append(work)
+        return expired
 
     def next_expiry_seconds(self) -> float | None:
         """Tell when the next caller stops waiting.
 
         :return: reading of the process clock, or None when nobody waits
         """
-        raise NotImplementedError
+        first = self._expiry.first()
+        return first[0] if first is not None else None
 
     def waiting_by_adapter(self) -> Mapping[works.AdapterVersion, Demand]:
         """Tell what waits for which adapter, for placement.
 
         :return: a live view; don't change it
         """
-        raise NotImplementedError
+        return self._demand
+
+    def is_above_share(self, workspace: str) -> bool:
+        """Tell whether a workspace has far more waiting than the others.
+
+        :param workspace: the workspace
+        :return: whether it has, for :meth:`overload.Overload.check`
+        """
+        both = (self._late, self._ordinary)
+        own = sum(each.workspace_tokens.get(workspace, 0.0) for each in both)
+        count = sum(len(each.workspace_tokens) for each in both)
+        total = sum(each.tokens for each in both)
+        return own * count > ABOVE_SHARE_FACTOR * total
 
     def estimate_start_seconds(
         self,
@@ -136,13 +202,81 @@
         :param work: the request
         :param service_tokens_per_second: what this queue is served with
         :param adapter_tokens_per_second: what its adapter is served with
-        :return: seconds
+        :return: seconds, at most; short requests start sooner
         """
-        raise NotImplementedError
+        seconds = _divide(self._ahead_tokens(work), service_tokens_per_second)
+        demand = self._demand.get(work.needs)
+        if demand is None or adapter_tokens_per_second is None:
+            return seconds
+        adapter_seconds = _divide(
+            demand.ahead_tokens(work), adapter_tokens_per_second
+        )
+        return max(seconds, adapter_seconds)
+
+    def _ahead_tokens(self, work: works.Work) -> float:
+        ahead = self._class_of(work).ahead_tokens(work)
+        if work.late_sensitive:
+            share = LATE_SENSITIVE_SHARE if self._ordinary.tokens else 1.0
+            return ahead / share
+        guaranteed = ahead / (1 - LATE_SENSITIVE_SHARE)
+        return min(ahead + self._late.tokens, guaranteed)
+
+    def _next_class(
+        self,
+        late: queue_class.Position | None,
+        ordinary: queue_class.Position | None,
+    ) -> queue_class.Position | None:
+        if late is None or ordinary is None:
+            return late or ordinary
+        tokens = works.tokens_of(self._works[ordinary.request_id])
+        if self._ordinary_credit_tokens >= tokens:
+            self._ordinary_credit_tokens -= tokens
+            return ordinary
+        tokens = works.tokens_of(self._works[late.request_id])
+        ratio = (1 - LATE_SENSITIVE_SHARE) / LATE_SENSITIVE_SHARE
+        self._ordinary_credit_tokens += tokens * ratio
+        return late
+
+    def _take_out(self, work: works.Work) -> None:
+        del self._works[work.request_id]
+        self._expiry.remove(work.request_id)
+        self._class_of(work).remove(work)
+        demand = self._demand[work.needs]
+        demand.subtract(work)
+        if not demand.requests:
+            del self._demand[work.needs]
+        if not self._ordinary.tokens:
+            self._ordinary_credit_tokens = 0.0
+
+    def _class_of(self, work: works.Work) -> queue_class.QueueClass:
+        return self._late if work.late_sensitive else self._ordinary
+
+    def _refuse(self, excess_seconds: float) -> refusal.Refused:
+        self._counters.add("requests_refused", "queue_too_long")
+        finite = excess_seconds != float("inf")
+        return refusal.Refused(
+            status=refusal.UNAVAILABLE,
+            reason="queue_too_long",
+            remedy="come back later, or wait longer for the answer",
+            retry_after_seconds=(
+                max(excess_seconds, MIN_RETRY_AFTER_SECONDS)
+                if finite
+                else None
+            ),
+        )
+
+
+def _divide(tokens: float, tokens_per_second: float) -> float:
+    if not tokens:
+        return 0.0
+    if tokens_per_second <= 0:
+        return float("inf")
+    return tokens / tokens_per_second
 
 
 __all__ = [
     "Demand",
     "FairQueue",
+    "LATE_SENSITIVE_SHARE",
     "Queued",
 ]
--- a/src/boragefold/policy/placement.py
+++ b/src/boragefold/policy/placement.py
@@ -1,52 +1,43 @@
 """Which adapter is loaded where, and which one makes room.
 
 Load pattern: most adapters are idle, a few are hot, and every hour some wake
-up. Without this, one workspace's rarely used adapters take the whole load
-rate, hot adapters queue on one endpoint, and two adapters that share a slot
-evict each other without end.
+up. Without this, loads are ordered twice, hot adapters queue on one endpoint,
+and cold ones wait without end while every slot is in use.
 """
 
 from __future__ import annotations
 
-import abc
+import collections
 from collections.abc import Collection
+from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import random
-from typing import NamedTuple
 
+from boragefold.policy import arrival_rates
+from boragefold.policy import backoff
+from boragefold.policy import demand as demands
+from boragefold.policy import drains as drains_module
 from boragefold.policy import endpoints as fleet
-from boragefold.policy import fair_queue
+from boragefold.policy import hot_adapters
+from boragefold.policy import load_wants
+from boragefold.policy import loads as loads_module
+from boragefold.policy import places as places_module
+from boragefold.policy import slots as slots_module
+from boragefold.policy import warm_up as warm_up_module
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
+Load = loads_module.Load
+LoadBudget = loads_module.LoadBudget
+Drain = loads_module.Drain
 
-class Load(NamedTuple):
-    """An order to an endpoint; evict first where an adapter is named."""
-
-    endpoint: str
-    adapter: works.AdapterVersion
-    evict: works.AdapterVersion | None
-    workspace: str
-    reason: str
-
-
-class LoadBudget(abc.ABC):
-    """This instance's part of the weight store's limits."""
-
-    @abc.abstractmethod
-    def try_take(self, *, now_seconds: float) -> bool:
-        """Take the right to begin one load.
-
-        :param now_seconds: reading of the process clock
-        :return: whether it was there
-        """
-
-    @abc.abstractmethod
-    def ended(self, *, now_seconds: float) -> None:
-        """Give back the in-flight part of one load, ended or never begun.
-
-        :param now_seconds: reading of the process clock
-        """
+# The store's figure for one load while few are in flight.
+EXPECTED_LOAD_SECONDS = 0.25
+# Where so many adapters of one model found no slot, the next won't either.
+MAX_UNPLACED = 2
+# Adapters whose failures are remembered before old ones are dropped.
+MAX_FAILURES = 256
 
 
 class Placement:
@@ -62,8 +53,27 @@
     ) -> None:
         self._endpoints = endpoints
         self._budget = budget
-        self._rng = rng
         self._counters = counters
+        self._rates = arrival_rates.ArrivalRates()
+        self._loads = loads_module.Loads()
+        self._places = places_module.Places(
+            slots=slots_module.Slots(rates=self._rates),
+            loads=self._loads,
+            rng=rng,
+        )
+        self._drains = drains_module.Drains(
+            endpoints=endpoints, places=self._places, counters=counters
+        )
+        self._wants = load_wants.LoadWants()
+        self._backoff: backoff.Backoff[works.AdapterVersion] = backoff.Backoff(
+            rng=rng
+        )
+        self._hot = hot_adapters.HotAdapters(
+            endpoints=endpoints, rates=self._rates
+        )
+        self._warm_up = warm_up_module.WarmUp(
+            rates=self._rates, places=self._places, is_absent=self._is_absent
+        )
 
     def arrived(self, work: works.Work, *, now_seconds: float) -> None:
         """Note an arrival, for the rate of its adapter.
@@ -71,33 +81,122 @@
         :param work: an admitted request
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        self.arrived_elsewhere(
+            work.needs,
+            workspace=work.workspace,
+            requests=1,
+            now_seconds=now_seconds,
+        )
+
+    def arrived_elsewhere(
+        self,
+        adapter: works.AdapterVersion,
+        *,
+        workspace: str,
+        requests: float,
+        now_seconds: float,
+    ) -> None:
+        """Note arrivals that another instance told of.
+
+        :param adapter: what they need
+        :param workspace: whose most of them are
+        :param requests: how many
+        :param now_seconds: reading of the process clock
+        """
+        if not adapter.adapter:
+            return
+        self._rates.add(
+            adapter,
+            workspace=workspace,
+            requests=requests,
+            now_seconds=now_seconds,
+        )
+        self._hot.look_at(
+            adapter, workspace=workspace, now_seconds=now_seconds
+        )
 
     def decide(
         self,
         *,
-        demand: Mapping[works.AdapterVersion, fair_queue.Demand],
+        demand: Mapping[works.AdapterVersion, demands.Demand],
         ordered: Collection[str],
         now_seconds: float,
         warm_up: bool = True,
-    ) -> list[Load]:
+    ) -> list[Load | Drain]:
         """Decide on the loads to begin now.
 
-        :param demand: what waits for which adapter, of all instances known
+        Adapters that an order evicts or drains are taken from the holders
+        at once; an order to evict still has to wait until no instance has a
+        request of that adapter in flight there.
+
+        :param demand: what waits for which adapter, of all instances known,
+            for the adapters that this instance decides on
         :param ordered: the endpoints that this instance may give orders
         :param now_seconds: reading of the process clock
         :param warm_up: whether to load also what nobody waits for yet
-        :return: orders; each must be answered by one of the two calls below
+        :return: orders; each load must be answered by one of the two calls
+            below
         """
-        raise NotImplementedError
+        self._forget_lost(now_seconds)
+        states = self._usable(ordered)
+        wants = self._make_wants(demand, states, now_seconds)
+        unplaced: collections.Counter[str] = collections.Counter()
+        orders: list[Load | Drain] = []
+        for want in self._wants.in_order(wants):
+            model = want.adapter.model
+            if unplaced[model] >= MAX_UNPLACED:
+                continue
+            place = self._places.find(
+                want.adapter, states, kept=demand, now_seconds=now_seconds
+            )
+            if place is None:
+                self._counters.add("loads_delayed", "no_slot")
+                unplaced[model] += 1
+                orders.extend(
+                    self._drains.find(
+                        want, wants, states, now_seconds=now_seconds
+                    )
+                )
+                continue
+            if not self._budget.try_take(now_seconds=now_seconds):
+                self._counters.add("loads_delayed", "budget")
+                return orders
+            self._wants.charge(want.workspace, EXPECTED_LOAD_SECONDS)
+            orders.append(
+                self._begin(
+                    place,
+                    want.adapter,
+                    want.workspace,
+                    want.reason,
+                    now_seconds,
+                )
+            )
+        if warm_up and not orders:
+            orders.extend(self._load_early(states, now_seconds))
+        return orders
 
     def load_ended(self, load: Load, *, now_seconds: float) -> None:
-        """Note that a load succeeded.
+        """Note that a load succeeded; the endpoint becomes a holder.
 
         :param load: from :meth:`decide`
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        running = self._loads.end(load)
+        if running is None:
+            return
+        self._budget.ended(now_seconds=now_seconds)
+        self._backoff.succeeded(load.adapter)
+        duration_seconds = now_seconds - running.began_at_seconds
+        self._counters.observe_seconds("load_seconds", duration_seconds)
+        if load.reason != warm_up_module.WARM_UP:
+            self._wants.correct(
+                load.workspace, duration_seconds - EXPECTED_LOAD_SECONDS
+            )
+        if load.evict is not None:
+            self._endpoints.gone(load.endpoint, load.evict)
+        self._endpoints.loaded(
+            load.endpoint, load.adapter, now_seconds=now_seconds
+        )
 
     def load_failed(self, load: Load, *, now_seconds: float) -> None:
         """Note that a load failed, timed out or could not be ordered.
@@ -105,10 +204,99 @@
         :param load: from :meth:`decide`
         :param now_seconds: reading of the process clock
         """
-        raise NotImplementedError
+        if self._loads.end(load) is None:
+            return
+        self._budget.ended(now_seconds=now_seconds)
+        self._backoff.failed(load.adapter, now_seconds=now_seconds)
+        self._counters.add("loads_failed", load.reason)
+
+    def _forget_lost(self, now_seconds: float) -> None:
+        lost = self._loads.lost(self._endpoints, now_seconds=now_seconds)
+        for load, timed_out in lost:
+            if timed_out:
+                self.load_failed(load, now_seconds=now_seconds)
+                continue
+            self._loads.end(load)
+            self._budget.ended(now_seconds=now_seconds)
+            self._counters.add("loads_failed", "endpoint_restarted")
+        if len(self._backoff) > MAX_FAILURES:
+            self._backoff.forget_old(now_seconds=now_seconds)
+
+    def _usable(self, ordered: Collection[str]) -> list[fleet.EndpointState]:
+        found = (self._endpoints.get(name) for name in sorted(ordered))
+        return [
+            state
+            for state in found
+            if state is not None and not state.spec.leaving
+        ]
+
+    def _make_wants(
+        self,
+        demand: Mapping[works.AdapterVersion, demands.Demand],
+        states: Sequence[fleet.EndpointState],
+        now_seconds: float,
+    ) -> list[load_wants.Want]:
+        data_centres = {state.spec.data_centre for state in states}
+        hot = dict(self._hot.present(now_seconds=now_seconds))
+        reasons = {adapter: load_wants.HOT for adapter in hot}
+        reasons.update(
+            load_wants.waited_for(demand, self._endpoints, data_centres)
+        )
+        return self._wants.make(
+            (
+                (adapter, reason)
+                for adapter, reason in reasons.items()
+                if not self._loads.of(adapter)
+                and self._backoff.allows(adapter, now_seconds=now_seconds)
+            ),
+            demand,
+            hot,
+            now_seconds=now_seconds,
+        )
+
+    def _begin(
+        self,
+        place: slots_module.Place,
+        adapter: works.AdapterVersion,
+        workspace: str,
+        reason: str,
+        now_seconds: float,
+    ) -> Load:
+        state = place.endpoint
+        load = Load(state.spec.name, adapter, place.evict, workspace, reason)
+        if place.evict is not None:
+            self._endpoints.evicted(
+                state.spec.name, place.evict, now_seconds=now_seconds
+            )
+        self._loads.begin(
+            load, incarnation=state.incarnation, now_seconds=now_seconds
+        )
+        self._counters.add("loads_ordered", reason)
+        return load
+
+    def _is_absent(
+        self, adapter: works.AdapterVersion, now_seconds: float
+    ) -> bool:
+        return (
+            not self._loads.of(adapter)
+            and not self._endpoints.holders(adapter)
+            and self._backoff.allows(adapter, now_seconds=now_seconds)
+        )
+
+    def _load_early(
+        self, states: Sequence[fleet.EndpointState], now_seconds: float
+    ) -> Iterator[Load]:
+        found = self._warm_up.find(states, now_seconds=now_seconds)
+        if found is None or not self._budget.try_take(now_seconds=now_seconds):
+            return
+        adapter, workspace, place = found
+        yield self._begin(
+            place, adapter, workspace, warm_up_module.WARM_UP, now_seconds
+        )
 
 
 __all__ = [
+    "Drain",
     "Load",
     "LoadBudget",
     "Placement",
--- /dev/null
+++ b/src/boragefold/policy/places.py
@@ -0,0 +1,118 @@
+"""Where among the ordered endpoints an adapter finds a slot.
+
+Load pattern: many wanted adapters and hundreds of endpoints. Without a bound
+on the endpoints examined, a decision's time would grow with the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from collections.abc import Sequence
+import random
+
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import loads as loads_module
+from boragefold.policy import slots as slots_module
+from boragefold.policy import work as works
+
+# Endpoints looked at for one load; the best of so many is among the best few
+# of any number, and the decision's time doesn't grow with the fleet.
+EXAMINED_ENDPOINTS = 16
+
+
+class Places:
+    """Finds slots at endpoints that may take an adapter."""
+
+    def __init__(
+        self,
+        *,
+        slots: slots_module.Slots,
+        loads: loads_module.Loads,
+        rng: random.Random,
+    ) -> None:
+        self._slots = slots
+        self._loads = loads
+        self._rng = rng
+
+    def find(
+        self,
+        adapter: works.AdapterVersion,
+        states: Sequence[fleet.EndpointState],
+        *,
+        kept: Container[works.AdapterVersion],
+        now_seconds: float,
+    ) -> slots_module.Place | None:
+        """Find an empty slot, or one that can be emptied.
+
+        :param adapter: the adapter version to be loaded
+        :param states: endpoints that may be given orders
+        :param kept: adapters that must stay
+        :param now_seconds: reading of the process clock
+        :return: the place, or None
+        """
+        place = self.free(adapter, states)
+        if place is not None:
+            return place
+        return self._slots.by_eviction(
+            self._examined(adapter, states), kept, now_seconds=now_seconds
+        )
+
+    def free(
+        self,
+        adapter: works.AdapterVersion,
+        states: Sequence[fleet.EndpointState],
+    ) -> slots_module.Place | None:
+        """Find an empty slot.
+
+        :param adapter: the adapter version to be loaded
+        :param states: endpoints that may be given orders
+        :return: the place, or None
+        """
+        return self._slots.free(_fitting(adapter, states), self._loads.at)
+
+    def to_drain(
+        self,
+        adapter: works.AdapterVersion,
+        states: Sequence[fleet.EndpointState],
+        *,
+        now_seconds: float,
+    ) -> slots_module.Place | None:
+        """Find an adapter in use whose slot should become free.
+
+        :param adapter: the adapter version to be loaded there
+        :param states: endpoints that may be given orders
+        :param now_seconds: reading of the process clock
+        :return: the place, or None
+        """
+        return self._slots.to_drain(
+            self._examined(adapter, states), now_seconds=now_seconds
+        )
+
+    def _examined(
+        self,
+        adapter: works.AdapterVersion,
+        states: Sequence[fleet.EndpointState],
+    ) -> list[fleet.EndpointState]:
+        # One eviction at a time per endpoint: a second order would find its
+        # victim in the slot that the first one empties.
+        idle = [
+            state
+            for state in _fitting(adapter, states)
+            if not self._loads.at(state.spec.name)
+        ]
+        return self._rng.sample(idle, min(EXAMINED_ENDPOINTS, len(idle)))
+
+
+def _fitting(
+    adapter: works.AdapterVersion, states: Sequence[fleet.EndpointState]
+) -> list[fleet.EndpointState]:
+    return [
+        state
+        for state in states
+        if state.spec.model == adapter.model and adapter not in state.resident
+    ]
+
+
+__all__ = [
+    "Places",
+]
--- /dev/null
+++ b/src/boragefold/policy/queue_class.py
@@ -0,0 +1,172 @@
+"""The waiting requests of one class, late-sensitive or not.
+
+Load pattern: a request whose adapter is still being loaded stands before
+requests that could run. Without an index by adapter it would block them, or
+each decision would have to step over it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from boragefold.policy import removable_heap
+from boragefold.policy import virtual_counter
+from boragefold.policy import work as works
+
+# A token of length makes a request stand as if it had come 5 ms later: 2,000
+# tokens, ten seconds. A fifth of the time in which an endpoint generates a
+# token, so short ones overtake long ones by a part of the long one's duration.
+HANDICAP_SECONDS_PER_TOKEN = 0.005
+# No handicap uses up more than this part of a caller's patience; a long
+# request is therefore delayed by short ones, but never until it expires.
+HANDICAP_PATIENCE_SHARE = 0.25
+
+
+class Position(NamedTuple):
+    """Where a request stands; the smallest is next."""
+
+    counter: float
+    rank_seconds: float
+    request_id: str
+
+
+class Shelf:
+    """What waits for one adapter, by workspace."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[str, removable_heap.RemovableHeap[str]] = {}
+        self.order: removable_heap.RemovableHeap[str] = (
+            removable_heap.RemovableHeap()
+        )
+
+
+class QueueClass:
+    """Waiting requests, by adapter, workspace and rank."""
+
+    def __init__(self) -> None:
+        self.tokens = 0.0
+        self.workspace_tokens: dict[str, float] = {}
+        self._counter = virtual_counter.VirtualCounter()
+        self._waiting: dict[str, int] = {}
+        self._shelves: dict[works.AdapterVersion, Shelf] = {}
+
+    def push(self, work: works.Work) -> None:
+        """Add a request.
+
+        :param work: the request
+        """
+        workspace = work.workspace
+        if workspace not in self._waiting:
+            self._counter.join(workspace)
+            self._waiting[workspace] = 0
+            self.workspace_tokens[workspace] = 0.0
+        self._waiting[workspace] += 1
+        self.workspace_tokens[workspace] += works.tokens_of(work)
+        self.tokens += works.tokens_of(work)
+        shelf = self._shelves.setdefault(work.needs, Shelf())
+        lane = shelf.lanes.get(workspace)
+        if lane is None:
+            lane = removable_heap.RemovableHeap()
+            shelf.lanes[workspace] = lane
+            shelf.order.push(workspace, self._counter.value(workspace))
+        lane.push(work.request_id, _rank_seconds(work))
+
+    def remove(self, work: works.Work) -> None:
+        """Take a request out.
+
+        :param work: a request of this class
+        """
+        workspace = work.workspace
+        shelf = self._shelves[work.needs]
+        lane = shelf.lanes[workspace]
+        lane.remove(work.request_id)
+        if not lane:
+            del shelf.lanes[workspace]
+            shelf.order.remove(workspace)
+        if not shelf.lanes:
+            del self._shelves[work.needs]
+        self.tokens -= works.tokens_of(work)
+        self.workspace_tokens[workspace] -= works.tokens_of(work)
+        self._waiting[workspace] -= 1
+        if not self._waiting[workspace]:
+            del self._waiting[workspace]
+            del self.workspace_tokens[workspace]
+            self._counter.leave(workspace)
+
+    def first(
+        self, candidates: Iterable[works.AdapterVersion]
+    ) -> Position | None:
+        """Look for the next request that needs one of the adapters.
+
+        :param candidates: adapters
+        :return: its position, or None
+        """
+        positions = (
+            self._first_of(shelf)
+            for adapter in candidates
+            if (shelf := self._shelves.get(adapter)) is not None
+        )
+        return min(positions, default=None)
+
+    def charge(self, work: works.Work) -> None:
+        """Count the service of a request; call it before :meth:`remove`.
+
+        :param work: the request that is served
+        """
+        self._counter.charge(work.workspace, works.tokens_of(work))
+
+    def settle(self, work: works.Work, *, used_tokens: float) -> None:
+        """Correct the charge.
+
+        :param work: a request that was charged
+        :param used_tokens: prompt and generated tokens really spent
+        """
+        self._counter.correct(
+            work.workspace, used_tokens - works.tokens_of(work)
+        )
+
+    def ahead_tokens(self, work: works.Work) -> float:
+        """Estimate the tokens that are served before a new request.
+
+        Fairness bounds them: others are served at most as much as its own
+        workspace meanwhile, however long their queues are.
+
+        :param work: a request that isn't waiting yet
+        :return: tokens of this class
+        """
+        own = self.workspace_tokens.get(work.workspace, 0.0)
+        others = len(self._waiting) - (work.workspace in self._waiting)
+        share = others * (own + works.tokens_of(work))
+        return own + min(max(self.tokens - own, 0.0), share)
+
+    def _first_of(self, shelf: Shelf) -> Position:
+        # Counters have risen since the workspaces were put in order; one
+        # that came up too early goes back to where it belongs now.
+        while (top := shelf.order.first()) is not None:
+            stored, workspace = top
+            present = self._counter.value(workspace)
+            if present <= stored:
+                break
+            shelf.order.push(workspace, present)
+        else:
+            raise AssertionError("a shelf without requests must be removed")
+        head = shelf.lanes[workspace].first()
+        if head is None:
+            raise AssertionError("a lane without requests must be removed")
+        return Position(stored, *head)
+
+
+def _rank_seconds(work: works.Work) -> float:
+    patience_seconds = work.give_up_at_seconds - work.arrived_at_seconds
+    handicap_seconds = min(
+        HANDICAP_SECONDS_PER_TOKEN * works.tokens_of(work),
+        HANDICAP_PATIENCE_SHARE * patience_seconds,
+    )
+    return work.arrived_at_seconds + handicap_seconds
+
+
+__all__ = [
+    "Position",
+    "QueueClass",
+]
--- /dev/null
+++ b/src/boragefold/policy/rate_line.py
@@ -0,0 +1,137 @@
+"""The requests of one workspace that wait for tokens, in order of arrival.
+
+Load pattern: small and large requests of one workspace run short together.
+Without one order, small ones take each token that comes in, and a large one
+is overtaken until its caller gives up.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+
+from boragefold.policy import work as works
+
+# How often the head asks again when the stock doesn't call back; a callback
+# may be lost with the message that it follows from.
+ASK_SECONDS = 0.05
+# The speed at which a line drains is measured over about this time: several
+# grants, yet recent enough to follow a change of the rate.
+MEASURED_SECONDS = 2.0
+
+
+class Entry(NamedTuple):
+    """A waiting request."""
+
+    work: works.Work
+    tokens: float
+    until_seconds: float
+
+
+class Line:
+    """First come, first served; exists only while somebody waits."""
+
+    def __init__(self, *, now_seconds: float, ready_in_seconds: float) -> None:
+        self._entries: collections.OrderedDict[str, Entry] = (
+            collections.OrderedDict()
+        )
+        self._tokens = 0.0
+        self._began_at_seconds = now_seconds
+        self._drained_tokens = 0.0
+        self._ready_at_seconds = 0.0
+        self._ask_at_seconds = 0.0
+        self.asked(now_seconds=now_seconds, ready_in_seconds=ready_in_seconds)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def append(self, entry: Entry) -> None:
+        """Put a request at the end.
+
+        :param entry: the request
+        """
+        self._entries[entry.work.request_id] = entry
+        self._tokens += entry.tokens
+
+    def remove(self, request_id: str) -> Entry:
+        """Take a request out.
+
+        :param request_id: a request of this line
+        :return: the request
+        """
+        entry = self._entries.pop(request_id)
+        self._tokens -= entry.tokens
+        return entry
+
+    def head(self) -> Entry:
+        """Look at the request that is next.
+
+        :return: the oldest
+        """
+        return next(iter(self._entries.values()))
+
+    def overdue(self, *, now_seconds: float) -> list[Entry]:
+        """List those that may wait no longer.
+
+        :param now_seconds: reading of the process clock
+        :return: entries, oldest first
+        """
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.until_seconds <= now_seconds
+        ]
+
+    def asked(self, *, now_seconds: float, ready_in_seconds: float) -> None:
+        """Note the stock's answer to the head.
+
+        :param now_seconds: reading of the process clock
+        :param ready_in_seconds: when the head's tokens are expected
+        """
+        self._ready_at_seconds = now_seconds + ready_in_seconds
+        self._ask_at_seconds = now_seconds + ASK_SECONDS
+
+    def drained(self, tokens: float, *, now_seconds: float) -> None:
+        """Note that the head got its tokens.
+
+        :param tokens: how many
+        :param now_seconds: reading of the process clock
+        """
+        self._drained_tokens += tokens
+        elapsed_seconds = now_seconds - self._began_at_seconds
+        if elapsed_seconds > MEASURED_SECONDS:
+            self._drained_tokens /= 2
+            self._began_at_seconds += elapsed_seconds / 2
+
+    def due_seconds(self) -> float:
+        """Tell when the line has to be looked at.
+
+        :return: reading of the process clock
+        """
+        return min(self._ask_at_seconds, self.head().until_seconds)
+
+    def wait_seconds(self, tokens: float, *, now_seconds: float) -> float:
+        """Estimate the wait of a request that joins now.
+
+        :param tokens: of the request
+        :param now_seconds: reading of the process clock
+        :return: seconds until it would get its tokens
+        """
+        head_seconds = max(0.0, self._ready_at_seconds - now_seconds)
+        behind_tokens = self._tokens - self.head().tokens + tokens
+        return head_seconds + behind_tokens / self._speed(now_seconds)
+
+    def _speed(self, now_seconds: float) -> float:
+        elapsed_seconds = now_seconds - self._began_at_seconds
+        if self._drained_tokens and elapsed_seconds > 0:
+            return self._drained_tokens / elapsed_seconds
+        # Nobody has been served yet. The head lacks at most all its tokens.
+        head_seconds = self._ready_at_seconds - self._began_at_seconds
+        return self.head().tokens / max(head_seconds, ASK_SECONDS)
+
+
+__all__ = [
+    "ASK_SECONDS",
+    "Entry",
+    "Line",
+]
--- a/src/boragefold/policy/roles.py
+++ b/src/boragefold/policy/roles.py
@@ -7,13 +7,35 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
+import math
 from typing import NamedTuple
 
 from boragefold.policy import endpoints as fleet
 from boragefold.telemetry import counters as telemetry
 
+# Above this fill a pool asks for endpoints, so many that it comes to the
+# target: below the fill at which requests begin to queue.
+HIGH_FILL = 0.9
+TARGET_FILL = 0.75
+# A pool gives an endpoint only if it stays below this fill without it. The
+# gap up to the high fill is the hysteresis: its own demand has to grow by
+# half before it asks for the endpoint back.
+GIVER_FILL = 0.6
+# A burst passes in this time; a shift of the demand doesn't.
+CONFIRM_SECONDS = 3.0
+# To load a model takes minutes; an endpoint must serve several times as long
+# as it was out of service.
+MIN_STAY_SECONDS = 600.0
+# A move that isn't seen in what is published within this time has failed.
+MOVE_TIMEOUT_SECONDS = 300.0
+# Part of a giving pool that may move at once: its estimate may be wrong.
+MAX_GIVEN_SHARE = 0.25
+# A pool that once had demand keeps one endpoint, so that it can answer.
+MIN_KEPT = 1
+
 
 class Pool(NamedTuple):
     """The endpoints of one model in one role."""
@@ -29,6 +51,13 @@
     pool: Pool
 
 
+class Move(NamedTuple):
+    """An order given, and when."""
+
+    pool: Pool
+    at_seconds: float
+
+
 class Roles:
     """Moves endpoints from pools with little work to pools with much."""
 
@@ -40,6 +69,8 @@
     ) -> None:
         self._endpoints = endpoints
         self._counters = counters
+        self._moves: dict[str, Move] = {}
+        self._short_since: dict[Pool, float] = {}
 
     def decide(
         self,
@@ -55,7 +86,122 @@
         :param now_seconds: reading of the process clock
         :return: the orders
         """
-        raise NotImplementedError
+        self._forget_old(now_seconds)
+        members = self._members()
+        orders: list[RoleOrder] = []
+        for pool in self._short_pools(busy, members, now_seconds):
+            missing = _missing(busy[pool], members[pool])
+            givers = self._givers(pool, busy, members, ordered, now_seconds)
+            for state in givers[:missing]:
+                self._moves[state.spec.name] = Move(pool, now_seconds)
+                orders.append(RoleOrder(state.spec.name, pool))
+                self._counters.add("role_changes", pool.role)
+            members = self._members()
+        return orders
+
+    def failed(self, order: RoleOrder) -> None:
+        """Note that an endpoint refused an order or didn't get it.
+
+        :param order: from :meth:`decide`
+        """
+        self._moves.pop(order.endpoint, None)
+        self._counters.add("role_changes_failed", order.pool.role)
+
+    def _members(self) -> dict[Pool, list[fleet.EndpointState]]:
+        # An endpoint that was ordered to move counts where it goes to. If it
+        # counted where it was, each further decision would move one more.
+        members = collections.defaultdict(list)
+        for state in self._endpoints:
+            if not state.spec.leaving:
+                members[self._pool_of(state)].append(state)
+        return members
+
+    def _pool_of(self, state: fleet.EndpointState) -> Pool:
+        move = self._moves.get(state.spec.name)
+        published = Pool(state.spec.model, state.spec.role)
+        return published if move is None else move.pool
+
+    def _short_pools(
+        self,
+        busy: Mapping[Pool, float],
+        members: Mapping[Pool, list[fleet.EndpointState]],
+        now_seconds: float,
+    ) -> list[Pool]:
+        short = {
+            pool
+            for pool, requests in busy.items()
+            if requests > HIGH_FILL * _capacity(members[pool])
+        }
+        self._short_since = {
+            pool: self._short_since.get(pool, now_seconds) for pool in short
+        }
+        confirmed = (
+            pool
+            for pool, since_seconds in self._short_since.items()
+            if now_seconds - since_seconds >= CONFIRM_SECONDS
+        )
+        return sorted(
+            confirmed,
+            key=lambda pool: -busy[pool] / max(_capacity(members[pool]), 1),
+        )
+
+    def _givers(
+        self,
+        taker: Pool,
+        busy: Mapping[Pool, float],
+        members: Mapping[Pool, list[fleet.EndpointState]],
+        ordered: Collection[str],
+        now_seconds: float,
+    ) -> list[fleet.EndpointState]:
+        given: list[fleet.EndpointState] = []
+        for pool, states in members.items():
+            if pool == taker or not states:
+                continue
+            movable = [
+                state
+                for state in states
+                if state.spec.name in ordered and self._has_stayed(state)
+            ]
+            movable.sort(key=lambda state: (state.fill(), state.spec.name))
+            given.extend(movable[: _spare(busy.get(pool, 0.0), states)])
+        return sorted(given, key=lambda state: state.fill())
+
+    def _has_stayed(self, state: fleet.EndpointState) -> bool:
+        return state.spec.name not in self._moves
+
+    def _forget_old(self, now_seconds: float) -> None:
+        kept = {}
+        for name, move in self._moves.items():
+            state = self._endpoints.get(name)
+            age_seconds = now_seconds - move.at_seconds
+            if state is None:
+                continue
+            arrived = move.pool == Pool(state.spec.model, state.spec.role)
+            limit_seconds = (
+                MIN_STAY_SECONDS if arrived else MOVE_TIMEOUT_SECONDS
+            )
+            if age_seconds < limit_seconds:
+                kept[name] = move
+        self._moves = kept
+
+
+def _capacity(states: Collection[fleet.EndpointState]) -> int:
+    return sum(state.spec.batch_size for state in states)
+
+
+def _missing(requests: float, states: Collection[fleet.EndpointState]) -> int:
+    if not states:
+        return 1
+    batch_size = _capacity(states) / len(states)
+    needed = math.ceil(requests / (TARGET_FILL * batch_size))
+    return max(needed - len(states), 0)
+
+
+def _spare(requests: float, states: Collection[fleet.EndpointState]) -> int:
+    batch_size = _capacity(states) / len(states)
+    needed = math.ceil(requests / (GIVER_FILL * batch_size))
+    most = math.ceil(MAX_GIVEN_SHARE * len(states))
+    return max(min(len(states) - max(needed, MIN_KEPT), most), 0)
 
 
 __all__ = [
--- /dev/null
+++ b/src/boragefold/policy/slots.py
@@ -0,0 +1,152 @@
+"""In which slot of which endpoint an adapter is loaded.
+
+Load pattern: more adapters are in use than there are slots. Without a
+protected time of residence, two adapters that are asked for in turns evict
+each other, and every request waits for a load.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Container
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from boragefold.policy import arrival_rates
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import work as works
+
+# A loaded adapter stays at least eight loads of a quarter of a second, so
+# that loading takes at most an eighth of a slot's time.
+MIN_RESIDENCY_SECONDS = 2.0
+# It stays for two of its usual gaps between uses, but not longer than this:
+# callers of others wait meanwhile, and the first of them tens of seconds.
+MAX_RESIDENCY_SECONDS = 10.0
+PROTECTED_GAPS = 2.0
+
+
+class Place(NamedTuple):
+    """An endpoint, and what makes room there."""
+
+    endpoint: fleet.EndpointState
+    evict: works.AdapterVersion | None
+
+
+class Slots:
+    """Looks for the slot whose use for another adapter costs least."""
+
+    def __init__(self, *, rates: arrival_rates.ArrivalRates) -> None:
+        self._rates = rates
+
+    def free(
+        self,
+        states: Iterable[fleet.EndpointState],
+        loading: Callable[[str], int],
+    ) -> Place | None:
+        """Find an endpoint with an empty slot.
+
+        :param states: endpoints that may take the adapter
+        :param loading: how many loads are under way at an endpoint
+        :return: the place, or None
+        """
+        empty = [
+            (state.fill(), state.spec.name, state)
+            for state in states
+            if state.occupied_slots() + loading(state.spec.name)
+            < state.spec.slots
+        ]
+        return Place(min(empty)[2], None) if empty else None
+
+    def by_eviction(
+        self,
+        states: Iterable[fleet.EndpointState],
+        kept: Container[works.AdapterVersion],
+        *,
+        now_seconds: float,
+    ) -> Place | None:
+        """Find the adapter that is missed least.
+
+        :param states: endpoints that may take the adapter
+        :param kept: adapters that must stay, such as those waited for
+        :param now_seconds: reading of the process clock
+        :return: the place, or None
+        """
+        found = [
+            (*self._worth(state, adapter, now_seconds), adapter, state)
+            for state in states
+            for adapter in (*state.blocked_at, *state.resident)
+            if not state.is_pinned(adapter)
+            and self._may_go(state, adapter, kept, now_seconds)
+        ]
+        if not found:
+            return None
+        *_worth, adapter, state = min(found, key=lambda each: each[:-1])
+        return Place(state, adapter)
+
+    def to_drain(
+        self,
+        states: Iterable[fleet.EndpointState],
+        *,
+        now_seconds: float,
+    ) -> Place | None:
+        """Find the adapter in use that should get no further requests.
+
+        :param states: endpoints where nothing is being emptied yet
+        :param now_seconds: reading of the process clock
+        :return: the place, or None
+        """
+        found = [
+            (*self._worth(state, adapter, now_seconds), adapter, state)
+            for state in states
+            if not state.blocked_at
+            for adapter in state.resident
+            if now_seconds - _loaded_at(state, adapter)
+            >= MAX_RESIDENCY_SECONDS
+        ]
+        if not found:
+            return None
+        *_worth, adapter, state = min(found, key=lambda each: each[:-1])
+        return Place(state, adapter)
+
+    def _may_go(
+        self,
+        state: fleet.EndpointState,
+        adapter: works.AdapterVersion,
+        kept: Container[works.AdapterVersion],
+        now_seconds: float,
+    ) -> bool:
+        if adapter in state.blocked_at:
+            return True
+        if adapter in kept:
+            return False
+        used_at, gap_seconds = self._rates.next_use_seconds(adapter)
+        stay_seconds = min(PROTECTED_GAPS * gap_seconds, MAX_RESIDENCY_SECONDS)
+        loaded_at = _loaded_at(state, adapter)
+        return (
+            now_seconds >= loaded_at + MIN_RESIDENCY_SECONDS
+            and now_seconds >= used_at + stay_seconds
+        )
+
+    def _worth(
+        self,
+        state: fleet.EndpointState,
+        adapter: works.AdapterVersion,
+        now_seconds: float,
+    ) -> tuple[bool, float, float]:
+        per_second = self._rates.per_second(adapter, now_seconds=now_seconds)
+        used_at, _gap = self._rates.next_use_seconds(adapter)
+        return adapter not in state.blocked_at, per_second, used_at
+
+
+def _loaded_at(
+    state: fleet.EndpointState, adapter: works.AdapterVersion
+) -> float:
+    return state.loaded_at.get(adapter, float("-inf"))
+
+
+__all__ = [
+    "MAX_RESIDENCY_SECONDS",
+    "MIN_RESIDENCY_SECONDS",
+    "Place",
+    "Slots",
+]
--- /dev/null
+++ b/src/boragefold/policy/slow_endpoints.py
@@ -0,0 +1,97 @@
+"""Which endpoints are slower than their peers, and get less.
+
+Load pattern: one endpoint gets slow (a throttled accelerator, a failing
+link) but still answers. Without this it keeps its share of the requests until
+it fails, and that share of the callers waits.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+import statistics
+
+from boragefold.policy import endpoint_state
+
+# Fill and chance make an endpoint up to twice as slow as the median of its
+# peers; three times is no chance with the smoothing of ten answers.
+SLOW_RATIO = 3.0
+# A slow endpoint still gets one of fifty of the requests that it would have
+# got; these are the probes that show its recovery.
+MIN_WEIGHT = 0.02
+# With fewer than three there is no majority to compare with.
+MIN_PEERS = 3
+# Without answers for so long, a bad measurement is forgotten by halves.
+FORGET_AFTER_SECONDS = 10.0
+# One failure halves the share; ten seconds without one restore it.
+FAILURE_FACTOR = 0.5
+RECOVERY_PER_REFRESH = 0.1
+
+
+def punish(state: endpoint_state.EndpointState) -> None:
+    """Halve the share of an endpoint that failed a request.
+
+    :param state: the endpoint
+    """
+    state.health = max(state.health * FAILURE_FACTOR, MIN_WEIGHT)
+    state.weight = max(state.weight * FAILURE_FACTOR, MIN_WEIGHT)
+
+
+def weigh(
+    states: Iterable[endpoint_state.EndpointState], *, now_seconds: float
+) -> None:
+    """Set each endpoint's weight from its latency and its failures.
+
+    :param states: all endpoints
+    :param now_seconds: reading of the process clock
+    """
+    pools = collections.defaultdict(list)
+    for state in states:
+        state.health = min(1.0, state.health + RECOVERY_PER_REFRESH)
+        pools[state.spec.model, state.spec.role].append(state)
+    for pool in pools.values():
+        _weigh_pool(pool, now_seconds)
+
+
+def _weigh_pool(
+    pool: list[endpoint_state.EndpointState], now_seconds: float
+) -> None:
+    latencies = {
+        state.spec.name: latency
+        for state in pool
+        if (latency := state.present_latency(now_seconds=now_seconds))
+    }
+    enough = len(latencies) >= MIN_PEERS
+    median = statistics.median(latencies.values()) if enough else 0.0
+    for state in pool:
+        if enough:
+            _forget(state, median, now_seconds)
+        latency = latencies.get(state.spec.name, 0.0)
+        state.weight = state.health * _share(latency, median)
+        state.weight = max(state.weight, MIN_WEIGHT)
+
+
+def _share(latency: float, median: float) -> float:
+    # The share falls with the square: an endpoint just past the limit loses
+    # little, one ten times slower than its peers gets a tenth.
+    if median <= 0 or latency <= SLOW_RATIO * median:
+        return 1.0
+    share = SLOW_RATIO * median / latency
+    return share * share
+
+
+def _forget(
+    state: endpoint_state.EndpointState, median: float, now_seconds: float
+) -> None:
+    # An endpoint that no probe reaches would stay slow for good.
+    idle = now_seconds - state.answered_at_seconds > FORGET_AFTER_SECONDS
+    if idle and state.latency is not None and not state.unanswered:
+        state.latency += (median - state.latency) / 2
+
+
+__all__ = [
+    "MIN_WEIGHT",
+    "SLOW_RATIO",
+    "punish",
+    "weigh",
+]
--- /dev/null
+++ b/src/boragefold/policy/virtual_counter.py
@@ -0,0 +1,116 @@
+"""How much service each workspace has received, for fair order.
+
+Load pattern: some workspaces always have work waiting, others come and go.
+Without a common virtual time, a workspace that returns after an idle hour
+would be served alone until it had caught up with that hour.
+
+This is start-time fair queueing: the workspace with the smallest counter is
+served, and the virtual time is the counter of the one served last.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+# A workspace that waits for something only it needs falls behind the virtual
+# time; it may catch up at most this many of the largest charges seen, so that
+# it doesn't shut the others out afterwards. Fairness needs one.
+MAX_LAG_CHARGES = 2
+# Idle counters are looked for when the table has doubled.
+MIN_SWEEP_LENGTH = 64
+
+
+@dataclasses.dataclass(kw_only=True)
+class Account:
+    """The service of one workspace."""
+
+    counter: float
+    correction: float = 0.0
+    active: bool = False
+
+
+class VirtualCounter:
+    """Counters that only rise, compared with a common virtual time."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, Account] = {}
+        self._virtual_time = 0.0
+        self._largest_charge = 0.0
+        self._sweep_length = MIN_SWEEP_LENGTH
+
+    def __len__(self) -> int:
+        return len(self._accounts)
+
+    def join(self, workspace: str) -> None:
+        """Note that a workspace has work waiting, after it had none.
+
+        :param workspace: the workspace
+        """
+        account = self._accounts.get(workspace)
+        if account is None:
+            self._sweep()
+            account = Account(counter=self._virtual_time)
+            self._accounts[workspace] = account
+        account.counter = max(account.counter, self._virtual_time)
+        account.active = True
+
+    def leave(self, workspace: str) -> None:
+        """Note that a workspace has no work waiting any more.
+
+        :param workspace: one that joined
+        """
+        self._accounts[workspace].active = False
+
+    def value(self, workspace: str) -> float:
+        """Read the counter of a workspace; the smallest is served next.
+
+        :param workspace: one that joined
+        :return: its counter, which never falls
+        """
+        account = self._accounts[workspace]
+        lag = MAX_LAG_CHARGES * self._largest_charge
+        account.counter = max(account.counter, self._virtual_time - lag)
+        return account.counter
+
+    def charge(self, workspace: str, amount: float) -> None:
+        """Count service.
+
+        :param workspace: one that joined
+        :param amount: tokens or seconds
+        """
+        account = self._accounts[workspace]
+        self._largest_charge = max(self._largest_charge, amount)
+        self._virtual_time = max(self._virtual_time, self.value(workspace))
+        due = amount + account.correction
+        account.correction = min(due, 0.0)
+        account.counter += max(due, 0.0)
+
+    def correct(self, workspace: str, amount: float) -> None:
+        """Change the next charge, where the last one was an estimate.
+
+        Counters must not fall: heaps that are ordered by them would break.
+
+        :param workspace: the workspace; one forgotten meanwhile is ignored
+        :param amount: real service less what was charged
+        """
+        account = self._accounts.get(workspace)
+        if account is not None:
+            account.correction += amount
+
+    def _sweep(self) -> None:
+        if len(self._accounts) < self._sweep_length:
+            return
+        # An idle workspace behind the virtual time would rejoin at it: its
+        # account says nothing.
+        self._accounts = {
+            workspace: account
+            for workspace, account in self._accounts.items()
+            if account.active or account.counter > self._virtual_time
+        }
+        self._sweep_length = max(MIN_SWEEP_LENGTH, 2 * len(self._accounts))
+
+
+__all__ = [
+    "MAX_LAG_CHARGES",
+    "VirtualCounter",
+]
--- /dev/null
+++ b/src/boragefold/policy/warm_up.py
@@ -0,0 +1,86 @@
+"""Which adapters are loaded before anybody waits for them.
+
+Load pattern: an engine restarts empty, and what it held is asked for again
+within seconds. Without this, each of those adapters costs a caller a load
+stall although slots and load rate are idle.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from boragefold.policy import arrival_rates
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import places as places_module
+from boragefold.policy import slots as slots_module
+from boragefold.policy import work as works
+
+# Loads that nobody waits for are looked for twice a second, so that they
+# leave part of a rate of two to four loads a second to a sudden need.
+PERIOD_SECONDS = 0.5
+# An adapter asked for twice in the last twenty seconds will be again; one
+# asked for once may not.
+MIN_PER_SECOND = 2 / arrival_rates.MEMORY_SECONDS
+WARM_UP = "warm_up"
+
+
+class Early(NamedTuple):
+    """An adapter to be loaded early, for whom and where."""
+
+    adapter: works.AdapterVersion
+    workspace: str
+    place: slots_module.Place
+
+
+class WarmUp:
+    """Fills empty slots with what was used of late."""
+
+    def __init__(
+        self,
+        *,
+        rates: arrival_rates.ArrivalRates,
+        places: places_module.Places,
+        is_absent: Callable[[works.AdapterVersion, float], bool],
+    ) -> None:
+        self._rates = rates
+        self._places = places
+        self._is_absent = is_absent
+        self._next_at_seconds = float("-inf")
+
+    def find(
+        self, states: Sequence[fleet.EndpointState], *, now_seconds: float
+    ) -> Early | None:
+        """Find the most used adapter that nobody holds, and an empty slot.
+
+        :param states: endpoints that may be given orders
+        :param now_seconds: reading of the process clock
+        :return: the adapter and its place; None most of the time
+        """
+        if now_seconds < self._next_at_seconds:
+            return None
+        self._next_at_seconds = now_seconds + PERIOD_SECONDS
+        if not any(
+            state.occupied_slots() < state.spec.slots for state in states
+        ):
+            return None
+        return next(
+            (
+                Early(adapter, self._rates.workspace(adapter), place)
+                for per_second, adapter in self._rates.hottest(
+                    now_seconds=now_seconds
+                )
+                if per_second >= MIN_PER_SECOND
+                and self._is_absent(adapter, now_seconds)
+                and (place := self._places.free(adapter, states)) is not None
+            ),
+            None,
+        )
+
+
+__all__ = [
+    "Early",
+    "WARM_UP",
+    "WarmUp",
+]
--- a/src/boragefold/policy/work.py
+++ b/src/boragefold/policy/work.py
@@ -32,7 +32,17 @@
     prefix: str = ""
 
 
+def tokens_of(work: Work) -> float:
+    """Tell what a request is charged until it is settled.
+
+    :param work: the request
+    :return: prompt tokens and the most that may be generated, at least one
+    """
+    return float(max(work.prompt_tokens + work.max_tokens, 1))
+
+
 __all__ = [
     "AdapterVersion",
     "Work",
+    "tokens_of",
 ]
