--- /dev/null
+++ b/src/boragefold/bench/engine.py
@@ -0,0 +1,260 @@
+"""A model engine of the bench: one continuous batch and a few slots."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+from typing import NamedTuple
+
+from boragefold.bench import deployments
+from boragefold.bench import traffic
+from boragefold.timing import timers
+
+PREFIXES_CACHED = 64
+
+
+class Events(NamedTuple):
+    """Whom an engine tells what happens to requests and loads."""
+
+    first_token: Callable[[str, str], None]
+    finished: Callable[[str, str], None]
+    missing: Callable[[str, str], None]
+
+
+class Engine:
+    """Runs a batch whose requests share the engine's speed.
+
+    ``_progress_seconds`` is the time a request would have needed alone; all
+    requests of the batch advance on it together, so the next to finish is
+    the head of a heap, whatever the speed did meanwhile.
+    """
+
+    def __init__(
+        self,
+        *,
+        size: deployments.EngineSize,
+        service: timers.TimerService,
+        events: Events,
+        loads_itself: Callable[[Engine, str], None] | None = None,
+    ) -> None:
+        self.size = size
+        self._service = service
+        self._events = events
+        self.loads_itself = loads_itself
+        self._order = itertools.count()
+        self._progress_seconds = 0.0
+        self._moved_at_seconds = 0.0
+        self._speed = 1.0
+        self._timer: timers.Subscription | None = None
+        self.slowness = 1.0
+        self.incarnation = 1
+        self.busy_seconds = 0.0
+        self.generated_tokens = 0
+        self.evictions = 0
+        self.evictions_in_use = 0
+        self.wrong_adapter = 0
+        self._clear()
+
+    def _clear(self) -> None:
+        self._due: list[tuple[float, int, str, bool]] = []
+        self._serials: dict[str, int] = {}
+        self.running: dict[str, traffic.Arrival] = {}
+        self.waiting: dict[str, traffic.Arrival] = {}
+        self.in_use: collections.Counter[str] = collections.Counter()
+        # Ordered by last use, for the baselines' eviction.
+        self.ready: dict[str, None] = {}
+        self.loading: set[str] = set()
+        self._prefixes: dict[str, None] = {}
+
+    def accept(self, arrival: traffic.Arrival) -> None:
+        """Take a request into the engine's own queue.
+
+        :param arrival: the request
+        """
+        work = arrival.work
+        self.waiting[work.request_id] = arrival
+        if not self._has(work.needs.adapter):
+            if self.loads_itself is None:
+                del self.waiting[work.request_id]
+                self._events.missing(work.request_id, self.size.name)
+                return
+            self.loads_itself(self, work.needs.adapter)
+        self._fill()
+
+    def cancel(self, request_id: str) -> None:
+        """Drop a request, running or not.
+
+        :param request_id: which one
+        """
+        if self.waiting.pop(request_id, None) is not None:
+            return
+        if request_id in self.running:
+            self._move()
+            self._release(request_id)
+            self._fill()
+
+    def begin_load(self, adapter: str) -> bool:
+        """Set a slot aside for an adapter that is on its way.
+
+        :param adapter: which one
+        :return: whether a slot was free
+        """
+        if adapter in self.loading or adapter in self.ready:
+            return False
+        if self.free_slots() <= 0:
+            return False
+        self.loading.add(adapter)
+        return True
+
+    def end_load(self, adapter: str, succeeded: bool) -> None:
+        """Make an adapter ready, or free its slot again.
+
+        :param adapter: which one
+        :param succeeded: whether the store gave it
+        """
+        self.loading.discard(adapter)
+        if succeeded:
+            self.ready[adapter] = None
+            self._fill()
+
+    def evict(self, adapter: str) -> bool:
+        """Free the slot of an adapter that no request uses.
+
+        :param adapter: which one
+        :return: whether it was evicted
+        """
+        if adapter not in self.ready:
+            return False
+        if self.in_use[adapter]:
+            self.evictions_in_use += 1
+            return False
+        del self.ready[adapter]
+        self.evictions += 1
+        return True
+
+    def free_slots(self) -> int:
+        """Count the slots that hold nothing.
+
+        :return: a count
+        """
+        return self.size.slots - len(self.ready) - len(self.loading)
+
+    def restart(self) -> list[str]:
+        """Come back empty.
+
+        :return: the requests that were lost
+        """
+        self._move()
+        lost = [*self.running, *self.waiting]
+        self._clear()
+        self.incarnation += 1
+        self._reschedule()
+        return lost
+
+    def set_slowness(self, slowness: float) -> None:
+        """Slow the engine down, or let it go back to its speed.
+
+        :param slowness: 1 is full speed, 4 a quarter
+        """
+        self._move()
+        self.slowness = slowness
+        self._reschedule()
+
+    def _has(self, adapter: str) -> bool:
+        return not adapter or adapter in self.ready
+
+    def _fill(self) -> None:
+        self._move()
+        for request_id in list(self.waiting):
+            if len(self.running) >= self.size.batch_size:
+                break
+            if self._has(self.waiting[request_id].work.needs.adapter):
+                self._start(self.waiting.pop(request_id))
+        self._reschedule()
+
+    def _start(self, arrival: traffic.Arrival) -> None:
+        work = arrival.work
+        adapter = work.needs.adapter
+        self.running[work.request_id] = arrival
+        self.in_use[adapter] += 1
+        if adapter:
+            self.ready[adapter] = self.ready.pop(adapter)
+        first = self._progress_seconds + self._prefill_seconds(arrival)
+        last = first + (
+            arrival.answer_tokens / deployments.SINGLE_TOKENS_PER_SECOND
+        )
+        serial = next(self._order)
+        self._serials[work.request_id] = serial
+        heapq.heappush(self._due, (first, serial, work.request_id, False))
+        heapq.heappush(self._due, (last, serial, work.request_id, True))
+
+    def _prefill_seconds(self, arrival: traffic.Arrival) -> float:
+        work = arrival.work
+        seconds = work.prompt_tokens / deployments.PREFILL_TOKENS_PER_SECOND
+        if not work.prefix:
+            return seconds
+        cached = work.prefix in self._prefixes
+        self._prefixes.pop(work.prefix, None)
+        self._prefixes[work.prefix] = None
+        if len(self._prefixes) > PREFIXES_CACHED:
+            del self._prefixes[next(iter(self._prefixes))]
+        return seconds * (1 - deployments.PREFIX_SAVING * cached)
+
+    def _release(self, request_id: str) -> None:
+        adapter = self.running.pop(request_id).work.needs.adapter
+        del self._serials[request_id]
+        self.in_use[adapter] -= 1
+        if not self.in_use[adapter]:
+            del self.in_use[adapter]
+
+    def _move(self) -> None:
+        now = self._service.now_seconds()
+        elapsed = now - self._moved_at_seconds
+        self._moved_at_seconds = now
+        if self.running:
+            self.busy_seconds += elapsed
+            self._progress_seconds += elapsed * self._speed
+
+    def _reschedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        while self._due and self._is_stale(self._due[0]):
+            heapq.heappop(self._due)
+        self._speed = (
+            deployments.batch_speed(len(self.running), len(self.in_use))
+            / self.slowness
+        )
+        if self._due:
+            ahead = max(0.0, self._due[0][0] - self._progress_seconds)
+            self._timer = self._service.once(
+                delay_seconds=ahead / self._speed, callback=self._reach
+            )
+
+    def _reach(self) -> None:
+        self._move()
+        entry = heapq.heappop(self._due)
+        _, _, request_id, is_last = entry
+        if self._is_stale(entry):
+            pass
+        elif is_last:
+            arrival = self.running[request_id]
+            self.generated_tokens += arrival.answer_tokens
+            self.wrong_adapter += not self._has(arrival.work.needs.adapter)
+            self._release(request_id)
+            self._events.finished(request_id, self.size.name)
+        else:
+            self._events.first_token(request_id, self.size.name)
+        self._fill()
+
+    def _is_stale(self, entry: tuple[float, int, str, bool]) -> bool:
+        _, serial, request_id, _ = entry
+        return self._serials.get(request_id) != serial
+
+
+__all__ = [
+    "Engine",
+    "Events",
+]
