Compose the decisions in a dispatcher and run it in the bench

Cause: the server and the bench must run the same composition of the decisions, and the bench had only the baselines.

Change: Dispatcher (requests), FleetEvents (endpoints, loads, peers), Sending (queue to endpoint), Placing (one decider per adapter over the instances that hear of each other), digests, a measured service rate, and assemble(). The bench runs one dispatcher per entry instance, each with its own lagged view, and models the holders of rates and loads with the delay of a grant.

Ruled out: deciding on loads per instance without a home endpoint for each adapter; a request for a cold adapter at two instances would be two loads.

Before: no system of ours to measure.

--- a/src/boragefold/bench/baselines.py
+++ b/src/boragefold/bench/baselines.py
@@ -51,9 +51,6 @@
             self._end(instance, request_id)
             self.fleet.fail(request_id=request_id)
 
-    def load_ended(self, endpoint: str, adapter: str, succeeded: bool) -> None:
-        pass
-
     def _send(self, instance: int, arrival: traffic.Arrival) -> None:
         self.fleet.send(
             request_id=arrival.work.request_id,
--- a/src/boragefold/bench/fleet.py
+++ b/src/boragefold/bench/fleet.py
@@ -134,6 +134,43 @@
             record.failed = True
             self.ledger.close(record, self.now_seconds())
 
+    def load(
+        self,
+        *,
+        instance: int,
+        endpoint: str,
+        adapter: str,
+        done: Callable[[bool], None],
+    ) -> None:
+        """Order an engine to load an adapter.
+
+        :param instance: who orders
+        :param endpoint: the engine's name
+        :param adapter: what to load
+        :param done: called at the instance with whether it is ready
+        """
+        delay = self.delay_seconds(instance, endpoint)
+
+        def answer(succeeded: bool) -> None:
+            self._later(delay, lambda: done(succeeded))
+
+        self._later(
+            delay,
+            lambda: self.loading.load(self.engines[endpoint], adapter, answer),
+        )
+
+    def evict(self, *, instance: int, endpoint: str, adapter: str) -> None:
+        """Order an engine to evict an adapter.
+
+        :param instance: who orders
+        :param endpoint: the engine's name
+        :param adapter: what to evict
+        """
+        self._later(
+            self.delay_seconds(instance, endpoint),
+            lambda: self.loading.evict(self.engines[endpoint], adapter),
+        )
+
     def restart(self, endpoint: str) -> None:
         """Restart an engine, which comes back empty.
 
--- a/src/boragefold/bench/runs.py
+++ b/src/boragefold/bench/runs.py
@@ -11,13 +11,15 @@
 from boragefold.bench import ledger
 from boragefold.bench import measures
 from boragefold.bench import scenarios
+from boragefold.bench import served
 from boragefold.bench import system as systems
 from boragefold.bench import traffic
 
 ROUND_ROBIN = "round robin"
 LEAST_LOADED = "least loaded"
 BASELINES = (ROUND_ROBIN, LEAST_LOADED)
-SYSTEMS = BASELINES
+BORAGEFOLD = "boragefold"
+SYSTEMS = (BORAGEFOLD, *BASELINES)
 
 
 class Run(NamedTuple):
@@ -65,7 +67,7 @@
             callback=functools.partial(fault, fleet),
         )
     fleet.run(
-        system=_build(system, fleet, rates),
+        system=_build(system, fleet, rates, scenario.seed),
         arrivals=list(arrivals),
         end_seconds=scenarios.END_SECONDS,
         oracle=ledger.RateOracle(
@@ -87,8 +89,12 @@
 
 
 def _build(
-    name: str, fleet: fleets.Fleet, rates: dict[str, float]
+    name: str, fleet: fleets.Fleet, rates: dict[str, float], seed: int
 ) -> systems.System:
+    if name == BORAGEFOLD:
+        return served.Boragefold(
+            fleet=fleet, rates_tokens_per_second=rates, seed=seed
+        )
     if name == ROUND_ROBIN:
         return baselines.RoundRobin(fleet=fleet)
     return baselines.LeastLoaded(
@@ -100,6 +106,7 @@
 
 __all__ = [
     "BASELINES",
+    "BORAGEFOLD",
     "LEAST_LOADED",
     "ROUND_ROBIN",
     "Run",
--- /dev/null
+++ b/src/boragefold/bench/shares.py
@@ -0,0 +1,277 @@
+"""Rate and load budget of the bench: one holder each, asked by message.
+
+The real holders are leased and split by data centre; here only what the
+decisions feel of them is modelled, which is the delay of a grant.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from boragefold.bench import deployments
+from boragefold.bench import store
+from boragefold.policy import placement
+from boragefold.policy import stock
+from boragefold.timing import timers
+
+# An instance asks for a second of its part ahead, and hands what it hasn't
+# used back after that time.
+AHEAD_SECONDS = 1.0
+UNUSED_LOAD_SECONDS = 0.5
+
+
+class RateHolder:
+    """The fleet's bucket of each workspace."""
+
+    def __init__(
+        self,
+        *,
+        service: timers.TimerService,
+        rates_tokens_per_second: Mapping[str, float],
+        instances: int,
+    ) -> None:
+        self._service = service
+        self.rates = dict(rates_tokens_per_second)
+        self.bursts = {
+            name: rate * deployments.BURST_SECONDS
+            for name, rate in self.rates.items()
+        }
+        self.ahead = {
+            name: rate * AHEAD_SECONDS / instances
+            for name, rate in self.rates.items()
+        }
+        self._levels = {
+            name: (burst, 0.0) for name, burst in self.bursts.items()
+        }
+
+    def level(self, workspace: str) -> float:
+        """Tell what is left now.
+
+        :param workspace: whose bucket
+        :return: tokens
+        """
+        level, at_seconds = self._levels[workspace]
+        elapsed = self._service.now_seconds() - at_seconds
+        return min(
+            self.bursts[workspace], level + elapsed * self.rates[workspace]
+        )
+
+    def add(self, workspace: str, tokens: float) -> None:
+        """Put tokens back, or take them with a negative amount.
+
+        :param workspace: whose bucket
+        :param tokens: how many
+        """
+        self._levels[workspace] = (
+            self.level(workspace) + tokens,
+            self._service.now_seconds(),
+        )
+
+
+class ModelStock(stock.Stock):
+    """One instance's part of the rates, granted by the holder."""
+
+    def __init__(
+        self,
+        *,
+        service: timers.TimerService,
+        holder: RateHolder,
+        delay_seconds: float,
+    ) -> None:
+        self._service = service
+        self._holder = holder
+        self._delay_seconds = delay_seconds
+        self._local: dict[str, float] = collections.defaultdict(float)
+        self._asking: set[str] = set()
+        self._missing: dict[str, tuple[float, float]] = {}
+        self._callbacks: list[Callable[[str], None]] = []
+        service.every(
+            period_seconds=AHEAD_SECONDS, callback=self._return_unused
+        )
+
+    def reserve(
+        self, *, workspace: str, tokens: float
+    ) -> stock.Reservation | stock.Shortfall:
+        """Set tokens aside, or ask the holder for them."""
+        if tokens > self._holder.bursts[workspace]:
+            return stock.Shortfall(ready_in_seconds=None)
+        if self._local[workspace] >= tokens:
+            self._local[workspace] -= tokens
+            return stock.Reservation(workspace=workspace, tokens=tokens)
+        short = tokens - self._local[workspace]
+        self._ask(workspace, short)
+        return stock.Shortfall(ready_in_seconds=self._ready_in(workspace))
+
+    def settle(
+        self, reservation: stock.Reservation, *, used_tokens: float
+    ) -> None:
+        """Give back what a request left over."""
+        if reservation.settled:
+            return
+        reservation.settled = True
+        workspace = reservation.workspace
+        self._local[workspace] += reservation.tokens - used_tokens
+        self._later(0.0, lambda: self._tell(workspace))
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        """Be told when a workspace has got more tokens."""
+        self._callbacks.append(callback)
+
+    def _ready_in(self, workspace: str) -> float:
+        round_trip = 2 * self._delay_seconds
+        missing, at_seconds = self._missing.get(workspace, (0.0, 0.0))
+        elapsed = self._service.now_seconds() - at_seconds
+        left = missing / self._holder.rates[workspace] - elapsed
+        return max(round_trip, left)
+
+    def _ask(self, workspace: str, short: float) -> None:
+        if workspace in self._asking:
+            return
+        self._asking.add(workspace)
+        self._later(
+            self._delay_seconds, lambda: self._decide(workspace, short)
+        )
+
+    def _decide(self, workspace: str, short: float) -> None:
+        level = self._holder.level(workspace)
+        granted = 0.0
+        if level >= short:
+            granted = min(level, short + self._holder.ahead[workspace])
+            self._holder.add(workspace, -granted)
+        self._later(
+            self._delay_seconds,
+            lambda: self._receive(workspace, granted, short - level),
+        )
+
+    def _receive(self, workspace: str, granted: float, missing: float) -> None:
+        self._asking.discard(workspace)
+        self._local[workspace] += granted
+        now = self._service.now_seconds()
+        self._missing[workspace] = (0.0 if granted else missing, now)
+        self._tell(workspace)
+
+    def _tell(self, workspace: str) -> None:
+        for callback in self._callbacks:
+            callback(workspace)
+
+    def _return_unused(self) -> None:
+        for workspace, tokens in self._local.items():
+            unused = max(0.0, tokens - self._holder.ahead[workspace])
+            self._local[workspace] -= unused
+            self._holder.add(workspace, unused)
+
+    def _later(self, seconds: float, callback: Callable[[], None]) -> None:
+        self._service.once(delay_seconds=seconds, callback=callback)
+
+
+class LoadHolder:
+    """The fleet's loads: a rate, and so many at once."""
+
+    def __init__(
+        self, *, service: timers.TimerService, loads_per_second: float
+    ) -> None:
+        self._service = service
+        self._rate = loads_per_second
+        self._level = loads_per_second
+        self._at_seconds = 0.0
+        self._in_flight = 0
+        self._asking: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        service.every(period_seconds=0.02, callback=self._grant)
+
+    def ask(self, granted: Callable[[], None]) -> None:
+        """Ask for one load.
+
+        :param granted: called when it may begin
+        """
+        self._asking.append(granted)
+        self._grant()
+
+    def ended(self, *, begun: bool) -> None:
+        """Take back a load that ended or was never begun.
+
+        :param begun: whether it went to the store
+        """
+        self._in_flight -= 1
+        if not begun:
+            self._level += 1
+        self._grant()
+
+    def _grant(self) -> None:
+        now = self._service.now_seconds()
+        elapsed = now - self._at_seconds
+        self._at_seconds = now
+        self._level = min(self._rate, self._level + elapsed * self._rate)
+        while (
+            self._asking
+            and self._level >= 1
+            and self._in_flight < store.FULL_SPEED_IN_FLIGHT
+        ):
+            self._level -= 1
+            self._in_flight += 1
+            self._asking.popleft()()
+
+
+class ModelLoadBudget(placement.LoadBudget):
+    """One instance's loads, granted one by one by the holder."""
+
+    def __init__(
+        self,
+        *,
+        service: timers.TimerService,
+        holder: LoadHolder,
+        delay_seconds: float,
+        granted: Callable[[], None],
+    ) -> None:
+        self._service = service
+        self._holder = holder
+        self._delay_seconds = delay_seconds
+        self._granted = granted
+        self._asking = False
+        self._grants: list[timers.Subscription] = []
+
+    def try_take(self, *, now_seconds: float) -> bool:
+        """Take a grant, or ask for one."""
+        if self._grants:
+            self._grants.pop(0).cancel()
+            return True
+        if not self._asking:
+            self._asking = True
+            self._later(lambda: self._holder.ask(self._on_its_way))
+        return False
+
+    def ended(self, *, now_seconds: float) -> None:
+        """Tell the holder that a load has ended."""
+        self._later(lambda: self._holder.ended(begun=True))
+
+    def _on_its_way(self) -> None:
+        self._later(self._receive)
+
+    def _receive(self) -> None:
+        self._asking = False
+        self._grants.append(
+            self._service.once(
+                delay_seconds=UNUSED_LOAD_SECONDS, callback=self._hand_back
+            )
+        )
+        self._granted()
+
+    def _hand_back(self) -> None:
+        self._grants.pop(0)
+        self._later(lambda: self._holder.ended(begun=False))
+
+    def _later(self, callback: Callable[[], None]) -> None:
+        self._service.once(
+            delay_seconds=self._delay_seconds, callback=callback
+        )
+
+
+__all__ = [
+    "LoadHolder",
+    "ModelLoadBudget",
+    "ModelStock",
+    "RateHolder",
+]
--- a/src/boragefold/bench/system.py
+++ b/src/boragefold/bench/system.py
@@ -80,15 +80,6 @@
         :param reached: whether the engine may have begun
         """
 
-    @abc.abstractmethod
-    def load_ended(self, endpoint: str, adapter: str, succeeded: bool) -> None:
-        """Learn how a load that was ordered ended.
-
-        :param endpoint: the engine's name
-        :param adapter: which one
-        :param succeeded: whether it is ready now
-        """
-
 
 __all__ = [
     "Report",
--- a/src/boragefold/bench/traffic.py
+++ b/src/boragefold/bench/traffic.py
@@ -16,6 +16,7 @@
 # about 97.
 POPULARITY_EXPONENT = 1.6
 MAX_ANSWER_TOKENS = 1024
+VERSION = "1"
 LONG_ANSWER_TOKENS = 3000
 PREFIXES_PER_ADAPTER = 3
 
@@ -154,7 +155,7 @@
             prompt, answer, limit = prompt // 4, answer // 4 + 1, 512
         else:
             needs = works.AdapterVersion(
-                deployments.MODEL, f"adapter-{picker.pick(rng, now)}", "1"
+                deployments.MODEL, f"adapter-{picker.pick(rng, now)}", VERSION
             )
         # Callers state a limit with some air, not always the largest.
         limit = min(limit, max(64, 2 * answer))
@@ -230,5 +231,6 @@
     "HotAdapter",
     "Pattern",
     "Traffic",
+    "VERSION",
     "most_popular",
 ]
--- /dev/null
+++ b/src/boragefold/policy/assembly.py
@@ -0,0 +1,80 @@
+"""Builds a dispatcher and every decision in it."""
+
+from __future__ import annotations
+
+import random
+
+from boragefold.policy import admission
+from boragefold.policy import choice
+from boragefold.policy import dispatcher
+from boragefold.policy import endpoints as endpoints_module
+from boragefold.policy import fair_queue
+from boragefold.policy import fleet_events
+from boragefold.policy import overload
+from boragefold.policy import placement
+from boragefold.policy import placing
+from boragefold.policy import retry_budget
+from boragefold.policy import sending
+from boragefold.policy import stock as stocks
+from boragefold.telemetry import counters as telemetry
+
+
+def assemble(
+    *,
+    data_centre: str,
+    endpoints: endpoints_module.Endpoints,
+    stock: stocks.Stock,
+    load_budget: placement.LoadBudget,
+    rights: placing.OrderRights,
+    rng: random.Random,
+    counters: telemetry.Counters,
+) -> dispatcher.Dispatcher:
+    """Put one instance's decisions together.
+
+    :param data_centre: where this instance is
+    :param endpoints: what is known of them; the owner calls ``put`` on it
+    :param stock: the tokens that this instance may spend
+    :param load_budget: the loads that this instance may begin
+    :param rights: the endpoints that this instance gives orders to
+    :param rng: where every random choice comes from
+    :param counters: where refusals, retries and loads are counted
+    :return: the dispatcher
+    """
+    queue = fair_queue.FairQueue(counters=counters)
+    queue_to_endpoint = sending.Sending(
+        queue=queue,
+        choice=choice.Choice(endpoints=endpoints, rng=rng, counters=counters),
+        endpoints=endpoints,
+        overload=overload.Overload(counters=counters),
+    )
+    loads = placing.Placing(
+        placement=placement.Placement(
+            endpoints=endpoints,
+            budget=load_budget,
+            rng=rng,
+            counters=counters,
+        ),
+        endpoints=endpoints,
+        rights=rights,
+        data_centre=data_centre,
+    )
+    return dispatcher.Dispatcher(
+        admission=admission.Admission(stock=stock, counters=counters),
+        queue=queue,
+        sending=queue_to_endpoint,
+        endpoints=endpoints,
+        placing=loads,
+        fleet=fleet_events.FleetEvents(
+            queue=queue,
+            sending=queue_to_endpoint,
+            endpoints=endpoints,
+            placing=loads,
+        ),
+        retry_budget=retry_budget.RetryBudget(counters=counters),
+        stock=stock,
+    )
+
+
+__all__ = [
+    "assemble",
+]
--- /dev/null
+++ b/src/boragefold/policy/digest.py
@@ -0,0 +1,193 @@
+"""What instances tell each other, so that one decides for all.
+
+Load pattern: requests for one adapter arrive at several instances at once.
+Without this, each instance has the adapter loaded on endpoints of its own,
+and evicts what the others are using.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from boragefold.policy import demand as demands
+from boragefold.policy import work as works
+
+# Digests come several times a second; after this a peer's is not believed.
+STALE_SECONDS = 1.0
+
+
+class Waiting(NamedTuple):
+    """What of one workspace waits for one adapter."""
+
+    adapter: works.AdapterVersion
+    workspace: str
+    tokens: float
+
+
+class Arrived(NamedTuple):
+    """How many requests for an adapter came since the last digest."""
+
+    adapter: works.AdapterVersion
+    workspace: str
+    requests: int
+
+
+class InUse(NamedTuple):
+    """The adapters that serve requests of ours at one endpoint."""
+
+    endpoint: str
+    adapters: tuple[works.AdapterVersion, ...]
+
+
+class Digest(NamedTuple):
+    """One instance's waiting work, recent arrivals and adapters in use."""
+
+    data_centre: str
+    waiting: tuple[Waiting, ...]
+    arrived: tuple[Arrived, ...]
+    in_use: tuple[InUse, ...]
+
+
+class Peers:
+    """The latest digest of each other instance."""
+
+    def __init__(self) -> None:
+        self._latest: dict[str, tuple[float, Digest]] = {}
+
+    def put(self, peer: str, digest: Digest, *, now_seconds: float) -> None:
+        """Take in a digest.
+
+        :param peer: the incarnation that it came from
+        :param digest: replaces the peer's last
+        :param now_seconds: reading of the process clock
+        """
+        self._latest[peer] = (now_seconds, digest)
+
+    def expire(self, *, now_seconds: float) -> None:
+        """Forget the digests that are too old.
+
+        :param now_seconds: reading of the process clock
+        """
+        self._latest = {
+            peer: (at_seconds, digest)
+            for peer, (at_seconds, digest) in self._latest.items()
+            if now_seconds - at_seconds <= STALE_SECONDS
+        }
+
+    def data_centres(self) -> frozenset[str]:
+        """Tell which data centres we hear from.
+
+        :return: their names
+        """
+        return frozenset(
+            digest.data_centre for _, digest in self._latest.values()
+        )
+
+    def demand(
+        self,
+        own: Mapping[works.AdapterVersion, demands.Demand],
+        *,
+        decides: Callable[[works.AdapterVersion], bool],
+    ) -> dict[works.AdapterVersion, demands.Demand]:
+        """Add the peers' waiting work to our own.
+
+        :param own: what waits here
+        :param decides: whether we decide on an adapter's loads
+        :return: what waits anywhere for the adapters that we decide on
+        """
+        total = {
+            adapter: demands.Demand(
+                requests=each.requests,
+                tokens=each.tokens,
+                by_workspace=dict(each.by_workspace),
+            )
+            for adapter, each in own.items()
+            if decides(adapter)
+        }
+        for _, digest in self._latest.values():
+            for waiting in digest.waiting:
+                if decides(waiting.adapter):
+                    _add(total, waiting)
+        return total
+
+    def in_use(self, endpoint: str) -> frozenset[works.AdapterVersion]:
+        """Tell what the peers use at an endpoint.
+
+        :param endpoint: its name
+        :return: adapters that must not be evicted there
+        """
+        return frozenset(
+            adapter
+            for _, digest in self._latest.values()
+            for used in digest.in_use
+            if used.endpoint == endpoint
+            for adapter in used.adapters
+        )
+
+
+class Arrivals:
+    """Counts our own arrivals between two digests."""
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[tuple[works.AdapterVersion, str]] = (
+            collections.Counter()
+        )
+
+    def add(self, work: works.Work) -> None:
+        """Count an arrival.
+
+        :param work: an admitted request
+        """
+        if work.needs.adapter:
+            self._counts[work.needs, work.workspace] += 1
+
+    def take(self) -> tuple[Arrived, ...]:
+        """Hand over the counts and begin anew.
+
+        :return: one entry per adapter and workspace
+        """
+        counts, self._counts = self._counts, collections.Counter()
+        return tuple(
+            Arrived(adapter, workspace, requests)
+            for (adapter, workspace), requests in counts.items()
+        )
+
+
+def waiting_of(
+    own: Mapping[works.AdapterVersion, demands.Demand],
+) -> tuple[Waiting, ...]:
+    """Write waiting work down for a digest.
+
+    :param own: what waits here
+    :return: one entry per adapter and workspace
+    """
+    return tuple(
+        Waiting(adapter, workspace, tokens)
+        for adapter, each in own.items()
+        if adapter.adapter
+        for workspace, tokens in each.by_workspace.items()
+    )
+
+
+def _add(
+    total: dict[works.AdapterVersion, demands.Demand], waiting: Waiting
+) -> None:
+    each = total.setdefault(waiting.adapter, demands.Demand())
+    each.requests += 1
+    each.tokens += waiting.tokens
+    before = each.by_workspace.get(waiting.workspace, 0.0)
+    each.by_workspace[waiting.workspace] = before + waiting.tokens
+
+
+__all__ = [
+    "Arrivals",
+    "Arrived",
+    "Digest",
+    "InUse",
+    "Peers",
+    "Waiting",
+    "waiting_of",
+]
--- /dev/null
+++ b/src/boragefold/policy/dispatcher.py
@@ -0,0 +1,314 @@
+"""The decisions put together: events in, actions out.
+
+Load pattern: all of them at once. A request passes admission, overload and
+the fair queue, is sent when an endpoint that holds its adapter has room, and
+comes back when its attempt fails. Whatever waits for tokens, for an adapter
+or for room holds up nothing else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from boragefold.policy import actions
+from boragefold.policy import admission as admissions
+from boragefold.policy import endpoints as endpoints_module
+from boragefold.policy import fair_queue
+from boragefold.policy import fleet_events
+from boragefold.policy import placing as placing_module
+from boragefold.policy import refusal
+from boragefold.policy import requests
+from boragefold.policy import retry_budget as retry_budgets
+from boragefold.policy import sending as sending_module
+from boragefold.policy import stock as stocks
+from boragefold.policy import work as works
+
+# An endpoint that has just lost an adapter refuses without running; so many
+# times in a row mean that the views don't agree, and the caller is told.
+MAX_ATTEMPTS = 5
+
+
+class Dispatcher:
+    """Composes the decisions of one entry instance.
+
+    What happens to requests is told here, what happens in the fleet to
+    :attr:`fleet`. Call :meth:`run` after each event, and when it is due.
+    """
+
+    def __init__(
+        self,
+        *,
+        admission: admissions.Admission,
+        queue: fair_queue.FairQueue,
+        sending: sending_module.Sending,
+        endpoints: endpoints_module.Endpoints,
+        placing: placing_module.Placing,
+        fleet: fleet_events.FleetEvents,
+        retry_budget: retry_budgets.RetryBudget,
+        stock: stocks.Stock,
+    ) -> None:
+        self._admission = admission
+        self._queue = queue
+        self._sending = sending
+        self._endpoints = endpoints
+        self._placing = placing
+        self.fleet = fleet
+        self._retry_budget = retry_budget
+        self._requests = requests.Requests(stock=stock)
+        self._topped_up: set[str] = set()
+        self._endings: list[actions.Action] = []
+        stock.subscribe(self._topped_up.add)
+
+    def offer(
+        self, work: works.Work, *, idempotent: bool, now_seconds: float
+    ) -> refusal.Refused | None:
+        """Decide about a request that has just arrived.
+
+        :param work: the request
+        :param idempotent: whether running it twice does no harm
+        :param now_seconds: reading of the process clock
+        :return: the refusal; None when it waits, to be sent or refused later
+        """
+        request = requests.Request(work=work, idempotent=idempotent)
+        outcome = self._admission.offer(work, now_seconds=now_seconds)
+        if isinstance(outcome, refusal.Refused):
+            return outcome
+        self._requests.add(request)
+        if isinstance(outcome, admissions.Waiting):
+            return None
+        request.reservation = outcome.reservation
+        return self._queue_up(request, now_seconds)
+
+    def first_token(self, request_id: str, *, now_seconds: float) -> None:
+        """Note the first byte of an answer.
+
+        :param request_id: the request
+        :param now_seconds: reading of the process clock
+        """
+        request = self._requests.get(request_id)
+        if request is not None and request.endpoint:
+            self._endpoints.answered(
+                request.endpoint, request_id, now_seconds=now_seconds
+            )
+
+    def finished(
+        self, request_id: str, *, used_tokens: float, now_seconds: float
+    ) -> None:
+        """Note that an answer is whole.
+
+        :param request_id: the request
+        :param used_tokens: prompt and generated tokens really spent
+        :param now_seconds: reading of the process clock
+        """
+        request = self._requests.get(request_id)
+        if request is not None:
+            self._leave_endpoint(request, used_tokens, now_seconds)
+            self._requests.end(request, used_tokens=used_tokens)
+
+    def failed(
+        self,
+        request_id: str,
+        *,
+        bytes_sent: bool,
+        used_tokens: float = 0.0,
+        now_seconds: float,
+    ) -> None:
+        """Note that an attempt failed; it is repeated where that is lawful.
+
+        :param request_id: the request
+        :param bytes_sent: whether a byte of it may have reached the endpoint
+        :param used_tokens: tokens of the answer that the caller has got
+        :param now_seconds: reading of the process clock
+        """
+        request = self._requests.get(request_id)
+        if request is None or not request.endpoint:
+            return
+        endpoint = request.endpoint
+        self._endpoints.failed(endpoint)
+        self._leave_endpoint(request, used_tokens, now_seconds)
+        if self._retry_budget.try_retry(
+            endpoint,
+            idempotent=request.idempotent,
+            bytes_sent=bytes_sent,
+            now_seconds=now_seconds,
+        ):
+            self._repeat(request, endpoint, now_seconds)
+        else:
+            self._give_up(request, endpoint, bytes_sent, used_tokens)
+
+    def not_held(self, request_id: str, *, now_seconds: float) -> None:
+        """Note that an endpoint refused for want of the adapter.
+
+        Nothing ran, so the request goes back to the queue, whatever it is.
+
+        :param request_id: the request
+        :param now_seconds: reading of the process clock
+        """
+        request = self._requests.get(request_id)
+        if request is None or not request.endpoint:
+            return
+        endpoint = request.endpoint
+        self._endpoints.evicted(
+            endpoint, request.work.needs, now_seconds=now_seconds
+        )
+        self._leave_endpoint(request, 0.0, now_seconds)
+        if request.attempts >= MAX_ATTEMPTS:
+            self._give_up(request, endpoint, False, 0.0)
+        else:
+            self._repeat(request, endpoint, now_seconds)
+
+    def cancel(
+        self,
+        request_id: str,
+        *,
+        used_tokens: float = 0.0,
+        now_seconds: float,
+    ) -> None:
+        """Forget a request whose caller has gone.
+
+        :param request_id: the request
+        :param used_tokens: prompt and generated tokens really spent
+        :param now_seconds: reading of the process clock
+        """
+        request = self._requests.get(request_id)
+        if request is None:
+            return
+        self._admission.withdraw(request_id)
+        self._queue.remove(request_id)
+        self._leave_endpoint(request, used_tokens, now_seconds)
+        self._requests.end(request, used_tokens=used_tokens)
+
+    def next_due_seconds(self) -> float:
+        """Tell when :meth:`next_actions` has something to do, at the latest.
+
+        :return: reading of the process clock
+        """
+        dues = (
+            self.fleet.tick_at_seconds,
+            self._admission.next_due_seconds(),
+            self._queue.next_expiry_seconds(),
+        )
+        return min(due for due in dues if due is not None)
+
+    def next_actions(self, *, now_seconds: float) -> list[actions.Action]:
+        """Decide what to do now; call it after events and when it is due.
+
+        :param now_seconds: reading of the process clock
+        :return: actions, to be done in this order
+        """
+        self._advance_admission(now_seconds)
+        self._expire(now_seconds)
+        due = list(self.fleet.tick(now_seconds=now_seconds))
+        due.extend(self._sends(now_seconds))
+        endings, self._endings = self._endings, []
+        return [*endings, *due]
+
+    def run(self, performer: actions.Performer, *, now_seconds: float) -> None:
+        """Do what is to be done now.
+
+        :param performer: does it
+        :param now_seconds: reading of the process clock
+        """
+        for action in self.next_actions(now_seconds=now_seconds):
+            performer.perform(action)
+
+    def _queue_up(
+        self, request: requests.Request, now_seconds: float
+    ) -> refusal.Refused | None:
+        work = request.work
+        refused = self._sending.offer(work, now_seconds=now_seconds)
+        if refused is not None:
+            self._requests.end(request, used_tokens=0.0)
+            return refused
+        self._placing.arrived(work, now_seconds=now_seconds)
+        return None
+
+    def _advance_admission(self, now_seconds: float) -> None:
+        workspaces = sorted(self._topped_up)
+        self._topped_up.clear()
+        for workspace in (*workspaces, None):
+            for decided in self._admission.advance(
+                now_seconds=now_seconds, workspace=workspace
+            ):
+                self._take_up(decided, now_seconds)
+
+    def _take_up(
+        self, decided: admissions.Decided, now_seconds: float
+    ) -> None:
+        work, outcome = decided
+        request = self._waiting(work)
+        if isinstance(outcome, refusal.Refused):
+            self._requests.end(request, used_tokens=0.0)
+            self._endings.append(actions.Refuse(work, outcome))
+            return
+        request.reservation = outcome.reservation
+        refused = self._queue_up(request, now_seconds)
+        if refused is not None:
+            self._endings.append(actions.Refuse(work, refused))
+
+    def _expire(self, now_seconds: float) -> None:
+        for work in self._queue.expire(now_seconds=now_seconds):
+            self._requests.end(self._waiting(work), used_tokens=0.0)
+            refused = refusal.Refused(
+                status=refusal.UNAVAILABLE,
+                reason="caller_gave_up",
+                remedy="wait longer for the answer",
+            )
+            self._endings.append(actions.Refuse(work, refused))
+
+    def _sends(self, now_seconds: float) -> Iterator[actions.Send]:
+        for work, endpoint in self._sending.matches(
+            self._requests.excluded, now_seconds=now_seconds
+        ):
+            request = self._waiting(work)
+            request.endpoint = endpoint
+            request.attempts += 1
+            self._endpoints.sent(endpoint, work, now_seconds=now_seconds)
+            if request.attempts == 1:
+                self._retry_budget.fresh(endpoint, now_seconds=now_seconds)
+            yield actions.Send(work, endpoint, request.attempts)
+
+    def _repeat(
+        self, request: requests.Request, endpoint: str, now_seconds: float
+    ) -> None:
+        self._requests.exclude(request, endpoint)
+        self._sending.push_back(request.work, now_seconds=now_seconds)
+
+    def _give_up(
+        self,
+        request: requests.Request,
+        endpoint: str,
+        bytes_sent: bool,
+        used_tokens: float,
+    ) -> None:
+        self._requests.end(request, used_tokens=used_tokens)
+        self._endings.append(
+            actions.GiveUp(request.work, endpoint, bytes_sent)
+        )
+
+    def _leave_endpoint(
+        self,
+        request: requests.Request,
+        used_tokens: float,
+        now_seconds: float,
+    ) -> None:
+        if not request.endpoint:
+            return
+        self._endpoints.finished(
+            request.endpoint, request.work.request_id, now_seconds=now_seconds
+        )
+        self._sending.stir_endpoint(request.endpoint)
+        self._queue.settle(request.work, used_tokens=used_tokens)
+        request.endpoint = ""
+
+    def _waiting(self, work: works.Work) -> requests.Request:
+        request = self._requests.get(work.request_id)
+        if request is None:
+            raise LookupError(f"{work.request_id} waits but isn't open")
+        return request
+
+
+__all__ = [
+    "Dispatcher",
+    "MAX_ATTEMPTS",
+]
--- /dev/null
+++ b/src/boragefold/policy/fleet_events.py
@@ -0,0 +1,157 @@
+"""What an instance learns of endpoints, loads and its peers.
+
+Load pattern: adapters come and go at every endpoint while requests wait for
+them. Without a second look at the queue after each such event, requests wait
+on beside an endpoint that could have started them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from boragefold.policy import actions
+from boragefold.policy import digest as digests
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import fair_queue
+from boragefold.policy import overload as overloads
+from boragefold.policy import placement as placements
+from boragefold.policy import placing as placing_module
+from boragefold.policy import sending as sending_module
+from boragefold.policy import work as works
+
+# Loads and the queue's delay are looked at this often: a fifth of a load.
+TICK_SECONDS = 0.05
+# Latencies are compared, and stale reports forgotten, this often.
+REFRESH_SECONDS = 1.0
+
+
+class FleetEvents:
+    """Takes in what happens in the fleet, and decides on loads."""
+
+    def __init__(
+        self,
+        *,
+        queue: fair_queue.FairQueue,
+        sending: sending_module.Sending,
+        endpoints: fleet.Endpoints,
+        placing: placing_module.Placing,
+    ) -> None:
+        self._queue = queue
+        self._sending = sending
+        self._endpoints = endpoints
+        self._placing = placing
+        self.tick_at_seconds = float("-inf")
+        self._refresh_at_seconds = float("-inf")
+
+    def report(self, report: fleet.LoadReport) -> None:
+        """Take in an endpoint's load report.
+
+        :param report: what the endpoint said of itself
+        """
+        self._endpoints.report(report)
+        self._sending.stir_endpoint(report.endpoint)
+
+    def endpoint_gone(self, name: str) -> None:
+        """Forget an endpoint that is no longer listed.
+
+        Its requests go on until each is reported as finished or failed.
+
+        :param name: the endpoint
+        """
+        self._endpoints.drop(name)
+
+    def loaded(
+        self,
+        endpoint: str,
+        adapter: works.AdapterVersion,
+        *,
+        now_seconds: float,
+    ) -> None:
+        """Note that an endpoint holds an adapter now, whoever ordered it.
+
+        :param endpoint: its name
+        :param adapter: the adapter version
+        :param now_seconds: reading of the process clock
+        """
+        self._endpoints.loaded(endpoint, adapter, now_seconds=now_seconds)
+        self._sending.stir(adapter)
+
+    def stop_using(
+        self,
+        endpoint: str,
+        adapter: works.AdapterVersion,
+        *,
+        now_seconds: float,
+    ) -> bool:
+        """Send no more requests of an adapter to an endpoint.
+
+        :param endpoint: its name
+        :param adapter: the adapter version
+        :param now_seconds: reading of the process clock
+        :return: whether a request of ours still uses it there
+        """
+        self._endpoints.evicted(endpoint, adapter, now_seconds=now_seconds)
+        state = self._endpoints.get(endpoint)
+        return state is not None and adapter in state.in_use
+
+    def load_ended(self, load: placements.Load, *, now_seconds: float) -> None:
+        """Note that a load that we ordered succeeded.
+
+        :param load: from an :class:`actions.Order`
+        :param now_seconds: reading of the process clock
+        """
+        self._placing.load_ended(load, now_seconds=now_seconds)
+        self._sending.stir(load.adapter)
+
+    def load_failed(
+        self, load: placements.Load, *, now_seconds: float
+    ) -> None:
+        """Note that a load that we ordered failed or was not carried out.
+
+        :param load: from an :class:`actions.Order`
+        :param now_seconds: reading of the process clock
+        """
+        self._placing.load_failed(load, now_seconds=now_seconds)
+
+    def digest(self) -> digests.Digest:
+        """Sum up for the peers; send it to each several times a second.
+
+        :return: what waits here, arrived since the last, and is in use
+        """
+        return self._placing.digest(self._queue.waiting_by_adapter())
+
+    def peer(
+        self, peer: str, digest: digests.Digest, *, now_seconds: float
+    ) -> None:
+        """Take in another instance's digest.
+
+        :param peer: its incarnation
+        :param digest: what it sent
+        :param now_seconds: reading of the process clock
+        """
+        self._placing.peer(peer, digest, now_seconds=now_seconds)
+
+    def tick(self, *, now_seconds: float) -> Iterator[actions.Action]:
+        """Decide on loads, if it is time to.
+
+        :param now_seconds: reading of the process clock
+        :return: orders to carry out
+        """
+        if now_seconds < self.tick_at_seconds:
+            return
+        self.tick_at_seconds = now_seconds + TICK_SECONDS
+        if now_seconds >= self._refresh_at_seconds:
+            self._refresh_at_seconds = now_seconds + REFRESH_SECONDS
+            self._endpoints.refresh(now_seconds=now_seconds)
+        level = self._sending.observe(now_seconds=now_seconds)
+        yield from self._placing.decide(
+            self._queue.waiting_by_adapter(),
+            warm_up=level < overloads.Level.NO_EXTRAS,
+            now_seconds=now_seconds,
+        )
+
+
+__all__ = [
+    "FleetEvents",
+    "TICK_SECONDS",
+]
--- /dev/null
+++ b/src/boragefold/policy/requests.py
@@ -0,0 +1,74 @@
+"""The requests that an instance has accepted and not yet answered."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from boragefold.policy import stock as stocks
+from boragefold.policy import work as works
+
+
+@dataclasses.dataclass(kw_only=True)
+class Request:
+    """What the dispatcher knows of a request; endpoint while it is sent."""
+
+    work: works.Work
+    idempotent: bool
+    reservation: stocks.Reservation | None = None
+    endpoint: str = ""
+    attempts: int = 0
+
+
+class Requests:
+    """Open requests by id, each settled once when it ends."""
+
+    def __init__(self, *, stock: stocks.Stock) -> None:
+        self._stock = stock
+        self._open: dict[str, Request] = {}
+        # By request, the endpoints that failed it already.
+        self.excluded: dict[str, frozenset[str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def add(self, request: Request) -> None:
+        """Open a request.
+
+        :param request: one that was admitted, or waits for tokens
+        """
+        self._open[request.work.request_id] = request
+
+    def get(self, request_id: str) -> Request | None:
+        """Look a request up.
+
+        :param request_id: which one
+        :return: the request; None when it has ended
+        """
+        return self._open.get(request_id)
+
+    def exclude(self, request: Request, endpoint: str) -> None:
+        """Note that an endpoint failed a request.
+
+        :param request: the request
+        :param endpoint: the endpoint's name
+        """
+        request_id = request.work.request_id
+        before = self.excluded.get(request_id, frozenset())
+        self.excluded[request_id] = before | {endpoint}
+
+    def end(self, request: Request, *, used_tokens: float) -> None:
+        """Close a request and settle its reservation.
+
+        :param request: the request
+        :param used_tokens: prompt and generated tokens really spent
+        """
+        del self._open[request.work.request_id]
+        self.excluded.pop(request.work.request_id, None)
+        if request.reservation is not None:
+            self._stock.settle(request.reservation, used_tokens=used_tokens)
+
+
+__all__ = [
+    "Request",
+    "Requests",
+]
--- /dev/null
+++ b/src/boragefold/policy/sending.py
@@ -0,0 +1,204 @@
+"""From the queue to an endpoint: what is sent now, and where to.
+
+Load pattern: most adapters can be served at once while some wait for a load
+and others for room. Requests that wait for either must not hold up the rest,
+so the queue is asked only for adapters that an endpoint with room holds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import itertools
+from typing import NamedTuple
+
+from boragefold.policy import choice as choices
+from boragefold.policy import demand as demands
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import fair_queue
+from boragefold.policy import overload as overloads
+from boragefold.policy import refusal
+from boragefold.policy import service_rate
+from boragefold.policy import work as works
+
+# Holders looked at for room before a request is taken from the queue; the
+# bound keeps the decision's time from growing with the fleet.
+SCANNED_HOLDERS = 32
+
+
+class Matched(NamedTuple):
+    """A request taken from the queue, and where it goes."""
+
+    work: works.Work
+    endpoint: str
+
+
+class Sending:
+    """Matches waiting requests with endpoints that can start them."""
+
+    def __init__(
+        self,
+        *,
+        queue: fair_queue.FairQueue,
+        choice: choices.Choice,
+        endpoints: fleet.Endpoints,
+        overload: overloads.Overload,
+    ) -> None:
+        self._queue = queue
+        self._choice = choice
+        self._endpoints = endpoints
+        self._overload = overload
+        self._service = service_rate.ServiceRate()
+        self._delay_seconds = 0.0
+        # Adapters and endpoints for which something changed since the last
+        # look; everything else was matched then.
+        self._stirred: set[works.AdapterVersion] = set()
+        self._stirred_endpoints: set[str] = set()
+
+    def offer(
+        self, work: works.Work, *, now_seconds: float
+    ) -> refusal.Refused | None:
+        """Queue an admitted request unless it would wait too long.
+
+        :param work: the request
+        :param now_seconds: reading of the process clock
+        :return: the refusal, or None
+        """
+        shed = self._overload.check(
+            work,
+            above_share=self._queue.is_above_share(work.workspace),
+            cold=not self._endpoints.holders(work.needs),
+        )
+        if shed is not None:
+            return shed
+        outcome = self._queue.offer(
+            work,
+            now_seconds=now_seconds,
+            service_tokens_per_second=self._service.tokens_per_second(),
+        )
+        self._stirred.add(work.needs)
+        return outcome if isinstance(outcome, refusal.Refused) else None
+
+    def push_back(self, work: works.Work, *, now_seconds: float) -> None:
+        """Queue a request again that was sent, and ran nowhere to its end.
+
+        :param work: the request
+        :param now_seconds: reading of the process clock
+        """
+        self._queue.push(work, now_seconds=now_seconds)
+        self._stirred.add(work.needs)
+
+    def stir(self, adapter: works.AdapterVersion) -> None:
+        """Note that an adapter's requests may be served now.
+
+        :param adapter: the adapter version
+        """
+        self._stirred.add(adapter)
+
+    def stir_endpoint(self, name: str) -> None:
+        """Note that an endpoint may have got room.
+
+        :param name: the endpoint
+        """
+        self._stirred_endpoints.add(name)
+
+    def observe(self, *, now_seconds: float) -> overloads.Level:
+        """Estimate the queue's delay; call it several times a second.
+
+        :param now_seconds: reading of the process clock
+        :return: the level of overload from now on
+        """
+        tokens = sum(
+            each.tokens
+            for adapter, each in self._demand().items()
+            if self._endpoints.holders(adapter)
+        )
+        self._service.limited(tokens > 0, now_seconds=now_seconds)
+        rate = self._service.tokens_per_second()
+        self._delay_seconds = tokens / rate if rate else 0.0
+        return self._overload.observe(
+            queue_delay_seconds=self._delay_seconds, now_seconds=now_seconds
+        )
+
+    def matches(
+        self,
+        excluded: Mapping[str, frozenset[str]],
+        *,
+        now_seconds: float,
+    ) -> Iterator[Matched]:
+        """Take what can start now from the queue, in its fair order.
+
+        The caller has to note each as sent before it asks for the next.
+
+        :param excluded: by request, the endpoints that failed it already
+        :param now_seconds: reading of the process clock
+        :return: requests and their endpoints
+        """
+        ready = self._ready()
+        while ready:
+            work = self._queue.pop(candidates=ready, now_seconds=now_seconds)
+            if work is None:
+                return
+            endpoint = self._choose(work, excluded)
+            if endpoint is None:
+                # Taken in vain: it goes back, and its charge with it.
+                self._queue.settle(work, used_tokens=0.0)
+                self._queue.push(work, now_seconds=now_seconds)
+                ready.discard(work.needs)
+                continue
+            self._service.taken(works.tokens_of(work), now_seconds=now_seconds)
+            yield Matched(work, endpoint)
+            if not self._has_room(work.needs):
+                ready.discard(work.needs)
+
+    def _ready(self) -> set[works.AdapterVersion]:
+        demand = self._demand()
+        stirred, self._stirred = self._stirred, set()
+        names, self._stirred_endpoints = self._stirred_endpoints, set()
+        for name in names:
+            stirred.update(self._waited_for_at(name))
+        return {
+            adapter
+            for adapter in stirred
+            if adapter in demand and self._has_room(adapter)
+        }
+
+    def _waited_for_at(self, name: str) -> Iterable[works.AdapterVersion]:
+        state = self._endpoints.get(name)
+        if state is None or not state.has_room():
+            return ()
+        demand = self._demand()
+        bare = works.AdapterVersion(state.spec.model, "", "")
+        held = itertools.chain(state.resident, (bare,))
+        return [adapter for adapter in held if adapter in demand]
+
+    def _has_room(self, adapter: works.AdapterVersion) -> bool:
+        return any(
+            state.has_room()
+            for state in self._endpoints.holders(adapter)[:SCANNED_HOLDERS]
+        )
+
+    def _choose(
+        self, work: works.Work, excluded: Mapping[str, frozenset[str]]
+    ) -> str | None:
+        without = excluded.get(work.request_id, frozenset())
+        chosen = self._choice.choose(
+            work, excluded=without, queued_seconds=self._delay_seconds
+        )
+        if without and isinstance(chosen, choices.NoHolder):
+            # Only endpoints that failed it are left; better one of them than
+            # a request that waits until its caller gives up.
+            chosen = self._choice.choose(
+                work, queued_seconds=self._delay_seconds
+            )
+        return chosen.endpoint if isinstance(chosen, choices.Chosen) else None
+
+    def _demand(self) -> Mapping[works.AdapterVersion, demands.Demand]:
+        return self._queue.waiting_by_adapter()
+
+
+__all__ = [
+    "Matched",
+    "Sending",
+]
