Agree on a view by promises, leases and evidence

Cause: single-holder rights need one agreed view per data centre without any store. Ruled out: hashing over the lagging list (two holders while lists differ). First usable version: steward, election, founding, directory gossip.

--- /dev/null
+++ b/src/boragefold/coordination/directory.py
@@ -0,0 +1,156 @@
+"""Spreads the views of all data centres, without a full mesh."""
+
+from __future__ import annotations
+
+import random
+
+from boragefold.coordination import link
+from boragefold.coordination import listing as listings
+from boragefold.coordination import quorum
+from boragefold.coordination import rights
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.timing import timers
+
+# A change reaches 29 data centres in about six exchanges of the stewards.
+FAR_SECONDS = 2.0
+NEAR_SECONDS = 5.0
+
+# Only these speak to other data centres; the second goes on when the first,
+# usually the steward, is lost.
+SPEAKERS = 2
+
+# Bounds a message to about 4 KB at 31 members.
+MAX_NEWS_VIEWS = 2
+
+
+class Directory:
+    """The latest known view of each data centre, kept up by gossip."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        timer_service: timers.TimerService,
+        state: view_state.ViewState,
+        listing: listings.Listing,
+        random_source: random.Random,
+    ) -> None:
+        self._link = peer_link
+        self._timers = timer_service
+        self._state = state
+        self._listing = listing
+        self._random = random_source
+        self._others: dict[str, rights.View] = {}
+
+    def start(self) -> None:
+        """Begin to exchange."""
+        for period_seconds, callback in (
+            (FAR_SECONDS, self._exchange_far),
+            (NEAR_SECONDS, self._exchange_near),
+        ):
+            self._timers.every(
+                period_seconds=period_seconds,
+                callback=callback,
+                first_delay_seconds=self._random.uniform(0, period_seconds),
+            )
+
+    def views(self) -> dict[str, rights.View]:
+        """Read the latest known view of each data centre.
+
+        :return: views by data centre
+        """
+        own = self._state.view
+        if own is None:
+            return dict(self._others)
+        return {**self._others, own.data_centre: own}
+
+    def on_digest(
+        self, sender: ids.InstanceId, digest: messages.Digest
+    ) -> None:
+        """Send what the sender lacks, and ask for what we lack.
+
+        :param sender: the sender
+        :param digest: what it knows
+        """
+        theirs = {
+            known.data_centre: messages.ViewId(known.epoch, known.number)
+            for known in digest.known
+        }
+        views = self.views()
+        lacking = [
+            messages.ViewRecord(*view)
+            for data_centre, view in sorted(views.items())
+            if quorum.view_id(view) > theirs.get(data_centre, messages.NO_VIEW)
+        ]
+        self._random.shuffle(lacking)
+        if lacking:
+            news = messages.News(tuple(lacking[:MAX_NEWS_VIEWS]))
+            self._link.send(to=sender, body=news)
+        if digest.answer and any(
+            theirs_id > quorum.view_id(views.get(data_centre))
+            for data_centre, theirs_id in theirs.items()
+        ):
+            self._link.send(to=sender, body=self._digest(answer=False))
+
+    def on_news(self, sender: ids.InstanceId, news: messages.News) -> None:
+        """Take in later views.
+
+        :param sender: the sender
+        :param news: the views
+        """
+        for record in news.views:
+            view = rights.View(*record)
+            if view.data_centre == self._state.self_id.data_centre:
+                self._state.hear_of(quorum.view_id(view))
+                continue
+            before = self._others.get(view.data_centre)
+            if quorum.view_id(view) > quorum.view_id(before):
+                self._others[view.data_centre] = view
+
+    def _digest(self, *, answer: bool) -> messages.Digest:
+        return messages.Digest(
+            known=tuple(
+                messages.Known(data_centre, view.epoch, view.number)
+                for data_centre, view in sorted(self.views().items())
+            ),
+            answer=answer,
+        )
+
+    def _exchange_far(self) -> None:
+        view = self._state.view
+        others = self._listing.others()
+        if view is None or not others:
+            return
+        speakers = {*view.members[:SPEAKERS], self._state.steward}
+        if self._state.self_id not in speakers:
+            return
+        data_centre = self._random.choice(sorted(others))
+        address = self._random.choice(others[data_centre])
+        self._link.send(
+            to=ids.InstanceId(data_centre, address, ""),
+            body=self._digest(answer=True),
+        )
+
+    def _exchange_near(self) -> None:
+        view = self._state.view
+        if view is None:
+            return
+        fellows = [
+            member for member in view.members if member != self._state.self_id
+        ]
+        if fellows:
+            self._link.send(
+                to=self._random.choice(fellows),
+                body=self._digest(answer=True),
+            )
+
+
+__all__ = [
+    "FAR_SECONDS",
+    "MAX_NEWS_VIEWS",
+    "NEAR_SECONDS",
+    "SPEAKERS",
+    "Directory",
+]
--- /dev/null
+++ b/src/boragefold/coordination/election.py
@@ -0,0 +1,181 @@
+"""How a voter becomes the steward of its view."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from boragefold.coordination import inquiry as inquiries
+from boragefold.coordination import link
+from boragefold.coordination import listing as listings
+from boragefold.coordination import quorum
+from boragefold.coordination import rights
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.telemetry import counters as telemetry
+
+# Voters that become free at the same time try one after the other, a few
+# round trips apart, so that the first one wins undisturbed.
+RANK_SECONDS = 0.15
+RETRY_SECONDS = 0.4
+
+
+class Victory(NamedTuple):
+    """A quorum's promises, and the successor that has to be finished."""
+
+    ballot: messages.Ballot
+    ends: dict[ids.InstanceId, float]
+    dead: frozenset[ids.InstanceId]
+    successor: rights.View | None
+
+
+class Election:
+    """Asks for promises when nobody has ours."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        state: view_state.ViewState,
+        inquiry: inquiries.Inquiry,
+        counters: telemetry.Counters,
+        random_source: random.Random,
+        on_victory: Callable[[Victory], None],
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._inquiry = inquiry
+        self._counters = counters
+        self._random = random_source
+        self._on_victory = on_victory
+        self._ballot = messages.NO_BALLOT
+        self._ends: dict[ids.InstanceId, float] = {}
+        self._accepted: list[tuple[messages.Ballot, rights.View]] = []
+        self._dead: frozenset[ids.InstanceId] | None = None
+        self._highest_round = 0
+        self._next_seconds = 0.0
+        self.running = False
+
+    def tick(self) -> None:
+        """Try to become the steward, if nobody is and it is our turn."""
+        state = self._state
+        view = state.view
+        now_seconds = state.now_seconds()
+        if view is None or state.is_outdated():
+            self.running = False
+            return
+        dead = self._inquiry.verified_dead()
+        voters = quorum.electorate(view, dead or ())
+        if state.self_id not in voters or now_seconds < self._next_seconds:
+            return
+        wait_seconds = voters.index(state.self_id) * RANK_SECONDS
+        if now_seconds >= state.promise_until_seconds + wait_seconds:
+            self.start()
+
+    def start(self) -> None:
+        """Ask the voters for their promises now."""
+        state = self._state
+        view = state.view
+        if view is None or not state.may_promise(state.self_id.incarnation):
+            return
+        now_seconds = state.now_seconds()
+        self._highest_round = 1 + max(
+            self._highest_round, state.promised.round
+        )
+        self._ballot = messages.Ballot(
+            self._highest_round, state.self_id.incarnation
+        )
+        self._dead = self._inquiry.verified_dead()
+        self._ends = {}
+        self._accepted = []
+        self._next_seconds = now_seconds + RETRY_SECONDS * (
+            1 + self._random.random()
+        )
+        self.running = True
+        self._counters.add("view_elections", "started")
+        prepare = messages.Prepare(
+            state.view_id(), self._ballot.round, now_seconds
+        )
+        for voter in quorum.electorate(view, self._dead or ()):
+            if voter != state.self_id:
+                self._link.send(to=voter, body=prepare)
+        self._conclude()
+
+    def on_promise(
+        self, sender: ids.InstanceId, promise: messages.Promise
+    ) -> None:
+        """Count a promise.
+
+        :param sender: the voter
+        :param promise: its promise
+        """
+        if (
+            not self.running
+            or promise.view_id != self._state.view_id()
+            or promise.round != self._ballot.round
+        ):
+            return
+        self._ends[sender] = promise.echo_seconds + quorum.shortened_seconds(
+            quorum.PREPARE_SECONDS
+        )
+        if promise.accepted is not None:
+            successor = rights.View(*promise.accepted)
+            self._accepted.append((promise.accepted_ballot, successor))
+        self._conclude()
+
+    def note_round(self, round_number: int) -> None:
+        """Note a round that the next ballot has to exceed.
+
+        :param round_number: the round
+        """
+        self._highest_round = max(self._highest_round, round_number)
+
+    def _conclude(self) -> None:
+        # Our own promise comes last. Given at the start, it would raise our
+        # ballot at each failed try while we are cut off, and we would refuse
+        # the steward when we are back.
+        state = self._state
+        view = state.view
+        if view is None or not state.may_promise(state.self_id.incarnation):
+            return
+        if self._ballot <= state.promised:
+            self.running = False
+            return
+        now_seconds = state.now_seconds()
+        ends = {
+            **self._ends,
+            state.self_id: now_seconds + quorum.PREPARE_SECONDS,
+        }
+        alone_until_seconds = state.alone_until_seconds
+        if self._dead is not None:
+            alone_until_seconds = now_seconds + listings.FRESH_SECONDS
+        led_until_seconds = quorum.led_until_seconds(
+            view,
+            steward=state.self_id,
+            ends=ends,
+            alone_until_seconds=alone_until_seconds,
+            dead=self._dead or (),
+        )
+        if led_until_seconds <= now_seconds:
+            return
+        self.running = False
+        state.alone_until_seconds = alone_until_seconds
+        state.promise(self._ballot, quorum.PREPARE_SECONDS)
+        accepted = list(self._accepted)
+        if state.accepted is not None:
+            accepted.append((state.accepted_ballot, state.accepted))
+        successor = max(accepted)[1] if accepted else None
+        self._counters.add("view_elections", "won")
+        self._on_victory(
+            Victory(self._ballot, ends, self._dead or frozenset(), successor)
+        )
+
+
+__all__ = [
+    "RANK_SECONDS",
+    "RETRY_SECONDS",
+    "Election",
+    "Victory",
+]
--- /dev/null
+++ b/src/boragefold/coordination/founding.py
@@ -0,0 +1,186 @@
+"""How the first view of an epoch comes about."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from boragefold.coordination import inquiry as inquiries
+from boragefold.coordination import link
+from boragefold.coordination import quorum
+from boragefold.coordination import rights
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.telemetry import counters as telemetry
+
+# An agreement binds for so long; all of them have to overlap.
+HOLD_SECONDS = 1.0
+RESEND_SECONDS = 0.25
+
+
+@dataclasses.dataclass(kw_only=True)
+class Proposal:
+    """A first view that we have proposed, and who agrees until when."""
+
+    view: rights.View
+    sent_seconds: float
+    ends: dict[ids.InstanceId, float]
+
+
+class Founding:
+    """Founds a view with everyone listed, if nobody takes part in one.
+
+    All have to agree: two instances whose lists differ would find two
+    majorities, but each of them that stands on its own list either sees the
+    other or is seen by it.
+    """
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        state: view_state.ViewState,
+        inquiry: inquiries.Inquiry,
+        counters: telemetry.Counters,
+        wall_clock_ms: Callable[[], int],
+        on_founded: Callable[[rights.View, dict[ids.InstanceId, float]], None],
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._inquiry = inquiry
+        self._counters = counters
+        self._wall_clock_ms = wall_clock_ms
+        self._on_founded = on_founded
+        self._proposal: Proposal | None = None
+
+    def tick(self) -> None:
+        """Propose a first view, if it is up to us."""
+        members = self._candidates()
+        if members is None:
+            self._proposal = None
+            return
+        now_seconds = self._state.now_seconds()
+        if self._proposal is None or self._proposal.view.members != members:
+            self._proposal = self._new_proposal(members)
+        elif now_seconds - self._proposal.sent_seconds < RESEND_SECONDS:
+            return
+        self._send(self._proposal)
+        self._conclude()
+
+    def on_foundation(
+        self, sender: ids.InstanceId, foundation: messages.Foundation
+    ) -> None:
+        """Agree to a first view, if we take part in none.
+
+        :param sender: who proposes it
+        :param foundation: the proposal
+        """
+        state = self._state
+        epoch = foundation.view.epoch
+        if (
+            not state.is_outdated()
+            or epoch <= state.highest_id.epoch
+            or not state.may_promise(sender.incarnation)
+        ):
+            self._counters.add("view_foundations", "refused")
+            return
+        ballot = messages.Ballot(1, sender.incarnation)
+        state.promise(ballot, HOLD_SECONDS)
+        self._link.send(
+            to=sender,
+            body=messages.FoundationAck(epoch, foundation.sent_seconds),
+        )
+
+    def on_ack(
+        self, sender: ids.InstanceId, ack: messages.FoundationAck
+    ) -> None:
+        """Count an agreement.
+
+        :param sender: who agrees
+        :param ack: its agreement
+        """
+        proposal = self._proposal
+        if proposal is None or proposal.view.epoch != ack.epoch:
+            return
+        proposal.ends[sender] = ack.echo_seconds + quorum.shortened_seconds(
+            HOLD_SECONDS
+        )
+        self._conclude()
+
+    def _candidates(self) -> tuple[ids.InstanceId, ...] | None:
+        state = self._state
+        now_seconds = state.now_seconds()
+        # A predecessor at our address, or we before a pause, may have held
+        # rights; by now all of them have ended.
+        uncovered_seconds = now_seconds - state.uncovered_since_seconds
+        if not state.is_outdated():
+            return None
+        if uncovered_seconds < quorum.PROMISE_SECONDS:
+            return None
+        if not state.may_promise(state.self_id.incarnation):
+            return None
+        answers = self._inquiry.answers()
+        if answers is None:
+            return None
+        if any(one.standing.view_id != messages.NO_VIEW for one in answers):
+            return None
+        members = sorted([state.self_id, *(one.sender for one in answers)])
+        return tuple(members) if members[0] == state.self_id else None
+
+    def _new_proposal(self, members: tuple[ids.InstanceId, ...]) -> Proposal:
+        answers = self._inquiry.answers() or ()
+        heard_epoch = max(
+            (one.standing.highest_id.epoch for one in answers), default=0
+        )
+        epoch = max(
+            self._wall_clock_ms(),
+            heard_epoch + 1,
+            self._state.highest_id.epoch + 1,
+        )
+        return Proposal(
+            view=rights.View(
+                self._state.self_id.data_centre,
+                epoch,
+                quorum.FOUNDED_NUMBER,
+                members,
+            ),
+            sent_seconds=0.0,
+            ends={},
+        )
+
+    def _send(self, proposal: Proposal) -> None:
+        state = self._state
+        now_seconds = state.now_seconds()
+        ballot = messages.Ballot(1, state.self_id.incarnation)
+        state.promise(ballot, HOLD_SECONDS)
+        proposal.sent_seconds = now_seconds
+        proposal.ends[state.self_id] = now_seconds + HOLD_SECONDS
+        foundation = messages.Foundation(
+            messages.ViewRecord(*proposal.view), now_seconds
+        )
+        for member in proposal.view.members:
+            if member != state.self_id:
+                self._link.send(to=member, body=foundation)
+
+    def _conclude(self) -> None:
+        proposal = self._proposal
+        if proposal is None:
+            return
+        now_seconds = self._state.now_seconds()
+        ends = [proposal.ends.get(one, 0.0) for one in proposal.view.members]
+        if min(ends) <= now_seconds or not self._state.is_outdated():
+            return
+        self._proposal = None
+        self._counters.add("view_foundations", "founded")
+        ballot = messages.Ballot(1, self._state.self_id.incarnation)
+        self._state.install(proposal.view, ballot)
+        self._on_founded(proposal.view, proposal.ends)
+
+
+__all__ = [
+    "HOLD_SECONDS",
+    "RESEND_SECONDS",
+    "Founding",
+    "Proposal",
+]
--- /dev/null
+++ b/src/boragefold/coordination/inquiry.py
@@ -0,0 +1,230 @@
+"""Asks the listed instances where they stand, and judges who is dead."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from boragefold.coordination import link
+from boragefold.coordination import listing as listings
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+
+# Without a lease for so long, an instance asks everyone on the list. One lost
+# heartbeat doesn't get there.
+ASK_AFTER_SECONDS = 0.5
+ASK_PERIOD_SECONDS = 0.5
+
+# How old an answer may be: three questions in a row may be lost.
+ANSWER_SECONDS = 2.0
+
+# Longer than any message can be under way to a process that has restarted.
+HEARD_SECONDS = 5.0
+
+
+class Answer(NamedTuple):
+    """The last answer from an address, to a question sent at a time."""
+
+    sender: ids.InstanceId
+    asked_seconds: float
+    standing: messages.Standing
+
+
+class Inquiry:
+    """Greets addresses of our data centre and keeps what they answered."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        state: view_state.ViewState,
+        listing: listings.Listing,
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._listing = listing
+        self._asked_seconds = float("-inf")
+        self._answers: dict[str, Answer] = {}
+        self._heard_seconds: dict[str, float] = {}
+        self._replaced_since: dict[ids.InstanceId, float] = {}
+
+    def tick(self) -> None:
+        """Ask everyone, if we are without a lease and it is time."""
+        now_seconds = self._state.now_seconds()
+        uncovered_seconds = now_seconds - self._state.uncovered_since_seconds
+        if uncovered_seconds < ASK_AFTER_SECONDS:
+            if self._state.view is not None:
+                return
+        if now_seconds - self._asked_seconds < ASK_PERIOD_SECONDS:
+            return
+        self._asked_seconds = now_seconds
+        for address in self.addresses():
+            self.ask(address)
+
+    def ask(self, address: str) -> None:
+        """Greet whichever process listens at an address.
+
+        :param address: the address
+        """
+        to = ids.InstanceId(self._state.self_id.data_centre, address, "")
+        now_seconds = self._state.now_seconds()
+        self._link.send(to=to, body=messages.Greeting(now_seconds))
+
+    def addresses(self) -> tuple[str, ...]:
+        """List who has to be asked: the listed, and who spoke of late.
+
+        An instance that isn't on our copy of the list yet may have us on its.
+
+        :return: addresses other than ours
+        """
+        now_seconds = self._state.now_seconds()
+        heard = {
+            address
+            for address, heard_seconds in self._heard_seconds.items()
+            if now_seconds - heard_seconds < HEARD_SECONDS
+            and not self._listing.settled(address)
+        }
+        return tuple(sorted(heard.union(self._listing.peers())))
+
+    def note_heard(self, sender: ids.InstanceId) -> None:
+        """Note that an instance of our data centre has spoken.
+
+        :param sender: the instance
+        """
+        self._heard_seconds[sender.address] = self._state.now_seconds()
+
+    def note_answer(
+        self, sender: ids.InstanceId, standing: messages.Standing
+    ) -> None:
+        """Take in the answer to a greeting.
+
+        A new process that answers at the address of a member of ours proves
+        that member dead, if we asked after we had come to know the member: a
+        late message of an older process would prove nothing.
+
+        :param sender: who answered
+        :param standing: what it answered
+        """
+        before = self._answers.get(sender.address)
+        asked_seconds = standing.echo_seconds
+        if before is None or before.asked_seconds <= asked_seconds:
+            answer = Answer(sender, asked_seconds, standing)
+            self._answers[sender.address] = answer
+        for member, since_seconds in self._state.known_since_seconds.items():
+            if (
+                member.address == sender.address
+                and member.incarnation != sender.incarnation
+                and asked_seconds > since_seconds
+            ):
+                self._replaced_since.setdefault(
+                    member, self._state.now_seconds()
+                )
+
+    def is_replaced(self, member: ids.InstanceId) -> bool:
+        """Tell whether a new process has taken a member's address.
+
+        :param member: the member
+        :return: whether it is surely dead
+        """
+        return member in self._replaced_since
+
+    def is_dead(self, member: ids.InstanceId) -> bool:
+        """Tell whether outside evidence has shown a member dead for long.
+
+        :param member: the member
+        :return: whether its promises, too, have surely ended
+        """
+        now_seconds = self._state.now_seconds()
+        since_seconds = self._replaced_since.get(member, float("inf"))
+        return (
+            now_seconds - since_seconds >= listings.MATURE_SECONDS
+            or self._listing.gone(member.address, now_seconds)
+        )
+
+    def answers(self) -> tuple[Answer, ...] | None:
+        """Collect the answers, if they are complete.
+
+        They are the only thing that stands between an instance that was cut
+        off and a second view: each listed instance has to have answered.
+
+        :return: recent answers of all, or None if one is missing or the list
+            is not fresh or does not show us
+        """
+        now_seconds = self._state.now_seconds()
+        if now_seconds > self._listing.fresh_until_seconds():
+            return None
+        if not self._listing.shows(self._state.self_id.address):
+            return None
+        found = [self._answers.get(one) for one in self.addresses()]
+        recent = [
+            answer
+            for answer in found
+            if answer is not None
+            and now_seconds - answer.asked_seconds <= ANSWER_SECONDS
+        ]
+        return tuple(recent) if len(recent) == len(found) else None
+
+    def verified_dead(self) -> frozenset[ids.InstanceId] | None:
+        """Tell which members may be left out for good to lead the rest.
+
+        :return: the dead ones, perhaps none; None if the rest can't be sure
+            that nobody else leads or has led on to a later view
+        """
+        state = self._state
+        uncovered_seconds = state.now_seconds() - state.uncovered_since_seconds
+        if uncovered_seconds < ASK_AFTER_SECONDS:
+            return None
+        if state.view is None or state.is_outdated():
+            return None
+        answers = self.answers()
+        if answers is None:
+            return None
+        if any(
+            one.standing.covered or one.standing.highest_id > state.view_id()
+            for one in answers
+        ):
+            return None
+        answered = {one.sender for one in answers} | {state.self_id}
+        dead = frozenset(
+            member
+            for member in state.view.members
+            if member not in answered and self.is_dead(member)
+        )
+        if set(state.view.members) - answered - dead:
+            return None
+        # Whoever was alone and paused has no dead to wait for; the list that
+        # it read last may lack one that has started since.
+        if not dead and uncovered_seconds < listings.MATURE_SECONDS:
+            return None
+        return dead
+
+    def forget(self) -> None:
+        """Drop what is known of instances that are in no view of ours."""
+        known = self._state.known_since_seconds
+        self._replaced_since = {
+            member: since_seconds
+            for member, since_seconds in self._replaced_since.items()
+            if member in known
+        }
+        addresses = {*self.addresses(), *self._heard_seconds}
+        self._answers = {
+            address: answer
+            for address, answer in self._answers.items()
+            if address in addresses
+        }
+        now_seconds = self._state.now_seconds()
+        self._heard_seconds = {
+            address: heard_seconds
+            for address, heard_seconds in self._heard_seconds.items()
+            if now_seconds - heard_seconds < HEARD_SECONDS
+        }
+
+
+__all__ = [
+    "ANSWER_SECONDS",
+    "ASK_AFTER_SECONDS",
+    "ASK_PERIOD_SECONDS",
+    "HEARD_SECONDS",
+    "Answer",
+    "Inquiry",
+]
--- /dev/null
+++ b/src/boragefold/coordination/membership.py
@@ -0,0 +1,259 @@
+"""A member's side: heartbeats, the lease, promises and joining."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from boragefold.coordination import election as elections
+from boragefold.coordination import inquiry as inquiries
+from boragefold.coordination import link
+from boragefold.coordination import quorum
+from boragefold.coordination import rights
+from boragefold.coordination import stewardship as stewardships
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.telemetry import counters as telemetry
+
+# A lease of 2 s survives two lost heartbeats in a row. Larger views beat more
+# slowly, for the steward's sake, and repeat an unanswered beat quickly.
+BEAT_SECONDS = 0.5
+LARGE_BEAT_SECONDS = 1.0
+LARGE_MEMBERS = 8
+UNANSWERED_SECONDS = 0.25
+
+# An instance that isn't in yet asks at this rate.
+JOIN_SECONDS = 0.25
+
+
+class Membership:
+    """Follows the steward, or looks for one."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        state: view_state.ViewState,
+        inquiry: inquiries.Inquiry,
+        election: elections.Election,
+        stewardship: stewardships.Stewardship,
+        counters: telemetry.Counters,
+        on_suspect: Callable[[ids.InstanceId], None],
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._inquiry = inquiry
+        self._election = election
+        self._stewardship = stewardship
+        self._counters = counters
+        self._on_suspect = on_suspect
+        self._echo_seconds = 0.0
+        self._beat_seconds = float("-inf")
+        self._answered_seconds = float("-inf")
+        self._joined_seconds = float("-inf")
+        self._suspected = False
+
+    def tick(self) -> None:
+        """Send the heartbeat, if it is due."""
+        state = self._state
+        steward = state.steward
+        if state.is_outdated() or steward is None or steward == state.self_id:
+            return
+        now_seconds = state.now_seconds()
+        since_seconds = now_seconds - self._beat_seconds
+        answered = self._answered_seconds >= self._beat_seconds
+        if since_seconds >= (
+            self._period_seconds() if answered else UNANSWERED_SECONDS
+        ):
+            self._beat(steward)
+        silent_seconds = now_seconds - self._answered_seconds
+        if silent_seconds >= stewardships.SUSPECT_SECONDS:
+            self._suspect(steward)
+
+    def on_renewal(
+        self, sender: ids.InstanceId, renewal: messages.Renewal
+    ) -> None:
+        """Follow the steward, and take the lease that it gives.
+
+        :param sender: the steward
+        :param renewal: its answer to a heartbeat, for our view
+        """
+        state = self._state
+        ballot = messages.Ballot(renewal.round, sender.incarnation)
+        if not self._follow(sender, ballot, renewal.sent_seconds):
+            self._link.send(
+                to=sender,
+                body=messages.Refusal(state.view_id(), state.promised.round),
+            )
+            return
+        if renewal.echo_seconds <= 0:
+            self._beat(sender)
+            return
+        if renewal.echo_seconds >= self._beat_seconds:
+            self._answered_seconds = state.now_seconds()
+        if renewal.lease_seconds > 0:
+            lease_seconds = quorum.shortened_seconds(renewal.lease_seconds)
+            state.take_lease(renewal.echo_seconds + lease_seconds)
+
+    def on_prepare(
+        self, sender: ids.InstanceId, prepare: messages.Prepare
+    ) -> None:
+        """Give a candidate our promise, or refuse it.
+
+        :param sender: the candidate
+        :param prepare: its request, for our view
+        """
+        state = self._state
+        ballot = messages.Ballot(prepare.round, sender.incarnation)
+        if (
+            ballot < state.promised
+            or not state.may_promise(sender.incarnation)
+            or state.is_outdated()
+        ):
+            self._counters.add("view_promises_refused", "promised")
+            refusal = messages.Refusal(state.view_id(), state.promised.round)
+            self._link.send(to=sender, body=refusal)
+            return
+        if ballot != state.promised:
+            self._stewardship.step_down()
+        state.promise(ballot, quorum.PREPARE_SECONDS)
+        accepted = state.accepted
+        self._link.send(
+            to=sender,
+            body=messages.Promise(
+                view_id=state.view_id(),
+                round=prepare.round,
+                echo_seconds=prepare.sent_seconds,
+                accepted_ballot=state.accepted_ballot,
+                accepted=accepted and messages.ViewRecord(*accepted),
+            ),
+        )
+
+    def on_change(
+        self, sender: ids.InstanceId, change: messages.Change
+    ) -> None:
+        """Accept a successor of our view, and stop using its rights.
+
+        :param sender: the steward
+        :param change: its proposal, for our view
+        """
+        state = self._state
+        ballot = messages.Ballot(change.round, sender.incarnation)
+        if state.is_outdated() or not state.follow(ballot):
+            refusal = messages.Refusal(state.view_id(), state.promised.round)
+            self._link.send(to=sender, body=refusal)
+            return
+        state.steward = sender
+        state.accept(ballot, rights.View(*change.successor))
+        now_seconds = state.now_seconds()
+        self._beat_seconds = self._answered_seconds = now_seconds
+        ack = messages.ChangeAck(state.view_id(), change.round, now_seconds)
+        self._link.send(to=sender, body=ack)
+
+    def on_install(
+        self, sender: ids.InstanceId, install: messages.Install
+    ) -> None:
+        """Take over a decided view.
+
+        :param sender: somebody who has it
+        :param install: the view
+        """
+        state = self._state
+        view = rights.View(*install.view)
+        if state.self_id not in view.members:
+            # We stay with our old view, which has ended, and ask to join.
+            state.hear_of(quorum.view_id(view))
+            return
+        if quorum.view_id(view) < state.view_id():
+            return
+        state.install(view, install.ballot)
+        if install.released:
+            state.release(install.ballot)
+        elif install.leading and quorum.view_id(view) == state.view_id():
+            if self._follow(sender, install.ballot, install.sent_seconds):
+                self._beat(sender)
+
+    def on_standing(
+        self, sender: ids.InstanceId, standing: messages.Standing
+    ) -> None:
+        """Bring the sender forward, or find the view that we lack.
+
+        :param sender: an instance of our data centre
+        :param standing: what it takes part in
+        """
+        state = self._state
+        state.hear_of(standing.highest_id)
+        if not state.is_outdated():
+            view = state.view
+            if (
+                view is not None
+                and sender in view.members
+                and standing.view_id < state.view_id()
+            ):
+                self._stewardship.send_install(sender)
+            return
+        if (
+            standing.view_id == messages.NO_VIEW
+            or standing.view_id < state.highest_id
+        ):
+            return
+        now_seconds = state.now_seconds()
+        if now_seconds - self._joined_seconds >= JOIN_SECONDS:
+            self._joined_seconds = now_seconds
+            to = standing.steward or sender
+            self._link.send(to=to, body=messages.Join())
+
+    def _follow(
+        self,
+        sender: ids.InstanceId,
+        ballot: messages.Ballot,
+        sent_seconds: float,
+    ) -> bool:
+        state = self._state
+        is_new = ballot != state.promised or state.steward != sender
+        if sender.incarnation != ballot.owner or not state.follow(ballot):
+            return False
+        if sender != state.self_id:
+            self._stewardship.step_down()
+        if is_new:
+            self._echo_seconds = 0.0
+            self._answered_seconds = state.now_seconds()
+        state.steward = sender
+        self._suspected = False
+        self._echo_seconds = max(self._echo_seconds, sent_seconds)
+        return True
+
+    def _beat(self, steward: ids.InstanceId) -> None:
+        state = self._state
+        self._beat_seconds = state.now_seconds()
+        self._link.send(
+            to=steward,
+            body=messages.Beat(
+                view_id=state.view_id(),
+                round=state.promised.round,
+                echo_seconds=self._echo_seconds,
+                sent_seconds=self._beat_seconds,
+            ),
+        )
+
+    def _period_seconds(self) -> float:
+        view = self._state.view
+        if view is not None and len(view.members) >= LARGE_MEMBERS:
+            return LARGE_BEAT_SECONDS
+        return BEAT_SECONDS
+
+    def _suspect(self, steward: ids.InstanceId) -> None:
+        if not self._suspected:
+            self._suspected = True
+            self._counters.add("view_suspects", "steward_silent")
+            self._on_suspect(steward)
+
+
+__all__ = [
+    "BEAT_SECONDS",
+    "JOIN_SECONDS",
+    "LARGE_BEAT_SECONDS",
+    "LARGE_MEMBERS",
+    "UNANSWERED_SECONDS",
+    "Membership",
+]
--- /dev/null
+++ b/src/boragefold/coordination/views.py
@@ -0,0 +1,359 @@
+"""The view of a data centre as one of its instances sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+from typing import TypeVar
+
+from absl import logging
+
+from boragefold.coordination import directory as directories
+from boragefold.coordination import election as elections
+from boragefold.coordination import founding as foundings
+from boragefold.coordination import inquiry as inquiries
+from boragefold.coordination import link
+from boragefold.coordination import listing as listings
+from boragefold.coordination import membership as memberships
+from boragefold.coordination import rights
+from boragefold.coordination import stewardship as stewardships
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers
+
+# Fine enough for the waits of an election; a tick without work costs little.
+TICK_SECONDS = 0.1
+
+Body = TypeVar("Body")
+OfView = TypeVar(
+    "OfView",
+    messages.Beat,
+    messages.Renewal,
+    messages.Prepare,
+    messages.Promise,
+    messages.Refusal,
+    messages.Change,
+    messages.ChangeAck,
+)
+
+
+class Views(rights.Rights):
+    """Keeps this instance in its data centre's view, and answers for it."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        timer_service: timers.TimerService,
+        counters: telemetry.Counters,
+        random_source: random.Random,
+        wall_clock_ms: Callable[[], int],
+        on_suspect: Callable[[ids.InstanceId], None] | None = None,
+    ) -> None:
+        """Build the parts; :meth:`start` sets them going.
+
+        :param peer_link: carries the messages
+        :param timer_service: the clock and the timers
+        :param counters: counts elections, changes, refusals and suspects
+        :param random_source: draws the waits of elections and gossip
+        :param wall_clock_ms: the calendar, which numbers the epochs
+        :param on_suspect: called with a silent peer, whose connections
+            should be replaced before it is removed
+        """
+        self._link = peer_link
+        self._timers = timer_service
+        self._counters = counters
+        self._subscribers: list[Callable[[rights.View | None], None]] = []
+        self._told: rights.View | None = None
+        self._leaving = False
+        self._started = False
+        suspect = on_suspect or (lambda peer: None)
+        self._listing = listings.Listing(self_id=peer_link.self_id)
+        self._state = view_state.ViewState(
+            self_id=peer_link.self_id,
+            timer_service=timer_service,
+            listing=self._listing,
+        )
+        self._inquiry = inquiries.Inquiry(
+            peer_link=peer_link, state=self._state, listing=self._listing
+        )
+        self._stewardship = stewardships.Stewardship(
+            peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            listing=self._listing,
+            counters=counters,
+            on_suspect=suspect,
+        )
+        self._election = elections.Election(
+            peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            counters=counters,
+            random_source=random_source,
+            on_victory=self._stewardship.begin,
+        )
+        self._founding = foundings.Founding(
+            peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            counters=counters,
+            wall_clock_ms=wall_clock_ms,
+            on_founded=self._stewardship.found,
+        )
+        self._membership = memberships.Membership(
+            peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            election=self._election,
+            stewardship=self._stewardship,
+            counters=counters,
+            on_suspect=suspect,
+        )
+        self._directory = directories.Directory(
+            peer_link=peer_link,
+            timer_service=timer_service,
+            state=self._state,
+            listing=self._listing,
+            random_source=random_source,
+        )
+        self._subscribe_all()
+
+    @property
+    def self_id(self) -> ids.InstanceId:
+        """Tell who we are.
+
+        :return: our own identity
+        """
+        return self._state.self_id
+
+    @property
+    def is_steward(self) -> bool:
+        """Tell whether we lead the view.
+
+        :return: whether we do, as far as we know
+        """
+        return self._stewardship.leading
+
+    @property
+    def has_left(self) -> bool:
+        """Tell whether a planned leave is complete.
+
+        :return: whether we were asked to leave and are in no view any more
+        """
+        if not self._leaving:
+            return False
+        return self._state.is_outdated() or (
+            self._state.view is not None
+            and self._state.view.members == (self.self_id,)
+            and not self._stewardship.leading
+        )
+
+    def start(self) -> None:
+        """Begin to take part."""
+        if self._started:
+            return
+        self._started = True
+        self._timers.every(period_seconds=TICK_SECONDS, callback=self._tick)
+        self._directory.start()
+
+    def update_list(self, entries: Iterable[listings.ListEntry]) -> None:
+        """Take in the platform's list, at each reading, changed or not.
+
+        :param entries: all instances of all data centres
+        """
+        self._listing.update(entries, self._timers.now_seconds())
+        self._state.follow_time()
+
+    def leave(self) -> None:
+        """Hand over and leave the view; watch :attr:`has_left`."""
+        self._leaving = True
+        self._tick()
+
+    def valid_view(self) -> rights.View | None:
+        """Read the view that our lease covers at this moment.
+
+        :return: the view, or None when our lease has ended
+        """
+        return self._state.view if self.valid_for_seconds() > 0 else None
+
+    def valid_for_seconds(self) -> float:
+        """Tell how long our lease will last without renewal.
+
+        :return: seconds, zero when it has ended
+        """
+        if self._state.is_outdated():
+            return 0.0
+        return self._state.lease_left_seconds()
+
+    def directory(self) -> dict[str, rights.View]:
+        """Read the latest known view of each data centre.
+
+        :return: views by data centre
+        """
+        return self._directory.views()
+
+    def subscribe(
+        self, callback: Callable[[rights.View | None], None]
+    ) -> None:
+        """Be told when our valid view changes or ends.
+
+        :param callback: called with the new view, or None
+        """
+        self._subscribers.append(callback)
+
+    def _tick(self) -> None:
+        self._state.follow_time()
+        self._stewardship.tick()
+        self._membership.tick()
+        self._inquiry.tick()
+        if not self._stewardship.leading:
+            self._election.tick()
+        if self._leaving:
+            self._ask_to_leave()
+        else:
+            self._founding.tick()
+        self._inquiry.forget()
+        self._tell()
+
+    def _ask_to_leave(self) -> None:
+        steward = self._state.steward
+        if self._stewardship.leading:
+            self._stewardship.on_leave(self.self_id)
+        elif steward is not None and not self._state.is_outdated():
+            self._link.send(to=steward, body=messages.Leave())
+
+    def _tell(self) -> None:
+        view = self.valid_view()
+        if view == self._told:
+            return
+        self._told = view
+        self._counters.add("view_validity", "valid" if view else "ended")
+        if view is None:
+            logging.info("our lease on the view has ended")
+        else:
+            logging.info(
+                "view %d.%d with %d members is valid",
+                view.epoch,
+                view.number,
+                len(view.members),
+            )
+        for callback in self._subscribers:
+            callback(view)
+
+    def _subscribe_all(self) -> None:
+        self._on(messages.Greeting, self._on_greeting)
+        self._on(messages.Standing, self._on_standing)
+        self._on(messages.Join, lambda peer, _: self._on_join(peer))
+        self._on(messages.Leave, lambda peer, _: self._on_leave(peer))
+        self._on(messages.Install, self._membership.on_install)
+        self._on(messages.Foundation, self._founding.on_foundation)
+        self._on(messages.FoundationAck, self._founding.on_ack)
+        self._on_same_view(messages.Beat, self._on_beat)
+        self._on_same_view(messages.Renewal, self._membership.on_renewal)
+        self._on_same_view(messages.Prepare, self._membership.on_prepare)
+        self._on_same_view(messages.Promise, self._election.on_promise)
+        self._on_same_view(messages.Refusal, self._on_refusal)
+        self._on_same_view(messages.Change, self._membership.on_change)
+        self._on_same_view(messages.ChangeAck, self._stewardship.on_change_ack)
+        self._link.subscribe(messages.Digest, self._directory.on_digest)
+        self._link.subscribe(messages.News, self._directory.on_news)
+
+    def _on(
+        self,
+        kind: type[Body],
+        handler: Callable[[ids.InstanceId, Body], None],
+    ) -> None:
+        def receive(sender: ids.InstanceId, body: Body) -> None:
+            if sender.data_centre != self.self_id.data_centre:
+                self._counters.add("view_messages_dropped", "data_centre")
+                return
+            self._inquiry.note_heard(sender)
+            handler(sender, body)
+            self._tell()
+
+        self._link.subscribe(kind, receive)
+
+    def _on_same_view(
+        self,
+        kind: type[OfView],
+        handler: Callable[[ids.InstanceId, OfView], None],
+    ) -> None:
+        def receive(sender: ids.InstanceId, body: OfView) -> None:
+            self._state.hear_of(body.view_id)
+            if (
+                body.view_id == self._state.view_id()
+                and not self._state.is_outdated()
+            ):
+                handler(sender, body)
+                return
+            # One of us has missed an installation. The later one brings the
+            # other forward, on hearing where it stands.
+            self._counters.add("view_messages_dropped", "other_view")
+            self._send_standing(sender, 0.0)
+
+        self._on(kind, receive)
+
+    def _on_greeting(
+        self, sender: ids.InstanceId, greeting: messages.Greeting
+    ) -> None:
+        self._send_standing(sender, greeting.sent_seconds)
+
+    def _send_standing(self, to: ids.InstanceId, echo_seconds: float) -> None:
+        state = self._state
+        outdated = state.is_outdated()
+        self._link.send(
+            to=to,
+            body=messages.Standing(
+                echo_seconds=echo_seconds,
+                view_id=messages.NO_VIEW if outdated else state.view_id(),
+                highest_id=state.highest_id,
+                covered=state.covered(),
+                steward=None if outdated else state.steward,
+            ),
+        )
+
+    def _on_standing(
+        self, sender: ids.InstanceId, standing: messages.Standing
+    ) -> None:
+        if standing.echo_seconds > 0:
+            self._inquiry.note_answer(sender, standing)
+        if not self._leaving or not self._state.is_outdated():
+            self._membership.on_standing(sender, standing)
+
+    def _on_join(self, sender: ids.InstanceId) -> None:
+        self._stewardship.on_join(sender)
+
+    def _on_leave(self, sender: ids.InstanceId) -> None:
+        view = self._state.view
+        if view is not None and sender not in view.members:
+            self._send_standing(sender, 0.0)
+        elif self._stewardship.leading:
+            self._stewardship.on_leave(sender)
+
+    def _on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
+        if self._stewardship.leading:
+            self._stewardship.on_beat(sender, beat)
+
+    def _on_refusal(
+        self, sender: ids.InstanceId, refusal: messages.Refusal
+    ) -> None:
+        self._election.note_round(refusal.round)
+        if not self._stewardship.leading:
+            return
+        if refusal.round <= self._stewardship.ballot.round:
+            return
+        # A voter has promised a higher ballot to one that didn't win. Lead by
+        # a still higher one, or this voter would refuse us for good.
+        self._counters.add("view_steward_ended", "higher_ballot")
+        self._stewardship.step_down()
+        self._election.start()
+
+
+__all__ = [
+    "TICK_SECONDS",
+    "Views",
+]
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -74,6 +74,7 @@
         self.is_cut: Callable[[ids.InstanceId, ids.InstanceId], bool] = (
             lambda one, other: False
         )
+        self.after_step: Callable[[], None] = lambda: None
         self._flying: list[tuple[float, int, Any]] = []
         self._order = itertools.count()
 
@@ -121,7 +122,9 @@
             for node in list(self.nodes.values()):
                 if not node.paused and not node.dead:
                     node.timers.run_due()
+                    self.after_step()
         self.clock.move_to(end_seconds)
+        self.after_step()
 
     def _next_seconds(self) -> float | None:
         candidates = [
@@ -145,6 +148,7 @@
                     node.self_id.incarnation,
                 ):
                     node.receive(sender, body)
+                    self.after_step()
 
 
 __all__ = [
--- /dev/null
+++ b/tests/fakes/walk.py
@@ -0,0 +1,162 @@
+"""A random walk of faults over the instances of one data centre."""
+
+from __future__ import annotations
+
+import random
+
+from boragefold.protocol import ids
+from tests.fakes import fleet as fleets
+from tests.fakes import network as networks
+
+# A paused process fails the platform's health check after so long.
+DROPPED_AFTER_SECONDS = 5.0
+STEP_SECONDS = (0.02, 0.9)
+HEALED_SECONDS = 40.0
+
+
+class Walk:
+    """Draws one fault after the other; the fleet checks at each step."""
+
+    def __init__(
+        self, *, seed: int, count: int, lag_spread_seconds: float = 1.0
+    ) -> None:
+        self.random = random.Random(seed)
+        self.network = networks.Network(
+            seed=seed,
+            loss=self.random.choice([0.0, 0.02, 0.2]),
+            doubling=self.random.choice([0.0, 0.1]),
+            delay_seconds=self.random.choice(
+                [(0.0005, 0.002), (0.001, 0.3), (0.001, 3.0)]
+            ),
+        )
+        self.fleet = fleets.Fleet(network=self.network)
+        self.lag_spread_seconds = lag_spread_seconds
+        self.count = count
+        self.spare = count
+        self.sides: dict[str, int] = {}
+        self.paused_since: dict[str, float] = {}
+        self.network.is_cut = self._is_cut
+        self.covered_steps = 0
+        for index in range(count):
+            self._start(f"a-{index}")
+
+    def step(self) -> None:
+        fault = self.random.choices(
+            [
+                self._kill,
+                self._restart,
+                self._start_one,
+                self._pause,
+                self._resume,
+                self._cut,
+                self._heal,
+                self._leave,
+                self._platform,
+                lambda: None,
+            ],
+            [2, 2, 4, 4, 6, 2, 4, 1, 1, 16],
+        )[0]
+        fault()
+        self._drop_paused()
+        self.network.run_for(self.random.uniform(*STEP_SECONDS))
+        self.covered_steps += bool(self.fleet.valid("a"))
+
+    def heal(self) -> float:
+        """Undo all faults.
+
+        :return: how long it took until all had one view
+        """
+        self.sides = {}
+        self.fleet.platform_up = True
+        self.network.loss = 0.0
+        self.network.delay_seconds = (0.0005, 0.002)
+        for instance in list(self.fleet.instances.values()):
+            if instance.node.paused:
+                self._wake(instance)
+            if instance.views.has_left:
+                self.fleet.kill(instance)
+        return self.fleet.seconds_until_agreed("a", HEALED_SECONDS)
+
+    def _is_cut(self, one: ids.InstanceId, other: ids.InstanceId) -> bool:
+        return self.sides.get(one.address, 0) != self.sides.get(
+            other.address, 0
+        )
+
+    def _pick(self, *, paused: bool = False) -> fleets.Instance | None:
+        found = [
+            instance
+            for _, instance in sorted(self.fleet.instances.items())
+            if instance.node.paused == paused
+        ]
+        return self.random.choice(found) if found else None
+
+    def _start(self, address: str) -> None:
+        lag_seconds = 0.5 + self.random.uniform(0, self.lag_spread_seconds)
+        self.fleet.start("a", address, lag_seconds)
+
+    def _start_one(self) -> None:
+        if len(self.fleet.instances) < self.count:
+            self.spare += 1
+            self._start(f"a-{self.spare}")
+
+    def _kill(self) -> None:
+        instance = self._pick()
+        if instance is not None:
+            self.fleet.kill(instance)
+
+    def _restart(self) -> None:
+        instance = self._pick()
+        if instance is not None:
+            self.fleet.kill(instance, listed=True)
+            self._start(instance.self_id.address)
+
+    def _pause(self) -> None:
+        instance = self._pick()
+        if instance is not None:
+            self.network.pause(instance.node)
+            self.paused_since[instance.self_id.address] = (
+                self.network.clock.now_seconds()
+            )
+
+    def _resume(self) -> None:
+        instance = self._pick(paused=True)
+        if instance is not None:
+            self._wake(instance)
+
+    def _wake(self, instance: fleets.Instance) -> None:
+        self.paused_since.pop(instance.self_id.address, None)
+        self.fleet.set_listed(instance.self_id.address, "a", True)
+        self.network.resume(
+            instance.node, timers_first=self.random.random() < 0.5
+        )
+        self.fleet.check()
+
+    def _drop_paused(self) -> None:
+        now_seconds = self.network.clock.now_seconds()
+        for address, since_seconds in list(self.paused_since.items()):
+            if now_seconds - since_seconds > DROPPED_AFTER_SECONDS:
+                del self.paused_since[address]
+                if address in self.fleet.instances:
+                    self.fleet.set_listed(address, "a", False)
+
+    def _cut(self) -> None:
+        self.sides = {
+            address: self.random.randrange(2)
+            for address in sorted(self.fleet.instances)
+        }
+
+    def _heal(self) -> None:
+        self.sides = {}
+
+    def _leave(self) -> None:
+        instance = self._pick()
+        if instance is not None:
+            instance.views.leave()
+
+    def _platform(self) -> None:
+        self.fleet.platform_up = not self.fleet.platform_up
+
+
+__all__ = [
+    "Walk",
+]
