Grant fleet-wide rates from one holder per data centre

Cause: a rate has to hold over all instances, through restarts, pauses and cuts. rate/N per instance and a full bucket per fresh instance both break it. Ruled out: adding late remainders to the level. If the bucket was full in between, more than one burst fits into a window. Change: a ledger per holder, purses on the receiving side that serve both grants and loans, tenures that begin one grant's life after the right came, hand-over of the level, weights that are raised when all others know.

--- /dev/null
+++ b/src/boragefold/coordination/rates/holders.py
@@ -0,0 +1,249 @@
+"""Which rates this instance holds, and their change of hands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+from typing import NamedTuple
+
+from absl import logging
+
+from boragefold.coordination.rates import ledger as ledgers
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import tenure as tenures
+import boragefold.coordination.rights as membership
+from boragefold.protocol import ids
+from boragefold.protocol import rate_messages
+from boragefold.telemetry import counters as counting
+
+# A bucket that was handed over early waits this long for the next view.
+PENDING_SECONDS = 30.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Held:
+    """A tenure, and the views that it has lasted for."""
+
+    tenure: tenures.Tenure
+    epoch: int
+    first_number: int
+    last_number: int
+    given_up: bool = False
+
+
+class _Pending(NamedTuple):
+    """A bucket that came before its right did."""
+
+    sender: ids.InstanceId
+    bucket: rate_messages.BucketHandedOver
+    came_at_seconds: float
+
+
+class Holders:
+    """The tenures of this instance, by workspace."""
+
+    def __init__(
+        self,
+        *,
+        rights: membership.Rights,
+        now_seconds: Callable[[], float],
+        counters: counting.Counters,
+        begin: Callable[[str, ledgers.Ledger], tenures.Tenure],
+        send: Callable[[ids.InstanceId, rate_messages.BucketHandedOver], None],
+    ) -> None:
+        """Hold nothing yet.
+
+        :param rights: tells what we hold
+        :param now_seconds: the clock
+        :param counters: where gains and losses are counted
+        :param begin: makes a tenure of a workspace with a bucket
+        :param send: sends a bucket to its next holder
+        """
+        self._rights = rights
+        self._now_seconds = now_seconds
+        self._counters = counters
+        self._begin = begin
+        self._send = send
+        self._held: dict[str, _Held] = {}
+        self._parts: dict[str, limits.Limit] = {}
+        self._pending: dict[str, _Pending] = {}
+
+    def __iter__(self) -> Iterator[tenures.Tenure]:
+        return iter([held.tenure for held in self._held.values()])
+
+    def update(self, parts: dict[str, limits.Limit]) -> None:
+        """Put other rates in force, at once.
+
+        :param parts: our data centre's part by workspace
+        """
+        self._parts = parts
+        for workspace in self._held.keys() - parts.keys():
+            del self._held[workspace]
+        for workspace, held in self._held.items():
+            held.tenure.ledger.change(
+                parts[workspace], now_seconds=self._now_seconds()
+            )
+        self.review()
+
+    def review(self) -> None:
+        """Begin and end tenures as the valid view says."""
+        for workspace in self._parts:
+            self.tenure(workspace)
+
+    def tenure(self, workspace: str) -> tenures.Tenure | None:
+        """Find the tenure of a rate that is ours at this moment.
+
+        :param workspace: whose rate
+        :return: the tenure, or None when another instance holds the rate
+        """
+        view = self._rights.valid_view()
+        if view is None:
+            self._end_if_succeeded(workspace)
+            return None
+        if workspace not in self._parts:
+            return None
+        if not self._rights.holds(limits.right_of(workspace)):
+            self._end(workspace, view)
+            return None
+        held = self._held.get(workspace)
+        if held is None or not self._unbroken(held, view):
+            held = self._gain(workspace, view)
+        held.last_number = view.number
+        return None if held.given_up else held.tenure
+
+    def give_up(self) -> None:
+        """Hand every bucket to whoever comes next, before a planned stop."""
+        view = self._rights.valid_view()
+        for workspace, held in self._held.items():
+            if view is None or held.given_up:
+                continue
+            others = tuple(
+                member
+                for member in view.members
+                if member != self._rights.self_id
+            )
+            held.given_up = True
+            if others and self._unbroken(held, view):
+                held.last_number = view.number
+                held.tenure.ledger.advance(self._now_seconds())
+                self._hand_over(workspace, held, view._replace(members=others))
+
+    def handed_over(
+        self, sender: ids.InstanceId, bucket: rate_messages.BucketHandedOver
+    ) -> None:
+        """Take in a bucket, at once or when its right comes to us.
+
+        :param sender: the former holder
+        :param bucket: what it gave up
+        """
+        self._pending[bucket.workspace] = _Pending(
+            sender, bucket, self._now_seconds()
+        )
+        held = self._held.get(bucket.workspace)
+        if held is not None:
+            self._inherit(bucket.workspace, held)
+
+    def _unbroken(self, held: _Held, view: membership.View) -> bool:
+        # Nobody can have held the right between two views that follow each
+        # other. Over a gap somebody may have: after a pause of ours the
+        # bucket was filled by another holder, and ours must not be.
+        return (
+            held.epoch == view.epoch
+            and held.last_number <= view.number <= held.last_number + 1
+        )
+
+    def _gain(self, workspace: str, view: membership.View) -> _Held:
+        # What a former holder granted, up to a whole burst, may be charged
+        # until its end. A bucket that filled meanwhile would come on top of
+        # it within one window, so the refill begins only afterwards.
+        part = self._parts[workspace]
+        ledger = ledgers.Ledger(
+            limit=part,
+            now_seconds=self._now_seconds(),
+            wait_seconds=limits.GRANT_SECONDS
+            + limits.MARGIN_SECONDS
+            + part.hold_seconds,
+        )
+        held = _Held(
+            tenure=self._begin(workspace, ledger),
+            epoch=view.epoch,
+            first_number=view.number,
+            last_number=view.number,
+        )
+        self._held[workspace] = held
+        self._counters.add("rate_tenures", "gained")
+        self._inherit(workspace, held)
+        return held
+
+    def _inherit(self, workspace: str, held: _Held) -> None:
+        now_seconds = self._now_seconds()
+        pending = self._pending.get(workspace)
+        if pending is None:
+            return
+        bucket = pending.bucket
+        follows = (held.epoch, held.first_number) == (
+            bucket.epoch,
+            bucket.view_number + 1,
+        )
+        age_seconds = now_seconds - pending.came_at_seconds
+        if not follows or age_seconds > PENDING_SECONDS:
+            return
+        del self._pending[workspace]
+        if not held.tenure.ledger.starts_in_seconds(now_seconds):
+            # Too late: what filled since would come on top of this level.
+            self._counters.add("rate_tenures", "inherited_too_late")
+            return
+        held.tenure.ledger.inherit(
+            level_tokens=bucket.level_tokens,
+            occupied_tokens=bucket.occupied_tokens,
+            now_seconds=now_seconds,
+        )
+        self._counters.add("rate_tenures", "inherited")
+
+    def _end_if_succeeded(self, workspace: str) -> None:
+        """End a tenure when a later view than its last one is known."""
+        held = self._held.get(workspace)
+        own_name = self._rights.self_id.data_centre
+        latest = self._rights.directory().get(own_name)
+        if held is None or latest is None:
+            return
+        last = (held.epoch, held.last_number)
+        if (latest.epoch, latest.number) > last and (
+            self._rights.self_id not in latest.members
+        ):
+            self._end(workspace, latest)
+
+    def _end(self, workspace: str, view: membership.View) -> None:
+        held = self._held.pop(workspace, None)
+        if held is None:
+            return
+        self._counters.add("rate_tenures", "lost")
+        if not held.given_up and self._unbroken(held, view):
+            self._hand_over(workspace, held, view)
+
+    def _hand_over(
+        self, workspace: str, held: _Held, view: membership.View
+    ) -> None:
+        """Send the bucket, as it was while we held it, to the next holder."""
+        ledger = held.tenure.ledger
+        if ledger.starts_in_seconds(self._now_seconds()) > 0:
+            return
+        successor = membership.holder(view, limits.right_of(workspace))
+        logging.info("handing the rate of %s to %s", workspace, successor)
+        self._counters.add("rate_tenures", "handed_over")
+        self._send(
+            successor,
+            rate_messages.BucketHandedOver(
+                workspace,
+                held.epoch,
+                held.last_number,
+                ledger.level_tokens,
+                ledger.occupied_tokens,
+            ),
+        )
+
+
+__all__ = [
+    "Holders",
+]
--- /dev/null
+++ b/src/boragefold/coordination/rates/purse.py
@@ -0,0 +1,333 @@
+"""The receiving side of grants and loans: tokens from one source."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+
+from boragefold.coordination.rates import limits
+from boragefold.protocol import rate_messages
+
+# Reports in one message; more wait for the next one.
+MOST_USAGES = 40
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Grant:
+    """What answered one request of ours."""
+
+    sent_at_seconds: float
+    ends_at_seconds: float
+    left_tokens: float = 0.0
+    charged_tokens: float = 0.0
+    drafts: int = 0
+    loose_drafts: int = 0
+    answered: bool = False
+    closed: bool = False
+    ended: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Draft:
+    """Tokens charged to one or more grants, until it is settled.
+
+    A draft that was granted on is *loose*: somebody else may still charge it,
+    so its source must not take it for charged yet.
+    """
+
+    parts: dict[int, float]
+    loose: bool = False
+    settled: bool = False
+
+
+class Purse:
+    """Tokens of one workspace from one holder.
+
+    A grant ends on our own clock, counted from when we asked, so it ends
+    before the holder thinks so however late the answer was.
+    """
+
+    def __init__(
+        self,
+        *,
+        workspace: str,
+        now_seconds: Callable[[], float],
+        send: Callable[[rate_messages.TokensAsked], None],
+        numbers: itertools.count[int],
+    ) -> None:
+        """Start empty.
+
+        :param workspace: whose tokens
+        :param now_seconds: the clock
+        :param send: sends a request to the present holder
+        :param numbers: the numbers of requests, never used twice
+        """
+        self._workspace = workspace
+        self._now_seconds = now_seconds
+        self._send = send
+        self._numbers = numbers
+        self._grants: dict[int, _Grant] = {}
+        self._reports: dict[int, rate_messages.Usage] = {}
+        self._carried: dict[int, tuple[rate_messages.Usage, ...]] = {}
+        self._reported_since_seconds: float | None = None
+        self._asked_at_seconds: float | None = None
+        self._asked_number = -1
+        self.unanswered = 0
+        self.ready_at_seconds = 0.0
+        self.given_tokens = 0.0
+        self.given_at_seconds: float | None = None
+
+    @property
+    def in_flight(self) -> bool:
+        """Tell whether a request waits for its answer.
+
+        :return: whether it does, and is not overdue
+        """
+        return (
+            self._asked_at_seconds is not None
+            and self._now_seconds()
+            < self._asked_at_seconds + limits.RETRY_SECONDS
+        )
+
+    @property
+    def overdue(self) -> bool:
+        """Tell whether a request waited too long for its answer.
+
+        :return: whether it should be sent anew
+        """
+        return self._asked_at_seconds is not None and not self.in_flight
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing is left to spend, to settle or to report.
+
+        :return: whether the purse can be forgotten
+        """
+        return not (self._grants or self._reports)
+
+    def left_tokens(self, *, life_seconds: float = 0.0) -> float:
+        """Count what may be charged now.
+
+        :param life_seconds: for how long it must stay so
+        :return: tokens
+        """
+        needed_seconds = self._now_seconds() + life_seconds
+        return sum(
+            grant.left_tokens
+            for grant in self._grants.values()
+            if grant.ends_at_seconds > needed_seconds
+        )
+
+    def life_seconds(self, draft: Draft) -> float:
+        """Tell how long the grants under a draft still live.
+
+        :param draft: from :meth:`take`
+        :return: seconds until the first of them ends
+        """
+        ends = [self._grants[number].ends_at_seconds for number in draft.parts]
+        left_seconds = min(ends, default=0.0) - self._now_seconds()
+        return max(0.0, left_seconds)
+
+    def take(
+        self, tokens: float, *, life_seconds: float = 0.0, loose: bool = False
+    ) -> Draft:
+        """Charge tokens, those that end first before the others.
+
+        :param tokens: how many; at most :meth:`left_tokens`
+        :param life_seconds: how long the grants must still live
+        :param loose: whether they are granted on; see :meth:`pin`
+        :return: what was charged
+        """
+        needed_seconds = self._now_seconds() + life_seconds
+        usable = sorted(
+            (grant.ends_at_seconds, number)
+            for number, grant in self._grants.items()
+            if grant.ends_at_seconds > needed_seconds and grant.left_tokens
+        )
+        draft = Draft(parts={}, loose=loose)
+        for _end, number in usable:
+            part = min(tokens, self._grants[number].left_tokens)
+            if part <= 0:
+                break
+            tokens -= part
+            self._charge(draft, number, part)
+        return draft
+
+    def pin(self, draft: Draft, *, kept_tokens: float) -> None:
+        """Note that nobody can charge a loose draft any more.
+
+        :param draft: from :meth:`take`
+        :param kept_tokens: what was charged; it may still fall
+        """
+        if draft.settled:
+            return
+        was_loose, draft.loose = draft.loose, False
+        for number, tokens in draft.parts.items():
+            kept = min(tokens, kept_tokens)
+            kept_tokens -= kept
+            draft.parts[number] = kept
+            self._give_back(number, tokens - kept, pinned=was_loose)
+
+    def settle(self, draft: Draft, *, used_tokens: float) -> None:
+        """Give back what a draft did not use; a second time does nothing.
+
+        :param draft: from :meth:`take`
+        :param used_tokens: what was used of it
+        """
+        if draft.settled:
+            return
+        draft.settled = True
+        for number, tokens in draft.parts.items():
+            used = min(tokens, used_tokens)
+            used_tokens -= used
+            self._give_back(
+                number, tokens - used, pinned=draft.loose, final=True
+            )
+
+    def ask(self, *, needed_tokens: float, ahead_tokens: float) -> None:
+        """Ask the holder.
+
+        :param needed_tokens: wanted whole
+        :param ahead_tokens: wanted if there are plenty
+        """
+        now_seconds = self._now_seconds()
+        if self._asked_at_seconds is not None:
+            self.unanswered += 1
+        number = next(self._numbers)
+        self._grants[number] = _Grant(
+            sent_at_seconds=now_seconds,
+            ends_at_seconds=now_seconds + limits.GRANT_SECONDS,
+        )
+        self._asked_at_seconds = now_seconds
+        self._asked_number = number
+        self._post(number, needed_tokens, ahead_tokens)
+
+    def forget_request(self) -> None:
+        """Stop waiting for an answer, because the holder has changed."""
+        self._asked_at_seconds = None
+        self.unanswered = 0
+        self.ready_at_seconds = 0.0
+
+    def answer(self, given: rate_messages.TokensGiven) -> bool:
+        """Take in an answer; doubled and late ones change nothing.
+
+        :param given: the answer
+        :return: whether there are more tokens now
+        """
+        now_seconds = self._now_seconds()
+        self._acknowledge(given.number)
+        self.unanswered = 0
+        if given.number == self._asked_number:
+            self.ready_at_seconds = now_seconds + given.ready_in_seconds
+            self._asked_at_seconds = now_seconds if given.queued else None
+        grant = self._grants.get(given.number)
+        if grant is None or grant.answered or given.queued or grant.closed:
+            return False
+        grant.answered = True
+        self.given_tokens = given.tokens
+        self.given_at_seconds = now_seconds
+        grant.ends_at_seconds = grant.sent_at_seconds + given.life_seconds
+        if given.tokens <= 0:
+            del self._grants[given.number]
+            return False
+        if now_seconds >= grant.ends_at_seconds:
+            return False
+        grant.left_tokens = given.tokens
+        return True
+
+    def tick(self, *, report_after_seconds: float) -> None:
+        """Close what has ended, and report what waited long enough.
+
+        :param report_after_seconds: how long a report waits for company
+        """
+        now_seconds = self._now_seconds()
+        for number, grant in list(self._grants.items()):
+            if not grant.ended and now_seconds >= grant.ends_at_seconds:
+                grant.ended = True
+                self._close(number, grant)
+            elif now_seconds > grant.sent_at_seconds + limits.REFUND_SECONDS:
+                self._drop(number)
+        since_seconds = self._reported_since_seconds
+        if (
+            self._reports
+            and since_seconds is not None
+            and now_seconds >= since_seconds + report_after_seconds
+        ):
+            self._post(next(self._numbers), 0.0, 0.0)
+
+    def _charge(self, draft: Draft, number: int, tokens: float) -> None:
+        grant = self._grants[number]
+        grant.left_tokens -= tokens
+        grant.charged_tokens += tokens
+        grant.drafts += 1
+        grant.loose_drafts += draft.loose
+        draft.parts[number] = tokens
+        if grant.left_tokens <= limits.TINY_TOKENS:
+            self._close(number, grant)
+
+    def _give_back(
+        self, number: int, tokens: float, *, pinned: bool, final: bool = False
+    ) -> None:
+        grant = self._grants.get(number)
+        if grant is None:
+            return
+        grant.charged_tokens -= tokens
+        grant.drafts -= final
+        grant.loose_drafts -= pinned
+        if grant.closed:
+            self._report(number, grant)
+        else:
+            grant.left_tokens += tokens
+
+    def _close(self, number: int, grant: _Grant) -> None:
+        # Tokens that were never received are reported as not charged: once
+        # closed, the grant takes no late answer, so nobody can spend them.
+        grant.closed = True
+        grant.left_tokens = 0.0
+        self._report(number, grant)
+
+    def _report(self, number: int, grant: _Grant) -> None:
+        if grant.loose_drafts and not grant.ended:
+            return
+        self._reports[number] = rate_messages.Usage(
+            number, grant.charged_tokens, grant.drafts == 0
+        )
+        if self._reported_since_seconds is None:
+            self._reported_since_seconds = self._now_seconds()
+
+    def _post(self, number: int, needed: float, ahead: float) -> None:
+        usages = tuple(itertools.islice(self._reports.values(), MOST_USAGES))
+        if usages:
+            self._reported_since_seconds = self._now_seconds()
+            self._carried[number] = usages
+        self._send(
+            rate_messages.TokensAsked(
+                self._workspace, number, needed, ahead, usages
+            )
+        )
+
+    def _acknowledge(self, number: int) -> None:
+        for usage in self._carried.pop(number, ()):
+            if self._reports.get(usage.number) != usage:
+                continue
+            del self._reports[usage.number]
+            if usage.final:
+                self._drop(usage.number)
+        if not self._reports:
+            self._reported_since_seconds = None
+        self._carried = {
+            carrier: usages
+            for carrier, usages in self._carried.items()
+            if carrier > number
+        }
+
+    def _drop(self, number: int) -> None:
+        self._grants.pop(number, None)
+        self._reports.pop(number, None)
+
+
+__all__ = [
+    "Draft",
+    "Purse",
+]
--- /dev/null
+++ b/src/boragefold/coordination/rates/service.py
@@ -0,0 +1,234 @@
+"""The fleet-wide rates of one instance: its stock and what it holds."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import itertools
+from typing import Any
+
+from boragefold.coordination import link
+from boragefold.coordination.rates import holders
+from boragefold.coordination.rates import ledger as ledgers
+from boragefold.coordination.rates import lenders as lending
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import purse as purses
+from boragefold.coordination.rates import shares as sharing
+from boragefold.coordination.rates import stock as stocks
+from boragefold.coordination.rates import tenure as tenures
+import boragefold.coordination.rights as membership
+from boragefold.protocol import ids
+from boragefold.protocol import rate_messages
+from boragefold.telemetry import counters as counting
+from boragefold.timing import timers as timing
+
+TICK_SECONDS = 0.25
+
+# Reports wait for the next request to carry them, but not longer than this:
+# it delays the refill by as much.
+REPORT_SECONDS = 0.5
+
+
+class Rates:
+    """Grants the rates that are ours to grant, and spends what we get."""
+
+    def __init__(
+        self,
+        *,
+        peers: link.PeerLink,
+        rights: membership.Rights,
+        timers: timing.TimerService,
+        counters: counting.Counters,
+    ) -> None:
+        """Know no workspaces and no weights yet.
+
+        :param peers: to other instances
+        :param rights: tells which rates we hold
+        :param timers: the timer service
+        :param counters: where refusals and changes are counted
+        """
+        self._link = peers
+        self._rights = rights
+        self._timers = timers
+        self._limits: dict[str, limits.Limit] = {}
+        self._numbers = itertools.count()
+        self._wakes: dict[str, timing.Subscription] = {}
+        self._shares = sharing.Shares(
+            peers=peers,
+            rights=rights,
+            timers=timers,
+            counters=counters,
+            changed=self._put_in_force,
+        )
+        self._holders = holders.Holders(
+            rights=rights,
+            now_seconds=timers.now_seconds,
+            counters=counters,
+            begin=self._begin,
+            send=self._send,
+        )
+        self.stock = stocks.LeasedStock(
+            timers=timers,
+            counters=counters,
+            limit_of=self._limits.get,
+            open_purse=self._open_purse,
+            has_holder=lambda workspace: self._holder(workspace) is not None,
+        )
+        peers.subscribe(rate_messages.TokensAsked, self._asked)
+        peers.subscribe(rate_messages.TokensGiven, self._given)
+        peers.subscribe(
+            rate_messages.BucketHandedOver, self._holders.handed_over
+        )
+        rights.subscribe(self._view_changed)
+        timers.every(period_seconds=TICK_SECONDS, callback=self._tick)
+
+    def update_workspaces(self, rates: Mapping[str, limits.Limit]) -> None:
+        """Put the published rates in force at once.
+
+        :param rates: the fleet's rate and burst of every workspace
+        """
+        self._limits.clear()
+        self._limits.update(rates)
+        self._put_in_force()
+
+    def update_data_centres(
+        self, *, revision: int, weights: Mapping[str, float]
+    ) -> None:
+        """Take in the published weights; a raise waits until it is safe.
+
+        :param revision: of the document; it rises with every change
+        :param weights: weight by data centre
+        """
+        self._shares.update(revision=revision, weights=weights)
+
+    def leave(self) -> None:
+        """Hand over every bucket; call it when a planned stop begins."""
+        self._holders.give_up()
+
+    def _put_in_force(self) -> None:
+        own_part = self._shares.own_part
+        self._holders.update(
+            {
+                workspace: limit.part(own_part)
+                for workspace, limit in self._limits.items()
+            }
+        )
+
+    def _view_changed(self, view: membership.View | None) -> None:
+        self._holders.review()
+        self.stock.holder_changed()
+
+    def _tick(self) -> None:
+        for tenure in self._holders:
+            tenure.tick(report_after_seconds=REPORT_SECONDS)
+        self.stock.tick(report_after_seconds=REPORT_SECONDS)
+
+    def _begin(self, workspace: str, ledger: ledgers.Ledger) -> tenures.Tenure:
+        right = limits.right_of(workspace)
+        return tenures.Tenure(
+            ledger=ledger,
+            lenders=lending.Lenders(
+                workspace=workspace,
+                now_seconds=self._timers.now_seconds,
+                send=self._ask_lender,
+                numbers=self._numbers,
+            ),
+            around=tenures.Surroundings(
+                workspace=workspace,
+                data_centre=self._link.self_id.data_centre,
+                send=self._send,
+                holds=lambda: self._rights.holds(right),
+                lender_parts=lambda: self._lender_parts(workspace),
+            ),
+            now_seconds=self._timers.now_seconds,
+        )
+
+    def _lender_parts(self, workspace: str) -> dict[str, limits.Limit]:
+        limit = self._limits[workspace]
+        return {
+            name: limit.part(self._shares.part(name))
+            for name, view in self._rights.directory().items()
+            if name != self._link.self_id.data_centre
+            and view.members
+            and self._shares.part(name) > 0
+        }
+
+    def _open_purse(self, workspace: str) -> purses.Purse:
+        return purses.Purse(
+            workspace=workspace,
+            now_seconds=self._timers.now_seconds,
+            send=self._ask_holder,
+            numbers=self._numbers,
+        )
+
+    def _holder(self, workspace: str) -> ids.InstanceId | None:
+        # Without a lease of our own we may still ask: whoever holds the rate
+        # checks its own lease before it grants.
+        own_name = self._link.self_id.data_centre
+        view = self._rights.valid_view()
+        view = view or self._rights.directory().get(own_name)
+        if view is None or not view.members:
+            return None
+        return membership.holder(view, limits.right_of(workspace))
+
+    def _ask_holder(self, asked: rate_messages.TokensAsked) -> None:
+        holder = self._holder(asked.workspace)
+        if holder is not None:
+            self._send(holder, asked)
+
+    def _ask_lender(
+        self, data_centre: str, asked: rate_messages.TokensAsked
+    ) -> None:
+        view = self._rights.directory().get(data_centre)
+        if view is not None and view.members:
+            right = limits.right_of(asked.workspace)
+            self._send(membership.holder(view, right), asked)
+
+    def _send(self, to: ids.InstanceId, body: Any) -> None:
+        if to != self._link.self_id:
+            self._link.send(to=to, body=body)
+        elif isinstance(body, rate_messages.TokensAsked):
+            self._asked(to, body)
+        elif isinstance(body, rate_messages.TokensGiven):
+            self._given(to, body)
+        else:
+            self._holders.handed_over(to, body)
+
+    def _asked(
+        self, sender: ids.InstanceId, asked: rate_messages.TokensAsked
+    ) -> None:
+        tenure = self._holders.tenure(asked.workspace)
+        if tenure is not None:
+            tenure.asked(sender, asked)
+            self._serve(asked.workspace, tenure)
+
+    def _given(
+        self, sender: ids.InstanceId, given: rate_messages.TokensGiven
+    ) -> None:
+        if sender.data_centre == self._link.self_id.data_centre:
+            self.stock.answer(given)
+            return
+        tenure = self._holders.tenure(given.workspace)
+        if tenure is not None:
+            tenure.answered(sender, given)
+            self._serve(given.workspace, tenure)
+
+    def _serve(self, workspace: str, tenure: tenures.Tenure) -> None:
+        delay_seconds = tenure.serve()
+        wake = self._wakes.pop(workspace, None)
+        if wake is not None:
+            wake.cancel()
+        if delay_seconds is not None:
+            self._wakes[workspace] = self._timers.once(
+                delay_seconds=delay_seconds,
+                callback=lambda: self._wake(workspace),
+            )
+
+    def _wake(self, workspace: str) -> None:
+        tenure = self._holders.tenure(workspace)
+        if tenure is not None:
+            self._serve(workspace, tenure)
+
+
+__all__ = [
+    "Rates",
+]
--- /dev/null
+++ b/src/boragefold/coordination/rates/stock.py
@@ -0,0 +1,278 @@
+"""The tokens that this instance may spend: grants from the holders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import purse as purses
+from boragefold.coordination.rates import usage
+from boragefold.policy import stock
+from boragefold.protocol import rate_messages
+from boragefold.telemetry import counters as counting
+from boragefold.timing import timers as timing
+
+# More is asked for than is needed now, so that most requests find tokens;
+# and more is fetched when less than this is left of the recent use.
+AHEAD_SECONDS = 0.5
+LOW_SECONDS = 0.2
+
+# A request that found too few tokens is taken to wait for this long; the
+# admission retries or gives up within it.
+WANT_SECONDS = 3.0
+
+# Without a holder: the usual time that a view takes to come about.
+NO_HOLDER_SECONDS = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Charged(stock.Reservation):
+    """A reservation that knows which grants it was charged to."""
+
+    draft: purses.Draft
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Account:
+    """What is known of one workspace that was used of late."""
+
+    purse: purses.Purse
+    use: usage.RecentUse
+    wanted_tokens: float = 0.0
+    wanted_at_seconds: float = 0.0
+    refused_tokens: float = 0.0
+    retry: timing.Subscription | None = None
+
+
+class LeasedStock(stock.Stock):
+    """Spends grants, and asks the holder for the next ones."""
+
+    def __init__(
+        self,
+        *,
+        timers: timing.TimerService,
+        counters: counting.Counters,
+        limit_of: Callable[[str], limits.Limit | None],
+        open_purse: Callable[[str], purses.Purse],
+        has_holder: Callable[[str], bool],
+    ) -> None:
+        """Start with no tokens.
+
+        :param timers: the timer service
+        :param counters: where refusals are counted
+        :param limit_of: the fleet's rate and burst of a workspace
+        :param open_purse: makes the purse of a workspace
+        :param has_holder: tells whether anybody could be asked
+        """
+        self._timers = timers
+        self._counters = counters
+        self._limit_of = limit_of
+        self._open_purse = open_purse
+        self._has_holder = has_holder
+        self._accounts: dict[str, _Account] = {}
+        self._callbacks: list[Callable[[str], None]] = []
+        self._reserving = False
+
+    def reserve(
+        self, *, workspace: str, tokens: float
+    ) -> stock.Reservation | stock.Shortfall:
+        """Set tokens aside, or say why not and when to come back.
+
+        :param workspace: whose rate is charged
+        :param tokens: prompt tokens plus the most that may be generated
+        :return: a reservation, or the shortfall
+        """
+        limit = self._limit_of(workspace)
+        if limit is None:
+            return self._short("no_such_workspace", None)
+        if tokens > limit.burst_tokens + limits.TINY_TOKENS:
+            return self._short("larger_than_burst", None)
+        account = self._account(workspace)
+        now_seconds = self._timers.now_seconds()
+        if account.purse.left_tokens() < tokens:
+            self._want(workspace, account, tokens)
+        if account.purse.left_tokens() < tokens:
+            return self._shortfall(workspace, account)
+        draft = account.purse.take(tokens)
+        account.use.add(tokens, now_seconds)
+        account.wanted_tokens = 0.0
+        self._fetch_ahead(account)
+        return _Charged(workspace=workspace, tokens=tokens, draft=draft)
+
+    def settle(
+        self, reservation: stock.Reservation, *, used_tokens: float
+    ) -> None:
+        """Give back what a finished, failed or abandoned request left over.
+
+        :param reservation: from :meth:`reserve`
+        :param used_tokens: prompt and generated tokens really spent
+        """
+        if reservation.settled or not isinstance(reservation, _Charged):
+            return
+        reservation.settled = True
+        account = self._account(reservation.workspace)
+        excess_tokens = used_tokens - reservation.tokens
+        if excess_tokens > 0:
+            # The engine counted more than was set aside; charge what is here
+            # so that the excess is not handed out a second time.
+            self._counters.add("rate_overruns", "", excess_tokens)
+            left_tokens = account.purse.left_tokens()
+            extra = account.purse.take(min(excess_tokens, left_tokens))
+            account.purse.settle(extra, used_tokens=excess_tokens)
+        before_tokens = account.purse.left_tokens()
+        account.purse.settle(reservation.draft, used_tokens=used_tokens)
+        if account.purse.left_tokens() > before_tokens:
+            self._wake(reservation.workspace, account)
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        """Be told when a workspace has got more tokens.
+
+        :param callback: called with the workspace
+        """
+        self._callbacks.append(callback)
+
+    def answer(self, given: rate_messages.TokensGiven) -> None:
+        """Take in the holder's answer.
+
+        :param given: tokens, or why there are none
+        """
+        account = self._accounts.get(given.workspace)
+        if account is None:
+            return
+        got_more = account.purse.answer(given)
+        if got_more:
+            account.refused_tokens = 0.0
+            self._wake(given.workspace, account)
+        elif given.tokens > 0 or given.queued:
+            return
+        elif given.ready_in_seconds > 0:
+            account.refused_tokens = account.wanted_tokens
+            self._retry_later(given.workspace, account, given.ready_in_seconds)
+        else:
+            # It answered a request for tokens ahead, while which another
+            # request came that needs some now.
+            self._ask_if_wanted(given.workspace, account)
+
+    def holder_changed(self) -> None:
+        """Ask anew, because earlier requests went to a former holder."""
+        for workspace, account in self._accounts.items():
+            account.purse.forget_request()
+            account.refused_tokens = 0.0
+            self._retry_later(workspace, account, 0.0)
+
+    def tick(self, *, report_after_seconds: float) -> None:
+        """Close ended grants, repeat overdue requests, forget idle purses.
+
+        :param report_after_seconds: how long a report waits for company
+        """
+        for workspace, account in list(self._accounts.items()):
+            account.purse.tick(report_after_seconds=report_after_seconds)
+            if account.purse.overdue:
+                self._ask_if_wanted(workspace, account)
+            idle = account.purse.idle and not account.purse.in_flight
+            if idle and not self._is_wanted(account):
+                del self._accounts[workspace]
+
+    def _short(
+        self, reason: str, ready_in_seconds: float | None
+    ) -> stock.Shortfall:
+        self._counters.add("rate_shortfalls", reason)
+        return stock.Shortfall(ready_in_seconds=ready_in_seconds)
+
+    def _shortfall(self, workspace: str, account: _Account) -> stock.Shortfall:
+        now_seconds = self._timers.now_seconds()
+        left_seconds = account.purse.ready_at_seconds - now_seconds
+        if not self._has_holder(workspace):
+            return self._short("no_holder", NO_HOLDER_SECONDS)
+        if account.purse.in_flight:
+            wait_seconds = max(limits.IN_FLIGHT_SECONDS, left_seconds)
+            return self._short("asking", wait_seconds)
+        return self._short(
+            "empty", max(limits.IN_FLIGHT_SECONDS, left_seconds)
+        )
+
+    def _account(self, workspace: str) -> _Account:
+        if workspace not in self._accounts:
+            self._accounts[workspace] = _Account(
+                purse=self._open_purse(workspace), use=usage.RecentUse()
+            )
+        return self._accounts[workspace]
+
+    def _want(self, workspace: str, account: _Account, tokens: float) -> None:
+        now_seconds = self._timers.now_seconds()
+        if not self._is_wanted(account):
+            account.wanted_tokens = 0.0
+        account.wanted_tokens = max(account.wanted_tokens, tokens)
+        account.wanted_at_seconds = now_seconds
+        if account.purse.in_flight:
+            return
+        refused = (
+            now_seconds < account.purse.ready_at_seconds
+            and tokens >= account.refused_tokens > 0
+        )
+        if not refused:
+            self._ask(workspace, account, tokens)
+
+    def _ask(self, workspace: str, account: _Account, tokens: float) -> None:
+        if not self._has_holder(workspace):
+            self._retry_later(workspace, account, limits.RETRY_SECONDS)
+            return
+        now_seconds = self._timers.now_seconds()
+        ahead_tokens = account.use.tokens(now_seconds) * AHEAD_SECONDS
+        was_reserving, self._reserving = self._reserving, True
+        try:
+            account.purse.ask(
+                needed_tokens=max(0.0, tokens - account.purse.left_tokens()),
+                ahead_tokens=ahead_tokens,
+            )
+        finally:
+            self._reserving = was_reserving
+
+    def _fetch_ahead(self, account: _Account) -> None:
+        now_seconds = self._timers.now_seconds()
+        use_tokens = account.use.tokens(now_seconds)
+        if account.purse.left_tokens() >= use_tokens * LOW_SECONDS:
+            return
+        if account.purse.in_flight:
+            return
+        if now_seconds < account.purse.ready_at_seconds:
+            return
+        account.purse.ask(
+            needed_tokens=0.0, ahead_tokens=use_tokens * AHEAD_SECONDS
+        )
+
+    def _is_wanted(self, account: _Account) -> bool:
+        age_seconds = self._timers.now_seconds() - account.wanted_at_seconds
+        return account.wanted_tokens > 0 and age_seconds < WANT_SECONDS
+
+    def _ask_if_wanted(self, workspace: str, account: _Account) -> None:
+        if not self._is_wanted(account) or account.purse.in_flight:
+            return
+        if account.purse.left_tokens() < account.wanted_tokens:
+            self._ask(workspace, account, account.wanted_tokens)
+        if account.purse.left_tokens() >= account.wanted_tokens:
+            self._wake(workspace, account)
+
+    def _retry_later(
+        self, workspace: str, account: _Account, delay_seconds: float
+    ) -> None:
+        if account.retry is not None:
+            account.retry.cancel()
+        account.retry = self._timers.once(
+            delay_seconds=delay_seconds,
+            callback=lambda: self._ask_if_wanted(workspace, account),
+        )
+
+    def _wake(self, workspace: str, account: _Account) -> None:
+        # An answer may come while the request for it is being sent, when we
+        # hold the rate ourselves; whoever reserves then looks again anyway.
+        if self._reserving:
+            return
+        for callback in self._callbacks:
+            callback(workspace)
+
+
+__all__ = [
+    "LeasedStock",
+]
--- /dev/null
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -0,0 +1,378 @@
+"""The time during which one instance holds the rate of one workspace."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from boragefold.coordination.rates import ledger as ledgers
+from boragefold.coordination.rates import lenders as lending
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import usage
+from boragefold.protocol import ids
+from boragefold.protocol import rate_messages
+
+# What is granted ahead of need is at most this part of the level, so that
+# one instance can't empty the bucket for what it may not use.
+AHEAD_PART = 0.25
+
+# Smaller amounts are not worth a message of their own.
+LEAST_TOKENS = 1e-3
+
+# Waking up more often than this costs more than it saves anybody.
+LEAST_WAIT_SECONDS = 0.01
+
+Send = Callable[[ids.InstanceId, rate_messages.TokensGiven], None]
+
+
+class Surroundings:
+    """What a tenure asks its instance for."""
+
+    def __init__(
+        self,
+        *,
+        workspace: str,
+        data_centre: str,
+        send: Send,
+        holds: Callable[[], bool],
+        lender_parts: Callable[[], dict[str, limits.Limit]],
+    ) -> None:
+        """Bind the questions to their answers.
+
+        :param workspace: whose rate is held
+        :param data_centre: our own
+        :param send: sends an answer
+        :param holds: tells whether the right is ours at this moment
+        :param lender_parts: the other data centres that have a holder, and
+            their parts of the rate
+        """
+        self.workspace = workspace
+        self.data_centre = data_centre
+        self.send = send
+        self.holds = holds
+        self.lender_parts = lender_parts
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Waiting:
+    """A request that waits for the refill or for a loan."""
+
+    asker: ids.InstanceId
+    number: int
+    needed_tokens: float
+    ahead_tokens: float
+    came_at_seconds: float
+    told: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class _LentOn:
+    """A grant that was made of loans as well."""
+
+    loans: list[lending.Loan]
+    given_at_seconds: float
+
+
+class Tenure:
+    """Owns one bucket; grants, lends and borrows."""
+
+    def __init__(
+        self,
+        *,
+        ledger: ledgers.Ledger,
+        lenders: lending.Lenders,
+        around: Surroundings,
+        now_seconds: Callable[[], float],
+    ) -> None:
+        """Begin to hold the right.
+
+        :param ledger: the bucket of this data centre's part
+        :param lenders: for loans from other data centres
+        :param around: what the instance knows
+        :param now_seconds: the clock
+        """
+        self.ledger = ledger
+        self.lenders = lenders
+        self._around = around
+        self._now_seconds = now_seconds
+        self._waiting: dict[ids.InstanceId, _Waiting] = {}
+        self._newest: dict[ids.InstanceId, int] = {}
+        self._lent_on: dict[tuple[ids.InstanceId, int], _LentOn] = {}
+        self._use = usage.RecentUse()
+
+    def asked(
+        self, asker: ids.InstanceId, request: rate_messages.TokensAsked
+    ) -> None:
+        """Take in reports, then grant, lend, queue or refuse.
+
+        :param asker: an instance of ours, or another data centre's holder
+        :param request: its message
+        """
+        now_seconds = self._now_seconds()
+        self.ledger.advance(now_seconds)
+        for report in request.usages:
+            self._report(asker, report)
+        if request.needed_tokens <= 0 and request.ahead_tokens <= 0:
+            self._answer(asker, request.number)
+            return
+        if request.number <= self._newest.get(asker, -1):
+            # A doubled or overtaken message. Granting again would be safe
+            # but would lose the tokens: the asker ignores a second answer.
+            return
+        self._newest[asker] = request.number
+        if asker.data_centre != self._around.data_centre:
+            self._lend(asker, request)
+            return
+        self._waiting[asker] = _Waiting(
+            asker=asker,
+            number=request.number,
+            needed_tokens=request.needed_tokens,
+            ahead_tokens=request.ahead_tokens,
+            came_at_seconds=now_seconds,
+        )
+        self.serve()
+
+    def serve(self) -> float | None:
+        """Grant what can be granted, in the order of arrival.
+
+        :return: seconds until the next try is worth while, None when nobody
+            waits
+        """
+        now_seconds = self._now_seconds()
+        self.ledger.advance(now_seconds)
+        while self._waiting:
+            first = next(iter(self._waiting.values()))
+            if not self._affordable(first.needed_tokens):
+                break
+            del self._waiting[first.asker]
+            self._grant(first)
+        if not self._waiting:
+            return None
+        self._borrow()
+        ready_seconds = self._tell_waiting()
+        if ready_seconds is None:
+            return None
+        ask_seconds = self.lenders.next_ask_seconds() - now_seconds
+        return max(LEAST_WAIT_SECONDS, min(ready_seconds, ask_seconds))
+
+    def answered(
+        self, lender: ids.InstanceId, given: rate_messages.TokensGiven
+    ) -> None:
+        """Take in a loan, or the refusal of one.
+
+        :param lender: another data centre's holder
+        :param given: its answer
+        """
+        self.lenders.answer(lender.data_centre, given)
+
+    def tick(self, *, report_after_seconds: float) -> None:
+        """Forget what is too old to come back.
+
+        :param report_after_seconds: how long a report waits for company
+        """
+        self.ledger.advance(self._now_seconds())
+        self.ledger.settle_old(self._now_seconds())
+        self.lenders.tick(report_after_seconds=report_after_seconds)
+        oldest_seconds = self._now_seconds() - limits.REFUND_SECONDS
+        self._lent_on = {
+            key: lent_on
+            for key, lent_on in self._lent_on.items()
+            if lent_on.given_at_seconds > oldest_seconds
+        }
+
+    def _affordable(self, tokens: float) -> bool:
+        if self.ledger.level_tokens < tokens:
+            self.ledger.recount()
+        have_tokens = self.ledger.level_tokens + self.lenders.left_tokens()
+        return have_tokens + limits.TINY_TOKENS >= tokens
+
+    def _grant(self, waiting: _Waiting) -> None:
+        # Loans end by themselves, so they are spent before our own level.
+        level_tokens = self.ledger.level_tokens
+        have_tokens = level_tokens + self.lenders.left_tokens()
+        spare_tokens = max(0.0, have_tokens - waiting.needed_tokens)
+        wanted_tokens = waiting.needed_tokens + min(
+            waiting.ahead_tokens, spare_tokens * AHEAD_PART
+        )
+        loans = self.lenders.take(wanted_tokens)
+        borrowed_tokens = sum(loan.tokens for loan in loans)
+        own_tokens = max(0.0, wanted_tokens - borrowed_tokens)
+        own_tokens = min(own_tokens, level_tokens)
+        self._use.add(own_tokens, self._now_seconds())
+        life_seconds = self.lenders.life_seconds(loans)
+        if loans:
+            self._lent_on[waiting.asker, waiting.number] = _LentOn(
+                loans=loans, given_at_seconds=self._now_seconds()
+            )
+        self._give(
+            waiting.asker,
+            waiting.number,
+            own_tokens=own_tokens,
+            tokens=own_tokens + borrowed_tokens,
+            life_seconds=life_seconds,
+        )
+
+    def _lend(
+        self, asker: ids.InstanceId, request: rate_messages.TokensAsked
+    ) -> None:
+        # Those who wait here come first, and so do those who will ask within
+        # the next second: their data centre's part is theirs. Otherwise an
+        # overloaded data centre keeps the buckets of the others empty, and
+        # each request there waits for a loan.
+        wanted_here = sum(
+            each.needed_tokens for each in self._waiting.values()
+        )
+        self.ledger.recount()
+        kept_tokens = wanted_here + self._use.tokens(self._now_seconds())
+        spare_tokens = max(0.0, self.ledger.level_tokens - kept_tokens)
+        wanted_tokens = request.needed_tokens + request.ahead_tokens
+        tokens = min(wanted_tokens, spare_tokens)
+        self._give(
+            asker,
+            request.number,
+            own_tokens=tokens,
+            tokens=tokens,
+            life_seconds=limits.GRANT_SECONDS,
+        )
+
+    def _give(
+        self,
+        asker: ids.InstanceId,
+        number: int,
+        *,
+        own_tokens: float,
+        tokens: float,
+        life_seconds: float,
+    ) -> None:
+        # A process that was paused since the message came in may have lost
+        # the right meanwhile; its successor then grants the same refill.
+        # Hence the check right before the debit and the sending.
+        if not self._around.holds():
+            return
+        if tokens < LEAST_TOKENS:
+            self._answer(asker, number)
+            return
+        self.ledger.give(
+            asker=asker,
+            number=number,
+            tokens=own_tokens,
+            now_seconds=self._now_seconds(),
+        )
+        self._answer(asker, number, tokens=tokens, life_seconds=life_seconds)
+
+    def _answer(
+        self,
+        asker: ids.InstanceId,
+        number: int,
+        *,
+        tokens: float = 0.0,
+        life_seconds: float = 0.0,
+        ready_in_seconds: float = 0.0,
+        queued: bool = False,
+    ) -> None:
+        self._around.send(
+            asker,
+            rate_messages.TokensGiven(
+                self._around.workspace,
+                number,
+                tokens,
+                life_seconds,
+                ready_in_seconds,
+                queued,
+            ),
+        )
+
+    def _report(
+        self, asker: ids.InstanceId, report: rate_messages.Usage
+    ) -> None:
+        key = (asker, report.number)
+        charged_tokens = report.charged_tokens
+        lent_on = self._lent_on.get(key)
+        for loan in lent_on.loans if lent_on else ():
+            part = min(loan.tokens, charged_tokens)
+            charged_tokens -= part
+            if report.final:
+                self.lenders.settle(loan, used_tokens=part)
+            else:
+                self.lenders.pin(loan, kept_tokens=part)
+        if report.final:
+            self._lent_on.pop(key, None)
+        self.ledger.report(
+            asker=asker,
+            number=report.number,
+            charged_tokens=charged_tokens,
+            final=report.final,
+            now_seconds=self._now_seconds(),
+        )
+
+    def _borrow(self) -> None:
+        short_tokens = sum(
+            waiting.needed_tokens for waiting in self._waiting.values()
+        )
+        short_tokens -= self.ledger.level_tokens + self.lenders.left_tokens()
+        # A loan a request would be a message a request; ask for what will be
+        # needed next as well.
+        ahead_tokens = sum(
+            waiting.ahead_tokens for waiting in self._waiting.values()
+        )
+        self.lenders.ask(
+            self._around.lender_parts(),
+            short_tokens=short_tokens,
+            ahead_tokens=ahead_tokens,
+        )
+
+    def _tell_waiting(self) -> float | None:
+        """Refuse those who would wait too long, tell the others how long.
+
+        :return: seconds until the first of the others can be served
+        """
+        now_seconds = self._now_seconds()
+        in_flight = self.lenders.in_flight()
+        before_tokens = 0.0
+        next_seconds: float | None = None
+        for waiting in list(self._waiting.values()):
+            before_tokens += waiting.needed_tokens
+            ready_seconds = self._ready_in_seconds(before_tokens)
+            waited_seconds = now_seconds - waiting.came_at_seconds
+            expected = limits.IN_FLIGHT_SECONDS if in_flight else ready_seconds
+            if waited_seconds + expected > limits.QUEUE_SECONDS:
+                del self._waiting[waiting.asker]
+                before_tokens -= waiting.needed_tokens
+                self._answer(
+                    waiting.asker,
+                    waiting.number,
+                    ready_in_seconds=ready_seconds,
+                )
+                continue
+            if next_seconds is None:
+                next_seconds = ready_seconds
+            if not waiting.told:
+                waiting.told = True
+                self._answer(
+                    waiting.asker,
+                    waiting.number,
+                    ready_in_seconds=expected,
+                    queued=True,
+                )
+        return next_seconds
+
+    def _ready_in_seconds(self, tokens: float) -> float:
+        now_seconds = self._now_seconds()
+        parts = self._around.lender_parts()
+        own = self.ledger.limit
+        rate = own.rate_tokens_per_second + sum(
+            part.rate_tokens_per_second
+            for name, part in parts.items()
+            if self.lenders.reachable(name)
+        )
+        short = tokens - self.ledger.level_tokens - self.lenders.left_tokens()
+        if rate <= 0:
+            return limits.REFUND_SECONDS
+        wait_seconds = self.ledger.starts_in_seconds(now_seconds)
+        return wait_seconds + max(0.001, short / rate)
+
+
+__all__ = [
+    "Surroundings",
+    "Tenure",
+]
--- /dev/null
+++ b/src/boragefold/coordination/rates/usage.py
@@ -0,0 +1,40 @@
+"""How much was used of late."""
+
+from __future__ import annotations
+
+import math
+
+# The average forgets within about this time: a grant's life is twice that.
+MEMORY_SECONDS = 1.0
+
+
+class RecentUse:
+    """An exponentially decaying sum of tokens."""
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._at_seconds = 0.0
+
+    def add(self, tokens: float, now_seconds: float) -> None:
+        """Count tokens.
+
+        :param tokens: what was used
+        :param now_seconds: the clock
+        """
+        self._tokens = self.tokens(now_seconds) + tokens
+        self._at_seconds = now_seconds
+
+    def tokens(self, now_seconds: float) -> float:
+        """Estimate what is used in one second.
+
+        :param now_seconds: the clock
+        :return: tokens
+        """
+        elapsed_seconds = now_seconds - self._at_seconds
+        return self._tokens * math.exp(-elapsed_seconds / MEMORY_SECONDS)
+
+
+__all__ = [
+    "MEMORY_SECONDS",
+    "RecentUse",
+]
