--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -104,6 +104,22 @@
         """Hand over every bucket; call it when a planned stop begins."""
         self._holders.give_up()
 
+    def buckets(self, now_seconds: float) -> list[ledgers.Ledger]:
+        """List the buckets that are ours at this moment, for inspection.
+
+        :param now_seconds: the clock
+        :return: buckets, refilled up to now
+        """
+        held = [
+            tenure.ledger
+            for workspace in self._limits
+            if (tenure := self._holders.tenure(workspace)) is not None
+        ]
+        for ledger in held:
+            ledger.advance(now_seconds)
+            ledger.recount()
+        return held
+
     def _put_in_force(self) -> None:
         own_part = self._shares.own_part
         self._holders.update(
--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -22,6 +22,9 @@
 # admission retries or gives up within it.
 WANT_SECONDS = 3.0
 
+# How soon a request is made again that another one had kept from being sent.
+AGAIN_SECONDS = 0.005
+
 # Without a holder: the usual time that a view takes to come about.
 NO_HOLDER_SECONDS = 1.0
 
@@ -90,9 +93,9 @@
             return self._short("larger_than_burst", None)
         account = self._account(workspace)
         now_seconds = self._timers.now_seconds()
-        if account.purse.left_tokens() < tokens:
+        if not self._covers(account, tokens):
             self._want(workspace, account, tokens)
-        if account.purse.left_tokens() < tokens:
+        if not self._covers(account, tokens):
             return self._shortfall(workspace, account)
         draft = account.purse.take(tokens)
         account.use.add(tokens, now_seconds)
@@ -152,7 +155,7 @@
         else:
             # It answered a request for tokens ahead, while which another
             # request came that needs some now.
-            self._ask_if_wanted(given.workspace, account)
+            self._retry_later(given.workspace, account, AGAIN_SECONDS)
 
     def holder_changed(self) -> None:
         """Ask anew, because earlier requests went to a former holder."""
@@ -218,13 +221,19 @@
         if not self._has_holder(workspace):
             self._retry_later(workspace, account, limits.RETRY_SECONDS)
             return
+        needed_tokens = max(0.0, tokens - account.purse.left_tokens())
+        self._ask_quietly(account, needed_tokens)
+
+    def _ask_quietly(self, account: _Account, needed_tokens: float) -> None:
+        # An answer comes while the request is being sent when we hold the
+        # rate ourselves. Whoever reserves looks again anyway; waking it from
+        # within its own call would reserve for the same request twice.
         now_seconds = self._timers.now_seconds()
-        ahead_tokens = account.use.tokens(now_seconds) * AHEAD_SECONDS
         was_reserving, self._reserving = self._reserving, True
         try:
             account.purse.ask(
-                needed_tokens=max(0.0, tokens - account.purse.left_tokens()),
-                ahead_tokens=ahead_tokens,
+                needed_tokens=needed_tokens,
+                ahead_tokens=account.use.tokens(now_seconds) * AHEAD_SECONDS,
             )
         finally:
             self._reserving = was_reserving
@@ -238,9 +247,10 @@
             return
         if now_seconds < account.purse.ready_at_seconds:
             return
-        account.purse.ask(
-            needed_tokens=0.0, ahead_tokens=use_tokens * AHEAD_SECONDS
-        )
+        self._ask_quietly(account, 0.0)
+
+    def _covers(self, account: _Account, tokens: float) -> bool:
+        return account.purse.left_tokens() + limits.TINY_TOKENS >= tokens
 
     def _is_wanted(self, account: _Account) -> bool:
         age_seconds = self._timers.now_seconds() - account.wanted_at_seconds
@@ -249,9 +259,9 @@
     def _ask_if_wanted(self, workspace: str, account: _Account) -> None:
         if not self._is_wanted(account) or account.purse.in_flight:
             return
-        if account.purse.left_tokens() < account.wanted_tokens:
+        if not self._covers(account, account.wanted_tokens):
             self._ask(workspace, account, account.wanted_tokens)
-        if account.purse.left_tokens() >= account.wanted_tokens:
+        if self._covers(account, account.wanted_tokens):
             self._wake(workspace, account)
 
     def _retry_later(
@@ -265,8 +275,6 @@
         )
 
     def _wake(self, workspace: str, account: _Account) -> None:
-        # An answer may come while the request for it is being sent, when we
-        # hold the rate ourselves; whoever reserves then looks again anyway.
         if self._reserving:
             return
         for callback in self._callbacks:
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -16,9 +16,6 @@
 # one instance can't empty the bucket for what it may not use.
 AHEAD_PART = 0.25
 
-# Smaller amounts are not worth a message of their own.
-LEAST_TOKENS = 1e-3
-
 # Waking up more often than this costs more than it saves anybody.
 LEAST_WAIT_SECONDS = 0.01
 
@@ -249,7 +246,7 @@
         # Hence the check right before the debit and the sending.
         if not self._around.holds():
             return
-        if tokens < LEAST_TOKENS:
+        if tokens <= limits.TINY_TOKENS:
             self._answer(asker, number)
             return
         self.ledger.give(
