Distribute the configuration by few readers and comparisons

Cause: the platform takes 2,000 calls a second and a waiting watch is one; a burst of ten changes a second watched by 899 instances would be 8,990.

Ruled out: every instance watches (above); pushing whole values (a value of 100 adapters changes for one of them); forwarding by every receiver (the steward's push plus the deputy's list of versions costs less and repairs a lost push within 0.4 s); readiness on the platform's word alone (a lagging copy lets a withdrawn key in again).

Change: steward and deputy of each view follow the platform; the steward pushes patches, the deputy tells versions, everyone compares hashes with another instance each second, readers also with another data centre. A fresh instance is ready when it agrees with a ready peer, or when the platform was read whole and no ready peer answers for three seconds.

--- /dev/null
+++ b/src/boragefold/coordination/configuration/distribution.py
@@ -0,0 +1,158 @@
+"""Passes news on to the other instances, and compares in the background."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from boragefold.coordination.configuration import exchange as exchanges
+from boragefold.coordination.configuration import peers as peering
+import boragefold.coordination.link as links
+from boragefold.protocol import config_messages as messages
+from boragefold.protocol import ids
+from boragefold.state import fingerprint as fingerprints
+from boragefold.state import history as histories
+from boragefold.state import patch as patches
+from boragefold.state import tree as trees
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+
+# Changes that one watch brought together go out together.
+PUSH_DELAY_SECONDS = 0.01
+# The deputy tells versions, not values, once the steward's values have had
+# the time to arrive: that costs 50 bytes where all is well.
+DEPUTY_DELAY_SECONDS = 0.4
+# Beyond this, versions are told instead, so that a whole tree is not pushed
+# at members that hold most of it.
+PUSH_BYTES = 64 * 1024
+# By then every data centre that sees the platform has read the news itself
+# and a comparison ends with the summary.
+RUMOUR_DELAY_SECONDS = 0.7
+# 29 data centres are reached in four rounds.
+RUMOUR_FANOUT = 3
+
+
+class Distribution:
+    """Tells the members of the view, and other data centres, of changes."""
+
+    def __init__(
+        self,
+        *,
+        link: links.PeerLink,
+        tree: trees.Tree,
+        history: histories.History,
+        exchange: exchanges.Exchange,
+        peers: peering.Peers,
+        timers: timing.TimerService,
+        compare: Callable[[ids.InstanceId], None],
+        counters: telemetry.Counters,
+    ) -> None:
+        self._link = link
+        self._tree = tree
+        self._history = history
+        self._exchange = exchange
+        self._peers = peers
+        self._timers = timers
+        self._compare = compare
+        self._counters = counters
+        # The values before the changes that wait to go out, by path.
+        self._waiting: dict[str, trees.Entry | None] = {}
+        tree.subscribe(self._changed)
+
+    def _changed(self, change: trees.Change) -> None:
+        if not self._waiting:
+            self._timers.once(
+                delay_seconds=PUSH_DELAY_SECONDS, callback=self._flush
+            )
+        self._waiting.setdefault(change.path, change.before)
+
+    def _flush(self) -> None:
+        waiting, self._waiting = self._waiting, {}
+        role = self._peers.role
+        if role is peering.Role.STEWARD:
+            self._push(waiting)
+        elif role is peering.Role.DEPUTY:
+            self._timers.once(
+                delay_seconds=DEPUTY_DELAY_SECONDS,
+                callback=lambda: self._tell(waiting),
+            )
+        if role in (peering.Role.STEWARD, peering.Role.DEPUTY):
+            self._timers.once(
+                delay_seconds=RUMOUR_DELAY_SECONDS, callback=self._spread
+            )
+
+    def _push(self, waiting: dict[str, trees.Entry | None]) -> None:
+        bodies = [
+            body
+            for path, before in waiting.items()
+            if (body := self._patch(path, before)) is not None
+        ]
+        size_bytes = sum(len(body.entries) for body in bodies)
+        if len(bodies) < len(waiting) or size_bytes > PUSH_BYTES:
+            self._push_values(waiting)
+            return
+        for member in self._peers.members():
+            for body in bodies:
+                self._link.send(to=member, body=body)
+        self._counters.add("configuration_pushes", "patch")
+
+    def _push_values(self, paths: Iterable[str]) -> None:
+        entries = [self._tree.entry(path) for path in paths]
+        size_bytes = sum(
+            len(entry.packed or b"") for entry in entries if entry is not None
+        )
+        if size_bytes > PUSH_BYTES:
+            self._tell(paths)
+            return
+        for member in self._peers.members():
+            for path in paths:
+                self._exchange.send_value(member, path)
+        self._counters.add("configuration_pushes", "value")
+
+    def _patch(
+        self, path: str, before: trees.Entry | None
+    ) -> messages.ConfigurationPatch | None:
+        entry = self._tree.entry(path)
+        after_data = self._tree.data(path)
+        packed = None if before is None else before.packed
+        before_data = None if packed is None else trees.unpack(packed)
+        if entry is None or before is None:
+            return None
+        if before_data is None or after_data is None:
+            return None
+        patch = patches.make(before_data, after_data)
+        if len(patch.entries) >= len(entry.packed or b""):
+            return None
+        return messages.ConfigurationPatch(
+            path=path,
+            base_revision=before.revision,
+            base_prefix=fingerprints.prefix(before.digest),
+            revision=entry.revision,
+            digest=entry.digest,
+            since_seconds=self._history.since_seconds(path),
+            entries=patch.entries,
+            removed=patch.removed,
+        )
+
+    def _tell(self, paths: Iterable[str]) -> None:
+        versions = [
+            messages.PathVersion(
+                path, entry.revision, fingerprints.prefix(entry.digest)
+            )
+            for path in paths
+            if (entry := self._tree.entry(path)) is not None
+        ]
+        for member in self._peers.members():
+            self._exchange.send_versions(member, versions)
+        self._counters.add("configuration_pushes", "versions")
+
+    def _spread(self) -> None:
+        for _ in range(RUMOUR_FANOUT):
+            peer = self._peers.remote()
+            if peer is not None:
+                self._compare(peer)
+
+
+__all__ = [
+    "Distribution",
+]
--- /dev/null
+++ b/src/boragefold/coordination/configuration/exchange.py
@@ -0,0 +1,263 @@
+"""Compares the tree with that of another instance and hands values over.
+
+A comparison goes: summary; if it differs, a hash for each bucket; for the
+buckets that differ the versions, both ways; then each side asks for what is
+newer on the other. Every message stands alone, so a lost or doubled one costs
+a round at most, and the next comparison starts afresh.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import hashlib
+from typing import NamedTuple
+
+from boragefold.coordination.configuration import transfer
+import boragefold.coordination.link as links
+from boragefold.protocol import config_messages as messages
+from boragefold.protocol import ids
+from boragefold.state import fingerprint as fingerprints
+from boragefold.state import history as histories
+from boragefold.state import patch as patches
+from boragefold.state import tree as trees
+from boragefold.telemetry import counters as telemetry
+
+# Some 200 versions, so a message stays below 16 KiB.
+VERSIONS_PER_MESSAGE = 200
+# What one request is answered with at most; the rest is asked for again at
+# the next comparison. A fresh instance then gets the letter's catalogue in a
+# few rounds, and no sender's queue holds more than this for it.
+ANSWER_BYTES = 512 * 1024
+
+
+# Comparisons of a fresh instance that are remembered at the same time.
+MAX_OPEN = 16
+
+
+class _Comparison(NamedTuple):
+    """The buckets in which a peer may still hold something newer."""
+
+    buckets: set[int]
+    is_ready: bool
+
+
+class Exchange:
+    """Answers other instances, and asks them for what is newer there."""
+
+    def __init__(
+        self,
+        *,
+        link: links.PeerLink,
+        tree: trees.Tree,
+        fingerprint: fingerprints.Fingerprint,
+        history: histories.History,
+        counters: telemetry.Counters,
+        is_ready: Callable[[], bool],
+        reconciled: Callable[[ids.InstanceId, int, bool], None],
+    ) -> None:
+        self._link = link
+        self._tree = tree
+        self._fingerprint = fingerprint
+        self._history = history
+        self._counters = counters
+        self._is_ready = is_ready
+        self._reconciled = reconciled
+        self._assembler = transfer.Assembler()
+        self._open: dict[ids.InstanceId, _Comparison] = {}
+        link.subscribe(messages.ConfigurationBuckets, self._on_buckets)
+        link.subscribe(messages.ConfigurationVersions, self._on_versions)
+        link.subscribe(messages.ConfigurationWant, self._on_want)
+        link.subscribe(messages.ConfigurationValue, self._on_value)
+        link.subscribe(messages.ConfigurationPatch, self._on_patch)
+
+    def answer_summary(self, to: ids.InstanceId) -> None:
+        """Go on with a comparison whose summaries differ.
+
+        :param to: who sent the summary
+        """
+        body = messages.ConfigurationBuckets(
+            self._fingerprint.hashes(), self._is_ready()
+        )
+        self._link.send(to=to, body=body)
+
+    def send_value(self, to: ids.InstanceId, path: str) -> int:
+        """Hand over what is in force at a path.
+
+        :param to: who gets it
+        :param path: the path
+        :return: the bytes sent, zero when nothing was published there
+        """
+        entry = self._tree.entry(path)
+        if entry is None:
+            return 0
+        since_seconds = self._history.since_seconds(path)
+        for piece in transfer.split(path, entry, since_seconds):
+            self._link.send(to=to, body=piece)
+        return len(entry.packed or b"") or 1
+
+    def send_versions(
+        self, to: ids.InstanceId, versions: Iterable[messages.PathVersion]
+    ) -> None:
+        """Tell of new versions, for the receiver to ask for.
+
+        :param to: who is told
+        :param versions: the versions
+        """
+        for page in _pages(versions):
+            body = messages.ConfigurationVersions((), page, True)
+            self._link.send(to=to, body=body)
+
+    def _on_buckets(
+        self, sender: ids.InstanceId, body: messages.ConfigurationBuckets
+    ) -> None:
+        differing = self._fingerprint.differing(body.hashes)
+        self._open[sender] = _Comparison(set(differing), body.ready)
+        if len(self._open) > MAX_OPEN:
+            del self._open[next(iter(self._open))]
+        self._report(sender)
+        self._send_buckets(sender, differing, is_reply=False)
+
+    def _report(self, peer: ids.InstanceId) -> None:
+        comparison = self._open[peer]
+        remaining = len(comparison.buckets)
+        if not remaining:
+            del self._open[peer]
+        self._reconciled(peer, remaining, comparison.is_ready)
+
+    def _send_buckets(
+        self, to: ids.InstanceId, buckets: Iterable[int], *, is_reply: bool
+    ) -> None:
+        chosen: list[int] = []
+        versions: list[messages.PathVersion] = []
+        for bucket in buckets:
+            chosen.append(bucket)
+            versions += self._fingerprint.versions(bucket)
+            if len(versions) >= VERSIONS_PER_MESSAGE:
+                self._send_page(to, chosen, versions, is_reply)
+                chosen, versions = [], []
+        if chosen:
+            self._send_page(to, chosen, versions, is_reply)
+
+    def _send_page(
+        self,
+        to: ids.InstanceId,
+        buckets: list[int],
+        versions: list[messages.PathVersion],
+        is_reply: bool,
+    ) -> None:
+        body = messages.ConfigurationVersions(
+            tuple(buckets), tuple(versions), is_reply
+        )
+        self._link.send(to=to, body=body)
+
+    def _on_versions(
+        self, sender: ids.InstanceId, body: messages.ConfigurationVersions
+    ) -> None:
+        wanted = [
+            version.path
+            for version in body.versions
+            if self._is_wanted(version)
+        ]
+        if wanted:
+            want = messages.ConfigurationWant(tuple(wanted))
+            self._link.send(to=sender, body=want)
+        elif body.is_reply and sender in self._open:
+            # The peer holds other values here, but none that we would take:
+            # ours are newer, or its newer ones are invalid to this release.
+            self._open[sender].buckets.difference_update(body.buckets)
+            self._report(sender)
+        if not body.is_reply:
+            known = [
+                bucket
+                for bucket in body.buckets
+                if 0 <= bucket < fingerprints.BUCKETS
+            ]
+            self._send_buckets(sender, known, is_reply=True)
+
+    def _is_wanted(self, version: messages.PathVersion) -> bool:
+        path, revision, prefix = version
+        entry = self._tree.entry(path)
+        if entry is not None:
+            present = (entry.revision, fingerprints.prefix(entry.digest))
+            if (revision, prefix) <= present:
+                return False
+        rejection = self._tree.rejection(path)
+        return rejection is None or (revision, prefix) != (
+            rejection.revision,
+            fingerprints.prefix(rejection.digest),
+        )
+
+    def _on_want(
+        self, sender: ids.InstanceId, body: messages.ConfigurationWant
+    ) -> None:
+        budget_bytes = ANSWER_BYTES
+        for path in body.paths:
+            if budget_bytes <= 0:
+                return
+            budget_bytes -= self.send_value(sender, path)
+
+    def _on_value(
+        self, sender: ids.InstanceId, body: messages.ConfigurationValue
+    ) -> None:
+        whole = self._assembler.add(sender, body)
+        if whole is not None:
+            self._apply(*whole)
+
+    def _on_patch(
+        self, sender: ids.InstanceId, body: messages.ConfigurationPatch
+    ) -> None:
+        version = messages.PathVersion(
+            body.path, body.revision, fingerprints.prefix(body.digest)
+        )
+        if not self._is_wanted(version):
+            return
+        data = self._patched(body)
+        if data is None:
+            # We hold another value than the sender's former one, because a
+            # message was lost before this one.
+            self._counters.add("configuration_patches", "other_base")
+            want = messages.ConfigurationWant((body.path,))
+            self._link.send(to=sender, body=want)
+            return
+        self._counters.add("configuration_patches", "applied")
+        self._apply(body.path, body.revision, data, body.since_seconds)
+
+    def _patched(self, body: messages.ConfigurationPatch) -> bytes | None:
+        entry = self._tree.entry(body.path)
+        before = self._tree.data(body.path)
+        if entry is None or before is None:
+            return None
+        base = (entry.revision, fingerprints.prefix(entry.digest))
+        if base != (body.base_revision, body.base_prefix):
+            return None
+        patch = patches.Patch(body.entries, body.removed)
+        data = patches.apply(before, patch)
+        if data is None or hashlib.sha256(data).digest() != body.digest:
+            return None
+        return data
+
+    def _apply(
+        self,
+        path: str,
+        revision: int,
+        data: bytes | None,
+        since_seconds: float,
+    ) -> None:
+        self._history.note_since(path, revision, since_seconds)
+        self._tree.apply(path=path, revision=revision, data=data)
+
+
+def _pages(
+    versions: Iterable[messages.PathVersion],
+) -> Iterator[tuple[messages.PathVersion, ...]]:
+    remaining = tuple(versions)
+    while remaining:
+        yield remaining[:VERSIONS_PER_MESSAGE]
+        remaining = remaining[VERSIONS_PER_MESSAGE:]
+
+
+__all__ = [
+    "Exchange",
+]
--- /dev/null
+++ b/src/boragefold/coordination/configuration/peers.py
@@ -0,0 +1,176 @@
+"""Who reads the platform, and whom an instance compares itself with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import enum
+import itertools
+import random
+
+import boragefold.coordination.rights as membership
+from boragefold.protocol import ids
+from boragefold.protocol import platform_api
+
+STEWARD_RIGHT = "configuration/0"
+DEPUTY_RIGHT = "configuration/1"
+
+
+class Role(enum.Enum):
+    """What an instance does for the configuration of its data centre."""
+
+    STEWARD = "steward"
+    DEPUTY = "deputy"
+    MEMBER = "member"
+    ALONE = "alone"
+
+
+def readers(view: membership.View) -> tuple[ids.InstanceId, ...]:
+    """Pick the steward of a view, and its deputy if there is a second member.
+
+    Reading is no exclusive right: two stewards for a while cost a few calls
+    and do no harm, because the tree never goes backwards.
+
+    :param view: a view with at least one member
+    :return: the steward, then the deputy
+    """
+    steward = membership.holder(view, STEWARD_RIGHT)
+    others = tuple(member for member in view.members if member != steward)
+    if not others:
+        return (steward,)
+    rest = view._replace(members=others)
+    return (steward, membership.holder(rest, DEPUTY_RIGHT))
+
+
+class Peers:
+    """The other instances, as far as we know them."""
+
+    def __init__(
+        self,
+        *,
+        rights: membership.Rights,
+        seeds: Sequence[ids.InstanceId],
+        random: random.Random,
+    ) -> None:
+        self._rights = rights
+        self._seeds = tuple(seeds)
+        self._random = random
+        self._listed: tuple[ids.InstanceId, ...] = ()
+        self._own = rights.self_id
+
+    @property
+    def role(self) -> Role:
+        """Tell what we do at this moment.
+
+        :return: the role; ``ALONE`` without a valid view
+        """
+        view = self._rights.valid_view()
+        if view is None:
+            return Role.ALONE
+        chosen = readers(view)
+        if self._own not in chosen:
+            return Role.MEMBER
+        return Role.STEWARD if chosen[0] == self._own else Role.DEPUTY
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Be told when the role may have changed.
+
+        :param callback: called without arguments
+        """
+        self._rights.subscribe(lambda _: callback())
+
+    def note_listing(self, listing: platform_api.Listing) -> None:
+        """Learn addresses from the platform's list.
+
+        :param listing: the list
+        """
+        self._listed = tuple(
+            ids.InstanceId(instance.data_centre, instance.address, "")
+            for instance in listing.instances
+            if instance.kind == "entry"
+        )
+
+    def members(self) -> tuple[ids.InstanceId, ...]:
+        """Read who else is in our valid view.
+
+        :return: the members, none without a valid view
+        """
+        view = self._rights.valid_view()
+        return () if view is None else self._without_us(view.members)
+
+    def local(self) -> ids.InstanceId | None:
+        """Draw an instance of our data centre.
+
+        :return: a member of the view; failing that one that we know of
+        """
+        members = self.members()
+        if not members:
+            members = self._known_in(
+                lambda name: name == self._own.data_centre
+            )
+        return self._draw(members)
+
+    def remote(self) -> ids.InstanceId | None:
+        """Draw an instance of another data centre.
+
+        The readers of a data centre hear news first, so they are drawn most
+        often; now and then any member is, lest outdated knowledge of a view
+        hide a data centre for ever.
+
+        :return: an instance, or None
+        """
+        views = {
+            name: view
+            for name, view in self._rights.directory().items()
+            if name != self._own.data_centre and view.members
+        }
+        if not views:
+            foreign = self._known_in(
+                lambda name: name != self._own.data_centre
+            )
+            return self._draw(foreign)
+        view = views[self._random.choice(sorted(views))]
+        candidates = (*readers(view), self._random.choice(view.members))
+        return self._draw(candidates)
+
+    def any(self) -> ids.InstanceId | None:
+        """Draw an instance, more often one of our own data centre.
+
+        :return: an instance, or None when we know of none
+        """
+        first, second = (
+            (self.remote, self.local)
+            if self._random.random() < 1 / 3
+            else (self.local, self.remote)
+        )
+        return first() or second()
+
+    def _known_in(
+        self, wanted: Callable[[str], bool]
+    ) -> tuple[ids.InstanceId, ...]:
+        viewed = itertools.chain.from_iterable(
+            view.members for view in self._rights.directory().values()
+        )
+        known = itertools.chain(viewed, self._listed, self._seeds)
+        return self._without_us(
+            tuple(peer for peer in known if wanted(peer.data_centre))
+        )
+
+    def _without_us(
+        self, peers: tuple[ids.InstanceId, ...]
+    ) -> tuple[ids.InstanceId, ...]:
+        return tuple(
+            peer for peer in peers if peer.address != self._own.address
+        )
+
+    def _draw(
+        self, peers: tuple[ids.InstanceId, ...]
+    ) -> ids.InstanceId | None:
+        return self._random.choice(peers) if peers else None
+
+
+__all__ = [
+    "Peers",
+    "Role",
+    "readers",
+]
--- /dev/null
+++ b/src/boragefold/coordination/configuration/readiness.py
@@ -0,0 +1,172 @@
+"""Decides when an instance knows enough to answer callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+from boragefold.coordination.configuration import watching
+from boragefold.protocol import ids
+from boragefold.state import tree as trees
+from boragefold.timing import timers as timing
+
+# How long a fresh instance that has read the platform waits for a peer that
+# may know newer values. Three comparisons at the pace of a fresh instance.
+ALONE_SECONDS = 3.0
+# How long a peer that is ready, and with which we still differ, is waited
+# for: long enough to be handed the whole tree, not for ever.
+DIFFERING_SECONDS = 10.0
+# An instance of another data centre may be behind ours when the two are cut
+# off from each other or from the platform. Our own are heard by then.
+REMOTE_AFTER_SECONDS = 2.0
+# A start is fast when there is anyone to ask; after this there is nobody.
+NO_SOURCE_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ready:
+    """The configuration is whole, as far as anyone we reach can tell.
+
+    ``source`` is ``peer`` or ``platform``.
+    """
+
+    since_seconds: float
+    source: str
+    tag: str = "ready"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotReady:
+    """The configuration is not known yet.
+
+    ``reason`` is one of ``asking``, ``no_source`` and ``nothing_published``.
+    """
+
+    reason: str
+    remedy: str
+    tag: str = "not_ready"
+
+
+Readiness = Ready | NotReady
+
+
+class ReadinessJudge:
+    """Watches a fresh instance until it is ready, which it then stays."""
+
+    def __init__(
+        self,
+        *,
+        tree: trees.Tree,
+        watcher: watching.TreeWatcher,
+        timers: timing.TimerService,
+        data_centre: str,
+    ) -> None:
+        self._data_centre = data_centre
+        self._tree = tree
+        self._watcher = watcher
+        self._timers = timers
+        self._ready: Ready | None = None
+        self._ready_peer_seconds: float | None = None
+        self._heard_local = False
+        self._started_seconds = timers.now_seconds()
+        self._subscribers: list[Callable[[Ready], None]] = []
+
+    def subscribe(self, callback: Callable[[Ready], None]) -> None:
+        """Be told when the instance has become ready.
+
+        :param callback: called once
+        """
+        self._subscribers.append(callback)
+
+    def readiness(self) -> Readiness:
+        """Judge.
+
+        :return: ready, or why not
+        """
+        return self._ready or self._reason()
+
+    def is_ready(self) -> bool:
+        """Judge.
+
+        :return: whether the instance is ready
+        """
+        return self._ready is not None
+
+    def note_peer(
+        self, peer: ids.InstanceId, differing: int, is_ready: bool
+    ) -> None:
+        """Take in how a comparison with another instance went.
+
+        :param peer: which instance
+        :param differing: how many buckets hold something newer there
+        :param is_ready: whether it is ready itself
+        """
+        if not is_ready:
+            return
+        if self._ready_peer_seconds is None:
+            self._ready_peer_seconds = self._timers.now_seconds()
+        is_local = peer.data_centre == self._data_centre
+        self._heard_local = self._heard_local or is_local
+        if differing or not len(self._tree):
+            return
+        if is_local or self._may_follow_remote():
+            self._become_ready("peer")
+
+    def check(self) -> None:
+        """Become ready without a peer if there is none to wait for."""
+        whole_read_seconds = self._watcher.whole_read_seconds
+        if self._ready or whole_read_seconds is None or not len(self._tree):
+            return
+        now_seconds = self._timers.now_seconds()
+        waited_seconds = now_seconds - whole_read_seconds
+        # A copy of the platform may lag: a key withdrawn a minute ago would
+        # work here again. A ready peer knows better, so it is waited for.
+        peer_seconds = self._ready_peer_seconds
+        limit_seconds = (
+            ALONE_SECONDS if peer_seconds is None else DIFFERING_SECONDS
+        )
+        if waited_seconds >= limit_seconds:
+            self._become_ready("platform")
+
+    def _become_ready(self, source: str) -> None:
+        if self._ready is not None:
+            return
+        self._ready = Ready(
+            since_seconds=self._timers.now_seconds(), source=source
+        )
+        for callback in self._subscribers:
+            callback(self._ready)
+
+    def _reason(self) -> NotReady:
+        if self._watcher.whole_read_seconds is not None:
+            if not len(self._tree):
+                return NotReady(
+                    reason="nothing_published",
+                    remedy="publish the tree; the platform's is empty",
+                )
+        elif self._ready_peer_seconds is None and self._is_overdue():
+            return NotReady(
+                reason="no_source",
+                remedy="bring back the platform's configuration service, or"
+                " an instance that is ready and can be reached from here",
+            )
+        return NotReady(
+            reason="asking",
+            remedy="wait; the configuration is being fetched",
+        )
+
+    def _may_follow_remote(self) -> bool:
+        waited_seconds = self._timers.now_seconds() - self._started_seconds
+        return not self._heard_local and waited_seconds >= REMOTE_AFTER_SECONDS
+
+    def _is_overdue(self) -> bool:
+        waited_seconds = self._timers.now_seconds() - self._started_seconds
+        return waited_seconds >= NO_SOURCE_SECONDS
+
+
+__all__ = [
+    "NotReady",
+    "Readiness",
+    "ReadinessJudge",
+    "Ready",
+]
--- /dev/null
+++ b/src/boragefold/coordination/configuration/service.py
@@ -0,0 +1,266 @@
+"""The published configuration of one instance, put together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import NamedTuple
+
+from absl import logging
+
+from boragefold.coordination.configuration import distribution
+from boragefold.coordination.configuration import exchange
+from boragefold.coordination.configuration import leaving
+from boragefold.coordination.configuration import peers as peering
+from boragefold.coordination.configuration import reader as readers
+from boragefold.coordination.configuration import readiness as judging
+from boragefold.coordination.configuration import watching
+import boragefold.coordination.link as links
+import boragefold.coordination.rights as membership
+from boragefold.protocol import config_messages as messages
+from boragefold.protocol import ids
+from boragefold.protocol import platform_api
+from boragefold.state import catalogue as catalogues
+from boragefold.state import fingerprint as fingerprints
+from boragefold.state import history as histories
+from boragefold.state import tree as trees
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+
+# One comparison a second and instance finds a lost message within a second
+# or two and costs some 220 bytes a second, sent and received.
+COMPARE_PERIOD_SECONDS = 1.0
+# A fresh instance is of no use until it is ready, so it asks faster.
+FRESH_PERIOD_SECONDS = 0.5
+# The readers of a data centre compare themselves with another one this often.
+REMOTE_EVERY_TICKS = 2
+# Fresh instances without a view spread their first calls over this.
+ALONE_SPREAD_SECONDS = 4.0
+
+
+class Status(NamedTuple):
+    """What an operator asks first.
+
+    ``heard_seconds_ago`` tells how long ago this instance, or whoever told
+    it, had an answer from the platform; None for never.
+    """
+
+    readiness: judging.Readiness
+    role: peering.Role
+    newest_revision: int
+    paths: int
+    root: int
+    heard_seconds_ago: float | None
+    rejections: dict[str, trees.Rejection]
+
+
+class Configuration:
+    """Keeps the tree up to date, from the platform or from other instances."""
+
+    def __init__(
+        self,
+        *,
+        tree: trees.Tree,
+        catalogue: catalogues.Catalogue,
+        history: histories.History,
+        link: links.PeerLink,
+        rights: membership.Rights,
+        reader: readers.PlatformReader,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        random: random.Random,
+        seeds: Sequence[ids.InstanceId] = (),
+    ) -> None:
+        self._tree = tree
+        self._link = link
+        self._timers = timers
+        self._counters = counters
+        self._random = random
+        self._ticks = 0
+        self._heard_seconds: float | None = None
+        self._fingerprint = fingerprints.Fingerprint(tree=tree)
+        self._peers = peering.Peers(rights=rights, seeds=seeds, random=random)
+        self._watcher = watching.TreeWatcher(
+            reader=reader,
+            timers=timers,
+            random=random,
+            counters=counters,
+            take=self._take,
+        )
+        self._judge = judging.ReadinessJudge(
+            tree=tree,
+            watcher=self._watcher,
+            timers=timers,
+            data_centre=link.self_id.data_centre,
+        )
+        self._exchange = exchange.Exchange(
+            link=link,
+            tree=tree,
+            fingerprint=self._fingerprint,
+            history=history,
+            counters=counters,
+            is_ready=self._judge.is_ready,
+            reconciled=self._judge.note_peer,
+        )
+        self._distribution = distribution.Distribution(
+            link=link,
+            tree=tree,
+            history=history,
+            exchange=self._exchange,
+            peers=self._peers,
+            timers=timers,
+            compare=self._compare,
+            counters=counters,
+        )
+        self._leaving = leaving.LeavingNews(
+            link=link,
+            index=catalogue.endpoints,
+            peers=self._peers,
+            counters=counters,
+        )
+        link.subscribe(messages.ConfigurationSummary, self._on_summary)
+        tree.subscribe_rejections(_log_rejection)
+        self._judge.subscribe(_log_ready)
+
+    def start(self) -> None:
+        """Begin to read and to compare."""
+        self._peers.subscribe(self._take_role)
+        self._take_role()
+        self._tick()
+
+    def note_listing(self, listing: platform_api.Listing) -> None:
+        """Learn from the platform's list; subscribe this to its poller.
+
+        :param listing: the list
+        """
+        self._peers.note_listing(listing)
+        self._leaving.note_listing(listing)
+
+    def readiness(self) -> judging.Readiness:
+        """Tell whether callers can be answered from this configuration.
+
+        :return: ready, or why not and what to do
+        """
+        return self._judge.readiness()
+
+    def subscribe_ready(
+        self, callback: Callable[[judging.Ready], None]
+    ) -> None:
+        """Be told when the instance has become ready.
+
+        :param callback: called once
+        """
+        self._judge.subscribe(callback)
+
+    def status(self) -> Status:
+        """Sum up for an operator.
+
+        :return: the status
+        """
+        return Status(
+            readiness=self._judge.readiness(),
+            role=self._peers.role,
+            newest_revision=self._tree.newest_revision(),
+            paths=len(self._tree),
+            root=self._fingerprint.root(),
+            heard_seconds_ago=self._heard_seconds_ago(),
+            rejections=self._tree.rejections(),
+        )
+
+    def _take(self, changes: tuple[platform_api.PublishedChange, ...]) -> None:
+        for path, revision, data in changes:
+            self._tree.apply(path=path, revision=revision, data=data)
+
+    def _take_role(self) -> None:
+        role = self._peers.role
+        if role is peering.Role.MEMBER:
+            self._watcher.stop()
+        elif role is peering.Role.ALONE:
+            # A whole data centre, or all of them, may have just been
+            # restarted; their first calls must not come all at once.
+            self._watcher.start(
+                gap_seconds=watching.ALONE_GAP_SECONDS,
+                delay_seconds=self._random.uniform(0, ALONE_SPREAD_SECONDS),
+            )
+        else:
+            self._watcher.start(gap_seconds=watching.MIN_GAP_SECONDS)
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        self._take_role()
+        self._judge.check()
+        if self._judge.is_ready():
+            self._compare_in_turn()
+            period_seconds = COMPARE_PERIOD_SECONDS
+        else:
+            self._compare(self._peers.any())
+            period_seconds = FRESH_PERIOD_SECONDS
+        # Without the jitter, instances started together stay in step.
+        delay_seconds = period_seconds * self._random.uniform(0.8, 1.2)
+        self._timers.once(delay_seconds=delay_seconds, callback=self._tick)
+
+    def _compare_in_turn(self) -> None:
+        self._compare(self._peers.local())
+        reads = self._peers.role is not peering.Role.MEMBER
+        if reads and self._ticks % REMOTE_EVERY_TICKS == 0:
+            self._compare(self._peers.remote())
+
+    def _compare(self, peer: ids.InstanceId | None) -> None:
+        if peer is None:
+            return
+        body = messages.ConfigurationSummary(
+            root=self._fingerprint.root(),
+            marks_root=self._leaving.root(),
+            ready=self._judge.is_ready(),
+            heard_seconds_ago=self._heard_seconds_ago(),
+        )
+        self._link.send(to=peer, body=body)
+
+    def _on_summary(
+        self, sender: ids.InstanceId, body: messages.ConfigurationSummary
+    ) -> None:
+        self._note_heard(body.heard_seconds_ago)
+        if body.marks_root != self._leaving.root():
+            self._leaving.send_all(sender)
+        same = body.root == self._fingerprint.root()
+        if not same or not body.ready:
+            self._counters.add(
+                "configuration_comparisons", "fresh" if same else "differing"
+            )
+            self._exchange.answer_summary(sender)
+
+    def _note_heard(self, seconds_ago: float | None) -> None:
+        if seconds_ago is None:
+            return
+        heard_seconds = self._timers.now_seconds() - seconds_ago
+        self._heard_seconds = max(self._heard_seconds or 0.0, heard_seconds)
+
+    def _heard_seconds_ago(self) -> float | None:
+        if self._watcher.heard_seconds is not None:
+            self._note_heard(
+                self._timers.now_seconds() - self._watcher.heard_seconds
+            )
+        if self._heard_seconds is None:
+            return None
+        return self._timers.now_seconds() - self._heard_seconds
+
+
+def _log_rejection(path: str, rejection: trees.Rejection) -> None:
+    logging.warning(
+        "revision %d of %s was not put into force: %s; %s",
+        rejection.revision,
+        path,
+        rejection.rejected.reason,
+        rejection.rejected.remedy,
+    )
+
+
+def _log_ready(ready: judging.Ready) -> None:
+    logging.info("the configuration is ready, from the %s", ready.source)
+
+
+__all__ = [
+    "Configuration",
+    "Status",
+]
--- /dev/null
+++ b/src/boragefold/coordination/configuration/transfer.py
@@ -0,0 +1,136 @@
+"""Values in pieces that fit a message."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from boragefold.protocol import config_messages as messages
+from boragefold.protocol import ids
+from boragefold.state import tree as trees
+
+# Small enough that heartbeats behind a piece are not held up: 32 KiB take
+# 3 ms on a link of 100 Mbit/s.
+CHUNK_BYTES = 32 * 1024
+# The platform's values hold a mebibyte; packing never adds as much as this.
+MAX_PACKED_BYTES = (1 << 20) + (1 << 12)
+# Bounds the memory that unfinished values take to 8 MiB.
+MAX_UNFINISHED = 8
+
+
+class Assembled(NamedTuple):
+    """A whole value: JSON, or None after a deletion."""
+
+    path: str
+    revision: int
+    data: bytes | None
+    since_seconds: float
+
+
+def split(
+    path: str, entry: trees.Entry, since_seconds: float
+) -> Iterator[messages.ConfigurationValue]:
+    """Cut a value into pieces.
+
+    :param path: where it stands
+    :param entry: what is in force there
+    :param since_seconds: when it came into force first, by the calendar
+    :return: one piece at least
+    """
+    packed = entry.packed
+    whole = messages.ConfigurationValue(
+        path=path,
+        revision=entry.revision,
+        digest=entry.digest,
+        since_seconds=since_seconds,
+        total_bytes=0 if packed is None else len(packed),
+        offset_bytes=0,
+        chunk=packed,
+    )
+    if packed is None or len(packed) <= CHUNK_BYTES:
+        yield whole
+        return
+    for offset in range(0, len(packed), CHUNK_BYTES):
+        yield whole._replace(
+            offset_bytes=offset, chunk=packed[offset : offset + CHUNK_BYTES]
+        )
+
+
+class _Unfinished(NamedTuple):
+    chunks: dict[int, bytes]
+    total_bytes: int
+
+
+_Key = tuple[ids.InstanceId, str, int, bytes]
+
+
+class Assembler:
+    """Puts pieces together again, in any order and doubled or not."""
+
+    def __init__(self) -> None:
+        self._unfinished: collections.OrderedDict[_Key, _Unfinished] = (
+            collections.OrderedDict()
+        )
+
+    def add(
+        self, sender: ids.InstanceId, value: messages.ConfigurationValue
+    ) -> Assembled | None:
+        """Take a piece.
+
+        A lost piece leaves the value unfinished; the next comparison asks
+        for the whole value again, and the pieces kept here still count.
+
+        :param sender: who sent it
+        :param value: the piece
+        :return: the value when this piece completed it
+        """
+        if value.chunk is None:
+            return _assembled(value, None)
+        if not 0 < value.total_bytes <= MAX_PACKED_BYTES:
+            return None
+        if len(value.chunk) == value.total_bytes:
+            return _unpacked(value, value.chunk)
+        return self._add_piece(sender, value, value.chunk)
+
+    def _add_piece(
+        self,
+        sender: ids.InstanceId,
+        value: messages.ConfigurationValue,
+        chunk: bytes,
+    ) -> Assembled | None:
+        key = (sender, value.path, value.revision, value.digest)
+        unfinished = self._unfinished.setdefault(
+            key, _Unfinished({}, value.total_bytes)
+        )
+        self._unfinished.move_to_end(key)
+        if len(self._unfinished) > MAX_UNFINISHED:
+            self._unfinished.popitem(last=False)
+        unfinished.chunks[value.offset_bytes] = chunk
+        held_bytes = sum(map(len, unfinished.chunks.values()))
+        if held_bytes < unfinished.total_bytes:
+            return None
+        del self._unfinished[key]
+        ordered = sorted(unfinished.chunks.items())
+        return _unpacked(value, b"".join(chunk for _, chunk in ordered))
+
+
+def _unpacked(
+    value: messages.ConfigurationValue, packed: bytes
+) -> Assembled | None:
+    data = trees.unpack(packed)
+    return None if data is None else _assembled(value, data)
+
+
+def _assembled(
+    value: messages.ConfigurationValue, data: bytes | None
+) -> Assembled:
+    return Assembled(value.path, value.revision, data, value.since_seconds)
+
+
+__all__ = [
+    "Assembled",
+    "Assembler",
+    "CHUNK_BYTES",
+    "split",
+]
--- a/src/boragefold/standins/platform.py
+++ b/src/boragefold/standins/platform.py
@@ -61,6 +61,7 @@
         self.faults = Faults()
         self.calls: collections.Counter[int] = collections.Counter()
         self.refused_calls = 0
+        self._subscribers: list[Callable[[], None]] = []
         self._revision = 0
         self._versions: dict[str, list[_Version]] = {}
         self._listings = [(now_seconds(), platform_api.Listing(0, ()))]
@@ -73,6 +74,10 @@
         """
         return self._revision
 
+    def _tell(self) -> None:
+        for callback in self._subscribers:
+            callback()
+
     def put(self, path: str, document: Any) -> int:
         """Publish a document, valid or not.
 
@@ -93,6 +98,7 @@
         versions = self._versions.setdefault(path, [])
         versions.append(_Version(self._now_seconds(), self._revision, data))
         del versions[:-KEPT_VERSIONS]
+        self._tell()
         return self._revision
 
     def delete(self, path: str) -> int:
@@ -150,6 +156,14 @@
         """
         self._revision = snapshot.revision
         self._versions = copy.deepcopy(snapshot.versions)
+        self._tell()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Be told of each change of the tree, before any lag.
+
+        :param callback: called without arguments
+        """
+        self._subscribers.append(callback)
 
     def count_call(self) -> platform_api.PlatformFailed | None:
         """Count a call, and refuse it if it is one too many.
--- a/src/boragefold/state/catalogue.py
+++ b/src/boragefold/state/catalogue.py
@@ -28,12 +28,8 @@
         self._common: dict[str, Any] = {}
         self._services: dict[str, documents.Service] = {}
         tree.subscribe(self._changed)
-        for path, entry in tree:
-            self._changed(
-                trees.Change(
-                    path, entry.revision, entry.digest, tree.document(path)
-                )
-            )
+        for path, _ in tree:
+            self._replace(path, tree.document(path))
 
     def workspace(self, workspace: str) -> workspaces.WorkspaceSettings | None:
         """Read a workspace's settings, defaults filled in.
@@ -151,9 +147,10 @@
         self.endpoints.subscribe(callback)
 
     def _changed(self, change: trees.Change) -> None:
-        parsed = paths.parse(change.path)
-        document = change.document
-        match parsed:
+        self._replace(change.path, change.document)
+
+    def _replace(self, path: str, document: Any | None) -> None:
+        match paths.parse(path):
             case paths.TreePath("endpoints", data_centre):
                 self.endpoints.replace(
                     data_centre=data_centre, document=document
--- a/src/boragefold/state/endpoints.py
+++ b/src/boragefold/state/endpoints.py
@@ -8,8 +8,12 @@
 from typing import Literal
 from typing import NamedTuple
 
+from boragefold.protocol import config_messages as messages
 from boragefold.state import documents
 
+# A day's replacements at the size designed for; the oldest go first.
+MAX_MARKS = 4096
+
 
 class EndpointRecord(NamedTuple):
     """An endpoint; ``state`` is leaving if the tree or the list says so."""
@@ -25,24 +29,13 @@
     state: Literal["live", "leaving"]
 
 
-class LeavingMark(NamedTuple):
-    """What the newest list that spoke of an address said.
-
-    ``list_revision`` orders the lists: a mark is undone only by a newer one.
-    """
-
-    address: str
-    list_revision: int
-    leaving: bool
-
-
 class EndpointIndex:
     """Endpoints by data centre and by address."""
 
     def __init__(self) -> None:
         self._data_centres: dict[str, dict[str, EndpointRecord]] = {}
         self._by_address: dict[str, EndpointRecord] = {}
-        self._marks: dict[str, LeavingMark] = {}
+        self._marks: dict[str, messages.LeavingMark] = {}
         self._subscribers: list[Callable[[EndpointRecord], None]] = []
 
     def subscribe(self, callback: Callable[[EndpointRecord], None]) -> None:
@@ -107,7 +100,9 @@
             if record.address not in was_leaving:
                 self._announce(record)
 
-    def mark(self, marks: Iterable[LeavingMark]) -> list[LeavingMark]:
+    def mark(
+        self, marks: Iterable[messages.LeavingMark]
+    ) -> list[messages.LeavingMark]:
         """Take over what a list says of addresses, unless it is outdated.
 
         :param marks: from the platform's list or from a peer
@@ -115,12 +110,12 @@
         """
         return [mark for mark in marks if self._mark(mark)]
 
-    def marks(self) -> list[LeavingMark]:
-        """Read the marks of the addresses that are leaving by the list.
+    def marks(self) -> list[messages.LeavingMark]:
+        """Read all marks, those undone included.
 
         :return: the marks
         """
-        return [mark for mark in self._marks.values() if mark.leaving]
+        return list(self._marks.values())
 
     def __iter__(self) -> Iterator[EndpointRecord]:
         return map(self._with_mark, self._by_address.values())
@@ -128,14 +123,17 @@
     def __len__(self) -> int:
         return len(self._by_address)
 
-    def _mark(self, mark: LeavingMark) -> bool:
+    def _mark(self, mark: messages.LeavingMark) -> bool:
         # Two readers see lists of different age. An older list that still
         # says "live" must not undo a newer one's "leaving": the endpoint
         # would get work again and then be cut off with it.
         known = self._marks.get(mark.address)
         if known is not None and known.list_revision >= mark.list_revision:
             return False
+        self._marks.pop(mark.address, None)
         self._marks[mark.address] = mark
+        if len(self._marks) > MAX_MARKS:
+            del self._marks[next(iter(self._marks))]
         if (known is not None and known.leaving) == mark.leaving:
             return False
         record = self._by_address.get(mark.address)
@@ -159,5 +157,4 @@
 __all__ = [
     "EndpointIndex",
     "EndpointRecord",
-    "LeavingMark",
 ]
--- a/src/boragefold/state/tree.py
+++ b/src/boragefold/state/tree.py
@@ -36,6 +36,7 @@
     revision: int
     digest: bytes
     document: Any | None
+    before: Entry | None
 
 
 class Rejection(NamedTuple):
@@ -76,6 +77,20 @@
 Outcome = Applied | Ignored | Refused
 
 
+def unpack(packed: bytes) -> bytes | None:
+    """Unpack a value; its size is bounded whatever the bytes claim.
+
+    :param packed: from an entry, or from a peer
+    :return: JSON, or None for bytes that are no packed value
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, validation.MAX_VALUE_BYTES + 1)
+    except zlib.error:
+        return None
+    return data if unpacker.eof else None
+
+
 class Tree:
     """Documents by path, each replaced whole and never by an older one."""
 
@@ -159,9 +174,8 @@
         :return: JSON, or None
         """
         entry = self._entries.get(path)
-        if entry is None or entry.packed is None:
-            return None
-        return zlib.decompress(entry.packed)
+        packed = None if entry is None else entry.packed
+        return None if packed is None else unpack(packed)
 
     def newest_revision(self) -> int:
         """Tell the newest revision in force at any path.
@@ -179,6 +193,14 @@
         """
         return dict(self._rejections)
 
+    def rejection(self, path: str) -> Rejection | None:
+        """Read why the newest value of a path was not put into force.
+
+        :param path: the path
+        :return: the rejection, or None
+        """
+        return self._rejections.get(path)
+
     def __iter__(self) -> Iterator[tuple[str, Entry]]:
         return iter(self._entries.items())
 
@@ -225,7 +247,7 @@
         if known is not None and known.revision <= revision:
             del self._rejections[path]
         self._counters.add("configuration_applied")
-        change = Change(path, revision, digest, document)
+        change = Change(path, revision, digest, document, present)
         for callback in self._subscribers:
             callback(change)
         return Applied(change=change)
@@ -241,4 +263,5 @@
     "Refused",
     "Rejection",
     "Tree",
+    "unpack",
 ]
--- a/src/boragefold/state/validation.py
+++ b/src/boragefold/state/validation.py
@@ -92,11 +92,7 @@
             remedy="move it to a path of the published tree's table",
         )
     if len(data) > MAX_VALUE_BYTES:
-        return Rejected(
-            path=path,
-            reason=f"too_large: {len(data)} bytes",
-            remedy="split it over several paths; a value holds 1 MiB",
-        )
+        return _too_large(path, data)
     return _validate(path, SCHEMAS[parsed.kind], data)
 
 
@@ -127,6 +123,10 @@
     if fault is not None:
         return Rejected(path=path, reason=fault.reason, remedy=fault.remedy)
     canonical = msgspec.json.encode(document, order="deterministic")
+    if len(canonical) > MAX_VALUE_BYTES:
+        # "1" becomes "1.0". Peers are handed the canonical form and would
+        # not take one that is over the limit.
+        return _too_large(path, canonical)
     return Accepted(
         path=path,
         document=document,
@@ -135,6 +135,14 @@
     )
 
 
+def _too_large(path: str, data: bytes) -> Rejected:
+    return Rejected(
+        path=path,
+        reason=f"too_large: {len(data)} bytes",
+        remedy="split it over several paths; a value holds 1 MiB",
+    )
+
+
 def _without_keys(path: str, message: str) -> str:
     """Drop what could quote a key: a mistaken document may hold them."""
     return "a field of a key" if path.endswith("/keys") else message[:200]
--- /dev/null
+++ b/tests/coordination/configuration/test_readiness.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+from boragefold.coordination.configuration import readiness
+from boragefold.state import validation
+from tests.fakes import configuration as scenes
+
+STORE = scenes.STORE
+
+
+def test_without_platform_and_peers_an_instance_says_it_is_not_ready() -> None:
+    # Everything is restarted while the platform is down. Answering callers
+    # from an empty catalogue would refuse every key as unknown.
+    scene = scenes.Scene(ready=False)
+    scene.platform.faults.down = True
+    scene.fleet.start_all(scenes.DATA_CENTRES, 2)
+    scene.network.run_for(30.0)
+    for instance in scene.fleet.instances.values():
+        judged = instance.configuration.readiness()
+        assert isinstance(judged, readiness.NotReady)
+        assert judged.reason == "no_source"
+        assert "platform" in judged.remedy
+    scene.platform.faults.down = False
+    assert scene.settle(lambda instance: instance.ready) < 15.0
+
+
+def test_with_the_platform_down_an_instance_starts_from_a_peer() -> None:
+    # The platform is down for an hour and instances are replaced meanwhile.
+    scene = scenes.Scene()
+    scene.settle_on(scene.put_store(9))
+    scene.platform.faults.down = True
+    fresh = scene.fleet.start("east", "east-9")
+    assert scene.settle(lambda instance: instance.ready) < 3.0
+    assert fresh.configuration.readiness().source == "peer"
+    assert scene.loads_in_flight() == {9}
+
+
+def test_a_rolling_restart_with_the_platform_down_loses_nothing() -> None:
+    # Every instance is replaced, one after the other, during an outage of
+    # the platform; in the end no process is left that ever read it.
+    scene = scenes.Scene()
+    revision = scene.put_store(9)
+    scene.settle_on(revision)
+    first_seconds = scene.fleet.instances["east-0"].history.since_seconds(
+        STORE
+    )
+    scene.platform.faults.down = True
+    scene.network.run_for(5.0)
+    for address, instance in list(scene.fleet.instances.items()):
+        scene.fleet.kill(address)
+        scene.fleet.start(instance.self_id.data_centre, address)
+        assert scene.settle(lambda instance: instance.ready) < 10.0
+        scene.network.run_for(5.0)
+    assert scene.loads_in_flight() == {9}
+    for instance in scene.fleet.instances.values():
+        record = instance.history.of_path(STORE)[-1]
+        assert abs(record.fleet_from_seconds - first_seconds) < 0.1
+        assert record.from_seconds > first_seconds + 1.0
+
+
+def test_a_start_from_a_lagging_copy_waits_for_a_peer() -> None:
+    # A key is withdrawn; a minute later an instance is replaced, and its
+    # calls reach a copy of the platform that is two minutes behind. Ready
+    # on that copy alone, it would let the key in again.
+    scene = scenes.Scene()
+    scene.network.run_for(200.0)
+    revision = scene.put_store(9)
+    scene.settle_on(revision)
+    fresh = scene.fleet.start("east", "east-9")
+    fresh.reader.lag_seconds = 120.0
+    seen: list[int] = []
+    fresh.configuration.subscribe_ready(
+        lambda _: seen.append(fresh.revision(STORE))
+    )
+    assert scene.settle(lambda instance: instance.ready) < 5.0
+    assert seen == [revision]
+
+
+def test_an_empty_platform_makes_nobody_ready() -> None:
+    scene = scenes.Scene(ready=False)
+    scene.platform.faults.lag_seconds = 1e6
+    scene.fleet.start_all(("east",), 2)
+    scene.network.run_for(30.0)
+    judged = scene.fleet.instances["east-0"].configuration.readiness()
+    assert isinstance(judged, readiness.NotReady)
+    assert judged.reason == "nothing_published"
+
+
+def test_a_value_that_this_release_rejects_does_not_keep_it_from_ready(
+    monkeypatch,
+) -> None:
+    # During a roll to a release that knows a new field, the older release
+    # takes no value with it. A fresh instance of the older release must
+    # still start from a peer, without the subtree it can't read.
+    scene = scenes.Scene()
+    scene.platform.faults.down = True
+    scene.network.run_for(1.0)
+    validate = validation.validate
+
+    def validate_as_older_release(path: str, data: bytes):
+        if path != STORE:
+            return validate(path, data)
+        return validation.Rejected(
+            path=path, reason="unknown_field", remedy="roll on"
+        )
+
+    monkeypatch.setattr(validation, "validate", validate_as_older_release)
+    fresh = scene.fleet.start("east", "east-9")
+    assert scene.settle(lambda instance: instance.ready) < 15.0
+    assert fresh.tree.rejection(STORE) is not None
+    assert fresh.tree.document(STORE) is None
--- a/tests/state/test_catalogue.py
+++ b/tests/state/test_catalogue.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from boragefold.protocol import config_messages as messages
 from boragefold.standins import example_tree
 from boragefold.state import catalogue as catalogues
-from boragefold.state import endpoints
 from boragefold.state import tree as trees
 from boragefold.telemetry import counters as telemetry
 
@@ -144,10 +144,10 @@
         lambda record: told.append(record.address)
     )
     index = instance.catalogue.endpoints
-    index.mark([endpoints.LeavingMark("10.0.0.1:1", 5, True)])
-    index.mark([endpoints.LeavingMark("10.0.0.1:1", 4, False)])
+    index.mark([messages.LeavingMark("10.0.0.1:1", 5, True)])
+    index.mark([messages.LeavingMark("10.0.0.1:1", 4, False)])
     instance.publish("endpoints/east", example.tree["endpoints/east"])
     assert [record.state for record in index] == ["leaving"]
     assert told == ["10.0.0.1:1"]
-    index.mark([endpoints.LeavingMark("10.0.0.1:1", 6, False)])
+    index.mark([messages.LeavingMark("10.0.0.1:1", 6, False)])
     assert [record.state for record in index] == ["live"]
