Serve through views, rates, decisions and the distributed configuration

Cause: the thin way chose an endpoint by its own count only and knew no rate. An instance is ready once it has been in a view.

Ruled out: readiness that follows the lease, which would take every instance of a cut-off data centre from the balancer at once.

Not proved yet: eviction while other instances use the adapter; the load budget is a fixed part.

--- a/src/boragefold/coordination/once/runner.py
+++ b/src/boragefold/coordination/once/runner.py
@@ -109,6 +109,14 @@
         link.subscribe(once_messages.Released, self._on_told)
         link.subscribe(once_messages.Stored, self._on_told)
 
+    @property
+    def open_attempts(self) -> int:
+        """Count the attempts whose outcome isn't known yet.
+
+        :return: attempts on their way to a register or an endpoint
+        """
+        return len(self._asking) + len(self._tickets)
+
     def begin(
         self,
         *,
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -6,39 +6,30 @@
 from typing import Any
 import uuid
 
-from absl import logging
-
-from boragefold.coordination.configuration import reader
-from boragefold.coordination.once import register as registers
-from boragefold.coordination.once import runner as runners
-from boragefold.coordination.once import tickets
+from boragefold.coordination.configuration import readiness
 from boragefold.entry import chat_face
 from boragefold.entry import operators
 from boragefold.entry import router as routers
 from boragefold.entry import service_face
-from boragefold.entry import thin_desk
+from boragefold.entry import stopping
+from boragefold.entry import together as togethers
+from boragefold.entry import traffic as traffics
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
-from boragefold.protocol import once_messages
-from boragefold.protocol import platform_api
 from boragefold.settings import serve as serve_settings
-from boragefold.state import catalogue as catalogues
-from boragefold.state import tree as trees
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import exposition
 from boragefold.telemetry import stories as telemetry_stories
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers as timing
+from boragefold.transport import callers
 from boragefold.transport import http_client
-from boragefold.transport import http_server
 from boragefold.transport import loop as loops
 from boragefold.transport import peer_keys
 from boragefold.transport import peer_link
 from boragefold.transport import platform_client
 from boragefold.transport import sockets
 
-WATCH_AGAIN_SECONDS = 0.5
-
 
 class Instance(operators.Inside):
     """Everything of one entry instance, on one loop."""
@@ -50,70 +41,93 @@
         loop: loops.Loop | None = None,
     ) -> None:
         self.settings = settings
+        self._took_part = False
         self.counters = telemetry.Counters()
         self.stories = telemetry_stories.Stories()
         self.loop = loop or loops.Loop(
             timers=timing.TimerService(clock=clocks.BootClock())
         )
         self.timers = self.loop.timers
-        self.self_id = ids.InstanceId(
-            settings.data_centre, settings.peer_listen, ids.new_incarnation()
+        self._sockets = sockets.SocketSet(poller=self.loop.poller)
+        self._sockets.register(self.loop)
+        self._client = http_client.HttpClient(
+            sockets_=self._sockets, timers=self.timers
+        )
+        self.together = togethers.Together(
+            link=self._make_link(),
+            reader=platform_client.PlatformClient(
+                client=self._client, address=settings.platform
+            ),
+            timers=self.timers,
+            counters=self.counters,
         )
-        self.sockets = sockets.SocketSet(poller=self.loop.poller)
-        self.sockets.register(self.loop)
-        self.client = http_client.HttpClient(
-            sockets_=self.sockets, timers=self.timers
+        self.traffic = traffics.Traffic(
+            together=self.together,
+            client=self._client,
+            timers=self.timers,
+            counters=self.counters,
+            stories=self.stories,
         )
-        self.tree = trees.Tree(counters=self.counters)
-        self.catalogue = catalogues.Catalogue(
-            tree=self.tree, counters=self.counters
+        self._callers = callers.CallersFace(
+            sockets_=self._sockets,
+            application=self._make_router(),
+            counters=self.counters,
         )
-        self.link = self._make_link()
-        self._make_once()
-        self._make_faces()
-        self._platform: reader.PlatformReader = platform_client.PlatformClient(
-            client=self.client, address=settings.platform
+        self.stopping = stopping.Stopping(
+            timers=self.timers,
+            notice_seconds=settings.stop_notice_seconds,
+            hand_over=self._hand_over,
+            finished=self._finished,
+            stop=self._stop,
         )
-        self._revision = 0
 
     def start(self) -> None:
-        """Bind the ports and begin to read the configuration."""
+        """Bind the ports and begin to take part."""
+        self.stopping.register(self.loop)
         host, port = serve_settings.split_address(self.settings.listen)
-        self.sockets.listen(
-            host=host,
-            port=port,
-            make_handler=self._make_connection,
-            tls=self._tls(),
-        )
-        operators_host, operators_port = serve_settings.split_address(
+        self._callers.listen(host=host, port=port, tls=self._tls())
+        host, port = serve_settings.split_address(
             self.settings.operators_listen
         )
-        operators.serve(
-            root=self.loop,
-            host=operators_host,
-            port=operators_port,
-            inside=self,
-        )
-        self._watch()
+        operators.serve(root=self.loop, host=host, port=port, inside=self)
+        self.together.start()
+        self.traffic.start()
 
     def ready(self) -> bool:
         """Tell whether the balancer should send requests here.
 
         :return: whether it should
         """
-        return len(self.tree) > 0
+        return self._serving() and not self.stopping.begun
 
     def status(self) -> dict[str, Any]:
         """Describe what the instance holds.
 
         :return: plain data
         """
+        view = self.together.views.valid_view()
+        configuration = self.together.configuration.status()
         return {
-            "instance": self.self_id._asdict(),
+            "instance": self.together.link.self_id,
             "ready": self.ready(),
-            "configuration_revision": self.tree.newest_revision(),
-            "paths": len(self.tree),
-            "adapters": len(self.catalogue.adapters),
+            "readiness": configuration.readiness,
+            "stopping": self.stopping.begun,
+            "configuration": {
+                "role": configuration.role.name,
+                "newest_revision": configuration.newest_revision,
+                "paths": configuration.paths,
+                "heard_seconds_ago": configuration.heard_seconds_ago,
+                "rejections": {
+                    path: [rejection.revision, rejection.rejected]
+                    for path, rejection in configuration.rejections.items()
+                },
+            },
+            "view": view,
+            "view_valid_for_seconds": self.together.views.valid_for_seconds(),
+            "is_steward": self.together.views.is_steward,
+            "adapters": len(self.together.catalogue.adapters),
+            "open_chats": self.traffic.desk.open_chats,
+            "tickets_recorded": len(self.together.register),
         }
 
     def metrics(self) -> bytes:
@@ -133,89 +147,76 @@
         return None if events is None else {"events": events}
 
     def audit(self, path: str) -> list[dict[str, Any]]:
-        """Tell what is in force.
+        """Tell what was in force, on this instance, and from when.
 
-        :param path: of the published tree
-        :return: plain data
+        :param path: of the published tree; empty for all that is in force
+        :return: plain data, oldest first
         """
-        return [
-            {"path": each, "revision": entry.revision}
-            for each, entry in self.tree
-            if path in ("", each)
-        ]
+        history = self.together.history
+        records = history.of_path(path) if path else history.in_force()
+        return [record._asdict() for record in records]
+
+    def _serving(self) -> bool:
+        # A fresh instance holds no rights and may spend no tokens until its
+        # first view; asked earlier, it would refuse what is within the rate.
+        # Later a lost lease doesn't count: it hits all instances of a cut-off
+        # data centre at once, and the balancer would have none left.
+        if not self._took_part:
+            self._took_part = self.together.views.valid_view() is not None
+        return self._took_part and self._configured()
+
+    def _configured(self) -> bool:
+        return isinstance(
+            self.together.configuration.readiness(), readiness.Ready
+        )
 
     def _make_link(self) -> peer_link.ZmqPeerLink:
         keys = peer_keys.read(self.settings.peer_secret)
         link = peer_link.ZmqPeerLink(
             poller=self.loop.poller,
             timers=self.timers,
-            self_id=self.self_id,
-            codec=envelope.Codec(kinds=[*once_messages.MESSAGES]),
+            self_id=ids.InstanceId(
+                self.settings.data_centre,
+                self.settings.peer_listen,
+                ids.new_incarnation(),
+            ),
+            codec=envelope.Codec(kinds=togethers.KINDS),
             counters=self.counters,
             keys=None if isinstance(keys, peer_keys.BadPeerKey) else keys,
         )
         link.register(self.loop)
         return link
 
-    def _make_once(self) -> None:
-        self.office = tickets.TicketOffice(
-            self_id=self.self_id, timers=self.timers, others=lambda: []
-        )
-        self.register = registers.Register(
-            link=self.link,
-            timers=self.timers,
-            office=self.office,
-            counters=self.counters,
-        )
-        self.runner = runners.Runner(
-            link=self.link,
-            timers=self.timers,
-            register=self.register,
-            counters=self.counters,
-        )
-
-    def _make_faces(self) -> None:
-        desk = thin_desk.ThinDesk(
-            catalogue=self.catalogue,
-            client=self.client,
-            counters=self.counters,
-        )
+    def _make_router(self) -> routers.Router:
+        together = self.together
         chats = chat_face.ChatFace(
-            catalogue=self.catalogue,
+            catalogue=together.catalogue,
             timers=self.timers,
             counters=self.counters,
-            client=self.client,
-            desk=desk,
-            events=desk,
+            client=self._client,
+            desk=self.traffic.desk,
+            events=self.traffic.desk,
             new_request_id=new_request_id,
         )
         services = service_face.ServiceFace(
             data_centre=self.settings.data_centre,
-            catalogue=self.catalogue,
+            catalogue=together.catalogue,
             timers=self.timers,
             counters=self.counters,
-            client=self.client,
-            office=self.office,
-            runner=self.runner,
+            client=self._client,
+            office=together.office,
+            runner=together.runner,
             new_request_id=new_request_id,
         )
-        self.router = routers.Router(
-            catalogue=self.catalogue,
+        return routers.Router(
+            catalogue=together.catalogue,
             counters=self.counters,
             chats=chats,
             services=services,
-            ready=self.ready,
+            ready=self._serving,
             new_request_id=new_request_id,
         )
 
-    def _make_connection(self) -> http_server.ServerConnection:
-        return http_server.ServerConnection(
-            application=self.router,
-            on_bad_request=lambda reason: self.counters.add(
-                "requests_refused", reason
-            ),
-        )
-
     def _tls(self) -> ssl.SSLContext | None:
         if not self.settings.tls_certificate:
             return None
@@ -225,29 +226,20 @@
         )
         return context
 
-    def _watch(self) -> None:
-        self._platform.watch(
-            after_revision=self._revision, callback=self._watched
+    def _hand_over(self) -> None:
+        self._callers.stop_listening()
+        self.together.leave()
+
+    def _finished(self) -> bool:
+        return (
+            self._callers.close_idle() == 0
+            and self.together.runner.open_attempts == 0
+            and self.together.views.has_left
         )
 
-    def _watched(
-        self, result: platform_api.WatchResult | platform_api.PlatformFailed
-    ) -> None:
-        if isinstance(result, platform_api.PlatformFailed):
-            self.counters.add("platform_calls_failed", result.reason)
-            self.timers.once(
-                delay_seconds=WATCH_AGAIN_SECONDS, callback=self._watch
-            )
-            return
-        was_ready = self.ready()
-        for change in result.changes:
-            self.tree.apply(
-                path=change.path, revision=change.revision, data=change.data
-            )
-        self._revision = result.revision
-        if self.ready() and not was_ready:
-            logging.info("ready at revision %d", result.revision)
-        self._watch()
+    def _stop(self) -> None:
+        self.together.link.close()
+        self.loop.stop()
 
 
 def new_request_id() -> str:
--- /dev/null
+++ b/src/boragefold/entry/load_reports.py
@@ -0,0 +1,220 @@
+"""Asking endpoints for their load, and listing them for the decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from boragefold.policy import endpoint_spec
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import fleet_events
+from boragefold.policy import work as works
+from boragefold.state import catalogue as catalogues
+from boragefold.state import endpoints as published
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import http_client
+from boragefold.transport import whole_answer
+
+# A report is of use for about a second; asking more often costs more than a
+# better choice saves.
+PERIOD_SECONDS = 0.5
+# However many endpoints there are, an instance asks no more often: at 1 ms of
+# processor time each this is 2% of a core.
+MAX_ASKS_PER_SECOND = 20.0
+# An endpoint that doesn't say how loaded it is for so long is slow at least.
+SILENCE_SECONDS = 1.0
+STATUS_OK = 200
+# Round trips to be expected, until a published figure says otherwise.
+NEAR_SECONDS = 0.0005
+SAME_REGION_SECONDS = 0.003
+FAR_SECONDS = 0.08
+
+
+class EngineReport(msgspec.Struct):
+    """What an engine answers on ``GET /v1/load``."""
+
+    incarnation: str
+    running: int
+    waiting: int
+    resident: list[tuple[str, str]]
+    fencing: int = 0
+
+
+class LoadReports:
+    """Keeps the decisions' view of the endpoints up to date."""
+
+    def __init__(
+        self,
+        *,
+        catalogue: catalogues.Catalogue,
+        data_centre: str,
+        endpoints: fleet.Endpoints,
+        events: fleet_events.FleetEvents,
+        client: http_client.HttpClient,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        changed: Callable[[], None],
+    ) -> None:
+        self._catalogue = catalogue
+        self._data_centre = data_centre
+        self._endpoints = endpoints
+        self._events = events
+        self._client = client
+        self._timers = timers
+        self._counters = counters
+        self._changed = changed
+        self._records: dict[str, published.EndpointRecord] = {}
+        self._turn: list[str] = []
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._ask_next()
+
+    def address_of(self, endpoint: str) -> str | None:
+        """Look up where an endpoint listens.
+
+        :param endpoint: its name
+        :return: IP number and port, or None when it isn't published
+        """
+        record = self._records.get(endpoint)
+        return None if record is None else record.address
+
+    def record(self, endpoint: str) -> published.EndpointRecord | None:
+        """Look an endpoint up.
+
+        :param endpoint: its name
+        :return: what is published of it
+        """
+        return self._records.get(endpoint)
+
+    def names(self) -> list[str]:
+        """List the endpoints of our own data centre.
+
+        :return: their names
+        """
+        return [
+            record.name
+            for record in self._records.values()
+            if record.data_centre == self._data_centre
+        ]
+
+    def refresh(self) -> None:
+        """Take over what is published of the endpoints now."""
+        before = self._records
+        self._records = {
+            qualified(record): record._replace(name=qualified(record))
+            for record in self._catalogue.endpoints
+        }
+        for name in before.keys() - self._records.keys():
+            self._events.endpoint_gone(name)
+        for name, record in self._records.items():
+            if before.get(name) != record:
+                self._endpoints.put(self._spec(record))
+        self._changed()
+
+    def _spec(
+        self, record: published.EndpointRecord
+    ) -> endpoint_spec.EndpointSpec:
+        return endpoint_spec.EndpointSpec(
+            name=record.name,
+            data_centre=record.data_centre,
+            model=record.model,
+            role=record.role,
+            slots=record.slots,
+            batch_size=record.batch_size,
+            distance_seconds=self._distance_seconds(record.data_centre),
+            leaving=record.state == "leaving",
+        )
+
+    def _distance_seconds(self, data_centre: str) -> float:
+        if data_centre == self._data_centre:
+            return NEAR_SECONDS
+        known = self._catalogue.data_centres()
+        here, there = known.get(self._data_centre), known.get(data_centre)
+        if here and there and here["region"] == there["region"]:
+            return SAME_REGION_SECONDS
+        return FAR_SECONDS
+
+    def _ask_next(self) -> None:
+        if not self._turn:
+            self._turn = list(self._records)
+        if self._turn:
+            self._ask(self._turn.pop())
+        wait = PERIOD_SECONDS / max(1, len(self._records))
+        self._timers.once(
+            delay_seconds=max(wait, 1 / MAX_ASKS_PER_SECOND),
+            callback=self._ask_next,
+        )
+
+    def _ask(self, name: str) -> None:
+        record = self._records.get(name)
+        if record is None:
+            return
+        asked_at_seconds = self._timers.now_seconds()
+        call = http_client.Call(
+            address=record.address,
+            method="GET",
+            target="/v1/load",
+            headers=[],
+            body=b"",
+            fresh=False,
+            progress_seconds=SILENCE_SECONDS,
+        )
+
+        def done(
+            answer: whole_answer.WholeAnswer | http_client.Failure,
+        ) -> None:
+            self._answered(record, asked_at_seconds, answer)
+
+        self._client.send(call, whole_answer.WholeAnswerSink(done=done))
+
+    def _answered(
+        self,
+        record: published.EndpointRecord,
+        asked_at_seconds: float,
+        answer: whole_answer.WholeAnswer | http_client.Failure,
+    ) -> None:
+        if isinstance(answer, http_client.Failure):
+            self._counters.add("load_reports_missed", answer.reason)
+            return
+        try:
+            report = _DECODER.decode(answer.body)
+        except msgspec.MsgspecError:
+            self._counters.add("load_reports_missed", "malformed")
+            return
+        resident = tuple(
+            works.AdapterVersion(record.model, adapter, version)
+            for adapter, version in report.resident
+        )
+        self._events.report(
+            endpoint_spec.LoadReport(
+                endpoint=record.name,
+                incarnation=report.incarnation,
+                running=report.running,
+                waiting=report.waiting,
+                # It was measured after we asked; counting what we sent since
+                # then twice is safer than not at all.
+                measured_at_seconds=asked_at_seconds,
+                resident=resident,
+            )
+        )
+        self._changed()
+
+
+def qualified(record: published.EndpointRecord) -> str:
+    """Name an endpoint uniquely in the fleet.
+
+    :param record: as published
+    :return: data centre and name
+    """
+    return f"{record.data_centre}/{record.name}"
+
+
+_DECODER = msgspec.json.Decoder(EngineReport)
+
+__all__ = [
+    "LoadReports",
+    "qualified",
+]
--- a/src/boragefold/entry/router.py
+++ b/src/boragefold/entry/router.py
@@ -83,7 +83,7 @@
             return None
         return outcomes.NotRun(
             status=STATUS_UNAVAILABLE,
-            reason="no_configuration",
+            reason="starting",
             remedy="repeat the request; this instance is starting",
             retry_after_seconds=1.0,
         )
--- /dev/null
+++ b/src/boragefold/entry/stopping.py
@@ -0,0 +1,78 @@
+"""The planned stop: nothing new, everything running to its end, then exit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import signal
+
+from absl import logging
+import circuits
+
+from boragefold.timing import timers as timing
+
+CHECK_SECONDS = 0.1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Stopping(circuits.BaseComponent):  # type: ignore[misc]
+    """Turns a signal into the steps of a planned stop.
+
+    First the readiness probe says no, while callers are still accepted: the
+    balancer goes on sending until it has noticed. Then rights are handed
+    over and no connection is accepted any more. The process ends when the
+    last request has been answered and the rights have moved, however long
+    that takes; a second signal changes nothing, because it would cut off
+    requests that were promised an answer.
+    """
+
+    channel = "*"
+
+    def __init__(
+        self,
+        *,
+        timers: timing.TimerService,
+        notice_seconds: float,
+        hand_over: Callable[[], None],
+        finished: Callable[[], bool],
+        stop: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._timers = timers
+        self._notice_seconds = notice_seconds
+        self._hand_over = hand_over
+        self._finished = finished
+        self._stop_loop = stop
+        self.begun = False
+
+    def begin(self) -> None:
+        """Begin to stop; further calls change nothing."""
+        if self.begun:
+            return
+        self.begun = True
+        logging.info("stopping: not ready, accepting for a while longer")
+        self._timers.once(
+            delay_seconds=self._notice_seconds, callback=self._noticed
+        )
+
+    @circuits.handler("signal", channel="*")  # type: ignore[untyped-decorator]
+    def _on_signal(
+        self, event: circuits.Event, number: int, stack: object
+    ) -> None:
+        event.stop()
+        if number in STOP_SIGNALS:
+            self.begin()
+
+    def _noticed(self) -> None:
+        logging.info("stopping: rights handed over, finishing what runs")
+        self._hand_over()
+        self._timers.every(period_seconds=CHECK_SECONDS, callback=self._check)
+
+    def _check(self) -> None:
+        if self._finished():
+            logging.info("stopping: finished")
+            self._stop_loop()
+
+
+__all__ = [
+    "Stopping",
+]
--- /dev/null
+++ b/src/boragefold/entry/together.py
@@ -0,0 +1,166 @@
+"""What makes an instance one of many: views, configuration, rates, tickets."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from boragefold.coordination.configuration import listing as list_polling
+from boragefold.coordination.configuration import reader as readers
+from boragefold.coordination.configuration import service as configuration
+import boragefold.coordination.listing as listings
+from boragefold.coordination.once import register as registers
+from boragefold.coordination.once import runner as runners
+from boragefold.coordination.once import tickets
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import service as rate_service
+import boragefold.coordination.views as view_parts
+from boragefold.protocol import config_messages
+from boragefold.protocol import fleet_messages
+from boragefold.protocol import ids
+from boragefold.protocol import once_messages
+from boragefold.protocol import platform_api
+from boragefold.protocol import rate_messages
+from boragefold.protocol import view_messages
+from boragefold.state import catalogue as catalogues
+from boragefold.state import history as histories
+from boragefold.state import tree as trees
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import peer_link
+
+KINDS = (
+    *config_messages.KINDS,
+    *fleet_messages.KINDS,
+    *once_messages.KINDS,
+    *rate_messages.KINDS,
+    *view_messages.KINDS,
+)
+MILLISECONDS = 1_000
+DATA_CENTRES_PATH = "common/data_centres"
+
+
+class Together:
+    """The parts that talk to other instances, on one link."""
+
+    def __init__(
+        self,
+        *,
+        link: peer_link.ZmqPeerLink,
+        reader: readers.PlatformReader,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+    ) -> None:
+        self.link = link
+        self._timers = timers
+        self.tree = trees.Tree(counters=counters)
+        self.history = histories.History(
+            tree=self.tree, wall_seconds=time.time
+        )
+        self.catalogue = catalogues.Catalogue(
+            tree=self.tree, counters=counters
+        )
+        self.views = view_parts.Views(
+            peer_link=link,
+            timer_service=timers,
+            counters=counters,
+            random_source=random.Random(),
+            wall_clock_ms=lambda: int(time.time() * MILLISECONDS),
+            on_suspect=link.reconnect,
+        )
+        self.configuration = configuration.Configuration(
+            tree=self.tree,
+            catalogue=self.catalogue,
+            history=self.history,
+            link=link,
+            rights=self.views,
+            reader=reader,
+            timers=timers,
+            counters=counters,
+            random=random.Random(),
+        )
+        self.rates = rate_service.Rates(
+            peers=link, rights=self.views, timers=timers, counters=counters
+        )
+        self.office = tickets.TicketOffice(
+            self_id=link.self_id, timers=timers, others=self.others
+        )
+        self.register = registers.Register(
+            link=link, timers=timers, office=self.office, counters=counters
+        )
+        self.runner = runners.Runner(
+            link=link,
+            timers=timers,
+            register=self.register,
+            counters=counters,
+        )
+        self.lister = list_polling.ListPoller(
+            reader=reader, timers=timers, counters=counters
+        )
+        self.lister.subscribe(self._listed)
+        self.lister.subscribe(self.configuration.note_listing)
+        self.tree.subscribe(self._changed)
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self.lister.start()
+        self.configuration.start()
+        self.views.start()
+
+    def leave(self) -> None:
+        """Hand over what is ours, and leave the view."""
+        self.rates.leave()
+        self.views.leave()
+
+    def others(self) -> list[ids.InstanceId]:
+        """List the other instances that are known to be alive.
+
+        :return: of every data centre
+        """
+        return [
+            member
+            for view in self.views.directory().values()
+            for member in view.members
+            if member != self.link.self_id
+        ]
+
+    def neighbours(self) -> list[ids.InstanceId]:
+        """List the other members of our own view.
+
+        :return: of our data centre
+        """
+        here = self.link.self_id.data_centre
+        return [peer for peer in self.others() if peer.data_centre == here]
+
+    def _listed(self, listing: platform_api.Listing) -> None:
+        self.views.update_list(
+            listings.ListEntry(
+                instance.address, instance.data_centre, instance.state
+            )
+            for instance in listing.instances
+            if instance.kind == "entry"
+        )
+
+    def _changed(self, change: trees.Change) -> None:
+        self.rates.update_workspaces(
+            {
+                settings.workspace: limits.Limit(
+                    settings.rate_tokens_per_second, settings.burst_tokens
+                )
+                for settings in self.catalogue.workspaces
+            }
+        )
+        if change.path == DATA_CENTRES_PATH:
+            self.rates.update_data_centres(
+                revision=change.revision,
+                weights={
+                    name: published["weight"]
+                    for name, published in (change.document or {}).items()
+                },
+            )
+
+
+__all__ = [
+    "KINDS",
+    "Together",
+]
--- a/src/boragefold/protocol/once_messages.py
+++ b/src/boragefold/protocol/once_messages.py
@@ -95,10 +95,10 @@
     attempt: Attempt
 
 
-MESSAGES = (Claim, ClaimReply, Release, Released, Seal, Store, Stored)
+KINDS = (Claim, ClaimReply, Release, Released, Seal, Store, Stored)
 
 __all__ = [
-    "MESSAGES",
+    "KINDS",
     "Attempt",
     "Claim",
     "ClaimReply",
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -130,8 +130,12 @@
         application: Application,
         on_bad_request: Callable[[str], None],
         max_body_bytes: int = MAX_BODY_BYTES,
+        last_answer: Callable[[], bool] = lambda: False,
+        on_gone: Callable[[ServerConnection], None] = lambda gone: None,
     ) -> None:
         self._application = application
+        self._last_answer = last_answer
+        self._on_gone = on_gone
         self._on_bad_request = on_bad_request
         self._max_body_bytes = max_body_bytes
         self._parser = self._new_parser()
@@ -139,6 +143,14 @@
         self._body = bytearray()
         self._exchange: Exchange | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is being received or answered.
+
+        :return: whether the connection could be closed without loss
+        """
+        return self._exchange is None and self._head is None
+
     def connected(self) -> None:
         """Do nothing: the caller speaks first."""
 
@@ -164,6 +176,7 @@
 
         :param reason: why
         """
+        self._on_gone(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None and not exchange.finished:
             exchange.closed()
@@ -176,6 +189,11 @@
         """
         if not self.stream.open:
             return False
+        if isinstance(event, h11.Response) and self._last_answer():
+            headers = [*event.headers, (b"Connection", b"close")]
+            event = h11.Response(
+                status_code=event.status_code, headers=headers
+            )
         data = self._parser.send(event)
         return self.stream.write(data) if data else True
 
--- a/src/boragefold/transport/peer_link.py
+++ b/src/boragefold/transport/peer_link.py
@@ -113,6 +113,19 @@
         """
         self._subscribers[kind] = handler
 
+    def reconnect(self, peer: ids.InstanceId) -> None:
+        """Replace the socket to a peer that has gone silent.
+
+        A connection that a device in between has forgotten looks open. Before
+        the peer is blamed it is tried on a new one.
+
+        :param peer: the silent peer
+        """
+        route = self._routes.pop(peer.address, None)
+        if route is not None:
+            route.socket.close(linger=0)
+            self._counters.add("peer_sockets_replaced", "silent")
+
     def close(self) -> None:
         """Close every socket; unsent messages are dropped."""
         for route in self._routes.values():
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -174,7 +174,9 @@
         except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
             return 0
         except OSError:
-            self.abort("reset")
+            # Whoever writes may be in the middle of something; it learns of
+            # the loss from the loop, never inside its own call.
+            self._owner.fail_later(self, "reset")
             return 0
 
     def _decrypted_bytes(self) -> int:
@@ -264,7 +266,7 @@
         if code in (0, errno.EINPROGRESS):
             self.want_write(stream, True)
         else:
-            self._refuse_later(stream, code)
+            self.fail_later(stream, os.strerror(code))
         return stream
 
     def want_read(self, stream: Stream, wanted: bool) -> None:
@@ -298,6 +300,14 @@
         self._streams.pop(stream.sock, None)
         self._poller.discard(stream.sock)
 
+    def fail_later(self, stream: Stream, why: str) -> None:
+        """Abort a stream from the loop instead of from inside a call.
+
+        :param stream: the stream
+        :param why: said in the event only
+        """
+        self.fire(pollers._error(stream.sock, OSError(why)))
+
     @circuits.handler("_read")  # type: ignore[untyped-decorator]
     def _on_read(self, sock: socket.socket) -> None:
         if sock in self._listeners:
@@ -339,13 +349,6 @@
             handler.connected()
             stream.resume_reading()
 
-    def _refuse_later(self, stream: Stream, code: int) -> None:
-        # The caller of connect() has no stream yet; failing inside the call
-        # would run its handler before it knows what it handles.
-        self.fire(
-            pollers._error(stream.sock, OSError(code, os.strerror(code)))
-        )
-
 
 __all__ = [
     "HIGH_WATER_BYTES",
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -209,7 +209,7 @@
         call(
             self.platform,
             "/control/list",
-            body={"instances": instances},
+            body=instances,
             method="PUT",
         )
 
