Start a new epoch when a view goes on without its dead

Ruled out: a longer wait alone, for the views stay equal. Change: whoever goes on without members that it takes for dead names a new epoch; lists have to show us for 2.5 s without a gap before we regain anything by evidence, and answers age within 1.5 s.

--- a/src/boragefold/coordination/founding.py
+++ b/src/boragefold/coordination/founding.py
@@ -43,14 +43,14 @@
         state: view_state.ViewState,
         inquiry: inquiries.Inquiry,
         counters: telemetry.Counters,
-        wall_clock_ms: Callable[[], int],
+        new_epoch: Callable[[], int],
         on_founded: Callable[[rights.View, dict[ids.InstanceId, float]], None],
     ) -> None:
         self._link = peer_link
         self._state = state
         self._inquiry = inquiry
         self._counters = counters
-        self._wall_clock_ms = wall_clock_ms
+        self._new_epoch = new_epoch
         self._on_founded = on_founded
         self._proposal: Proposal | None = None
 
@@ -133,11 +133,7 @@
         heard_epoch = max(
             (one.standing.highest_id.epoch for one in answers), default=0
         )
-        epoch = max(
-            self._wall_clock_ms(),
-            heard_epoch + 1,
-            self._state.highest_id.epoch + 1,
-        )
+        epoch = max(self._new_epoch(), heard_epoch + 1)
         return Proposal(
             view=rights.View(
                 self._state.self_id.data_centre,
--- a/src/boragefold/coordination/inquiry.py
+++ b/src/boragefold/coordination/inquiry.py
@@ -15,8 +15,10 @@
 ASK_AFTER_SECONDS = 0.5
 ASK_PERIOD_SECONDS = 0.5
 
-# How old an answer may be: three questions in a row may be lost.
-ANSWER_SECONDS = 2.0
+# How old an answer may be: two questions in a row may be lost. Whoever
+# answered that nobody leads must not be able to take over afterwards, on a
+# list that doesn't show us; all lists show us by then.
+ANSWER_SECONDS = listings.MATURE_SECONDS - listings.SKEW_SECONDS
 
 # Longer than any message can be under way to a process that has restarted.
 HEARD_SECONDS = 5.0
@@ -84,13 +86,15 @@
             if now_seconds - heard_seconds < HEARD_SECONDS
             and not self._listing.settled(address)
         }
-        return tuple(sorted(heard.union(self._listing.peers())))
+        return tuple(sorted(heard.union(self._listing.peers(now_seconds))))
 
     def note_heard(self, sender: ids.InstanceId) -> None:
         """Note that an instance of our data centre has spoken.
 
         :param sender: the instance
         """
+        if sender.address == self._state.self_id.address:
+            return
         self._heard_seconds[sender.address] = self._state.now_seconds()
 
     def note_answer(
@@ -136,9 +140,14 @@
         """
         now_seconds = self._state.now_seconds()
         since_seconds = self._replaced_since.get(member, float("inf"))
+        known_since_seconds = self._state.known_since_seconds.get(
+            member, now_seconds
+        )
         return (
             now_seconds - since_seconds >= listings.MATURE_SECONDS
-            or self._listing.gone(member.address, now_seconds)
+            or self._listing.gone(
+                member.address, known_since_seconds, now_seconds
+            )
         )
 
     def answers(self) -> tuple[Answer, ...] | None:
@@ -151,9 +160,7 @@
             is not fresh or does not show us
         """
         now_seconds = self._state.now_seconds()
-        if now_seconds > self._listing.fresh_until_seconds():
-            return None
-        if not self._listing.shows(self._state.self_id.address):
+        if not self._listing.is_steady(now_seconds):
             return None
         found = [self._answers.get(one) for one in self.addresses()]
         recent = [
--- a/src/boragefold/coordination/listing.py
+++ b/src/boragefold/coordination/listing.py
@@ -19,10 +19,13 @@
 # alone, if it lives: its own list dropped it, or it read none.
 MATURE_SECONDS = FRESH_SECONDS + SKEW_SECONDS
 
-# An older copy of the list lacks an instance that has just started. Only one
-# that was shown for longer than copies lag can be said to be gone.
+# An older copy of the list lacks an instance that has just started. One that
+# was not shown for longer than copies lag is said to be gone only after that.
 SETTLED_SECONDS = 10.0
 
+# An address that was dropped so long ago needs no memory.
+FORGET_SECONDS = 600.0
+
 
 class ListEntry(NamedTuple):
     """One instance on the platform's list."""
@@ -38,9 +41,11 @@
     def __init__(self, *, self_id: ids.InstanceId) -> None:
         self._self_id = self_id
         self._seen_seconds = float("-inf")
+        self._steady_since_seconds = float("inf")
         self._first_seconds: dict[str, float] = {}
         self._last_seconds: dict[str, float] = {}
         self._absent_seconds: dict[str, float] = {}
+        self._data_centres: dict[str, str] = {}
         self.entries: tuple[ListEntry, ...] = ()
 
     def update(self, entries: Iterable[ListEntry], now_seconds: float) -> None:
@@ -49,7 +54,12 @@
         :param entries: all instances of all data centres
         :param now_seconds: when it was read
         """
+        has_gap = now_seconds > self.fresh_until_seconds()
         self.entries = tuple(sorted(entries))
+        if not self.shows(self._self_id.address):
+            self._steady_since_seconds = float("inf")
+        elif has_gap or self._steady_since_seconds == float("inf"):
+            self._steady_since_seconds = now_seconds
         self._seen_seconds = now_seconds
         shown = {entry.address for entry in self.entries}
         for address in shown:
@@ -58,6 +68,10 @@
             self._absent_seconds.pop(address, None)
         for address in self._last_seconds.keys() - shown:
             self._absent_seconds.setdefault(address, now_seconds)
+        self._data_centres.update(
+            (entry.address, entry.data_centre) for entry in self.entries
+        )
+        self._forget(now_seconds)
 
     def fresh_until_seconds(self) -> float:
         """Tell how long the last list counts as fresh.
@@ -66,16 +80,35 @@
         """
         return self._seen_seconds + FRESH_SECONDS
 
-    def peers(self) -> tuple[str, ...]:
+    def is_steady(self, now_seconds: float) -> bool:
+        """Tell whether lists have shown us for long without a gap.
+
+        :param now_seconds: the time
+        :return: whether all lists show us, and whether an instance that ours
+            never showed can't lead alone on the strength of its own
+        """
+        return (
+            now_seconds <= self.fresh_until_seconds()
+            and now_seconds - self._steady_since_seconds >= MATURE_SECONDS
+        )
+
+    def peers(self, now_seconds: float) -> tuple[str, ...]:
         """List the other addresses of our data centre.
 
-        :return: addresses that are live or leaving
+        One that was dropped a moment ago counts: its own list may still show
+        it, and let it lead alone.
+
+        :param now_seconds: the time
+        :return: addresses that are live or leaving, or were until lately
         """
         return tuple(
-            entry.address
-            for entry in self.entries
-            if entry.data_centre == self._self_id.data_centre
-            and entry.address != self._self_id.address
+            sorted(
+                address
+                for address, data_centre in self._data_centres.items()
+                if data_centre == self._self_id.data_centre
+                and address != self._self_id.address
+                and not self._is_dropped(address, now_seconds)
+            )
         )
 
     def others(self) -> dict[str, tuple[str, ...]]:
@@ -98,20 +131,24 @@
         """
         return any(entry.address == address for entry in self.entries)
 
-    def gone(self, address: str, now_seconds: float) -> bool:
+    def gone(
+        self, address: str, known_since_seconds: float, now_seconds: float
+    ) -> bool:
         """Tell whether the platform has dropped an instance for good.
 
         :param address: where it listened
+        :param known_since_seconds: since when we know it
         :param now_seconds: the time
-        :return: whether it was shown for long and has been gone for long
+        :return: whether the list has not shown it for long enough
         """
-        absent_seconds = self._absent_seconds.get(address)
-        if absent_seconds is None or now_seconds > self.fresh_until_seconds():
+        if now_seconds > self.fresh_until_seconds() or self.shows(address):
             return False
-        return (
-            self.settled(address)
-            and now_seconds - absent_seconds >= MATURE_SECONDS
+        absent_seconds = now_seconds - self._absent_seconds.get(
+            address, known_since_seconds
         )
+        if self.settled(address):
+            return absent_seconds >= MATURE_SECONDS
+        return absent_seconds >= SETTLED_SECONDS
 
     def settled(self, address: str) -> bool:
         """Tell whether an address was shown for longer than copies lag.
@@ -126,8 +163,25 @@
         )
         return shown_for_seconds >= SETTLED_SECONDS
 
+    def _is_dropped(self, address: str, now_seconds: float) -> bool:
+        absent_seconds = self._absent_seconds.get(address, float("inf"))
+        return now_seconds - absent_seconds >= MATURE_SECONDS
+
+    def _forget(self, now_seconds: float) -> None:
+        forgotten = [
+            address
+            for address, since_seconds in self._absent_seconds.items()
+            if now_seconds - since_seconds >= FORGET_SECONDS
+        ]
+        for address in forgotten:
+            del self._absent_seconds[address]
+            del self._first_seconds[address]
+            del self._last_seconds[address]
+            del self._data_centres[address]
+
 
 __all__ = [
+    "FORGET_SECONDS",
     "FRESH_SECONDS",
     "MATURE_SECONDS",
     "SETTLED_SECONDS",
--- a/src/boragefold/coordination/membership.py
+++ b/src/boragefold/coordination/membership.py
@@ -83,7 +83,7 @@
         if not self._follow(sender, ballot, renewal.sent_seconds):
             self._link.send(
                 to=sender,
-                body=messages.Refusal(state.view_id(), state.promised.round),
+                body=messages.Refusal(state.view_id(), state.promised),
             )
             return
         if renewal.echo_seconds <= 0:
@@ -111,7 +111,7 @@
             or state.is_outdated()
         ):
             self._counters.add("view_promises_refused", "promised")
-            refusal = messages.Refusal(state.view_id(), state.promised.round)
+            refusal = messages.Refusal(state.view_id(), state.promised)
             self._link.send(to=sender, body=refusal)
             return
         if ballot != state.promised:
@@ -140,7 +140,7 @@
         state = self._state
         ballot = messages.Ballot(change.round, sender.incarnation)
         if state.is_outdated() or not state.follow(ballot):
-            refusal = messages.Refusal(state.view_id(), state.promised.round)
+            refusal = messages.Refusal(state.view_id(), state.promised)
             self._link.send(to=sender, body=refusal)
             return
         state.steward = sender
@@ -201,7 +201,8 @@
         if now_seconds - self._joined_seconds >= JOIN_SECONDS:
             self._joined_seconds = now_seconds
             to = standing.steward or sender
-            self._link.send(to=to, body=messages.Join())
+            if to != state.self_id:
+                self._link.send(to=to, body=messages.Join())
 
     def _follow(
         self,
--- a/src/boragefold/coordination/stewardship.py
+++ b/src/boragefold/coordination/stewardship.py
@@ -51,6 +51,7 @@
         inquiry: inquiries.Inquiry,
         listing: listings.Listing,
         counters: telemetry.Counters,
+        new_epoch: Callable[[], int],
         on_suspect: Callable[[ids.InstanceId], None],
     ) -> None:
         self._link = peer_link
@@ -58,6 +59,7 @@
         self._inquiry = inquiry
         self._listing = listing
         self._counters = counters
+        self._new_epoch = new_epoch
         self._on_suspect = on_suspect
         self._ends: dict[ids.InstanceId, float] = {}
         self._granted: dict[ids.InstanceId, float] = {}
@@ -107,7 +109,9 @@
         )
         self._heard = {member: heard_seconds for member in view.members}
         state.steward = state.self_id
-        if victory.successor is not None:
+        if victory.dead:
+            self._propose(self._without_dead(view), recovered=False)
+        elif victory.successor is not None:
             self._propose(victory.successor, recovered=True)
         else:
             self._renew_own()
@@ -367,8 +371,7 @@
         members = [one for one in view.members if one not in removed]
         members += self._admissible(added, members)
         if not members:
-            self._state.lease_until_seconds = 0.0
-            self.step_down()
+            self._end_view(view)
             return
         if members == list(view.members) and not founded:
             return
@@ -377,6 +380,25 @@
             recovered=False,
         )
 
+    def _without_dead(self, view: rights.View) -> rights.View:
+        # Those taken for dead may have decided on a successor that we don't
+        # know. Under its number there would be two views; under a new epoch,
+        # whoever comes back from there sees that ours is later.
+        return rights.View(
+            data_centre=view.data_centre,
+            epoch=self._new_epoch(),
+            number=quorum.FOUNDED_NUMBER + 1,
+            members=tuple(
+                member for member in view.members if member not in self._dead
+            ),
+        )
+
+    def _end_view(self, view: rights.View) -> None:
+        # The last one leaves and nobody waits: whoever comes founds anew.
+        self._state.lease_until_seconds = 0.0
+        self._state.hear_of(messages.ViewId(view.epoch, view.number + 1))
+        self.step_down()
+
     def _admissible(
         self, added: list[ids.InstanceId], members: list[ids.InstanceId]
     ) -> list[ids.InstanceId]:
--- a/src/boragefold/coordination/view_state.py
+++ b/src/boragefold/coordination/view_state.py
@@ -196,7 +196,7 @@
         if not self._listing.shows(self.self_id.address):
             return
         until_seconds = self._listing.fresh_until_seconds()
-        if not self._listing.peers():
+        if not self._listing.peers(now_seconds):
             until_seconds = now_seconds + quorum.PROMISE_SECONDS
         self.alone_until_seconds = max(self.alone_until_seconds, until_seconds)
 
--- a/src/boragefold/coordination/views.py
+++ b/src/boragefold/coordination/views.py
@@ -66,6 +66,7 @@
         self._link = peer_link
         self._timers = timer_service
         self._counters = counters
+        self._wall_clock_ms = wall_clock_ms
         self._subscribers: list[Callable[[rights.View | None], None]] = []
         self._told: rights.View | None = None
         self._leaving = False
@@ -86,6 +87,7 @@
             inquiry=self._inquiry,
             listing=self._listing,
             counters=counters,
+            new_epoch=self._new_epoch,
             on_suspect=suspect,
         )
         self._election = elections.Election(
@@ -101,7 +103,7 @@
             state=self._state,
             inquiry=self._inquiry,
             counters=counters,
-            wall_clock_ms=wall_clock_ms,
+            new_epoch=self._new_epoch,
             on_founded=self._stewardship.found,
         )
         self._membership = memberships.Membership(
@@ -144,13 +146,7 @@
 
         :return: whether we were asked to leave and are in no view any more
         """
-        if not self._leaving:
-            return False
-        return self._state.is_outdated() or (
-            self._state.view is not None
-            and self._state.view.members == (self.self_id,)
-            and not self._stewardship.leading
-        )
+        return self._leaving and self._state.is_outdated()
 
     def start(self) -> None:
         """Begin to take part."""
@@ -244,6 +240,9 @@
         for callback in self._subscribers:
             callback(view)
 
+    def _new_epoch(self) -> int:
+        return max(self._wall_clock_ms(), self._state.highest_id.epoch + 1)
+
     def _subscribe_all(self) -> None:
         self._on(messages.Greeting, self._on_greeting)
         self._on(messages.Standing, self._on_standing)
@@ -341,10 +340,10 @@
     def _on_refusal(
         self, sender: ids.InstanceId, refusal: messages.Refusal
     ) -> None:
-        self._election.note_round(refusal.round)
+        self._election.note_round(refusal.ballot.round)
         if not self._stewardship.leading:
             return
-        if refusal.round <= self._stewardship.ballot.round:
+        if refusal.ballot <= self._stewardship.ballot:
             return
         # A voter has promised a higher ballot to one that didn't win. Lead by
         # a still higher one, or this voter would refuse us for good.
--- a/src/boragefold/protocol/view_messages.py
+++ b/src/boragefold/protocol/view_messages.py
@@ -102,10 +102,10 @@
 
 
 class Refusal(NamedTuple):
-    """Refuses a ballot, naming the round that it would have to exceed."""
+    """Refuses a ballot, naming the one that it would have to exceed."""
 
     view_id: ViewId
-    round: int
+    ballot: Ballot
 
 
 class Change(NamedTuple):
--- a/tests/fakes/walk.py
+++ b/tests/fakes/walk.py
@@ -34,7 +34,9 @@
         self.count = count
         self.spare = count
         self.sides: dict[str, int] = {}
-        self.paused_since: dict[str, float] = {}
+        self.isolated = ""
+        self.deaf = ""
+        self.unreachable_since: dict[str, float] = {}
         self.network.is_cut = self._is_cut
         self.covered_steps = 0
         for index in range(count):
@@ -52,9 +54,11 @@
                 self._heal,
                 self._leave,
                 self._platform,
+                self._isolate,
+                self._cut_one_way,
                 lambda: None,
             ],
-            [2, 2, 4, 4, 6, 2, 4, 1, 1, 16],
+            [2, 2, 8, 3, 9, 3, 9, 1, 1, 2, 1, 60],
         )[0]
         fault()
         self._drop_paused()
@@ -66,18 +70,32 @@
 
         :return: how long it took until all had one view
         """
-        self.sides = {}
+        self._heal()
         self.fleet.platform_up = True
         self.network.loss = 0.0
         self.network.delay_seconds = (0.0005, 0.002)
         for instance in list(self.fleet.instances.values()):
             if instance.node.paused:
                 self._wake(instance)
+        start_seconds = self.network.clock.now_seconds()
+        while True:
+            self._kill_the_left()
+            if not self.fleet.instances or self.fleet.agreed("a"):
+                return self.network.clock.now_seconds() - start_seconds
+            healing_seconds = self.network.clock.now_seconds() - start_seconds
+            assert healing_seconds < HEALED_SECONDS, self.fleet.valid("a")
+            self.network.run_for(0.05)
+
+    def _kill_the_left(self) -> None:
+        for instance in list(self.fleet.instances.values()):
             if instance.views.has_left:
                 self.fleet.kill(instance)
-        return self.fleet.seconds_until_agreed("a", HEALED_SECONDS)
 
     def _is_cut(self, one: ids.InstanceId, other: ids.InstanceId) -> bool:
+        if self.isolated in (one.address, other.address):
+            return True
+        if self.deaf == other.address:
+            return True
         return self.sides.get(one.address, 0) != self.sides.get(
             other.address, 0
         )
@@ -102,11 +120,13 @@
     def _kill(self) -> None:
         instance = self._pick()
         if instance is not None:
+            self.unreachable_since.pop(instance.self_id.address, None)
             self.fleet.kill(instance)
 
     def _restart(self) -> None:
         instance = self._pick()
         if instance is not None:
+            self.unreachable_since.pop(instance.self_id.address, None)
             self.fleet.kill(instance, listed=True)
             self._start(instance.self_id.address)
 
@@ -114,7 +134,7 @@
         instance = self._pick()
         if instance is not None:
             self.network.pause(instance.node)
-            self.paused_since[instance.self_id.address] = (
+            self.unreachable_since[instance.self_id.address] = (
                 self.network.clock.now_seconds()
             )
 
@@ -124,8 +144,9 @@
             self._wake(instance)
 
     def _wake(self, instance: fleets.Instance) -> None:
-        self.paused_since.pop(instance.self_id.address, None)
-        self.fleet.set_listed(instance.self_id.address, "a", True)
+        if instance.self_id.address != self.isolated:
+            self.unreachable_since.pop(instance.self_id.address, None)
+            self.fleet.set_listed(instance.self_id.address, "a", True)
         self.network.resume(
             instance.node, timers_first=self.random.random() < 0.5
         )
@@ -133,9 +154,9 @@
 
     def _drop_paused(self) -> None:
         now_seconds = self.network.clock.now_seconds()
-        for address, since_seconds in list(self.paused_since.items()):
+        for address, since_seconds in list(self.unreachable_since.items()):
             if now_seconds - since_seconds > DROPPED_AFTER_SECONDS:
-                del self.paused_since[address]
+                del self.unreachable_since[address]
                 if address in self.fleet.instances:
                     self.fleet.set_listed(address, "a", False)
 
@@ -147,6 +168,33 @@
 
     def _heal(self) -> None:
         self.sides = {}
+        self.deaf = ""
+        instance = self.fleet.instances.get(self.isolated)
+        if instance is not None:
+            instance.platform_up = True
+            if not instance.node.paused:
+                self.unreachable_since.pop(self.isolated, None)
+                self.fleet.set_listed(self.isolated, "a", True)
+        self.isolated = ""
+
+    def _isolate(self) -> None:
+        # A switch fails: one instance lives on, without its peers and the
+        # platform, which drops it from the list. An instance that has seen
+        # nobody else on the list may go on alone; see docs/design/views.md.
+        instance = self._pick()
+        if self.isolated or instance is None:
+            return
+        if instance.views._listing.peers(self.network.clock.now_seconds()):
+            self.isolated = instance.self_id.address
+            instance.platform_up = False
+            self.unreachable_since[self.isolated] = (
+                self.network.clock.now_seconds()
+            )
+
+    def _cut_one_way(self) -> None:
+        instance = self._pick()
+        if instance is not None:
+            self.deaf = instance.self_id.address
 
     def _leave(self) -> None:
         instance = self._pick()
