Prove admission, queue, choice and overload by what callers receive

Cause: the decisions had no tests. They found these faults, now mended: * An endpoint with a batch of 4 was sent 5 requests; the limit is now the batch, or a tenth more where that is a whole request. * Overload told "above its share" from who waits. A modest sender never waits, so the big one was alone in the queue, never above its share, and the level rose until modest senders were refused too (11 of 60 refused). fair_share.py divides the service max-min fairly by demand instead. * Overload's levels were fixed delays; callers willing to wait 100 s were refused for a queue of 0.7 s. They are parts of the callers' patience now. * Overload raised its level while the queue was already falling. * The start estimate took the whole service for an ordinary workspace that really gets what late-sensitive work leaves: 10 s instead of 45 s. It is now at least the backlog at the workspace's measured speed. * Seven instances with one lagged report concentrated 69 requests on an endpoint with a batch of 32: each counted only its own. Choice takes the number of instances and counts their unseen requests for concentration.

Ruled out: the speed measured over 2 s, because full engines become free in waves and one wave was measured (1,557 tokens/s instead of 1,000).

Seen to fail before: each mechanism was switched off on a scratch copy (trials, 33 mutations); every one fails at least one test.

Before: no tests of policy.

--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -74,10 +75,19 @@
         endpoints: fleet.Endpoints,
         rng: random.Random,
         counters: telemetry.Counters,
+        instances: Callable[[], int] = lambda: 1,
     ) -> None:
+        """Choose for one of several instances.
+
+        :param endpoints: what is known of the endpoints
+        :param rng: the source of chance
+        :param counters: count where requests are sent to, and why
+        :param instances: how many instances send to the same endpoints
+        """
         self._endpoints = endpoints
         self._rng = rng
         self._counters = counters
+        self._instances = instances
         self._prefixes = prefixes.Prefixes()
 
     def choose(
@@ -166,7 +176,12 @@
     ) -> bool:
         if state.spec.name in excluded:
             return False
-        over = state.fill() - CONCENTRATE_FILL
+        # The others see the same report and the same order of holders, and
+        # send as much as we do; without them the first holder would get many
+        # times its batch before the next report shows it.
+        unseen = (self._instances() - 1) * state.sent_since
+        fill = state.fill() + unseen / max(state.spec.batch_size, 1)
+        over = fill - CONCENTRATE_FILL
         chance = 1.0 - max(over, 0.0) / (SPREAD_FILL - CONCENTRATE_FILL)
         return self._rng.random() < chance * state.weight
 
--- a/src/boragefold/policy/endpoint_state.py
+++ b/src/boragefold/policy/endpoint_state.py
@@ -110,7 +110,9 @@
 
         :return: whether it would start about at once
         """
-        return self.fill() < ROOM_FILL
+        batch_size = self.spec.batch_size
+        limit = max(batch_size, int(ROOM_FILL * batch_size))
+        return self.estimated_running() < limit
 
     def serves(self, adapter: works.AdapterVersion) -> bool:
         """Tell whether an adapter's requests may be sent.
--- a/src/boragefold/policy/fair_queue.py
+++ b/src/boragefold/policy/fair_queue.py
@@ -21,13 +21,11 @@
 
 # Late-sensitive work gets up to four fifths while ordinary work waits too:
 # it waits a quarter longer than alone, and ordinary work still moves.
-LATE_SENSITIVE_SHARE = 0.8
+ORDINARY_SHARE = 0.2
+LATE_SENSITIVE_SHARE = 1 - ORDINARY_SHARE
 # A request that would start later than this part of its caller's patience is
 # refused; the rest of the patience is for the answer itself.
 START_PATIENCE_SHARE = 0.7
-# A workspace is above its share with half more waiting than the mean: of two
-# workspaces, one that has three times what the other has.
-ABOVE_SHARE_FACTOR = 1.5
 # Queues change within this time; to come back sooner is to be refused again.
 MIN_RETRY_AFTER_SECONDS = 0.5
 
@@ -123,7 +121,7 @@
         if position is None:
             return None
         work = self._works[position.request_id]
-        self._class_of(work).charge(work)
+        self._class_of(work).charge(work, now_seconds=now_seconds)
         self._take_out(work)
         return work
 
@@ -178,17 +176,14 @@
         """
         return self._demand
 
-    def is_above_share(self, workspace: str) -> bool:
-        """Tell whether a workspace has far more waiting than the others.
+    def delay_seconds(self, *, service_tokens_per_second: float) -> float:
+        """Tell how long serving all that waits would take.
 
-        :param workspace: the workspace
-        :return: whether it has, for :meth:`overload.Overload.check`
+        :param service_tokens_per_second: what this queue is served with
+        :return: seconds, for :meth:`overload.Overload.observe`
         """
-        both = (self._late, self._ordinary)
-        own = sum(each.workspace_tokens.get(workspace, 0.0) for each in both)
-        count = sum(len(each.workspace_tokens) for each in both)
-        total = sum(each.tokens for each in both)
-        return own * count > ABOVE_SHARE_FACTOR * total
+        tokens = self._late.tokens + self._ordinary.tokens
+        return _divide(tokens, service_tokens_per_second)
 
     def estimate_start_seconds(
         self,
@@ -204,7 +199,10 @@
         :param adapter_tokens_per_second: what its adapter is served with
         :return: seconds, at most; short requests start sooner
         """
-        seconds = _divide(self._ahead_tokens(work), service_tokens_per_second)
+        seconds = max(
+            _divide(self._ahead_tokens(work), service_tokens_per_second),
+            self._class_of(work).drain_seconds(work),
+        )
         demand = self._demand.get(work.needs)
         if demand is None or adapter_tokens_per_second is None:
             return seconds
@@ -218,7 +216,7 @@
         if work.late_sensitive:
             share = LATE_SENSITIVE_SHARE if self._ordinary.tokens else 1.0
             return ahead / share
-        guaranteed = ahead / (1 - LATE_SENSITIVE_SHARE)
+        guaranteed = ahead / ORDINARY_SHARE
         return min(ahead + self._late.tokens, guaranteed)
 
     def _next_class(
@@ -233,7 +231,7 @@
             self._ordinary_credit_tokens -= tokens
             return ordinary
         tokens = works.tokens_of(self._works[late.request_id])
-        ratio = (1 - LATE_SENSITIVE_SHARE) / LATE_SENSITIVE_SHARE
+        ratio = ORDINARY_SHARE / LATE_SENSITIVE_SHARE
         self._ordinary_credit_tokens += tokens * ratio
         return late
 
--- /dev/null
+++ b/src/boragefold/policy/fair_share.py
@@ -0,0 +1,119 @@
+"""Which requests are more than their workspace's fair share of the fleet.
+
+Load pattern: several workspaces inside their rates ask together for more than
+the endpoints can serve. A look at who waits is not enough: a modest sender is
+served at once and never waits, so the one that fills the queue is alone in
+it, and a refusal by queue length would hit the modest ones too.
+
+The share is max-min fair: demands below an equal part are met whole, and what
+they leave is divided among the others.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+# Demand is measured over about this time: longer than a burst that the queue
+# takes in, shorter than the patience of callers.
+MEMORY_SECONDS = 5.0
+# The division is worked out this often; its cost grows with the workspaces.
+UPDATE_SECONDS = 0.5
+# A workspace may send the share of this time at once.
+BURST_SECONDS = 1.0
+# Accounts below this many recent tokens are dropped.
+FORGOTTEN_TOKENS = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Account:
+    """The recent demand of a workspace, and what is left of its share."""
+
+    demand: float
+    credit: float
+    at_seconds: float
+
+
+class FairShare:
+    """Divides the service among the workspaces that ask for it."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, Account] = {}
+        self._share_per_second = math.inf
+        self._update_at_seconds = -math.inf
+
+    def exceeds(
+        self,
+        workspace: str,
+        tokens: float,
+        *,
+        service_tokens_per_second: float,
+        now_seconds: float,
+    ) -> bool:
+        """Count a request, and tell whether it is more than the share.
+
+        :param workspace: whose request it is
+        :param tokens: prompt tokens and the most that may be generated
+        :param service_tokens_per_second: what the endpoints serve, times
+            :attr:`overload.Overload.given_part`
+        :param now_seconds: reading of the process clock
+        :return: whether it is shed first, see :class:`overload.Overload`
+        """
+        if now_seconds >= self._update_at_seconds:
+            self._update(service_tokens_per_second, now_seconds)
+        account = self._accounts.get(workspace)
+        if account is None:
+            account = Account(demand=0.0, credit=math.inf, at_seconds=0.0)
+            self._accounts[workspace] = account
+        self._refill(account, now_seconds)
+        account.demand += tokens
+        if account.credit < tokens:
+            return True
+        account.credit -= tokens
+        return False
+
+    def _refill(self, account: Account, now_seconds: float) -> None:
+        elapsed_seconds = max(now_seconds - account.at_seconds, 0.0)
+        account.at_seconds = now_seconds
+        account.demand *= math.exp(-elapsed_seconds / MEMORY_SECONDS)
+        if math.isinf(self._share_per_second):
+            account.credit = math.inf
+            return
+        most = BURST_SECONDS * self._share_per_second
+        refill = elapsed_seconds * self._share_per_second
+        account.credit = min(account.credit + refill, most)
+
+    def _update(
+        self, service_tokens_per_second: float, now_seconds: float
+    ) -> None:
+        self._update_at_seconds = now_seconds + UPDATE_SECONDS
+        for account in self._accounts.values():
+            self._refill(account, now_seconds)
+        self._accounts = {
+            workspace: account
+            for workspace, account in self._accounts.items()
+            if account.demand >= FORGOTTEN_TOKENS
+        }
+        self._share_per_second = _max_min_share(
+            [
+                account.demand / MEMORY_SECONDS
+                for account in self._accounts.values()
+            ],
+            service_tokens_per_second,
+        )
+
+
+def _max_min_share(demands: list[float], capacity: float) -> float:
+    left = capacity
+    ascending = sorted(demands)
+    for number, demand in enumerate(ascending):
+        equal_part = left / (len(ascending) - number)
+        if demand > equal_part:
+            return equal_part
+        left -= demand
+    return math.inf
+
+
+__all__ = [
+    "FairShare",
+]
--- a/src/boragefold/policy/overload.py
+++ b/src/boragefold/policy/overload.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from boragefold.policy import refusal
 from boragefold.policy import work as works
@@ -24,15 +25,28 @@
     ORDINARY = 4
 
 
-# The queue delay that each level answers. The first is half of the 0.4 s in
-# which the first token is due, so what nobody waits for stops before callers
-# notice; then four steps of about three, since each level sheds a part of the
-# load that isn't known beforehand.
-DELAY_SECONDS = {
-    Level.NO_EXTRAS: 0.2,
-    Level.ABOVE_SHARE: 0.7,
-    Level.ORDINARY_COLD: 2.0,
-    Level.ORDINARY: 6.0,
+# The queue delay that each level answers, as a part of the callers' patience:
+# who waits long rather than be refused must not be refused for a short queue.
+# Extras stop when the queue can be felt at all. Requests are shed from a
+# seventh on, in steps of about two, since each level sheds a part of the load
+# that isn't known beforehand; the last stays below the part at which the
+# queue itself refuses.
+DELAY_PATIENCE_SHARE = {
+    Level.NO_EXTRAS: 0.02,
+    Level.ABOVE_SHARE: 0.15,
+    Level.ORDINARY_COLD: 0.3,
+    Level.ORDINARY: 0.5,
+}
+# The patience is a mean over about the last fifty requests.
+PATIENCE_SMOOTHING = 0.02
+# The part of the service that the fair shares give out. The rest empties the
+# queue that made the shedding necessary, faster where it is longer.
+GIVEN_PART = {
+    Level.NORMAL: 1.0,
+    Level.NO_EXTRAS: 1.0,
+    Level.ABOVE_SHARE: 0.9,
+    Level.ORDINARY_COLD: 0.75,
+    Level.ORDINARY: 0.6,
 }
 # A delay must last this long to raise the level: a burst that the queue takes
 # in and serves within half a second is what the queue is for.
@@ -51,6 +65,8 @@
         self._counters = counters
         self._level = Level.NORMAL
         self._delay_seconds = 0.0
+        self._patience_seconds: float | None = None
+        self._delay_before_seconds = 0.0
         self._above_since_seconds: float | None = None
         self._below_since_seconds: float | None = None
 
@@ -62,16 +78,27 @@
         """
         return self._level
 
+    @property
+    def given_part(self) -> float:
+        """Tell what part of the service the fair shares give out.
+
+        :return: from 0 to 1, for :meth:`fair_share.FairShare.exceeds`
+        """
+        return GIVEN_PART[self._level]
+
     def observe(
         self, *, queue_delay_seconds: float, now_seconds: float
     ) -> Level:
         """Take in the queue's delay; call it several times a second.
 
-        :param queue_delay_seconds: estimated wait of a request pushed now
+        :param queue_delay_seconds: from
+            :meth:`fair_queue.FairQueue.delay_seconds`
         :param now_seconds: reading of the process clock
         :return: the level from now on
         """
         self._delay_seconds = queue_delay_seconds
+        if self._above_since_seconds is None:
+            self._delay_before_seconds = queue_delay_seconds
         self._above_since_seconds = _since(
             self._above_since_seconds, self._is_above(), now_seconds
         )
@@ -81,7 +108,7 @@
         if _lasted(
             self._above_since_seconds, RAISE_AFTER_SECONDS, now_seconds
         ):
-            self._change(+1)
+            self._raise_unless_falling(now_seconds)
         elif _lasted(
             self._below_since_seconds, LOWER_AFTER_SECONDS, now_seconds
         ):
@@ -94,17 +121,16 @@
         """Decide whether a request is shed.
 
         :param work: an admitted request, before it is queued
-        :param above_share: its workspace has more than its share waiting
+        :param above_share: from :meth:`fair_share.FairShare.exceeds`
         :param cold: no endpoint holds its adapter
         :return: the refusal, or None when it may be queued
         """
+        self._learn_patience(work)
         reason = self._reason(work, above_share=above_share, cold=cold)
         if reason is None:
             return None
         self._counters.add("requests_refused", reason)
-        excess_seconds = (
-            self._delay_seconds - LOWER_FACTOR * DELAY_SECONDS[self._level]
-        )
+        excess_seconds = self._delay_seconds - self._lower_seconds()
         return refusal.Refused(
             status=refusal.UNAVAILABLE,
             reason=reason,
@@ -126,17 +152,41 @@
             return "overload_ordinary"
         return None
 
+    def _learn_patience(self, work: works.Work) -> None:
+        patience_seconds = work.give_up_at_seconds - work.arrived_at_seconds
+        if self._patience_seconds is None:
+            self._patience_seconds = patience_seconds
+        self._patience_seconds += PATIENCE_SMOOTHING * (
+            patience_seconds - self._patience_seconds
+        )
+
+    def _raise_seconds(self) -> float:
+        share = DELAY_PATIENCE_SHARE[Level(self._level + 1)]
+        return share * (self._patience_seconds or math.inf)
+
+    def _lower_seconds(self) -> float:
+        share = LOWER_FACTOR * DELAY_PATIENCE_SHARE[self._level]
+        return share * (self._patience_seconds or math.inf)
+
     def _is_above(self) -> bool:
         if self._level == Level.ORDINARY:
             return False
-        limit_seconds = DELAY_SECONDS[Level(self._level + 1)]
-        return self._delay_seconds > limit_seconds
+        return self._delay_seconds > self._raise_seconds()
 
     def _is_below(self) -> bool:
         if self._level == Level.NORMAL:
             return False
-        limit_seconds = LOWER_FACTOR * DELAY_SECONDS[self._level]
-        return self._delay_seconds < limit_seconds
+        return self._delay_seconds < self._lower_seconds()
+
+    def _raise_unless_falling(self, now_seconds: float) -> None:
+        # What is shed already may be enough, and the queue needs time to
+        # empty; further levels would refuse who did nothing to fill it.
+        falling = self._delay_seconds < self._delay_before_seconds
+        if not falling:
+            self._change(+1)
+            return
+        self._above_since_seconds = now_seconds
+        self._delay_before_seconds = self._delay_seconds
 
     def _change(self, step: int) -> None:
         self._level = Level(self._level + step)
@@ -162,7 +212,7 @@
 
 
 __all__ = [
-    "DELAY_SECONDS",
+    "DELAY_PATIENCE_SHARE",
     "LOWER_AFTER_SECONDS",
     "Level",
     "Overload",
--- a/src/boragefold/policy/queue_class.py
+++ b/src/boragefold/policy/queue_class.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import dataclasses
 from typing import NamedTuple
 
+from boragefold.policy import drain_rate
 from boragefold.policy import removable_heap
 from boragefold.policy import virtual_counter
 from boragefold.policy import work as works
@@ -41,14 +43,24 @@
         )
 
 
+@dataclasses.dataclass(kw_only=True)
+class Backlog:
+    """What waits of one workspace; exists only while something does."""
+
+    speed: drain_rate.DrainRate = dataclasses.field(
+        default_factory=drain_rate.DrainRate
+    )
+    requests: int = 0
+    tokens: float = 0.0
+
+
 class QueueClass:
     """Waiting requests, by adapter, workspace and rank."""
 
     def __init__(self) -> None:
         self.tokens = 0.0
-        self.workspace_tokens: dict[str, float] = {}
+        self._backlogs: dict[str, Backlog] = {}
         self._counter = virtual_counter.VirtualCounter()
-        self._waiting: dict[str, int] = {}
         self._shelves: dict[works.AdapterVersion, Shelf] = {}
 
     def push(self, work: works.Work) -> None:
@@ -57,12 +69,13 @@
         :param work: the request
         """
         workspace = work.workspace
-        if workspace not in self._waiting:
+        backlog = self._backlogs.get(workspace)
+        if backlog is None:
             self._counter.join(workspace)
-            self._waiting[workspace] = 0
-            self.workspace_tokens[workspace] = 0.0
-        self._waiting[workspace] += 1
-        self.workspace_tokens[workspace] += works.tokens_of(work)
+            backlog = Backlog()
+            self._backlogs[workspace] = backlog
+        backlog.requests += 1
+        backlog.tokens += works.tokens_of(work)
         self.tokens += works.tokens_of(work)
         shelf = self._shelves.setdefault(work.needs, Shelf())
         lane = shelf.lanes.get(workspace)
@@ -87,11 +100,11 @@
         if not shelf.lanes:
             del self._shelves[work.needs]
         self.tokens -= works.tokens_of(work)
-        self.workspace_tokens[workspace] -= works.tokens_of(work)
-        self._waiting[workspace] -= 1
-        if not self._waiting[workspace]:
-            del self._waiting[workspace]
-            del self.workspace_tokens[workspace]
+        backlog = self._backlogs[workspace]
+        backlog.tokens -= works.tokens_of(work)
+        backlog.requests -= 1
+        if not backlog.requests:
+            del self._backlogs[workspace]
             self._counter.leave(workspace)
 
     def first(
@@ -109,11 +122,15 @@
         )
         return min(positions, default=None)
 
-    def charge(self, work: works.Work) -> None:
+    def charge(self, work: works.Work, *, now_seconds: float) -> None:
         """Count the service of a request; call it before :meth:`remove`.
 
         :param work: the request that is served
+        :param now_seconds: reading of the process clock
         """
+        self._backlogs[work.workspace].speed.add(
+            works.tokens_of(work), now_seconds=now_seconds
+        )
         self._counter.charge(work.workspace, works.tokens_of(work))
 
     def settle(self, work: works.Work, *, used_tokens: float) -> None:
@@ -135,11 +152,28 @@
         :param work: a request that isn't waiting yet
         :return: tokens of this class
         """
-        own = self.workspace_tokens.get(work.workspace, 0.0)
-        others = len(self._waiting) - (work.workspace in self._waiting)
+        backlog = self._backlogs.get(work.workspace)
+        own = backlog.tokens if backlog is not None else 0.0
+        others = len(self._backlogs) - (backlog is not None)
         share = others * (own + works.tokens_of(work))
         return own + min(max(self.tokens - own, 0.0), share)
 
+    def drain_seconds(self, work: works.Work) -> float:
+        """Tell how long a workspace's backlog takes at its present speed.
+
+        Fairness can't tell what those take that come later and go first.
+
+        :param work: a request that has just arrived
+        :return: seconds, zero where nothing waits or no speed is known
+        """
+        backlog = self._backlogs.get(work.workspace)
+        if backlog is None:
+            return 0.0
+        speed = backlog.speed.tokens_per_second(
+            now_seconds=work.arrived_at_seconds
+        )
+        return backlog.tokens / speed if speed else 0.0
+
     def _first_of(self, shelf: Shelf) -> Position:
         # Counters have risen since the workspaces were put in order; one
         # that came up too early goes back to where it belongs now.
--- a/src/boragefold/policy/rate_line.py
+++ b/src/boragefold/policy/rate_line.py
@@ -10,14 +10,12 @@
 import collections
 from typing import NamedTuple
 
+from boragefold.policy import drain_rate
 from boragefold.policy import work as works
 
 # How often the head asks again when the stock doesn't call back; a callback
 # may be lost with the message that it follows from.
 ASK_SECONDS = 0.05
-# The speed at which a line drains is measured over about this time: several
-# grants, yet recent enough to follow a change of the rate.
-MEASURED_SECONDS = 2.0
 
 
 class Entry(NamedTuple):
@@ -37,7 +35,7 @@
         )
         self._tokens = 0.0
         self._began_at_seconds = now_seconds
-        self._drained_tokens = 0.0
+        self._drain_rate = drain_rate.DrainRate()
         self._ready_at_seconds = 0.0
         self._ask_at_seconds = 0.0
         self.asked(now_seconds=now_seconds, ready_in_seconds=ready_in_seconds)
@@ -97,11 +95,7 @@
         :param tokens: how many
         :param now_seconds: reading of the process clock
         """
-        self._drained_tokens += tokens
-        elapsed_seconds = now_seconds - self._began_at_seconds
-        if elapsed_seconds > MEASURED_SECONDS:
-            self._drained_tokens /= 2
-            self._began_at_seconds += elapsed_seconds / 2
+        self._drain_rate.add(tokens, now_seconds=now_seconds)
 
     def due_seconds(self) -> float:
         """Tell when the line has to be looked at.
@@ -122,10 +116,10 @@
         return head_seconds + behind_tokens / self._speed(now_seconds)
 
     def _speed(self, now_seconds: float) -> float:
-        elapsed_seconds = now_seconds - self._began_at_seconds
-        if self._drained_tokens and elapsed_seconds > 0:
-            return self._drained_tokens / elapsed_seconds
-        # Nobody has been served yet. The head lacks at most all its tokens.
+        measured = self._drain_rate.tokens_per_second(now_seconds=now_seconds)
+        if measured is not None:
+            return measured
+        # Too few have been served yet. The head lacks at most all its tokens.
         head_seconds = self._ready_at_seconds - self._began_at_seconds
         return self.head().tokens / max(head_seconds, ASK_SECONDS)
 
--- a/src/boragefold/policy/virtual_counter.py
+++ b/src/boragefold/policy/virtual_counter.py
@@ -24,7 +24,7 @@
 class Account:
     """The service of one workspace."""
 
-    counter: float
+    counter: float = 0.0
     correction: float = 0.0
     active: bool = False
 
@@ -49,7 +49,7 @@
         account = self._accounts.get(workspace)
         if account is None:
             self._sweep()
-            account = Account(counter=self._virtual_time)
+            account = Account()
             self._accounts[workspace] = account
         account.counter = max(account.counter, self._virtual_time)
         account.active = True
