--- a/src/boragefold/policy/fair_share.py
+++ b/src/boragefold/policy/fair_share.py
@@ -42,6 +42,9 @@
         self._share_per_second = math.inf
         self._update_at_seconds = -math.inf
 
+    def __len__(self) -> int:
+        return len(self._accounts)
+
     def exceeds(
         self,
         workspace: str,
--- /dev/null
+++ b/tests/policy/test_roles.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import roles
+from boragefold.telemetry import counters as telemetry
+from tests.fakes import workloads
+
+X = roles.Pool("x", "serve")
+Y = roles.Pool("y", "serve")
+
+
+class Mover:
+    """Two pools of engines with a batch of ten, which obey."""
+
+    def __init__(self, *, x: int, y: int) -> None:
+        self.endpoints = fleet.Endpoints()
+        self.names = [f"e{number}" for number in range(x + y)]
+        for number, name in enumerate(self.names):
+            model = "x" if number < x else "y"
+            self.endpoints.put(
+                workloads.spec(name, model=model, batch_size=10)
+            )
+        self.roles = roles.Roles(
+            endpoints=self.endpoints, counters=telemetry.Counters()
+        )
+
+    def run(
+        self, x: float, y: float, *, start: float, seconds: int, obey: bool
+    ) -> list[tuple[float, roles.RoleOrder]]:
+        given = []
+        for second in range(seconds):
+            at = start + second
+            for order in self.roles.decide(
+                busy={X: x, Y: y}, ordered=self.names, now_seconds=at
+            ):
+                given.append((at, order))
+                state = self.endpoints.get(order.endpoint)
+                assert state is not None
+                if obey:
+                    self.endpoints.put(
+                        state.spec._replace(model=order.pool.model)
+                    )
+        return given
+
+
+def test_a_shift_of_demand_moves_enough_endpoints_at_once() -> None:
+    # Late in the day the demand moves from one model to the other. Without
+    # a move one pool refuses while the other idles.
+    mover = Mover(x=10, y=10)
+    assert not mover.run(50, 50, start=0, seconds=60, obey=True)
+    moves = mover.run(20, 95, start=60, seconds=60, obey=True)
+    assert moves[0][0] <= 64
+    assert 2 <= len(moves) <= 3
+    assert all(order.pool == Y for _at, order in moves)
+
+
+def test_a_burst_moves_nothing() -> None:
+    mover = Mover(x=10, y=10)
+    for start in range(0, 60, 4):
+        assert not mover.run(20, 120, start=start, seconds=2, obey=True)
+        assert not mover.run(20, 50, start=start + 2, seconds=2, obey=True)
+
+
+def test_endpoints_dont_wander_between_two_full_pools() -> None:
+    # Both pools are nearly full, and each is a little fuller in turns.
+    mover = Mover(x=10, y=10)
+    moves = []
+    for start in range(0, 600, 20):
+        moves += mover.run(95, 75, start=start, seconds=10, obey=True)
+        moves += mover.run(75, 95, start=start + 10, seconds=10, obey=True)
+    assert not moves
+
+
+def test_an_endpoint_that_moved_stays() -> None:
+    mover = Mover(x=4, y=4)
+    there = mover.run(5, 60, start=0, seconds=30, obey=True)
+    back = mover.run(60, 5, start=30, seconds=60, obey=True)
+    moved = {order.endpoint for _at, order in there}
+    assert moved
+    assert moved.isdisjoint(order.endpoint for _at, order in back)
+
+
+def test_an_order_that_takes_long_is_not_given_twice() -> None:
+    # Loading a model takes minutes, in which nothing published changes. One
+    # more endpoint ordered every second would empty the giving pool.
+    mover = Mover(x=10, y=10)
+    moves = mover.run(20, 95, start=0, seconds=120, obey=False)
+    assert len(moves) <= 3
+    # After the timeout the orders count as failed, and are given again.
+    assert mover.run(20, 95, start=310, seconds=10, obey=False)
+
+
+def test_a_pool_keeps_an_endpoint_and_an_empty_one_gets_one() -> None:
+    mover = Mover(x=3, y=0)
+    moves = mover.run(0, 95, start=0, seconds=100, obey=True)
+    assert len(moves) == 2
+    assert sum(each.spec.model == "x" for each in mover.endpoints) >= 1
