Copy hot adapters only to where there is room; count the wait for a slot

Cause: found by reading. (1) With every endpoint full, each adapter that is waited for looked hot, and copies would have evicted others on endpoints that are full too; two such wants without a place also stopped the cold loads of their model. (2) A full near data centre counted as no wait at all while the fair queue was empty, so a far one with a free batch was left idle although the near requests run for seconds. Ruled out: no copies at any level of overload, because a cold data centre beside a hot one would then stay cold.

--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -232,7 +232,8 @@
         elif all(state.spec.name in excluded for state in near):
             near_seconds = float("inf")
         else:
-            near_seconds = queued_seconds + _cost(near[0], work)
+            wait_seconds = max(queued_seconds, _slot_seconds(near))
+            near_seconds = wait_seconds + _cost(near[0], work)
         if _cost(best, work) + FAR_MARGIN_SECONDS >= near_seconds:
             return chosen
         self._counters.add("requests_chosen", "other_data_centre")
@@ -279,6 +280,14 @@
     return state.spec.distance_seconds + latency * (1.0 + state.fill())
 
 
+def _slot_seconds(holders: Sequence[fleet.EndpointState]) -> float:
+    # Full holders get room as often as one of their requests ends.
+    first = holders[0]
+    duration_seconds = first.duration_seconds or 0.0
+    running = first.estimated_running() * len(holders)
+    return duration_seconds / max(running, 1)
+
+
 __all__ = [
     "Choice",
     "Chosen",
--- a/src/boragefold/policy/load_wants.py
+++ b/src/boragefold/policy/load_wants.py
@@ -8,15 +8,16 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import heapq
 from typing import NamedTuple
 
 from boragefold.policy import demand as demands
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import hot_adapters
 from boragefold.policy import virtual_counter
 from boragefold.policy import work as works
 
@@ -32,6 +33,7 @@
 
 COLD = "cold"
 HOT = "hot"
+WARM_UP = "warm_up"
 
 
 class Want(NamedTuple):
@@ -156,15 +158,17 @@
 def waited_for(
     demand: Mapping[works.AdapterVersion, demands.Demand],
     endpoints: fleet.Endpoints,
-    data_centres: Collection[str],
+    states: Iterable[fleet.EndpointState],
 ) -> Iterator[tuple[works.AdapterVersion, str]]:
     """Go through the adapters whose waiting work can't start.
 
     :param demand: what waits for which adapter
     :param endpoints: who holds what
-    :param data_centres: where holders count
+    :param states: the endpoints that may be loaded; holders count where the
+        data centre is theirs
     :return: adapters, and whether they lack a holder or one with room
     """
+    data_centres = {state.spec.data_centre for state in states}
     for adapter in demand:
         if not adapter.adapter:
             continue
@@ -179,10 +183,28 @@
             yield adapter, HOT
 
 
+def with_use_for(
+    want: Want, states: Sequence[fleet.EndpointState]
+) -> Sequence[fleet.EndpointState]:
+    """List the endpoints where a wanted load would serve somebody.
+
+    :param want: the adapter and why it is wanted
+    :param states: endpoints that may be given orders
+    :return: some of them
+    """
+    # In an overload every holder is full and every adapter looks hot. A copy
+    # on an endpoint that is full too would serve nobody, and evict something.
+    if want.reason != HOT:
+        return states
+    return [state for state in states if state.fill() < hot_adapters.HOT_FILL]
+
+
 __all__ = [
     "COLD",
     "HOT",
     "LoadWants",
+    "WARM_UP",
     "Want",
     "waited_for",
+    "with_use_for",
 ]
--- a/src/boragefold/policy/placement.py
+++ b/src/boragefold/policy/placement.py
@@ -34,7 +34,8 @@
 
 # The store's figure for one load while few are in flight.
 EXPECTED_LOAD_SECONDS = 0.25
-# Where so many adapters of one model found no slot, the next won't either.
+# Where so many adapters of one model, all cold or all hot, found no slot, the
+# next won't either.
 MAX_UNPLACED = 2
 # Adapters whose failures are remembered before old ones are dropped.
 MAX_FAILURES = 256
@@ -140,18 +141,21 @@
         self._forget_lost(now_seconds)
         states = self._usable(ordered)
         wants = self._make_wants(demand, states, now_seconds)
-        unplaced: collections.Counter[str] = collections.Counter()
+        unplaced: collections.Counter[tuple[str, str]] = collections.Counter()
         orders: list[Load | Drain] = []
         for want in self._wants.in_order(wants):
-            model = want.adapter.model
-            if unplaced[model] >= MAX_UNPLACED:
+            kind = want.adapter.model, want.reason
+            if unplaced[kind] >= MAX_UNPLACED:
                 continue
             place = self._places.find(
-                want.adapter, states, kept=demand, now_seconds=now_seconds
+                want.adapter,
+                load_wants.with_use_for(want, states),
+                kept=demand,
+                now_seconds=now_seconds,
             )
             if place is None:
                 self._counters.add("loads_delayed", "no_slot")
-                unplaced[model] += 1
+                unplaced[kind] += 1
                 orders.extend(
                     self._drains.find(
                         want, wants, states, now_seconds=now_seconds
@@ -162,15 +166,7 @@
                 self._counters.add("loads_delayed", "budget")
                 return orders
             self._wants.charge(want.workspace, EXPECTED_LOAD_SECONDS)
-            orders.append(
-                self._begin(
-                    place,
-                    want.adapter,
-                    want.workspace,
-                    want.reason,
-                    now_seconds,
-                )
-            )
+            orders.append(self._begin(place, want, now_seconds))
         if warm_up and not orders:
             orders.extend(self._load_early(states, now_seconds))
         return orders
@@ -188,7 +184,7 @@
         self._backoff.succeeded(load.adapter)
         duration_seconds = now_seconds - running.began_at_seconds
         self._counters.observe_seconds("load_seconds", duration_seconds)
-        if load.reason != warm_up_module.WARM_UP:
+        if load.reason != load_wants.WARM_UP:
             self._wants.correct(
                 load.workspace, duration_seconds - EXPECTED_LOAD_SECONDS
             )
@@ -236,12 +232,9 @@
         states: Sequence[fleet.EndpointState],
         now_seconds: float,
     ) -> list[load_wants.Want]:
-        data_centres = {state.spec.data_centre for state in states}
         hot = dict(self._hot.present(now_seconds=now_seconds))
-        reasons = {adapter: load_wants.HOT for adapter in hot}
-        reasons.update(
-            load_wants.waited_for(demand, self._endpoints, data_centres)
-        )
+        reasons = dict.fromkeys(hot, load_wants.HOT)
+        reasons.update(load_wants.waited_for(demand, self._endpoints, states))
         return self._wants.make(
             (
                 (adapter, reason)
@@ -257,21 +250,20 @@
     def _begin(
         self,
         place: slots_module.Place,
-        adapter: works.AdapterVersion,
-        workspace: str,
-        reason: str,
+        want: load_wants.Want,
         now_seconds: float,
     ) -> Load:
         state = place.endpoint
-        load = Load(state.spec.name, adapter, place.evict, workspace, reason)
+        name = state.spec.name
+        load = Load(
+            name, want.adapter, place.evict, want.workspace, want.reason
+        )
         if place.evict is not None:
-            self._endpoints.evicted(
-                state.spec.name, place.evict, now_seconds=now_seconds
-            )
+            self._endpoints.evicted(name, place.evict, now_seconds=now_seconds)
         self._loads.begin(
             load, incarnation=state.incarnation, now_seconds=now_seconds
         )
-        self._counters.add("loads_ordered", reason)
+        self._counters.add("loads_ordered", want.reason)
         return load
 
     def _is_absent(
@@ -289,10 +281,8 @@
         found = self._warm_up.find(states, now_seconds=now_seconds)
         if found is None or not self._budget.try_take(now_seconds=now_seconds):
             return
-        adapter, workspace, place = found
-        yield self._begin(
-            place, adapter, workspace, warm_up_module.WARM_UP, now_seconds
-        )
+        want, place = found
+        yield self._begin(place, want, now_seconds)
 
 
 __all__ = [
--- a/src/boragefold/policy/slots.py
+++ b/src/boragefold/policy/slots.py
@@ -132,10 +132,12 @@
         state: fleet.EndpointState,
         adapter: works.AdapterVersion,
         now_seconds: float,
-    ) -> tuple[bool, float, float]:
+    ) -> tuple[bool, bool, float, float]:
         per_second = self._rates.per_second(adapter, now_seconds=now_seconds)
         used_at, _gap = self._rates.next_use_seconds(adapter)
-        return adapter not in state.blocked_at, per_second, used_at
+        kept = adapter not in state.blocked_at
+        # What is loaded where there is no room can't start.
+        return kept, not state.has_room(), per_second, used_at
 
 
 def _loaded_at(
--- a/src/boragefold/policy/warm_up.py
+++ b/src/boragefold/policy/warm_up.py
@@ -13,6 +13,7 @@
 
 from boragefold.policy import arrival_rates
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import load_wants
 from boragefold.policy import places as places_module
 from boragefold.policy import slots as slots_module
 from boragefold.policy import work as works
@@ -23,14 +24,12 @@
 # An adapter asked for twice in the last twenty seconds will be again; one
 # asked for once may not.
 MIN_PER_SECOND = 2 / arrival_rates.MEMORY_SECONDS
-WARM_UP = "warm_up"
 
 
 class Early(NamedTuple):
-    """An adapter to be loaded early, for whom and where."""
+    """An adapter to be loaded early, and where."""
 
-    adapter: works.AdapterVersion
-    workspace: str
+    want: load_wants.Want
     place: slots_module.Place
 
 
@@ -67,7 +66,7 @@
             return None
         return next(
             (
-                Early(adapter, self._rates.workspace(adapter), place)
+                Early(self._want(adapter, now_seconds), place)
                 for per_second, adapter in self._rates.hottest(
                     now_seconds=now_seconds
                 )
@@ -78,9 +77,19 @@
             None,
         )
 
+    def _want(
+        self, adapter: works.AdapterVersion, now_seconds: float
+    ) -> load_wants.Want:
+        return load_wants.Want(
+            now_seconds,
+            adapter,
+            self._rates.workspace(adapter),
+            load_wants.WARM_UP,
+            now_seconds,
+        )
+
 
 __all__ = [
     "Early",
-    "WARM_UP",
     "WarmUp",
 ]
--- a/tests/policy/test_choice.py
+++ b/tests/policy/test_choice.py
@@ -161,8 +161,15 @@
     outcome = instance.choice.choose(request, queued_seconds=1.0)
     assert isinstance(outcome, choice.Chosen)
     assert outcome.endpoint == "far"
-    assert instance.counters.value("requests_chosen", "other_data_centre") == 1
+    # Long requests leave no room for long, even while nobody else waits.
+    for name in ("e0", "e1"):
+        state = instance.endpoints.get(name)
+        assert state is not None
+        state.duration_seconds = 8.0
+    outcome = instance.choice.choose(request, queued_seconds=0.0)
+    assert isinstance(outcome, choice.Chosen)
     # Where every near holder failed it already, distance doesn't matter.
     tried = frozenset({"e0", "e1"})
     outcome = instance.choice.choose(request, excluded=tried)
     assert isinstance(outcome, choice.Chosen)
+    assert instance.counters.value("requests_chosen", "other_data_centre") == 3
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -211,6 +211,22 @@
     assert not placer.decide(at=40.4)
 
 
+def test_a_full_fleet_isnt_filled_with_copies() -> None:
+    # In an overload every endpoint is full, so every adapter that is waited
+    # for looks hot. Copies would evict others and serve nobody; and two that
+    # find no place must not stop a cold adapter's load.
+    placer = Placer(*(workloads.spec(name) for name in "efg"))
+    for name, held in (("e", A), ("f", B), ("g", C)):
+        placer.endpoints.loaded(name, held, now_seconds=0.0)
+        placer.endpoints.report(workloads.report(name, 4, 1.0))
+    waiting = wait_for("A", "B", "C", "D")
+    (load,) = placer.decide(*waiting, at=2.0)
+    assert (load.adapter.adapter, load.reason) == ("D", "cold")
+    placer.endpoints.report(workloads.report("g", 0, 3.0))
+    loads = placer.decide(*waiting, at=3.0)
+    assert {(each.endpoint, each.reason) for each in loads} == {("g", "hot")}
+
+
 def test_a_failed_load_is_tried_later_and_later() -> None:
     # An adapter's weights are damaged. Tried again at once, it would take
     # the whole load rate from those that can be loaded.
