--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import random
@@ -74,10 +75,19 @@
         endpoints: fleet.Endpoints,
         rng: random.Random,
         counters: telemetry.Counters,
+        instances: Callable[[], int] = lambda: 1,
     ) -> None:
+        """Choose for one of several instances.
+
+        :param endpoints: what is known of the endpoints
+        :param rng: the source of chance
+        :param counters: count where requests are sent to, and why
+        :param instances: how many instances send to the same endpoints
+        """
         self._endpoints = endpoints
         self._rng = rng
         self._counters = counters
+        self._instances = instances
         self._prefixes = prefixes.Prefixes()
 
     def choose(
@@ -166,7 +176,12 @@
     ) -> bool:
         if state.spec.name in excluded:
             return False
-        over = state.fill() - CONCENTRATE_FILL
+        # The others see the same report and the same order of holders, and
+        # send as much as we do; without them the first holder would get many
+        # times its batch before the next report shows it.
+        unseen = (self._instances() - 1) * state.sent_since
+        fill = state.fill() + unseen / max(state.spec.batch_size, 1)
+        over = fill - CONCENTRATE_FILL
         chance = 1.0 - max(over, 0.0) / (SPREAD_FILL - CONCENTRATE_FILL)
         return self._rng.random() < chance * state.weight
 
@@ -217,7 +232,8 @@
         elif all(state.spec.name in excluded for state in near):
             near_seconds = float("inf")
         else:
-            near_seconds = queued_seconds + _cost(near[0], work)
+            wait_seconds = max(queued_seconds, _slot_seconds(near))
+            near_seconds = wait_seconds + _cost(near[0], work)
         if _cost(best, work) + FAR_MARGIN_SECONDS >= near_seconds:
             return chosen
         self._counters.add("requests_chosen", "other_data_centre")
@@ -264,6 +280,14 @@
     return state.spec.distance_seconds + latency * (1.0 + state.fill())
 
 
+def _slot_seconds(holders: Sequence[fleet.EndpointState]) -> float:
+    # Full holders get room as often as one of their requests ends.
+    first = holders[0]
+    duration_seconds = first.duration_seconds or 0.0
+    running = first.estimated_running() * len(holders)
+    return duration_seconds / max(running, 1)
+
+
 __all__ = [
     "Choice",
     "Chosen",
--- a/src/boragefold/policy/virtual_counter.py
+++ b/src/boragefold/policy/virtual_counter.py
@@ -24,7 +24,7 @@
 class Account:
     """The service of one workspace."""
 
-    counter: float
+    counter: float = 0.0
     correction: float = 0.0
     active: bool = False
 
@@ -36,6 +36,7 @@
         self._accounts: dict[str, Account] = {}
         self._virtual_time = 0.0
         self._largest_charge = 0.0
+        self._least = 0.0
         self._sweep_length = MIN_SWEEP_LENGTH
 
     def __len__(self) -> int:
@@ -49,7 +50,7 @@
         account = self._accounts.get(workspace)
         if account is None:
             self._sweep()
-            account = Account(counter=self._virtual_time)
+            account = Account()
             self._accounts[workspace] = account
         account.counter = max(account.counter, self._virtual_time)
         account.active = True
@@ -68,8 +69,8 @@
         :return: its counter, which never falls
         """
         account = self._accounts[workspace]
-        lag = MAX_LAG_CHARGES * self._largest_charge
-        account.counter = max(account.counter, self._virtual_time - lag)
+        if account.counter < self._least:
+            account.counter = self._least
         return account.counter
 
     def charge(self, workspace: str, amount: float) -> None:
@@ -81,6 +82,8 @@
         account = self._accounts[workspace]
         self._largest_charge = max(self._largest_charge, amount)
         self._virtual_time = max(self._virtual_time, self.value(workspace))
+        lag = MAX_LAG_CHARGES * self._largest_charge
+        self._least = max(self._least, self._virtual_time - lag)
         due = amount + account.correction
         account.correction = min(due, 0.0)
         account.counter += max(due, 0.0)
