Send digests only to the instance that decides, and cold ones at once

Cause: a request for a cold adapter waited for the next tick (50 ms) and the next digest (100 ms) before anyone decided on its load, and every digest went to every instance, which at 31 instances would be 4,650 messages a second.

Change: OrderRights tells who gives orders to an endpoint; each peer gets what it decides on, at once for a cold adapter and every 0.25 s otherwise. A refusal for want of the adapter no longer counts as a failed attempt. A request that failed at an endpoint and then waits in vain ends as unknown, not as "not run".

--- a/src/boragefold/bench/fleet.py
+++ b/src/boragefold/bench/fleet.py
@@ -13,10 +13,11 @@
 from boragefold.bench import store as stores
 from boragefold.bench import system as systems
 from boragefold.bench import traffic
+from boragefold.policy import work as works
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers
 
-REPORT_PERIOD_SECONDS = 0.5
+REPORT_PERIOD_SECONDS = 1.0
 REPORT_LAG_SECONDS = (0.05, 0.35)
 # An instance and an engine of one data centre, as a part of the way between
 # two data centres.
@@ -224,11 +225,16 @@
     def _report(self, engine: engines.Engine) -> None:
         report = systems.Report(
             endpoint=engine.size.name,
-            incarnation=engine.incarnation,
+            incarnation=str(engine.incarnation),
             taken_at_seconds=self.now_seconds(),
             running=len(engine.running),
             waiting=len(engine.waiting),
-            ready=tuple(engine.ready),
+            ready=tuple(
+                works.AdapterVersion(
+                    engine.size.model, adapter, traffic.VERSION
+                )
+                for adapter in engine.ready
+            ),
         )
         for instance in range(len(self.centres)):
             self._later(
--- a/src/boragefold/bench/instance.py
+++ b/src/boragefold/bench/instance.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 import functools
 import random
 
@@ -28,12 +29,27 @@
 class ModelRights(placing.OrderRights):
     """Order rights that never move."""
 
-    def __init__(self, *, names: Collection[str]) -> None:
-        self._names = frozenset(names)
+    def __init__(self, *, self_name: str, orderers: Mapping[str, str]) -> None:
+        self._self_name = self_name
+        self._orderers = orderers
+        self._ordered = frozenset(
+            endpoint
+            for endpoint, orderer in orderers.items()
+            if orderer == self_name
+        )
+
+    @property
+    def self_name(self) -> str:
+        """Tell who we are."""
+        return self._self_name
 
     def ordered(self) -> Collection[str]:
         """List the endpoints that this instance gives orders to."""
-        return self._names
+        return self._ordered
+
+    def orderer(self, endpoint: str) -> str | None:
+        """Tell who gives orders to an endpoint."""
+        return self._orderers.get(endpoint)
 
 
 class Instance(actions.Performer):
@@ -46,7 +62,7 @@
         fleet: fleets.Fleet,
         rates: shares.RateHolder,
         loads: shares.LoadHolder,
-        ordered: Collection[str],
+        orderers: Mapping[str, str],
         seed: int,
     ) -> None:
         self.number = number
@@ -63,7 +79,6 @@
             service=fleet.service, holder=rates, delay_seconds=between
         )
         self.dispatcher = assembly.assemble(
-            data_centre=fleet.centres[number],
             endpoints=known,
             stock=stock,
             load_budget=shares.ModelLoadBudget(
@@ -72,7 +87,7 @@
                 delay_seconds=between,
                 granted=self.run,
             ),
-            rights=ModelRights(names=ordered),
+            rights=ModelRights(self_name=str(number), orderers=orderers),
             rng=random.Random(f"instance {number} {seed}"),
             counters=self.counters,
         )
@@ -127,6 +142,16 @@
         """Tell all instances to stop using an adapter at an endpoint."""
         self._stop_everywhere(drain.drain.endpoint, drain.drain.adapter)
 
+    def tell(self, tell: actions.Tell) -> None:
+        """Send a digest to another instance."""
+        (peer,) = (
+            each for each in self.peers if str(each.number) == tell.peer
+        )
+        self._later(
+            self._fleet.deployment.between_seconds,
+            functools.partial(peer.hear, str(self.number), tell.digest),
+        )
+
     def _spec(self, size: deployments.EngineSize) -> endpoints.EndpointSpec:
         return endpoints.EndpointSpec(
             name=size.name,
@@ -233,15 +258,6 @@
             self.dispatcher.fleet.load_failed(load, now_seconds=now)
         self.run()
 
-    def tell_peers(self) -> None:
-        """Send the digest to every other instance."""
-        digest = self.dispatcher.fleet.digest()
-        for peer in self.peers:
-            self._later(
-                self._fleet.deployment.between_seconds,
-                functools.partial(peer.hear, str(self.number), digest),
-            )
-
     def hear(self, peer: str, digest: digests.Digest) -> None:
         """Receive another instance's digest.
 
@@ -251,6 +267,7 @@
         self.dispatcher.fleet.peer(
             peer, digest, now_seconds=self._fleet.now_seconds()
         )
+        self.run()
 
     def _later(self, seconds: float, callback: Callable[[], object]) -> None:
         def run() -> None:
--- a/src/boragefold/bench/measures.py
+++ b/src/boragefold/bench/measures.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 from typing import NamedTuple
 
 from boragefold.bench import deployments
@@ -15,6 +16,9 @@
 class Measures(NamedTuple):
     """The figures of one run; requests of the warm-up are left out.
 
+    ``refused_inside`` counts the refusals inside the rate, less those requests
+    outside it that the same workspace was served instead: which requests of a
+    caller over its rate are served is the fleet's to choose, how many isn't.
     ``late`` counts requests inside the rate whose first token didn't come
     while the caller waited. ``worst_served`` is the smallest share of its
     entitlement that a workspace was served. ``over_rate_tokens`` is what a
@@ -66,7 +70,7 @@
     refused = [
         record for record in records if record.refused_at_seconds is not None
     ]
-    refused_inside = sum(record.inside_rate for record in refused)
+    refused_inside = _net_refusals(records)
     duration = end_seconds - warm_up_seconds
     waits = sorted(
         _first_token_seconds(record)
@@ -87,7 +91,7 @@
         ),
         refused_inside=refused_inside,
         refused_inside_share=refused_inside / max(1, len(inside)),
-        refused_outside=len(refused) - refused_inside,
+        refused_outside=sum(not record.inside_rate for record in refused),
         late=sum(record.given_up for record in inside),
         failed=sum(record.failed for record in records),
         over_rate_tokens=_over_rate(fleet, rates_tokens_per_second),
@@ -100,6 +104,26 @@
     )
 
 
+def _net_refusals(records: Iterable[ledgers.Record]) -> int:
+    refused: dict[str, list[int]] = collections.defaultdict(list)
+    instead: collections.Counter[str] = collections.Counter()
+    for record in records:
+        name = record.arrival.work.workspace
+        if record.inside_rate and record.refused_at_seconds is not None:
+            refused[name].append(record.tokens)
+        elif not record.inside_rate and _is_served(record):
+            instead[name] += record.tokens
+    return sum(
+        _count_beyond(sorted(tokens), instead[name])
+        for name, tokens in refused.items()
+    )
+
+
+def _count_beyond(tokens: list[int], covered: int) -> int:
+    sums = itertools.accumulate(tokens)
+    return sum(total > covered for total in sums)
+
+
 def _is_served(record: ledgers.Record) -> bool:
     return record.finished_at_seconds is not None
 
--- a/src/boragefold/bench/served.py
+++ b/src/boragefold/bench/served.py
@@ -13,9 +13,6 @@
 from boragefold.bench import traffic
 from boragefold.policy import endpoints
 from boragefold.policy import refusal
-from boragefold.policy import work as works
-
-DIGEST_PERIOD_SECONDS = 0.1
 
 
 class Boragefold(systems.System):
@@ -46,21 +43,13 @@
                 fleet=fleet,
                 rates=rates,
                 loads=loads,
-                ordered=[
-                    name
-                    for name, orderer in orderers.items()
-                    if orderer == number
-                ],
+                orderers=orderers,
                 seed=seed,
             )
             for number in range(len(fleet.centres))
         ]
         for each in self.instances:
             each.peers = [other for other in self.instances if other != each]
-            fleet.service.every(
-                period_seconds=DIGEST_PERIOD_SECONDS,
-                callback=each.tell_peers,
-            )
 
     def arrive(self, instance: int, arrival: traffic.Arrival) -> None:
         """Offer a request to its instance's dispatcher."""
@@ -94,18 +83,11 @@
         owner.dispatcher.fleet.report(
             endpoints.LoadReport(
                 endpoint=report.endpoint,
-                incarnation=str(report.incarnation),
+                incarnation=report.incarnation,
                 running=report.running,
                 waiting=report.waiting,
                 measured_at_seconds=report.taken_at_seconds,
-                resident=tuple(
-                    works.AdapterVersion(
-                        self._fleet.engines[report.endpoint].size.model,
-                        adapter,
-                        traffic.VERSION,
-                    )
-                    for adapter in report.ready
-                ),
+                resident=report.ready,
             )
         )
         owner.run()
@@ -142,11 +124,11 @@
         owner.run()
 
 
-def _orderers(fleet: fleets.Fleet) -> dict[str, int]:
+def _orderers(fleet: fleets.Fleet) -> dict[str, str]:
     """Share the order rights out over the instances of each data centre."""
-    by_centre: dict[str, list[int]] = collections.defaultdict(list)
+    by_centre: dict[str, list[str]] = collections.defaultdict(list)
     for number, centre in enumerate(fleet.centres):
-        by_centre[centre].append(number)
+        by_centre[centre].append(str(number))
     turns = {
         centre: itertools.cycle(numbers)
         for centre, numbers in by_centre.items()
--- a/src/boragefold/bench/system.py
+++ b/src/boragefold/bench/system.py
@@ -6,17 +6,18 @@
 from typing import NamedTuple
 
 from boragefold.bench import traffic
+from boragefold.policy import work as works
 
 
 class Report(NamedTuple):
     """What an engine says of itself."""
 
     endpoint: str
-    incarnation: int
+    incarnation: str
     taken_at_seconds: float
     running: int
     waiting: int
-    ready: tuple[str, ...]
+    ready: tuple[works.AdapterVersion, ...]
 
 
 class System(abc.ABC):
--- a/src/boragefold/policy/actions.py
+++ b/src/boragefold/policy/actions.py
@@ -5,6 +5,7 @@
 import abc
 from typing import NamedTuple
 
+from boragefold.policy import digest as digests
 from boragefold.policy import placement
 from boragefold.policy import refusal
 from boragefold.policy import work as works
@@ -28,12 +29,12 @@
 class GiveUp(NamedTuple):
     """Answer that the request failed and is not tried again.
 
-    ``may_have_run`` tells an outcome that is unknown from one that is known:
+    ``reason`` is one of a small fixed set. ``may_have_run`` tells an outcome that is unknown from one that is known:
     a byte of the request may have reached the endpoint.
     """
 
     work: works.Work
-    endpoint: str
+    reason: str
     may_have_run: bool
 
 
@@ -53,7 +54,14 @@
     drain: placement.Drain
 
 
-Action = Send | Refuse | GiveUp | Order | Drain
+class Tell(NamedTuple):
+    """Send a digest to the instance that decides on what is in it."""
+
+    peer: str
+    digest: digests.Digest
+
+
+Action = Send | Refuse | GiveUp | Order | Drain | Tell
 
 
 class Performer(abc.ABC):
@@ -97,6 +105,13 @@
         :param drain: which one
         """
 
+    @abc.abstractmethod
+    def tell(self, tell: Tell) -> None:
+        """Send a digest to another instance; it may be lost.
+
+        :param tell: to whom, and what
+        """
+
     def perform(self, action: Action) -> None:
         """Do one action.
 
@@ -113,6 +128,8 @@
                 self.order(action)
             case Drain():
                 self.drain(action)
+            case Tell():
+                self.tell(action)
 
 
 __all__ = [
@@ -123,4 +140,5 @@
     "Performer",
     "Refuse",
     "Send",
+    "Tell",
 ]
--- a/src/boragefold/policy/assembly.py
+++ b/src/boragefold/policy/assembly.py
@@ -21,7 +21,6 @@
 
 def assemble(
     *,
-    data_centre: str,
     endpoints: endpoints_module.Endpoints,
     stock: stocks.Stock,
     load_budget: placement.LoadBudget,
@@ -31,7 +30,6 @@
 ) -> dispatcher.Dispatcher:
     """Put one instance's decisions together.
 
-    :param data_centre: where this instance is
     :param endpoints: what is known of them; the owner calls ``put`` on it
     :param stock: the tokens that this instance may spend
     :param load_budget: the loads that this instance may begin
@@ -56,14 +54,12 @@
         ),
         endpoints=endpoints,
         rights=rights,
-        data_centre=data_centre,
     )
     return dispatcher.Dispatcher(
         admission=admission.Admission(stock=stock, counters=counters),
         queue=queue,
         sending=queue_to_endpoint,
         endpoints=endpoints,
-        placing=loads,
         fleet=fleet_events.FleetEvents(
             queue=queue,
             sending=queue_to_endpoint,
--- a/src/boragefold/policy/digest.py
+++ b/src/boragefold/policy/digest.py
@@ -43,9 +43,12 @@
 
 
 class Digest(NamedTuple):
-    """One instance's waiting work, recent arrivals and adapters in use."""
+    """What one instance tells the one that decides on these adapters.
+
+    ``waiting`` and ``arrived`` are of adapters that the receiver decides on,
+    ``in_use`` of endpoints that it gives orders to.
+    """
 
-    data_centre: str
     waiting: tuple[Waiting, ...]
     arrived: tuple[Arrived, ...]
     in_use: tuple[InUse, ...]
@@ -77,15 +80,6 @@
             if now_seconds - at_seconds <= STALE_SECONDS
         }
 
-    def data_centres(self) -> frozenset[str]:
-        """Tell which data centres we hear from.
-
-        :return: their names
-        """
-        return frozenset(
-            digest.data_centre for _, digest in self._latest.values()
-        )
-
     def demand(
         self,
         own: Mapping[works.AdapterVersion, demands.Demand],
--- a/src/boragefold/policy/dispatcher.py
+++ b/src/boragefold/policy/dispatcher.py
@@ -8,14 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 from boragefold.policy import actions
 from boragefold.policy import admission as admissions
+from boragefold.policy import attempts
 from boragefold.policy import endpoints as endpoints_module
 from boragefold.policy import fair_queue
 from boragefold.policy import fleet_events
-from boragefold.policy import placing as placing_module
 from boragefold.policy import refusal
 from boragefold.policy import requests
 from boragefold.policy import retry_budget as retry_budgets
@@ -23,10 +21,6 @@
 from boragefold.policy import stock as stocks
 from boragefold.policy import work as works
 
-# An endpoint that has just lost an adapter refuses without running; so many
-# times in a row mean that the views don't agree, and the caller is told.
-MAX_ATTEMPTS = 5
-
 
 class Dispatcher:
     """Composes the decisions of one entry instance.
@@ -42,19 +36,23 @@
         queue: fair_queue.FairQueue,
         sending: sending_module.Sending,
         endpoints: endpoints_module.Endpoints,
-        placing: placing_module.Placing,
         fleet: fleet_events.FleetEvents,
         retry_budget: retry_budgets.RetryBudget,
         stock: stocks.Stock,
     ) -> None:
+        self.fleet = fleet
         self._admission = admission
         self._queue = queue
         self._sending = sending
         self._endpoints = endpoints
-        self._placing = placing
-        self.fleet = fleet
-        self._retry_budget = retry_budget
         self._requests = requests.Requests(stock=stock)
+        self._attempts = attempts.Attempts(
+            queue=queue,
+            sending=sending,
+            endpoints=endpoints,
+            retry_budget=retry_budget,
+            requests=self._requests,
+        )
         self._topped_up: set[str] = set()
         self._endings: list[actions.Action] = []
         stock.subscribe(self._topped_up.add)
@@ -85,8 +83,8 @@
         :param request_id: the request
         :param now_seconds: reading of the process clock
         """
-        request = self._requests.get(request_id)
-        if request is not None and request.endpoint:
+        request = self._sent(request_id)
+        if request is not None:
             self._endpoints.answered(
                 request.endpoint, request_id, now_seconds=now_seconds
             )
@@ -102,8 +100,7 @@
         """
         request = self._requests.get(request_id)
         if request is not None:
-            self._leave_endpoint(request, used_tokens, now_seconds)
-            self._requests.end(request, used_tokens=used_tokens)
+            self._end(request, used_tokens, now_seconds)
 
     def failed(
         self,
@@ -120,42 +117,30 @@
         :param used_tokens: tokens of the answer that the caller has got
         :param now_seconds: reading of the process clock
         """
-        request = self._requests.get(request_id)
-        if request is None or not request.endpoint:
+        request = self._sent(request_id)
+        if request is None:
             return
-        endpoint = request.endpoint
-        self._endpoints.failed(endpoint)
-        self._leave_endpoint(request, used_tokens, now_seconds)
-        if self._retry_budget.try_retry(
-            endpoint,
-            idempotent=request.idempotent,
+        ending = self._attempts.fail(
+            request,
             bytes_sent=bytes_sent,
+            used_tokens=used_tokens,
             now_seconds=now_seconds,
-        ):
-            self._repeat(request, endpoint, now_seconds)
-        else:
-            self._give_up(request, endpoint, bytes_sent, used_tokens)
+        )
+        if ending is not None:
+            self._endings.append(ending)
 
     def not_held(self, request_id: str, *, now_seconds: float) -> None:
         """Note that an endpoint refused for want of the adapter.
 
-        Nothing ran, so the request goes back to the queue, whatever it is.
-
-        :param request_id: the request
+        :param request_id: the request, of which nothing ran
         :param now_seconds: reading of the process clock
         """
-        request = self._requests.get(request_id)
-        if request is None or not request.endpoint:
+        request = self._sent(request_id)
+        if request is None:
             return
-        endpoint = request.endpoint
-        self._endpoints.evicted(
-            endpoint, request.work.needs, now_seconds=now_seconds
-        )
-        self._leave_endpoint(request, 0.0, now_seconds)
-        if request.attempts >= MAX_ATTEMPTS:
-            self._give_up(request, endpoint, False, 0.0)
-        else:
-            self._repeat(request, endpoint, now_seconds)
+        ending = self._attempts.not_held(request, now_seconds=now_seconds)
+        if ending is not None:
+            self._endings.append(ending)
 
     def cancel(
         self,
@@ -175,8 +160,7 @@
             return
         self._admission.withdraw(request_id)
         self._queue.remove(request_id)
-        self._leave_endpoint(request, used_tokens, now_seconds)
-        self._requests.end(request, used_tokens=used_tokens)
+        self._end(request, used_tokens, now_seconds)
 
     def next_due_seconds(self) -> float:
         """Tell when :meth:`next_actions` has something to do, at the latest.
@@ -199,7 +183,7 @@
         self._advance_admission(now_seconds)
         self._expire(now_seconds)
         due = list(self.fleet.tick(now_seconds=now_seconds))
-        due.extend(self._sends(now_seconds))
+        due.extend(self._attempts.begin(now_seconds=now_seconds))
         endings, self._endings = self._endings, []
         return [*endings, *due]
 
@@ -220,7 +204,7 @@
         if refused is not None:
             self._requests.end(request, used_tokens=0.0)
             return refused
-        self._placing.arrived(work, now_seconds=now_seconds)
+        self.fleet.waits(work, now_seconds=now_seconds)
         return None
 
     def _advance_admission(self, now_seconds: float) -> None:
@@ -236,7 +220,7 @@
         self, decided: admissions.Decided, now_seconds: float
     ) -> None:
         work, outcome = decided
-        request = self._waiting(work)
+        request = self._requests.waiting(work)
         if isinstance(outcome, refusal.Refused):
             self._requests.end(request, used_tokens=0.0)
             self._endings.append(actions.Refuse(work, outcome))
@@ -248,67 +232,31 @@
 
     def _expire(self, now_seconds: float) -> None:
         for work in self._queue.expire(now_seconds=now_seconds):
-            self._requests.end(self._waiting(work), used_tokens=0.0)
+            request = self._requests.waiting(work)
+            self._requests.end(request, used_tokens=0.0)
             refused = refusal.Refused(
                 status=refusal.UNAVAILABLE,
                 reason="caller_gave_up",
                 remedy="wait longer for the answer",
             )
-            self._endings.append(actions.Refuse(work, refused))
-
-    def _sends(self, now_seconds: float) -> Iterator[actions.Send]:
-        for work, endpoint in self._sending.matches(
-            self._requests.excluded, now_seconds=now_seconds
-        ):
-            request = self._waiting(work)
-            request.endpoint = endpoint
-            request.attempts += 1
-            self._endpoints.sent(endpoint, work, now_seconds=now_seconds)
-            if request.attempts == 1:
-                self._retry_budget.fresh(endpoint, now_seconds=now_seconds)
-            yield actions.Send(work, endpoint, request.attempts)
-
-    def _repeat(
-        self, request: requests.Request, endpoint: str, now_seconds: float
-    ) -> None:
-        self._requests.exclude(request, endpoint)
-        self._sending.push_back(request.work, now_seconds=now_seconds)
+            self._endings.append(attempts.ended_unserved(request, refused))
 
-    def _give_up(
-        self,
-        request: requests.Request,
-        endpoint: str,
-        bytes_sent: bool,
-        used_tokens: float,
-    ) -> None:
-        self._requests.end(request, used_tokens=used_tokens)
-        self._endings.append(
-            actions.GiveUp(request.work, endpoint, bytes_sent)
-        )
+    def _sent(self, request_id: str) -> requests.Request | None:
+        request = self._requests.get(request_id)
+        return request if request is not None and request.endpoint else None
 
-    def _leave_endpoint(
+    def _end(
         self,
         request: requests.Request,
         used_tokens: float,
         now_seconds: float,
     ) -> None:
-        if not request.endpoint:
-            return
-        self._endpoints.finished(
-            request.endpoint, request.work.request_id, now_seconds=now_seconds
+        self._attempts.end(
+            request, used_tokens=used_tokens, now_seconds=now_seconds
         )
-        self._sending.stir_endpoint(request.endpoint)
-        self._queue.settle(request.work, used_tokens=used_tokens)
-        request.endpoint = ""
-
-    def _waiting(self, work: works.Work) -> requests.Request:
-        request = self._requests.get(work.request_id)
-        if request is None:
-            raise LookupError(f"{work.request_id} waits but isn't open")
-        return request
+        self._requests.end(request, used_tokens=used_tokens)
 
 
 __all__ = [
     "Dispatcher",
-    "MAX_ATTEMPTS",
 ]
--- a/src/boragefold/policy/fleet_events.py
+++ b/src/boragefold/policy/fleet_events.py
@@ -23,6 +23,9 @@
 TICK_SECONDS = 0.05
 # Latencies are compared, and stale reports forgotten, this often.
 REFRESH_SECONDS = 1.0
+# Peers hear at once of a request for a cold adapter, and otherwise this often:
+# what they do with it, copies and evictions, takes a load's time anyway.
+TELL_SECONDS = 0.25
 
 
 class FleetEvents:
@@ -42,6 +45,7 @@
         self._placing = placing
         self.tick_at_seconds = float("-inf")
         self._refresh_at_seconds = float("-inf")
+        self._tell_at_seconds = float("-inf")
 
     def report(self, report: fleet.LoadReport) -> None:
         """Take in an endpoint's load report.
@@ -113,13 +117,6 @@
         """
         self._placing.load_failed(load, now_seconds=now_seconds)
 
-    def digest(self) -> digests.Digest:
-        """Sum up for the peers; send it to each several times a second.
-
-        :return: what waits here, arrived since the last, and is in use
-        """
-        return self._placing.digest(self._queue.waiting_by_adapter())
-
     def peer(
         self, peer: str, digest: digests.Digest, *, now_seconds: float
     ) -> None:
@@ -130,6 +127,19 @@
         :param now_seconds: reading of the process clock
         """
         self._placing.peer(peer, digest, now_seconds=now_seconds)
+        if any(self._placing.is_cold(each.adapter) for each in digest.waiting):
+            self.tick_at_seconds = now_seconds
+
+    def waits(self, work: works.Work, *, now_seconds: float) -> None:
+        """Note that a request was queued; a cold one brings the tick on.
+
+        :param work: the request
+        :param now_seconds: reading of the process clock
+        """
+        self._placing.arrived(work, now_seconds=now_seconds)
+        if self._placing.is_cold(work.needs):
+            self.tick_at_seconds = now_seconds
+            self._tell_at_seconds = now_seconds
 
     def tick(self, *, now_seconds: float) -> Iterator[actions.Action]:
         """Decide on loads, if it is time to.
@@ -144,8 +154,13 @@
             self._refresh_at_seconds = now_seconds + REFRESH_SECONDS
             self._endpoints.refresh(now_seconds=now_seconds)
         level = self._sending.observe(now_seconds=now_seconds)
+        waiting = self._queue.waiting_by_adapter()
+        if now_seconds >= self._tell_at_seconds:
+            self._tell_at_seconds = now_seconds + TELL_SECONDS
+            for peer, digest in self._placing.digests_by_peer(waiting).items():
+                yield actions.Tell(peer, digest)
         yield from self._placing.decide(
-            self._queue.waiting_by_adapter(),
+            waiting,
             warm_up=level < overloads.Level.NO_EXTRAS,
             now_seconds=now_seconds,
         )
--- a/src/boragefold/policy/placing.py
+++ b/src/boragefold/policy/placing.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 import abc
+from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Set
+from typing import TypeVar
 
 import xxhash
 
@@ -25,9 +29,19 @@
 # of them loses a tenth of what a load of a quarter of a second would cost.
 JOINED_SECONDS = 0.025
 
+Item = TypeVar("Item")
+
 
 class OrderRights(abc.ABC):
-    """Which endpoints this instance gives orders to, now."""
+    """Which instance gives orders to which endpoint, now."""
+
+    @property
+    @abc.abstractmethod
+    def self_name(self) -> str:
+        """Tell who we are.
+
+        :return: our own incarnation
+        """
 
     @abc.abstractmethod
     def ordered(self) -> Collection[str]:
@@ -36,6 +50,15 @@
         :return: their names
         """
 
+    @abc.abstractmethod
+    def orderer(self, endpoint: str) -> str | None:
+        """Tell who holds an endpoint's order right, as far as we know.
+
+        :param endpoint: its name
+        :return: an incarnation; None when we can't reach its holder, so that
+            its adapters are decided on elsewhere
+        """
+
 
 class Placing:
     """Feeds placement with the demand of all instances we hear from."""
@@ -46,15 +69,14 @@
         placement: placements.Placement,
         endpoints: fleet.Endpoints,
         rights: OrderRights,
-        data_centre: str,
     ) -> None:
         self._placement = placement
         self._endpoints = endpoints
         self._rights = rights
-        self._data_centre = data_centre
         self._peers = digests.Peers()
         self._arrivals = digests.Arrivals()
         self._homes: dict[str, list[str]] = {}
+        self._told: Set[str] = frozenset()
 
     def arrived(self, work: works.Work, *, now_seconds: float) -> None:
         """Note an admitted request.
@@ -65,24 +87,49 @@
         self._arrivals.add(work)
         self._placement.arrived(work, now_seconds=now_seconds)
 
-    def digest(
+    def is_cold(self, adapter: works.AdapterVersion) -> bool:
+        """Tell whether an adapter's requests have to wait for a load.
+
+        :param adapter: the adapter version
+        :return: whether no endpoint is known to hold it
+        """
+        return bool(adapter.adapter) and not self._endpoints.holders(adapter)
+
+    def digests_by_peer(
         self, own: Mapping[works.AdapterVersion, demands.Demand]
-    ) -> digests.Digest:
-        """Sum up for the peers what we have; the arrivals begin anew.
+    ) -> dict[str, digests.Digest]:
+        """Sum up for each peer what it decides on; arrivals begin anew.
 
         :param own: what waits here
-        :return: to be sent to every instance nearby
+        :return: digests by incarnation; peers with nothing to hear are left
+            out
         """
-        return digests.Digest(
-            data_centre=self._data_centre,
-            waiting=digests.waiting_of(own),
-            arrived=self._arrivals.take(),
-            in_use=tuple(
+        self._homes.clear()
+        waiting = _by_peer(
+            digests.waiting_of(own), lambda each: self._decider(each.adapter)
+        )
+        arrived = _by_peer(
+            self._arrivals.take(), lambda each: self._decider(each.adapter)
+        )
+        in_use = _by_peer(
+            (
                 digests.InUse(state.spec.name, tuple(state.in_use))
                 for state in self._endpoints
                 if state.in_use
             ),
+            lambda each: self._rights.orderer(each.endpoint),
         )
+        # Whoever heard from us last time hears that it is over.
+        present = waiting.keys() | arrived.keys() | in_use.keys()
+        told, self._told = self._told, present
+        return {
+            peer: digests.Digest(
+                waiting=tuple(waiting.get(peer, ())),
+                arrived=tuple(arrived.get(peer, ())),
+                in_use=tuple(in_use.get(peer, ())),
+            )
+            for peer in sorted((present | told) - {self._rights.self_name})
+        }
 
     def peer(
         self, peer: str, digest: digests.Digest, *, now_seconds: float
@@ -155,22 +202,25 @@
         """
         self._placement.load_failed(load, now_seconds=now_seconds)
 
+    def _decider(self, adapter: works.AdapterVersion) -> str | None:
+        home = self._home(adapter)
+        return None if home is None else self._rights.orderer(home)
+
     def _home(self, adapter: works.AdapterVersion) -> str | None:
         """Name the endpoint whose orderer decides on an adapter.
 
-        A data centre that we don't hear from can't decide for us: it is left
-        out, and what it holds meanwhile is loaded a second time.
+        An endpoint whose orderer can't be reached is left out: what is held
+        there is loaded a second time, for as long as the cut lasts.
         """
         names = self._homes.get(adapter.model)
         if names is None:
-            heard = self._peers.data_centres() | {self._data_centre}
             names = sorted(
                 state.spec.name
                 for state in self._endpoints
                 if state.spec.model == adapter.model
                 and not state.spec.leaving
-                and state.spec.data_centre in heard
                 and state.spec.distance_seconds <= JOINED_SECONDS
+                and self._rights.orderer(state.spec.name) is not None
             )
             self._homes[adapter.model] = names
         if not names:
@@ -179,6 +229,17 @@
         return names[xxhash.xxh3_64_intdigest(text.encode()) % len(names)]
 
 
+def _by_peer(
+    items: Iterable[Item], peer_of: Callable[[Item], str | None]
+) -> dict[str, list[Item]]:
+    by_peer: dict[str, list[Item]] = {}
+    for item in items:
+        peer = peer_of(item)
+        if peer is not None:
+            by_peer.setdefault(peer, []).append(item)
+    return by_peer
+
+
 __all__ = [
     "OrderRights",
     "Placing",
--- a/src/boragefold/policy/requests.py
+++ b/src/boragefold/policy/requests.py
@@ -10,13 +10,18 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Request:
-    """What the dispatcher knows of a request; endpoint while it is sent."""
+    """What the dispatcher knows of a request; endpoint while it is sent.
+
+    Once a byte of an attempt may have reached an endpoint, "not run" is no
+    longer a true answer, whatever happens to later attempts.
+    """
 
     work: works.Work
     idempotent: bool
     reservation: stocks.Reservation | None = None
     endpoint: str = ""
     attempts: int = 0
+    may_have_run: bool = False
 
 
 class Requests:
@@ -46,6 +51,17 @@
         """
         return self._open.get(request_id)
 
+    def waiting(self, work: works.Work) -> Request:
+        """Look up a request that must be open.
+
+        :param work: what waits somewhere
+        :return: its request
+        """
+        request = self._open.get(work.request_id)
+        if request is None:
+            raise LookupError(f"{work.request_id} waits, but isn't open")
+        return request
+
     def exclude(self, request: Request, endpoint: str) -> None:
         """Note that an endpoint failed a request.
 
