Queue asks for tokens at the modelled holder instead of repeating them

Change: the holder answers asks in order, each once there are enough tokens, and tells at once how many are missing.

--- a/src/boragefold/bench/shares.py
+++ b/src/boragefold/bench/shares.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
+from typing import NamedTuple
 
 from boragefold.bench import deployments
 from boragefold.bench import store
@@ -22,6 +24,13 @@
 UNUSED_LOAD_SECONDS = 0.5
 
 
+class Ask(NamedTuple):
+    """An instance that waits for tokens."""
+
+    short: float
+    grant: Callable[[float], None]
+
+
 class RateHolder:
     """The fleet's bucket of each workspace."""
 
@@ -45,6 +54,10 @@
         self._levels = {
             name: (burst, 0.0) for name, burst in self.bursts.items()
         }
+        self._asked: dict[str, collections.deque[Ask]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._waking: set[str] = set()
 
     def level(self, workspace: str) -> float:
         """Tell what is left now.
@@ -59,15 +72,55 @@
         )
 
     def add(self, workspace: str, tokens: float) -> None:
-        """Put tokens back, or take them with a negative amount.
+        """Put tokens back.
 
         :param workspace: whose bucket
         :param tokens: how many
         """
-        self._levels[workspace] = (
-            self.level(workspace) + tokens,
-            self._service.now_seconds(),
-        )
+        self._set(workspace, self.level(workspace) + tokens)
+        self._grant(workspace)
+
+    def ask(
+        self, workspace: str, short: float, grant: Callable[[float], None]
+    ) -> float:
+        """Ask for tokens, first come first served.
+
+        :param workspace: whose bucket
+        :param short: how many are needed
+        :param grant: called with how many are given, once there are enough
+        :return: tokens that are missing until then
+        """
+        asked = self._asked[workspace]
+        asked.append(Ask(short, grant))
+        wanted = sum(ask.short for ask in asked)
+        missing = max(0.0, wanted - self.level(workspace))
+        self._grant(workspace)
+        return missing
+
+    def _grant(self, workspace: str) -> None:
+        asked = self._asked[workspace]
+        while asked and self.level(workspace) >= asked[0].short - 1e-6:
+            ask = asked.popleft()
+            level = self.level(workspace)
+            others = sum(each.short for each in asked)
+            ahead = min(self.ahead[workspace], max(0.0, level - others))
+            granted = min(level, ask.short + ahead)
+            self._set(workspace, level - granted)
+            ask.grant(granted)
+        if asked and workspace not in self._waking:
+            self._waking.add(workspace)
+            missing = asked[0].short - self.level(workspace)
+            self._service.once(
+                delay_seconds=missing / self.rates[workspace],
+                callback=functools.partial(self._wake, workspace),
+            )
+
+    def _wake(self, workspace: str) -> None:
+        self._waking.discard(workspace)
+        self._grant(workspace)
+
+    def _set(self, workspace: str, level: float) -> None:
+        self._levels[workspace] = (level, self._service.now_seconds())
 
 
 class ModelStock(stock.Stock):
@@ -135,21 +188,24 @@
         )
 
     def _decide(self, workspace: str, short: float) -> None:
-        level = self._holder.level(workspace)
-        granted = 0.0
-        if level >= short:
-            granted = min(level, short + self._holder.ahead[workspace])
-            self._holder.add(workspace, -granted)
-        self._later(
-            self._delay_seconds,
-            lambda: self._receive(workspace, granted, short - level),
-        )
+        def grant(tokens: float) -> None:
+            self._later(
+                self._delay_seconds, lambda: self._receive(workspace, tokens)
+            )
+
+        missing = self._holder.ask(workspace, short, grant)
+        if missing:
+            self._later(
+                self._delay_seconds, lambda: self._wait(workspace, missing)
+            )
 
-    def _receive(self, workspace: str, granted: float, missing: float) -> None:
+    def _wait(self, workspace: str, missing: float) -> None:
+        self._missing[workspace] = (missing, self._service.now_seconds())
+
+    def _receive(self, workspace: str, granted: float) -> None:
         self._asking.discard(workspace)
+        self._missing.pop(workspace, None)
         self._local[workspace] += granted
-        now = self._service.now_seconds()
-        self._missing[workspace] = (0.0 if granted else missing, now)
         self._tell(workspace)
 
     def _tell(self, workspace: str) -> None:
--- a/src/boragefold/policy/actions.py
+++ b/src/boragefold/policy/actions.py
@@ -29,8 +29,9 @@
 class GiveUp(NamedTuple):
     """Answer that the request failed and is not tried again.
 
-    ``reason`` is one of a small fixed set. ``may_have_run`` tells an outcome that is unknown from one that is known:
-    a byte of the request may have reached the endpoint.
+    ``reason`` is one of a small fixed set. ``may_have_run`` tells an outcome
+    that is unknown from one that is known: a byte of the request may have
+    reached an endpoint.
     """
 
     work: works.Work
