Take the fair share of the service into the dispatcher

Cause: overload asks whether a request is above its workspace's share, and the queue no longer tells. Change: Sending asks FairShare with the measured service rate times the part that the level gives out; assemble() is told how many instances there are.

--- a/src/boragefold/bench/instance.py
+++ b/src/boragefold/bench/instance.py
@@ -88,6 +88,7 @@
                 granted=self.run,
             ),
             rights=ModelRights(self_name=str(number), orderers=orderers),
+            instances=lambda: len(fleet.centres),
             rng=random.Random(f"instance {number} {seed}"),
             counters=self.counters,
         )
--- a/src/boragefold/policy/assembly.py
+++ b/src/boragefold/policy/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 
 from boragefold.policy import admission
@@ -9,6 +10,7 @@
 from boragefold.policy import dispatcher
 from boragefold.policy import endpoints as endpoints_module
 from boragefold.policy import fair_queue
+from boragefold.policy import fair_share
 from boragefold.policy import fleet_events
 from boragefold.policy import overload
 from boragefold.policy import placement
@@ -25,6 +27,7 @@
     stock: stocks.Stock,
     load_budget: placement.LoadBudget,
     rights: placing.OrderRights,
+    instances: Callable[[], int],
     rng: random.Random,
     counters: telemetry.Counters,
 ) -> dispatcher.Dispatcher:
@@ -34,6 +37,7 @@
     :param stock: the tokens that this instance may spend
     :param load_budget: the loads that this instance may begin
     :param rights: the endpoints that this instance gives orders to
+    :param instances: how many instances send to the same endpoints
     :param rng: where every random choice comes from
     :param counters: where refusals, retries and loads are counted
     :return: the dispatcher
@@ -41,9 +45,15 @@
     queue = fair_queue.FairQueue(counters=counters)
     queue_to_endpoint = sending.Sending(
         queue=queue,
-        choice=choice.Choice(endpoints=endpoints, rng=rng, counters=counters),
+        choice=choice.Choice(
+            endpoints=endpoints,
+            rng=rng,
+            counters=counters,
+            instances=instances,
+        ),
         endpoints=endpoints,
         overload=overload.Overload(counters=counters),
+        share=fair_share.FairShare(),
     )
     loads = placing.Placing(
         placement=placement.Placement(
--- a/src/boragefold/policy/sending.py
+++ b/src/boragefold/policy/sending.py
@@ -17,6 +17,7 @@
 from boragefold.policy import demand as demands
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import fair_queue
+from boragefold.policy import fair_share
 from boragefold.policy import overload as overloads
 from boragefold.policy import refusal
 from boragefold.policy import service_rate
@@ -44,11 +45,13 @@
         choice: choices.Choice,
         endpoints: fleet.Endpoints,
         overload: overloads.Overload,
+        share: fair_share.FairShare,
     ) -> None:
         self._queue = queue
         self._choice = choice
         self._endpoints = endpoints
         self._overload = overload
+        self._share = share
         self._service = service_rate.ServiceRate()
         self._delay_seconds = 0.0
         # Adapters and endpoints for which something changed since the last
@@ -65,9 +68,15 @@
         :param now_seconds: reading of the process clock
         :return: the refusal, or None
         """
+        rate = self._service.tokens_per_second()
         shed = self._overload.check(
             work,
-            above_share=self._queue.is_above_share(work.workspace),
+            above_share=self._share.exceeds(
+                work.workspace,
+                works.tokens_of(work),
+                service_tokens_per_second=rate * self._overload.given_part,
+                now_seconds=now_seconds,
+            ),
             cold=not self._endpoints.holders(work.needs),
         )
         if shed is not None:
@@ -75,7 +84,7 @@
         outcome = self._queue.offer(
             work,
             now_seconds=now_seconds,
-            service_tokens_per_second=self._service.tokens_per_second(),
+            service_tokens_per_second=rate,
         )
         self._stirred.add(work.needs)
         return outcome if isinstance(outcome, refusal.Refused) else None
