--- /dev/null
+++ b/src/boragefold/bench/decision_cost.py
@@ -0,0 +1,243 @@
+"""What one decision costs at the size to design for, in one data centre."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Collection
+import itertools
+import random
+import sys
+import time
+from types import FrameType
+from typing import NamedTuple
+
+from boragefold.policy import assembly
+from boragefold.policy import endpoints
+from boragefold.policy import placement
+from boragefold.policy import placing
+from boragefold.policy import stock
+from boragefold.policy import work as works
+from boragefold.telemetry import counters
+
+# One data centre's part of the plan: 890 entry nodes, 12,000 replicas and
+# 18,000 adapters over 29 data centres; the catalogue is the same in all.
+INSTANCES = 31
+REPLICAS = 414
+ADAPTERS = 18_000
+SLOTS = 24
+BATCH_SIZE = 16
+WORKSPACES = 100
+REQUESTS_PER_SECOND = 1_000
+REQUESTS = 4_000
+COUNTED_REQUESTS = 1_000
+# Requests in flight per instance: 1,000 a second over 31 instances, 4 s each.
+IN_FLIGHT = 130
+POPULARITY_EXPONENT = 1.6
+
+
+class Cost(NamedTuple):
+    """The cost of one request's decisions: offer, send, first token, end.
+
+    The periodic part (loads, digests, comparison of endpoints) is apart, in
+    time per second. Calls are the same in every run, times are not.
+    """
+
+    adapters: int
+    replicas: int
+    request_microseconds: float
+    request_calls: float
+    periodic_microseconds_per_second: float
+
+
+class _AmpleStock(stock.Stock):
+    """Always has tokens, so that the decisions are measured and not it."""
+
+    def reserve(
+        self, *, workspace: str, tokens: float
+    ) -> stock.Reservation | stock.Shortfall:
+        """Set tokens aside."""
+        return stock.Reservation(workspace=workspace, tokens=tokens)
+
+    def settle(
+        self, reservation: stock.Reservation, *, used_tokens: float
+    ) -> None:
+        """Give nothing back."""
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        """Never call."""
+
+
+class _NoLoads(placement.LoadBudget):
+    """Allows no loads: what is measured is the way of a request."""
+
+    def try_take(self, *, now_seconds: float) -> bool:
+        """Refuse."""
+        return False
+
+    def ended(self, *, now_seconds: float) -> None:
+        """Ignore."""
+
+
+class _Orders(placing.OrderRights):
+    """Gives orders to one instance's part of the replicas."""
+
+    def __init__(self, *, replicas: int) -> None:
+        self._ordered = {
+            f"r{number}" for number in range(0, replicas, INSTANCES)
+        }
+
+    @property
+    def self_name(self) -> str:
+        """Tell who we are."""
+        return "0"
+
+    def ordered(self) -> Collection[str]:
+        """List every 31st replica."""
+        return self._ordered
+
+    def orderer(self, endpoint: str) -> str | None:
+        """Share the replicas out by number."""
+        return str(int(endpoint[1:]) % INSTANCES)
+
+
+class _Ways:
+    """Requests on their way through one instance's dispatcher."""
+
+    def __init__(self, *, adapters: int, replicas: int) -> None:
+        self._rng = random.Random(1)
+        self._now = 0.0
+        self._in_flight: collections.deque[str] = collections.deque()
+        self._serials = itertools.count()
+        known = endpoints.Endpoints()
+        self._held = _fill(known, adapters, replicas)
+        self._weights = list(
+            itertools.accumulate(
+                (rank + 1) ** -POPULARITY_EXPONENT
+                for rank in range(len(self._held))
+            )
+        )
+        self.dispatcher = assembly.assemble(
+            endpoints=known,
+            stock=_AmpleStock(),
+            load_budget=_NoLoads(),
+            rights=_Orders(replicas=replicas),
+            instances=lambda: INSTANCES,
+            rng=self._rng,
+            counters=counters.Counters(),
+        )
+
+    def draw(self) -> works.Work:
+        """Draw the next request, after the time that lies between two."""
+        self._now += INSTANCES / REQUESTS_PER_SECOND
+        (adapter,) = self._rng.choices(self._held, cum_weights=self._weights)
+        return works.Work(
+            request_id=f"q{next(self._serials)}",
+            workspace=f"w{self._rng.randrange(WORKSPACES)}",
+            needs=adapter,
+            prompt_tokens=500,
+            max_tokens=440,
+            arrived_at_seconds=self._now,
+            give_up_at_seconds=self._now + 10,
+        )
+
+    def periodic(self) -> None:
+        """Do the part that isn't any request's."""
+        for _ in self.dispatcher.fleet.tick(now_seconds=self._now):
+            pass
+
+    def request(self, work: works.Work) -> None:
+        """Decide on a request, and end the one that is due."""
+        now = self._now
+        self.dispatcher.offer(work, idempotent=True, now_seconds=now)
+        self.dispatcher.next_actions(now_seconds=now)
+        self.dispatcher.first_token(work.request_id, now_seconds=now)
+        self._in_flight.append(work.request_id)
+        if len(self._in_flight) > IN_FLIGHT:
+            self.dispatcher.finished(
+                self._in_flight.popleft(), used_tokens=720, now_seconds=now
+            )
+            self.dispatcher.next_actions(now_seconds=now)
+
+
+def measure(*, adapters: int = ADAPTERS, replicas: int = REPLICAS) -> Cost:
+    """Measure what the decisions cost an entry instance.
+
+    :param adapters: the size of the catalogue
+    :param replicas: how many endpoints there are
+    :return: means over some thousand requests
+    """
+    ways = _Ways(adapters=adapters, replicas=replicas)
+    request_seconds = periodic_seconds = 0.0
+    for _ in range(REQUESTS):
+        work = ways.draw()
+        began = time.perf_counter()
+        ways.periodic()
+        between = time.perf_counter()
+        ways.request(work)
+        request_seconds += time.perf_counter() - between
+        periodic_seconds += between - began
+    duration = REQUESTS * INSTANCES / REQUESTS_PER_SECOND
+    return Cost(
+        adapters=adapters,
+        replicas=replicas,
+        request_microseconds=request_seconds / REQUESTS * 1e6,
+        request_calls=_count_calls(ways) / COUNTED_REQUESTS,
+        periodic_microseconds_per_second=periodic_seconds / duration * 1e6,
+    )
+
+
+def _fill(
+    known: endpoints.Endpoints, adapters: int, replicas: int
+) -> list[works.AdapterVersion]:
+    """Give every replica its adapters, the popular ones several times."""
+    for number in range(replicas):
+        known.put(
+            endpoints.EndpointSpec(
+                name=f"r{number}",
+                data_centre="here",
+                model="base",
+                role="serve",
+                slots=SLOTS,
+                batch_size=BATCH_SIZE,
+            )
+        )
+    held = [
+        works.AdapterVersion("base", f"adapter-{rank}", "1")
+        for rank in range(min(adapters, replicas * SLOTS // 2))
+    ]
+    hottest = held[: SLOTS // 2]
+    rest = itertools.cycle(held[SLOTS // 2 :])
+    for number in range(replicas):
+        for adapter in (
+            *hottest,
+            *itertools.islice(rest, SLOTS - len(hottest)),
+        ):
+            known.loaded(f"r{number}", adapter, now_seconds=0.0)
+    return held
+
+
+def _count_calls(ways: _Ways) -> int:
+    calls = 0
+
+    def count(frame: FrameType, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    for _ in range(COUNTED_REQUESTS):
+        work = ways.draw()
+        ways.periodic()
+        sys.setprofile(count)
+        try:
+            ways.request(work)
+        finally:
+            sys.setprofile(None)
+    return calls
+
+
+__all__ = [
+    "ADAPTERS",
+    "Cost",
+    "REPLICAS",
+    "measure",
+]
--- a/src/boragefold/bench/runs.py
+++ b/src/boragefold/bench/runs.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
 import functools
+import itertools
 from typing import NamedTuple
 
 from boragefold.bench import baselines
@@ -31,6 +36,28 @@
     measures: measures.Measures
 
 
+def play_all(
+    *,
+    names: Iterable[str],
+    places: Iterable[str],
+    only: Mapping[str, Container[str]] | None = None,
+) -> Iterator[Run]:
+    """Play scenarios at deployments' sizes, each with all systems.
+
+    :param names: of scenarios
+    :param places: names of deployments
+    :param only: if given, the scenarios of each deployment to keep to
+    :return: runs, as they end
+    """
+    for name, place, system in itertools.product(names, places, SYSTEMS):
+        if only is None or name in only.get(place, ()):
+            yield play(
+                scenario=scenarios.SCENARIOS[name],
+                deployment=deployments.DEPLOYMENTS[place],
+                system=system,
+            )
+
+
 def play(
     *,
     scenario: scenarios.Scenario,
@@ -112,4 +139,5 @@
     "Run",
     "SYSTEMS",
     "play",
+    "play_all",
 ]
--- a/src/boragefold/policy/fleet_events.py
+++ b/src/boragefold/policy/fleet_events.py
@@ -19,8 +19,11 @@
 from boragefold.policy import sending as sending_module
 from boragefold.policy import work as works
 
-# Loads and the queue's delay are looked at this often: a fifth of a load.
-TICK_SECONDS = 0.05
+# Loads and the queue's delay are looked at this often: less than half of a
+# load. A request for a cold adapter brings the next look on, but not closer
+# than the least time: a look costs a millisecond when everything is full.
+TICK_SECONDS = 0.1
+LEAST_TICK_SECONDS = 0.02
 # Latencies are compared, and stale reports forgotten, this often.
 REFRESH_SECONDS = 1.0
 # Peers hear at once of a request for a cold adapter, and otherwise this often:
@@ -44,6 +47,7 @@
         self._endpoints = endpoints
         self._placing = placing
         self.tick_at_seconds = float("-inf")
+        self._ticked_at_seconds = float("-inf")
         self._refresh_at_seconds = float("-inf")
         self._tell_at_seconds = float("-inf")
 
@@ -128,7 +132,7 @@
         """
         self._placing.peer(peer, digest, now_seconds=now_seconds)
         if any(self._placing.is_cold(each.adapter) for each in digest.waiting):
-            self.tick_at_seconds = now_seconds
+            self._hurry(now_seconds)
 
     def waits(self, work: works.Work, *, now_seconds: float) -> None:
         """Note that a request was queued; a cold one brings the tick on.
@@ -138,9 +142,15 @@
         """
         self._placing.arrived(work, now_seconds=now_seconds)
         if self._placing.is_cold(work.needs):
-            self.tick_at_seconds = now_seconds
+            self._hurry(now_seconds)
             self._tell_at_seconds = now_seconds
 
+    def _hurry(self, now_seconds: float) -> None:
+        earliest = self._ticked_at_seconds + LEAST_TICK_SECONDS
+        self.tick_at_seconds = min(
+            self.tick_at_seconds, max(now_seconds, earliest)
+        )
+
     def tick(self, *, now_seconds: float) -> Iterator[actions.Action]:
         """Decide on loads, if it is time to.
 
@@ -150,6 +160,7 @@
         if now_seconds < self.tick_at_seconds:
             return
         self.tick_at_seconds = now_seconds + TICK_SECONDS
+        self._ticked_at_seconds = now_seconds
         if now_seconds >= self._refresh_at_seconds:
             self._refresh_at_seconds = now_seconds + REFRESH_SECONDS
             self._endpoints.refresh(now_seconds=now_seconds)
