Look at loads at once when a load is granted

Cause: with ticks of 0.1 s a granted load waited for the next tick. Change: FleetEvents.hurry, called by the owner of the load budget when a grant comes.

--- a/src/boragefold/bench/instance.py
+++ b/src/boragefold/bench/instance.py
@@ -85,7 +85,7 @@
                 service=fleet.service,
                 holder=loads,
                 delay_seconds=between,
-                granted=self.run,
+                granted=self._may_load,
             ),
             rights=ModelRights(self_name=str(number), orderers=orderers),
             instances=lambda: len(fleet.centres),
@@ -165,6 +165,10 @@
             * self._fleet.delay_seconds(self.number, size.name),
         )
 
+    def _may_load(self) -> None:
+        self.dispatcher.fleet.hurry(now_seconds=self._fleet.now_seconds())
+        self.run()
+
     def _wake(self) -> None:
         self._timer = None
         self.run()
--- a/src/boragefold/policy/fleet_events.py
+++ b/src/boragefold/policy/fleet_events.py
@@ -132,7 +132,7 @@
         """
         self._placing.peer(peer, digest, now_seconds=now_seconds)
         if any(self._placing.is_cold(each.adapter) for each in digest.waiting):
-            self._hurry(now_seconds)
+            self.hurry(now_seconds=now_seconds)
 
     def waits(self, work: works.Work, *, now_seconds: float) -> None:
         """Note that a request was queued; a cold one brings the tick on.
@@ -142,10 +142,14 @@
         """
         self._placing.arrived(work, now_seconds=now_seconds)
         if self._placing.is_cold(work.needs):
-            self._hurry(now_seconds)
+            self.hurry(now_seconds=now_seconds)
             self._tell_at_seconds = now_seconds
 
-    def _hurry(self, now_seconds: float) -> None:
+    def hurry(self, *, now_seconds: float) -> None:
+        """Bring the next look at loads on, as after a grant of a load.
+
+        :param now_seconds: reading of the process clock
+        """
         earliest = self._ticked_at_seconds + LEAST_TICK_SECONDS
         self.tick_at_seconds = min(
             self.tick_at_seconds, max(now_seconds, earliest)
