Test the dispatcher and the bench

Cause: the composition and the model had no tests. Found by them: the model's store refused its first second's burst; it starts at once now.

--- a/src/boragefold/bench/store.py
+++ b/src/boragefold/bench/store.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable
+import math
 import random
 
 from boragefold.timing import timers
@@ -27,7 +28,7 @@
         self._waiting: collections.deque[Callable[[bool], None]] = (
             collections.deque()
         )
-        self._next_start_seconds = 0.0
+        self._next_start_seconds = -math.inf
         self._waking = False
         self.loads_per_second = loads_per_second
         self.failure_share = 0.0
--- /dev/null
+++ b/tests/policy/test_dispatcher.py
@@ -0,0 +1,272 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Collection
+import random
+
+import pytest
+
+from boragefold.policy import actions
+from boragefold.policy import assembly
+from boragefold.policy import dispatcher
+from boragefold.policy import endpoints
+from boragefold.policy import placing
+from boragefold.policy import stock
+from boragefold.policy import work as works
+from boragefold.telemetry import counters
+from tests.fakes import workloads
+
+
+class Stock(workloads.BucketStock):
+    def __init__(self, *, rate: float = 1e6, burst: float = 1e6) -> None:
+        super().__init__(rate=rate, burst=burst)
+        self.callbacks: list[Callable[[str], None]] = []
+        self.used: list[float] = []
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        self.callbacks.append(callback)
+
+    def settle(
+        self, reservation: stock.Reservation, *, used_tokens: float
+    ) -> None:
+        assert not reservation.settled
+        self.used.append(used_tokens)
+        super().settle(reservation, used_tokens=used_tokens)
+
+
+class Rights(placing.OrderRights):
+    def __init__(self, self_name: str, orderers: dict[str, str | None]):
+        self._self_name = self_name
+        self._orderers = orderers
+
+    @property
+    def self_name(self) -> str:
+        return self._self_name
+
+    def ordered(self) -> Collection[str]:
+        return [
+            name
+            for name, orderer in self._orderers.items()
+            if orderer == self._self_name
+        ]
+
+    def orderer(self, endpoint: str) -> str | None:
+        return self._orderers[endpoint]
+
+
+def build(
+    *,
+    held: dict[str, list[str]],
+    bucket: Stock | None = None,
+    self_name: str = "i1",
+    orderers: dict[str, str | None] | None = None,
+) -> dispatcher.Dispatcher:
+    known = endpoints.Endpoints()
+    for name, adapters in held.items():
+        known.put(workloads.spec(name))
+        for adapter in adapters:
+            known.loaded(name, workloads.adapter(adapter), now_seconds=0.0)
+    return assembly.assemble(
+        endpoints=known,
+        stock=bucket or Stock(),
+        load_budget=workloads.Budget(loads=8),
+        rights=Rights(self_name, orderers or dict.fromkeys(held, self_name)),
+        instances=lambda: 1,
+        rng=random.Random(1),
+        counters=counters.Counters(),
+    )
+
+
+def offer(
+    each: dispatcher.Dispatcher,
+    *requests: works.Work,
+    idempotent: bool = True,
+    at: float = 0.0,
+) -> list[actions.Action]:
+    for request in requests:
+        refused = each.offer(request, idempotent=idempotent, now_seconds=at)
+        assert refused is None
+    return each.next_actions(now_seconds=at)
+
+
+def sends(done: list[actions.Action]) -> list[tuple[str, str, int]]:
+    return [
+        (each.work.request_id, each.endpoint, each.attempt)
+        for each in done
+        if isinstance(each, actions.Send)
+    ]
+
+
+def test_a_cold_request_holds_up_no_other() -> None:
+    # A request for an adapter that nobody holds comes first, one for a held
+    # adapter right after it, same workspace. The second must start at once;
+    # the first when its load has ended, and not before.
+    system = build(held={"a": ["warm"]})
+    cold = workloads.work(needs="cold")
+    warm = workloads.work(needs="warm")
+    done = offer(system, cold, warm)
+    assert sends(done) == [(warm.request_id, "a", 1)]
+    (order,) = [each for each in done if isinstance(each, actions.Order)]
+    assert order.load.adapter == cold.needs
+    system.fleet.load_ended(order.load, now_seconds=0.25)
+    assert sends(system.next_actions(now_seconds=0.25)) == [
+        (cold.request_id, "a", 1)
+    ]
+
+
+def test_a_cold_adapter_asked_for_at_two_instances_is_loaded_once() -> None:
+    # Callers of one cold adapter reach two instances, each of which gives
+    # orders to one endpoint. Deciding alone, each would have it loaded.
+    orderers: dict[str, str | None] = {"a": "i1", "b": "i2"}
+    pair = {
+        name: build(held={"a": [], "b": []}, self_name=name, orderers=orderers)
+        for name in ("i1", "i2")
+    }
+    orders = []
+    for now in (0.0, 0.05, 0.4):
+        for name, system in pair.items():
+            new = [workloads.work(needs="cold", at=now)] if not now else []
+            for action in offer(system, *new, at=now):
+                if isinstance(action, actions.Order):
+                    orders.append((name, action.load))
+                if isinstance(action, actions.Tell):
+                    pair[action.peer].fleet.peer(
+                        name, action.digest, now_seconds=now
+                    )
+    assert len(orders) == 1
+
+
+def test_adapters_of_an_unreachable_orderer_are_decided_on_here() -> None:
+    # A cut parts us from the instance that orders b. Cold adapters whose home
+    # is b would wait for the end of the cut, for hours if need be.
+    system = build(held={"a": [], "b": []}, orderers={"a": "i1", "b": None})
+    done = offer(
+        system, *(workloads.work(needs=f"cold-{n}") for n in range(4))
+    )
+    ordered = {
+        each.load.adapter.adapter
+        for each in done
+        if isinstance(each, actions.Order)
+    }
+    assert ordered == {"cold-0", "cold-1", "cold-2", "cold-3"}
+
+
+def test_a_request_that_may_not_run_twice_is_sent_once() -> None:
+    # The connection breaks after a payout was sent. Sent again it might be
+    # paid twice, so its caller is told that the outcome is unknown.
+    bucket = Stock()
+    system = build(held={"a": [], "b": []}, bucket=bucket)
+    request = workloads.work()
+    ((_, endpoint, _),) = sends(offer(system, request, idempotent=False))
+    system.failed(request.request_id, bytes_sent=True, now_seconds=1.0)
+    assert system.next_actions(now_seconds=1.0)[0] == actions.GiveUp(
+        request, "attempt_failed", True
+    )
+    assert bucket.used == [0.0]
+
+
+def test_a_request_of_which_nothing_was_sent_is_repeated_elsewhere() -> None:
+    system = build(held={"a": [], "b": []})
+    request = workloads.work()
+    ((_, first, _),) = sends(offer(system, request, idempotent=False))
+    system.failed(request.request_id, bytes_sent=False, now_seconds=1.0)
+    ((_, second, attempt),) = sends(system.next_actions(now_seconds=1.0))
+    assert (first != second, attempt) == (True, 2)
+
+
+def test_a_request_that_ran_in_part_is_never_called_not_run() -> None:
+    # The only endpoint dies with an idempotent request in flight; the request
+    # goes back to the queue and waits until its caller gives up. "Not run"
+    # would be a lie by then.
+    system = build(held={"a": ["x"]})
+    request = workloads.work(needs="x", patience=5.0)
+    offer(system, request)
+    system.failed(request.request_id, bytes_sent=True, now_seconds=1.0)
+    system.fleet.endpoint_gone("a")
+    system.next_actions(now_seconds=1.0)
+    done = system.next_actions(now_seconds=6.0)
+    assert done[0] == actions.GiveUp(request, "caller_gave_up", True)
+
+
+def test_an_endpoint_that_lost_the_adapter_gets_no_more_of_it() -> None:
+    # An engine restarts empty; until its next report we think it holds the
+    # adapter. Its refusals are no failed attempts: with a budget for them,
+    # every request of the restart's second would be lost.
+    system = build(held={"a": ["x"], "b": ["x"]})
+    requests = [workloads.work(needs="x") for _ in range(3)]
+    placed = sends(offer(system, *requests, idempotent=False))
+    empty = placed[0][1]
+    for request_id, endpoint, _ in placed:
+        if endpoint == empty:
+            system.not_held(request_id, now_seconds=0.1)
+    again = sends(system.next_actions(now_seconds=0.1))
+    assert again
+    assert {endpoint for _, endpoint, _ in again} == {"a", "b"} - {empty}
+
+
+def test_who_waits_for_tokens_is_sent_when_they_come() -> None:
+    bucket = Stock(rate=1000.0, burst=100.0)
+    system = build(held={"a": []}, bucket=bucket)
+    first, second = workloads.work(), workloads.work()
+    assert len(sends(offer(system, first, second))) == 1
+    bucket.now = 0.2
+    for callback in bucket.callbacks:
+        callback("quadro")
+    assert sends(system.next_actions(now_seconds=0.2)) == [
+        (second.request_id, "a", 1)
+    ]
+
+
+def test_over_the_rate_is_refused_at_once_with_a_time_to_come_back() -> None:
+    bucket = Stock(rate=10.0, burst=100.0)
+    system = build(held={"a": []}, bucket=bucket)
+    offer(system, workloads.work())
+    refused = system.offer(workloads.work(), idempotent=True, now_seconds=0.0)
+    assert refused is not None
+    assert refused.retry_after_seconds == pytest.approx(10.0)
+
+
+@pytest.mark.parametrize("stage", ["waiting", "sent"])
+def test_a_caller_that_leaves_is_settled_once(stage: str) -> None:
+    bucket = Stock()
+    system = build(held={"a": ["x"]}, bucket=bucket)
+    request = workloads.work(needs="x" if stage == "sent" else "cold")
+    offer(system, request)
+    system.cancel(request.request_id, used_tokens=7.0, now_seconds=0.5)
+    system.cancel(request.request_id, used_tokens=7.0, now_seconds=0.6)
+    system.finished(request.request_id, used_tokens=9.0, now_seconds=0.7)
+    assert bucket.used == [7.0]
+    assert not sends(system.next_actions(now_seconds=0.7))
+
+
+def test_the_end_of_one_request_lets_the_next_start() -> None:
+    system = build(held={"a": ["x"]})
+    requests = [workloads.work(needs="x") for _ in range(5)]
+    started = sends(offer(system, *requests))
+    assert len(started) == 4
+    system.finished(started[0][0], used_tokens=1.0, now_seconds=0.01)
+    assert len(sends(system.next_actions(now_seconds=0.01))) == 1
+
+
+def test_nothing_goes_where_an_adapter_is_about_to_be_evicted() -> None:
+    system = build(held={"a": ["x"], "b": ["x"]})
+    request = workloads.work(needs="x")
+    ((_, used, _),) = sends(offer(system, request))
+    idle = ({"a", "b"} - {used}).pop()
+    adapter = request.needs
+    assert system.fleet.stop_using(used, adapter, now_seconds=0.1)
+    assert not system.fleet.stop_using(idle, adapter, now_seconds=0.1)
+    system.fleet.loaded(idle, adapter, now_seconds=0.2)
+    placed = sends(offer(system, workloads.work(needs="x"), at=0.3))
+    assert [endpoint for _, endpoint, _ in placed] == [idle]
+
+
+def test_a_cold_request_is_decided_on_before_the_next_tick() -> None:
+    system = build(held={"a": []})
+    system.next_actions(now_seconds=1.0)
+    system.offer(
+        workloads.work(needs="cold", at=1.03),
+        idempotent=True,
+        now_seconds=1.03,
+    )
+    assert system.next_due_seconds() == pytest.approx(1.03)
--- /dev/null
+++ b/tests/policy/test_service_rate.py
@@ -0,0 +1,24 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from boragefold.policy import service_rate
+
+
+def test_an_idle_queue_says_nothing_of_the_rate() -> None:
+    # Ten requests a minute pass through an idle instance, then a burst comes.
+    # With ten a minute taken for what can be served, the burst is refused.
+    rate = service_rate.ServiceRate()
+    for second in range(60):
+        rate.taken(100.0, now_seconds=float(second))
+    assert math.isinf(rate.tokens_per_second())
+
+
+def test_the_rate_is_measured_while_something_waits_for_room() -> None:
+    rate = service_rate.ServiceRate()
+    rate.limited(True, now_seconds=0.0)
+    for tick in range(1, 41):
+        rate.taken(50.0, now_seconds=tick / 10)
+    assert rate.tokens_per_second() == pytest.approx(500.0, rel=0.05)
