--- a/src/boragefold/policy/assembly.py
+++ b/src/boragefold/policy/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 
 from boragefold.policy import admission
@@ -9,6 +10,7 @@
 from boragefold.policy import dispatcher
 from boragefold.policy import endpoints as endpoints_module
 from boragefold.policy import fair_queue
+from boragefold.policy import fair_share
 from boragefold.policy import fleet_events
 from boragefold.policy import overload
 from boragefold.policy import placement
@@ -21,21 +23,21 @@
 
 def assemble(
     *,
-    data_centre: str,
     endpoints: endpoints_module.Endpoints,
     stock: stocks.Stock,
     load_budget: placement.LoadBudget,
     rights: placing.OrderRights,
+    instances: Callable[[], int],
     rng: random.Random,
     counters: telemetry.Counters,
 ) -> dispatcher.Dispatcher:
     """Put one instance's decisions together.
 
-    :param data_centre: where this instance is
     :param endpoints: what is known of them; the owner calls ``put`` on it
     :param stock: the tokens that this instance may spend
     :param load_budget: the loads that this instance may begin
     :param rights: the endpoints that this instance gives orders to
+    :param instances: how many instances send to the same endpoints
     :param rng: where every random choice comes from
     :param counters: where refusals, retries and loads are counted
     :return: the dispatcher
@@ -43,9 +45,15 @@
     queue = fair_queue.FairQueue(counters=counters)
     queue_to_endpoint = sending.Sending(
         queue=queue,
-        choice=choice.Choice(endpoints=endpoints, rng=rng, counters=counters),
+        choice=choice.Choice(
+            endpoints=endpoints,
+            rng=rng,
+            counters=counters,
+            instances=instances,
+        ),
         endpoints=endpoints,
         overload=overload.Overload(counters=counters),
+        share=fair_share.FairShare(),
     )
     loads = placing.Placing(
         placement=placement.Placement(
@@ -56,14 +64,12 @@
         ),
         endpoints=endpoints,
         rights=rights,
-        data_centre=data_centre,
     )
     return dispatcher.Dispatcher(
         admission=admission.Admission(stock=stock, counters=counters),
         queue=queue,
         sending=queue_to_endpoint,
         endpoints=endpoints,
-        placing=loads,
         fleet=fleet_events.FleetEvents(
             queue=queue,
             sending=queue_to_endpoint,
