--- /dev/null
+++ b/tests/coordination/rates/test_purse.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import purse as purses
+from boragefold.protocol import rate_messages
+from boragefold.timing import clock as clocks
+
+
+class Source:
+    """A purse, and what it sent."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.VirtualClock()
+        self.sent: list[rate_messages.TokensAsked] = []
+        self.purse = purses.Purse(
+            workspace="w",
+            now_seconds=self.clock.now_seconds,
+            send=self.sent.append,
+            numbers=itertools.count(),
+        )
+
+    def give(self, tokens: float, *, number: int = 0) -> bool:
+        return self.purse.answer(
+            rate_messages.TokensGiven(
+                "w", number, tokens, limits.GRANT_SECONDS, 0.0, False
+            )
+        )
+
+    def usages(self) -> list[rate_messages.Usage]:
+        self.purse.tick(report_after_seconds=0.0)
+        return [usage for asked in self.sent for usage in asked.usages]
+
+
+@pytest.fixture
+def source() -> Source:
+    made = Source()
+    made.purse.ask(needed_tokens=100.0, ahead_tokens=0.0)
+    return made
+
+
+def test_a_doubled_grant_counts_once(source) -> None:
+    # The network delivers a grant twice; the holder debited it once.
+    assert source.give(100.0)
+    source.purse.take(60.0)
+    assert not source.give(100.0)
+    assert source.purse.left_tokens() == 40.0
+
+
+def test_a_grant_ends_counted_from_its_request(source) -> None:
+    # The answer takes most of a grant's life. The holder lets the tokens
+    # refill once a life has passed since it debited them, so the receiver
+    # must not count from the arrival.
+    source.clock.move_to(limits.GRANT_SECONDS - 0.1)
+    assert source.give(100.0)
+    source.clock.move_to(limits.GRANT_SECONDS + 0.1)
+    assert source.purse.left_tokens() == 0.0
+
+
+def test_an_answer_after_the_end_is_worthless(source) -> None:
+    # It was reported as never received, so the holder has it back already.
+    source.clock.move_to(limits.GRANT_SECONDS)
+    assert source.usages() == [rate_messages.Usage(0, 0.0, True)]
+    assert not source.give(100.0)
+    assert source.purse.left_tokens() == 0.0
+
+
+def test_what_was_granted_on_is_not_reported_as_charged(source) -> None:
+    # A borrower grants a loan on to an instance, which may still charge it.
+    # If the lender took it for charged, it would refill its place at once,
+    # and both amounts could be charged in one instant.
+    source.give(100.0)
+    draft = source.purse.take(100.0, loose=True)
+    assert source.usages() == []
+    source.purse.pin(draft, kept_tokens=70.0)
+    assert source.usages()[-1] == rate_messages.Usage(0, 70.0, False)
+    source.purse.settle(draft, used_tokens=10.0)
+    assert source.usages()[-1] == rate_messages.Usage(0, 10.0, True)
+
+
+def test_a_remainder_is_local_while_the_grant_lives(source) -> None:
+    source.give(100.0)
+    draft = source.purse.take(80.0)
+    source.purse.settle(draft, used_tokens=30.0)
+    source.purse.settle(draft, used_tokens=0.0)
+    assert source.purse.left_tokens() == 70.0
+
+
+def test_reports_are_repeated_until_acknowledged(source) -> None:
+    # The message that gives tokens back is lost.
+    source.give(100.0)
+    source.purse.settle(source.purse.take(100.0), used_tokens=20.0)
+    assert source.usages() == source.usages()[:1]
+    assert len(source.usages()) == 3
+    acknowledged = source.sent[-1].number
+    source.give(0.0, number=acknowledged)
+    count = len(source.sent)
+    source.usages()
+    assert len(source.sent) == count
+    assert source.purse.idle
--- a/tests/coordination/rates/test_service.py
+++ b/tests/coordination/rates/test_service.py
@@ -114,6 +114,69 @@
     assert fleet.excess_tokens() <= TINY
 
 
+def test_a_holder_again_after_a_gap_starts_empty(fleet) -> None:
+    # A holder with a full bucket is paused. Another one takes over, grants
+    # all that refills, and the right falls back to the first, which wakes
+    # with the bucket it had.
+    paused = fleet.holder("north")
+    fleet.network.is_cut = lambda one, other: (
+        one.data_centre != other.data_centre
+    )
+    fleet.network.pause(paused.node)
+    fleet.change_view("north", without=(paused,))
+    fleet.run_for(8.0)
+    assert fleet.obtain(fleet.holder("north"), 300.0, within_seconds=0.1)
+    fleet.change_view("north")
+    fleet.network.resume(paused.node)
+    fleet.views.learn(paused.rights)
+    assert fleet.holder("north") is paused
+    assert isinstance(fleet.reserve(paused, 290.0), stock.Shortfall)
+    fleet.run_for(4.0)
+    assert fleet.obtain(paused, 100.0, within_seconds=0.1)
+    assert fleet.excess_tokens() <= TINY
+
+
+def test_a_right_that_ends_within_a_handler(fleet) -> None:
+    # The process is stopped between the start of a handler and the debit,
+    # and its lease ends meanwhile. The grant must not go out.
+    holder = fleet.holder("north")
+    process = fleet.other("north")
+    bucket = holder.rates.buckets(FULL_SECONDS)[0]
+    advance = bucket.advance
+
+    def advance_slowly(now_seconds: float) -> None:
+        advance(now_seconds)
+        fleet.views.end("north")
+
+    bucket.advance = advance_slowly
+    fleet.reserve(process, 100.0)
+    fleet.run_for(0.1)
+    assert isinstance(fleet.reserve(process, 100.0), stock.Shortfall)
+
+
+def test_a_raised_weight_waits_for_those_that_fall(fleet) -> None:
+    # The operators move weight to one data centre while another is cut off
+    # and has not read it. If the first used its new part at once, both
+    # together would grant more than the rate.
+    weights = {"north": 4.0, "south": 1.0, "west": 1.0}
+    fleet.network.is_cut = lambda one, other: (
+        (one.data_centre == "south") != (other.data_centre == "south")
+    )
+    for name in ("north", "west"):
+        for process in fleet.processes[name]:
+            process.rates.update_data_centres(revision=2, weights=weights)
+    fleet.run_for(10.0)
+    holder = fleet.holder("north").rates
+    now_seconds = fleet.network.clock.now_seconds()
+    assert holder.buckets(now_seconds)[0].limit == fleet.limit.part(1 / 3)
+    fleet.network.is_cut = lambda one, other: False
+    for process in fleet.processes["south"]:
+        process.rates.update_data_centres(revision=2, weights=weights)
+    fleet.run_for(10.0)
+    now_seconds = fleet.network.clock.now_seconds()
+    assert holder.buckets(now_seconds)[0].limit == fleet.limit.part(2 / 3)
+
+
 def test_unused_tokens_come_back_late(fleet) -> None:
     # Requests reserve ten times what they use and run for longer than a
     # grant lives. In any four seconds 21 of them fit into burst and refill
@@ -136,15 +199,17 @@
 
 
 def test_a_reservation_is_settled_once(fleet) -> None:
+    # A caller hangs up while its answer ends; both paths settle.
+    fleet.network.is_cut = lambda one, other: (
+        one.data_centre != other.data_centre
+    )
     process = fleet.other("north")
     assert fleet.obtain(process, 200.0, within_seconds=0.1)
     reservation = fleet.charges[-1].reservation
     for _ in range(3):
-        fleet.settle(process, reservation, 50.0)
-    fleet.run_for(1.0)
-    level = fleet.holder("north").rates
-    assert reservation.settled
-    assert level is not None
+        fleet.settle(process, reservation, 150.0)
+    assert fleet.obtain(process, 140.0, within_seconds=0.1)
+    assert not fleet.obtain(process, 100.0, within_seconds=0.1)
 
 
 def test_a_shortfall_tells_when(fleet) -> None:
