Lend all that nobody waits for

Cause: holders kept back what they had granted in the last second, so every data centre sat on some tokens while a request waited for more in another. Change: a lender keeps only what its own waiting requests need.

--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -8,7 +8,6 @@
 from boragefold.coordination.rates import ledger as ledgers
 from boragefold.coordination.rates import lenders as lending
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import usage
 from boragefold.protocol import ids
 from boragefold.protocol import rate_messages
 
@@ -95,7 +94,6 @@
         self._waiting: dict[ids.InstanceId, _Waiting] = {}
         self._newest: dict[ids.InstanceId, int] = {}
         self._lent_on: dict[tuple[ids.InstanceId, int], _LentOn] = {}
-        self._use = usage.RecentUse()
 
     def asked(
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
@@ -195,7 +193,6 @@
         borrowed_tokens = sum(loan.tokens for loan in loans)
         own_tokens = max(0.0, wanted_tokens - borrowed_tokens)
         own_tokens = min(own_tokens, level_tokens)
-        self._use.add(own_tokens, self._now_seconds())
         life_seconds = self.lenders.life_seconds(loans)
         if loans:
             self._lent_on[waiting.asker, waiting.number] = _LentOn(
@@ -212,16 +209,12 @@
     def _lend(
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
     ) -> None:
-        # Those who wait here come first, and so do those who will ask within
-        # the next second: their data centre's part is theirs. Otherwise an
-        # overloaded data centre keeps the buckets of the others empty, and
-        # each request there waits for a loan.
+        # Those who wait here come first: their data centre's part is theirs.
         wanted_here = sum(
             each.needed_tokens for each in self._waiting.values()
         )
         self.ledger.recount()
-        kept_tokens = wanted_here + self._use.tokens(self._now_seconds())
-        spare_tokens = max(0.0, self.ledger.level_tokens - kept_tokens)
+        spare_tokens = max(0.0, self.ledger.level_tokens - wanted_here)
         wanted_tokens = request.needed_tokens + request.ahead_tokens
         tokens = min(wanted_tokens, spare_tokens)
         self._give(
