Send fewer and fuller messages about rates

Cause: with 100 workspaces in use an instance sent 188 to 235 messages and 21 to 26 KB a second, far above the 6 KB for control; most were reports of remainders, one workspace each, and fetches ahead of single requests. Ruled out: dropping reports of remainders; the refill would not get them back. Change: reports wait a second for a request to carry them, then travel for many workspaces at once; what is still open is not reported on its own; only a workspace with three requests a second is fetched for ahead; a queued request is told only if it waits longer than a repeat.

--- a/src/boragefold/coordination/rates/lenders.py
+++ b/src/boragefold/coordination/rates/lenders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import itertools
 import math
 from typing import NamedTuple
@@ -199,13 +200,17 @@
         """
         self._purse(data_centre).answer(given)
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Close what has ended and report it.
+    def tick(self) -> None:
+        """Close what has ended."""
+        for purse in self._purses.values():
+            purse.tick()
+
+    def items(self) -> Iterable[tuple[str, purses.Purse]]:
+        """Go through what was borrowed.
 
-        :param report_after_seconds: how long a report waits for company
+        :return: purses by the lender's data centre
         """
-        for purse in self._purses.values():
-            purse.tick(report_after_seconds=report_after_seconds)
+        return self._purses.items()
 
     def _estimate_tokens(self, name: str, part: limits.Limit) -> float:
         """Guess a lender's level from its last answer and its refill."""
--- a/src/boragefold/coordination/rates/purse.py
+++ b/src/boragefold/coordination/rates/purse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import itertools
 
@@ -236,11 +237,8 @@
         grant.left_tokens = given.tokens
         return True
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Close what has ended, and report what waited long enough.
-
-        :param report_after_seconds: how long a report waits for company
-        """
+    def tick(self) -> None:
+        """Close what has ended, and forget what is too old to settle."""
         now_seconds = self._now_seconds()
         for number, grant in list(self._grants.items()):
             if not grant.ended and now_seconds >= grant.ends_at_seconds:
@@ -248,13 +246,42 @@
                 self._close(number, grant)
             elif now_seconds > grant.sent_at_seconds + limits.REFUND_SECONDS:
                 self._drop(number)
+
+    def due_usages(
+        self, *, after_seconds: float
+    ) -> tuple[rate_messages.Usage, ...]:
+        """Take the reports that waited long enough for a request to go with.
+
+        What may still change waits on: the holder takes it for charged when
+        the grant ends, without being told.
+
+        :param after_seconds: how long a report waits
+        :return: reports to send; they come again until acknowledged
+        """
+        now_seconds = self._now_seconds()
         since_seconds = self._reported_since_seconds
         if (
-            self._reports
-            and since_seconds is not None
-            and now_seconds >= since_seconds + report_after_seconds
+            since_seconds is None
+            or now_seconds < since_seconds + after_seconds
         ):
-            self._post(next(self._numbers), 0.0, 0.0)
+            return ()
+        self._reported_since_seconds = now_seconds
+        final = (usage for usage in self._reports.values() if usage.final)
+        return tuple(itertools.islice(final, MOST_USAGES))
+
+    def noted(self, usages: Iterable[rate_messages.Usage]) -> None:
+        """Stop repeating reports that have arrived.
+
+        :param usages: as they were sent
+        """
+        for usage in usages:
+            if self._reports.get(usage.number) != usage:
+                continue
+            del self._reports[usage.number]
+            if usage.final:
+                self._drop(usage.number)
+        if not self._reports:
+            self._reported_since_seconds = None
 
     def _charge(self, draft: Draft, number: int, tokens: float) -> None:
         grant = self._grants[number]
@@ -308,14 +335,7 @@
         )
 
     def _acknowledge(self, number: int) -> None:
-        for usage in self._carried.pop(number, ()):
-            if self._reports.get(usage.number) != usage:
-                continue
-            del self._reports[usage.number]
-            if usage.final:
-                self._drop(usage.number)
-        if not self._reports:
-            self._reported_since_seconds = None
+        self.noted(self._carried.pop(number, ()))
         self._carried = {
             carrier: usages
             for carrier, usages in self._carried.items()
--- /dev/null
+++ b/src/boragefold/coordination/rates/reports.py
@@ -0,0 +1,93 @@
+"""Sends the reports that no request carried, many workspaces at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import itertools
+from typing import NamedTuple
+
+from boragefold.coordination.rates import purse as purses
+from boragefold.protocol import ids
+from boragefold.protocol import rate_messages
+
+# A report of one workspace takes about 40 bytes, so a message stays small.
+MOST_WORKSPACES = 100
+
+# Messages that nobody acknowledged; their reports are sent anew anyway.
+MOST_UNNOTED = 200
+
+
+class Due(NamedTuple):
+    """A purse that may have something to report, and to whom."""
+
+    holder: ids.InstanceId
+    workspace: str
+    purse: purses.Purse
+
+
+class Reports:
+    """Collects reports by holder, and repeats them until acknowledged."""
+
+    def __init__(
+        self,
+        *,
+        send: Callable[[ids.InstanceId, rate_messages.UsagesReported], None],
+        numbers: itertools.count[int],
+    ) -> None:
+        """Start with nothing sent.
+
+        :param send: sends a message to a holder
+        :param numbers: the numbers of messages, never used twice
+        """
+        self._send = send
+        self._numbers = numbers
+        self._sent: dict[
+            int, list[tuple[purses.Purse, tuple[rate_messages.Usage, ...]]]
+        ] = {}
+
+    def flush(self, due: Iterable[Due], *, after_seconds: float) -> None:
+        """Send what waited long enough.
+
+        :param due: the purses
+        :param after_seconds: how long a report waits for a request
+        """
+        by_holder: dict[
+            ids.InstanceId, list[tuple[Due, tuple[rate_messages.Usage, ...]]]
+        ] = {}
+        for each in due:
+            usages = each.purse.due_usages(after_seconds=after_seconds)
+            if usages:
+                by_holder.setdefault(each.holder, []).append((each, usages))
+        for holder, found in by_holder.items():
+            for start in range(0, len(found), MOST_WORKSPACES):
+                self._send_some(holder, found[start : start + MOST_WORKSPACES])
+
+    def noted(self, number: int) -> None:
+        """Take in an acknowledgement.
+
+        :param number: of the message that arrived
+        """
+        for purse, usages in self._sent.pop(number, ()):
+            purse.noted(usages)
+
+    def _send_some(
+        self,
+        holder: ids.InstanceId,
+        found: list[tuple[Due, tuple[rate_messages.Usage, ...]]],
+    ) -> None:
+        number = next(self._numbers)
+        self._sent[number] = [(each.purse, usages) for each, usages in found]
+        if len(self._sent) > MOST_UNNOTED:
+            del self._sent[next(iter(self._sent))]
+        reports = tuple(
+            rate_messages.WorkspaceUsages(each.workspace, usages)
+            for each, usages in found
+        )
+        self._send(holder, rate_messages.UsagesReported(number, reports))
+
+
+__all__ = [
+    "Due",
+    "Reports",
+]
--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import itertools
 from typing import Any
@@ -12,6 +14,7 @@
 from boragefold.coordination.rates import lenders as lending
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import purse as purses
+from boragefold.coordination.rates import reports as reporting
 from boragefold.coordination.rates import shares as sharing
 from boragefold.coordination.rates import stock as stocks
 from boragefold.coordination.rates import tenure as tenures
@@ -24,8 +27,8 @@
 TICK_SECONDS = 0.25
 
 # Reports wait for the next request to carry them, but not longer than this:
-# it delays the refill by as much.
-REPORT_SECONDS = 0.5
+# so long other instances may lack what was left over here.
+REPORT_SECONDS = 1.0
 
 
 class Rates:
@@ -73,11 +76,18 @@
             open_purse=self._open_purse,
             has_holder=lambda workspace: self._holder(workspace) is not None,
         )
-        peers.subscribe(rate_messages.TokensAsked, self._asked)
-        peers.subscribe(rate_messages.TokensGiven, self._given)
-        peers.subscribe(
-            rate_messages.BucketHandedOver, self._holders.handed_over
+        self._reports = reporting.Reports(
+            send=self._send, numbers=self._numbers
         )
+        self._handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {
+            rate_messages.TokensAsked: self._asked,
+            rate_messages.TokensGiven: self._given,
+            rate_messages.UsagesReported: self._reported,
+            rate_messages.UsagesNoted: self._noted,
+            rate_messages.BucketHandedOver: self._holders.handed_over,
+        }
+        for kind, handler in self._handlers.items():
+            peers.subscribe(kind, handler)
         rights.subscribe(self._view_changed)
         timers.every(period_seconds=TICK_SECONDS, callback=self._tick)
 
@@ -135,8 +145,25 @@
 
     def _tick(self) -> None:
         for tenure in self._holders:
-            tenure.tick(report_after_seconds=REPORT_SECONDS)
-        self.stock.tick(report_after_seconds=REPORT_SECONDS)
+            tenure.tick()
+        self.stock.tick()
+        self._reports.flush(
+            itertools.chain(self._granted(), self._borrowed()),
+            after_seconds=REPORT_SECONDS,
+        )
+
+    def _granted(self) -> Iterator[reporting.Due]:
+        for workspace, purse in self.stock.items():
+            holder = self._holder(workspace)
+            if holder is not None:
+                yield reporting.Due(holder, workspace, purse)
+
+    def _borrowed(self) -> Iterator[reporting.Due]:
+        for tenure in self._holders:
+            for data_centre, purse in tenure.lenders.items():
+                lender = self._lender(data_centre, tenure.workspace)
+                if lender is not None:
+                    yield reporting.Due(lender, tenure.workspace, purse)
 
     def _begin(self, workspace: str, ledger: ledgers.Ledger) -> tenures.Tenure:
         right = limits.right_of(workspace)
@@ -194,20 +221,37 @@
     def _ask_lender(
         self, data_centre: str, asked: rate_messages.TokensAsked
     ) -> None:
+        lender = self._lender(data_centre, asked.workspace)
+        if lender is not None:
+            self._send(lender, asked)
+
+    def _lender(
+        self, data_centre: str, workspace: str
+    ) -> ids.InstanceId | None:
         view = self._rights.directory().get(data_centre)
-        if view is not None and view.members:
-            right = limits.right_of(asked.workspace)
-            self._send(membership.holder(view, right), asked)
+        if view is None or not view.members:
+            return None
+        return membership.holder(view, limits.right_of(workspace))
 
     def _send(self, to: ids.InstanceId, body: Any) -> None:
         if to != self._link.self_id:
             self._link.send(to=to, body=body)
-        elif isinstance(body, rate_messages.TokensAsked):
-            self._asked(to, body)
-        elif isinstance(body, rate_messages.TokensGiven):
-            self._given(to, body)
         else:
-            self._holders.handed_over(to, body)
+            self._handlers[type(body)](to, body)
+
+    def _reported(
+        self, sender: ids.InstanceId, reported: rate_messages.UsagesReported
+    ) -> None:
+        for report in reported.reports:
+            tenure = self._holders.tenure(report.workspace)
+            if tenure is not None:
+                tenure.reported(sender, report.usages)
+        self._send(sender, rate_messages.UsagesNoted(reported.number))
+
+    def _noted(
+        self, sender: ids.InstanceId, noted: rate_messages.UsagesNoted
+    ) -> None:
+        self._reports.noted(noted.number)
 
     def _asked(
         self, sender: ids.InstanceId, asked: rate_messages.TokensAsked
--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from boragefold.coordination.rates import limits
@@ -18,6 +19,10 @@
 AHEAD_SECONDS = 0.5
 LOW_SECONDS = 0.2
 
+# A workspace with fewer requests a second than this asks when it needs to;
+# what is fetched ahead of so few would mostly be given back unused.
+FETCH_REQUESTS = 3
+
 # A request that found too few tokens is taken to wait for this long; the
 # admission retries or gives up within it.
 WANT_SECONDS = 3.0
@@ -100,7 +105,7 @@
         draft = account.purse.take(tokens)
         account.use.add(tokens, now_seconds)
         account.wanted_tokens = 0.0
-        self._fetch_ahead(account)
+        self._fetch_ahead(account, tokens)
         return _Charged(workspace=workspace, tokens=tokens, draft=draft)
 
     def settle(
@@ -164,19 +169,26 @@
             account.refused_tokens = 0.0
             self._retry_later(workspace, account, 0.0)
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Close ended grants, repeat overdue requests, forget idle purses.
-
-        :param report_after_seconds: how long a report waits for company
-        """
+    def tick(self) -> None:
+        """Close ended grants, repeat overdue requests, forget idle purses."""
         for workspace, account in list(self._accounts.items()):
-            account.purse.tick(report_after_seconds=report_after_seconds)
+            account.purse.tick()
             if account.purse.overdue:
                 self._ask_if_wanted(workspace, account)
             idle = account.purse.idle and not account.purse.in_flight
             if idle and not self._is_wanted(account):
                 del self._accounts[workspace]
 
+    def items(self) -> Iterable[tuple[str, purses.Purse]]:
+        """Go through the grants of this instance.
+
+        :return: purses by workspace
+        """
+        return [
+            (workspace, account.purse)
+            for workspace, account in self._accounts.items()
+        ]
+
     def _short(
         self, reason: str, ready_in_seconds: float | None
     ) -> stock.Shortfall:
@@ -228,19 +240,22 @@
         # An answer comes while the request is being sent when we hold the
         # rate ourselves. Whoever reserves looks again anyway; waking it from
         # within its own call would reserve for the same request twice.
-        now_seconds = self._timers.now_seconds()
+        use_tokens = account.use.tokens(self._timers.now_seconds())
         was_reserving, self._reserving = self._reserving, True
         try:
             account.purse.ask(
                 needed_tokens=needed_tokens,
-                ahead_tokens=account.use.tokens(now_seconds) * AHEAD_SECONDS,
+                ahead_tokens=max(0.0, use_tokens - needed_tokens)
+                * AHEAD_SECONDS,
             )
         finally:
             self._reserving = was_reserving
 
-    def _fetch_ahead(self, account: _Account) -> None:
+    def _fetch_ahead(self, account: _Account, tokens: float) -> None:
         now_seconds = self._timers.now_seconds()
         use_tokens = account.use.tokens(now_seconds)
+        if use_tokens < FETCH_REQUESTS * tokens:
+            return
         if account.purse.left_tokens() >= use_tokens * LOW_SECONDS:
             return
         if account.purse.in_flight:
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from boragefold.coordination.rates import ledger as ledgers
@@ -87,6 +88,7 @@
         :param around: what the instance knows
         :param now_seconds: the clock
         """
+        self.workspace = around.workspace
         self.ledger = ledger
         self.lenders = lenders
         self._around = around
@@ -104,12 +106,7 @@
         :param request: its message
         """
         now_seconds = self._now_seconds()
-        self.ledger.advance(now_seconds)
-        for report in request.usages:
-            self._report(asker, report)
-        if request.needed_tokens <= 0 and request.ahead_tokens <= 0:
-            self._answer(asker, request.number)
-            return
+        self.reported(asker, request.usages)
         if request.number <= self._newest.get(asker, -1):
             # A doubled or overtaken message. Granting again would be safe
             # but would lose the tokens: the asker ignores a second answer.
@@ -160,14 +157,25 @@
         """
         self.lenders.answer(lender.data_centre, given)
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Forget what is too old to come back.
+    def reported(
+        self,
+        asker: ids.InstanceId,
+        usages: Iterable[rate_messages.Usage],
+    ) -> None:
+        """Take in what became of tokens that were granted or lent.
 
-        :param report_after_seconds: how long a report waits for company
+        :param asker: who got them
+        :param usages: its reports
         """
         self.ledger.advance(self._now_seconds())
+        for usage in usages:
+            self._report(asker, usage)
+
+    def tick(self) -> None:
+        """Forget what is too old to come back."""
+        self.ledger.advance(self._now_seconds())
         self.ledger.settle_old(self._now_seconds())
-        self.lenders.tick(report_after_seconds=report_after_seconds)
+        self.lenders.tick()
         oldest_seconds = self._now_seconds() - limits.REFUND_SECONDS
         self._lent_on = {
             key: lent_on
@@ -336,7 +344,7 @@
                 continue
             if next_seconds is None:
                 next_seconds = ready_seconds
-            if not waiting.told:
+            if not waiting.told and expected > limits.RETRY_SECONDS / 2:
                 waiting.told = True
                 self._answer(
                     waiting.asker,
--- a/src/boragefold/protocol/rate_messages.py
+++ b/src/boragefold/protocol/rate_messages.py
@@ -32,6 +32,26 @@
     usages: tuple[Usage, ...]
 
 
+class WorkspaceUsages(NamedTuple):
+    """Reports on the tokens of one workspace."""
+
+    workspace: str
+    usages: tuple[Usage, ...]
+
+
+class UsagesReported(NamedTuple):
+    """Reports that no request for tokens carried, for many workspaces."""
+
+    number: int
+    reports: tuple[WorkspaceUsages, ...]
+
+
+class UsagesNoted(NamedTuple):
+    """Acknowledges :class:`UsagesReported`."""
+
+    number: int
+
+
 class TokensGiven(NamedTuple):
     """The answer to :class:`TokensAsked`; without tokens, a refusal.
 
@@ -76,6 +96,8 @@
 KINDS: tuple[type, ...] = (
     TokensAsked,
     TokensGiven,
+    UsagesReported,
+    UsagesNoted,
     BucketHandedOver,
     SharesAsked,
     SharesKnown,
@@ -89,4 +111,7 @@
     "TokensAsked",
     "TokensGiven",
     "Usage",
+    "UsagesNoted",
+    "UsagesReported",
+    "WorkspaceUsages",
 ]
--- a/tests/coordination/rates/test_purse.py
+++ b/tests/coordination/rates/test_purse.py
@@ -30,9 +30,11 @@
             )
         )
 
-    def usages(self) -> list[rate_messages.Usage]:
-        self.purse.tick(report_after_seconds=0.0)
-        return [usage for asked in self.sent for usage in asked.usages]
+    def usages(self) -> tuple[rate_messages.Usage, ...]:
+        """Look at what a request would carry now."""
+        self.purse.tick()
+        self.purse.ask(needed_tokens=1.0, ahead_tokens=0.0)
+        return self.sent[-1].usages
 
 
 @pytest.fixture
@@ -63,7 +65,7 @@
 def test_an_answer_after_the_end_is_worthless(source) -> None:
     # It was reported as never received, so the holder has it back already.
     source.clock.move_to(limits.GRANT_SECONDS)
-    assert source.usages() == [rate_messages.Usage(0, 0.0, True)]
+    assert source.usages() == (rate_messages.Usage(0, 0.0, True),)
     assert not source.give(100.0)
     assert source.purse.left_tokens() == 0.0
 
@@ -74,7 +76,7 @@
     # and both amounts could be charged in one instant.
     source.give(100.0)
     draft = source.purse.take(100.0, loose=True)
-    assert source.usages() == []
+    assert source.usages() == ()
     source.purse.pin(draft, kept_tokens=70.0)
     assert source.usages()[-1] == rate_messages.Usage(0, 70.0, False)
     source.purse.settle(draft, used_tokens=10.0)
@@ -91,13 +93,20 @@
 
 def test_reports_are_repeated_until_acknowledged(source) -> None:
     # The message that gives tokens back is lost.
+    source.give(100.0)
+    draft = source.purse.take(100.0)
+    assert source.purse.due_usages(after_seconds=0.0) == ()
+    source.purse.settle(draft, used_tokens=20.0)
+    final = (rate_messages.Usage(0, 20.0, True),)
+    assert source.purse.due_usages(after_seconds=0.0) == final
+    assert source.usages() == final
+    assert source.usages() == final
+    source.give(1.0, number=source.sent[-1].number)
+    assert source.purse.due_usages(after_seconds=0.0) == ()
+
+
+def test_noted_reports_are_forgotten(source) -> None:
     source.give(100.0)
     source.purse.settle(source.purse.take(100.0), used_tokens=20.0)
-    assert source.usages() == source.usages()[:1]
-    assert len(source.usages()) == 3
-    acknowledged = source.sent[-1].number
-    source.give(0.0, number=acknowledged)
-    count = len(source.sent)
-    source.usages()
-    assert len(source.sent) == count
+    source.purse.noted(source.purse.due_usages(after_seconds=0.0))
     assert source.purse.idle
