Split the modules of the rates that had grown large

Cause: ledger, purse, tenure and stock held more than one job each. Change: buckets, grants, outboxes, accounts, loans lent on and surroundings have modules of their own; reports wait half a second again.

--- /dev/null
+++ b/src/boragefold/coordination/rates/bucket.py
@@ -0,0 +1,77 @@
+"""A token bucket at one moment, and the events that change it."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NamedTuple
+
+from boragefold.coordination.rates import limits
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+    """Tokens that answered one request."""
+
+    given_at_seconds: float
+    charged_tokens: float
+    free_at_seconds: float
+    final: bool = False
+
+
+class Event(NamedTuple):
+    """The moment an entry was given, or gives up its place."""
+
+    at_seconds: float
+    order: int
+    entry: Entry
+    given: bool
+
+
+@dataclasses.dataclass(kw_only=True)
+class Bucket:
+    """Level and occupied tokens at one moment."""
+
+    at_seconds: float
+    level_tokens: float = 0.0
+    occupied_tokens: float = 0.0
+
+    def refill(self, limit: limits.Limit, now_seconds: float) -> None:
+        """Move to a later moment.
+
+        :param limit: rate and burst
+        :param now_seconds: the moment; an earlier one changes nothing
+        """
+        elapsed_seconds = now_seconds - self.at_seconds
+        if elapsed_seconds > 0:
+            self.at_seconds = now_seconds
+            self.level_tokens += elapsed_seconds * limit.rate_tokens_per_second
+        self.fit(limit)
+
+    def fit(self, limit: limits.Limit) -> None:
+        """Keep level and occupied tokens within the burst.
+
+        :param limit: rate and burst
+        """
+        room = max(0.0, limit.burst_tokens - self.occupied_tokens)
+        self.level_tokens = min(self.level_tokens, room)
+
+    def apply(self, limit: limits.Limit, event: Event) -> None:
+        """Move to an event and account for it.
+
+        :param limit: rate and burst
+        :param event: not earlier than the bucket
+        """
+        self.refill(limit, event.at_seconds)
+        tokens = event.entry.charged_tokens
+        if event.given:
+            self.level_tokens -= tokens
+            self.occupied_tokens += tokens
+        elif event.entry.free_at_seconds == event.at_seconds:
+            self.occupied_tokens -= tokens
+
+
+__all__ = [
+    "Bucket",
+    "Entry",
+    "Event",
+]
--- a/src/boragefold/coordination/rates/ledger.py
+++ b/src/boragefold/coordination/rates/ledger.py
@@ -16,8 +16,8 @@
 import bisect
 import dataclasses
 import itertools
-from typing import NamedTuple
 
+from boragefold.coordination.rates import bucket as buckets
 from boragefold.coordination.rates import limits
 from boragefold.protocol import ids
 
@@ -26,57 +26,6 @@
 MOST_EVENTS = 1000
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Entry:
-    """Tokens that answered one request."""
-
-    given_at_seconds: float
-    charged_tokens: float
-    free_at_seconds: float
-    final: bool = False
-
-
-class _Event(NamedTuple):
-    """The moment an entry was given, or gives up its place."""
-
-    at_seconds: float
-    order: int
-    entry: _Entry
-    given: bool
-
-
-@dataclasses.dataclass(kw_only=True)
-class _State:
-    """A bucket at one moment."""
-
-    at_seconds: float
-    level_tokens: float = 0.0
-    occupied_tokens: float = 0.0
-
-    def refill(self, limit: limits.Limit, now_seconds: float) -> None:
-        """Move to a later moment."""
-        elapsed_seconds = now_seconds - self.at_seconds
-        if elapsed_seconds > 0:
-            self.at_seconds = now_seconds
-            self.level_tokens += elapsed_seconds * limit.rate_tokens_per_second
-        self.fit(limit)
-
-    def fit(self, limit: limits.Limit) -> None:
-        """Keep level and occupied tokens within the burst."""
-        room = max(0.0, limit.burst_tokens - self.occupied_tokens)
-        self.level_tokens = min(self.level_tokens, room)
-
-    def apply(self, limit: limits.Limit, event: _Event) -> None:
-        """Move to an event and account for it."""
-        self.refill(limit, event.at_seconds)
-        tokens = event.entry.charged_tokens
-        if event.given:
-            self.level_tokens -= tokens
-            self.occupied_tokens += tokens
-        elif event.entry.free_at_seconds == event.at_seconds:
-            self.occupied_tokens -= tokens
-
-
 _Key = tuple[ids.InstanceId, int]
 
 
@@ -94,10 +43,10 @@
         """
         self._limit = limit
         self._starts_at_seconds = now_seconds + wait_seconds
-        self._past = _State(at_seconds=self._starts_at_seconds)
+        self._past = buckets.Bucket(at_seconds=self._starts_at_seconds)
         self._now = dataclasses.replace(self._past)
-        self._open: dict[_Key, _Entry] = {}
-        self._events: list[_Event] = []
+        self._open: dict[_Key, buckets.Entry] = {}
+        self._events: list[buckets.Event] = []
         self._applied = 0
         self._stale = False
         self._order = itertools.count()
@@ -260,14 +209,16 @@
         """
         self._starts_at_seconds = now_seconds
         whole_tokens = level_tokens + occupied_tokens
-        self._past = _State(at_seconds=now_seconds, level_tokens=whole_tokens)
+        self._past = buckets.Bucket(
+            at_seconds=now_seconds, level_tokens=whole_tokens
+        )
         self._past.fit(self._limit)
         self._now = dataclasses.replace(self._past)
         self._occupy(min(occupied_tokens, self._now.level_tokens), now_seconds)
 
-    def _occupy(self, tokens: float, now_seconds: float) -> _Entry:
+    def _occupy(self, tokens: float, now_seconds: float) -> buckets.Entry:
         life_seconds = limits.GRANT_SECONDS + limits.MARGIN_SECONDS
-        entry = _Entry(
+        entry = buckets.Entry(
             given_at_seconds=now_seconds,
             charged_tokens=tokens,
             free_at_seconds=now_seconds
@@ -280,12 +231,12 @@
         return entry
 
     def _insert(
-        self, at_seconds: float, entry: _Entry, *, given: bool
+        self, at_seconds: float, entry: buckets.Entry, *, given: bool
     ) -> None:
-        event = _Event(at_seconds, next(self._order), entry, given)
+        event = buckets.Event(at_seconds, next(self._order), entry, given)
         bisect.insort(self._events, event, key=lambda each: each[:2])
 
-    def _free(self, entry: _Entry, now_seconds: float) -> None:
+    def _free(self, entry: buckets.Entry, now_seconds: float) -> None:
         if entry.free_at_seconds > now_seconds:
             entry.free_at_seconds = now_seconds
             self._insert(now_seconds, entry, given=False)
--- a/src/boragefold/coordination/rates/lenders.py
+++ b/src/boragefold/coordination/rates/lenders.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from boragefold.coordination.rates import grants
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import purse as purses
 from boragefold.protocol import rate_messages
@@ -33,7 +34,7 @@
     """Tokens charged to the grants of one lender."""
 
     data_centre: str
-    draft: purses.Draft
+    draft: grants.Draft
     tokens: float
 
 
--- a/src/boragefold/coordination/rates/purse.py
+++ b/src/boragefold/coordination/rates/purse.py
@@ -4,43 +4,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import itertools
 
+from boragefold.coordination.rates import grants
 from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import outbox as outboxes
 from boragefold.protocol import rate_messages
 
-# Reports in one message; more wait for the next one.
-MOST_USAGES = 40
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Grant:
-    """What answered one request of ours."""
-
-    sent_at_seconds: float
-    ends_at_seconds: float
-    left_tokens: float = 0.0
-    charged_tokens: float = 0.0
-    drafts: int = 0
-    loose_drafts: int = 0
-    answered: bool = False
-    closed: bool = False
-    ended: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class Draft:
-    """Tokens charged to one or more grants, until it is settled.
-
-    A draft that was granted on is *loose*: somebody else may still charge it,
-    so its source must not take it for charged yet.
-    """
-
-    parts: dict[int, float]
-    loose: bool = False
-    settled: bool = False
-
 
 class Purse:
     """Tokens of one workspace from one holder.
@@ -68,10 +38,8 @@
         self._now_seconds = now_seconds
         self._send = send
         self._numbers = numbers
-        self._grants: dict[int, _Grant] = {}
-        self._reports: dict[int, rate_messages.Usage] = {}
-        self._carried: dict[int, tuple[rate_messages.Usage, ...]] = {}
-        self._reported_since_seconds: float | None = None
+        self._grants: dict[int, grants.Grant] = {}
+        self._outbox = outboxes.Outbox()
         self._asked_at_seconds: float | None = None
         self._asked_number = -1
         self.unanswered = 0
@@ -105,7 +73,7 @@
 
         :return: whether the purse can be forgotten
         """
-        return not (self._grants or self._reports)
+        return not (self._grants or self._outbox)
 
     def left_tokens(self, *, life_seconds: float = 0.0) -> float:
         """Count what may be charged now.
@@ -120,7 +88,7 @@
             if grant.ends_at_seconds > needed_seconds
         )
 
-    def life_seconds(self, draft: Draft) -> float:
+    def life_seconds(self, draft: grants.Draft) -> float:
         """Tell how long the grants under a draft still live.
 
         :param draft: from :meth:`take`
@@ -132,7 +100,7 @@
 
     def take(
         self, tokens: float, *, life_seconds: float = 0.0, loose: bool = False
-    ) -> Draft:
+    ) -> grants.Draft:
         """Charge tokens, those that end first before the others.
 
         :param tokens: how many; at most :meth:`left_tokens`
@@ -146,7 +114,7 @@
             for number, grant in self._grants.items()
             if grant.ends_at_seconds > needed_seconds and grant.left_tokens
         )
-        draft = Draft(parts={}, loose=loose)
+        draft = grants.Draft(parts={}, loose=loose)
         for _end, number in usable:
             part = min(tokens, self._grants[number].left_tokens)
             if part <= 0:
@@ -155,7 +123,7 @@
             self._charge(draft, number, part)
         return draft
 
-    def pin(self, draft: Draft, *, kept_tokens: float) -> None:
+    def pin(self, draft: grants.Draft, *, kept_tokens: float) -> None:
         """Note that nobody can charge a loose draft any more.
 
         :param draft: from :meth:`take`
@@ -170,7 +138,7 @@
             draft.parts[number] = kept
             self._give_back(number, tokens - kept, pinned=was_loose)
 
-    def settle(self, draft: Draft, *, used_tokens: float) -> None:
+    def settle(self, draft: grants.Draft, *, used_tokens: float) -> None:
         """Give back what a draft did not use; a second time does nothing.
 
         :param draft: from :meth:`take`
@@ -196,7 +164,7 @@
         if self._asked_at_seconds is not None:
             self.unanswered += 1
         number = next(self._numbers)
-        self._grants[number] = _Grant(
+        self._grants[number] = grants.Grant(
             sent_at_seconds=now_seconds,
             ends_at_seconds=now_seconds + limits.GRANT_SECONDS,
         )
@@ -217,7 +185,8 @@
         :return: whether there are more tokens now
         """
         now_seconds = self._now_seconds()
-        self._acknowledge(given.number)
+        for number in self._outbox.arrived(given.number):
+            self._drop(number)
         self.unanswered = 0
         if given.number == self._asked_number:
             self.ready_at_seconds = now_seconds + given.ready_in_seconds
@@ -252,38 +221,22 @@
     ) -> tuple[rate_messages.Usage, ...]:
         """Take the reports that waited long enough for a request to go with.
 
-        What may still change waits on: the holder takes it for charged when
-        the grant ends, without being told.
-
         :param after_seconds: how long a report waits
         :return: reports to send; they come again until acknowledged
         """
-        now_seconds = self._now_seconds()
-        since_seconds = self._reported_since_seconds
-        if (
-            since_seconds is None
-            or now_seconds < since_seconds + after_seconds
-        ):
-            return ()
-        self._reported_since_seconds = now_seconds
-        final = (usage for usage in self._reports.values() if usage.final)
-        return tuple(itertools.islice(final, MOST_USAGES))
+        return self._outbox.due(
+            after_seconds=after_seconds, now_seconds=self._now_seconds()
+        )
 
     def noted(self, usages: Iterable[rate_messages.Usage]) -> None:
         """Stop repeating reports that have arrived.
 
         :param usages: as they were sent
         """
-        for usage in usages:
-            if self._reports.get(usage.number) != usage:
-                continue
-            del self._reports[usage.number]
-            if usage.final:
-                self._drop(usage.number)
-        if not self._reports:
-            self._reported_since_seconds = None
-
-    def _charge(self, draft: Draft, number: int, tokens: float) -> None:
+        for number in self._outbox.noted(usages):
+            self._drop(number)
+
+    def _charge(self, draft: grants.Draft, number: int, tokens: float) -> None:
         grant = self._grants[number]
         grant.left_tokens -= tokens
         grant.charged_tokens += tokens
@@ -307,47 +260,34 @@
         else:
             grant.left_tokens += tokens
 
-    def _close(self, number: int, grant: _Grant) -> None:
+    def _close(self, number: int, grant: grants.Grant) -> None:
         # Tokens that were never received are reported as not charged: once
         # closed, the grant takes no late answer, so nobody can spend them.
         grant.closed = True
         grant.left_tokens = 0.0
         self._report(number, grant)
 
-    def _report(self, number: int, grant: _Grant) -> None:
+    def _report(self, number: int, grant: grants.Grant) -> None:
         if grant.loose_drafts and not grant.ended:
             return
-        self._reports[number] = rate_messages.Usage(
+        usage = rate_messages.Usage(
             number, grant.charged_tokens, grant.drafts == 0
         )
-        if self._reported_since_seconds is None:
-            self._reported_since_seconds = self._now_seconds()
+        self._outbox.put(usage, now_seconds=self._now_seconds())
 
     def _post(self, number: int, needed: float, ahead: float) -> None:
-        usages = tuple(itertools.islice(self._reports.values(), MOST_USAGES))
-        if usages:
-            self._reported_since_seconds = self._now_seconds()
-            self._carried[number] = usages
+        usages = self._outbox.carry(number, now_seconds=self._now_seconds())
         self._send(
             rate_messages.TokensAsked(
                 self._workspace, number, needed, ahead, usages
             )
         )
 
-    def _acknowledge(self, number: int) -> None:
-        self.noted(self._carried.pop(number, ()))
-        self._carried = {
-            carrier: usages
-            for carrier, usages in self._carried.items()
-            if carrier > number
-        }
-
     def _drop(self, number: int) -> None:
         self._grants.pop(number, None)
-        self._reports.pop(number, None)
+        self._outbox.drop(number)
 
 
 __all__ = [
-    "Draft",
     "Purse",
 ]
--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -17,6 +17,7 @@
 from boragefold.coordination.rates import reports as reporting
 from boragefold.coordination.rates import shares as sharing
 from boragefold.coordination.rates import stock as stocks
+from boragefold.coordination.rates import surroundings
 from boragefold.coordination.rates import tenure as tenures
 import boragefold.coordination.rights as membership
 from boragefold.protocol import ids
@@ -28,7 +29,7 @@
 
 # Reports wait for the next request to carry them, but not longer than this:
 # so long other instances may lack what was left over here.
-REPORT_SECONDS = 1.0
+REPORT_SECONDS = 0.5
 
 
 class Rates:
@@ -175,7 +176,7 @@
                 send=self._ask_lender,
                 numbers=self._numbers,
             ),
-            around=tenures.Surroundings(
+            around=surroundings.Surroundings(
                 workspace=workspace,
                 data_centre=self._link.self_id.data_centre,
                 send=self._send,
--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
+from boragefold.coordination.rates import account as accounts
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import purse as purses
 from boragefold.coordination.rates import usage
@@ -23,10 +23,6 @@
 # what is fetched ahead of so few would mostly be given back unused.
 FETCH_REQUESTS = 3
 
-# A request that found too few tokens is taken to wait for this long; the
-# admission retries or gives up within it.
-WANT_SECONDS = 3.0
-
 # How soon a request is made again that another one had kept from being sent.
 AGAIN_SECONDS = 0.005
 
@@ -34,25 +30,6 @@
 NO_HOLDER_SECONDS = 1.0
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Charged(stock.Reservation):
-    """A reservation that knows which grants it was charged to."""
-
-    draft: purses.Draft
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Account:
-    """What is known of one workspace that was used of late."""
-
-    purse: purses.Purse
-    use: usage.RecentUse
-    wanted_tokens: float = 0.0
-    wanted_at_seconds: float = 0.0
-    refused_tokens: float = 0.0
-    retry: timing.Subscription | None = None
-
-
 class LeasedStock(stock.Stock):
     """Spends grants, and asks the holder for the next ones."""
 
@@ -78,7 +55,7 @@
         self._limit_of = limit_of
         self._open_purse = open_purse
         self._has_holder = has_holder
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, accounts.Account] = {}
         self._callbacks: list[Callable[[str], None]] = []
         self._reserving = False
 
@@ -98,15 +75,17 @@
             return self._short("larger_than_burst", None)
         account = self._account(workspace)
         now_seconds = self._timers.now_seconds()
-        if not self._covers(account, tokens):
+        if not account.covers(tokens):
             self._want(workspace, account, tokens)
-        if not self._covers(account, tokens):
+        if not account.covers(tokens):
             return self._shortfall(workspace, account)
         draft = account.purse.take(tokens)
         account.use.add(tokens, now_seconds)
         account.wanted_tokens = 0.0
         self._fetch_ahead(account, tokens)
-        return _Charged(workspace=workspace, tokens=tokens, draft=draft)
+        return accounts.Charged(
+            workspace=workspace, tokens=tokens, draft=draft
+        )
 
     def settle(
         self, reservation: stock.Reservation, *, used_tokens: float
@@ -116,7 +95,9 @@
         :param reservation: from :meth:`reserve`
         :param used_tokens: prompt and generated tokens really spent
         """
-        if reservation.settled or not isinstance(reservation, _Charged):
+        if reservation.settled or not isinstance(
+            reservation, accounts.Charged
+        ):
             return
         reservation.settled = True
         account = self._account(reservation.workspace)
@@ -176,7 +157,7 @@
             if account.purse.overdue:
                 self._ask_if_wanted(workspace, account)
             idle = account.purse.idle and not account.purse.in_flight
-            if idle and not self._is_wanted(account):
+            if idle and not account.is_wanted(self._timers.now_seconds()):
                 del self._accounts[workspace]
 
     def items(self) -> Iterable[tuple[str, purses.Purse]]:
@@ -195,7 +176,9 @@
         self._counters.add("rate_shortfalls", reason)
         return stock.Shortfall(ready_in_seconds=ready_in_seconds)
 
-    def _shortfall(self, workspace: str, account: _Account) -> stock.Shortfall:
+    def _shortfall(
+        self, workspace: str, account: accounts.Account
+    ) -> stock.Shortfall:
         now_seconds = self._timers.now_seconds()
         left_seconds = account.purse.ready_at_seconds - now_seconds
         if not self._has_holder(workspace):
@@ -207,16 +190,18 @@
             "empty", max(limits.IN_FLIGHT_SECONDS, left_seconds)
         )
 
-    def _account(self, workspace: str) -> _Account:
+    def _account(self, workspace: str) -> accounts.Account:
         if workspace not in self._accounts:
-            self._accounts[workspace] = _Account(
+            self._accounts[workspace] = accounts.Account(
                 purse=self._open_purse(workspace), use=usage.RecentUse()
             )
         return self._accounts[workspace]
 
-    def _want(self, workspace: str, account: _Account, tokens: float) -> None:
+    def _want(
+        self, workspace: str, account: accounts.Account, tokens: float
+    ) -> None:
         now_seconds = self._timers.now_seconds()
-        if not self._is_wanted(account):
+        if not account.is_wanted(self._timers.now_seconds()):
             account.wanted_tokens = 0.0
         account.wanted_tokens = max(account.wanted_tokens, tokens)
         account.wanted_at_seconds = now_seconds
@@ -229,14 +214,18 @@
         if not refused:
             self._ask(workspace, account, tokens)
 
-    def _ask(self, workspace: str, account: _Account, tokens: float) -> None:
+    def _ask(
+        self, workspace: str, account: accounts.Account, tokens: float
+    ) -> None:
         if not self._has_holder(workspace):
             self._retry_later(workspace, account, limits.RETRY_SECONDS)
             return
         needed_tokens = max(0.0, tokens - account.purse.left_tokens())
         self._ask_quietly(account, needed_tokens)
 
-    def _ask_quietly(self, account: _Account, needed_tokens: float) -> None:
+    def _ask_quietly(
+        self, account: accounts.Account, needed_tokens: float
+    ) -> None:
         # An answer comes while the request is being sent when we hold the
         # rate ourselves. Whoever reserves looks again anyway; waking it from
         # within its own call would reserve for the same request twice.
@@ -251,7 +240,7 @@
         finally:
             self._reserving = was_reserving
 
-    def _fetch_ahead(self, account: _Account, tokens: float) -> None:
+    def _fetch_ahead(self, account: accounts.Account, tokens: float) -> None:
         now_seconds = self._timers.now_seconds()
         use_tokens = account.use.tokens(now_seconds)
         if use_tokens < FETCH_REQUESTS * tokens:
@@ -264,23 +253,21 @@
             return
         self._ask_quietly(account, 0.0)
 
-    def _covers(self, account: _Account, tokens: float) -> bool:
-        return account.purse.left_tokens() + limits.TINY_TOKENS >= tokens
-
-    def _is_wanted(self, account: _Account) -> bool:
-        age_seconds = self._timers.now_seconds() - account.wanted_at_seconds
-        return account.wanted_tokens > 0 and age_seconds < WANT_SECONDS
-
-    def _ask_if_wanted(self, workspace: str, account: _Account) -> None:
-        if not self._is_wanted(account) or account.purse.in_flight:
+    def _ask_if_wanted(
+        self, workspace: str, account: accounts.Account
+    ) -> None:
+        if (
+            not account.is_wanted(self._timers.now_seconds())
+            or account.purse.in_flight
+        ):
             return
-        if not self._covers(account, account.wanted_tokens):
+        if not account.covers(account.wanted_tokens):
             self._ask(workspace, account, account.wanted_tokens)
-        if self._covers(account, account.wanted_tokens):
+        if account.covers(account.wanted_tokens):
             self._wake(workspace, account)
 
     def _retry_later(
-        self, workspace: str, account: _Account, delay_seconds: float
+        self, workspace: str, account: accounts.Account, delay_seconds: float
     ) -> None:
         if account.retry is not None:
             account.retry.cancel()
@@ -289,7 +276,7 @@
             callback=lambda: self._ask_if_wanted(workspace, account),
         )
 
-    def _wake(self, workspace: str, account: _Account) -> None:
+    def _wake(self, workspace: str, account: accounts.Account) -> None:
         if self._reserving:
             return
         for callback in self._callbacks:
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -8,7 +8,9 @@
 
 from boragefold.coordination.rates import ledger as ledgers
 from boragefold.coordination.rates import lenders as lending
+from boragefold.coordination.rates import lent_on as lending_on
 from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import surroundings
 from boragefold.protocol import ids
 from boragefold.protocol import rate_messages
 
@@ -19,36 +21,6 @@
 # Waking up more often than this costs more than it saves anybody.
 LEAST_WAIT_SECONDS = 0.01
 
-Send = Callable[[ids.InstanceId, rate_messages.TokensGiven], None]
-
-
-class Surroundings:
-    """What a tenure asks its instance for."""
-
-    def __init__(
-        self,
-        *,
-        workspace: str,
-        data_centre: str,
-        send: Send,
-        holds: Callable[[], bool],
-        lender_parts: Callable[[], dict[str, limits.Limit]],
-    ) -> None:
-        """Bind the questions to their answers.
-
-        :param workspace: whose rate is held
-        :param data_centre: our own
-        :param send: sends an answer
-        :param holds: tells whether the right is ours at this moment
-        :param lender_parts: the other data centres that have a holder, and
-            their parts of the rate
-        """
-        self.workspace = workspace
-        self.data_centre = data_centre
-        self.send = send
-        self.holds = holds
-        self.lender_parts = lender_parts
-
 
 @dataclasses.dataclass(kw_only=True)
 class _Waiting:
@@ -62,14 +34,6 @@
     told: bool = False
 
 
-@dataclasses.dataclass(kw_only=True)
-class _LentOn:
-    """A grant that was made of loans as well."""
-
-    loans: list[lending.Loan]
-    given_at_seconds: float
-
-
 class Tenure:
     """Owns one bucket; grants, lends and borrows."""
 
@@ -78,7 +42,7 @@
         *,
         ledger: ledgers.Ledger,
         lenders: lending.Lenders,
-        around: Surroundings,
+        around: surroundings.Surroundings,
         now_seconds: Callable[[], float],
     ) -> None:
         """Begin to hold the right.
@@ -95,7 +59,7 @@
         self._now_seconds = now_seconds
         self._waiting: dict[ids.InstanceId, _Waiting] = {}
         self._newest: dict[ids.InstanceId, int] = {}
-        self._lent_on: dict[tuple[ids.InstanceId, int], _LentOn] = {}
+        self._lent_on = lending_on.LentOn(lenders=lenders)
 
     def asked(
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
@@ -176,12 +140,7 @@
         self.ledger.advance(self._now_seconds())
         self.ledger.settle_old(self._now_seconds())
         self.lenders.tick()
-        oldest_seconds = self._now_seconds() - limits.REFUND_SECONDS
-        self._lent_on = {
-            key: lent_on
-            for key, lent_on in self._lent_on.items()
-            if lent_on.given_at_seconds > oldest_seconds
-        }
+        self._lent_on.forget_old(self._now_seconds())
 
     def _affordable(self, tokens: float) -> bool:
         if self.ledger.level_tokens < tokens:
@@ -202,10 +161,12 @@
         own_tokens = max(0.0, wanted_tokens - borrowed_tokens)
         own_tokens = min(own_tokens, level_tokens)
         life_seconds = self.lenders.life_seconds(loans)
-        if loans:
-            self._lent_on[waiting.asker, waiting.number] = _LentOn(
-                loans=loans, given_at_seconds=self._now_seconds()
-            )
+        self._lent_on.add(
+            waiting.asker,
+            waiting.number,
+            loans=loans,
+            now_seconds=self._now_seconds(),
+        )
         self._give(
             waiting.asker,
             waiting.number,
@@ -283,18 +244,7 @@
     def _report(
         self, asker: ids.InstanceId, report: rate_messages.Usage
     ) -> None:
-        key = (asker, report.number)
-        charged_tokens = report.charged_tokens
-        lent_on = self._lent_on.get(key)
-        for loan in lent_on.loans if lent_on else ():
-            part = min(loan.tokens, charged_tokens)
-            charged_tokens -= part
-            if report.final:
-                self.lenders.settle(loan, used_tokens=part)
-            else:
-                self.lenders.pin(loan, kept_tokens=part)
-        if report.final:
-            self._lent_on.pop(key, None)
+        charged_tokens = self._lent_on.report(asker, report)
         self.ledger.report(
             asker=asker,
             number=report.number,
@@ -371,6 +321,5 @@
 
 
 __all__ = [
-    "Surroundings",
     "Tenure",
 ]
