Give the holder's queue a module of its own

Ruled out: nothing else; no behaviour changes. Change: waiting.py; the lenders' rate is summed by the lenders. Conclusion: smaller modules, same behaviour.

--- a/src/boragefold/coordination/rates/lenders.py
+++ b/src/boragefold/coordination/rates/lenders.py
@@ -83,14 +83,21 @@
             for purse in self._purses.values()
         )
 
-    def reachable(self, data_centre: str) -> bool:
-        """Tell whether a data centre's holder has answered of late.
+    def rate(self, parts: dict[str, limits.Limit]) -> float:
+        """Sum the rates of the lenders that answered of late.
 
-        :param data_centre: the lender's
-        :return: whether it has; False before it was ever asked
+        :param parts: the lenders and their parts of the rate
+        :return: tokens per second; a lender never asked counts for nothing
         """
-        purse = self._purses.get(data_centre)
-        return purse is not None and purse.unanswered < UNREACHABLE_AFTER
+        return sum(
+            (
+                part.rate_tokens_per_second
+                for name, part in parts.items()
+                if name in self._purses
+                and self._purses[name].unanswered < UNREACHABLE_AFTER
+            ),
+            start=0.0,
+        )
 
     def ask(
         self,
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 from boragefold.coordination.rates import ledger as ledgers
 from boragefold.coordination.rates import lenders as lending
 from boragefold.coordination.rates import lent_on as lending_on
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import surroundings
+from boragefold.coordination.rates import waiting as queues
 from boragefold.protocol import ids
 from boragefold.protocol import rate_messages
 
@@ -22,18 +22,6 @@
 LEAST_WAIT_SECONDS = 0.01
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Waiting:
-    """A request that waits for the refill or for a loan."""
-
-    asker: ids.InstanceId
-    number: int
-    needed_tokens: float
-    ahead_tokens: float
-    came_at_seconds: float
-    told: bool = False
-
-
 class Tenure:
     """Owns one bucket; grants, lends and borrows."""
 
@@ -57,7 +45,7 @@
         self.lenders = lenders
         self._around = around
         self._now_seconds = now_seconds
-        self._waiting: dict[ids.InstanceId, _Waiting] = {}
+        self._waiting = queues.Queue()
         self._newest: dict[ids.InstanceId, int] = {}
         self._lent_on = lending_on.LentOn(lenders=lenders)
 
@@ -79,13 +67,14 @@
         if asker.data_centre != self._around.data_centre:
             self._lend(asker, request)
             return
-        self._waiting[asker] = _Waiting(
+        waiting = queues.Waiting(
             asker=asker,
             number=request.number,
             needed_tokens=request.needed_tokens,
             ahead_tokens=request.ahead_tokens,
             came_at_seconds=now_seconds,
         )
+        self._waiting.put(waiting)
         self.serve()
 
     def serve(self) -> float | None:
@@ -97,10 +86,10 @@
         now_seconds = self._now_seconds()
         self.ledger.advance(now_seconds)
         while self._waiting:
-            first = next(iter(self._waiting.values()))
+            first = self._waiting.first()
             if not self._affordable(first.needed_tokens):
                 break
-            del self._waiting[first.asker]
+            self._waiting.remove(first)
             self._grant(first)
         if not self._waiting:
             return None
@@ -148,7 +137,7 @@
         have_tokens = self.ledger.level_tokens + self.lenders.left_tokens()
         return have_tokens + limits.TINY_TOKENS >= tokens
 
-    def _grant(self, waiting: _Waiting) -> None:
+    def _grant(self, waiting: queues.Waiting) -> None:
         # Loans end by themselves, so they are spent before our own level.
         level_tokens = self.ledger.level_tokens
         have_tokens = level_tokens + self.lenders.left_tokens()
@@ -179,11 +168,10 @@
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
     ) -> None:
         # Those who wait here come first: their data centre's part is theirs.
-        wanted_here = sum(
-            each.needed_tokens for each in self._waiting.values()
-        )
         self.ledger.recount()
-        spare_tokens = max(0.0, self.ledger.level_tokens - wanted_here)
+        spare_tokens = max(
+            0.0, self.ledger.level_tokens - self._waiting.needed_tokens
+        )
         wanted_tokens = request.needed_tokens + request.ahead_tokens
         tokens = min(wanted_tokens, spare_tokens)
         self._give(
@@ -254,19 +242,13 @@
         )
 
     def _borrow(self) -> None:
-        short_tokens = sum(
-            waiting.needed_tokens for waiting in self._waiting.values()
-        )
-        short_tokens -= self.ledger.level_tokens + self.lenders.left_tokens()
+        have_tokens = self.ledger.level_tokens + self.lenders.left_tokens()
         # A loan a request would be a message a request; ask for what will be
         # needed next as well.
-        ahead_tokens = sum(
-            waiting.ahead_tokens for waiting in self._waiting.values()
-        )
         self.lenders.ask(
             self._around.lender_parts(),
-            short_tokens=short_tokens,
-            ahead_tokens=ahead_tokens,
+            short_tokens=self._waiting.needed_tokens - have_tokens,
+            ahead_tokens=self._waiting.ahead_tokens,
         )
 
     def _tell_waiting(self) -> float | None:
@@ -278,13 +260,13 @@
         in_flight = self.lenders.in_flight()
         before_tokens = 0.0
         next_seconds: float | None = None
-        for waiting in list(self._waiting.values()):
+        for waiting in self._waiting:
             before_tokens += waiting.needed_tokens
             ready_seconds = self._ready_in_seconds(before_tokens)
             waited_seconds = now_seconds - waiting.came_at_seconds
             expected = limits.IN_FLIGHT_SECONDS if in_flight else ready_seconds
             if waited_seconds + expected > limits.QUEUE_SECONDS:
-                del self._waiting[waiting.asker]
+                self._waiting.remove(waiting)
                 before_tokens -= waiting.needed_tokens
                 self._answer(
                     waiting.asker,
@@ -305,18 +287,12 @@
         return next_seconds
 
     def _ready_in_seconds(self, tokens: float) -> float:
-        now_seconds = self._now_seconds()
-        parts = self._around.lender_parts()
-        own = self.ledger.limit
-        rate = own.rate_tokens_per_second + sum(
-            part.rate_tokens_per_second
-            for name, part in parts.items()
-            if self.lenders.reachable(name)
-        )
-        short = tokens - self.ledger.level_tokens - self.lenders.left_tokens()
+        rate = self.ledger.limit.rate_tokens_per_second
+        rate += self.lenders.rate(self._around.lender_parts())
         if rate <= 0:
             return limits.REFUND_SECONDS
-        wait_seconds = self.ledger.starts_in_seconds(now_seconds)
+        short = tokens - self.ledger.level_tokens - self.lenders.left_tokens()
+        wait_seconds = self.ledger.starts_in_seconds(self._now_seconds())
         return wait_seconds + max(0.001, short / rate)
 
 
--- /dev/null
+++ b/src/boragefold/coordination/rates/waiting.py
@@ -0,0 +1,77 @@
+"""Requests that wait at a holder, in the order of arrival."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+
+from boragefold.protocol import ids
+
+
+@dataclasses.dataclass(kw_only=True)
+class Waiting:
+    """A request that waits for the refill or for a loan."""
+
+    asker: ids.InstanceId
+    number: int
+    needed_tokens: float
+    ahead_tokens: float
+    came_at_seconds: float
+    told: bool = False
+
+
+class Queue:
+    """One request per asker; a repeated one keeps its place."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._waiting: dict[ids.InstanceId, Waiting] = {}
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(list(self._waiting.values()))
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    @property
+    def needed_tokens(self) -> float:
+        """Sum what is needed.
+
+        :return: tokens
+        """
+        return sum(each.needed_tokens for each in self._waiting.values())
+
+    @property
+    def ahead_tokens(self) -> float:
+        """Sum what is wanted if there are plenty.
+
+        :return: tokens
+        """
+        return sum(each.ahead_tokens for each in self._waiting.values())
+
+    def put(self, waiting: Waiting) -> None:
+        """Add a request, or replace an earlier one of the same asker.
+
+        :param waiting: the request
+        """
+        self._waiting[waiting.asker] = waiting
+
+    def first(self) -> Waiting:
+        """Look at the request that came first.
+
+        :return: the request; the queue must not be empty
+        """
+        return next(iter(self._waiting.values()))
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out.
+
+        :param waiting: the request
+        """
+        del self._waiting[waiting.asker]
+
+
+__all__ = [
+    "Queue",
+    "Waiting",
+]
