Hold the weight store's limits over the fleet

Cause: the store allows 2 to 4 loads a second and 8 in flight to all instances together. Ruled out: fractions of the places in flight per data centre; with 8 over three, fragments of two thirds stayed idle and 7 was the most that ran. Change: LoadBudget over the same buckets, as two budgets beside the workspaces; places keep theirs until the load ends, for ten seconds at most; whole numbers by largest remainder; a weight's raise no longer waits for a data centre that was taken out of the document. Figures: in the tests, over 90% of 4 loads a second from all and from one data centre, worst window within 4 + 4 a second; 8 in flight reached, never passed. Conclusion: one mechanism carries both.

--- /dev/null
+++ b/src/boragefold/coordination/load_budget.py
@@ -0,0 +1,151 @@
+"""The weight store's limits, over the whole fleet."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+import dataclasses
+
+from boragefold.coordination.rates import limits
+from boragefold.coordination.rates import service
+from boragefold.policy import stock
+from boragefold.state import documents
+from boragefold.telemetry import counters as counting
+
+# Names of the two limits; a workspace's name has a slash, these have none.
+LOADS = "store"
+IN_FLIGHT = "store-in-flight"
+
+# A load takes a quarter of a second, and proportionally longer when the
+# store is crowded. After this time its place is given to another, so a load
+# must be given up by then; a dead instance's places come back this late.
+LONGEST_LOAD_SECONDS = 10.0
+
+# Places don't come back at a rate but when a load ends: whatever is not
+# occupied refills at once.
+REFILL_PER_SECOND = 1e6
+
+
+@dataclasses.dataclass(kw_only=True)
+class Load:
+    """The permission to load one set of weights; finished exactly once."""
+
+    place: stock.Reservation
+    finished: bool = False
+
+
+class LoadBudget(abc.ABC):
+    """Permits loads from the weight store."""
+
+    @abc.abstractmethod
+    def try_take(self) -> Load | stock.Shortfall:
+        """Begin a load, or say when to come back.
+
+        :return: the permission, or the shortfall
+        """
+
+    @abc.abstractmethod
+    def finished(self, load: Load) -> None:
+        """Give the place of a finished, failed or abandoned load back.
+
+        :param load: from :meth:`try_take`; a second time changes nothing
+        """
+
+    @abc.abstractmethod
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Be told when a load may be possible again.
+
+        :param callback: called without arguments
+        """
+
+
+class LeasedLoadBudget(LoadBudget):
+    """Treats both limits of the store as rates of the fleet."""
+
+    def __init__(
+        self, *, rates: service.Rates, counters: counting.Counters
+    ) -> None:
+        """Know no limits yet.
+
+        :param rates: shares and grants them
+        :param counters: where refused loads are counted
+        """
+        self._rates = rates
+        self._stock = rates.stock
+        self._counters = counters
+        self._callbacks: list[Callable[[], None]] = []
+        self._stock.subscribe(self._woken)
+
+    def update(self, store: documents.Store) -> None:
+        """Put the published limits in force.
+
+        :param store: the published document
+        """
+        loads_per_second = store["loads_per_second"]
+        self._rates.update_budgets(
+            {
+                # One second's loads may begin at once; a store that allows
+                # less than one a second still has to allow one.
+                LOADS: limits.Limit(
+                    loads_per_second,
+                    max(1.0, loads_per_second),
+                    fetch_ahead=False,
+                ),
+                IN_FLIGHT: limits.Limit(
+                    REFILL_PER_SECOND,
+                    float(store["loads_in_flight"]),
+                    hold_seconds=LONGEST_LOAD_SECONDS,
+                    fetch_ahead=False,
+                    whole=True,
+                ),
+            }
+        )
+
+    def try_take(self) -> Load | stock.Shortfall:
+        """Begin a load, or say when to come back.
+
+        :return: the permission, or the shortfall
+        """
+        start = self._stock.reserve(workspace=LOADS, tokens=1.0)
+        if isinstance(start, stock.Shortfall):
+            self._counters.add("loads_refused", "rate")
+            return start
+        place = self._stock.reserve(workspace=IN_FLIGHT, tokens=1.0)
+        if isinstance(place, stock.Shortfall):
+            self._counters.add("loads_refused", "in_flight")
+            self._stock.settle(start, used_tokens=0.0)
+            return place
+        self._stock.settle(start, used_tokens=1.0)
+        return Load(place=place)
+
+    def finished(self, load: Load) -> None:
+        """Give the place of a finished, failed or abandoned load back.
+
+        :param load: from :meth:`try_take`; a second time changes nothing
+        """
+        if load.finished:
+            return
+        load.finished = True
+        self._stock.settle(load.place, used_tokens=0.0)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Be told when a load may be possible again.
+
+        :param callback: called without arguments
+        """
+        self._callbacks.append(callback)
+
+    def _woken(self, workspace: str) -> None:
+        if workspace in (LOADS, IN_FLIGHT):
+            for callback in self._callbacks:
+                callback()
+
+
+__all__ = [
+    "IN_FLIGHT",
+    "LOADS",
+    "LONGEST_LOAD_SECONDS",
+    "LeasedLoadBudget",
+    "Load",
+    "LoadBudget",
+]
--- a/src/boragefold/coordination/rates/account.py
+++ b/src/boragefold/coordination/rates/account.py
@@ -29,6 +29,7 @@
 
     purse: purses.Purse
     use: usage.RecentUse
+    fetch_ahead: bool
     wanted_tokens: float = 0.0
     wanted_at_seconds: float = 0.0
     refused_tokens: float = 0.0
--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -53,6 +53,8 @@
         self._link = peers
         self._rights = rights
         self._timers = timers
+        self._workspaces: dict[str, limits.Limit] = {}
+        self._budgets: dict[str, limits.Limit] = {}
         self._limits: dict[str, limits.Limit] = {}
         self._numbers = itertools.count()
         self._wakes: dict[str, timing.Subscription] = {}
@@ -73,7 +75,7 @@
         self.stock = stocks.LeasedStock(
             timers=timers,
             counters=counters,
-            limit_of=self._limits.get,
+            limit_of=lambda workspace: self._limits.get(workspace),
             open_purse=self._open_purse,
             has_holder=lambda workspace: self._holder(workspace) is not None,
         )
@@ -97,8 +99,15 @@
 
         :param rates: the fleet's rate and burst of every workspace
         """
-        self._limits.clear()
-        self._limits.update(rates)
+        self._workspaces = dict(rates)
+        self._put_in_force()
+
+    def update_budgets(self, budgets: Mapping[str, limits.Limit]) -> None:
+        """Put other limits of the fleet in force, handled like rates.
+
+        :param budgets: limits by a name that no workspace has
+        """
+        self._budgets = dict(budgets)
         self._put_in_force()
 
     def update_data_centres(
@@ -132,10 +141,10 @@
         return held
 
     def _put_in_force(self) -> None:
-        own_part = self._shares.own_part
+        self._limits = {**self._workspaces, **self._budgets}
         self._holders.update(
             {
-                workspace: limit.part(own_part)
+                workspace: self._shares.own_limit(limit)
                 for workspace, limit in self._limits.items()
             }
         )
@@ -187,13 +196,16 @@
         )
 
     def _lender_parts(self, workspace: str) -> dict[str, limits.Limit]:
-        limit = self._limits[workspace]
+        parts = self._shares.parts(self._limits[workspace])
+        views = self._rights.directory()
+        own_name = self._link.self_id.data_centre
         return {
-            name: limit.part(self._shares.part(name))
-            for name, view in self._rights.directory().items()
-            if name != self._link.self_id.data_centre
-            and view.members
-            and self._shares.part(name) > 0
+            name: part
+            for name, part in parts.items()
+            if name != own_name
+            and part.burst_tokens > 0
+            and name in views
+            and views[name].members
         }
 
     def _open_purse(self, workspace: str) -> purses.Purse:
--- a/src/boragefold/coordination/rates/shares.py
+++ b/src/boragefold/coordination/rates/shares.py
@@ -50,28 +50,39 @@
         self._changed = changed
         self._revision = -1
         self._parts: dict[str, float] = {}
-        self._own_part = 0.0
+        self._in_force: dict[str, float] = {}
         self._lowered: set[str] = set()
         self._knowing: set[ids.InstanceId] = set()
         self._asking: timing.Subscription | None = None
         peers.subscribe(rate_messages.SharesAsked, self._asked)
         peers.subscribe(rate_messages.SharesKnown, self._known)
 
-    @property
-    def own_part(self) -> float:
-        """Tell our data centre's part in force.
+    def own_limit(self, limit: limits.Limit) -> limits.Limit:
+        """Take our data centre's part in force.
 
-        :return: from 0 to 1
+        :param limit: of the whole fleet
+        :return: our part; nothing before any weights are known
         """
-        return self._own_part
+        nothing = limit.part(0.0)
+        published = limits.split(limit, self._parts)
+        in_force = limits.split(limit, self._in_force)
+        # Both are the same unless a raise waits.
+        one = published.get(self._own_name, nothing)
+        other = in_force.get(self._own_name, nothing)
+        return one._replace(
+            rate_tokens_per_second=min(
+                one.rate_tokens_per_second, other.rate_tokens_per_second
+            ),
+            burst_tokens=min(one.burst_tokens, other.burst_tokens),
+        )
 
-    def part(self, data_centre: str) -> float:
-        """Tell the published part of a data centre.
+    def parts(self, limit: limits.Limit) -> dict[str, limits.Limit]:
+        """Split a limit as published.
 
-        :param data_centre: its name
-        :return: from 0 to 1
+        :param limit: of the whole fleet
+        :return: parts by data centre
         """
-        return self._parts.get(data_centre, 0.0)
+        return limits.split(limit, self._parts)
 
     def update(self, *, revision: int, weights: Mapping[str, float]) -> None:
         """Take in published weights; older revisions are ignored.
@@ -92,10 +103,10 @@
         self._lowered |= {
             name
             for name, part in before.items()
-            if self.part(name) < part and name != self._own_name
+            if self._parts.get(name, 0.0) < part and name != self._own_name
         }
-        target = self.part(self._own_name)
-        if first or target <= self._own_part:
+        target = self._parts.get(self._own_name, 0.0)
+        if first or target <= self._in_force.get(self._own_name, 0.0):
             self._put_in_force()
             return
         self._counters.add("rate_share_raises", "waiting")
@@ -106,8 +117,7 @@
         return self._link.self_id.data_centre
 
     def _put_in_force(self) -> None:
-        self._own_part = self.part(self._own_name)
-        self._lowered.clear()
+        self._in_force = self._parts
         if self._asking is not None:
             self._asking.cancel()
             self._asking = None
@@ -116,6 +126,9 @@
     def _ask(self) -> None:
         if self._asking is not None:
             self._asking.cancel()
+        if self._everybody_knows():
+            self._raise_later()
+            return
         self._asking = self._timers.once(
             delay_seconds=ASK_SECONDS, callback=self._ask
         )
@@ -124,11 +137,20 @@
                 to=member, body=rate_messages.SharesAsked(self._revision)
             )
 
+    def _everybody_knows(self) -> bool:
+        # A data centre without a view may be cut off and still grant by the
+        # old weights. One that the operators have taken out of the document
+        # has no instances any more.
+        waited_for = self._lowered & self._parts.keys()
+        if not waited_for <= self._rights.directory().keys():
+            return False
+        return not self._must_know() - self._knowing
+
     def _must_know(self) -> set[ids.InstanceId]:
         directory = self._rights.directory()
         return {
             member
-            for name in self._lowered
+            for name in self._lowered & self._parts.keys()
             if name in directory
             for member in directory[name].members
         }
@@ -146,14 +168,15 @@
         if self._asking is None or known.revision < self._revision:
             return
         self._knowing.add(sender)
-        directory = self._rights.directory()
-        if not self._lowered <= directory.keys():
-            return
-        if self._must_know() - self._knowing:
+        if not self._everybody_knows():
             return
+        self._raise_later()
+
+    def _raise_later(self) -> None:
         # What the others granted and lent before they knew may still be
         # charged until the longest grant has ended.
-        self._asking.cancel()
+        if self._asking is not None:
+            self._asking.cancel()
         self._asking = self._timers.once(
             delay_seconds=limits.GRANT_SECONDS + limits.MARGIN_SECONDS,
             callback=self._raise,
@@ -161,6 +184,7 @@
 
     def _raise(self) -> None:
         self._counters.add("rate_share_raises", "in_force")
+        self._lowered.clear()
         self._put_in_force()
 
 
--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -80,7 +80,8 @@
         if not account.covers(tokens):
             return self._shortfall(workspace, account)
         draft = account.purse.take(tokens)
-        account.use.add(tokens, now_seconds)
+        if account.fetch_ahead:
+            account.use.add(tokens, now_seconds)
         account.wanted_tokens = 0.0
         self._fetch_ahead(account, tokens)
         return accounts.Charged(
@@ -192,8 +193,11 @@
 
     def _account(self, workspace: str) -> accounts.Account:
         if workspace not in self._accounts:
+            limit = self._limit_of(workspace)
             self._accounts[workspace] = accounts.Account(
-                purse=self._open_purse(workspace), use=usage.RecentUse()
+                purse=self._open_purse(workspace),
+                use=usage.RecentUse(),
+                fetch_ahead=limit is not None and limit.fetch_ahead,
             )
         return self._accounts[workspace]
 
--- a/tests/coordination/rates/test_service.py
+++ b/tests/coordination/rates/test_service.py
@@ -177,6 +177,17 @@
     assert holder.buckets(now_seconds)[0].limit == fleet.limit.part(2 / 3)
 
 
+def test_a_data_centre_taken_out_gives_its_part_to_the_others(fleet) -> None:
+    for process in fleet.processes["north"] + fleet.processes["west"]:
+        process.rates.update_data_centres(
+            revision=2, weights={"north": 1.0, "west": 1.0}
+        )
+    fleet.run_for(4.0)
+    now_seconds = fleet.network.clock.now_seconds()
+    bucket = fleet.holder("north").rates.buckets(now_seconds)[0]
+    assert bucket.limit == fleet.limit.part(1 / 2)
+
+
 def test_unused_tokens_come_back_late(fleet) -> None:
     # Requests reserve ten times what they use and run for longer than a
     # grant lives. In any four seconds 21 of them fit into burst and refill
--- /dev/null
+++ b/tests/coordination/test_load_budget.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import pytest
+
+from boragefold.coordination import load_budget
+from boragefold.policy import stock
+from boragefold.state import documents
+from tests.fakes import rates as fakes
+
+STORE = documents.Store(loads_per_second=4.0, loads_in_flight=8)
+LOAD_SECONDS = 0.25
+SETTLED_SECONDS = 15.0
+
+
+class Loaders:
+    """Every instance loads as often as it may."""
+
+    def __init__(self, *, load_seconds: float, store=STORE) -> None:
+        self.fleet = fakes.Fleet(per_data_centre=2)
+        self.load_seconds = load_seconds
+        self.running: dict[int, tuple[float, str]] = {}
+        self.begun: list[float] = []
+        self.most = 0
+        self.budgets = {
+            process.node.self_id: load_budget.LeasedLoadBudget(
+                rates=process.rates, counters=process.counters
+            )
+            for processes in self.fleet.processes.values()
+            for process in processes
+        }
+        for budget in self.budgets.values():
+            budget.update(store)
+        self.fleet.run_for(SETTLED_SECONDS)
+
+    def run(self, seconds: float, wanting=None) -> None:
+        timers = self.fleet.network
+        end = timers.clock.now_seconds() + seconds
+        loads: list[tuple[float, object, load_budget.Load]] = []
+        while (now := timers.clock.now_seconds()) < end:
+            for ends_at, budget, load in list(loads):
+                if now >= ends_at:
+                    budget.finished(load)
+                    budget.finished(load)
+                    loads.remove((ends_at, budget, load))
+            for self_id, budget in self.budgets.items():
+                if wanting is not None and self_id.data_centre != wanting:
+                    continue
+                result = budget.try_take()
+                if isinstance(result, load_budget.Load):
+                    self.begun.append(now)
+                    loads.append((now + self.load_seconds, budget, result))
+                else:
+                    assert result.ready_in_seconds is not None
+            self.most = max(self.most, len(loads))
+            self.fleet.run_for(0.01)
+
+    def worst_window(self, rate: float) -> float:
+        return max(
+            last + 1 - first - rate * (self.begun[last] - self.begun[first])
+            for first in range(len(self.begun))
+            for last in range(first, len(self.begun))
+        )
+
+
+def test_loads_keep_to_the_rate_of_the_store() -> None:
+    loaders = Loaders(load_seconds=LOAD_SECONDS)
+    loaders.run(20.0)
+    assert loaders.worst_window(4.0) <= 4.0 + 1e-3
+    assert len(loaders.begun) > 0.9 * 4.0 * 20.0
+
+
+def test_one_data_centre_may_use_the_whole_store() -> None:
+    loaders = Loaders(load_seconds=LOAD_SECONDS)
+    loaders.run(20.0, wanting="north")
+    assert loaders.worst_window(4.0) <= 4.0 + 1e-3
+    assert len(loaders.begun) > 0.9 * 4.0 * 20.0
+
+
+@pytest.mark.parametrize("wanting", [None, "north"])
+def test_slow_loads_keep_to_the_limit_in_flight(wanting) -> None:
+    # Loads slow down, so more of them overlap; the store slows down further
+    # with each one beyond its limit.
+    store = documents.Store(loads_per_second=100.0, loads_in_flight=8)
+    loaders = Loaders(load_seconds=3.0, store=store)
+    loaders.run(15.0, wanting=wanting)
+    assert loaders.most == 8
+    assert len(loaders.begun) > 0.7 * 8 * 15.0 / 3.0
+
+
+def test_places_of_a_dead_instance_come_back() -> None:
+    # An instance dies with all eight loads in flight. Nobody reports them;
+    # their places must come back, and not before the loads have surely ended.
+    store = documents.Store(loads_per_second=100.0, loads_in_flight=8)
+    loaders = Loaders(load_seconds=1000.0, store=store)
+    fleet = loaders.fleet
+    process = fleet.other("north")
+    loaders.budgets = {
+        process.node.self_id: loaders.budgets[process.node.self_id]
+    }
+    loaders.run(2.0)
+    assert loaders.most == 8
+    fleet.kill(process)
+    fleet.change_view("north")
+    last = fleet.holder("south")
+    budget = load_budget.LeasedLoadBudget(
+        rates=last.rates, counters=last.counters
+    )
+    fleet.run_for(6.0)
+    assert isinstance(budget.try_take(), stock.Shortfall)
+    fleet.run_for(load_budget.LONGEST_LOAD_SECONDS)
+    budget.try_take()
+    fleet.run_for(0.5)
+    assert isinstance(budget.try_take(), load_budget.Load)
