--- a/src/boragefold/coordination/rates/lenders.py
+++ b/src/boragefold/coordination/rates/lenders.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import itertools
 import math
 from typing import NamedTuple
 
 import xxhash
 
+from boragefold.coordination.rates import grants
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import purse as purses
 from boragefold.protocol import rate_messages
@@ -32,7 +34,7 @@
     """Tokens charged to the grants of one lender."""
 
     data_centre: str
-    draft: purses.Draft
+    draft: grants.Draft
     tokens: float
 
 
@@ -81,14 +83,21 @@
             for purse in self._purses.values()
         )
 
-    def reachable(self, data_centre: str) -> bool:
-        """Tell whether a data centre's holder has answered of late.
+    def rate(self, parts: dict[str, limits.Limit]) -> float:
+        """Sum the rates of the lenders that answered of late.
 
-        :param data_centre: the lender's
-        :return: whether it has; False before it was ever asked
+        :param parts: the lenders and their parts of the rate
+        :return: tokens per second; a lender never asked counts for nothing
         """
-        purse = self._purses.get(data_centre)
-        return purse is not None and purse.unanswered < UNREACHABLE_AFTER
+        return sum(
+            (
+                part.rate_tokens_per_second
+                for name, part in parts.items()
+                if name in self._purses
+                and self._purses[name].unanswered < UNREACHABLE_AFTER
+            ),
+            start=0.0,
+        )
 
     def ask(
         self,
@@ -199,13 +208,17 @@
         """
         self._purse(data_centre).answer(given)
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Close what has ended and report it.
+    def tick(self) -> None:
+        """Close what has ended."""
+        for purse in self._purses.values():
+            purse.tick()
 
-        :param report_after_seconds: how long a report waits for company
+    def items(self) -> Iterable[tuple[str, purses.Purse]]:
+        """Go through what was borrowed.
+
+        :return: purses by the lender's data centre
         """
-        for purse in self._purses.values():
-            purse.tick(report_after_seconds=report_after_seconds)
+        return self._purses.items()
 
     def _estimate_tokens(self, name: str, part: limits.Limit) -> float:
         """Guess a lender's level from its last answer and its refill."""
--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import itertools
 from typing import Any
@@ -12,8 +14,10 @@
 from boragefold.coordination.rates import lenders as lending
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import purse as purses
+from boragefold.coordination.rates import reports as reporting
 from boragefold.coordination.rates import shares as sharing
 from boragefold.coordination.rates import stock as stocks
+from boragefold.coordination.rates import surroundings
 from boragefold.coordination.rates import tenure as tenures
 import boragefold.coordination.rights as membership
 from boragefold.protocol import ids
@@ -24,7 +28,7 @@
 TICK_SECONDS = 0.25
 
 # Reports wait for the next request to carry them, but not longer than this:
-# it delays the refill by as much.
+# so long other instances may lack what was left over here.
 REPORT_SECONDS = 0.5
 
 
@@ -49,6 +53,8 @@
         self._link = peers
         self._rights = rights
         self._timers = timers
+        self._workspaces: dict[str, limits.Limit] = {}
+        self._budgets: dict[str, limits.Limit] = {}
         self._limits: dict[str, limits.Limit] = {}
         self._numbers = itertools.count()
         self._wakes: dict[str, timing.Subscription] = {}
@@ -69,15 +75,22 @@
         self.stock = stocks.LeasedStock(
             timers=timers,
             counters=counters,
-            limit_of=self._limits.get,
+            limit_of=lambda workspace: self._limits.get(workspace),
             open_purse=self._open_purse,
             has_holder=lambda workspace: self._holder(workspace) is not None,
         )
-        peers.subscribe(rate_messages.TokensAsked, self._asked)
-        peers.subscribe(rate_messages.TokensGiven, self._given)
-        peers.subscribe(
-            rate_messages.BucketHandedOver, self._holders.handed_over
+        self._reports = reporting.Reports(
+            send=self._send, numbers=self._numbers
         )
+        self._handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {
+            rate_messages.TokensAsked: self._asked,
+            rate_messages.TokensGiven: self._given,
+            rate_messages.UsagesReported: self._reported,
+            rate_messages.UsagesNoted: self._noted,
+            rate_messages.BucketHandedOver: self._holders.handed_over,
+        }
+        for kind, handler in self._handlers.items():
+            peers.subscribe(kind, handler)
         rights.subscribe(self._view_changed)
         timers.every(period_seconds=TICK_SECONDS, callback=self._tick)
 
@@ -86,8 +99,15 @@
 
         :param rates: the fleet's rate and burst of every workspace
         """
-        self._limits.clear()
-        self._limits.update(rates)
+        self._workspaces = dict(rates)
+        self._put_in_force()
+
+    def update_budgets(self, budgets: Mapping[str, limits.Limit]) -> None:
+        """Put other limits of the fleet in force, handled like rates.
+
+        :param budgets: limits by a name that no workspace has
+        """
+        self._budgets = dict(budgets)
         self._put_in_force()
 
     def update_data_centres(
@@ -121,10 +141,10 @@
         return held
 
     def _put_in_force(self) -> None:
-        own_part = self._shares.own_part
+        self._limits = {**self._workspaces, **self._budgets}
         self._holders.update(
             {
-                workspace: limit.part(own_part)
+                workspace: self._shares.own_limit(limit)
                 for workspace, limit in self._limits.items()
             }
         )
@@ -135,8 +155,25 @@
 
     def _tick(self) -> None:
         for tenure in self._holders:
-            tenure.tick(report_after_seconds=REPORT_SECONDS)
-        self.stock.tick(report_after_seconds=REPORT_SECONDS)
+            tenure.tick()
+        self.stock.tick()
+        self._reports.flush(
+            itertools.chain(self._granted(), self._borrowed()),
+            after_seconds=REPORT_SECONDS,
+        )
+
+    def _granted(self) -> Iterator[reporting.Due]:
+        for workspace, purse in self.stock.items():
+            holder = self._holder(workspace)
+            if holder is not None:
+                yield reporting.Due(holder, workspace, purse)
+
+    def _borrowed(self) -> Iterator[reporting.Due]:
+        for tenure in self._holders:
+            for data_centre, purse in tenure.lenders.items():
+                lender = self._lender(data_centre, tenure.workspace)
+                if lender is not None:
+                    yield reporting.Due(lender, tenure.workspace, purse)
 
     def _begin(self, workspace: str, ledger: ledgers.Ledger) -> tenures.Tenure:
         right = limits.right_of(workspace)
@@ -148,7 +185,7 @@
                 send=self._ask_lender,
                 numbers=self._numbers,
             ),
-            around=tenures.Surroundings(
+            around=surroundings.Surroundings(
                 workspace=workspace,
                 data_centre=self._link.self_id.data_centre,
                 send=self._send,
@@ -159,13 +196,16 @@
         )
 
     def _lender_parts(self, workspace: str) -> dict[str, limits.Limit]:
-        limit = self._limits[workspace]
+        parts = self._shares.parts(self._limits[workspace])
+        views = self._rights.directory()
+        own_name = self._link.self_id.data_centre
         return {
-            name: limit.part(self._shares.part(name))
-            for name, view in self._rights.directory().items()
-            if name != self._link.self_id.data_centre
-            and view.members
-            and self._shares.part(name) > 0
+            name: part
+            for name, part in parts.items()
+            if name != own_name
+            and part.burst_tokens > 0
+            and name in views
+            and views[name].members
         }
 
     def _open_purse(self, workspace: str) -> purses.Purse:
@@ -194,20 +234,37 @@
     def _ask_lender(
         self, data_centre: str, asked: rate_messages.TokensAsked
     ) -> None:
+        lender = self._lender(data_centre, asked.workspace)
+        if lender is not None:
+            self._send(lender, asked)
+
+    def _lender(
+        self, data_centre: str, workspace: str
+    ) -> ids.InstanceId | None:
         view = self._rights.directory().get(data_centre)
-        if view is not None and view.members:
-            right = limits.right_of(asked.workspace)
-            self._send(membership.holder(view, right), asked)
+        if view is None or not view.members:
+            return None
+        return membership.holder(view, limits.right_of(workspace))
 
     def _send(self, to: ids.InstanceId, body: Any) -> None:
         if to != self._link.self_id:
             self._link.send(to=to, body=body)
-        elif isinstance(body, rate_messages.TokensAsked):
-            self._asked(to, body)
-        elif isinstance(body, rate_messages.TokensGiven):
-            self._given(to, body)
         else:
-            self._holders.handed_over(to, body)
+            self._handlers[type(body)](to, body)
+
+    def _reported(
+        self, sender: ids.InstanceId, reported: rate_messages.UsagesReported
+    ) -> None:
+        for report in reported.reports:
+            tenure = self._holders.tenure(report.workspace)
+            if tenure is not None:
+                tenure.reported(sender, report.usages)
+        self._send(sender, rate_messages.UsagesNoted(reported.number))
+
+    def _noted(
+        self, sender: ids.InstanceId, noted: rate_messages.UsagesNoted
+    ) -> None:
+        self._reports.noted(noted.number)
 
     def _asked(
         self, sender: ids.InstanceId, asked: rate_messages.TokensAsked
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import dataclasses
+from collections.abc import Iterable
 
 from boragefold.coordination.rates import ledger as ledgers
 from boragefold.coordination.rates import lenders as lending
+from boragefold.coordination.rates import lent_on as lending_on
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import usage
+from boragefold.coordination.rates import surroundings
+from boragefold.coordination.rates import waiting as queues
 from boragefold.protocol import ids
 from boragefold.protocol import rate_messages
 
@@ -19,56 +21,6 @@
 # Waking up more often than this costs more than it saves anybody.
 LEAST_WAIT_SECONDS = 0.01
 
-Send = Callable[[ids.InstanceId, rate_messages.TokensGiven], None]
-
-
-class Surroundings:
-    """What a tenure asks its instance for."""
-
-    def __init__(
-        self,
-        *,
-        workspace: str,
-        data_centre: str,
-        send: Send,
-        holds: Callable[[], bool],
-        lender_parts: Callable[[], dict[str, limits.Limit]],
-    ) -> None:
-        """Bind the questions to their answers.
-
-        :param workspace: whose rate is held
-        :param data_centre: our own
-        :param send: sends an answer
-        :param holds: tells whether the right is ours at this moment
-        :param lender_parts: the other data centres that have a holder, and
-            their parts of the rate
-        """
-        self.workspace = workspace
-        self.data_centre = data_centre
-        self.send = send
-        self.holds = holds
-        self.lender_parts = lender_parts
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Waiting:
-    """A request that waits for the refill or for a loan."""
-
-    asker: ids.InstanceId
-    number: int
-    needed_tokens: float
-    ahead_tokens: float
-    came_at_seconds: float
-    told: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class _LentOn:
-    """A grant that was made of loans as well."""
-
-    loans: list[lending.Loan]
-    given_at_seconds: float
-
 
 class Tenure:
     """Owns one bucket; grants, lends and borrows."""
@@ -78,7 +30,7 @@
         *,
         ledger: ledgers.Ledger,
         lenders: lending.Lenders,
-        around: Surroundings,
+        around: surroundings.Surroundings,
         now_seconds: Callable[[], float],
     ) -> None:
         """Begin to hold the right.
@@ -88,14 +40,14 @@
         :param around: what the instance knows
         :param now_seconds: the clock
         """
+        self.workspace = around.workspace
         self.ledger = ledger
         self.lenders = lenders
         self._around = around
         self._now_seconds = now_seconds
-        self._waiting: dict[ids.InstanceId, _Waiting] = {}
+        self._waiting = queues.Queue()
         self._newest: dict[ids.InstanceId, int] = {}
-        self._lent_on: dict[tuple[ids.InstanceId, int], _LentOn] = {}
-        self._use = usage.RecentUse()
+        self._lent_on = lending_on.LentOn(lenders=lenders)
 
     def asked(
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
@@ -106,12 +58,7 @@
         :param request: its message
         """
         now_seconds = self._now_seconds()
-        self.ledger.advance(now_seconds)
-        for report in request.usages:
-            self._report(asker, report)
-        if request.needed_tokens <= 0 and request.ahead_tokens <= 0:
-            self._answer(asker, request.number)
-            return
+        self.reported(asker, request.usages)
         if request.number <= self._newest.get(asker, -1):
             # A doubled or overtaken message. Granting again would be safe
             # but would lose the tokens: the asker ignores a second answer.
@@ -120,13 +67,14 @@
         if asker.data_centre != self._around.data_centre:
             self._lend(asker, request)
             return
-        self._waiting[asker] = _Waiting(
+        waiting = queues.Waiting(
             asker=asker,
             number=request.number,
             needed_tokens=request.needed_tokens,
             ahead_tokens=request.ahead_tokens,
             came_at_seconds=now_seconds,
         )
+        self._waiting.put(waiting)
         self.serve()
 
     def serve(self) -> float | None:
@@ -138,10 +86,10 @@
         now_seconds = self._now_seconds()
         self.ledger.advance(now_seconds)
         while self._waiting:
-            first = next(iter(self._waiting.values()))
+            first = self._waiting.first()
             if not self._affordable(first.needed_tokens):
                 break
-            del self._waiting[first.asker]
+            self._waiting.remove(first)
             self._grant(first)
         if not self._waiting:
             return None
@@ -162,20 +110,26 @@
         """
         self.lenders.answer(lender.data_centre, given)
 
-    def tick(self, *, report_after_seconds: float) -> None:
-        """Forget what is too old to come back.
+    def reported(
+        self,
+        asker: ids.InstanceId,
+        usages: Iterable[rate_messages.Usage],
+    ) -> None:
+        """Take in what became of tokens that were granted or lent.
 
-        :param report_after_seconds: how long a report waits for company
+        :param asker: who got them
+        :param usages: its reports
         """
         self.ledger.advance(self._now_seconds())
+        for usage in usages:
+            self._report(asker, usage)
+
+    def tick(self) -> None:
+        """Forget what is too old to come back."""
+        self.ledger.advance(self._now_seconds())
         self.ledger.settle_old(self._now_seconds())
-        self.lenders.tick(report_after_seconds=report_after_seconds)
-        oldest_seconds = self._now_seconds() - limits.REFUND_SECONDS
-        self._lent_on = {
-            key: lent_on
-            for key, lent_on in self._lent_on.items()
-            if lent_on.given_at_seconds > oldest_seconds
-        }
+        self.lenders.tick()
+        self._lent_on.forget_old(self._now_seconds())
 
     def _affordable(self, tokens: float) -> bool:
         if self.ledger.level_tokens < tokens:
@@ -183,7 +137,7 @@
         have_tokens = self.ledger.level_tokens + self.lenders.left_tokens()
         return have_tokens + limits.TINY_TOKENS >= tokens
 
-    def _grant(self, waiting: _Waiting) -> None:
+    def _grant(self, waiting: queues.Waiting) -> None:
         # Loans end by themselves, so they are spent before our own level.
         level_tokens = self.ledger.level_tokens
         have_tokens = level_tokens + self.lenders.left_tokens()
@@ -195,12 +149,13 @@
         borrowed_tokens = sum(loan.tokens for loan in loans)
         own_tokens = max(0.0, wanted_tokens - borrowed_tokens)
         own_tokens = min(own_tokens, level_tokens)
-        self._use.add(own_tokens, self._now_seconds())
         life_seconds = self.lenders.life_seconds(loans)
-        if loans:
-            self._lent_on[waiting.asker, waiting.number] = _LentOn(
-                loans=loans, given_at_seconds=self._now_seconds()
-            )
+        self._lent_on.add(
+            waiting.asker,
+            waiting.number,
+            loans=loans,
+            now_seconds=self._now_seconds(),
+        )
         self._give(
             waiting.asker,
             waiting.number,
@@ -212,16 +167,11 @@
     def _lend(
         self, asker: ids.InstanceId, request: rate_messages.TokensAsked
     ) -> None:
-        # Those who wait here come first, and so do those who will ask within
-        # the next second: their data centre's part is theirs. Otherwise an
-        # overloaded data centre keeps the buckets of the others empty, and
-        # each request there waits for a loan.
-        wanted_here = sum(
-            each.needed_tokens for each in self._waiting.values()
-        )
+        # Those who wait here come first: their data centre's part is theirs.
         self.ledger.recount()
-        kept_tokens = wanted_here + self._use.tokens(self._now_seconds())
-        spare_tokens = max(0.0, self.ledger.level_tokens - kept_tokens)
+        spare_tokens = max(
+            0.0, self.ledger.level_tokens - self._waiting.needed_tokens
+        )
         wanted_tokens = request.needed_tokens + request.ahead_tokens
         tokens = min(wanted_tokens, spare_tokens)
         self._give(
@@ -282,18 +232,7 @@
     def _report(
         self, asker: ids.InstanceId, report: rate_messages.Usage
     ) -> None:
-        key = (asker, report.number)
-        charged_tokens = report.charged_tokens
-        lent_on = self._lent_on.get(key)
-        for loan in lent_on.loans if lent_on else ():
-            part = min(loan.tokens, charged_tokens)
-            charged_tokens -= part
-            if report.final:
-                self.lenders.settle(loan, used_tokens=part)
-            else:
-                self.lenders.pin(loan, kept_tokens=part)
-        if report.final:
-            self._lent_on.pop(key, None)
+        charged_tokens = self._lent_on.report(asker, report)
         self.ledger.report(
             asker=asker,
             number=report.number,
@@ -303,19 +242,13 @@
         )
 
     def _borrow(self) -> None:
-        short_tokens = sum(
-            waiting.needed_tokens for waiting in self._waiting.values()
-        )
-        short_tokens -= self.ledger.level_tokens + self.lenders.left_tokens()
+        have_tokens = self.ledger.level_tokens + self.lenders.left_tokens()
         # A loan a request would be a message a request; ask for what will be
         # needed next as well.
-        ahead_tokens = sum(
-            waiting.ahead_tokens for waiting in self._waiting.values()
-        )
         self.lenders.ask(
             self._around.lender_parts(),
-            short_tokens=short_tokens,
-            ahead_tokens=ahead_tokens,
+            short_tokens=self._waiting.needed_tokens - have_tokens,
+            ahead_tokens=self._waiting.ahead_tokens,
         )
 
     def _tell_waiting(self) -> float | None:
@@ -327,13 +260,13 @@
         in_flight = self.lenders.in_flight()
         before_tokens = 0.0
         next_seconds: float | None = None
-        for waiting in list(self._waiting.values()):
+        for waiting in self._waiting:
             before_tokens += waiting.needed_tokens
             ready_seconds = self._ready_in_seconds(before_tokens)
             waited_seconds = now_seconds - waiting.came_at_seconds
             expected = limits.IN_FLIGHT_SECONDS if in_flight else ready_seconds
             if waited_seconds + expected > limits.QUEUE_SECONDS:
-                del self._waiting[waiting.asker]
+                self._waiting.remove(waiting)
                 before_tokens -= waiting.needed_tokens
                 self._answer(
                     waiting.asker,
@@ -343,7 +276,7 @@
                 continue
             if next_seconds is None:
                 next_seconds = ready_seconds
-            if not waiting.told:
+            if not waiting.told and expected > limits.RETRY_SECONDS / 2:
                 waiting.told = True
                 self._answer(
                     waiting.asker,
@@ -354,22 +287,15 @@
         return next_seconds
 
     def _ready_in_seconds(self, tokens: float) -> float:
-        now_seconds = self._now_seconds()
-        parts = self._around.lender_parts()
-        own = self.ledger.limit
-        rate = own.rate_tokens_per_second + sum(
-            part.rate_tokens_per_second
-            for name, part in parts.items()
-            if self.lenders.reachable(name)
-        )
-        short = tokens - self.ledger.level_tokens - self.lenders.left_tokens()
+        rate = self.ledger.limit.rate_tokens_per_second
+        rate += self.lenders.rate(self._around.lender_parts())
         if rate <= 0:
             return limits.REFUND_SECONDS
-        wait_seconds = self.ledger.starts_in_seconds(now_seconds)
+        short = tokens - self.ledger.level_tokens - self.lenders.left_tokens()
+        wait_seconds = self.ledger.starts_in_seconds(self._now_seconds())
         return wait_seconds + max(0.001, short / rate)
 
 
 __all__ = [
-    "Surroundings",
     "Tenure",
 ]
