--- a/src/boragefold/state/adapters.py
+++ b/src/boragefold/state/adapters.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 import typing
+from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
 
@@ -45,9 +46,6 @@
     def __init__(self) -> None:
         self._teams: dict[str, dict[str, AdapterRecord]] = {}
         self._pieces: dict[str, dict[str, dict[str, AdapterRecord]]] = {}
-        # Thousands of adapters share a few models, version lists and lists
-        # of workspaces; each of these is kept once.
-        self._shared: dict[object, object] = {}
 
     def find(self, *, workspace: str, name: str) -> AdapterRecord | None:
         """Find the adapter that a workspace means by a name.
@@ -76,15 +74,18 @@
         """
         pieces = self._pieces.setdefault(team, {})
         before = pieces.pop(part, {})
+        # What is the same stays the same object, in this piece as well as in
+        # the team's index; else each republication would double the memory.
         after = {
-            name: self._record(team, name, adapter)
-            for name, adapter in (document or {}).items()
+            name: kept if (kept := before.get(name)) == record else record
+            for name, record in _records(team, document or {}).items()
         }
         if after:
             pieces[part] = after
         names = self._teams.setdefault(team, {})
         for name in before.keys() | after.keys():
-            self._settle(names, pieces, name)
+            if before.get(name) != after.get(name):
+                self._settle(names, pieces, name)
         if not pieces:
             del self._pieces[team], self._teams[team]
 
@@ -110,24 +111,37 @@
         else:
             names.pop(name, None)
 
-    def _record(
-        self, team: str, name: str, adapter: documents.Adapter
-    ) -> AdapterRecord:
-        workspaces = tuple(
-            self._share(paths.qualify(team, reference))
-            for reference in adapter["workspaces"]
-        )
-        return AdapterRecord(
-            team=self._share(team),
+
+def _records(
+    team: str, document: dict[str, documents.Adapter]
+) -> dict[str, AdapterRecord]:
+    # Adapters of one piece share a few models, version lists and lists of
+    # workspaces. Each is kept once, for as long as the piece is.
+    shared: dict[object, Any] = {team: team}
+
+    def share(value: Value) -> Value:
+        return typing.cast(Value, shared.setdefault(value, value))
+
+    qualified: dict[tuple[str, ...], tuple[str, ...]] = {}
+
+    def workspaces(references: tuple[str, ...]) -> tuple[str, ...]:
+        if references not in qualified:
+            qualified[references] = tuple(
+                share(paths.qualify(team, reference))
+                for reference in references
+            )
+        return qualified[references]
+
+    return {
+        name: AdapterRecord(
+            team=shared[team],
             name=name,
-            model=self._share(adapter["model"]),
-            versions=self._share(tuple(map(self._share, adapter["versions"]))),
-            workspaces=self._share(workspaces),
+            model=share(adapter["model"]),
+            versions=share(tuple(adapter["versions"])),
+            workspaces=workspaces(tuple(adapter["workspaces"])),
         )
-
-    def _share(self, value: Value) -> Value:
-        shared = self._shared.setdefault(value, value)
-        return typing.cast(Value, shared)
+        for name, adapter in document.items()
+    }
 
 
 __all__ = [
--- a/src/boragefold/state/checks.py
+++ b/src/boragefold/state/checks.py
@@ -217,10 +217,15 @@
     :return: what is wrong
     """
     yield from _names(document)
+    # Most names stand in many adapters; each is looked at once.
+    named = {adapter["model"] for adapter in document.values()}
+    named.update(*(adapter["versions"] for adapter in document.values()))
+    yield from _names(named)
+    references = set[str]()
+    references.update(*(item["workspaces"] for item in document.values()))
+    yield from _references("an adapter", references)
     for name, adapter in document.items():
         versions = adapter["versions"]
-        yield from _names([adapter["model"], *versions])
-        yield from _references(name, adapter["workspaces"])
         if not versions or len(set(versions)) < len(versions):
             yield Fault(
                 f"bad_versions: {name}", "list each version once, newest last"
