--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -183,7 +183,10 @@
         now_seconds = self._timers.now_seconds()
         left_seconds = account.purse.ready_at_seconds - now_seconds
         if not self._has_holder(workspace):
-            return self._short("no_holder", NO_HOLDER_SECONDS)
+            self._counters.add("rate_shortfalls", "no_holder")
+            return stock.Shortfall(
+                ready_in_seconds=NO_HOLDER_SECONDS, no_holder=True
+            )
         if account.purse.in_flight:
             wait_seconds = max(limits.IN_FLIGHT_SECONDS, left_seconds)
             return self._short("asking", wait_seconds)
--- a/src/boragefold/entry/desk.py
+++ b/src/boragefold/entry/desk.py
@@ -52,12 +52,14 @@
         counters: telemetry.Counters,
         stories: telemetry_stories.Stories,
         address_of: Callable[[str], str | None],
+        tell_peer: Callable[[actions.Tell], None],
     ) -> None:
         self._dispatcher = dispatcher
         self._timers = timers
         self._counters = counters
         self._stories = stories
         self._address_of = address_of
+        self._tell_peer = tell_peer
         self._chats: dict[str, live_chat.LiveChat] = {}
         self._wake: timing.Subscription | None = None
         self._wake_at_seconds = math.inf
@@ -257,10 +259,16 @@
         if self.orderer is not None:
             self.orderer.drain(drain)
 
+    def tell(self, tell: actions.Tell) -> None:
+        """Pass a digest on to another instance.
+
+        :param tell: to whom, and what
+        """
+        self._tell_peer(tell)
+
     def _refuse(
         self, live: live_chat.LiveChat, refused: refusals.Refused
     ) -> None:
-        self._counters.add("requests_refused", refused.reason)
         self._end(live, f"refused: {refused.reason}")
         live.refuse(
             outcomes.NotRun(
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -30,6 +30,10 @@
 from boragefold.transport import platform_client
 from boragefold.transport import sockets
 
+# A new rate holder waits for the grants of its predecessor to end, two
+# seconds, and then has one second's tokens to give.
+SETTLE_SECONDS = 3.0
+
 
 class Instance(operators.Inside):
     """Everything of one entry instance, on one loop."""
@@ -41,7 +45,7 @@
         loop: loops.Loop | None = None,
     ) -> None:
         self.settings = settings
-        self._took_part = False
+        self._joined_at_seconds: float | None = None
         self.counters = telemetry.Counters()
         self.stories = telemetry_stories.Stories()
         self.loop = loop or loops.Loop(
@@ -162,13 +166,22 @@
         return [record._asdict() for record in records]
 
     def _serving(self) -> bool:
-        # A fresh instance holds no rights and may spend no tokens until its
-        # first view; asked earlier, it would refuse what is within the rate.
-        # Later a lost lease doesn't count: it hits all instances of a cut-off
-        # data centre at once, and the balancer would have none left.
-        if not self._took_part:
-            self._took_part = self.together.views.valid_view() is not None
-        return self._took_part and self._configured()
+        # A fresh instance may spend no tokens until its first view, and the
+        # rate holders of a fresh data centre begin with empty buckets. Asked
+        # earlier, it would refuse what is within the rate. Later a lost lease
+        # doesn't count: it hits all instances of a cut-off data centre at
+        # once, and the balancer would have none left.
+        now_seconds = self.timers.now_seconds()
+        if (
+            self._joined_at_seconds is None
+            and self.together.views.valid_view()
+        ):
+            self._joined_at_seconds = now_seconds
+        return (
+            self._joined_at_seconds is not None
+            and now_seconds - self._joined_at_seconds >= SETTLE_SECONDS
+            and self._configured()
+        )
 
     def _configured(self) -> bool:
         return isinstance(
--- a/src/boragefold/entry/traffic.py
+++ b/src/boragefold/entry/traffic.py
@@ -22,12 +22,20 @@
 
 
 class HeldOrders(placing.OrderRights):
-    """The endpoints of our data centre whose order right we hold."""
+    """Whose order right an endpoint's is, by the views of the fleet."""
 
     def __init__(self, *, rights: rights_module.Rights) -> None:
         self._rights = rights
         self.reports: load_reports.LoadReports | None = None
 
+    @property
+    def self_name(self) -> str:
+        """Tell who we are.
+
+        :return: our own incarnation
+        """
+        return self._rights.self_id.incarnation
+
     def ordered(self) -> Collection[str]:
         """List the endpoints that we may give orders at this moment.
 
@@ -39,10 +47,33 @@
         return frozenset(
             name
             for name in self.reports.names()
-            if rights_module.holder(view, f"orders/{name}")
+            if rights_module.holder(view, right_of(name))
             == self._rights.self_id
         )
 
+    def orderer(self, endpoint: str) -> str | None:
+        """Tell who gives orders to an endpoint, as far as we know.
+
+        :param endpoint: its name
+        :return: an incarnation, or None
+        """
+        record = self.reports and self.reports.record(endpoint)
+        if not record:
+            return None
+        view = self._rights.directory().get(record.data_centre)
+        if view is None:
+            return None
+        return rights_module.holder(view, right_of(endpoint)).incarnation
+
+
+def right_of(endpoint: str) -> str:
+    """Name the right to give an endpoint orders.
+
+    :param endpoint: its name
+    :return: the name of the right
+    """
+    return f"orders/{endpoint}"
+
 
 class Traffic:
     """The dispatcher, the desk and their feeds."""
@@ -61,13 +92,13 @@
         rights = HeldOrders(rights=together.views)
         endpoints = fleet.Endpoints()
         self._dispatcher = assembly.assemble(
-            data_centre=link.self_id.data_centre,
             endpoints=endpoints,
             stock=together.rates.stock,
             load_budget=simple_orders.PartBudget(
                 catalogue=together.catalogue, instances=3
             ),
             rights=rights,
+            instances=lambda: 1 + len(together.others()),
             rng=random.Random(),
             counters=counters,
         )
@@ -77,6 +108,7 @@
             counters=counters,
             stories=stories,
             address_of=lambda name: self.reports.address_of(name),
+            tell_peer=lambda tell: self.digests.tell(tell),
         )
         self.reports = load_reports.LoadReports(
             catalogue=together.catalogue,
@@ -91,10 +123,10 @@
         rights.reports = self.reports
         self.digests = work_digests.WorkDigests(
             link=link,
-            peers=together.others,
+            others=together.others,
+            neighbours=together.neighbours,
             events=self._dispatcher.fleet,
             timers=timers,
-            counters=counters,
             changed=self.desk.run,
         )
         self.desk.orderer = simple_orders.SimpleOrderer(
@@ -110,9 +142,8 @@
         self._follow_configuration()
 
     def start(self) -> None:
-        """Begin to ask endpoints and to tell neighbours."""
+        """Begin to ask endpoints for their load."""
         self.reports.start()
-        self.digests.start()
 
     def _follow_configuration(self) -> None:
         together = self._together
--- a/src/boragefold/entry/work_digests.py
+++ b/src/boragefold/entry/work_digests.py
@@ -5,61 +5,58 @@
 from collections.abc import Callable
 
 from boragefold.coordination import link as links
+from boragefold.policy import actions
 from boragefold.policy import fleet_events
 from boragefold.policy import work as works
 from boragefold.protocol import fleet_messages
 from boragefold.protocol import ids
-from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 
-# Four a second: placement's ticks are finer, but a load takes 0.25 s anyway.
-PERIOD_SECONDS = 0.25
-
 
 class WorkDigests:
-    """Sends our digest to the other instances, and takes in theirs."""
+    """Sends digests to whom they concern, and takes in those of others."""
 
     def __init__(
         self,
         *,
         link: links.PeerLink,
-        peers: Callable[[], list[ids.InstanceId]],
+        others: Callable[[], list[ids.InstanceId]],
+        neighbours: Callable[[], list[ids.InstanceId]],
         events: fleet_events.FleetEvents,
         timers: timing.TimerService,
-        counters: telemetry.Counters,
         changed: Callable[[], None],
     ) -> None:
         self._link = link
-        self._peers = peers
+        self._others = others
+        self._neighbours = neighbours
         self._events = events
         self._timers = timers
-        self._counters = counters
         self._changed = changed
         link.subscribe(fleet_messages.WorkDigest, self._on_digest)
         link.subscribe(fleet_messages.AdapterLoaded, self._on_loaded)
 
-    def start(self) -> None:
-        """Begin to send."""
-        self._timers.every(period_seconds=PERIOD_SECONDS, callback=self._send)
+    def tell(self, tell: actions.Tell) -> None:
+        """Send a digest to the instance that decides on what is in it.
+
+        :param tell: to whom, and what
+        """
+        body = fleet_messages.WorkDigest(tell.digest)
+        for peer in self._others():
+            if peer.incarnation == tell.peer:
+                self._link.send(to=peer, body=body)
 
     def tell_loaded(
         self, endpoint: str, adapter: works.AdapterVersion
     ) -> None:
-        """Tell the others that an endpoint holds an adapter now.
+        """Tell our data centre that an endpoint holds an adapter now.
+
+        Others learn it from the endpoint's next load report.
 
         :param endpoint: its name
         :param adapter: the adapter version
         """
         body = fleet_messages.AdapterLoaded(endpoint, adapter)
-        for peer in self._peers():
-            self._link.send(to=peer, body=body)
-
-    def _send(self) -> None:
-        digest = self._events.digest()
-        if not (digest.waiting or digest.arrived or digest.in_use):
-            return
-        body = fleet_messages.WorkDigest(digest)
-        for peer in self._peers():
+        for peer in self._neighbours():
             self._link.send(to=peer, body=body)
 
     def _on_digest(
@@ -70,6 +67,7 @@
             body.digest,
             now_seconds=self._timers.now_seconds(),
         )
+        self._changed()
 
     def _on_loaded(
         self, sender: ids.InstanceId, body: fleet_messages.AdapterLoaded
--- a/src/boragefold/policy/admission.py
+++ b/src/boragefold/policy/admission.py
@@ -60,6 +60,7 @@
         self._counters = counters
         self._lines: dict[str, rate_line.Line] = {}
         self._workspace_of: dict[str, str] = {}
+        self._without_holder: set[str] = set()
 
     def offer(
         self, work: works.Work, *, now_seconds: float
@@ -79,7 +80,7 @@
         if got.ready_in_seconds is None:
             return self._too_large()
         if got.ready_in_seconds > _bound_seconds(work, now_seconds):
-            return self._over_rate(got.ready_in_seconds)
+            return self._short(work.workspace, got.ready_in_seconds)
         line = rate_line.Line(
             now_seconds=now_seconds, ready_in_seconds=got.ready_in_seconds
         )
@@ -142,7 +143,7 @@
             return self._append(line, work, now_seconds)
         if tokens > line.head().tokens and self._never_fits(work):
             return self._too_large()
-        return self._over_rate(wait_seconds)
+        return self._short(work.workspace, wait_seconds)
 
     def _never_fits(self, work: works.Work) -> bool:
         got = self._reserve(work)
@@ -195,7 +196,8 @@
 
     def _refuse(self, entry: rate_line.Entry, wait_seconds: float) -> Decided:
         self._remove(entry.work.workspace, entry.work.request_id)
-        return Decided(entry.work, self._over_rate(wait_seconds))
+        refused = self._short(entry.work.workspace, wait_seconds)
+        return Decided(entry.work, refused)
 
     def _append(
         self, line: rate_line.Line, work: works.Work, now_seconds: float
@@ -218,9 +220,30 @@
     def _reserve(
         self, work: works.Work
     ) -> stocks.Reservation | stocks.Shortfall:
-        return self._stock.reserve(
+        got = self._stock.reserve(
             workspace=work.workspace, tokens=works.tokens_of(work)
         )
+        if isinstance(got, stocks.Shortfall) and got.no_holder:
+            self._without_holder.add(work.workspace)
+        else:
+            self._without_holder.discard(work.workspace)
+        return got
+
+    def _short(self, workspace: str, wait_seconds: float) -> refusal.Refused:
+        if workspace in self._without_holder:
+            return self._no_holder(wait_seconds)
+        return self._over_rate(wait_seconds)
+
+    def _no_holder(self, wait_seconds: float) -> refusal.Refused:
+        # A caller inside its rate that is told it exceeded it would slow
+        # down for nothing, and its operators would look in the wrong place.
+        self._counters.add("requests_refused", "no_rate_holder")
+        return refusal.Refused(
+            status=refusal.UNAVAILABLE,
+            reason="no_rate_holder",
+            remedy="repeat the request, at another data centre if you can",
+            retry_after_seconds=max(wait_seconds, MIN_RETRY_AFTER_SECONDS),
+        )
 
     def _over_rate(self, wait_seconds: float) -> refusal.Refused:
         self._counters.add("requests_refused", "rate_exceeded")
--- a/src/boragefold/policy/stock.py
+++ b/src/boragefold/policy/stock.py
@@ -22,9 +22,12 @@
 
     ``ready_in_seconds`` estimates when there will be enough; None means that
     the request is larger than the workspace's burst and will never fit.
+    ``no_holder`` tells that nobody can be asked for tokens now, which says
+    nothing about the workspace's rate.
     """
 
     ready_in_seconds: float | None
+    no_holder: bool = False
 
 
 class Stock(abc.ABC):
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -181,3 +181,19 @@
     assert len(bucket.settlements) >= len(reserved)
     bucket.now += 10
     assert bucket.level("a") == bucket.level("b") == bucket.burst
+
+
+def test_without_a_holder_nobody_is_told_that_the_rate_is_exceeded() -> None:
+    # The instance has lost its lease and can ask nobody for tokens. Callers
+    # who are well inside their rate must not be sent away for exceeding it.
+    class Unheld(workloads.BucketStock):
+        def reserve(self, *, workspace, tokens):
+            return stock.Shortfall(ready_in_seconds=60.0, no_holder=True)
+
+    decisions = admission.Admission(
+        stock=Unheld(rate=1000, burst=1000), counters=telemetry.Counters()
+    )
+    outcome = decisions.offer(workloads.work(tokens=10), now_seconds=0.0)
+    assert isinstance(outcome, refusal.Refused)
+    assert outcome.reason == "no_rate_holder"
+    assert outcome.status == refusal.UNAVAILABLE
