Send at once what finds room, whatever the queue's delay

Change: a request whose adapter nobody waits for and whose holder has room is queued without a look at the delay. The model hands unused tokens back when a request is settled, as the holder's other instances need them.

--- a/src/boragefold/bench/shares.py
+++ b/src/boragefold/bench/shares.py
@@ -141,7 +141,7 @@
         self._missing: dict[str, tuple[float, float]] = {}
         self._callbacks: list[Callable[[str], None]] = []
         service.every(
-            period_seconds=AHEAD_SECONDS, callback=self._return_unused
+            period_seconds=AHEAD_SECONDS, callback=self._return_all_unused
         )
 
     def reserve(
@@ -166,6 +166,7 @@
         reservation.settled = True
         workspace = reservation.workspace
         self._local[workspace] += reservation.tokens - used_tokens
+        self._return_unused(workspace)
         self._later(0.0, lambda: self._tell(workspace))
 
     def subscribe(self, callback: Callable[[str], None]) -> None:
@@ -212,11 +213,20 @@
         for callback in self._callbacks:
             callback(workspace)
 
-    def _return_unused(self) -> None:
-        for workspace, tokens in self._local.items():
-            unused = max(0.0, tokens - self._holder.ahead[workspace])
-            self._local[workspace] -= unused
-            self._holder.add(workspace, unused)
+    def _return_all_unused(self) -> None:
+        for workspace in self._local:
+            self._return_unused(workspace)
+
+    def _return_unused(self, workspace: str) -> None:
+        kept = self._holder.ahead[workspace]
+        unused = max(0.0, self._local[workspace] - kept)
+        if not unused:
+            return
+        self._local[workspace] -= unused
+        self._later(
+            self._delay_seconds,
+            lambda: self._holder.add(workspace, unused),
+        )
 
     def _later(self, seconds: float, callback: Callable[[], None]) -> None:
         self._service.once(delay_seconds=seconds, callback=callback)
--- a/src/boragefold/policy/sending.py
+++ b/src/boragefold/policy/sending.py
@@ -69,14 +69,18 @@
         :return: the refusal, or None
         """
         rate = self._service.tokens_per_second()
+        above_share = self._share.exceeds(
+            work.workspace,
+            works.tokens_of(work),
+            service_tokens_per_second=rate * self._overload.given_part,
+            now_seconds=now_seconds,
+        )
+        if self._starts_at_once(work):
+            self.push_back(work, now_seconds=now_seconds)
+            return None
         shed = self._overload.check(
             work,
-            above_share=self._share.exceeds(
-                work.workspace,
-                works.tokens_of(work),
-                service_tokens_per_second=rate * self._overload.given_part,
-                now_seconds=now_seconds,
-            ),
+            above_share=above_share,
             cold=not self._endpoints.holders(work.needs),
         )
         if shed is not None:
@@ -161,6 +165,12 @@
             if not self._has_room(work.needs):
                 ready.discard(work.needs)
 
+    def _starts_at_once(self, work: works.Work) -> bool:
+        # The queue's delay is that of adapters whose holders are full. A
+        # request that finds room must not be refused for it: one slow
+        # endpoint would have its whole fleet's callers sent away.
+        return work.needs not in self._demand() and self._has_room(work.needs)
+
     def _ready(self) -> set[works.AdapterVersion]:
         demand = self._demand()
         stirred, self._stirred = self._stirred, set()
