Make no slow endpoint an adapter's home, and trust who asks

Change: endpoints below half of their share are no home, and whatever a peer asks us to decide on is decided, because views of slowness differ for a while.

--- a/src/boragefold/policy/digest.py
+++ b/src/boragefold/policy/digest.py
@@ -88,9 +88,12 @@
     ) -> dict[works.AdapterVersion, demands.Demand]:
         """Add the peers' waiting work to our own.
 
+        Whatever a peer tells us is ours to decide on, also where we think
+        otherwise: two loads while views differ are better than none.
+
         :param own: what waits here
         :param decides: whether we decide on an adapter's loads
-        :return: what waits anywhere for the adapters that we decide on
+        :return: what waits for the adapters that we decide on
         """
         total = {
             adapter: demands.Demand(
@@ -103,8 +106,7 @@
         }
         for _, digest in self._latest.values():
             for waiting in digest.waiting:
-                if decides(waiting.adapter):
-                    _add(total, waiting)
+                _add(total, waiting)
         return total
 
     def in_use(self, endpoint: str) -> frozenset[works.AdapterVersion]:
--- a/src/boragefold/policy/placing.py
+++ b/src/boragefold/policy/placing.py
@@ -28,6 +28,8 @@
 # Data centres within this round trip join their loads: a request sent to one
 # of them loses a tenth of what a load of a quarter of a second would cost.
 JOINED_SECONDS = 0.025
+# An endpoint that gets less than this part of its share is no adapter's home.
+LEAST_WEIGHT = 0.5
 
 Item = TypeVar("Item")
 
@@ -214,20 +216,26 @@
         """
         names = self._homes.get(adapter.model)
         if names is None:
-            names = sorted(
-                state.spec.name
-                for state in self._endpoints
-                if state.spec.model == adapter.model
-                and not state.spec.leaving
-                and state.spec.distance_seconds <= JOINED_SECONDS
-                and self._rights.orderer(state.spec.name) is not None
-            )
+            names = self._candidates(adapter.model)
             self._homes[adapter.model] = names
         if not names:
             return None
         text = "\0".join(adapter)
         return names[xxhash.xxh3_64_intdigest(text.encode()) % len(names)]
 
+    def _candidates(self, model: str) -> list[str]:
+        near = [
+            state
+            for state in self._endpoints
+            if state.spec.model == model
+            and not state.spec.leaving
+            and state.spec.distance_seconds <= JOINED_SECONDS
+            and self._rights.orderer(state.spec.name) is not None
+        ]
+        # Whoever orders only a slow endpoint can load only there.
+        quick = [state for state in near if state.weight >= LEAST_WEIGHT]
+        return sorted(state.spec.name for state in quick or near)
+
 
 def _by_peer(
     items: Iterable[Item], peer_of: Callable[[Item], str | None]
