Pick homes that can take a load, and resume answers that break late

Cause: (1) an adapter whose home is full or slow waits there until its callers give up, as five replicas are ordered by five instances. Change: rendezvous hashing over the endpoints that are fit, kept while requests wait; a broken answer gets its patience anew.

Ruled out: handing an adapter to the next home after some time, because a slow store would then be asked twice for everything.

--- a/src/boragefold/bench/decision_cost.py
+++ b/src/boragefold/bench/decision_cost.py
@@ -14,8 +14,8 @@
 
 from boragefold.policy import assembly
 from boragefold.policy import endpoints
+from boragefold.policy import homes
 from boragefold.policy import placement
-from boragefold.policy import placing
 from boragefold.policy import stock
 from boragefold.policy import work as works
 from boragefold.telemetry import counters
@@ -79,7 +79,7 @@
         """Ignore."""
 
 
-class _Orders(placing.OrderRights):
+class _Orders(homes.OrderRights):
     """Gives orders to one instance's part of the replicas."""
 
     def __init__(self, *, replicas: int) -> None:
--- a/src/boragefold/bench/engine.py
+++ b/src/boragefold/bench/engine.py
@@ -235,11 +235,8 @@
 
     def _reach(self) -> None:
         self._move()
-        entry = heapq.heappop(self._due)
-        _, _, request_id, is_last = entry
-        if self._is_stale(entry):
-            pass
-        elif is_last:
+        _, _, request_id, is_last = heapq.heappop(self._due)
+        if is_last:
             arrival = self.running[request_id]
             self.generated_tokens += arrival.answer_tokens
             self.wrong_adapter += not self._has(arrival.work.needs.adapter)
--- a/src/boragefold/bench/instance.py
+++ b/src/boragefold/bench/instance.py
@@ -15,8 +15,8 @@
 from boragefold.policy import assembly
 from boragefold.policy import digest as digests
 from boragefold.policy import endpoints
+from boragefold.policy import homes
 from boragefold.policy import placement
-from boragefold.policy import placing
 from boragefold.policy import work as works
 from boragefold.telemetry import counters
 from boragefold.timing import timers
@@ -26,7 +26,7 @@
 DRAIN_CHECK_SECONDS = 0.05
 
 
-class ModelRights(placing.OrderRights):
+class ModelRights(homes.OrderRights):
     """Order rights that never move."""
 
     def __init__(self, *, self_name: str, orderers: Mapping[str, str]) -> None:
--- a/src/boragefold/policy/assembly.py
+++ b/src/boragefold/policy/assembly.py
@@ -12,6 +12,7 @@
 from boragefold.policy import fair_queue
 from boragefold.policy import fair_share
 from boragefold.policy import fleet_events
+from boragefold.policy import homes
 from boragefold.policy import overload
 from boragefold.policy import placement
 from boragefold.policy import placing
@@ -26,7 +27,7 @@
     endpoints: endpoints_module.Endpoints,
     stock: stocks.Stock,
     load_budget: placement.LoadBudget,
-    rights: placing.OrderRights,
+    rights: homes.OrderRights,
     instances: Callable[[], int],
     rng: random.Random,
     counters: telemetry.Counters,
--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -150,6 +150,14 @@
         endpoint: str,
         now_seconds: float,
     ) -> None:
+        if request.answered:
+            # Its caller has been reading since, not waiting; counted from the
+            # arrival, a long answer could never be resumed.
+            work = request.work
+            patience = work.give_up_at_seconds - work.arrived_at_seconds
+            request.work = work._replace(
+                give_up_at_seconds=now_seconds + patience
+            )
         self._requests.exclude(request, endpoint)
         self._sending.push_back(request.work, now_seconds=now_seconds)
 
--- a/src/boragefold/policy/dispatcher.py
+++ b/src/boragefold/policy/dispatcher.py
@@ -85,6 +85,7 @@
         """
         request = self._sent(request_id)
         if request is not None:
+            request.answered = True
             self._endpoints.answered(
                 request.endpoint, request_id, now_seconds=now_seconds
             )
--- /dev/null
+++ b/src/boragefold/policy/homes.py
@@ -0,0 +1,132 @@
+"""Which endpoint's orderer decides on the loads of an adapter.
+
+Load pattern: requests for a cold adapter come to many instances at once. Each
+picks the same home for it without asking anybody, so that its loads are
+joined; a home that is full, slow or out of reach could not take the load.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Collection
+from collections.abc import Container
+
+import xxhash
+
+from boragefold.policy import endpoints as fleet
+from boragefold.policy import work as works
+
+# Data centres within this round trip join their loads: a request sent to one
+# of them loses a tenth of what a load of a quarter of a second would cost.
+JOINED_SECONDS = 0.025
+# An endpoint that gets less than this part of its share is no adapter's home.
+LEAST_WEIGHT = 0.5
+# Nor is one whose batch is fuller: the load would serve nobody for a while.
+MOST_FILL = 0.8
+
+
+class OrderRights(abc.ABC):
+    """Which instance gives orders to which endpoint, now."""
+
+    @property
+    @abc.abstractmethod
+    def self_name(self) -> str:
+        """Tell who we are.
+
+        :return: our own incarnation
+        """
+
+    @abc.abstractmethod
+    def ordered(self) -> Collection[str]:
+        """List the endpoints whose order right we hold at this moment.
+
+        :return: their names
+        """
+
+    @abc.abstractmethod
+    def orderer(self, endpoint: str) -> str | None:
+        """Tell who holds an endpoint's order right, as far as we know.
+
+        :param endpoint: its name
+        :return: an incarnation; None when we can't reach its holder, so that
+            its adapters are decided on elsewhere
+        """
+
+
+class Homes:
+    """Picks homes by rendezvous hashing over the endpoints that are fit.
+
+    Views of fill and slowness differ between instances and change quickly, so
+    a home is kept for as long as requests of its adapter wait.
+    """
+
+    def __init__(
+        self, *, endpoints: fleet.Endpoints, rights: OrderRights
+    ) -> None:
+        self._endpoints = endpoints
+        self._rights = rights
+        self._reachable: dict[str, list[fleet.EndpointState]] = {}
+        self._kept: dict[works.AdapterVersion, str] = {}
+
+    def refresh(self, waiting: Container[works.AdapterVersion]) -> None:
+        """Look at the endpoints anew; call it before a series of questions.
+
+        :param waiting: the adapters that requests wait for here
+        """
+        self._reachable.clear()
+        self._kept = {
+            adapter: home
+            for adapter, home in self._kept.items()
+            if adapter in waiting
+        }
+
+    def of(self, adapter: works.AdapterVersion) -> str | None:
+        """Name an adapter's home.
+
+        :param adapter: the adapter version
+        :return: an endpoint; None when no orderer can be reached
+        """
+        reachable = self._reachable_of(adapter.model)
+        kept = self._kept.get(adapter)
+        if kept is not None and any(
+            state.spec.name == kept for state in reachable
+        ):
+            return kept
+        if not reachable:
+            return None
+        fit = [state for state in reachable if _is_fit(state)]
+        text = "\0".join(adapter).encode()
+        home = max(
+            fit or reachable,
+            key=lambda state: xxhash.xxh3_64_intdigest(
+                text + state.spec.name.encode()
+            ),
+        )
+        self._kept[adapter] = home.spec.name
+        return home.spec.name
+
+    def _reachable_of(self, model: str) -> list[fleet.EndpointState]:
+        # An endpoint whose orderer can't be reached is left out: what is held
+        # there is loaded a second time, for as long as the cut lasts.
+        states = self._reachable.get(model)
+        if states is None:
+            states = [
+                state
+                for state in self._endpoints
+                if state.spec.model == model
+                and not state.spec.leaving
+                and state.spec.distance_seconds <= JOINED_SECONDS
+                and self._rights.orderer(state.spec.name) is not None
+            ]
+            self._reachable[model] = states
+        return states
+
+
+def _is_fit(state: fleet.EndpointState) -> bool:
+    return state.weight >= LEAST_WEIGHT and state.fill() < MOST_FILL
+
+
+__all__ = [
+    "Homes",
+    "OrderRights",
+]
--- a/src/boragefold/policy/placing.py
+++ b/src/boragefold/policy/placing.py
@@ -7,61 +7,24 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Set
 from typing import TypeVar
 
-import xxhash
-
 from boragefold.policy import actions
 from boragefold.policy import demand as demands
 from boragefold.policy import digest as digests
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import homes
 from boragefold.policy import placement as placements
 from boragefold.policy import work as works
 
-# Data centres within this round trip join their loads: a request sent to one
-# of them loses a tenth of what a load of a quarter of a second would cost.
-JOINED_SECONDS = 0.025
-# An endpoint that gets less than this part of its share is no adapter's home.
-LEAST_WEIGHT = 0.5
-
 Item = TypeVar("Item")
 
 
-class OrderRights(abc.ABC):
-    """Which instance gives orders to which endpoint, now."""
-
-    @property
-    @abc.abstractmethod
-    def self_name(self) -> str:
-        """Tell who we are.
-
-        :return: our own incarnation
-        """
-
-    @abc.abstractmethod
-    def ordered(self) -> Collection[str]:
-        """List the endpoints whose order right we hold at this moment.
-
-        :return: their names
-        """
-
-    @abc.abstractmethod
-    def orderer(self, endpoint: str) -> str | None:
-        """Tell who holds an endpoint's order right, as far as we know.
-
-        :param endpoint: its name
-        :return: an incarnation; None when we can't reach its holder, so that
-            its adapters are decided on elsewhere
-        """
-
-
 class Placing:
     """Feeds placement with the demand of all instances we hear from."""
 
@@ -70,14 +33,14 @@
         *,
         placement: placements.Placement,
         endpoints: fleet.Endpoints,
-        rights: OrderRights,
+        rights: homes.OrderRights,
     ) -> None:
         self._placement = placement
         self._endpoints = endpoints
         self._rights = rights
         self._peers = digests.Peers()
         self._arrivals = digests.Arrivals()
-        self._homes: dict[str, list[str]] = {}
+        self._homes = homes.Homes(endpoints=endpoints, rights=rights)
         self._told: Set[str] = frozenset()
 
     def arrived(self, work: works.Work, *, now_seconds: float) -> None:
@@ -106,7 +69,7 @@
         :return: digests by incarnation; peers with nothing to hear are left
             out
         """
-        self._homes.clear()
+        self._homes.refresh(own)
         waiting = _by_peer(
             digests.waiting_of(own), lambda each: self._decider(each.adapter)
         )
@@ -169,11 +132,11 @@
         if not ordered:
             return
         self._peers.expire(now_seconds=now_seconds)
-        self._homes.clear()
+        self._homes.refresh(own)
         for name in ordered:
             self._endpoints.pin_elsewhere(name, self._peers.in_use(name))
         demand = self._peers.demand(
-            own, decides=lambda adapter: self._home(adapter) in ordered
+            own, decides=lambda adapter: self._homes.of(adapter) in ordered
         )
         for order in self._placement.decide(
             demand=demand,
@@ -205,37 +168,9 @@
         self._placement.load_failed(load, now_seconds=now_seconds)
 
     def _decider(self, adapter: works.AdapterVersion) -> str | None:
-        home = self._home(adapter)
+        home = self._homes.of(adapter)
         return None if home is None else self._rights.orderer(home)
 
-    def _home(self, adapter: works.AdapterVersion) -> str | None:
-        """Name the endpoint whose orderer decides on an adapter.
-
-        An endpoint whose orderer can't be reached is left out: what is held
-        there is loaded a second time, for as long as the cut lasts.
-        """
-        names = self._homes.get(adapter.model)
-        if names is None:
-            names = self._candidates(adapter.model)
-            self._homes[adapter.model] = names
-        if not names:
-            return None
-        text = "\0".join(adapter)
-        return names[xxhash.xxh3_64_intdigest(text.encode()) % len(names)]
-
-    def _candidates(self, model: str) -> list[str]:
-        near = [
-            state
-            for state in self._endpoints
-            if state.spec.model == model
-            and not state.spec.leaving
-            and state.spec.distance_seconds <= JOINED_SECONDS
-            and self._rights.orderer(state.spec.name) is not None
-        ]
-        # Whoever orders only a slow endpoint can load only there.
-        quick = [state for state in near if state.weight >= LEAST_WEIGHT]
-        return sorted(state.spec.name for state in quick or near)
-
 
 def _by_peer(
     items: Iterable[Item], peer_of: Callable[[Item], str | None]
@@ -249,6 +184,5 @@
 
 
 __all__ = [
-    "OrderRights",
     "Placing",
 ]
--- a/src/boragefold/policy/requests.py
+++ b/src/boragefold/policy/requests.py
@@ -22,6 +22,7 @@
     endpoint: str = ""
     attempts: int = 0
     may_have_run: bool = False
+    answered: bool = False
 
 
 class Requests:
--- a/tests/policy/test_dispatcher.py
+++ b/tests/policy/test_dispatcher.py
@@ -10,7 +10,7 @@
 from boragefold.policy import assembly
 from boragefold.policy import dispatcher
 from boragefold.policy import endpoints
-from boragefold.policy import placing
+from boragefold.policy import homes
 from boragefold.policy import stock
 from boragefold.policy import work as works
 from boragefold.telemetry import counters
@@ -34,7 +34,7 @@
         super().settle(reservation, used_tokens=used_tokens)
 
 
-class Rights(placing.OrderRights):
+class Rights(homes.OrderRights):
     def __init__(self, self_name: str, orderers: dict[str, str | None]):
         self._self_name = self_name
         self._orderers = orderers
@@ -205,14 +205,17 @@
 
 
 def test_who_waits_for_tokens_is_sent_when_they_come() -> None:
+    # Tokens come back early, because the first answer was short; whoever
+    # waits for them must not wait until the time that was estimated.
     bucket = Stock(rate=1000.0, burst=100.0)
     system = build(held={"a": []}, bucket=bucket)
     first, second = workloads.work(), workloads.work()
     assert len(sends(offer(system, first, second))) == 1
-    bucket.now = 0.2
+    bucket.now = 0.01
+    system.finished(first.request_id, used_tokens=1.0, now_seconds=0.01)
     for callback in bucket.callbacks:
         callback("quadro")
-    assert sends(system.next_actions(now_seconds=0.2)) == [
+    assert sends(system.next_actions(now_seconds=0.01)) == [
         (second.request_id, "a", 1)
     ]
 
@@ -231,10 +234,13 @@
     bucket = Stock()
     system = build(held={"a": ["x"]}, bucket=bucket)
     request = workloads.work(needs="x" if stage == "sent" else "cold")
-    offer(system, request)
+    done = offer(system, request)
     system.cancel(request.request_id, used_tokens=7.0, now_seconds=0.5)
     system.cancel(request.request_id, used_tokens=7.0, now_seconds=0.6)
     system.finished(request.request_id, used_tokens=9.0, now_seconds=0.7)
+    for order in done:
+        if isinstance(order, actions.Order):
+            system.fleet.load_ended(order.load, now_seconds=0.7)
     assert bucket.used == [7.0]
     assert not sends(system.next_actions(now_seconds=0.7))
 
@@ -270,3 +276,32 @@
         now_seconds=1.03,
     )
     assert system.next_due_seconds() == pytest.approx(1.03)
+
+
+def test_an_answer_that_breaks_off_late_can_still_be_resumed() -> None:
+    # The caller was ready to wait 5 s for the first token, got it, and has
+    # been reading for a minute when the endpoint dies. Measured from its
+    # arrival its patience is long over, and nothing would be resumed.
+    system = build(held={"a": ["x"], "b": ["x"]})
+    request = workloads.work(needs="x", patience=5.0)
+    offer(system, request)
+    system.first_token(request.request_id, now_seconds=0.5)
+    system.failed(request.request_id, bytes_sent=True, now_seconds=60.0)
+    ((request_id, _, attempt),) = sends(system.next_actions(now_seconds=60.0))
+    assert (request_id, attempt) == (request.request_id, 2)
+
+
+def test_room_is_used_although_another_adapter_has_to_wait() -> None:
+    # One endpoint is so slow that its only adapter's requests queue. The
+    # queue is long, but not for adapters whose holders are idle: their callers
+    # must not be refused for it.
+    system = build(held={"slow": ["x"], "idle": ["y"]})
+    offer(system, *(workloads.work(needs="x") for _ in range(4)))
+    for number in range(40):
+        at = number / 10
+        system.offer(
+            workloads.work(needs="x", at=at), idempotent=True, now_seconds=at
+        )
+        system.next_actions(now_seconds=at)
+    placed = sends(offer(system, workloads.work(needs="y", at=4.0), at=4.0))
+    assert [endpoint for _, endpoint, _ in placed] == ["idle"]
--- a/tests/policy/test_service_rate.py
+++ b/tests/policy/test_service_rate.py
@@ -22,3 +22,13 @@
     for tick in range(1, 41):
         rate.taken(50.0, now_seconds=tick / 10)
     assert rate.tokens_per_second() == pytest.approx(500.0, rel=0.05)
+
+
+def test_what_passed_while_nothing_waited_is_not_counted() -> None:
+    rate = service_rate.ServiceRate()
+    for tick in range(10):
+        rate.taken(5000.0, now_seconds=tick / 10)
+    rate.limited(True, now_seconds=1.0)
+    for tick in range(1, 11):
+        rate.taken(50.0, now_seconds=1.0 + tick / 10)
+    assert rate.tokens_per_second() == pytest.approx(500.0, rel=0.1)
