Allow several loads at one endpoint; protect what a report shows as loaded

Cause: an instance that orders one endpoint loaded one adapter after the other, because an endpoint with a load under way was left out for evictions, and evictions under way counted as drains, so that no slot was drained for a starving adapter while loads were busy. Found on the way by the new test: what a report shows before its load has ended had no time of loading and could be evicted at once. Change: loads know which slots they take and which victims they claim; an adapter first seen in a report counts as loaded when that was measured. It is kept for the two faults above.

--- a/src/boragefold/policy/drains.py
+++ b/src/boragefold/policy/drains.py
@@ -12,7 +12,7 @@
 
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import load_wants
-from boragefold.policy import loads
+from boragefold.policy import loads as loads_module
 from boragefold.policy import places as places_module
 from boragefold.telemetry import counters as telemetry
 
@@ -24,10 +24,12 @@
         self,
         *,
         endpoints: fleet.Endpoints,
+        loads: loads_module.Loads,
         places: places_module.Places,
         counters: telemetry.Counters,
     ) -> None:
         self._endpoints = endpoints
+        self._loads = loads
         self._places = places
         self._counters = counters
 
@@ -38,7 +40,7 @@
         states: Sequence[fleet.EndpointState],
         *,
         now_seconds: float,
-    ) -> Iterator[loads.Drain]:
+    ) -> Iterator[loads_module.Drain]:
         """Drain one slot for an adapter that found none for too long.
 
         :param want: the adapter that found no slot
@@ -49,7 +51,7 @@
         :return: at most one order
         """
         starving = sum(each.is_starving(now_seconds) for each in wants)
-        draining = sum(bool(state.blocked_at) for state in states)
+        draining = sum(len(self._loads.unclaimed(state)) for state in states)
         if not want.is_starving(now_seconds) or draining >= starving:
             return
         place = self._places.to_drain(
@@ -60,7 +62,7 @@
         name = place.endpoint.spec.name
         self._endpoints.evicted(name, place.evict, now_seconds=now_seconds)
         self._counters.add("adapters_drained", "slot_needed")
-        yield loads.Drain(name, place.evict, want.workspace)
+        yield loads_module.Drain(name, place.evict, want.workspace)
 
 
 __all__ = [
--- a/src/boragefold/policy/endpoints.py
+++ b/src/boragefold/policy/endpoints.py
@@ -228,6 +228,8 @@
             if state.loaded_at.get(adapter, measured_at) <= measured_at:
                 self._remove(state, adapter)
         for adapter in state.unblocked(report):
+            if adapter not in state.resident:
+                state.loaded_at[adapter] = measured_at
             self._add(state, adapter)
 
     def _add(
--- a/src/boragefold/policy/loads.py
+++ b/src/boragefold/policy/loads.py
@@ -9,6 +9,7 @@
 
 import abc
 import dataclasses
+import itertools
 from typing import NamedTuple
 
 from boragefold.policy import endpoints as fleet
@@ -69,20 +70,11 @@
     """Loads under way, by endpoint and by adapter."""
 
     def __init__(self) -> None:
-        self._running: dict[tuple[str, works.AdapterVersion], Running] = {}
-        self._by_endpoint: dict[str, int] = {}
+        self._running: dict[str, dict[works.AdapterVersion, Running]] = {}
         self._by_adapter: dict[works.AdapterVersion, int] = {}
 
     def __len__(self) -> int:
-        return len(self._running)
-
-    def at(self, endpoint: str) -> int:
-        """Count the loads under way at an endpoint.
-
-        :param endpoint: its name
-        :return: loads
-        """
-        return self._by_endpoint.get(endpoint, 0)
+        return sum(len(running) for running in self._running.values())
 
     def of(self, adapter: works.AdapterVersion) -> int:
         """Count the loads under way of an adapter.
@@ -92,6 +84,32 @@
         """
         return self._by_adapter.get(adapter, 0)
 
+    def taken_slots(self, state: fleet.EndpointState) -> int:
+        """Count the slots that are in use or will be.
+
+        :param state: an endpoint
+        :return: slots; one that is emptied for a load counts once
+        """
+        running = self._running.get(state.spec.name, {})
+        replaced = sum(
+            each.load.evict in state.blocked_at for each in running.values()
+        )
+        # A report may list what is loaded before the order is answered.
+        seen = sum(adapter in state.resident for adapter in running)
+        return state.occupied_slots() + len(running) - replaced - seen
+
+    def unclaimed(
+        self, state: fleet.EndpointState
+    ) -> list[works.AdapterVersion]:
+        """List what gets no requests any more and no load replaces yet.
+
+        :param state: an endpoint
+        :return: adapters that were drained, or evicted by a failed load
+        """
+        running = self._running.get(state.spec.name, {})
+        claimed = {each.load.evict for each in running.values()}
+        return [each for each in state.blocked_at if each not in claimed]
+
     def begin(
         self, load: Load, *, incarnation: str, now_seconds: float
     ) -> None:
@@ -101,10 +119,9 @@
         :param incarnation: of the endpoint
         :param now_seconds: reading of the process clock
         """
-        self._running[load.endpoint, load.adapter] = Running(
+        self._running.setdefault(load.endpoint, {})[load.adapter] = Running(
             load=load, incarnation=incarnation, began_at_seconds=now_seconds
         )
-        self._by_endpoint[load.endpoint] = self.at(load.endpoint) + 1
         self._by_adapter[load.adapter] = self.of(load.adapter) + 1
 
     def end(self, load: Load) -> Running | None:
@@ -113,13 +130,13 @@
         :param load: the order
         :return: its record; None when it was forgotten before
         """
-        running = self._running.get((load.endpoint, load.adapter))
+        at_endpoint = self._running.get(load.endpoint, {})
+        running = at_endpoint.get(load.adapter)
         if running is None or running.load != load:
             return None
-        del self._running[load.endpoint, load.adapter]
-        self._by_endpoint[load.endpoint] -= 1
-        if not self._by_endpoint[load.endpoint]:
-            del self._by_endpoint[load.endpoint]
+        del at_endpoint[load.adapter]
+        if not at_endpoint:
+            del self._running[load.endpoint]
         self._by_adapter[load.adapter] -= 1
         if not self._by_adapter[load.adapter]:
             del self._by_adapter[load.adapter]
@@ -136,7 +153,9 @@
             rather than ended with its endpoint
         """
         lost = []
-        for running in self._running.values():
+        for running in itertools.chain.from_iterable(
+            each.values() for each in self._running.values()
+        ):
             state = endpoints.get(running.load.endpoint)
             age_seconds = now_seconds - running.began_at_seconds
             if state is None or state.incarnation != running.incarnation:
--- a/src/boragefold/policy/placement.py
+++ b/src/boragefold/policy/placement.py
@@ -58,12 +58,14 @@
         self._rates = arrival_rates.ArrivalRates()
         self._loads = loads_module.Loads()
         self._places = places_module.Places(
-            slots=slots_module.Slots(rates=self._rates),
-            loads=self._loads,
+            slots=slots_module.Slots(rates=self._rates, loads=self._loads),
             rng=rng,
         )
         self._drains = drains_module.Drains(
-            endpoints=endpoints, places=self._places, counters=counters
+            endpoints=endpoints,
+            loads=self._loads,
+            places=self._places,
+            counters=counters,
         )
         self._wants = load_wants.LoadWants()
         self._backoff: backoff.Backoff[works.AdapterVersion] = backoff.Backoff(
--- a/src/boragefold/policy/places.py
+++ b/src/boragefold/policy/places.py
@@ -11,7 +11,6 @@
 import random
 
 from boragefold.policy import endpoints as fleet
-from boragefold.policy import loads as loads_module
 from boragefold.policy import slots as slots_module
 from boragefold.policy import work as works
 
@@ -28,11 +27,9 @@
         self,
         *,
         slots: slots_module.Slots,
-        loads: loads_module.Loads,
         rng: random.Random,
     ) -> None:
         self._slots = slots
-        self._loads = loads
         self._rng = rng
 
     def find(
@@ -69,7 +66,7 @@
         :param states: endpoints that may be given orders
         :return: the place, or None
         """
-        return self._slots.free(_fitting(adapter, states), self._loads.at)
+        return self._slots.free(_fitting(adapter, states))
 
     def to_drain(
         self,
@@ -94,14 +91,8 @@
         adapter: works.AdapterVersion,
         states: Sequence[fleet.EndpointState],
     ) -> list[fleet.EndpointState]:
-        # One eviction at a time per endpoint: a second order would find its
-        # victim in the slot that the first one empties.
-        idle = [
-            state
-            for state in _fitting(adapter, states)
-            if not self._loads.at(state.spec.name)
-        ]
-        return self._rng.sample(idle, min(EXAMINED_ENDPOINTS, len(idle)))
+        fitting = _fitting(adapter, states)
+        return self._rng.sample(fitting, min(EXAMINED_ENDPOINTS, len(fitting)))
 
 
 def _fitting(
--- a/src/boragefold/policy/slots.py
+++ b/src/boragefold/policy/slots.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from boragefold.policy import arrival_rates
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import loads
 from boragefold.policy import work as works
 
 # A loaded adapter stays at least eight loads of a quarter of a second, so
@@ -35,25 +35,22 @@
 class Slots:
     """Looks for the slot whose use for another adapter costs least."""
 
-    def __init__(self, *, rates: arrival_rates.ArrivalRates) -> None:
+    def __init__(
+        self, *, rates: arrival_rates.ArrivalRates, loads: loads.Loads
+    ) -> None:
         self._rates = rates
+        self._loads = loads
 
-    def free(
-        self,
-        states: Iterable[fleet.EndpointState],
-        loading: Callable[[str], int],
-    ) -> Place | None:
+    def free(self, states: Iterable[fleet.EndpointState]) -> Place | None:
         """Find an endpoint with an empty slot.
 
         :param states: endpoints that may take the adapter
-        :param loading: how many loads are under way at an endpoint
         :return: the place, or None
         """
         empty = [
             (state.fill(), state.spec.name, state)
             for state in states
-            if state.occupied_slots() + loading(state.spec.name)
-            < state.spec.slots
+            if self._loads.taken_slots(state) < state.spec.slots
         ]
         return Place(min(empty)[2], None) if empty else None
 
@@ -74,7 +71,7 @@
         found = [
             (*self._worth(state, adapter, now_seconds), adapter, state)
             for state in states
-            for adapter in (*state.blocked_at, *state.resident)
+            for adapter in (*self._loads.unclaimed(state), *state.resident)
             if not state.is_pinned(adapter)
             and self._may_go(state, adapter, kept, now_seconds)
         ]
@@ -98,7 +95,7 @@
         found = [
             (*self._worth(state, adapter, now_seconds), adapter, state)
             for state in states
-            if not state.blocked_at
+            if not self._loads.unclaimed(state)
             for adapter in state.resident
             if now_seconds - _loaded_at(state, adapter)
             >= MAX_RESIDENCY_SECONDS
--- a/src/boragefold/policy/warm_up.py
+++ b/src/boragefold/policy/warm_up.py
@@ -60,9 +60,7 @@
         if now_seconds < self._next_at_seconds:
             return None
         self._next_at_seconds = now_seconds + PERIOD_SECONDS
-        if not any(
-            state.occupied_slots() < state.spec.slots for state in states
-        ):
+        if all(state.occupied_slots() >= state.spec.slots for state in states):
             return None
         return next(
             (
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -14,7 +14,7 @@
 from boragefold.telemetry import counters as telemetry
 from tests.fakes import workloads
 
-A, B, C = (workloads.adapter(name) for name in "ABC")
+A, B, C, D = (workloads.adapter(name) for name in "ABCD")
 
 
 class Placer:
@@ -145,15 +145,22 @@
 
 
 def test_one_slot_isnt_emptied_for_two_adapters() -> None:
-    # Two cold adapters find the same idle one to evict. Ordered both, the
-    # second load would find no slot.
+    # Two cold adapters find the same idle ones to evict. Ordered with one
+    # victim, the second load would find no slot; a third has none to find,
+    # also when a report shows the victims gone before the loads have ended.
     placer = Placer(workloads.spec("e", slots=2))
     placer.load(*wait_for("A", "B"))
-    waiting = wait_for("C", "D")
-    (first,) = placer.load(*waiting, at=40.0)
-    rest = [each for each in waiting if each.needs != first.adapter]
-    (second,) = placer.decide(*rest, at=40.5)
+    waiting = wait_for("C", "D", "E")
+    first, second = placer.decide(*waiting, at=40.0)
     assert {first.evict, second.evict} == {A, B}
+    assert not placer.decide(*waiting, at=40.1)
+    report = workloads.report("e", 0, 40.2)
+    placer.endpoints.report(report._replace(resident=()))
+    assert not placer.decide(*waiting, at=40.3)
+    placer.endpoints.report(
+        report._replace(resident=(C, D), measured_at_seconds=40.4)
+    )
+    assert not placer.decide(*wait_for("E"), at=40.5)
 
 
 def test_with_every_slot_in_use_one_is_drained() -> None:
