Notice a slow endpoint by few answers, and copy away what it alone holds

Change: an answer counts for the time since the last one; an adapter whose holders are all slow counts as hot; nothing is copied to a slow endpoint, and an empty slot elsewhere goes first. Ruled out by trial: shedding late-sensitive work above its share one level earlier. What remains: an instance that orders one endpoint only can't copy elsewhere.

--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -39,8 +39,6 @@
 # A farther data centre must be better by more than its distance: its reports
 # are later, and its own callers need it.
 FAR_MARGIN_SECONDS = 0.05
-# Below this weight a near endpoint is compared with farther ones.
-POOR_WEIGHT = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -112,7 +110,7 @@
         chosen = self._concentrate(near, work, excluded)
         if chosen is None:
             chosen = self._spread(near, work, excluded)
-        if far and (chosen is None or chosen.weight < POOR_WEIGHT):
+        if far and (chosen is None or chosen.is_poor()):
             chosen = self._spill_over(
                 chosen, near, far, work, excluded, queued_seconds
             )
--- /dev/null
+++ b/src/boragefold/policy/endpoint_requests.py
@@ -0,0 +1,37 @@
+"""Our own requests at an endpoint, under way and just ended."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from boragefold.policy import work as works
+
+
+class Sent(NamedTuple):
+    """A request of ours that an endpoint works on."""
+
+    adapter: works.AdapterVersion
+    prompt_tokens: int
+    sent_at_seconds: float
+
+
+class Ended(NamedTuple):
+    """A request of ours that a report may still count as running."""
+
+    sent_at_seconds: float
+    ended_at_seconds: float
+
+    def counted_by(self, measured_at_seconds: float) -> bool:
+        """Tell whether a report counts this request as running.
+
+        :param measured_at_seconds: when the report was measured
+        :return: whether the request began before and ended after
+        """
+        began = self.sent_at_seconds <= measured_at_seconds
+        return began and measured_at_seconds < self.ended_at_seconds
+
+
+__all__ = [
+    "Ended",
+    "Sent",
+]
--- a/src/boragefold/policy/endpoint_state.py
+++ b/src/boragefold/policy/endpoint_state.py
@@ -10,14 +10,18 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
-from typing import NamedTuple
+import math
 
+from boragefold.policy import endpoint_requests
 from boragefold.policy import endpoint_spec
 from boragefold.policy import work as works
 
 # A tenth of the weight per answer: single long answers don't matter, ten
-# slow ones in a row do.
+# slow ones in a row do. Where answers are rarer than one a second, each counts
+# for the time since the last: an instance that sends there once in six seconds
+# would need a minute to notice otherwise.
 LATENCY_SMOOTHING = 0.1
+LATENCY_MEMORY_SECONDS = 10.0
 # Prompt tokens that cost as much as the fixed part of a first token; latencies
 # of long and short prompts are compared after dividing by tokens plus this.
 FIXED_COST_TOKENS = 256
@@ -27,34 +31,13 @@
 # Reports miss what other instances have sent since; a tenth more than a batch
 # may be sent, so that a batch that just lost a request is filled up again.
 ROOM_FILL = 1.1
+# Below this weight an endpoint is slow: requests look farther for another
+# one, and its adapters are copied away from it.
+POOR_WEIGHT = 0.5
 # How many former incarnations a late report is recognised by.
 FORMER_INCARNATIONS = 4
 
 
-class Sent(NamedTuple):
-    """A request of ours that an endpoint works on."""
-
-    adapter: works.AdapterVersion
-    prompt_tokens: int
-    sent_at_seconds: float
-
-
-class Ended(NamedTuple):
-    """A request of ours that a report may still count as running."""
-
-    sent_at_seconds: float
-    ended_at_seconds: float
-
-    def counted_by(self, measured_at_seconds: float) -> bool:
-        """Tell whether a report counts this request as running.
-
-        :param measured_at_seconds: when the report was measured
-        :return: whether the request began before and ended after
-        """
-        began = self.sent_at_seconds <= measured_at_seconds
-        return began and measured_at_seconds < self.ended_at_seconds
-
-
 @dataclasses.dataclass(kw_only=True, eq=False)
 class EndpointState:
     """What was reported of an endpoint, and what we did there since."""
@@ -76,14 +59,20 @@
     pinned_elsewhere: frozenset[works.AdapterVersion] = frozenset()
     reported: int = 0
     measured_at_seconds: float = float("-inf")
-    in_flight: dict[str, Sent] = dataclasses.field(default_factory=dict)
-    unanswered: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    in_flight: dict[str, endpoint_requests.Sent] = dataclasses.field(
+        default_factory=dict
+    )
+    unanswered: dict[str, endpoint_requests.Sent] = dataclasses.field(
+        default_factory=dict
+    )
     in_use: collections.Counter[works.AdapterVersion] = dataclasses.field(
         default_factory=collections.Counter
     )
     sent_since: int = 0
     gone_since: int = 0
-    ended: list[Ended] = dataclasses.field(default_factory=list)
+    ended: list[endpoint_requests.Ended] = dataclasses.field(
+        default_factory=list
+    )
     latency: float | None = None
     answered_at_seconds: float = float("-inf")
     duration_seconds: float | None = None
@@ -114,6 +103,13 @@
         limit = max(batch_size, int(ROOM_FILL * batch_size))
         return self.estimated_running() < limit
 
+    def is_poor(self) -> bool:
+        """Tell whether the endpoint is too slow to be relied on.
+
+        :return: whether requests should rather go elsewhere
+        """
+        return self.weight < POOR_WEIGHT
+
     def serves(self, adapter: works.AdapterVersion) -> bool:
         """Tell whether an adapter's requests may be sent.
 
@@ -186,7 +182,9 @@
         :param work: the request
         :param now_seconds: reading of the process clock
         """
-        sent = Sent(work.needs, work.prompt_tokens, now_seconds)
+        sent = endpoint_requests.Sent(
+            work.needs, work.prompt_tokens, now_seconds
+        )
         self.in_flight[work.request_id] = sent
         self.unanswered[work.request_id] = sent
         self.in_use[work.needs] += 1
@@ -204,7 +202,10 @@
         sample = self._scaled(sent, now_seconds)
         if self.latency is None:
             self.latency = sample
-        self.latency += LATENCY_SMOOTHING * (sample - self.latency)
+        gap_seconds = now_seconds - self.answered_at_seconds
+        part = 1 - math.exp(-gap_seconds / LATENCY_MEMORY_SECONDS)
+        smoothing = max(part, LATENCY_SMOOTHING)
+        self.latency += smoothing * (sample - self.latency)
         self.answered_at_seconds = now_seconds
 
     def end(self, request_id: str, *, now_seconds: float) -> None:
@@ -228,7 +229,9 @@
         )
         # The next report may have been measured before this moment, so the
         # request stays on the list until a later report.
-        self.ended.append(Ended(sent.sent_at_seconds, now_seconds))
+        self.ended.append(
+            endpoint_requests.Ended(sent.sent_at_seconds, now_seconds)
+        )
         if sent.sent_at_seconds > self.measured_at_seconds:
             self.sent_since -= 1
         else:
@@ -275,7 +278,9 @@
             if adapter not in self.blocked_at
         )
 
-    def _scaled(self, sent: Sent, now_seconds: float) -> float:
+    def _scaled(
+        self, sent: endpoint_requests.Sent, now_seconds: float
+    ) -> float:
         elapsed = now_seconds - sent.sent_at_seconds
         scale = 1 + sent.prompt_tokens / FIXED_COST_TOKENS
         return max(elapsed - self.spec.distance_seconds, 0.0) / scale
@@ -284,5 +289,4 @@
 __all__ = [
     "EndpointState",
     "REPORT_STALE_SECONDS",
-    "Sent",
 ]
--- a/src/boragefold/policy/hot_adapters.py
+++ b/src/boragefold/policy/hot_adapters.py
@@ -72,6 +72,10 @@
         holders = self._endpoints.holders(adapter)
         if not holders:
             return False
+        if all(state.is_poor() for state in holders):
+            # Its requests would wait at a slow endpoint, where no queue of
+            # ours shows it.
+            return True
         durations = [
             state.duration_seconds
             for state in holders
--- a/src/boragefold/policy/slots.py
+++ b/src/boragefold/policy/slots.py
@@ -48,11 +48,11 @@
         :return: the place, or None
         """
         empty = [
-            (state.fill(), state.spec.name, state)
+            (state.is_poor(), state.fill(), state.spec.name, state)
             for state in states
             if self._loads.taken_slots(state) < state.spec.slots
         ]
-        return Place(min(empty)[2], None) if empty else None
+        return Place(min(empty)[-1], None) if empty else None
 
     def by_eviction(
         self,
@@ -134,7 +134,8 @@
         used_at, _gap = self._rates.next_use_seconds(adapter)
         kept = adapter not in state.blocked_at
         # What is loaded where there is no room can't start.
-        return kept, not state.has_room(), per_second, used_at
+        unfit = state.is_poor() or not state.has_room()
+        return kept, unfit, per_second, used_at
 
 
 def _loaded_at(
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -147,6 +147,22 @@
     assert endpoints.get("f").weight == 1.0
 
 
+def test_a_slow_endpoint_shows_by_few_answers() -> None:
+    # One of seven instances sends to an endpoint every six seconds. With a
+    # tenth of the weight per answer it would take a minute to see it slow.
+    endpoints = build("e", "f", "g")
+    for step in range(12):
+        at = step * 6.0
+        for name in ("e", "f", "g"):
+            request = workloads.work()
+            took = 0.6 if name == "e" and step >= 9 else 0.1
+            endpoints.sent(name, request, now_seconds=at)
+            endpoints.answered(name, request.request_id, now_seconds=at + took)
+        endpoints.refresh(now_seconds=at + 1)
+    assert endpoints.get("e").is_poor()
+    assert not endpoints.get("f").is_poor()
+
+
 def test_long_prompts_dont_make_an_endpoint_look_slow() -> None:
     endpoints = build("e", "f", "g")
     for name, prompt_tokens in (("e", 25_600), ("f", 0), ("g", 0)):
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -218,6 +218,25 @@
     assert not placer.decide(at=40.4)
 
 
+def test_what_only_a_slow_endpoint_holds_is_copied_elsewhere() -> None:
+    # An engine gets slow. An adapter that nobody else holds goes on being
+    # sent there, and its callers wait although no queue of ours grows.
+    placer = Placer(*(workloads.spec(name) for name in "efg"))
+    placer.endpoints.loaded("e", A, now_seconds=0.0)
+    slow = placer.state("e")
+    slow.weight = 0.1
+    placer.use(A, 1.0)
+    (load,) = placer.decide(at=1.0)
+    assert load.adapter == A
+    assert load.endpoint != "e"
+    placer.placement.load_ended(load, now_seconds=1.3)
+    placer.use(A, 2.0)
+    assert not placer.decide(at=2.0)
+    # Nor is a cold adapter loaded there while others have a slot.
+    (cold,) = placer.decide(*wait_for("B"), at=2.0)
+    assert cold.endpoint != "e"
+
+
 def test_a_full_fleet_isnt_filled_with_copies() -> None:
     # In an overload every endpoint is full, so every adapter that is waited
     # for looks hot. Copies would evict others and serve nobody; and two that
