Measure an endpoint's distance anew when the data centres become known

Cause: a chat for a cold adapter waited until its caller gave up. Two instances named different homes for the adapter, so the one that was told thought another decided. An instance that had read the endpoints before common/data_centres kept every endpoint of another data centre at the distance of another region, because only a changed record was put anew.

Ruled out: the views' directories (equal on all six instances from second 8 on), the load budget (its level was there, nothing in flight) and lost digests (the waiting work stood in the decider's table).

--- a/src/boragefold/entry/load_reports.py
+++ b/src/boragefold/entry/load_reports.py
@@ -66,6 +66,7 @@
         self._counters = counters
         self._changed = changed
         self._records: dict[str, published.EndpointRecord] = {}
+        self._specs: dict[str, endpoint_spec.EndpointSpec] = {}
         self._turn: list[str] = []
 
     def start(self) -> None:
@@ -102,16 +103,19 @@
 
     def refresh(self) -> None:
         """Take over what is published of the endpoints now."""
-        before = self._records
         self._records = {
             qualified(record): record._replace(name=qualified(record))
             for record in self._catalogue.endpoints
         }
-        for name in before.keys() - self._records.keys():
+        before = self._specs
+        self._specs = {
+            name: self._spec(record) for name, record in self._records.items()
+        }
+        for name in before.keys() - self._specs.keys():
             self._events.endpoint_gone(name)
-        for name, record in self._records.items():
-            if before.get(name) != record:
-                self._endpoints.put(self._spec(record))
+        for name, spec in self._specs.items():
+            if before.get(name) != spec:
+                self._endpoints.put(spec)
         self._changed()
 
     def _spec(
--- a/src/boragefold/entry/traffic.py
+++ b/src/boragefold/entry/traffic.py
@@ -14,14 +14,14 @@
 from boragefold.entry import work_digests
 from boragefold.policy import assembly
 from boragefold.policy import endpoints as fleet
-from boragefold.policy import placing
+from boragefold.policy import homes
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import stories as telemetry_stories
 from boragefold.timing import timers as timing
 from boragefold.transport import http_client
 
 
-class HeldOrders(placing.OrderRights):
+class HeldOrders(homes.OrderRights):
     """Whose order right an endpoint's is, by the views of the fleet."""
 
     def __init__(self, *, rights: rights_module.Rights) -> None:
