Give orders to an endpoint from one instance, under leases of use

Cause: several instances share an endpoint; an adapter that serves a request must not be evicted, also when the instance that sent it is cut off, and not by a former holder that wakes. Ruled out: asking the members of the directory only; an instance that left it may still have requests at the engine. Leases with an end, and the engine's own count of what runs, bound those that nobody knows. Change: leases of use per endpoint and adapter version, evictions that wait for acknowledgements or the ends of leases, a dispatcher with fencing numbers from the view, and a wait of a new holder for orders on their way.

--- /dev/null
+++ b/src/boragefold/coordination/orders/service.py
@@ -0,0 +1,212 @@
+"""The orders and the uses of one instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import itertools
+from typing import Any
+
+from boragefold.coordination import link
+from boragefold.coordination.orders import desk as desks
+from boragefold.coordination.orders import fencing as fences
+from boragefold.coordination.orders import sender as sending
+from boragefold.coordination.orders import times
+from boragefold.coordination.orders import uses as using
+import boragefold.coordination.rights as membership
+from boragefold.protocol import ids
+from boragefold.protocol import order_messages as messages
+from boragefold.state import documents
+from boragefold.telemetry import counters as counting
+from boragefold.timing import timers as timing
+
+TICK_SECONDS = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Held:
+    """A desk, and the last view that it was valid in."""
+
+    desk: desks.Desk
+    epoch: int
+    number: int
+
+
+class Orders:
+    """Gives the orders that are ours to give, and asks for leases of use."""
+
+    def __init__(
+        self,
+        *,
+        peers: link.PeerLink,
+        rights: membership.Rights,
+        timers: timing.TimerService,
+        counters: counting.Counters,
+        sender: sending.OrderSender,
+        finished: desks.Finished,
+    ) -> None:
+        """Know no endpoints yet.
+
+        :param peers: to other instances
+        :param rights: tells which endpoints are ours
+        :param timers: the timer service
+        :param counters: where orders and refusals are counted
+        :param sender: carries orders to endpoints
+        :param finished: told about every accepted order
+        """
+        self._link = peers
+        self._rights = rights
+        self._timers = timers
+        self._counters = counters
+        self._sender = sender
+        self._finished = finished
+        self._endpoints: dict[str, documents.Endpoint] = {}
+        self._data_centre_of: dict[str, str] = {}
+        self._held: dict[str, _Held] = {}
+        self._evictions = itertools.count()
+        self.uses = using.UseLeases(
+            timers=timers,
+            counters=counters,
+            holder_of=self._holder_of,
+            send=self._send,
+        )
+        self._handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {
+            messages.UseAsked: self._use_asked,
+            messages.UseGiven: self.uses.given,
+            messages.UseStopAsked: self.uses.stop_asked,
+            messages.UseStopped: self._use_stopped,
+        }
+        for kind, handler in self._handlers.items():
+            peers.subscribe(kind, handler)
+        rights.subscribe(lambda view: self._review())
+        timers.every(period_seconds=TICK_SECONDS, callback=self._tick)
+
+    def update_endpoints(
+        self, endpoints: Mapping[str, Mapping[str, documents.Endpoint]]
+    ) -> None:
+        """Take in the published endpoints.
+
+        :param endpoints: documents by data centre and name; a name stands
+            for one endpoint only
+        """
+        own_name = self._link.self_id.data_centre
+        self._endpoints = dict(endpoints.get(own_name, {}))
+        self._data_centre_of = {
+            name: data_centre
+            for data_centre, group in endpoints.items()
+            for name in group
+        }
+        for name in self._held.keys() - self._endpoints.keys():
+            del self._held[name]
+        self._review()
+
+    def desk(self, endpoint: str) -> desks.Desk | None:
+        """Find the desk of an endpoint whose orders are ours at this moment.
+
+        :param endpoint: its name
+        :return: the desk, or None when another instance holds the right
+        """
+        view = self._rights.valid_view()
+        if view is None or endpoint not in self._endpoints:
+            return None
+        if not self._rights.holds(times.right_of(endpoint)):
+            self._held.pop(endpoint, None)
+            return None
+        held = self._held.get(endpoint)
+        # Over a gap between views another instance may have given orders and
+        # leases that this desk knows nothing of.
+        if held is None or not (
+            held.epoch == view.epoch
+            and held.number <= view.number <= held.number + 1
+        ):
+            held = self._gain(endpoint, view)
+        held.number = view.number
+        return held.desk
+
+    def _gain(self, endpoint: str, view: membership.View) -> _Held:
+        checks = self._endpoints[endpoint]["checks_fencing"]
+        right = times.right_of(endpoint)
+        held = _Held(
+            desk=desks.Desk(
+                endpoint=endpoint,
+                fencing=fences.Fencing(view=view) if checks else None,
+                numbers=self._evictions,
+                holds=lambda: self._rights.holds(right),
+                now_seconds=self._timers.now_seconds,
+                sender=self._sender,
+                send=self._send,
+                finished=self._finished,
+                counters=self._counters,
+            ),
+            epoch=view.epoch,
+            number=view.number,
+        )
+        self._held[endpoint] = held
+        self._counters.add("order_rights", "gained")
+        return held
+
+    def _review(self) -> None:
+        for endpoint in self._endpoints:
+            self.desk(endpoint)
+
+    def _tick(self) -> None:
+        for endpoint in self._endpoints:
+            desk = self.desk(endpoint)
+            if desk is not None:
+                desk.tick()
+        self.uses.tick()
+
+    def _holder_of(self, endpoint: str) -> ids.InstanceId | None:
+        data_centre = self._data_centre_of.get(endpoint)
+        if data_centre is None:
+            return None
+        view = self._rights.valid_view()
+        if view is None or view.data_centre != data_centre:
+            view = self._rights.directory().get(data_centre)
+        if view is None or not view.members:
+            return None
+        return membership.holder(view, times.right_of(endpoint))
+
+    def _use_asked(
+        self, sender: ids.InstanceId, asked: messages.UseAsked
+    ) -> None:
+        reasons = {
+            target: self._ask_use(sender, target) for target in asked.targets
+        }
+        given = tuple(target for target in reasons if not reasons[target])
+        refusals = tuple(
+            messages.UseRefusal(target, reason)
+            for target, reason in reasons.items()
+            if reason
+        )
+        self._send(
+            sender,
+            messages.UseGiven(
+                asked.number, times.USE_LEASE_SECONDS, given, refusals
+            ),
+        )
+
+    def _ask_use(self, sender: ids.InstanceId, target: messages.Target) -> str:
+        desk = self.desk(target.endpoint)
+        if desk is None:
+            return "not_holder"
+        return desk.ask_use(sender, target.weights)
+
+    def _use_stopped(
+        self, sender: ids.InstanceId, stopped: messages.UseStopped
+    ) -> None:
+        desk = self.desk(stopped.target.endpoint)
+        if desk is not None:
+            desk.use_stopped(sender, stopped)
+
+    def _send(self, to: ids.InstanceId, body: Any) -> None:
+        if to != self._link.self_id:
+            self._link.send(to=to, body=body)
+        else:
+            self._handlers[type(body)](to, body)
+
+
+__all__ = [
+    "Orders",
+]
--- /dev/null
+++ b/tests/coordination/orders/test_service.py
@@ -0,0 +1,388 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+
+from boragefold.coordination.orders import sender as sending
+from boragefold.coordination.orders import service
+from boragefold.coordination.orders import times
+from boragefold.coordination.orders import uses
+import boragefold.coordination.rights as membership
+from boragefold.policy import work
+from boragefold.protocol import order_messages as messages
+from boragefold.telemetry import counters as counting
+from tests.fakes import network as networks
+from tests.fakes import rights as fake_rights
+
+ENDPOINT = "engine-1"
+NOTES = work.AdapterVersion("base", "notes", "3")
+DRAFTS = work.AdapterVersion("base", "drafts", "1")
+TARGET = messages.Target(ENDPOINT, messages.Weights(*NOTES))
+REPORT_LAG_SECONDS = 0.5
+DATA_CENTRES = ("north", "south")
+
+
+class Engine(sending.OrderSender):
+    """An endpoint and the connections to it."""
+
+    def __init__(self, *, world: World) -> None:
+        self.world = world
+        self.incarnation = "first"
+        self.running = {NOTES: 0, DRAFTS: 0}
+        self.highest = 0
+        self.checks_fencing = False
+        self.received: list[sending.Order] = []
+        self.wrong: list[sending.Order] = []
+        self.delay_seconds = 0.01
+        self.held_back: list[Callable[[], None]] = []
+        self.hold_back = False
+        self.refuse: sending.Outcome | None = None
+
+    def send(self, order, *, still_ours, finished) -> None:
+        def write() -> None:
+            if not still_ours():
+                finished(sending.NoAnswer(reason="not_written"))
+                return
+            finished(self.carry_out(order))
+
+        if self.hold_back:
+            self.held_back.append(write)
+        else:
+            self.world.timers.once(
+                delay_seconds=self.delay_seconds, callback=write
+            )
+
+    def carry_out(self, order: sending.Order) -> sending.Outcome:
+        if self.refuse is not None:
+            refusal, self.refuse = self.refuse, None
+            return refusal
+        if self.checks_fencing:
+            assert order.fencing is not None
+            if order.fencing <= self.highest:
+                return sending.Outdated(highest=self.highest)
+            self.highest = order.fencing
+        self.received.append(order)
+        if order.kind == "evict":
+            if self.running.pop(order.adapter, 0):
+                self.wrong.append(order)
+        elif order.kind == "load":
+            self.running[order.adapter] = 0
+        return sending.Done()
+
+
+class Process(NamedTuple):
+    """One instance with its orders."""
+
+    node: networks.Node
+    rights: fake_rights.FakeRights
+    orders: service.Orders
+    counters: counting.Counters
+
+
+class World:
+    """Two data centres, three instances each, and one engine."""
+
+    def __init__(self, *, checks_fencing: bool = False) -> None:
+        self.network = networks.Network(seed=5)
+        clock_node = self.network.start("clock", "clock")
+        self.timers = clock_node.timers
+        self.engine = Engine(world=self)
+        self.engine.checks_fencing = checks_fencing
+        self.views = fake_rights.FakeViews()
+        self.finished: list[tuple[sending.Order, sending.Outcome]] = []
+        self.processes: dict[str, list[Process]] = {}
+        self.document = {
+            "north": {
+                ENDPOINT: {
+                    "address": "127.0.0.1:1",
+                    "model": "base",
+                    "role": "mixed",
+                    "slots": 4,
+                    "batch_size": 8,
+                    "checks_fencing": checks_fencing,
+                    "state": "live",
+                }
+            }
+        }
+        for name in DATA_CENTRES:
+            self.processes[name] = [
+                self.start(name, number) for number in range(3)
+            ]
+            self.change_view(name)
+        self.timers.every(period_seconds=0.25, callback=self.report)
+        self.run_for(times.ORDER_SECONDS + 2.0)
+
+    def start(self, data_centre: str, number: int) -> Process:
+        node = self.network.start(data_centre, f"{data_centre}-{number}")
+        fake = self.views.join(node)
+        counters = counting.Counters()
+        orders = service.Orders(
+            peers=node.link,
+            rights=fake,
+            timers=node.timers,
+            counters=counters,
+            sender=self.engine,
+            finished=lambda *pair: self.finished.append(pair),
+        )
+        orders.update_endpoints(self.document)
+        return Process(node, fake, orders, counters)
+
+    def change_view(self, name: str, without: tuple[Process, ...] = ()):
+        able = [each for each in self.processes[name] if each not in without]
+        self.views.change(name, [each.node for each in able])
+
+    def report(self) -> None:
+        sampled = self.network.clock.now_seconds()
+        running, incarnation = (
+            dict(self.engine.running),
+            self.engine.incarnation,
+        )
+
+        def arrive() -> None:
+            for process in self.processes["north"]:
+                desk = process.orders.desk(ENDPOINT)
+                if desk is not None and not process.node.paused:
+                    desk.report(
+                        incarnation=incarnation,
+                        running=running,
+                        sampled_seconds=sampled,
+                    )
+
+        self.timers.once(delay_seconds=REPORT_LAG_SECONDS, callback=arrive)
+
+    def holder(self) -> Process:
+        holder = membership.holder(
+            self.views.latest["north"], times.right_of(ENDPOINT)
+        )
+        return next(
+            process
+            for process in self.processes["north"]
+            if process.node.self_id == holder
+        )
+
+    def desk(self):
+        desk = self.holder().orders.desk(ENDPOINT)
+        assert desk is not None
+        return desk
+
+    def use(self, process: Process) -> uses.Use:
+        for _ in range(50):
+            use = process.orders.uses.begin(TARGET)
+            if isinstance(use, uses.Use):
+                self.engine.running[NOTES] += 1
+                return use
+            self.run_for(0.1)
+        raise AssertionError(use.reason)
+
+    def finish(self, process: Process, use: uses.Use) -> None:
+        self.engine.running[NOTES] -= 1
+        process.orders.uses.finish(use)
+
+    def run_for(self, duration_seconds: float) -> None:
+        self.network.run_for(duration_seconds)
+
+    def evicted(self) -> bool:
+        return any(order.kind == "evict" for order in self.engine.received)
+
+
+@pytest.fixture
+def world() -> World:
+    made = World()
+    made.run_for(times.USE_LEASE_SECONDS + times.TRANSIT_SECONDS + 2.0)
+    return made
+
+
+def test_an_unused_adapter_is_evicted(world) -> None:
+    assert isinstance(world.desk().evict(NOTES), sending.Accepted)
+    world.run_for(1.0)
+    assert world.evicted()
+    assert NOTES not in world.desk().loaded
+    assert isinstance(world.finished[-1][1], sending.Done)
+
+
+def test_an_eviction_waits_for_a_use_in_another_data_centre(world) -> None:
+    # An instance far away streams an answer from the adapter while the holder
+    # wants its slot.
+    process = world.processes["south"][1]
+    use = world.use(process)
+    world.desk().evict(NOTES)
+    world.run_for(5.0)
+    assert not world.evicted()
+    assert isinstance(process.orders.uses.begin(TARGET), uses.NoLease)
+    world.finish(process, use)
+    world.run_for(1.0)
+    assert world.evicted() and not world.engine.wrong
+
+
+def test_a_cut_off_user_is_waited_for(world) -> None:
+    # The user is cut off, so it neither hears the question nor answers. Its
+    # lease ends by itself; its request goes on at the engine until it is done.
+    process = world.processes["south"][1]
+    use = world.use(process)
+    world.network.is_cut = lambda one, other: (
+        one.data_centre != other.data_centre
+    )
+    world.desk().evict(NOTES)
+    world.run_for(times.USE_LEASE_SECONDS + 10.0)
+    assert not world.evicted()
+    assert isinstance(process.orders.uses.begin(TARGET), uses.NoLease)
+    world.finish(process, use)
+    world.run_for(2.0)
+    assert world.evicted() and not world.engine.wrong
+
+
+def test_a_paused_user_may_not_send_when_it_wakes(world) -> None:
+    # A process stops right after it began a use, before the first byte. The
+    # eviction goes through meanwhile.
+    process = world.processes["south"][1]
+    use = world.use(process)
+    world.engine.running[NOTES] -= 1
+    world.network.pause(process.node)
+    world.desk().evict(NOTES)
+    world.run_for(30.0)
+    assert world.evicted()
+    assert world.network.clock.now_seconds() > use.send_by_seconds
+
+
+def test_without_reports_time_alone_ends_a_use(world) -> None:
+    world.use(world.processes["south"][1])
+    world.network.kill(world.processes["south"][1].node)
+    world.desk().evict(NOTES)
+    world.run_for(times.LONGEST_USE_SECONDS)
+    assert not world.evicted()
+    world.engine.running[NOTES] = 0
+    world.report = lambda: None
+    world.run_for(times.USE_LEASE_SECONDS + times.TRANSIT_SECONDS + 1.0)
+    assert world.evicted()
+
+
+def test_a_new_holder_waits_for_leases_it_did_not_give(world) -> None:
+    # The holder dies. Its successor knows nothing of the uses it allowed.
+    process = world.processes["south"][1]
+    use = world.use(process)
+    former = world.holder()
+    world.network.kill(former.node)
+    world.processes["north"].remove(former)
+    world.change_view("north")
+    world.run_for(times.ORDER_SECONDS + 2.0)
+    assert isinstance(world.desk().evict(NOTES), sending.Accepted)
+    world.run_for(times.USE_LEASE_SECONDS + 10.0)
+    assert not world.evicted()
+    world.finish(process, use)
+    world.run_for(2.0)
+    assert world.evicted() and not world.engine.wrong
+
+
+@pytest.mark.parametrize("checks_fencing", [False, True])
+def test_a_former_holder_that_wakes_sends_nothing(checks_fencing) -> None:
+    # The holder has every acknowledgement and connects to the engine; there
+    # it is stopped for a minute. Another holder takes over and allows use of
+    # the adapter. The first wakes with the order in its hands.
+    world = World(checks_fencing=checks_fencing)
+    world.run_for(times.USE_LEASE_SECONDS + times.TRANSIT_SECONDS + 2.0)
+    former = world.holder()
+    world.engine.hold_back = True
+    world.desk().evict(NOTES)
+    world.run_for(0.1)
+    assert len(world.engine.held_back) == 1
+    world.network.pause(former.node)
+    world.change_view("north", without=(former,))
+    world.engine.hold_back = False
+    world.run_for(60.0)
+    use = world.use(world.processes["south"][1])
+    world.network.resume(former.node)
+    world.engine.held_back.pop()()
+    world.views.learn(former.rights)
+    world.run_for(5.0)
+    assert not world.evicted() and not world.engine.wrong
+    world.finish(world.processes["south"][1], use)
+
+
+def test_a_new_holder_waits_for_orders_on_their_way(world) -> None:
+    # The last bytes of the former holder's eviction are still on the network
+    # when its right ends. A use that the new holder allowed at once would be
+    # hit by it.
+    former = world.holder()
+    world.change_view("north", without=(former,))
+    for _ in range(int(times.ORDER_SECONDS / 0.1)):
+        process = world.processes["south"][1]
+        assert isinstance(process.orders.uses.begin(TARGET), uses.NoLease)
+        assert isinstance(world.desk().load(DRAFTS), sending.Refused)
+        world.run_for(0.1)
+    assert world.use(process).target == TARGET
+
+
+def test_running_uses_survive_a_change_of_holder(world) -> None:
+    process = world.processes["south"][1]
+    for step in range(200):
+        use = process.orders.uses.begin(TARGET)
+        if step == 40:
+            world.change_view("north", without=(world.holder(),))
+        if step > 5:
+            assert isinstance(use, uses.Use), step
+        if isinstance(use, uses.Use):
+            process.orders.uses.finish(use)
+        world.run_for(0.1)
+
+
+def test_fencing_numbers_rise_over_holders() -> None:
+    world = World(checks_fencing=True)
+    world.run_for(times.USE_LEASE_SECONDS + times.TRANSIT_SECONDS + 2.0)
+    world.desk().evict(NOTES)
+    world.run_for(1.0)
+    world.change_view("north", without=(world.holder(),))
+    world.run_for(times.ORDER_SECONDS + 2.0)
+    world.desk().load(NOTES)
+    world.run_for(1.0)
+    world.desk().set_role("prefill")
+    world.run_for(1.0)
+    numbers = [order.fencing for order in world.engine.received]
+    assert len(numbers) == 3
+    assert numbers == sorted(set(numbers))
+
+
+def test_a_number_refused_as_old_is_learned() -> None:
+    # The engine has seen a number from an epoch that nobody remembers.
+    world = World(checks_fencing=True)
+    world.run_for(times.USE_LEASE_SECONDS + times.TRANSIT_SECONDS + 2.0)
+    world.engine.highest = 1 << 60
+    world.desk().evict(NOTES)
+    world.run_for(1.0)
+    assert world.evicted()
+    assert world.engine.highest > 1 << 60
+
+
+def test_a_restarted_engine_voids_what_was_known(world) -> None:
+    world.use(world.processes["south"][1])
+    world.desk().evict(NOTES)
+    world.run_for(0.2)
+    world.engine.incarnation = "second"
+    world.engine.running = {}
+    world.run_for(1.0)
+    assert world.desk().loaded == frozenset()
+    assert not world.evicted()
+    world.desk().load(NOTES)
+    world.run_for(1.0)
+    assert world.desk().loaded == {messages.Weights(*NOTES)}
+    world.run_for(3.0)
+    assert not world.evicted()
+
+
+def test_an_unknown_outcome_is_settled_by_a_later_report(world) -> None:
+    world.engine.refuse = sending.NoAnswer(reason="timeout")
+    world.desk().evict(NOTES)
+    world.run_for(1.0)
+    assert messages.Weights(*NOTES) not in world.desk().loaded
+    world.run_for(times.ORDER_SECONDS + 1.0)
+    assert messages.Weights(*NOTES) in world.desk().loaded
+
+
+def test_a_failed_load_is_not_taken_for_loaded(world) -> None:
+    other = work.AdapterVersion("base", "pages", "1")
+    world.engine.refuse = sending.Failed(reason="no_such_weights")
+    world.desk().load(other)
+    world.run_for(2.0)
+    assert messages.Weights(*other) not in world.desk().loaded
+    assert isinstance(world.finished[-1][1], sending.Failed)
