Test each guard of the orders on its own

Ruled out: nothing. Change: tests of leases that cross a stop, restarted engines, orders that hang, waiting and cancelled evictions, late acknowledgements, a gap between views and a number refused as old after the right was lost. Conclusion: the guards are covered.

--- /dev/null
+++ b/tests/coordination/orders/test_parts.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+from boragefold.coordination.orders import dispatcher as dispatching
+from boragefold.coordination.orders import fencing as fences
+from boragefold.coordination.orders import sender as sending
+from boragefold.coordination.orders import slots as slotting
+from boragefold.coordination.orders import uses
+import boragefold.coordination.rights as membership
+from boragefold.policy import work
+from boragefold.protocol import ids
+from boragefold.protocol import order_messages as messages
+from boragefold.telemetry import counters as counting
+from boragefold.timing import clock as clocks
+from boragefold.timing import timers
+
+HOLDER = ids.InstanceId("north", "127.0.0.1:1", "a")
+NOTES = messages.Weights("base", "notes", "3")
+TARGET = messages.Target("engine-1", NOTES)
+ORDER = sending.Order(
+    endpoint="engine-1", kind="evict", adapter=work.AdapterVersion(*NOTES)
+)
+
+
+def test_a_lease_from_before_a_stop_is_void() -> None:
+    # The holder gives a lease and then asks to stop; the network delivers
+    # the question first. The holder goes on with the eviction.
+    sent: list[Any] = []
+    leases = uses.UseLeases(
+        timers=timers.TimerService(clock=clocks.VirtualClock()),
+        counters=counting.Counters(),
+        holder_of=lambda endpoint: HOLDER,
+        send=lambda to, body: sent.append(body),
+    )
+    leases.begin(TARGET)
+    number = sent[-1].number
+    leases.stop_asked(HOLDER, messages.UseStopAsked(TARGET, 7))
+    assert sent[-1] == messages.UseStopped(TARGET, 7)
+    leases.given(HOLDER, messages.UseGiven(number, 8.0, (TARGET,), ()))
+    assert isinstance(leases.begin(TARGET), uses.NoLease)
+    number = sent[-1].number
+    leases.given(HOLDER, messages.UseGiven(number, 8.0, (TARGET,), ()))
+    assert isinstance(leases.begin(TARGET), uses.Use)
+
+
+def test_a_restarted_engine_is_believed_at_once() -> None:
+    # An order's outcome was unknown, so reports of the engine were not
+    # trusted for a while; the engine that did not answer is gone.
+    slots = slotting.Slots(not_before_seconds=0.0)
+    nothing: frozenset[messages.Weights] = frozenset()
+    slots.report(incarnation="1", loaded=nothing, sampled_seconds=1.0)
+    slots.changed(NOTES, loaded=False, now_seconds=100.0)
+    loaded = frozenset({NOTES})
+    slots.report(incarnation="1", loaded=loaded, sampled_seconds=2.0)
+    assert slots.loaded == nothing
+    slots.report(incarnation="2", loaded=loaded, sampled_seconds=3.0)
+    assert slots.loaded == loaded
+
+
+def test_a_late_report_of_a_former_engine_is_ignored() -> None:
+    slots = slotting.Slots(not_before_seconds=0.0)
+    loaded = frozenset({NOTES})
+    slots.report(incarnation="2", loaded=frozenset(), sampled_seconds=3.0)
+    assert not slots.report(
+        incarnation="1", loaded=loaded, sampled_seconds=2.0
+    )
+    assert slots.loaded == frozenset()
+
+
+class Recorder(sending.OrderSender):
+    """Keeps what it is given."""
+
+    def __init__(self) -> None:
+        self.orders: list[sending.Order] = []
+        self.finished: list[Any] = []
+
+    def send(self, order, *, still_ours, finished) -> None:
+        self.orders.append(order)
+        self.finished.append(finished)
+
+
+def dispatch(ready: list[bool]) -> tuple[dispatching.Dispatcher, Recorder]:
+    recorder = Recorder()
+    view = membership.View("north", 2, 3, (HOLDER,))
+    dispatcher = dispatching.Dispatcher(
+        fencing=fences.Fencing(view=view),
+        ready=lambda: ready[0],
+        sender=recorder,
+        started=lambda order: None,
+        ended=lambda order, outcome: None,
+        counters=counting.Counters(),
+    )
+    return dispatcher, recorder
+
+
+def test_a_former_holder_does_not_go_above_its_successor() -> None:
+    # The engine refuses an order because the successor has given one. If the
+    # former holder learned that number it would shut the successor out.
+    ready = [True]
+    dispatcher, recorder = dispatch(ready)
+    dispatcher.put(ORDER)
+    ready[0] = False
+    recorder.finished[0](sending.Outdated(highest=1 << 50))
+    assert len(recorder.orders) == 1
+
+
+def test_the_holder_goes_above_a_number_refused_as_old() -> None:
+    dispatcher, recorder = dispatch([True])
+    dispatcher.put(ORDER)
+    recorder.finished[0](sending.Outdated(highest=1 << 50))
+    assert recorder.orders[1].fencing == (1 << 50) + 1
+
+
+def test_numbers_rise_with_views_and_epochs() -> None:
+    order = [(1, 1), (1, 2), (1, 900), (2, 1), (3, 5)]
+    numbers = [
+        fences.Fencing(
+            view=membership.View("north", epoch, number, (HOLDER,))
+        ).take()
+        for epoch, number in order
+    ]
+    assert all(a < b for a, b in itertools.pairwise(numbers))
--- a/tests/coordination/orders/test_service.py
+++ b/tests/coordination/orders/test_service.py
@@ -386,3 +386,72 @@
     world.run_for(2.0)
     assert messages.Weights(*other) not in world.desk().loaded
     assert isinstance(world.finished[-1][1], sending.Failed)
+
+
+def test_an_eviction_is_void_after_a_restart(world) -> None:
+    # An eviction waits for a use. The engine restarts and is given the same
+    # adapter again by its own configuration.
+    world.use(world.processes["south"][1])
+    world.desk().evict(NOTES)
+    world.run_for(0.2)
+    world.engine.incarnation = "second"
+    world.engine.running = {NOTES: 0}
+    world.run_for(30.0)
+    assert not world.evicted()
+    assert world.use(world.processes["south"][2])
+
+
+def test_no_use_while_an_order_is_under_way(world) -> None:
+    # The order to evict hangs on its way; reports go on showing the adapter.
+    world.engine.hold_back = True
+    world.desk().evict(NOTES)
+    for _ in range(30):
+        process = world.processes["south"][2]
+        assert isinstance(process.orders.uses.begin(TARGET), uses.NoLease)
+        world.run_for(0.1)
+    world.engine.held_back.pop()()
+    assert world.evicted() and not world.engine.wrong
+
+
+def test_no_new_use_while_an_eviction_waits(world) -> None:
+    first, second = world.processes["south"][:2]
+    use = world.use(first)
+    world.desk().evict(NOTES)
+    for _ in range(30):
+        assert isinstance(second.orders.uses.begin(TARGET), uses.NoLease)
+        world.run_for(0.1)
+    assert world.desk().cancel_eviction(NOTES)
+    assert world.use(second)
+    world.finish(first, use)
+    world.run_for(2.0)
+    assert not world.evicted()
+
+
+def test_the_answer_to_an_earlier_eviction_is_ignored(world) -> None:
+    # A delayed acknowledgement arrives when the sender has a new use.
+    process = world.processes["south"][1]
+    world.use(process)
+    world.desk().evict(NOTES)
+    process.node.link.send(
+        to=world.holder().node.self_id,
+        body=messages.UseStopped(TARGET, 10_000),
+    )
+    world.run_for(3.0)
+    assert not world.evicted()
+
+
+def test_a_holder_again_after_a_gap_knows_nothing(world) -> None:
+    # A holder is paused; another one gives leases; the right falls back. What
+    # the first remembers of leases and slots is out of date.
+    former = world.holder()
+    assert world.desk().loaded
+    world.network.pause(former.node)
+    world.change_view("north", without=(former,))
+    world.run_for(5.0)
+    world.change_view("north")
+    world.network.resume(former.node)
+    world.views.learn(former.rights)
+    assert world.holder() is former
+    assert not world.desk().loaded
+    world.run_for(5.0)
+    assert world.desk().loaded
