--- /dev/null
+++ b/tests/coordination/orders/test_faults.py
@@ -0,0 +1,181 @@
+"""Random walks; no eviction may meet a use, and no use a gap."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from boragefold.coordination.orders import sender as sending
+from boragefold.coordination.orders import times
+from boragefold.coordination.orders import uses
+from tests.coordination.orders import test_service as worlds
+
+STEPS = 8000
+
+
+class SlowEngine(worlds.Engine):
+    """Orders and requests take their time on the network."""
+
+    def send(self, order, *, still_ours, finished) -> None:
+        draw = self.world.network.random
+        written = draw.uniform(0.0, 0.5)
+        arrives = draw.uniform(0.0, times.ORDER_SECONDS - 0.6)
+
+        def write() -> None:
+            if not still_ours():
+                finished(sending.NoAnswer(reason="not_written"))
+                return
+            self.world.timers.once(delay_seconds=arrives, callback=arrive)
+
+        def arrive() -> None:
+            outcome = self.carry_out(order)
+            if draw.random() < 0.1:
+                outcome = sending.NoAnswer(reason="connection_lost")
+            finished(outcome)
+
+        self.world.timers.once(delay_seconds=written, callback=write)
+
+
+class Walk:
+    """Draws one event after another from a seed."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.world = worlds.World(checks_fencing=seed % 2 == 0)
+        self.world.network.random = random.Random(seed)
+        self.world.network.loss = 0.02
+        self.world.network.doubling = 0.03
+        engine = SlowEngine(world=self.world)
+        engine.__dict__.update(self.world.engine.__dict__)
+        self.world.engine.__class__ = SlowEngine
+        self.begun = 0
+        self.missed = 0
+        self.started = 10
+        self.events = (
+            [self.use] * 60
+            + [self.wait] * 60
+            + [self.evict, self.load] * 4
+            + [self.pause, self.resume, self.resume, self.change_view]
+            + [self.kill, self.cut, self.heal]
+        )
+
+    def processes(self, *, paused: bool = False) -> list[worlds.Process]:
+        return [
+            process
+            for processes in self.world.processes.values()
+            for process in processes
+            if process.node.paused == paused
+        ]
+
+    def use(self) -> None:
+        process = self.random.choice(self.processes())
+        use = process.orders.uses.begin(worlds.TARGET)
+        if isinstance(use, uses.NoLease):
+            return
+        transit = self.random.uniform(0.0, 0.5)
+        self.world.timers.once(
+            delay_seconds=transit, callback=lambda: self.arrive(process, use)
+        )
+
+    def arrive(self, process: worlds.Process, use: uses.Use) -> None:
+        engine = self.world.engine
+        self.begun += 1
+        if worlds.NOTES not in engine.running:
+            self.missed += 1
+            return
+        engine.running[worlds.NOTES] += 1
+        duration = self.random.choice((0.05, 1.0, 12.0))
+        self.world.timers.once(
+            delay_seconds=duration, callback=lambda: self.end(process, use)
+        )
+
+    def end(self, process: worlds.Process, use: uses.Use) -> None:
+        running = self.world.engine.running
+        if running.get(worlds.NOTES):
+            running[worlds.NOTES] -= 1
+        if process.node.paused:
+            self.world.timers.once(
+                delay_seconds=1.0, callback=lambda: self.tell(process, use)
+            )
+        else:
+            self.tell(process, use)
+
+    def tell(self, process: worlds.Process, use: uses.Use) -> None:
+        if process.node.paused:
+            self.world.timers.once(
+                delay_seconds=1.0, callback=lambda: self.tell(process, use)
+            )
+        elif not process.node.dead:
+            process.orders.uses.finish(use)
+
+    def wait(self) -> None:
+        self.world.run_for(self.random.choice((0.01, 0.1, 0.5)))
+
+    def evict(self) -> None:
+        for process in self.processes():
+            desk = process.orders.desk(worlds.ENDPOINT)
+            if desk is not None:
+                desk.evict(worlds.NOTES)
+
+    def load(self) -> None:
+        for process in self.processes():
+            desk = process.orders.desk(worlds.ENDPOINT)
+            if desk is not None:
+                desk.load(worlds.NOTES)
+
+    def pause(self) -> None:
+        if len(self.processes()) > 3:
+            self.world.network.pause(self.random.choice(self.processes()).node)
+
+    def resume(self) -> None:
+        paused = self.processes(paused=True)
+        if paused:
+            process = self.random.choice(paused)
+            self.world.network.resume(
+                process.node, timers_first=self.random.random() < 0.5
+            )
+            self.world.views.learn(process.rights)
+
+    def change_view(self) -> None:
+        paused = tuple(self.processes(paused=True))
+        without = paused if self.random.random() < 0.5 else ()
+        if set(self.world.processes["north"]) - set(without):
+            self.world.views.end("north")
+            self.wait()
+            self.world.change_view("north", without=without)
+
+    def kill(self) -> None:
+        process = self.random.choice(self.processes())
+        name = process.node.self_id.data_centre
+        self.world.network.kill(process.node)
+        self.world.processes[name].remove(process)
+        self.started += 1
+        self.world.processes[name].append(self.world.start(name, self.started))
+        self.wait()
+        self.world.change_view(name)
+
+    def cut(self) -> None:
+        self.world.network.is_cut = lambda one, other: (
+            one.data_centre != other.data_centre
+        )
+
+    def heal(self) -> None:
+        self.world.network.is_cut = lambda one, other: False
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_eviction_meets_a_use(seed: int) -> None:
+    # Holders die, pause and change, messages and orders are late, lost and
+    # doubled, users are cut off. A caller would see its answer break off when
+    # its adapter is evicted under it.
+    walk = Walk(seed=seed)
+    for _ in range(STEPS):
+        walk.random.choice(walk.events)()
+    assert walk.world.engine.wrong == []
+    assert walk.missed == 0
+    assert walk.begun > 100
+    evictions = [
+        order for order in walk.world.engine.received if order.kind == "evict"
+    ]
+    assert len(evictions) >= 3
