Keep the place of live grants when a rate changes

Cause: a change of rate or burst forgot the grants that may still be charged, so the refill came on top of them for up to two seconds. Ruled out: nothing. Change: open entries stay in the account until their end; only what they leave over is lost. Reports carried by requests nobody answers are bounded.

--- a/src/boragefold/coordination/rates/ledger.py
+++ b/src/boragefold/coordination/rates/ledger.py
@@ -94,9 +94,8 @@
         self.advance(now_seconds)
         self.recount()
         # The past is not replayed over a change; what open requests leave
-        # over is lost.
-        for key in list(self._open):
-            self._finish(key, now_seconds)
+        # over is lost. What may still be charged keeps its place, though.
+        self._open.clear()
         self._fold(now_seconds)
         self._limit = limit
         self._past.fit(limit)
--- a/src/boragefold/coordination/rates/outbox.py
+++ b/src/boragefold/coordination/rates/outbox.py
@@ -10,6 +10,9 @@
 # Reports in one message; more wait for the next one.
 MOST_USAGES = 40
 
+# Requests that may still be answered; the reports of older ones are repeated.
+MOST_CARRIERS = 20
+
 
 class Outbox:
     """The reports of one purse that nobody has acknowledged yet."""
@@ -53,6 +56,8 @@
         if usages:
             self._since_seconds = now_seconds
             self._carried[carrier] = usages
+            if len(self._carried) > MOST_CARRIERS:
+                del self._carried[next(iter(self._carried))]
         return usages
 
     def due(
--- a/tests/coordination/rates/test_ledger.py
+++ b/tests/coordination/rates/test_ledger.py
@@ -128,3 +128,16 @@
         lowest = min(lowest, total - 100.0 * at)
         total += tokens
         assert total - 100.0 * at - lowest <= 300.0 + TINY
+
+
+def test_a_changed_rate_leaves_live_grants_their_place() -> None:
+    # The operators change a rate while tokens are out that may still be
+    # charged. Were their place given up, the refill would come on top.
+    ledger = full()
+    give(ledger, 0, 250.0, 10.0)
+    ledger.change(limits.Limit(110.0, 300.0), now_seconds=10.5)
+    ledger.advance(11.9)
+    assert ledger.occupied_tokens == 250.0
+    assert ledger.level_tokens <= 50.0 + TINY
+    ledger.advance(12.5)
+    assert ledger.occupied_tokens == 0.0
