--- /dev/null
+++ b/tests/coordination/test_views_faults.py
@@ -0,0 +1,352 @@
+from __future__ import annotations
+
+import pytest
+
+from boragefold.coordination import rights
+from boragefold.protocol import ids
+from tests.fakes import fleet as fleets
+from tests.fakes import network as networks
+
+LONG_SECONDS = 12.0
+
+
+def settled_fleet(
+    count: int, *, seed: int = 1, loss: float = 0.0
+) -> tuple[networks.Network, fleets.Fleet, list[fleets.Instance]]:
+    network = networks.Network(seed=seed, loss=loss)
+    fleet = fleets.Fleet(network=network)
+    instances = fleet.start_all("a", count)
+    fleet.seconds_until_agreed("a", 20.0)
+    network.run_for(LONG_SECONDS)
+    return network, fleet, instances
+
+
+def steward_of(fleet: fleets.Fleet) -> fleets.Instance:
+    (found,) = [
+        instance
+        for instance in fleet.instances.values()
+        if instance.views.is_steward
+    ]
+    return found
+
+
+def cut_between(
+    network: networks.Network, *groups: set[fleets.Instance]
+) -> None:
+    side = {
+        instance.self_id.address: number
+        for number, group in enumerate(groups)
+        for instance in group
+    }
+
+    def is_cut(one: ids.InstanceId, other: ids.InstanceId) -> bool:
+        return side.get(one.address, 0) != side.get(other.address, 0)
+
+    network.is_cut = is_cut
+
+
+def hear_nothing(network: networks.Network) -> None:
+    network.is_cut = lambda one, other: False
+
+
+@pytest.mark.parametrize("count", [2, 3, 7])
+def test_a_killed_steward_is_replaced(count: int) -> None:
+    # The instance that maintains the view is killed with -9. Its workspaces
+    # get no new tokens until the others have agreed on a view without it.
+    # It sent nothing before it died, so only its promises' ends show it.
+    _, fleet, _ = settled_fleet(count)
+    fleet.kill(steward_of(fleet))
+    assert fleet.seconds_until_agreed("a", 5.0) < 5.0
+
+
+@pytest.mark.parametrize("count", [2, 3, 7])
+def test_a_killed_member_is_removed(count: int) -> None:
+    # An ordinary member is killed with -9. Nobody may use its rights until
+    # its lease has ended; then they move at once, by one change.
+    _, fleet, _ = settled_fleet(count)
+    steward = steward_of(fleet)
+    member = next(
+        one for one in fleet.instances.values() if one is not steward
+    )
+    fleet.kill(member)
+    assert fleet.seconds_until_agreed("a", 5.0) < 3.0
+
+
+@pytest.mark.parametrize("count", [2, 3, 7])
+@pytest.mark.parametrize("is_steward", [True, False])
+def test_a_planned_leave_is_fast(count: int, is_steward: bool) -> None:
+    # An instance is stopped for a new release. It hands over before it goes,
+    # so nobody has to wait for a lease: callers see no gap to speak of.
+    network, fleet, _ = settled_fleet(count)
+    leaver = next(
+        one
+        for one in fleet.instances.values()
+        if one.views.is_steward == is_steward
+    )
+    gap_seconds = 0.0
+    leaver.views.leave()
+    start_seconds = network.clock.now_seconds()
+    while not leaver.views.has_left:
+        network.run_for(0.005)
+        assert network.clock.now_seconds() - start_seconds < 1.0
+    fleet.kill(leaver)
+    gap_seconds = fleet.seconds_until_agreed("a", 1.0)
+    assert network.clock.now_seconds() - start_seconds < 1.0
+    assert gap_seconds < 0.5
+
+
+def test_a_paused_holder_finds_its_lease_ended() -> None:
+    # The machine suspends an instance for a minute. The others share its
+    # rights. It wakes up in the middle of a handler, before any timer or
+    # message has told it anything, and is about to act.
+    network, fleet, instances = settled_fleet(3)
+    sleeper = instances[0]
+    network.pause(sleeper.node)
+    network.run_for(60.0)
+    assert len(fleet.valid("a")) == 2
+    assert sleeper.views.valid_view() is None
+    assert not sleeper.views.holds("rate/quadro/drafts")
+    assert sleeper.views.valid_for_seconds() == 0.0
+
+
+def test_a_handler_that_sleeps_loses_its_lease() -> None:
+    # A handler reads the view, then the process is stopped for three seconds
+    # and goes on in the same handler. No timer has run in between.
+    network, _, instances = settled_fleet(2)
+    views = instances[1].views
+    assert views.valid_view() is not None
+    network.clock.move_to(network.clock.now_seconds() + 3.0)
+    assert views.valid_view() is None
+
+
+@pytest.mark.parametrize("timers_first", [True, False])
+@pytest.mark.parametrize("pause_seconds", [1.0, 2.5, 4.0, 30.0])
+def test_a_paused_steward_wakes_up(
+    timers_first: bool, pause_seconds: float
+) -> None:
+    # The steward is paused, the others go on with a new one, and then it
+    # wakes: either its overdue timers run first, or the messages that came
+    # meanwhile, among them heartbeats that would renew what it gave.
+    network, fleet, _ = settled_fleet(5)
+    steward = steward_of(fleet)
+    network.pause(steward.node)
+    network.run_for(pause_seconds)
+    network.resume(steward.node, timers_first=timers_first)
+    fleet.check()
+    fleet.seconds_until_agreed("a", 5.0)
+
+
+def test_a_minority_with_the_steward_stops() -> None:
+    # A cut inside the data centre leaves the steward and one member on one
+    # side, three members on the other. The member hears its steward all the
+    # time; a lease that outlasts the steward's promises would double the
+    # rights that the three take over.
+    network, fleet, instances = settled_fleet(5)
+    steward = steward_of(fleet)
+    fellow = next(one for one in instances if one is not steward)
+    minority = {steward, fellow}
+    cut_between(network, minority, set(instances) - minority)
+    network.run_for(8.0)
+    valid = {instance for instance, _ in fleet.valid("a")}
+    assert valid == set(instances) - minority
+    hear_nothing(network)
+    fleet.seconds_until_agreed("a", 5.0)
+
+
+@pytest.mark.parametrize("kept", [0, 1])
+def test_an_isolated_instance_of_a_pair_stops(kept: int) -> None:
+    # The switch of one of two instances fails. It lives on, but neither its
+    # partner nor the platform sees it, and the list drops it. Its partner
+    # goes on; it must not, though it can't tell that from a platform that is
+    # down and a partner that is dead.
+    network, fleet, instances = settled_fleet(2)
+    isolated = instances[1 - kept]
+    cut_between(network, {instances[kept]}, {isolated})
+    isolated.platform_up = False
+    network.run_for(3.0)
+    fleet.set_listed(isolated.self_id.address, "a", False)
+    network.run_for(8.0)
+    (valid,) = fleet.valid("a")
+    assert valid[0] is instances[kept]
+    hear_nothing(network)
+    fleet.set_listed(isolated.self_id.address, "a", True)
+    isolated.platform_up = True
+    fleet.seconds_until_agreed("a", 8.0)
+
+
+def test_a_pair_that_is_cut_keeps_one_side() -> None:
+    # The link between two instances fails; the platform sees both, so no
+    # list will ever help. The longer-standing one goes on, by its extra half
+    # vote; without it both would stand still.
+    network, fleet, instances = settled_fleet(2)
+    cut_between(network, {instances[0]}, {instances[1]})
+    network.run_for(10.0)
+    ((instance, view),) = fleet.valid("a")
+    assert view.members == (instance.self_id,)
+    hear_nothing(network)
+    fleet.seconds_until_agreed("a", 5.0)
+
+
+def test_a_pair_without_the_platform_stops_when_one_dies() -> None:
+    # The platform is down, then one of two instances is killed. The survivor
+    # can't know whether it is the isolated one, so it stops until the list
+    # is back. While both live, they need no platform.
+    network, fleet, instances = settled_fleet(2)
+    fleet.platform_up = False
+    network.run_for(60.0)
+    assert len(fleet.valid("a")) == 2
+    fleet.kill(instances[1])
+    network.run_for(10.0)
+    assert not fleet.valid("a")
+    fleet.platform_up = True
+    assert fleet.seconds_until_agreed("a", 8.0) < 5.0
+
+
+def test_a_majority_needs_no_platform() -> None:
+    # The platform is down for long while instances die one by one. Three
+    # need no list: a majority removes the dead one and goes on.
+    network, fleet, instances = settled_fleet(3)
+    fleet.platform_up = False
+    network.run_for(60.0)
+    fleet.kill(instances[0])
+    fleet.seconds_until_agreed("a", 5.0)
+
+
+def test_a_restart_remembers_nothing() -> None:
+    # A process is killed and started again at the same address in no time.
+    # The list never changes. The new process must not be taken for the old
+    # one, or it would hold rights that nobody granted it.
+    _, fleet, instances = settled_fleet(3)
+    address = instances[1].self_id.address
+    fleet.kill(instances[1], listed=True)
+    reborn = fleet.start("a", address)
+    assert reborn.views.valid_view() is None
+    fleet.seconds_until_agreed("a", 6.0)
+
+
+def test_a_mass_restart_founds_a_new_epoch() -> None:
+    # Every instance is killed and restarted within a second. Nobody knows
+    # the last view; the new one must be later than it all the same, and must
+    # not begin before the leases of the old one have ended.
+    network, fleet, _ = settled_fleet(5)
+    before = fleet.agreed("a")
+    assert before is not None
+    for instance in list(fleet.instances.values()):
+        fleet.kill(instance, listed=True)
+        fleet.start("a", instance.self_id.address)
+        network.run_for(0.1)
+    assert fleet.seconds_until_agreed("a", 10.0) > 2.0
+    after = fleet.agreed("a")
+    assert after is not None and after.epoch > before.epoch
+
+
+def test_lists_that_differ_found_one_view() -> None:
+    # A data centre starts up. One reader's copy of the list lags by three
+    # seconds more than the other's, so for a while each sees different
+    # instances, and the first sees itself alone.
+    network = networks.Network(seed=4)
+    fleet = fleets.Fleet(network=network)
+    fleet.start("a", "a-0:7000", 3.5)
+    network.run_for(0.5)
+    fleet.start("a", "a-1:7000", 0.5)
+    fleet.start("a", "a-2:7000", 1.5)
+    fleet.seconds_until_agreed("a", 15.0)
+
+
+def test_a_one_way_cut_is_healed() -> None:
+    # One member hears nobody, but everybody hears it. Its heartbeats arrive,
+    # so it isn't silent; but no answer reaches it and its lease ends.
+    network, fleet, instances = settled_fleet(3)
+    deaf = instances[2].self_id.address
+    network.is_cut = lambda one, other: other.address == deaf
+    network.run_for(5.0)
+    assert instances[2].views.valid_view() is None
+    hear_nothing(network)
+    fleet.seconds_until_agreed("a", 5.0)
+
+
+def test_loss_doubling_and_delay_keep_one_view() -> None:
+    # A bad switch loses a tenth of all messages, doubles a tenth and holds
+    # some back for a quarter of a second, for minutes.
+    network = networks.Network(
+        seed=5, loss=0.1, doubling=0.1, delay_seconds=(0.001, 0.25)
+    )
+    fleet = fleets.Fleet(network=network)
+    fleet.start_all("a", 5)
+    fleet.seconds_until_agreed("a", 30.0)
+    network.run_for(120.0)
+    assert fleet.valid("a")
+
+
+def test_a_suspect_is_reported_before_it_is_removed() -> None:
+    # The connection to a member goes silent for good while a new one would
+    # work. The transport learns of it in time to replace the connection, and
+    # the member stays.
+    network, fleet, instances = settled_fleet(3)
+    silent = next(one for one in instances if not one.views.is_steward)
+    steward = steward_of(fleet)
+    before = fleet.agreed("a")
+    cut_between(network, {silent}, set(instances) - {silent})
+    network.run_for(1.6)
+    assert steward.suspects == [silent.self_id]
+    assert silent.suspects == [steward.self_id]
+    hear_nothing(network)
+    network.run_for(2.0)
+    assert fleet.agreed("a") == before
+
+
+def test_a_late_renewal_does_not_bring_a_lease_back() -> None:
+    # A renewal is on its way for as long as a lease lasts. Counted from its
+    # arrival, the lease would outlast what the steward has written down.
+    network, fleet, instances = settled_fleet(3)
+    member = next(one for one in instances if not one.views.is_steward)
+    network.delay_seconds = (1.5, 1.6)
+    network.run_for(10.0)
+    assert member.views.valid_for_seconds() < 0.6
+
+
+def test_many_join_in_few_changes() -> None:
+    # A data centre of three grows by twenty at once. One change per
+    # newcomer would stop everyone's rights twenty times.
+    network, fleet, _ = settled_fleet(3)
+    before = fleet.agreed("a")
+    for index in range(20):
+        fleet.start("a", f"a-new-{index:02d}:7000")
+    fleet.seconds_until_agreed("a", 10.0)
+    after = fleet.agreed("a")
+    assert before is not None and after is not None
+    assert after.number - before.number <= 5
+
+
+def test_subscribers_hear_of_the_end() -> None:
+    # A part that works on a right has to stop when the lease ends, also when
+    # nobody asks.
+    network, fleet, instances = settled_fleet(3)
+    heard: list[rights.View | None] = []
+    instances[2].views.subscribe(heard.append)
+    cut_between(network, {instances[2]}, set(instances[:2]))
+    network.run_for(5.0)
+    hear_nothing(network)
+    network.run_for(5.0)
+    assert heard[0] is None
+    assert heard[-1] == fleet.agreed("a")
+
+
+def test_other_data_centres_learn_of_a_restart() -> None:
+    # An instance in one data centre is replaced. The others send it messages
+    # by its incarnation, so they have to hear of the new one, without
+    # talking to every instance of the fleet.
+    network = networks.Network(seed=6)
+    fleet = fleets.Fleet(network=network)
+    for data_centre in "abc":
+        fleet.start_all(data_centre, 3)
+    network.run_for(LONG_SECONDS)
+    old = next(iter(fleet.instances.values()))
+    fleet.kill(old, listed=True)
+    new = fleet.start("a", old.self_id.address)
+    network.run_for(30.0)
+    for instance in fleet.instances.values():
+        directory = instance.views.directory()
+        assert set(directory) == {"a", "b", "c"}
+        assert new.self_id in directory["a"].members
+        assert old.self_id not in directory["a"].members
--- a/tests/fakes/walk.py
+++ b/tests/fakes/walk.py
@@ -12,6 +12,17 @@
 DROPPED_AFTER_SECONDS = 5.0
 STEP_SECONDS = (0.02, 0.9)
 HEALED_SECONDS = 40.0
+CALM_SECONDS = 8.0
+
+# How often each fault is drawn, in the order of Walk.step: everything at
+# once; a fixed set of instances on a bad network; pauses and isolation of
+# few; a set that changes a lot.
+PROFILES = (
+    (2, 2, 4, 3, 6, 3, 5, 1, 1, 2, 1, 1, 6, 40),
+    (0, 0, 4, 3, 6, 6, 3, 0, 0, 0, 3, 9, 6, 30),
+    (0, 0, 4, 5, 6, 2, 5, 0, 1, 4, 1, 1, 5, 30),
+    (1, 4, 6, 2, 6, 2, 6, 4, 0, 0, 1, 2, 5, 30),
+)
 
 
 class Walk:
@@ -26,9 +37,17 @@
             loss=self.random.choice([0.0, 0.02, 0.2]),
             doubling=self.random.choice([0.0, 0.1]),
             delay_seconds=self.random.choice(
-                [(0.0005, 0.002), (0.001, 0.3), (0.001, 3.0)]
+                [
+                    (0.0005, 0.002),
+                    (0.0005, 0.002),
+                    (0.001, 0.1),
+                    (0.001, 0.4),
+                    (0.001, 2.0),
+                ]
             ),
         )
+        self.weights = PROFILES[seed % len(PROFILES)]
+        self.cut_links: set[frozenset[str]] = set()
         self.fleet = fleets.Fleet(network=self.network)
         self.lag_spread_seconds = lag_spread_seconds
         self.count = count
@@ -43,24 +62,23 @@
             self._start(f"a-{index}")
 
     def step(self) -> None:
-        fault = self.random.choices(
-            [
-                self._kill,
-                self._restart,
-                self._start_one,
-                self._pause,
-                self._resume,
-                self._cut,
-                self._heal,
-                self._leave,
-                self._platform,
-                self._isolate,
-                self._cut_one_way,
-                lambda: None,
-            ],
-            [2, 2, 8, 3, 9, 3, 9, 1, 1, 2, 1, 60],
-        )[0]
-        fault()
+        faults = [
+            self._kill,
+            self._restart,
+            self._start_one,
+            self._pause,
+            self._resume,
+            self._cut,
+            self._heal,
+            self._leave,
+            self._platform,
+            self._isolate,
+            self._cut_one_way,
+            self._cut_link,
+            self._calm,
+            lambda: None,
+        ]
+        self.random.choices(faults, self.weights)[0]()
         self._drop_paused()
         self.network.run_for(self.random.uniform(*STEP_SECONDS))
         self.covered_steps += bool(self.fleet.valid("a"))
@@ -70,13 +88,9 @@
 
         :return: how long it took until all had one view
         """
-        self._heal()
-        self.fleet.platform_up = True
+        self._undo()
         self.network.loss = 0.0
         self.network.delay_seconds = (0.0005, 0.002)
-        for instance in list(self.fleet.instances.values()):
-            if instance.node.paused:
-                self._wake(instance)
         start_seconds = self.network.clock.now_seconds()
         while True:
             self._kill_the_left()
@@ -96,6 +110,8 @@
             return True
         if self.deaf == other.address:
             return True
+        if frozenset((one.address, other.address)) in self.cut_links:
+            return True
         return self.sides.get(one.address, 0) != self.sides.get(
             other.address, 0
         )
@@ -168,6 +184,7 @@
 
     def _heal(self) -> None:
         self.sides = {}
+        self.cut_links = set()
         self.deaf = ""
         instance = self.fleet.instances.get(self.isolated)
         if instance is not None:
@@ -191,6 +208,28 @@
                 self.network.clock.now_seconds()
             )
 
+    def _calm(self) -> None:
+        # Back to a view with everyone, so that the next faults meet one.
+        self._undo()
+        while len(self.fleet.instances) < self.count:
+            self._start_one()
+        self.network.run_for(CALM_SECONDS)
+
+    def _undo(self) -> None:
+        self._heal()
+        self.fleet.platform_up = True
+        for instance in list(self.fleet.instances.values()):
+            if instance.node.paused:
+                self._wake(instance)
+            elif instance.views.has_left:
+                self.fleet.kill(instance)
+
+    def _cut_link(self) -> None:
+        addresses = sorted(self.fleet.instances)
+        if len(addresses) > 1:
+            pair = self.random.sample(addresses, 2)
+            self.cut_links.add(frozenset(pair))
+
     def _cut_one_way(self) -> None:
         instance = self._pick()
         if instance is not None:
