--- /dev/null
+++ b/tests/coordination/test_view_state.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+from boragefold.coordination import listing as listings
+from boragefold.coordination import rights
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.timing import clock as clocks
+from boragefold.timing import timers
+
+A, B, C = (ids.InstanceId("a", f"a-{name}", name) for name in "xyz")
+
+
+def view(epoch: int, number: int) -> rights.View:
+    return rights.View("a", epoch, number, (A, B, C))
+
+
+def new_state() -> tuple[view_state.ViewState, clocks.VirtualClock]:
+    clock = clocks.VirtualClock(start_seconds=100.0)
+    state = view_state.ViewState(
+        self_id=A,
+        timer_service=timers.TimerService(clock=clock),
+        listing=listings.Listing(self_id=A),
+    )
+    state.install(view(1, 2), messages.Ballot(3, "x"))
+    return state, clock
+
+
+def test_a_lower_ballot_is_not_followed() -> None:
+    # A steward was elected after an older one, which wakes up and proposes.
+    # Following it would let two successors each find enough voters.
+    state, _ = new_state()
+    assert state.follow(messages.Ballot(5, "y"))
+    assert not state.follow(messages.Ballot(4, "z"))
+    assert state.promised == messages.Ballot(5, "y")
+
+
+def test_an_installed_view_keeps_its_ballot_as_floor() -> None:
+    # A member learns of a view from a bystander. An old candidate's ballot,
+    # lower than the one the view was decided in, must count for nothing.
+    state, _ = new_state()
+    state.install(view(1, 3), messages.Ballot(7, "y"))
+    assert not state.follow(messages.Ballot(6, "z"))
+
+
+def test_a_promise_ends_on_the_clock() -> None:
+    # A candidate asks while we have promised another steward to wait.
+    state, clock = new_state()
+    state.follow(messages.Ballot(5, "y"))
+    assert not state.may_promise("z")
+    assert state.may_promise("y")
+    clock.move_to(103.1)
+    assert state.may_promise("z")
+
+
+def test_a_stopped_member_takes_no_late_lease() -> None:
+    # We have stopped for a change of the view; then a renewal from before
+    # arrives. Only a later steward, who knows of no change, may renew.
+    state, _ = new_state()
+    state.follow(messages.Ballot(5, "y"))
+    state.accept(messages.Ballot(5, "y"), view(1, 3))
+    state.take_lease(101.0)
+    assert not state.covered()
+    state.follow(messages.Ballot(6, "z"))
+    state.take_lease(101.0)
+    assert state.covered()
+
+
+def test_an_outdated_member_is_covered_by_nothing() -> None:
+    # A view after ours exists, so ours has ended, whoever says otherwise.
+    state, _ = new_state()
+    state.hear_of(messages.ViewId(1, 3))
+    state.take_lease(101.0)
+    assert not state.covered()
+
+
+def test_a_new_epoch_begins_with_its_own_ballots() -> None:
+    # Everybody restarted but us. The new epoch's first ballot is lower than
+    # the last that we followed, and must be followed all the same.
+    state, _ = new_state()
+    state.follow(messages.Ballot(50, "y"))
+    state.install(view(2, 1), messages.Ballot(1, "z"))
+    assert state.follow(messages.Ballot(1, "z"))
--- a/tests/coordination/test_views_faults.py
+++ b/tests/coordination/test_views_faults.py
@@ -4,6 +4,7 @@
 
 from boragefold.coordination import rights
 from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
 from tests.fakes import fleet as fleets
 from tests.fakes import network as networks
 
@@ -45,7 +46,7 @@
     network.is_cut = is_cut
 
 
-def hear_nothing(network: networks.Network) -> None:
+def end_cut(network: networks.Network) -> None:
     network.is_cut = lambda one, other: False
 
 
@@ -149,7 +150,7 @@
     network.run_for(8.0)
     valid = {instance for instance, _ in fleet.valid("a")}
     assert valid == set(instances) - minority
-    hear_nothing(network)
+    end_cut(network)
     fleet.seconds_until_agreed("a", 5.0)
 
 
@@ -168,7 +169,7 @@
     network.run_for(8.0)
     (valid,) = fleet.valid("a")
     assert valid[0] is instances[kept]
-    hear_nothing(network)
+    end_cut(network)
     fleet.set_listed(isolated.self_id.address, "a", True)
     isolated.platform_up = True
     fleet.seconds_until_agreed("a", 8.0)
@@ -183,7 +184,7 @@
     network.run_for(10.0)
     ((instance, view),) = fleet.valid("a")
     assert view.members == (instance.self_id,)
-    hear_nothing(network)
+    end_cut(network)
     fleet.seconds_until_agreed("a", 5.0)
 
 
@@ -261,7 +262,7 @@
     network.is_cut = lambda one, other: other.address == deaf
     network.run_for(5.0)
     assert instances[2].views.valid_view() is None
-    hear_nothing(network)
+    end_cut(network)
     fleet.seconds_until_agreed("a", 5.0)
 
 
@@ -290,19 +291,79 @@
     network.run_for(1.6)
     assert steward.suspects == [silent.self_id]
     assert silent.suspects == [steward.self_id]
-    hear_nothing(network)
+    end_cut(network)
     network.run_for(2.0)
     assert fleet.agreed("a") == before
 
 
-def test_a_late_renewal_does_not_bring_a_lease_back() -> None:
-    # A renewal is on its way for as long as a lease lasts. Counted from its
-    # arrival, the lease would outlast what the steward has written down.
-    network, fleet, instances = settled_fleet(3)
+def test_a_late_renewal_does_not_prolong_a_lease() -> None:
+    # Each message takes 0.7 s for a while. Counted from the arrival of the
+    # renewal, the lease would outlast what the steward has written down, and
+    # the member's rights would move while it still uses them.
+    network, _, instances = settled_fleet(3)
     member = next(one for one in instances if not one.views.is_steward)
-    network.delay_seconds = (1.5, 1.6)
-    network.run_for(10.0)
-    assert member.views.valid_for_seconds() < 0.6
+    network.delay_seconds = (0.7, 0.7)
+    network.run_for(2.0)
+    for _ in range(100):
+        assert member.views.valid_for_seconds() < 0.7
+        network.run_for(0.05)
+
+
+def test_a_change_right_after_an_election_waits_for_old_leases() -> None:
+    # The steward's messages no longer reach three members, while theirs
+    # reach it, so it removes nobody. A new instance waits beside the three.
+    # As soon as they have a new steward, it takes the new one in; it knows
+    # nothing of the lease that the old one gave its last follower, and none
+    # may be left.
+    network, fleet, instances = settled_fleet(5)
+    steward = steward_of(fleet)
+    fellow = next(one for one in instances if one is not steward)
+    near = {steward.self_id, fellow.self_id}
+    new = fleet.start("a", "a-new:7000")
+
+    def is_cut(one: ids.InstanceId, other: ids.InstanceId) -> bool:
+        if fellow.self_id in (one, other) or new.self_id == one:
+            return bool({one, other} - near) and not near.isdisjoint(
+                (one, other)
+            )
+        return one in near and other not in near
+
+    network.is_cut = is_cut
+    network.run_for(8.0)
+    assert len(fleet.valid("a")) == 4
+
+
+def test_a_candidate_is_refused_while_the_steward_is_promised() -> None:
+    # A member that was cut off from the steward alone asks the others to
+    # elect it. They still hear the steward and have promised it to follow
+    # nobody else; two stewards would change the view twice.
+    network, fleet, instances = settled_fleet(5)
+    steward = steward_of(fleet)
+    candidate, voter = (one for one in instances[:3] if one is not steward)
+    view = fleet.agreed("a")
+    assert view is not None
+    prepare = messages.Prepare(
+        messages.ViewId(view.epoch, view.number),
+        99,
+        network.clock.now_seconds(),
+    )
+    network.post(candidate.self_id, voter.self_id, prepare)
+    network.run_for(3.0)
+    assert voter.counters.value("view_promises_refused", "promised") == 1
+    assert steward_of(fleet) is steward
+    assert fleet.agreed("a") == view
+
+
+def test_an_unlisted_instance_is_not_taken_in() -> None:
+    # An instance asks to join before the list shows it. Were it taken in and
+    # left alone with the view, whoever reads the list would not find it.
+    network, fleet, _ = settled_fleet(3)
+    hidden = fleet.start("a", "a-hidden:7000")
+    fleet.set_listed("a-hidden:7000", "a", False)
+    network.run_for(5.0)
+    assert hidden.views.valid_view() is None
+    fleet.set_listed("a-hidden:7000", "a", True)
+    fleet.seconds_until_agreed("a", 5.0)
 
 
 def test_many_join_in_few_changes() -> None:
@@ -326,7 +387,7 @@
     instances[2].views.subscribe(heard.append)
     cut_between(network, {instances[2]}, set(instances[:2]))
     network.run_for(5.0)
-    hear_nothing(network)
+    end_cut(network)
     network.run_for(5.0)
     assert heard[0] is None
     assert heard[-1] == fleet.agreed("a")
