Split the steward's parts; pass leases on by relays

Ruled out: slower heartbeats (a lost one would end a lease of 2 s), longer leases (a killed member's rights would wait longer than 5 s). Change: from 8 members on, the voters but the first answer the heartbeats of the others with leases that end no later than their own; the steward waits for these too before a view takes effect.

--- /dev/null
+++ b/src/boragefold/coordination/leadership.py
@@ -0,0 +1,199 @@
+"""The steward's right to lead, and the leases that it gives by it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from boragefold.coordination import link
+from boragefold.coordination import quorum
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+from boragefold.telemetry import counters as telemetry
+
+
+class Leadership:
+    """Counts promises, and gives leases that end before they do."""
+
+    def __init__(
+        self,
+        *,
+        peer_link: link.PeerLink,
+        state: view_state.ViewState,
+        counters: telemetry.Counters,
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._counters = counters
+        self._ends: dict[ids.InstanceId, float] = {}
+        self._granted: dict[ids.InstanceId, float] = {}
+        self._relayed: dict[ids.InstanceId, float] = {}
+        self.dead: frozenset[ids.InstanceId] = frozenset()
+        self.ballot = messages.NO_BALLOT
+        self.leading = False
+        self.granting = False
+
+    def begin(
+        self,
+        ballot: messages.Ballot,
+        ends: Mapping[ids.InstanceId, float],
+        dead: frozenset[ids.InstanceId],
+    ) -> None:
+        """Lead, after an election.
+
+        What was granted in an earlier time as steward stays written down.
+
+        :param ballot: what we were elected by
+        :param ends: when the voters' promises end
+        :param dead: members that are dead on outside evidence
+        """
+        self.ballot = ballot
+        self.dead = dead
+        self.leading = True
+        self.granting = True
+        self._ends = dict(ends)
+        self._state.steward = self._state.self_id
+
+    def end(self) -> None:
+        """Stop leading; leases that were given go on to their ends."""
+        self.leading = False
+        self.granting = False
+
+    def led_until_seconds(self) -> float:
+        """Tell how long we lead without further promises.
+
+        :return: a reading of the clock
+        """
+        view = self._state.view
+        if view is None or not self.leading:
+            return 0.0
+        return quorum.led_until_seconds(
+            view,
+            steward=self._state.self_id,
+            ends=self._ends,
+            alone_until_seconds=self._state.alone_until_seconds,
+            dead=self.dead,
+        )
+
+    def holds(self) -> bool:
+        """Tell whether we lead at this moment, and stop if we don't.
+
+        After a pause, or cut off, the others may have another steward; and
+        we may have promised ourselves to one.
+
+        :return: whether we lead
+        """
+        state = self._state
+        if not self.leading:
+            return False
+        if (
+            not state.is_outdated()
+            and state.promised == self.ballot
+            and state.now_seconds() < self.led_until_seconds()
+        ):
+            return True
+        self._counters.add("view_steward_ended", "promises_ended")
+        self.end()
+        return False
+
+    def count(self, voter: ids.InstanceId, sent_seconds: float) -> None:
+        """Count a promise from when we asked for it.
+
+        :param voter: who gave it
+        :param sent_seconds: when we sent what it answers
+        """
+        end_seconds = sent_seconds + quorum.shortened_seconds(
+            quorum.PROMISE_SECONDS
+        )
+        self._ends[voter] = max(self._ends.get(voter, 0.0), end_seconds)
+
+    def renew_own(self) -> None:
+        """Renew our own promise and our own lease."""
+        state = self._state
+        state.promise(self.ballot, quorum.PROMISE_SECONDS)
+        self.count(state.self_id, state.now_seconds())
+        if self.granting:
+            lease_until_seconds = state.now_seconds() + quorum.LEASE_SECONDS
+            state.take_lease(
+                min(self.led_until_seconds(), lease_until_seconds)
+            )
+
+    def renew(self, to: ids.InstanceId, echo_seconds: float) -> None:
+        """Answer a heartbeat, or ask for one.
+
+        :param to: the member
+        :param echo_seconds: when it sent the heartbeat, zero to ask
+        """
+        state = self._state
+        now_seconds = state.now_seconds()
+        lease_seconds = 0.0
+        if self.granting and echo_seconds > 0:
+            # No lease outlasts our promises, so whoever leads next need not
+            # wait for leases that it knows nothing of.
+            lease_seconds = min(
+                quorum.LEASE_SECONDS, self.led_until_seconds() - now_seconds
+            )
+            self._granted[to] = max(
+                self._granted.get(to, 0.0), now_seconds + lease_seconds
+            )
+        self._link.send(
+            to=to,
+            body=messages.Renewal(
+                view_id=state.view_id(),
+                round=self.ballot.round,
+                echo_seconds=echo_seconds,
+                sent_seconds=now_seconds,
+                lease_seconds=max(0.0, lease_seconds),
+            ),
+        )
+
+    def has_ended(self, member: ids.InstanceId) -> bool:
+        """Tell whether the lease that we gave a member has surely ended.
+
+        A lease is counted from the heartbeat that it answers, which was sent
+        before we wrote down the end: by then it has ended on the member's
+        clock, too, however long the message took.
+
+        :param member: the member
+        :return: whether it has
+        """
+        return self._granted.get(member, 0.0) <= self._state.now_seconds()
+
+    def note_relayed(
+        self, member: ids.InstanceId, left_seconds: float
+    ) -> None:
+        """Note how long a lease lasts that a stopped relay has given.
+
+        :param member: who has it
+        :param left_seconds: how long it lasted when the relay said so
+        """
+        self._relayed[member] = self._state.now_seconds() + left_seconds
+
+    def relayed_has_ended(
+        self, member: ids.InstanceId, *, relay_stopped: bool
+    ) -> bool:
+        """Tell whether a lease that a relay gave a member has surely ended.
+
+        :param member: the member
+        :param relay_stopped: whether its relay has stopped giving leases
+        :return: whether it has
+        """
+        view = self._state.view
+        relay = quorum.relay_of(view, member) if view is not None else None
+        if relay is None or relay == self._state.self_id:
+            return True
+        if relay_stopped:
+            now_seconds = self._state.now_seconds()
+            return self._relayed.get(member, 0.0) <= now_seconds
+        return self.has_ended(relay)
+
+    def forget_granted(self) -> None:
+        """Forget the leases of a view that has ended everywhere."""
+        self._granted.clear()
+        self._relayed.clear()
+        self.dead = frozenset()
+
+
+__all__ = [
+    "Leadership",
+]
--- a/src/boragefold/coordination/membership.py
+++ b/src/boragefold/coordination/membership.py
@@ -8,7 +8,9 @@
 from boragefold.coordination import inquiry as inquiries
 from boragefold.coordination import link
 from boragefold.coordination import quorum
+from boragefold.coordination import relaying as relayings
 from boragefold.coordination import rights
+from boragefold.coordination import roster as rosters
 from boragefold.coordination import stewardship as stewardships
 from boragefold.coordination import view_state
 from boragefold.protocol import ids
@@ -37,6 +39,7 @@
         inquiry: inquiries.Inquiry,
         election: elections.Election,
         stewardship: stewardships.Stewardship,
+        relaying: relayings.Relaying,
         counters: telemetry.Counters,
         on_suspect: Callable[[ids.InstanceId], None],
     ) -> None:
@@ -45,6 +48,7 @@
         self._inquiry = inquiry
         self._election = election
         self._stewardship = stewardship
+        self._relaying = relaying
         self._counters = counters
         self._on_suspect = on_suspect
         self._echo_seconds = 0.0
@@ -65,9 +69,9 @@
         if since_seconds >= (
             self._period_seconds() if answered else UNANSWERED_SECONDS
         ):
-            self._beat(steward)
+            self._beat(self._beat_target(steward, answered))
         silent_seconds = now_seconds - self._answered_seconds
-        if silent_seconds >= stewardships.SUSPECT_SECONDS:
+        if silent_seconds >= rosters.SUSPECT_SECONDS:
             self._suspect(steward)
 
     def on_renewal(
@@ -95,6 +99,22 @@
             lease_seconds = quorum.shortened_seconds(renewal.lease_seconds)
             state.take_lease(renewal.echo_seconds + lease_seconds)
 
+    def on_relayed(
+        self, sender: ids.InstanceId, relayed: messages.Relayed
+    ) -> None:
+        """Take a lease that a relay passes on from our steward.
+
+        :param sender: the relay
+        :param relayed: its answer to a heartbeat, for our view
+        """
+        state = self._state
+        if relayed.ballot != state.promised:
+            return
+        if relayed.echo_seconds >= self._beat_seconds:
+            self._answered_seconds = state.now_seconds()
+        lease_seconds = quorum.shortened_seconds(relayed.lease_seconds)
+        state.take_lease(relayed.echo_seconds + lease_seconds)
+
     def on_prepare(
         self, sender: ids.InstanceId, prepare: messages.Prepare
     ) -> None:
@@ -147,7 +167,9 @@
         state.accept(ballot, rights.View(*change.successor))
         now_seconds = state.now_seconds()
         self._beat_seconds = self._answered_seconds = now_seconds
-        ack = messages.ChangeAck(state.view_id(), change.round, now_seconds)
+        ack = messages.ChangeAck(
+            state.view_id(), change.round, now_seconds, self._relaying.left()
+        )
         self._link.send(to=sender, body=ack)
 
     def on_install(
@@ -190,7 +212,7 @@
                 and sender in view.members
                 and standing.view_id < state.view_id()
             ):
-                self._stewardship.send_install(sender)
+                self._stewardship.send_view(sender)
             return
         if (
             standing.view_id == messages.NO_VIEW
@@ -234,9 +256,18 @@
                 round=state.promised.round,
                 echo_seconds=self._echo_seconds,
                 sent_seconds=self._beat_seconds,
+                quiet=self._relaying.quiet(),
             ),
         )
 
+    def _beat_target(
+        self, steward: ids.InstanceId, answered: bool
+    ) -> ids.InstanceId:
+        # A relay that doesn't answer may be dead; the steward is asked next.
+        view = self._state.view
+        relay = view and quorum.relay_of(view, self._state.self_id)
+        return relay if relay and answered else steward
+
     def _period_seconds(self) -> float:
         view = self._state.view
         if view is not None and len(view.members) >= LARGE_MEMBERS:
--- a/src/boragefold/coordination/quorum.py
+++ b/src/boragefold/coordination/quorum.py
@@ -27,6 +27,10 @@
 # Two may fail at once; more voters cost each election more messages.
 MAX_VOTERS = 5
 
+# From this size on, the voters but for the first pass leases on to the others.
+# The steward of 31 members would else spend all that control may cost.
+RELAYED_MEMBERS = 8
+
 # The number of a view that was founded and has not been changed yet.
 FOUNDED_NUMBER = 1
 
@@ -70,6 +74,23 @@
     return view.members[:MAX_VOTERS]
 
 
+def relay_of(
+    view: rights.View, member: ids.InstanceId
+) -> ids.InstanceId | None:
+    """Tell which voter passes leases on to a member.
+
+    :param view: the view
+    :param member: one of its members
+    :return: the voter; None for voters, and in views that need no relays
+    """
+    if len(view.members) < RELAYED_MEMBERS or member not in view.members:
+        return None
+    place = view.members.index(member)
+    if place < MAX_VOTERS:
+        return None
+    return view.members[1 + place % (MAX_VOTERS - 1)]
+
+
 def agreed(
     view: rights.View,
     votes: Collection[ids.InstanceId],
@@ -138,9 +159,11 @@
     "MAX_VOTERS",
     "PREPARE_SECONDS",
     "PROMISE_SECONDS",
+    "RELAYED_MEMBERS",
     "agreed",
     "electorate",
     "led_until_seconds",
+    "relay_of",
     "shortened_seconds",
     "view_id",
 ]
--- /dev/null
+++ b/src/boragefold/coordination/relaying.py
@@ -0,0 +1,105 @@
+"""Passes leases on, so that the steward of a large view isn't overloaded."""
+
+from __future__ import annotations
+
+from boragefold.coordination import link
+from boragefold.coordination import quorum
+from boragefold.coordination import rights
+from boragefold.coordination import roster as rosters
+from boragefold.coordination import view_state
+from boragefold.protocol import ids
+from boragefold.protocol import view_messages as messages
+
+
+class Relaying:
+    """Gives members leases that end no later than our own.
+
+    Whoever has waited for our lease to end has thereby waited for these.
+    """
+
+    def __init__(
+        self, *, peer_link: link.PeerLink, state: view_state.ViewState
+    ) -> None:
+        self._link = peer_link
+        self._state = state
+        self._view_id = messages.NO_VIEW
+        self._since_seconds = 0.0
+        self._heard: dict[ids.InstanceId, float] = {}
+        self._granted: dict[ids.InstanceId, float] = {}
+
+    def on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
+        """Answer a heartbeat, if we are the sender's relay and have a lease.
+
+        :param sender: the member
+        :param beat: its heartbeat, for our view
+        """
+        state = self._state
+        view = self._current()
+        if view is None or quorum.relay_of(view, sender) != state.self_id:
+            return
+        now_seconds = state.now_seconds()
+        self._heard[sender] = now_seconds
+        if beat.round != state.promised.round or not state.covered():
+            return
+        lease_seconds = min(
+            quorum.LEASE_SECONDS,
+            quorum.shortened_seconds(state.lease_left_seconds()),
+        )
+        self._granted[sender] = max(
+            self._granted.get(sender, 0.0), now_seconds + lease_seconds
+        )
+        self._link.send(
+            to=sender,
+            body=messages.Relayed(
+                view_id=state.view_id(),
+                ballot=state.promised,
+                echo_seconds=beat.sent_seconds,
+                lease_seconds=lease_seconds,
+            ),
+        )
+
+    def quiet(self) -> tuple[int, ...]:
+        """Tell which of our members we haven't heard for long.
+
+        :return: their places in the view
+        """
+        view = self._current()
+        if view is None:
+            return ()
+        doubtful_seconds = self._state.now_seconds() - rosters.SUSPECT_SECONDS
+        return tuple(
+            place
+            for place, member in enumerate(view.members)
+            if quorum.relay_of(view, member) == self._state.self_id
+            and self._heard.get(member, self._since_seconds)
+            <= doubtful_seconds
+        )
+
+    def left(self) -> tuple[tuple[int, float], ...]:
+        """Tell how long the leases last that we have given.
+
+        :return: places in the view, and seconds
+        """
+        view = self._current()
+        if view is None:
+            return ()
+        now_seconds = self._state.now_seconds()
+        return tuple(
+            (place, self._granted[member] - now_seconds)
+            for place, member in enumerate(view.members)
+            if self._granted.get(member, 0.0) > now_seconds
+        )
+
+    def _current(self) -> rights.View | None:
+        view_id = self._state.view_id()
+        if view_id != self._view_id:
+            self._view_id = view_id
+            self._since_seconds = self._state.now_seconds()
+            self._heard.clear()
+            self._granted.clear()
+        return self._state.view
+
+
+__all__ = [
+    "Relaying",
+]
--- a/src/boragefold/coordination/views.py
+++ b/src/boragefold/coordination/views.py
@@ -13,11 +13,15 @@
 from boragefold.coordination import election as elections
 from boragefold.coordination import founding as foundings
 from boragefold.coordination import inquiry as inquiries
+from boragefold.coordination import leadership as leaderships
 from boragefold.coordination import link
 from boragefold.coordination import listing as listings
 from boragefold.coordination import membership as memberships
+from boragefold.coordination import relaying as relayings
 from boragefold.coordination import rights
+from boragefold.coordination import roster as rosters
 from boragefold.coordination import stewardship as stewardships
+from boragefold.coordination import view_changes
 from boragefold.coordination import view_state
 from boragefold.protocol import ids
 from boragefold.protocol import view_messages as messages
@@ -32,6 +36,7 @@
     "OfView",
     messages.Beat,
     messages.Renewal,
+    messages.Relayed,
     messages.Prepare,
     messages.Promise,
     messages.Refusal,
@@ -81,14 +86,36 @@
         self._inquiry = inquiries.Inquiry(
             peer_link=peer_link, state=self._state, listing=self._listing
         )
-        self._stewardship = stewardships.Stewardship(
+        self._leadership = leaderships.Leadership(
+            peer_link=peer_link, state=self._state, counters=counters
+        )
+        roster = rosters.Roster(
+            state=self._state,
+            inquiry=self._inquiry,
+            leadership=self._leadership,
+            counters=counters,
+            on_suspect=suspect,
+        )
+        self._changes = view_changes.ViewChanges(
             peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            leadership=self._leadership,
+            roster=roster,
+            counters=counters,
+        )
+        self._relaying = relayings.Relaying(
+            peer_link=peer_link, state=self._state
+        )
+        self._stewardship = stewardships.Stewardship(
             state=self._state,
             inquiry=self._inquiry,
             listing=self._listing,
+            leadership=self._leadership,
+            roster=roster,
+            changes=self._changes,
             counters=counters,
             new_epoch=self._new_epoch,
-            on_suspect=suspect,
         )
         self._election = elections.Election(
             peer_link=peer_link,
@@ -112,6 +139,7 @@
             inquiry=self._inquiry,
             election=self._election,
             stewardship=self._stewardship,
+            relaying=self._relaying,
             counters=counters,
             on_suspect=suspect,
         )
@@ -253,11 +281,12 @@
         self._on(messages.FoundationAck, self._founding.on_ack)
         self._on_same_view(messages.Beat, self._on_beat)
         self._on_same_view(messages.Renewal, self._membership.on_renewal)
+        self._on_same_view(messages.Relayed, self._membership.on_relayed)
         self._on_same_view(messages.Prepare, self._membership.on_prepare)
         self._on_same_view(messages.Promise, self._election.on_promise)
         self._on_same_view(messages.Refusal, self._on_refusal)
         self._on_same_view(messages.Change, self._membership.on_change)
-        self._on_same_view(messages.ChangeAck, self._stewardship.on_change_ack)
+        self._on_same_view(messages.ChangeAck, self._changes.on_ack)
         self._link.subscribe(messages.Digest, self._directory.on_digest)
         self._link.subscribe(messages.News, self._directory.on_news)
 
@@ -336,6 +365,8 @@
     def _on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
         if self._stewardship.leading:
             self._stewardship.on_beat(sender, beat)
+        else:
+            self._relaying.on_beat(sender, beat)
 
     def _on_refusal(
         self, sender: ids.InstanceId, refusal: messages.Refusal
@@ -343,7 +374,7 @@
         self._election.note_round(refusal.ballot.round)
         if not self._stewardship.leading:
             return
-        if refusal.ballot <= self._stewardship.ballot:
+        if refusal.ballot <= self._leadership.ballot:
             return
         # A voter has promised a higher ballot to one that didn't win. Lead by
         # a still higher one, or this voter would refuse us for good.
--- a/src/boragefold/protocol/view_messages.py
+++ b/src/boragefold/protocol/view_messages.py
@@ -65,12 +65,17 @@
 
 
 class Beat(NamedTuple):
-    """A member's heartbeat; confirms the promise that it gave the steward."""
+    """A member's heartbeat; confirms the promise that it gave the steward.
+
+    ``quiet`` has the places in the view of those members that should beat to
+    the sender and don't.
+    """
 
     view_id: ViewId
     round: int
     echo_seconds: float
     sent_seconds: float
+    quiet: tuple[int, ...] = ()
 
 
 class Renewal(NamedTuple):
@@ -83,6 +88,15 @@
     lease_seconds: float
 
 
+class Relayed(NamedTuple):
+    """Answers a heartbeat in the steward's stead, with a shorter lease."""
+
+    view_id: ViewId
+    ballot: Ballot
+    echo_seconds: float
+    lease_seconds: float
+
+
 class Prepare(NamedTuple):
     """Asks a voter for its promise."""
 
@@ -117,11 +131,16 @@
 
 
 class ChangeAck(NamedTuple):
-    """Accepts a successor and confirms that the old rights have stopped."""
+    """Accepts a successor and confirms that the old rights have stopped.
+
+    ``relayed`` has the places of members to which the sender has passed on
+    leases, and how long these will last yet.
+    """
 
     view_id: ViewId
     round: int
     sent_seconds: float
+    relayed: tuple[tuple[int, float], ...] = ()
 
 
 class Install(NamedTuple):
@@ -180,6 +199,7 @@
     Leave,
     Beat,
     Renewal,
+    Relayed,
     Prepare,
     Promise,
     Refusal,
@@ -212,6 +232,7 @@
     "Prepare",
     "Promise",
     "Refusal",
+    "Relayed",
     "Renewal",
     "Standing",
     "ViewId",
