Drop a change whose steward lost its lead

Cause: since the steward's parts were split, a steward that lost its lead in the middle of a change kept it, and went on with it when it was elected again in a later view. Change: a pending change belongs to one ballot and one view, and a member drops a proposal that goes backwards.

--- a/src/boragefold/coordination/membership.py
+++ b/src/boragefold/coordination/membership.py
@@ -159,12 +159,16 @@
         """
         state = self._state
         ballot = messages.Ballot(change.round, sender.incarnation)
-        if state.is_outdated() or not state.follow(ballot):
+        successor = rights.View(*change.successor)
+        if quorum.view_id(successor) <= state.view_id():
+            self._counters.add("view_messages_dropped", "backwards")
+            return
+        if not state.follow(ballot):
             refusal = messages.Refusal(state.view_id(), state.promised)
             self._link.send(to=sender, body=refusal)
             return
         state.steward = sender
-        state.accept(ballot, rights.View(*change.successor))
+        state.accept(ballot, successor)
         now_seconds = state.now_seconds()
         self._beat_seconds = self._answered_seconds = now_seconds
         ack = messages.ChangeAck(
--- a/src/boragefold/coordination/view_changes.py
+++ b/src/boragefold/coordination/view_changes.py
@@ -23,6 +23,8 @@
 class Pending:
     """A successor that is being decided."""
 
+    view_id: messages.ViewId
+    ballot: messages.Ballot
     successor: rights.View
     recovered: bool
     sent_seconds: float
@@ -57,7 +59,7 @@
 
         :return: whether one is
         """
-        return self._pending is not None and self._leadership.leading
+        return self._current() is not None
 
     def propose(self, successor: rights.View, *, recovered: bool) -> None:
         """Propose a successor, and stop using our own rights.
@@ -69,6 +71,8 @@
         self._state.accept(self._leadership.ballot, successor)
         self._leadership.granting = False
         self._pending = Pending(
+            view_id=self._state.view_id(),
+            ballot=self._leadership.ballot,
             successor=successor,
             recovered=recovered,
             sent_seconds=float("-inf"),
@@ -91,7 +95,7 @@
         :param sender: the member
         :param ack: its acknowledgement, for our view
         """
-        pending = self._pending
+        pending = self._current()
         view = self._state.view
         if (
             not self._leadership.holds()
@@ -133,8 +137,22 @@
             ),
         )
 
-    def _resend(self) -> None:
+    def _current(self) -> Pending | None:
+        # A steward that loses its lead in the middle of a change and is
+        # elected again, later, must not go on with it: by then the view is
+        # another one, and the old successor would follow it.
         pending = self._pending
+        if (
+            pending is None
+            or not self._leadership.leading
+            or pending.ballot != self._leadership.ballot
+            or pending.view_id != self._state.view_id()
+        ):
+            self._pending = None
+        return self._pending
+
+    def _resend(self) -> None:
+        pending = self._current()
         view = self._state.view
         now_seconds = self._state.now_seconds()
         if pending is None or view is None:
@@ -152,7 +170,7 @@
                 self._link.send(to=member, body=change)
 
     def _conclude(self) -> None:
-        pending = self._pending
+        pending = self._current()
         view = self._state.view
         if pending is None or view is None:
             return
