--- a/src/boragefold/standins/platform_http.py
+++ b/src/boragefold/standins/platform_http.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import json
 import pathlib
 import time
 from typing import Any
@@ -22,6 +21,7 @@
 
 from boragefold.protocol import platform_api
 from boragefold.standins import platform as platforms
+from boragefold.state import tree_file
 
 HOLD_CHECK_SECONDS = 0.05
 LONGEST_WAIT_SECONDS = 60.0
@@ -173,23 +173,6 @@
     """Answer the watches that have news or have waited long enough."""
 
 
-def load_tree(source: pathlib.Path) -> dict[str, Any]:
-    """Read a tree from a file, or from a directory with a file per path.
-
-    :param source: a JSON object of documents by path, or a directory of
-        ``<path>.json`` files
-    :return: documents by path
-    """
-    if source.is_file():
-        return dict(json.loads(source.read_bytes()))
-    return {
-        file.relative_to(source).with_suffix("").as_posix(): json.loads(
-            file.read_bytes()
-        )
-        for file in sorted(source.rglob("*.json"))
-    }
-
-
 def serve(
     *, host: str, port: int, platform: platforms.Platform
 ) -> core.Manager:
@@ -218,14 +201,15 @@
 def main(listen: str, tree: pathlib.Path | None) -> None:
     """Stand in for the platform's configuration service and list."""
     platform = platforms.Platform(now_seconds=time.monotonic)
-    platform.load(load_tree(tree) if tree else {})
+    published = tree_file.load(tree) if tree else {}
+    for path, data in published.items():
+        platform.put_data(path, data)
     host, _, port = listen.rpartition(":")
     serve(host=host, port=int(port), platform=platform).run()
 
 
 __all__ = [
     "PlatformFace",
-    "load_tree",
     "main",
     "serve",
 ]
