--- a/src/boragefold/cli/check.py
+++ b/src/boragefold/cli/check.py
@@ -89,7 +89,7 @@
     misfits = crosscheck.find(accepted, catalogue) + _large(published)
     for misfit in misfits:
         click.echo(f"warning  {misfit.path}: {misfit.reason}; {misfit.remedy}")
-    rejected = len(tree.rejections())
+    rejected = len(tree.rejections.newest())
     click.echo(
         f"{len(accepted)} accepted, {rejected} rejected,"
         f" {len(misfits)} warnings"
--- a/src/boragefold/coordination/configuration/distribution.py
+++ b/src/boragefold/coordination/configuration/distribution.py
@@ -13,7 +13,9 @@
 from boragefold.state import fingerprint as fingerprints
 from boragefold.state import history as histories
 from boragefold.state import patch as patches
+from boragefold.state import rejections as rejecting
 from boragefold.state import tree as trees
+from boragefold.state import validation
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 
@@ -58,6 +60,8 @@
         # The values before the changes that wait to go out, by path.
         self._waiting: dict[str, trees.Entry | None] = {}
         tree.subscribe(self._changed)
+        tree.rejections.subscribe(self._rejected)
+        link.subscribe(messages.ConfigurationRejection, self._on_rejection)
 
     def _changed(self, change: trees.Change) -> None:
         if not self._waiting:
@@ -66,6 +70,33 @@
             )
         self._waiting.setdefault(change.path, change.before)
 
+    def _rejected(self, path: str, rejection: rejecting.Rejection) -> None:
+        # Only those that read the platform meet an invalid value. Operators
+        # and auditors ask any instance.
+        if self._peers.role not in (peering.Role.STEWARD, peering.Role.DEPUTY):
+            return
+        body = messages.ConfigurationRejection(
+            path=path,
+            revision=rejection.revision,
+            digest=rejection.digest,
+            reason=rejection.rejected.reason,
+            remedy=rejection.rejected.remedy,
+        )
+        for member in self._peers.members():
+            self._link.send(to=member, body=body)
+
+    def _on_rejection(
+        self, sender: ids.InstanceId, body: messages.ConfigurationRejection
+    ) -> None:
+        entry = self._tree.entry(body.path)
+        if entry is not None and entry.revision >= body.revision:
+            return
+        rejected = validation.Rejected(
+            path=body.path, reason=body.reason, remedy=body.remedy
+        )
+        rejection = rejecting.Rejection(body.revision, body.digest, rejected)
+        self._tree.rejections.add_told(body.path, rejection)
+
     def _flush(self) -> None:
         waiting, self._waiting = self._waiting, {}
         role = self._peers.role
--- a/src/boragefold/coordination/configuration/exchange.py
+++ b/src/boragefold/coordination/configuration/exchange.py
@@ -183,7 +183,7 @@
             present = (entry.revision, fingerprints.prefix(entry.digest))
             if (revision, prefix) <= present:
                 return False
-        rejection = self._tree.rejection(path)
+        rejection = self._tree.rejections.own(path)
         return rejection is None or (revision, prefix) != (
             rejection.revision,
             fingerprints.prefix(rejection.digest),
--- a/src/boragefold/coordination/configuration/service.py
+++ b/src/boragefold/coordination/configuration/service.py
@@ -25,6 +25,7 @@
 from boragefold.state import catalogue as catalogues
 from boragefold.state import fingerprint as fingerprints
 from boragefold.state import history as histories
+from boragefold.state import rejections as rejecting
 from boragefold.state import tree as trees
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
@@ -53,7 +54,7 @@
     paths: int
     root: int
     heard_seconds_ago: float | None
-    rejections: dict[str, trees.Rejection]
+    rejections: dict[str, rejecting.Rejection]
 
 
 class Configuration:
@@ -121,7 +122,7 @@
             counters=counters,
         )
         link.subscribe(messages.ConfigurationSummary, self._on_summary)
-        tree.subscribe_rejections(_log_rejection)
+        tree.rejections.subscribe(_log_rejection)
         self._judge.subscribe(_log_ready)
 
     def start(self) -> None:
@@ -166,7 +167,7 @@
             paths=len(self._tree),
             root=self._fingerprint.root(),
             heard_seconds_ago=self._heard_seconds_ago(),
-            rejections=self._tree.rejections(),
+            rejections=self._tree.rejections.newest(),
         )
 
     def _take_role(self) -> None:
@@ -243,7 +244,7 @@
         return self._timers.now_seconds() - self._heard_seconds
 
 
-def _log_rejection(path: str, rejection: trees.Rejection) -> None:
+def _log_rejection(path: str, rejection: rejecting.Rejection) -> None:
     logging.warning(
         "revision %d of %s was not put into force: %s; %s",
         rejection.revision,
--- a/src/boragefold/protocol/config_messages.py
+++ b/src/boragefold/protocol/config_messages.py
@@ -98,6 +98,16 @@
     removed: tuple[str, ...]
 
 
+class ConfigurationRejection(NamedTuple):
+    """A value that the sender read at the platform and found invalid."""
+
+    path: str
+    revision: int
+    digest: bytes
+    reason: str
+    remedy: str
+
+
 class ConfigurationMarks(NamedTuple):
     """The endpoints that are leaving by the list, as the sender knows."""
 
@@ -109,6 +119,7 @@
     ConfigurationBuckets,
     ConfigurationMarks,
     ConfigurationPatch,
+    ConfigurationRejection,
     ConfigurationSummary,
     ConfigurationValue,
     ConfigurationVersions,
@@ -119,6 +130,7 @@
     "ConfigurationBuckets",
     "ConfigurationMarks",
     "ConfigurationPatch",
+    "ConfigurationRejection",
     "ConfigurationSummary",
     "ConfigurationValue",
     "ConfigurationVersions",
--- a/src/boragefold/state/history.py
+++ b/src/boragefold/state/history.py
@@ -7,6 +7,7 @@
 from typing import Literal
 from typing import NamedTuple
 
+from boragefold.state import rejections as rejecting
 from boragefold.state import tree as trees
 
 # Almost two days at the size designed for, 11,000 changes a day. A record
@@ -56,7 +57,7 @@
         self._announced: dict[str, tuple[int, float]] = {}
         self.complete_since_seconds = wall_seconds()
         tree.subscribe(self._changed)
-        tree.subscribe_rejections(self._rejected)
+        tree.rejections.subscribe(self._rejected)
 
     def note_since(
         self, path: str, revision: int, since_seconds: float
@@ -136,7 +137,7 @@
         self._in_force[change.path] = record
         self._add(record)
 
-    def _rejected(self, path: str, rejection: trees.Rejection) -> None:
+    def _rejected(self, path: str, rejection: rejecting.Rejection) -> None:
         now_seconds = self._wall_seconds()
         self._add(
             Record(
--- a/src/boragefold/state/tree.py
+++ b/src/boragefold/state/tree.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from boragefold.state import rejections as rejecting
 from boragefold.state import validation
 from boragefold.telemetry import counters as telemetry
 
@@ -39,17 +40,6 @@
     before: Entry | None
 
 
-class Rejection(NamedTuple):
-    """The newest value of a path that was not put into force.
-
-    ``digest`` is the SHA-256 of the bytes as they came.
-    """
-
-    revision: int
-    digest: bytes
-    rejected: validation.Rejected
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Applied:
     """The value is in force now."""
@@ -70,7 +60,7 @@
 class Refused:
     """The value is newer but invalid; the last good one stays in force."""
 
-    rejection: Rejection
+    rejection: rejecting.Rejection
     tag: str = "refused"
 
 
@@ -92,19 +82,19 @@
 
 
 class Tree:
-    """Documents by path, each replaced whole and never by an older one."""
+    """Documents by path, each replaced whole and never by an older one.
+
+    ``rejections`` tells which values were not put into force.
+    """
 
     def __init__(self, *, counters: telemetry.Counters) -> None:
         self._counters = counters
         self._entries: dict[str, Entry] = {}
-        self._rejections: dict[str, Rejection] = {}
+        self.rejections = rejecting.RejectionLog()
         # The SHA-256 of the bytes that each present value came as, so that
         # a second reading of the whole tree costs no second validation.
         self._raw_digests: dict[str, bytes] = {}
         self._subscribers: list[Callable[[Change], None]] = []
-        self._rejection_subscribers: list[
-            Callable[[str, Rejection], None]
-        ] = []
 
     def subscribe(self, callback: Callable[[Change], None]) -> None:
         """Be told of each path whose value has changed.
@@ -115,15 +105,6 @@
         """
         self._subscribers.append(callback)
 
-    def subscribe_rejections(
-        self, callback: Callable[[str, Rejection], None]
-    ) -> None:
-        """Be told of each value that was not put into force.
-
-        :param callback: called with the path and the rejection
-        """
-        self._rejection_subscribers.append(callback)
-
     def apply(
         self, *, path: str, revision: int, data: bytes | None
     ) -> Outcome:
@@ -150,7 +131,9 @@
                 return Ignored(reason="in_force_already")
         result = validation.validate(path, data)
         if isinstance(result, validation.Rejected):
-            return self._reject(path, Rejection(revision, digest, result))
+            return self._reject(
+                path, rejecting.Rejection(revision, digest, result)
+            )
         packed = zlib.compress(result.data, COMPRESSION_LEVEL)
         outcome = self._put(
             path, revision, packed, result.digest, result.document
@@ -195,21 +178,6 @@
             (entry.revision for entry in self._entries.values()), default=0
         )
 
-    def rejections(self) -> dict[str, Rejection]:
-        """Read the paths whose newest value was not put into force.
-
-        :return: rejections by path
-        """
-        return dict(self._rejections)
-
-    def rejection(self, path: str) -> Rejection | None:
-        """Read why the newest value of a path was not put into force.
-
-        :param path: the path
-        :return: the rejection, or None
-        """
-        return self._rejections.get(path)
-
     def __iter__(self) -> Iterator[tuple[str, Entry]]:
         return iter(self._entries.items())
 
@@ -221,16 +189,12 @@
         return Ignored(reason=reason)
 
     def _was_rejected(self, path: str, revision: int, digest: bytes) -> bool:
-        known = self._rejections.get(path)
+        known = self.rejections.own(path)
         return known is not None and known[:2] == (revision, digest)
 
-    def _reject(self, path: str, rejection: Rejection) -> Refused:
-        known = self._rejections.get(path)
-        if known is None or known.revision <= rejection.revision:
-            self._rejections[path] = rejection
+    def _reject(self, path: str, rejection: rejecting.Rejection) -> Refused:
         self._counters.add("configuration_rejected", rejection.rejected.kind)
-        for callback in self._rejection_subscribers:
-            callback(path, rejection)
+        self.rejections.add(path, rejection)
         return Refused(rejection=rejection)
 
     def _put(
@@ -253,9 +217,7 @@
                 return self._ignore("revision_reused")
         self._entries[path] = Entry(revision, digest, packed)
         self._raw_digests.pop(path, None)
-        known = self._rejections.get(path)
-        if known is not None and known.revision <= revision:
-            del self._rejections[path]
+        self.rejections.clear(path, revision)
         self._counters.add("configuration_applied")
         change = Change(path, revision, digest, document, present)
         for callback in self._subscribers:
@@ -271,7 +233,6 @@
     "NO_VALUE_DIGEST",
     "Outcome",
     "Refused",
-    "Rejection",
     "Tree",
     "unpack",
 ]
--- a/tests/coordination/configuration/test_distribution.py
+++ b/tests/coordination/configuration/test_distribution.py
@@ -85,14 +85,12 @@
     )
     assert took_seconds < 0.5
     assert scene.loads_in_flight() == before
-    steward = scene.fleet.instances[scene.reader("east", peers.Role.STEWARD)]
-    rejection = steward.configuration.status().rejections[STORE]
-    assert rejection.revision == bad
-    assert rejection.rejected.kind == "bad_type"
-    assert [r.outcome for r in steward.history.of_path(STORE)] == [
-        "accepted",
-        "rejected",
-    ]
+    for instance in scene.fleet.instances.values():
+        rejection = instance.configuration.status().rejections[STORE]
+        assert rejection.revision == bad
+        assert rejection.rejected.kind == "bad_type"
+        outcomes = [r.outcome for r in instance.history.of_path(STORE)]
+        assert outcomes == ["accepted", "rejected"]
 
 
 @pytest.mark.parametrize(
--- a/tests/coordination/configuration/test_readiness.py
+++ b/tests/coordination/configuration/test_readiness.py
@@ -109,5 +109,5 @@
     monkeypatch.setattr(validation, "validate", validate_as_older_release)
     fresh = scene.fleet.start("east", "east-9")
     assert scene.settle(lambda instance: instance.ready) < 15.0
-    assert fresh.tree.rejection(STORE) is not None
+    assert fresh.tree.rejections.own(STORE) is not None
     assert fresh.tree.document(STORE) is None
--- a/tests/coordination/configuration/test_walk.py
+++ b/tests/coordination/configuration/test_walk.py
@@ -145,7 +145,7 @@
             rejected = [
                 rejection.revision
                 for instance in instances
-                if (rejection := instance.tree.rejection(change.path))
+                if (rejection := instance.tree.rejections.own(change.path))
             ]
             in_force = instances[0].revision(change.path)
             assert max(in_force, *rejected, 0) >= change.revision
--- a/tests/state/test_tree.py
+++ b/tests/state/test_tree.py
@@ -38,14 +38,14 @@
     outcome = tree.apply(path=PATH, revision=2, data=store(0))
     assert isinstance(outcome, trees.Refused)
     assert in_force(tree) == 8
-    rejection = tree.rejections()[PATH]
+    rejection = tree.rejections.newest()[PATH]
     assert rejection.revision == 2
     assert rejection.rejected.kind == "not_positive"
     assert "loads_in_flight" in rejection.rejected.remedy
     assert counters.value("configuration_rejected", "not_positive") == 1
     tree.apply(path=PATH, revision=3, data=store(9))
     assert in_force(tree) == 9
-    assert not tree.rejections()
+    assert not tree.rejections.newest()
 
 
 def test_a_good_value_older_than_a_rejected_one_still_comes_into_force():
@@ -57,7 +57,7 @@
     tree.apply(path=PATH, revision=3, data=store(0))
     tree.apply(path=PATH, revision=2, data=store(7))
     assert in_force(tree) == 7
-    assert tree.rejections()[PATH].revision == 3
+    assert tree.rejections.newest()[PATH].revision == 3
 
 
 def test_a_deleted_path_is_not_revived_by_an_older_copy() -> None:
