--- a/src/boragefold/policy/demand.py
+++ b/src/boragefold/policy/demand.py
@@ -1,4 +1,8 @@
-"""What waits for one adapter version, for placement and for estimates."""
+"""What waits for one adapter version, for placement and for estimates.
+
+Load pattern: hundreds of adapters are waited for at once. Without a running
+sum, each look at the demand would count the whole queue.
+"""
 
 from __future__ import annotations
 
--- a/src/boragefold/policy/endpoint_requests.py
+++ b/src/boragefold/policy/endpoint_requests.py
@@ -1,4 +1,8 @@
-"""Our own requests at an endpoint, under way and just ended."""
+"""Our own requests at an endpoint, under way and just ended.
+
+Load pattern: reports lag, so a request may have begun or ended after the
+last one was measured. Without its moments it would count twice or not at all.
+"""
 
 from __future__ import annotations
 
--- a/src/boragefold/policy/refusal.py
+++ b/src/boragefold/policy/refusal.py
@@ -1,4 +1,8 @@
-"""What a caller is told when a decision goes against its request."""
+"""What a caller is told when a decision goes against its request.
+
+Load pattern: refused callers come back. Without the reason and a computed
+time they come back at once, and their repeats are the next overload.
+"""
 
 from __future__ import annotations
 
--- a/src/boragefold/policy/removable_heap.py
+++ b/src/boragefold/policy/removable_heap.py
@@ -1,4 +1,8 @@
-"""A heap whose items can be taken out from the middle."""
+"""A heap whose items can be taken out from the middle.
+
+Load pattern: callers hang up while they wait. Without removal their requests
+would be served for nobody; by a search, each would cost the whole queue.
+"""
 
 from __future__ import annotations
 
