--- a/src/boragefold/policy/homes.py
+++ b/src/boragefold/policy/homes.py
@@ -10,6 +10,7 @@
 import abc
 from collections.abc import Collection
 from collections.abc import Container
+from collections.abc import Mapping
 
 import xxhash
 
@@ -23,6 +24,8 @@
 LEAST_WEIGHT = 0.5
 # Nor is one whose batch is fuller: the load would serve nobody for a while.
 MOST_FILL = 0.8
+# With nine of ten endpoints unfit, five of six adapters still find a fit one.
+TRIES = 16
 
 
 class OrderRights(abc.ABC):
@@ -54,7 +57,7 @@
 
 
 class Homes:
-    """Picks homes by rendezvous hashing over the endpoints that are fit.
+    """Picks homes by hashing, passing over the endpoints that are unfit.
 
     Views of fill and slowness differ between instances and change quickly, so
     a home is kept for as long as requests of its adapter wait.
@@ -65,7 +68,7 @@
     ) -> None:
         self._endpoints = endpoints
         self._rights = rights
-        self._reachable: dict[str, list[fleet.EndpointState]] = {}
+        self._reachable: dict[str, dict[str, fleet.EndpointState]] = {}
         self._kept: dict[works.AdapterVersion, str] = {}
 
     def refresh(self, waiting: Container[works.AdapterVersion]) -> None:
@@ -88,40 +91,48 @@
         """
         reachable = self._reachable_of(adapter.model)
         kept = self._kept.get(adapter)
-        if kept is not None and any(
-            state.spec.name == kept for state in reachable
-        ):
+        if kept in reachable:
             return kept
         if not reachable:
             return None
-        fit = [state for state in reachable if _is_fit(state)]
-        text = "\0".join(adapter).encode()
-        home = max(
-            fit or reachable,
-            key=lambda state: xxhash.xxh3_64_intdigest(
-                text + state.spec.name.encode()
-            ),
-        )
-        self._kept[adapter] = home.spec.name
-        return home.spec.name
-
-    def _reachable_of(self, model: str) -> list[fleet.EndpointState]:
+        home = _first_fit(adapter, reachable)
+        self._kept[adapter] = home
+        return home
+
+    def _reachable_of(self, model: str) -> dict[str, fleet.EndpointState]:
         # An endpoint whose orderer can't be reached is left out: what is held
         # there is loaded a second time, for as long as the cut lasts.
         states = self._reachable.get(model)
         if states is None:
-            states = [
-                state
-                for state in self._endpoints
+            states = {
+                state.spec.name: state
+                for state in sorted(
+                    self._endpoints, key=lambda each: each.spec.name
+                )
                 if state.spec.model == model
                 and not state.spec.leaving
                 and state.spec.distance_seconds <= JOINED_SECONDS
                 and self._rights.orderer(state.spec.name) is not None
-            ]
+            }
             self._reachable[model] = states
         return states
 
 
+def _first_fit(
+    adapter: works.AdapterVersion,
+    reachable: Mapping[str, fleet.EndpointState],
+) -> str:
+    # A series of hashes over the sorted names: an endpoint that becomes unfit
+    # moves only its own adapters, and the cost is that of the tries.
+    names = list(reachable)
+    text = "\0".join(adapter).encode()
+    tries = [
+        names[xxhash.xxh3_64_intdigest(text, seed=seed) % len(names)]
+        for seed in range(TRIES)
+    ]
+    return next((name for name in tries if _is_fit(reachable[name])), tries[0])
+
+
 def _is_fit(state: fleet.EndpointState) -> bool:
     return state.weight >= LEAST_WEIGHT and state.fill() < MOST_FILL
 
--- a/src/boragefold/policy/sending.py
+++ b/src/boragefold/policy/sending.py
@@ -162,8 +162,9 @@
                 continue
             self._service.taken(works.tokens_of(work), now_seconds=now_seconds)
             yield Matched(work, endpoint)
-            if not self._has_room(work.needs):
-                ready.discard(work.needs)
+            adapter = work.needs
+            if adapter not in self._demand() or not self._has_room(adapter):
+                ready.discard(adapter)
 
     def _starts_at_once(self, work: works.Work) -> bool:
         # The queue's delay is that of adapters whose holders are full. A
