Beat twice as fast where promises and relays depend on it

Ruled out: a third message per heartbeat, which would cost as much. Change: voters beat every 0.5 s, the others every 1 s.

--- a/src/boragefold/coordination/directory.py
+++ b/src/boragefold/coordination/directory.py
@@ -4,6 +4,8 @@
 
 import random
 
+import xxhash
+
 from boragefold.coordination import link
 from boragefold.coordination import listing as listings
 from boragefold.coordination import quorum
@@ -74,6 +76,11 @@
         :param sender: the sender
         :param digest: what it knows
         """
+        if digest.checksum == _checksum(self._known()):
+            return
+        if not digest.known:
+            self._link.send(to=sender, body=self._digest(answer=True))
+            return
         theirs = {
             known.data_centre: messages.ViewId(known.epoch, known.number)
             for known in digest.known
@@ -110,12 +117,20 @@
                 self._others[view.data_centre] = view
 
     def _digest(self, *, answer: bool) -> messages.Digest:
+        known = self._known()
+        return messages.Digest(
+            checksum=_checksum(known), known=known, answer=answer
+        )
+
+    def _probe(self) -> messages.Digest:
         return messages.Digest(
-            known=tuple(
-                messages.Known(data_centre, view.epoch, view.number)
-                for data_centre, view in sorted(self.views().items())
-            ),
-            answer=answer,
+            checksum=_checksum(self._known()), known=(), answer=True
+        )
+
+    def _known(self) -> tuple[messages.Known, ...]:
+        return tuple(
+            messages.Known(data_centre, view.epoch, view.number)
+            for data_centre, view in sorted(self.views().items())
         )
 
     def _exchange_far(self) -> None:
@@ -130,7 +145,7 @@
         address = self._random.choice(others[data_centre])
         self._link.send(
             to=ids.InstanceId(data_centre, address, ""),
-            body=self._digest(answer=True),
+            body=self._probe(),
         )
 
     def _exchange_near(self) -> None:
@@ -143,10 +158,17 @@
         if fellows:
             self._link.send(
                 to=self._random.choice(fellows),
-                body=self._digest(answer=True),
+                body=self._probe(),
             )
 
 
+def _checksum(known: tuple[messages.Known, ...]) -> int:
+    text = "\n".join(
+        f"{one.data_centre}\0{one.epoch}\0{one.number}" for one in known
+    )
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 __all__ = [
     "FAR_SECONDS",
     "MAX_NEWS_VIEWS",
--- a/src/boragefold/coordination/membership.py
+++ b/src/boragefold/coordination/membership.py
@@ -17,11 +17,12 @@
 from boragefold.protocol import view_messages as messages
 from boragefold.telemetry import counters as telemetry
 
-# A lease of 2 s survives two lost heartbeats in a row. Larger views beat more
-# slowly, for the steward's sake, and repeat an unanswered beat quickly.
+# A steward hears of a promise with the heartbeat after the renewal: it leads
+# for 3 s less two periods at the worst, and leases are no longer than that.
+# With half a second, a lease always survives a lost heartbeat. Those who don't
+# vote beat more slowly; an unanswered beat is repeated quickly.
 BEAT_SECONDS = 0.5
-LARGE_BEAT_SECONDS = 1.0
-LARGE_MEMBERS = 8
+SLOW_BEAT_SECONDS = 1.0
 UNANSWERED_SECONDS = 0.25
 
 # An instance that isn't in yet asks at this rate.
@@ -274,9 +275,9 @@
 
     def _period_seconds(self) -> float:
         view = self._state.view
-        if view is not None and len(view.members) >= LARGE_MEMBERS:
-            return LARGE_BEAT_SECONDS
-        return BEAT_SECONDS
+        if view is None or self._state.self_id in quorum.electorate(view):
+            return BEAT_SECONDS
+        return SLOW_BEAT_SECONDS
 
     def _suspect(self, steward: ids.InstanceId) -> None:
         if not self._suspected:
@@ -288,8 +289,7 @@
 __all__ = [
     "BEAT_SECONDS",
     "JOIN_SECONDS",
-    "LARGE_BEAT_SECONDS",
-    "LARGE_MEMBERS",
+    "SLOW_BEAT_SECONDS",
     "UNANSWERED_SECONDS",
     "Membership",
 ]
--- a/src/boragefold/protocol/view_messages.py
+++ b/src/boragefold/protocol/view_messages.py
@@ -180,8 +180,13 @@
 
 
 class Digest(NamedTuple):
-    """Which views the sender knows; ``answer`` asks for one in return."""
+    """Which views the sender knows; ``answer`` asks for one in return.
 
+    The first one of an exchange has only the checksum, and is not answered
+    if the receiver has the same.
+    """
+
+    checksum: int
     known: tuple[Known, ...]
     answer: bool
 
--- a/tests/coordination/test_views_faults.py
+++ b/tests/coordination/test_views_faults.py
@@ -379,6 +379,18 @@
     assert after.number - before.number <= 5
 
 
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 5, 6, 7, 8, 9, 15])
+def test_a_quiet_data_centre_has_no_gap(count: int) -> None:
+    # Nothing fails, yet an instance's lease ends for a moment now and then:
+    # heartbeats and the promises behind them come too slowly for the leases
+    # that they renew, and it depends on their phases whether that shows.
+    network, fleet, instances = settled_fleet(count)
+    for _ in range(300):
+        network.run_for(0.1)
+        for instance in instances:
+            assert instance.views.valid_for_seconds() > 0.4
+
+
 def test_subscribers_hear_of_the_end() -> None:
     # A part that works on a right has to stop when the lease ends, also when
     # nobody asks.
