Learn the part in force from the members of the view

Cause: a fresh instance took the weights it first read for those in force, so restarts during a change of weights used a raised part too early. Ruled out: waiting by time; a cut may last for hours. Change: a fresh instance asks its own data centre's members which part they use, takes the smallest and waits with the raise as they do. Figures: the new test failed before the change and passes after it. Conclusion: fixed but for a whole data centre that restarts at once.

--- a/src/boragefold/coordination/rates/shares.py
+++ b/src/boragefold/coordination/rates/shares.py
@@ -5,6 +5,9 @@
 at once, the parts in use would add up to more than the rate. A raise waits
 until every member of the views of those whose part fell has said that it knows
 the revision: whichever of them is or becomes the holder uses the lower part.
+
+A fresh process knows no earlier weights. It asks its own data centre's members
+which part they use and takes the smallest.
 """
 
 from __future__ import annotations
@@ -53,9 +56,12 @@
         self._in_force: dict[str, float] = {}
         self._lowered: set[str] = set()
         self._knowing: set[ids.InstanceId] = set()
+        self._learned: set[ids.InstanceId] = set()
+        self._learning: timing.Subscription | None = None
         self._asking: timing.Subscription | None = None
         peers.subscribe(rate_messages.SharesAsked, self._asked)
         peers.subscribe(rate_messages.SharesKnown, self._known)
+        rights.subscribe(lambda view: self._learn())
 
     def own_limit(self, limit: limits.Limit) -> limits.Limit:
         """Take our data centre's part in force.
@@ -108,6 +114,11 @@
         target = self._parts.get(self._own_name, 0.0)
         if first or target <= self._in_force.get(self._own_name, 0.0):
             self._put_in_force()
+            if first:
+                self._learning = self._timers.every(
+                    period_seconds=ASK_SECONDS, callback=self._learn
+                )
+                self._learn()
             return
         self._counters.add("rate_share_raises", "waiting")
         self._ask()
@@ -137,6 +148,38 @@
                 to=member, body=rate_messages.SharesAsked(self._revision)
             )
 
+    def _learn(self) -> None:
+        """Ask the members of our view which part they use, once each."""
+        if self._learning is None:
+            return
+        view = self._rights.directory().get(self._own_name)
+        members = set(view.members) if view is not None else set()
+        others = members - {self._link.self_id}
+        if others and others <= self._learned:
+            self._learning.cancel()
+            self._learning = None
+        for member in others - self._learned:
+            self._link.send(
+                to=member, body=rate_messages.SharesAsked(self._revision)
+            )
+
+    def _learn_from(
+        self, sender: ids.InstanceId, known: rate_messages.SharesKnown
+    ) -> None:
+        # A raise may be waiting that we know nothing of. If we used the
+        # published part at once, a restart would undo the wait.
+        if self._learning is None or known.revision < 0:
+            return
+        self._learned.add(sender)
+        if known.own_part >= self._in_force.get(self._own_name, 0.0):
+            return
+        self._in_force = {**self._in_force, self._own_name: known.own_part}
+        self._lowered |= self._parts.keys() - {self._own_name}
+        self._changed()
+        if self._asking is None:
+            self._counters.add("rate_share_raises", "waiting")
+            self._ask()
+
     def _everybody_knows(self) -> bool:
         # A data centre without a view may be cut off and still grant by the
         # old weights. One that the operators have taken out of the document
@@ -158,13 +201,18 @@
     def _asked(
         self, sender: ids.InstanceId, asked: rate_messages.SharesAsked
     ) -> None:
+        own_part = self._in_force.get(self._own_name, 0.0)
         self._link.send(
-            to=sender, body=rate_messages.SharesKnown(self._revision)
+            to=sender,
+            body=rate_messages.SharesKnown(self._revision, own_part),
         )
 
     def _known(
         self, sender: ids.InstanceId, known: rate_messages.SharesKnown
     ) -> None:
+        if sender.data_centre == self._own_name:
+            self._learn_from(sender, known)
+            return
         if self._asking is None or known.revision < self._revision:
             return
         self._knowing.add(sender)
--- a/src/boragefold/protocol/rate_messages.py
+++ b/src/boragefold/protocol/rate_messages.py
@@ -82,15 +82,20 @@
 
 
 class SharesAsked(NamedTuple):
-    """Asks whether a revision of the weights is in force at the receiver."""
+    """Asks which revision of the weights the receiver knows."""
 
     revision: int
 
 
 class SharesKnown(NamedTuple):
-    """Tells the newest revision of the weights in force at the sender."""
+    """Tells the newest revision of the weights that the sender knows.
+
+    ``own_part`` is the part that it uses for its own data centre; it is
+    smaller than the published one while a raise waits.
+    """
 
     revision: int
+    own_part: float
 
 
 KINDS: tuple[type, ...] = (
--- a/tests/coordination/rates/test_service.py
+++ b/tests/coordination/rates/test_service.py
@@ -177,6 +177,28 @@
     assert holder.buckets(now_seconds)[0].limit == fleet.limit.part(2 / 3)
 
 
+def test_a_restart_does_not_cut_the_wait_for_a_raise_short(fleet) -> None:
+    # While a raise waits for a data centre that is cut off, instances of the
+    # one that gains are restarted. The fresh ones know only the new weights.
+    weights = {"north": 4.0, "south": 1.0, "west": 1.0}
+    fleet.network.is_cut = lambda one, other: (
+        (one.data_centre == "south") != (other.data_centre == "south")
+    )
+    for name in ("north", "west"):
+        for process in fleet.processes[name]:
+            process.rates.update_data_centres(revision=2, weights=weights)
+    fleet.weights, fleet.revision = weights, 2
+    fleet.run_for(2.0)
+    for process in list(fleet.processes["north"]):
+        fleet.start("north")
+        fleet.change_view("north", without=(process,))
+        fleet.run_for(5.0)
+        fleet.kill(process)
+    now_seconds = fleet.network.clock.now_seconds()
+    bucket = fleet.holder("north").rates.buckets(now_seconds)[0]
+    assert bucket.limit == fleet.limit.part(1 / 3)
+
+
 def test_a_data_centre_taken_out_gives_its_part_to_the_others(fleet) -> None:
     for process in fleet.processes["north"] + fleet.processes["west"]:
         process.rates.update_data_centres(
--- a/tests/fakes/rates.py
+++ b/tests/fakes/rates.py
@@ -50,6 +50,7 @@
         self.views = fake_rights.FakeViews()
         self.limit = limit
         self.weights = {name: 1.0 for name in data_centres}
+        self.revision = 1
         self.charges: list[Charge] = []
         self.used: dict[int, float] = {}
         self.processes: dict[str, list[Process]] = {
@@ -72,7 +73,7 @@
             timers=node.timers,
             counters=counters,
         )
-        rates.update_data_centres(revision=1, weights=self.weights)
+        rates.update_data_centres(revision=self.revision, weights=self.weights)
         rates.update_workspaces({WORKSPACE: self.limit})
         process = Process(node, fake, rates, counters)
         self.processes[data_centre].append(process)
