Walk through changes of weights as well

Cause: weights reach processes at different times, and a woken process may hold a rate by weights that everybody else has left behind. Ruled out: taking a part of zero until caught up; one cut would then keep a data centre at nothing for as long as it lasts. Change: processes ask again with every view and don't raise to weights older than a member's; the walks publish weights and let processes read them late.

--- a/src/boragefold/coordination/rates/shares.py
+++ b/src/boragefold/coordination/rates/shares.py
@@ -6,8 +6,9 @@
 until every member of the views of those whose part fell has said that it knows
 the revision: whichever of them is or becomes the holder uses the lower part.
 
-A fresh process knows no earlier weights. It asks its own data centre's members
-which part they use and takes the smallest.
+A fresh process knows no earlier weights, one that was paused only old ones.
+With every view a process asks its own data centre's members which part they
+use, and takes the smallest.
 """
 
 from __future__ import annotations
@@ -52,6 +53,7 @@
         self._counters = counters
         self._changed = changed
         self._revision = -1
+        self._newest_revision = -1
         self._parts: dict[str, float] = {}
         self._in_force: dict[str, float] = {}
         self._lowered: set[str] = set()
@@ -61,7 +63,7 @@
         self._asking: timing.Subscription | None = None
         peers.subscribe(rate_messages.SharesAsked, self._asked)
         peers.subscribe(rate_messages.SharesKnown, self._known)
-        rights.subscribe(lambda view: self._learn())
+        rights.subscribe(lambda view: self._learn_anew())
 
     def own_limit(self, limit: limits.Limit) -> limits.Limit:
         """Take our data centre's part in force.
@@ -115,10 +117,7 @@
         if first or target <= self._in_force.get(self._own_name, 0.0):
             self._put_in_force()
             if first:
-                self._learning = self._timers.every(
-                    period_seconds=ASK_SECONDS, callback=self._learn
-                )
-                self._learn()
+                self._learn_anew()
             return
         self._counters.add("rate_share_raises", "waiting")
         self._ask()
@@ -148,6 +147,14 @@
                 to=member, body=rate_messages.SharesAsked(self._revision)
             )
 
+    def _learn_anew(self) -> None:
+        self._learned.clear()
+        if self._learning is None and self._revision >= 0:
+            self._learning = self._timers.every(
+                period_seconds=ASK_SECONDS, callback=self._learn
+            )
+        self._learn()
+
     def _learn(self) -> None:
         """Ask the members of our view which part they use, once each."""
         if self._learning is None:
@@ -171,6 +178,7 @@
         if self._learning is None or known.revision < 0:
             return
         self._learned.add(sender)
+        self._newest_revision = max(self._newest_revision, known.revision)
         if known.own_part >= self._in_force.get(self._own_name, 0.0):
             return
         self._in_force = {**self._in_force, self._own_name: known.own_part}
@@ -184,6 +192,9 @@
         # A data centre without a view may be cut off and still grant by the
         # old weights. One that the operators have taken out of the document
         # has no instances any more.
+        if self._revision < self._newest_revision:
+            # Our peers know newer weights; ours are not to be raised to.
+            return False
         waited_for = self._lowered & self._parts.keys()
         if not waited_for <= self._rights.directory().keys():
             return False
--- a/tests/coordination/rates/test_faults.py
+++ b/tests/coordination/rates/test_faults.py
@@ -25,6 +25,8 @@
         )
         self.running: list[tuple[fakes.Process, stock.Reservation]] = []
         self.parts = (0.0, 0.1, 1.0) if seed % 2 else (1.0,)
+        self.published = [self.fleet.weights]
+        self.known: dict[str, int] = {}
         self.waiting: dict[str, float] = {}
         self.watched: set[str] = set()
         self.events = (
@@ -32,6 +34,7 @@
             + [self.settle] * 120
             + [self.wait] * 120
             + [self.pause, self.resume, self.resume, self.change_view] * 2
+            + [self.weigh, self.catch_up, self.catch_up]
             + [self.kill, self.leave, self.cut, self.heal, self.slow]
         )
 
@@ -112,8 +115,7 @@
     def kill(self) -> None:
         process = self.random.choice(self.processes())
         name = process.node.self_id.data_centre
-        self.fleet.kill(process)
-        self.fleet.start(name)
+        self.start_instead(name, process)
         self.wait()
         self.fleet.change_view(name)
 
@@ -126,8 +128,44 @@
         self.wait()
         self.fleet.change_view(name, without=(process,))
         self.wait()
+        self.start_instead(name, process)
+
+    def start_instead(self, name: str, process: fakes.Process) -> None:
+        """Replace a process; the fresh one boots from its neighbours."""
+        newest = max(
+            self.known.get(each.node.self_id.incarnation, 0)
+            for each in self.fleet.processes[name]
+        )
         self.fleet.kill(process)
-        self.fleet.start(name)
+        self.fleet.weights = self.published[newest]
+        self.fleet.revision = newest + 1
+        fresh = self.fleet.start(name)
+        self.known[fresh.node.self_id.incarnation] = newest
+
+    def weigh(self) -> None:
+        """Publish other weights; only some processes read them at once."""
+        self.published.append(
+            {
+                name: self.random.choice((1.0, 2.0, 4.0))
+                for name in fakes.DATA_CENTRES
+            }
+        )
+        for process in self.processes():
+            if self.random.random() < 0.5:
+                self.read(process)
+
+    def catch_up(self) -> None:
+        name = self.random.choice(fakes.DATA_CENTRES)
+        for process in self.processes():
+            if process.node.self_id.data_centre == name:
+                self.read(process)
+
+    def read(self, process: fakes.Process) -> None:
+        newest = len(self.published) - 1
+        self.known[process.node.self_id.incarnation] = newest
+        process.rates.update_data_centres(
+            revision=newest + 1, weights=self.published[newest]
+        )
 
     def cut(self) -> None:
         lost = self.random.choice(fakes.DATA_CENTRES)
