Load an adapter elsewhere when its only holder fails a request twice

The repeat went to the same engine, the only holder, within half a millisecond, was cut again, and the fleet's one saved retry was spent.

Change: an endpoint that fails one request twice counts as no holder of its adapter, so placement loads another copy; two retries are saved at start.

--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -107,6 +107,7 @@
             bytes_sent=bytes_sent,
             now_seconds=now_seconds,
         ):
+            self._avoid_if_it_failed_twice(request, endpoint, now_seconds)
             self._repeat(request, endpoint, now_seconds)
             return None
         self._requests.end(request, used_tokens=used_tokens)
@@ -144,6 +145,22 @@
             ),
         )
 
+    def _avoid_if_it_failed_twice(
+        self,
+        request: requests_module.Request,
+        endpoint: str,
+        now_seconds: float,
+    ) -> None:
+        # The only holder of an adapter may fail its requests again and again,
+        # each within milliseconds, until no retry is left and the caller is
+        # cut off. Taken for no holder, it makes placement load another one.
+        if endpoint in self._requests.excluded.get(
+            request.work.request_id, frozenset()
+        ):
+            self._endpoints.evicted(
+                endpoint, request.work.needs, now_seconds=now_seconds
+            )
+
     def _repeat(
         self,
         request: requests_module.Request,
--- a/src/boragefold/policy/retry_budget.py
+++ b/src/boragefold/policy/retry_budget.py
@@ -21,8 +21,10 @@
 MAX_SAVED_IN_ALL = 100.0
 # With little traffic the ratio alone would allow no retry at all.
 SAVED_PER_SECOND = 0.1
-# A process that has just started knows nothing of the fleet's health.
-FIRST_SAVED = 1.0
+# A process that has just started knows nothing of the fleet's health. A broken
+# stream may need two: one at the only endpoint that holds its adapter, and one
+# elsewhere when that fails it again.
+FIRST_SAVED = 2.0
 
 
 @dataclasses.dataclass(kw_only=True)
