Add the commands that ask an instance; name peers to boot from

Cause: an operator could not ask an instance anything, and a fresh instance knew nobody while the platform was down.

--- a/src/boragefold/cli/main.py
+++ b/src/boragefold/cli/main.py
@@ -4,7 +4,11 @@
 
 import click
 
+from boragefold.cli import bench
+from boragefold.cli import check
 from boragefold.cli import demo
+from boragefold.cli import inspect
+from boragefold.cli import peer_key
 from boragefold.cli import serve
 
 
@@ -14,7 +18,13 @@
     """Serve very many LoRA adapters on a few base models."""
 
 
+main.add_command(bench.bench)
+main.add_command(check.check)
 main.add_command(demo.demo)
+main.add_command(inspect.audit)
+main.add_command(inspect.explain)
+main.add_command(inspect.status)
+main.add_command(peer_key.peer_key)
 main.add_command(serve.serve)
 
 __all__ = [
--- a/src/boragefold/cli/serve.py
+++ b/src/boragefold/cli/serve.py
@@ -33,6 +33,11 @@
     show_default=True,
     help="How long to go on accepting after turning not ready.",
 )
+@click.option(
+    "--seeds",
+    multiple=True,
+    help="Peers to ask while the platform is down: DATA_CENTRE/IP:PORT.",
+)
 @click.option("--json-logs/--text-logs", default=False, show_default=True)
 def serve(**options: Any) -> None:
     """Run one entry instance."""
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -64,6 +64,7 @@
             ),
             timers=self.timers,
             counters=self.counters,
+            seeds=[seed_id(seed) for seed in settings.seeds],
         )
         self.traffic = traffics.Traffic(
             together=self.together,
@@ -155,15 +156,25 @@
         events = self.stories.read(request_id)
         return None if events is None else {"events": events}
 
-    def audit(self, path: str) -> list[dict[str, Any]]:
+    def audit(
+        self, path: str, at_seconds: float | None
+    ) -> list[dict[str, Any]] | None:
         """Tell what was in force, on this instance, and from when.
 
-        :param path: of the published tree; empty for all that is in force
-        :return: plain data, oldest first
+        :param path: of the published tree; empty for every path
+        :param at_seconds: a moment of the calendar, or None
+        :return: plain data; None for a moment older than what is kept
         """
         history = self.together.history
-        records = history.of_path(path) if path else history.in_force()
-        return [record._asdict() for record in records]
+        if at_seconds is not None:
+            records = history.at(at_seconds)
+        else:
+            records = history.of_path(path) if path else history.in_force()
+        if records is None:
+            return None
+        return [
+            record._asdict() for record in records if path in ("", record.path)
+        ]
 
     def _serving(self) -> bool:
         # A fresh instance may spend no tokens until its first view, and the
@@ -260,6 +271,16 @@
         self.loop.stop()
 
 
+def seed_id(seed: str) -> ids.InstanceId:
+    """Read a peer that the settings name.
+
+    :param seed: data centre, slash, IP number and port
+    :return: whichever process listens there
+    """
+    data_centre, _, address = seed.partition("/")
+    return ids.InstanceId(data_centre, address, "")
+
+
 def new_request_id() -> str:
     """Make a name for a request.
 
@@ -271,4 +292,5 @@
 __all__ = [
     "Instance",
     "new_request_id",
+    "seed_id",
 ]
--- a/src/boragefold/entry/operators.py
+++ b/src/boragefold/entry/operators.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import abc
+import datetime
 from typing import Any
 
 import circuits
 from circuits import web
 import msgspec
 
+STATUS_BAD_REQUEST = 400
 STATUS_UNAVAILABLE = 503
 CHANNEL = "operators"
 JSON = "application/json"
@@ -48,11 +50,15 @@
         """
 
     @abc.abstractmethod
-    def audit(self, path: str) -> list[dict[str, Any]]:
-        """Tell what was in force at a path, and from when.
+    def audit(
+        self, path: str, at_seconds: float | None
+    ) -> list[dict[str, Any]] | None:
+        """Tell what was in force, on this instance, and from when.
 
         :param path: of the published tree; empty for every path
-        :return: plain data
+        :param at_seconds: a moment of the calendar; None for now, or for
+            everything that happened at the path
+        :return: plain data; None for a moment older than what is kept
         """
 
 
@@ -105,13 +111,20 @@
         """
         return self._json(self._inside.explain(request_id))
 
-    def audit(self, path: str = "") -> str:
+    def audit(self, path: str = "", at: str = "") -> str:
         """Answer with what was in force.
 
         :param path: of the published tree
+        :param at: a moment, such as ``2026-12-01T10:00:00Z``
         :return: JSON
         """
-        return self._json(self._inside.audit(path))
+        try:
+            moment = datetime.datetime.fromisoformat(at) if at else None
+        except ValueError:
+            self.response.status = STATUS_BAD_REQUEST
+            return self._json({"remedy": "write at as 2026-12-01T10:00:00Z"})
+        at_seconds = None if moment is None else moment.timestamp()
+        return self._json(self._inside.audit(path, at_seconds))
 
     def _json(self, data: Any) -> str:
         self.response.headers["Content-Type"] = JSON
--- a/src/boragefold/entry/together.py
+++ b/src/boragefold/entry/together.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import random
 import time
 
@@ -54,6 +55,7 @@
         reader: readers.PlatformReader,
         timers: timing.TimerService,
         counters: telemetry.Counters,
+        seeds: Sequence[ids.InstanceId] = (),
     ) -> None:
         self.link = link
         self._timers = timers
@@ -82,6 +84,7 @@
             timers=timers,
             counters=counters,
             random=random.Random(),
+            seeds=seeds,
         )
         self.rates = rate_service.Rates(
             peers=link, rights=self.views, timers=timers, counters=counters
--- a/src/boragefold/settings/serve.py
+++ b/src/boragefold/settings/serve.py
@@ -25,6 +25,7 @@
     tls_certificate: str = ""
     tls_key: str = ""
     stop_notice_seconds: float = 5.0
+    seeds: tuple[str, ...] = ()
     json_logs: bool = False
 
 
@@ -47,6 +48,7 @@
         *_peer_secret_faults(settings),
         *_tls_faults(settings),
         *_stop_faults(settings),
+        *_seed_faults(settings),
     ]
 
 
@@ -72,6 +74,13 @@
         )
 
 
+def _seed_faults(settings: ServeSettings) -> Iterator[Fault]:
+    for seed in settings.seeds:
+        data_centre, _, address = seed.partition("/")
+        if not (paths.is_name(data_centre) and _is_address(address)):
+            yield Fault("seeds", f"write {seed!r} as DATA_CENTRE/IP:PORT")
+
+
 def _data_centre_faults(settings: ServeSettings) -> Iterator[Fault]:
     if not paths.is_name(settings.data_centre):
         yield Fault("data_centre", "give the data centre's published name")
--- a/tests/policy/test_dispatcher.py
+++ b/tests/policy/test_dispatcher.py
@@ -305,3 +305,21 @@
         system.next_actions(now_seconds=at)
     placed = sends(offer(system, workloads.work(needs="y", at=4.0), at=4.0))
     assert [endpoint for _, endpoint, _ in placed] == ["idle"]
+
+
+def test_the_only_holder_that_fails_a_request_twice_is_left() -> None:
+    # The only endpoint that holds an adapter cuts every answer of it. Sent
+    # there again and again within milliseconds, the request would use up all
+    # retries; its caller would be cut off although another endpoint is well.
+    system = build(held={"cuts": ["x"], "well": []})
+    request = workloads.work(needs="x")
+    offer(system, request)
+    done: list[actions.Action] = []
+    for at in (0.1, 0.2):
+        system.failed(request.request_id, bytes_sent=True, now_seconds=at)
+        done = system.next_actions(now_seconds=at)
+    assert not sends(done)
+    for step in range(1, 9):
+        done += system.next_actions(now_seconds=0.2 + step / 10)
+    orders = [each for each in done if isinstance(each, actions.Order)]
+    assert [order.load.endpoint for order in orders] == ["well"]
