Shed earlier, and raise the later levels more slowly

Change: levels at 0.1, 0.2 and 0.3 of the callers' patience; the last two rise after two seconds instead of half a second. The delays in test_overload.py follow the new levels, as strict as before.

--- a/src/boragefold/policy/overload.py
+++ b/src/boragefold/policy/overload.py
@@ -27,15 +27,14 @@
 
 # The queue delay that each level answers, as a part of the callers' patience:
 # who waits long rather than be refused must not be refused for a short queue.
-# Extras stop when the queue can be felt at all. Requests are shed from a
-# seventh on, in steps of about two, since each level sheds a part of the load
-# that isn't known beforehand; the last stays below the part at which the
-# queue itself refuses.
+# Extras stop when the queue can be felt at all. Requests are shed from a tenth
+# on, in equal steps; the last stays well below the part at which the queue
+# itself refuses. The figures and what was weighed stand in the design note.
 DELAY_PATIENCE_SHARE = {
     Level.NO_EXTRAS: 0.02,
-    Level.ABOVE_SHARE: 0.15,
-    Level.ORDINARY_COLD: 0.3,
-    Level.ORDINARY: 0.5,
+    Level.ABOVE_SHARE: 0.1,
+    Level.ORDINARY_COLD: 0.2,
+    Level.ORDINARY: 0.3,
 }
 # The patience is a mean over about the last fifty requests.
 PATIENCE_SMOOTHING = 0.02
@@ -49,8 +48,15 @@
     Level.ORDINARY: 0.6,
 }
 # A delay must last this long to raise the level: a burst that the queue takes
-# in and serves within half a second is what the queue is for.
-RAISE_AFTER_SECONDS = 0.5
+# in and serves within half a second is what the queue is for. The later levels
+# wait longer: what the one before sheds needs time to show, and they refuse
+# those who did nothing to fill the queue.
+RAISE_AFTER_SECONDS = {
+    Level.NO_EXTRAS: 0.5,
+    Level.ABOVE_SHARE: 0.5,
+    Level.ORDINARY_COLD: 2.0,
+    Level.ORDINARY: 2.0,
+}
 # It is lowered more slowly, and at half of the delay that raised it: what was
 # refused comes back at once, and would raise it again.
 LOWER_AFTER_SECONDS = 2.0
@@ -105,9 +111,7 @@
         self._below_since_seconds = _since(
             self._below_since_seconds, self._is_below(), now_seconds
         )
-        if _lasted(
-            self._above_since_seconds, RAISE_AFTER_SECONDS, now_seconds
-        ):
+        if self._has_risen(now_seconds):
             self._raise_unless_falling(now_seconds)
         elif _lasted(
             self._below_since_seconds, LOWER_AFTER_SECONDS, now_seconds
@@ -178,6 +182,14 @@
             return False
         return self._delay_seconds < self._lower_seconds()
 
+    def _has_risen(self, now_seconds: float) -> bool:
+        if self._level == Level.ORDINARY:
+            return False
+        duration_seconds = RAISE_AFTER_SECONDS[Level(self._level + 1)]
+        return _lasted(
+            self._above_since_seconds, duration_seconds, now_seconds
+        )
+
     def _raise_unless_falling(self, now_seconds: float) -> None:
         # What is shed already may be enough, and the queue needs time to
         # empty; further levels would refuse who did nothing to fill it.
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -44,19 +44,19 @@
     controller = Controller()
     assert controller.see(0.5, 5.0) == overload.Level.NO_EXTRAS
     assert controller.check(above=True) == ""
-    assert controller.see(2.0, 5.0) == overload.Level.ABOVE_SHARE
+    assert controller.see(1.5, 5.0) == overload.Level.ABOVE_SHARE
     assert controller.check(above=True) == "overload_above_share"
     assert controller.check(cold=True) == ""
-    assert controller.see(4.0, 5.0) == overload.Level.ORDINARY_COLD
+    assert controller.see(2.5, 5.0) == overload.Level.ORDINARY_COLD
     assert controller.check(cold=True) == "overload_cold"
     assert controller.check() == ""
-    assert controller.see(6.0, 5.0) == overload.Level.ORDINARY
+    assert controller.see(3.5, 5.0) == overload.Level.ORDINARY
     assert controller.check() == "overload_ordinary"
     assert controller.check(late=True) == ""
     assert controller.check(late=True, cold=True) == ""
     assert controller.check(late=True, above=True) == "overload_above_share"
     # One level in two seconds, and none above half of what raised it.
-    assert controller.see(3.0, 5.0) == overload.Level.ORDINARY
+    assert controller.see(1.6, 5.0) == overload.Level.ORDINARY
     assert controller.see(0.0, 2.2) == overload.Level.ORDINARY_COLD
     assert controller.see(0.0, 10.0) == overload.Level.NORMAL
 
@@ -77,7 +77,7 @@
     changes = 0
     before = controller.overload.level
     for _ in range(100):
-        for delay in (1.6, 1.4):
+        for delay in (1.1, 0.9):
             level = controller.see(delay, 0.6)
             changes += level != before
             before = level
@@ -86,10 +86,10 @@
 
 def test_a_refused_caller_is_told_when_to_come_back() -> None:
     controller = Controller()
-    controller.see(6.0, 3.0)
+    controller.see(6.0, 6.0)
     refused = controller.overload.check(
         workloads.work(patience=PATIENCE_SECONDS), above_share=True, cold=False
     )
     assert refused is not None
     assert refused.status == 503
-    assert refused.retry_after_seconds == 3.5
+    assert refused.retry_after_seconds == 4.5
