--- a/src/boragefold/policy/assembly.py
+++ b/src/boragefold/policy/assembly.py
@@ -79,6 +79,7 @@
         ),
         retry_budget=retry_budget.RetryBudget(counters=counters),
         stock=stock,
+        counters=counters,
     )
 
 
--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -16,6 +16,7 @@
 from boragefold.policy import requests as requests_module
 from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import sending as sending_module
+from boragefold.telemetry import counters as telemetry
 
 # Each refusal for want of the adapter takes one endpoint out of the view, so
 # that a request comes to rest by itself; beyond so many the views of the
@@ -35,12 +36,14 @@
         endpoints: endpoints_module.Endpoints,
         retry_budget: retry_budgets.RetryBudget,
         requests: requests_module.Requests,
+        counters: telemetry.Counters,
     ) -> None:
         self._queue = queue
         self._sending = sending
         self._endpoints = endpoints
         self._retry_budget = retry_budget
         self._requests = requests
+        self._counters = counters
 
     def begin(self, *, now_seconds: float) -> Iterator[actions.Send]:
         """Send what can start now.
@@ -131,9 +134,11 @@
         )
         self.end(request, used_tokens=0.0, now_seconds=now_seconds)
         if request.attempts <= MAX_NOT_HELD:
+            self._counters.add("retries", "adapter_not_held")
             self._repeat(request, endpoint, now_seconds)
             return None
         self._requests.end(request, used_tokens=0.0)
+        self._counters.add("requests_refused", "adapter_not_held")
         return ended_unserved(
             request,
             refusal.Refused(
--- a/src/boragefold/policy/dispatcher.py
+++ b/src/boragefold/policy/dispatcher.py
@@ -20,6 +20,7 @@
 from boragefold.policy import sending as sending_module
 from boragefold.policy import stock as stocks
 from boragefold.policy import work as works
+from boragefold.telemetry import counters as telemetry
 
 
 class Dispatcher:
@@ -39,6 +40,7 @@
         fleet: fleet_events.FleetEvents,
         retry_budget: retry_budgets.RetryBudget,
         stock: stocks.Stock,
+        counters: telemetry.Counters,
     ) -> None:
         self.fleet = fleet
         self._admission = admission
@@ -52,6 +54,7 @@
             endpoints=endpoints,
             retry_budget=retry_budget,
             requests=self._requests,
+            counters=counters,
         )
         self._topped_up: set[str] = set()
         self._endings: list[actions.Action] = []
