--- a/src/boragefold/coordination/views.py
+++ b/src/boragefold/coordination/views.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
-from typing import TypeVar
 
 from absl import logging
 
@@ -22,6 +21,7 @@
 from boragefold.coordination import roster as rosters
 from boragefold.coordination import stewardship as stewardships
 from boragefold.coordination import view_changes
+from boragefold.coordination import view_router
 from boragefold.coordination import view_state
 from boragefold.protocol import ids
 from boragefold.protocol import view_messages as messages
@@ -31,19 +31,6 @@
 # Fine enough for the waits of an election; a tick without work costs little.
 TICK_SECONDS = 0.1
 
-Body = TypeVar("Body")
-OfView = TypeVar(
-    "OfView",
-    messages.Beat,
-    messages.Renewal,
-    messages.Relayed,
-    messages.Prepare,
-    messages.Promise,
-    messages.Refusal,
-    messages.Change,
-    messages.ChangeAck,
-)
-
 
 class Views(rights.Rights):
     """Keeps this instance in its data centre's view, and answers for it."""
@@ -86,34 +73,32 @@
         self._inquiry = inquiries.Inquiry(
             peer_link=peer_link, state=self._state, listing=self._listing
         )
-        self._leadership = leaderships.Leadership(
+        leadership = leaderships.Leadership(
             peer_link=peer_link, state=self._state, counters=counters
         )
         roster = rosters.Roster(
             state=self._state,
             inquiry=self._inquiry,
-            leadership=self._leadership,
+            leadership=leadership,
             counters=counters,
             on_suspect=suspect,
         )
-        self._changes = view_changes.ViewChanges(
+        changes = view_changes.ViewChanges(
             peer_link=peer_link,
             state=self._state,
             inquiry=self._inquiry,
-            leadership=self._leadership,
+            leadership=leadership,
             roster=roster,
             counters=counters,
         )
-        self._relaying = relayings.Relaying(
-            peer_link=peer_link, state=self._state
-        )
+        relaying = relayings.Relaying(peer_link=peer_link, state=self._state)
         self._stewardship = stewardships.Stewardship(
             state=self._state,
             inquiry=self._inquiry,
             listing=self._listing,
-            leadership=self._leadership,
+            leadership=leadership,
             roster=roster,
-            changes=self._changes,
+            changes=changes,
             counters=counters,
             new_epoch=self._new_epoch,
         )
@@ -139,7 +124,7 @@
             inquiry=self._inquiry,
             election=self._election,
             stewardship=self._stewardship,
-            relaying=self._relaying,
+            relaying=relaying,
             counters=counters,
             on_suspect=suspect,
         )
@@ -150,7 +135,22 @@
             listing=self._listing,
             random_source=random_source,
         )
-        self._subscribe_all()
+        view_router.ViewRouter(
+            peer_link=peer_link,
+            state=self._state,
+            inquiry=self._inquiry,
+            leadership=leadership,
+            election=self._election,
+            founding=self._founding,
+            stewardship=self._stewardship,
+            changes=changes,
+            membership=self._membership,
+            relaying=relaying,
+            directory=self._directory,
+            counters=counters,
+            is_leaving=lambda: self._leaving,
+            on_handled=self._tell,
+        )
 
     @property
     def self_id(self) -> ids.InstanceId:
@@ -271,117 +271,6 @@
     def _new_epoch(self) -> int:
         return max(self._wall_clock_ms(), self._state.highest_id.epoch + 1)
 
-    def _subscribe_all(self) -> None:
-        self._on(messages.Greeting, self._on_greeting)
-        self._on(messages.Standing, self._on_standing)
-        self._on(messages.Join, lambda peer, _: self._on_join(peer))
-        self._on(messages.Leave, lambda peer, _: self._on_leave(peer))
-        self._on(messages.Install, self._membership.on_install)
-        self._on(messages.Foundation, self._founding.on_foundation)
-        self._on(messages.FoundationAck, self._founding.on_ack)
-        self._on_same_view(messages.Beat, self._on_beat)
-        self._on_same_view(messages.Renewal, self._membership.on_renewal)
-        self._on_same_view(messages.Relayed, self._membership.on_relayed)
-        self._on_same_view(messages.Prepare, self._membership.on_prepare)
-        self._on_same_view(messages.Promise, self._election.on_promise)
-        self._on_same_view(messages.Refusal, self._on_refusal)
-        self._on_same_view(messages.Change, self._membership.on_change)
-        self._on_same_view(messages.ChangeAck, self._changes.on_ack)
-        self._link.subscribe(messages.Digest, self._directory.on_digest)
-        self._link.subscribe(messages.News, self._directory.on_news)
-
-    def _on(
-        self,
-        kind: type[Body],
-        handler: Callable[[ids.InstanceId, Body], None],
-    ) -> None:
-        def receive(sender: ids.InstanceId, body: Body) -> None:
-            if sender.data_centre != self.self_id.data_centre:
-                self._counters.add("view_messages_dropped", "data_centre")
-                return
-            self._inquiry.note_heard(sender)
-            handler(sender, body)
-            self._tell()
-
-        self._link.subscribe(kind, receive)
-
-    def _on_same_view(
-        self,
-        kind: type[OfView],
-        handler: Callable[[ids.InstanceId, OfView], None],
-    ) -> None:
-        def receive(sender: ids.InstanceId, body: OfView) -> None:
-            self._state.hear_of(body.view_id)
-            if (
-                body.view_id == self._state.view_id()
-                and not self._state.is_outdated()
-            ):
-                handler(sender, body)
-                return
-            # One of us has missed an installation. The later one brings the
-            # other forward, on hearing where it stands.
-            self._counters.add("view_messages_dropped", "other_view")
-            self._send_standing(sender, 0.0)
-
-        self._on(kind, receive)
-
-    def _on_greeting(
-        self, sender: ids.InstanceId, greeting: messages.Greeting
-    ) -> None:
-        self._send_standing(sender, greeting.sent_seconds)
-
-    def _send_standing(self, to: ids.InstanceId, echo_seconds: float) -> None:
-        state = self._state
-        outdated = state.is_outdated()
-        self._link.send(
-            to=to,
-            body=messages.Standing(
-                echo_seconds=echo_seconds,
-                view_id=messages.NO_VIEW if outdated else state.view_id(),
-                highest_id=state.highest_id,
-                covered=state.covered(),
-                steward=None if outdated else state.steward,
-            ),
-        )
-
-    def _on_standing(
-        self, sender: ids.InstanceId, standing: messages.Standing
-    ) -> None:
-        if standing.echo_seconds > 0:
-            self._inquiry.note_answer(sender, standing)
-        if not self._leaving or not self._state.is_outdated():
-            self._membership.on_standing(sender, standing)
-
-    def _on_join(self, sender: ids.InstanceId) -> None:
-        self._stewardship.on_join(sender)
-
-    def _on_leave(self, sender: ids.InstanceId) -> None:
-        view = self._state.view
-        if view is not None and sender not in view.members:
-            self._send_standing(sender, 0.0)
-        elif self._stewardship.leading:
-            self._stewardship.on_leave(sender)
-
-    def _on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
-        if self._stewardship.leading:
-            self._stewardship.on_beat(sender, beat)
-        else:
-            self._relaying.on_beat(sender, beat)
-
-    def _on_refusal(
-        self, sender: ids.InstanceId, refusal: messages.Refusal
-    ) -> None:
-        self._election.note_round(refusal.ballot.round)
-        if not self._stewardship.leading:
-            return
-        if refusal.ballot <= self._leadership.ballot:
-            return
-        # A voter has promised a higher ballot to one that didn't win. Lead by
-        # a still higher one, or this voter would refuse us for good.
-        self._counters.add("view_steward_ended", "higher_ballot")
-        self._stewardship.step_down()
-        self._election.start()
-
 
 __all__ = [
     "TICK_SECONDS",
