Say so when the holder of a rate does not answer

Cause: with a dead holder and no new view yet, callers were told to come back in 50 ms, again and again, for as long as the view took. Ruled out: nothing.

--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -26,6 +26,10 @@
 # How soon a request is made again that another one had kept from being sent.
 AGAIN_SECONDS = 0.005
 
+# After this many requests in a row without an answer the holder is taken for
+# dead, and the next view has to name another.
+UNANSWERED = 2
+
 # Without a holder: the usual time that a view takes to come about.
 NO_HOLDER_SECONDS = 1.0
 
@@ -184,6 +188,8 @@
         left_seconds = account.purse.ready_at_seconds - now_seconds
         if not self._has_holder(workspace):
             return self._short("no_holder", NO_HOLDER_SECONDS)
+        if account.purse.unanswered >= UNANSWERED:
+            return self._short("unanswered", NO_HOLDER_SECONDS)
         if account.purse.in_flight:
             wait_seconds = max(limits.IN_FLIGHT_SECONDS, left_seconds)
             return self._short("asking", wait_seconds)
--- a/tests/coordination/rates/test_service.py
+++ b/tests/coordination/rates/test_service.py
@@ -256,3 +256,16 @@
     later = fleet.reserve(process, 600.0)
     assert isinstance(later, stock.Shortfall)
     assert 1.0 < later.ready_in_seconds < 2.5
+
+
+def test_a_silent_holder_is_not_taken_for_a_prompt_one(fleet) -> None:
+    # The holder died and no view has noticed yet. Callers are told to come
+    # back in an instant, again and again, and hold their connections open.
+    process = fleet.other("north")
+    fleet.kill(fleet.holder("north"))
+    for _ in range(20):
+        result = fleet.reserve(process, 250.0)
+        fleet.run_for(0.1)
+    assert isinstance(result, stock.Shortfall)
+    assert result.ready_in_seconds >= limits.RETRY_SECONDS
+    assert process.counters.value("rate_shortfalls", "unanswered") > 0
