--- a/src/boragefold/bench/rates.py
+++ b/src/boragefold/bench/rates.py
@@ -16,18 +16,17 @@
 from boragefold.bench import rate_baselines
 from boragefold.bench import rate_callers
 from boragefold.bench import rate_fleet
+from boragefold.bench import rate_scenarios
 from boragefold.coordination.rates import limits
 from boragefold.coordination.rates import service
 from boragefold.policy import stock
 from boragefold.telemetry import counters as counting
 
 Way = Literal["leased", "share", "full"]
-Fault = Literal["none", "kill", "leave", "pause", "cut"]
 
 WORKSPACE = "quadro/drafts"
 LIMIT = limits.Limit(3000.0, 9000.0)
 DATA_CENTRES = ("north", "south", "west")
-INSTANCES = 7
 # Buckets of fresh holders are empty; measuring begins once they are full.
 WARM_UP_SECONDS = 10.0
 MEASURED_SECONDS = 60.0
@@ -37,15 +36,6 @@
 CUT_SECONDS = 20.0
 
 
-class Scenario(NamedTuple):
-    """Who calls, how much, and what goes wrong."""
-
-    name: str
-    load: float
-    weights: tuple[float, ...]
-    fault: Fault
-
-
 class Result(NamedTuple):
     """What a way to hold the rate did in a scenario.
 
@@ -63,24 +53,6 @@
     ended_excess_tokens: float
 
 
-EVEN = (1.0,) * INSTANCES
-SKEWED = (8.0, 4.0, 2.0, 1.0, 1.0, 0.5, 0.25)
-ONE_SITE = (1.0, 0.0, 0.0, 1.0, 0.0, 0.0, 1.0)
-
-SCENARIOS = (
-    Scenario("even callers, 80% of the rate", 0.8, EVEN, "none"),
-    Scenario("skewed callers, 80%", 0.8, SKEWED, "none"),
-    Scenario("one data centre, 80%", 0.8, ONE_SITE, "none"),
-    Scenario("skewed, four times the rate", 4.0, SKEWED, "none"),
-    Scenario("skewed, 80%, kills", 0.8, SKEWED, "kill"),
-    Scenario("skewed, 80%, planned restarts", 0.8, SKEWED, "leave"),
-    Scenario("skewed, 80%, pauses", 0.8, SKEWED, "pause"),
-    Scenario("four times the rate, kills", 4.0, SKEWED, "kill"),
-    Scenario("four times the rate, a cut", 4.0, EVEN, "cut"),
-    Scenario("even, 80%, a cut", 0.8, EVEN, "cut"),
-)
-
-
 class _Slot:
     """A place of the fleet, and the process that runs in it now."""
 
@@ -95,7 +67,9 @@
 class Run:
     """One scenario with one way to hold the rate."""
 
-    def __init__(self, *, scenario: Scenario, way: Way, seed: int) -> None:
+    def __init__(
+        self, *, scenario: rate_scenarios.Scenario, way: Way, seed: int
+    ) -> None:
         """Start the instances.
 
         :param scenario: what happens
@@ -176,7 +150,7 @@
         self, slot: _Slot, instance: rate_fleet.Instance
     ) -> stock.Stock:
         if self._way != "leased":
-            part = LIMIT.part(1 / INSTANCES)
+            part = LIMIT.part(1 / rate_scenarios.INSTANCES)
             full = self._way == "full"
             return rate_baselines.LocalBucket(
                 timers=instance.timers,
@@ -235,7 +209,7 @@
             return
         count = int(MEASURED_SECONDS / FAULT_PERIOD_SECONDS)
         for number in range(count):
-            slot = self._slots[number % INSTANCES]
+            slot = self._slots[number % rate_scenarios.INSTANCES]
             self._at(
                 WARM_UP_SECONDS + (number + 0.5) * FAULT_PERIOD_SECONDS,
                 functools.partial(self._disturb, slot),
@@ -290,7 +264,7 @@
     ways: tuple[Way, ...] = ("leased", "share", "full")
     return [
         Run(scenario=scenario, way=way, seed=seed).result()
-        for scenario in SCENARIOS
+        for scenario in rate_scenarios.SCENARIOS
         for way in ways
     ]
 
@@ -317,8 +291,6 @@
 __all__ = [
     "Result",
     "Run",
-    "SCENARIOS",
-    "Scenario",
     "compare",
     "main",
 ]
--- a/src/boragefold/coordination/rates/tenure.py
+++ b/src/boragefold/coordination/rates/tenure.py
@@ -111,9 +111,7 @@
         self.lenders.answer(lender.data_centre, given)
 
     def reported(
-        self,
-        asker: ids.InstanceId,
-        usages: Iterable[rate_messages.Usage],
+        self, asker: ids.InstanceId, usages: Iterable[rate_messages.Usage]
     ) -> None:
         """Take in what became of tokens that were granted or lent.
 
