--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -26,6 +26,10 @@
 # How soon a request is made again that another one had kept from being sent.
 AGAIN_SECONDS = 0.005
 
+# After this many requests in a row without an answer the holder is taken for
+# dead, and the next view has to name another.
+UNANSWERED = 2
+
 # Without a holder: the usual time that a view takes to come about.
 NO_HOLDER_SECONDS = 1.0
 
@@ -177,16 +181,21 @@
         self._counters.add("rate_shortfalls", reason)
         return stock.Shortfall(ready_in_seconds=ready_in_seconds)
 
+    def _unheld(self, reason: str) -> stock.Shortfall:
+        self._counters.add("rate_shortfalls", reason)
+        return stock.Shortfall(
+            ready_in_seconds=NO_HOLDER_SECONDS, no_holder=True
+        )
+
     def _shortfall(
         self, workspace: str, account: accounts.Account
     ) -> stock.Shortfall:
         now_seconds = self._timers.now_seconds()
         left_seconds = account.purse.ready_at_seconds - now_seconds
         if not self._has_holder(workspace):
-            self._counters.add("rate_shortfalls", "no_holder")
-            return stock.Shortfall(
-                ready_in_seconds=NO_HOLDER_SECONDS, no_holder=True
-            )
+            return self._unheld("no_holder")
+        if account.purse.unanswered >= UNANSWERED:
+            return self._unheld("unanswered")
         if account.purse.in_flight:
             wait_seconds = max(limits.IN_FLIGHT_SECONDS, left_seconds)
             return self._short("asking", wait_seconds)
--- a/src/boragefold/policy/endpoints.py
+++ b/src/boragefold/policy/endpoints.py
@@ -23,6 +23,12 @@
 LoadReport = endpoint_spec.LoadReport
 
 
+# An eviction is over, one way or the other, within half of this. An adapter
+# that is listed still was kept; blocked for good here and held in everyone
+# else's view, it would be neither used nor loaded anew.
+BLOCKED_SECONDS = 10.0
+
+
 class Endpoints:
     """The endpoints, indexed by name and by the adapters they hold."""
 
@@ -222,7 +228,8 @@
         measured_at = report.measured_at_seconds
         # A report older than our own order shows what was before it.
         for adapter, blocked_at in list(state.blocked_at.items()):
-            if adapter not in listed and blocked_at < measured_at:
+            gone = adapter not in listed and blocked_at < measured_at
+            if gone or measured_at - blocked_at > BLOCKED_SECONDS:
                 del state.blocked_at[adapter]
         for adapter in list(state.resident - listed):
             if state.loaded_at.get(adapter, measured_at) <= measured_at:
