--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -33,6 +33,7 @@
 # A new rate holder waits for the grants of its predecessor to end, two
 # seconds, and then has one second's tokens to give.
 SETTLE_SECONDS = 3.0
+LEAVE_LIMIT_SECONDS = 10.0
 
 
 class Instance(operators.Inside):
@@ -46,6 +47,7 @@
     ) -> None:
         self.settings = settings
         self._joined_at_seconds: float | None = None
+        self._left_at_seconds = 0.0
         self.counters = telemetry.Counters()
         self.stories = telemetry_stories.Stories()
         self.loop = loop or loops.Loop(
@@ -256,15 +258,23 @@
         return context
 
     def _hand_over(self) -> None:
+        self._left_at_seconds = self.timers.now_seconds()
         self._callers.stop_listening()
         self.together.leave()
 
     def _finished(self) -> bool:
-        return (
+        served = (
             self._callers.close_idle() == 0
             and self.together.runner.open_attempts == 0
-            and self.together.views.has_left
         )
+        return served and self._has_left()
+
+    def _has_left(self) -> bool:
+        # Where no steward can lead, the view never lets us go. Every right
+        # of ours ends by itself in less time than this.
+        waited_seconds = self.timers.now_seconds() - self._left_at_seconds
+        left = self.together.views.has_left
+        return left or waited_seconds > LEAVE_LIMIT_SECONDS
 
     def _stop(self) -> None:
         self.together.link.close()
