--- a/src/boragefold/bench/bounds.py
+++ b/src/boragefold/bench/bounds.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import importlib.resources
 from typing import NamedTuple
 
@@ -20,7 +21,8 @@
 LEAST_STALL_SECONDS = 5.0
 
 
-class Bound(NamedTuple):
+@dataclasses.dataclass(frozen=True)
+class Bound:
     """What one run may reach; the ratios are to the better baseline."""
 
     stall_ratio: float
