--- a/src/boragefold/bench/fleet.py
+++ b/src/boragefold/bench/fleet.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import functools
 import random
 
 from boragefold.bench import deployments
 from boragefold.bench import engine as engines
 from boragefold.bench import ledger as ledgers
 from boragefold.bench import loading
+from boragefold.bench import reporting
 from boragefold.bench import store as stores
 from boragefold.bench import system as systems
 from boragefold.bench import traffic
-from boragefold.policy import work as works
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers
 
-REPORT_PERIOD_SECONDS = 1.0
-REPORT_LAG_SECONDS = (0.05, 0.35)
 # An instance and an engine of one data centre, as a part of the way between
 # two data centres.
 INSIDE_PART = 0.2
@@ -199,7 +196,13 @@
         :param oracle: who judges what was inside the rate
         """
         self.system = system
-        self._start_reports()
+        reporting.start(
+            service=self.service,
+            engines=self.engines.values(),
+            rng=self._rng,
+            instances=len(self.centres),
+            deliver=system.report,
+        )
         pending = iter(arrivals)
         upcoming = next(pending, None)
         while upcoming is not None or self.ledger.open:
@@ -214,34 +217,6 @@
                 self.clock.move_to(due)
                 self.service.run_due()
 
-    def _start_reports(self) -> None:
-        for engine in self.engines.values():
-            self.service.every(
-                period_seconds=REPORT_PERIOD_SECONDS,
-                first_delay_seconds=self._rng.random() * REPORT_PERIOD_SECONDS,
-                callback=functools.partial(self._report, engine),
-            )
-
-    def _report(self, engine: engines.Engine) -> None:
-        report = systems.Report(
-            endpoint=engine.size.name,
-            incarnation=str(engine.incarnation),
-            taken_at_seconds=self.now_seconds(),
-            running=len(engine.running),
-            waiting=len(engine.waiting),
-            ready=tuple(
-                works.AdapterVersion(
-                    engine.size.model, adapter, traffic.VERSION
-                )
-                for adapter in engine.ready
-            ),
-        )
-        for instance in range(len(self.centres)):
-            self._later(
-                self._rng.uniform(*REPORT_LAG_SECONDS),
-                functools.partial(self.system.report, instance, report),
-            )
-
     def _arrive(self, arrival: traffic.Arrival, inside_rate: bool) -> None:
         instance = int(arrival.draw * len(self.centres))
         record = ledgers.Record(
--- a/src/boragefold/bench/instance.py
+++ b/src/boragefold/bench/instance.py
@@ -10,6 +10,7 @@
 
 from boragefold.bench import deployments
 from boragefold.bench import fleet as fleets
+from boragefold.bench import load_shares
 from boragefold.bench import shares
 from boragefold.policy import actions
 from boragefold.policy import assembly
@@ -61,7 +62,7 @@
         number: int,
         fleet: fleets.Fleet,
         rates: shares.RateHolder,
-        loads: shares.LoadHolder,
+        loads: load_shares.LoadHolder,
         orderers: Mapping[str, str],
         seed: int,
     ) -> None:
@@ -81,7 +82,7 @@
         self.dispatcher = assembly.assemble(
             endpoints=known,
             stock=stock,
-            load_budget=shares.ModelLoadBudget(
+            load_budget=load_shares.ModelLoadBudget(
                 service=fleet.service,
                 holder=loads,
                 delay_seconds=between,
--- a/src/boragefold/bench/served.py
+++ b/src/boragefold/bench/served.py
@@ -8,6 +8,7 @@
 
 from boragefold.bench import fleet as fleets
 from boragefold.bench import instance as instances
+from boragefold.bench import load_shares
 from boragefold.bench import shares
 from boragefold.bench import system as systems
 from boragefold.bench import traffic
@@ -32,7 +33,7 @@
             rates_tokens_per_second=rates_tokens_per_second,
             instances=len(fleet.centres),
         )
-        loads = shares.LoadHolder(
+        loads = load_shares.LoadHolder(
             service=fleet.service,
             loads_per_second=fleet.deployment.loads_per_second,
         )
--- a/tests/bench/test_shares.py
+++ b/tests/bench/test_shares.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from boragefold.bench import load_shares
 from boragefold.bench import shares
 from boragefold.policy import stock
 from boragefold.timing import clock
@@ -66,13 +67,13 @@
 
 def test_loads_are_granted_at_the_rate_and_unused_ones_come_back() -> None:
     bed = Bed()
-    holder = shares.LoadHolder(service=bed.service, loads_per_second=4.0)
+    holder = load_shares.LoadHolder(service=bed.service, loads_per_second=4.0)
     granted: list[float] = []
 
     def note() -> None:
         granted.append(bed.clock.now_seconds())
 
-    budget = shares.ModelLoadBudget(
+    budget = load_shares.ModelLoadBudget(
         service=bed.service,
         holder=holder,
         delay_seconds=0.001,
