--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 TOX := $(VENV)/bin/tox run -q
 
-.PHONY: demo test lint bench binary docs clean
+.PHONY: demo test lint bench bench-check binary clean
 
 $(VENV)/.ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 bench: $(VENV)/.ready
 	$(VENV)/bin/boragefold bench
 
+bench-check: $(VENV)/.ready
+	$(VENV)/bin/boragefold bench --check
+
 binary: $(VENV)/.ready
 	$(VENV)/bin/pip install -q "shiv>=1.0.8"
 	tools/build-binary.sh
--- a/src/boragefold/cli/serve.py
+++ b/src/boragefold/cli/serve.py
@@ -38,7 +38,12 @@
     multiple=True,
     help="Peers to ask while the platform is down: DATA_CENTRE/IP:PORT.",
 )
-@click.option("--json-logs/--text-logs", default=False, show_default=True)
+@click.option(
+    "--json-logs/--text-logs",
+    default=False,
+    show_default=True,
+    help="How log lines are written.",
+)
 def serve(**options: Any) -> None:
     """Run one entry instance."""
     settings = serve_settings.ServeSettings(**options)
