Take no later revision for consent to raise a part

Cause: a data centre raised its part by revision 2 when the members elsewhere had said that they knew revision 2 or a later one. One that had gone from revision 1 to 4 used 0.25 by it, not the 0.143 that revision 2 left it: 0.571 + 0.25 + 0.25 of the rate were in force at once.

Ruled out: grants, loans, settlements and hand-overs (in both traces the sum of the limits in force is over the burst before the sum of the buckets is); sorting alone (it only hides the walk); accepting a later revision whose part in force is small enough (it may rise later without asking us).

Change: only an answer with the same revision counts; after a gap in the revisions all other data centres are waited for; both sets are sorted.

A raise may take longer when data centres read different revisions; it comes when they have read the same one.

--- a/src/boragefold/coordination/rates/shares.py
+++ b/src/boragefold/coordination/rates/shares.py
@@ -4,7 +4,8 @@
 that is cut off may not read it for hours. If the one whose part grew used it
 at once, the parts in use would add up to more than the rate. A raise waits
 until every member of the views of those whose part fell has said that it knows
-the revision: whichever of them is or becomes the holder uses the lower part.
+just this revision: whichever of them is or becomes the holder uses the lower
+part. A later one won't do: who missed ours may use more than ours leaves it.
 
 A fresh process knows no earlier weights, one that was paused only old ones.
 With every view a process asks its own data centre's members which part they
@@ -101,6 +102,7 @@
         if revision <= self._revision:
             return
         first = self._revision < 0
+        missed = not first and revision > self._revision + 1
         before = self._parts
         total = sum(weights.values())
         self._revision = revision
@@ -113,6 +115,9 @@
             for name, part in before.items()
             if self._parts.get(name, 0.0) < part and name != self._own_name
         }
+        if missed:
+            # A revision in between may have raised any of the others.
+            self._lowered |= self._parts.keys() - {self._own_name}
         target = self._parts.get(self._own_name, 0.0)
         if first or target <= self._in_force.get(self._own_name, 0.0):
             self._put_in_force()
@@ -142,7 +147,7 @@
         self._asking = self._timers.once(
             delay_seconds=ASK_SECONDS, callback=self._ask
         )
-        for member in self._must_know() - self._knowing:
+        for member in sorted(self._must_know() - self._knowing):
             self._link.send(
                 to=member, body=rate_messages.SharesAsked(self._revision)
             )
@@ -165,7 +170,7 @@
         if others and others <= self._learned:
             self._learning.cancel()
             self._learning = None
-        for member in others - self._learned:
+        for member in sorted(others - self._learned):
             self._link.send(
                 to=member, body=rate_messages.SharesAsked(self._revision)
             )
@@ -224,7 +229,9 @@
         if sender.data_centre == self._own_name:
             self._learn_from(sender, known)
             return
-        if self._asking is None or known.revision < self._revision:
+        # Who has read a later revision may have missed ours, and use a part
+        # that is larger than ours leaves to it: that is no consent.
+        if self._asking is None or known.revision != self._revision:
             return
         self._knowing.add(sender)
         if not self._everybody_knows():
--- /dev/null
+++ b/tests/coordination/rates/test_shares.py
@@ -0,0 +1,64 @@
+"""Parts of a rate while the published weights change more than once."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes import rates as fakes
+
+FIRST = {"north": 4.0, "south": 2.0, "west": 1.0}
+SECOND = {"north": 2.0, "south": 1.0, "west": 1.0}
+
+
+def bursts_tokens(fleet: fakes.Fleet) -> float:
+    now_seconds = fleet.network.clock.now_seconds()
+    return sum(
+        ledger.limit.burst_tokens
+        for processes in fleet.processes.values()
+        for process in processes
+        for ledger in process.rates.buckets(now_seconds)
+    )
+
+
+def read(
+    fleet: fakes.Fleet, name: str, revision: int, weights: dict[str, float]
+) -> None:
+    for process in fleet.processes[name]:
+        process.rates.update_data_centres(revision=revision, weights=weights)
+
+
+def test_newer_weights_elsewhere_do_not_allow_an_older_raise() -> None:
+    # A caller would see 964 tokens out of a burst of 900. The weights change
+    # twice: one data centre reads the first change, by which it gets more;
+    # the others miss it and read the second, by which they give up less.
+    # Their answer "we know something newer" was taken for a yes.
+    fleet = fakes.Fleet()
+    fleet.run_for(3.0)
+    read(fleet, "north", 2, FIRST)
+    read(fleet, "south", 3, SECOND)
+    read(fleet, "west", 3, SECOND)
+    fleet.run_for(10.0)
+    assert bursts_tokens(fleet) <= fleet.limit.burst_tokens + 1e-6
+    read(fleet, "north", 3, SECOND)
+    fleet.run_for(10.0)
+    assert bursts_tokens(fleet) == pytest.approx(fleet.limit.burst_tokens)
+
+
+def test_a_revision_that_was_missed_may_have_raised_anybody() -> None:
+    # As above, but the raise by the first change was in force before: it
+    # took nothing from west, which misses it and sees only that south falls.
+    # West must not raise before north has read the second change as well.
+    fleet = fakes.Fleet()
+    for name in fakes.DATA_CENTRES:
+        read(fleet, name, 2, {"north": 11.0, "south": 16.0, "west": 3.0})
+    fleet.run_for(10.0)
+    for name in ("north", "south"):
+        read(fleet, name, 3, {"north": 20.0, "south": 7.0, "west": 3.0})
+    fleet.run_for(10.0)
+    for name in ("south", "west"):
+        read(fleet, name, 4, {"north": 18.0, "south": 4.0, "west": 8.0})
+    fleet.run_for(10.0)
+    assert bursts_tokens(fleet) <= fleet.limit.burst_tokens + 1e-6
+    read(fleet, "north", 4, {"north": 18.0, "south": 4.0, "west": 8.0})
+    fleet.run_for(10.0)
+    assert bursts_tokens(fleet) == pytest.approx(fleet.limit.burst_tokens)
