--- a/src/boragefold/coordination/once/runner.py
+++ b/src/boragefold/coordination/once/runner.py
@@ -7,6 +7,7 @@
 
 from boragefold.coordination import link as links
 from boragefold.coordination.once import register as registers
+from boragefold.coordination.once import telling
 from boragefold.protocol import ids
 from boragefold.protocol import once_messages
 from boragefold.telemetry import counters as telemetry
@@ -16,12 +17,6 @@
 # today (3 ms) would do; a busy peer's loop may add some 100 ms.
 ASK_TIMEOUT_SECONDS = 0.4
 ASKS_PER_REGISTER = 2
-# A release or an answer is told again until acknowledged: half a minute spans
-# a partition that heals quickly, and costs at most 15 messages.
-RETELL_SECONDS = 2.0
-RETELLS = 15
-
-Told = once_messages.Release | once_messages.Store
 
 
 class AttemptHandler(abc.ABC):
@@ -102,12 +97,10 @@
         self._numbers = itertools.count(1)
         self._asking: dict[once_messages.Attempt, Asking] = {}
         self._tickets: dict[once_messages.Attempt, once_messages.Ticket] = {}
-        self._telling: dict[
-            tuple[ids.InstanceId, once_messages.Attempt], Told
-        ] = {}
+        self._teller = telling.Teller(
+            link=link, timers=timers, register=register
+        )
         link.subscribe(once_messages.ClaimReply, self._on_reply)
-        link.subscribe(once_messages.Released, self._on_told)
-        link.subscribe(once_messages.Stored, self._on_told)
 
     @property
     def open_attempts(self) -> int:
@@ -165,7 +158,7 @@
         ticket = self._tickets.pop(attempt)
         store = once_messages.Store(ticket.serial, attempt, answer)
         for register in _registers(ticket):
-            self._tell(register, store, RETELLS)
+            self._teller.tell(register, store)
 
     def release(self, attempt: once_messages.Attempt) -> None:
         """Give an attempt up that sent no byte.
@@ -177,7 +170,7 @@
         ticket = self._tickets.pop(attempt)
         release = once_messages.Release(ticket.serial, attempt)
         for register in _registers(ticket):
-            self._tell(register, release, RETELLS)
+            self._teller.tell(register, release)
 
     def lost(self, attempt: once_messages.Attempt) -> None:
         """Leave an attempt recorded whose outcome nobody knows.
@@ -313,7 +306,7 @@
             return
         release = once_messages.Release(asking.ticket.serial, asking.attempt)
         for register in _registers(asking.ticket):
-            self._tell(register, release, RETELLS)
+            self._teller.tell(register, release)
 
     def _end_not_run(self, asking: Asking, reason: str) -> None:
         self._counters.add("once_outcomes", reason)
@@ -323,41 +316,6 @@
         self._counters.add("once_outcomes", reason)
         asking.handler.unknown(reason)
 
-    def _tell(
-        self, register: ids.InstanceId, told: Told, retells_left: int
-    ) -> None:
-        if register == self._link.self_id:
-            self._tell_ourselves(told)
-            return
-        self._telling[(register, told.attempt)] = told
-        self._link.send(to=register, body=told)
-        if retells_left > 0:
-            self._timers.once(
-                delay_seconds=RETELL_SECONDS,
-                callback=lambda: self._retell(register, told, retells_left),
-            )
-        else:
-            del self._telling[(register, told.attempt)]
-
-    def _retell(
-        self, register: ids.InstanceId, told: Told, retells_left: int
-    ) -> None:
-        if self._telling.get((register, told.attempt)) is told:
-            self._tell(register, told, retells_left - 1)
-
-    def _tell_ourselves(self, told: Told) -> None:
-        if isinstance(told, once_messages.Store):
-            self._register.store(told)
-        else:
-            self._register.release(told)
-
-    def _on_told(
-        self,
-        sender: ids.InstanceId,
-        told: once_messages.Released | once_messages.Stored,
-    ) -> None:
-        self._telling.pop((sender, told.attempt), None)
-
 
 NOT_RUN_REASONS = {
     "sealed": "ticket_sealed",
--- a/src/boragefold/entry/adapter_orders.py
+++ b/src/boragefold/entry/adapter_orders.py
@@ -7,7 +7,7 @@
 from boragefold.coordination.orders import desk as order_desks
 from boragefold.coordination.orders import sender as sending
 from boragefold.coordination.orders import service as order_service
-from boragefold.entry import desk as desks
+from boragefold.entry import orderer
 from boragefold.policy import actions
 from boragefold.policy import fleet_events
 from boragefold.policy import loads
@@ -20,7 +20,7 @@
 EVICTION_SECONDS = 5.0
 
 
-class AdapterOrders(desks.Orderer):
+class AdapterOrders(orderer.Orderer):
     """Follows each load through its eviction and its order."""
 
     def __init__(
--- /dev/null
+++ b/src/boragefold/entry/chat_sender.py
@@ -0,0 +1,126 @@
+"""Sending a chat to an endpoint, under a lease of use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from boragefold.coordination.orders import uses as using
+from boragefold.entry import live_chat
+from boragefold.entry import use_gate
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+
+NOT_HELD = "adapter_not_resident"
+
+
+class ChatSender:
+    """Sends attempts, and ends their uses in time."""
+
+    def __init__(
+        self,
+        *,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        address_of: Callable[[str], str | None],
+        gate: use_gate.UseGate,
+    ) -> None:
+        self._timers = timers
+        self._counters = counters
+        self._address_of = address_of
+        self._gate = gate
+        self._uses: dict[str, using.Use] = {}
+
+    def send(self, live: live_chat.LiveChat, endpoint: str) -> None:
+        """Send an attempt, now or when its lease has come.
+
+        :param live: the chat
+        :param endpoint: where to
+        """
+        needs = live.work.needs
+        address = self._address_of(endpoint)
+        if address is None:
+            # Unlisted between the decision and this line.
+            self._break_later(live, "unlisted")
+        elif not needs.adapter:
+            live.send(
+                endpoint=endpoint,
+                address=address,
+                body=_engine_request(live),
+            )
+        else:
+            live.endpoint = endpoint
+            self._gate.enter(
+                endpoint=endpoint,
+                adapter=needs,
+                granted=lambda use: self._send_under(live, address, use),
+                refused=lambda reason: self._not_let_in(live, reason),
+            )
+
+    def end_use(self, live: live_chat.LiveChat) -> None:
+        """End the use of a chat's attempt, if it has one.
+
+        :param live: the chat
+        """
+        use = self._uses.pop(live.work.request_id, None)
+        if use is not None:
+            self._gate.leave(use)
+
+    def _send_under(
+        self, live: live_chat.LiveChat, address: str, use: using.Use
+    ) -> None:
+        if live.finished:
+            self._gate.leave(use)
+            return
+        self._uses[live.work.request_id] = use
+        now_seconds = self._timers.now_seconds()
+        self._timers.once(
+            delay_seconds=use.ends_by_seconds - now_seconds,
+            callback=lambda: self._use_over(live, use),
+        )
+        live.send(
+            endpoint=live.endpoint,
+            address=address,
+            body=_engine_request(live),
+            may_send=lambda: self._timers.now_seconds() < use.send_by_seconds,
+        )
+
+    def _not_let_in(self, live: live_chat.LiveChat, reason: str) -> None:
+        self._counters.add("uses_not_begun", reason)
+        if not live.finished:
+            live.broken(NOT_HELD, may_have_run=False)
+
+    def _use_over(self, live: live_chat.LiveChat, use: using.Use) -> None:
+        # The holder counts on every use to end by now; what goes on is
+        # resumed under a new one, at the next token.
+        if not use.finished and not live.finished:
+            live.break_attempt("use_over")
+
+    def _break_later(self, live: live_chat.LiveChat, reason: str) -> None:
+        self._timers.once(
+            delay_seconds=0.0,
+            callback=lambda: live.broken(reason, may_have_run=False),
+        )
+
+
+def _engine_request(live: live_chat.LiveChat) -> bytes:
+    work = live.work
+    return msgspec.json.encode(
+        {
+            "model": work.needs.model,
+            "adapter": work.needs.adapter,
+            "version": work.needs.version,
+            "messages": live.request["messages"],
+            "max_tokens": work.max_tokens,
+            "stream": True,
+            "priority": 0 if work.late_sensitive else 1,
+            "resume_from_token": live.generated_tokens,
+        }
+    )
+
+
+__all__ = [
+    "ChatSender",
+    "NOT_HELD",
+]
--- a/src/boragefold/entry/desk.py
+++ b/src/boragefold/entry/desk.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
 import math
 
-import msgspec
-
-from boragefold.coordination.orders import uses as using
 from boragefold.entry import chat_face
+from boragefold.entry import chat_sender
 from boragefold.entry import identity
 from boragefold.entry import live_chat
-from boragefold.entry import use_gate
+from boragefold.entry import orderer as orderers
 from boragefold.policy import actions
 from boragefold.policy import dispatcher as dispatchers
 from boragefold.policy import refusal as refusals
@@ -22,25 +19,6 @@
 from boragefold.timing import timers as timing
 
 STATUS_BAD_GATEWAY = 502
-NOT_HELD = "adapter_not_resident"
-
-
-class Orderer(abc.ABC):
-    """Carries out the orders that placement decides on."""
-
-    @abc.abstractmethod
-    def order(self, order: actions.Order) -> None:
-        """Load an adapter, evicting another first where one is named.
-
-        :param order: what and where
-        """
-
-    @abc.abstractmethod
-    def drain(self, drain: actions.Drain) -> None:
-        """Have every instance stop using an adapter at an endpoint.
-
-        :param drain: which
-        """
 
 
 class Desk(chat_face.Desk, live_chat.ChatEvents, actions.Performer):
@@ -53,24 +31,21 @@
         timers: timing.TimerService,
         counters: telemetry.Counters,
         stories: telemetry_stories.Stories,
-        address_of: Callable[[str], str | None],
         tell_peer: Callable[[actions.Tell], None],
-        gate: use_gate.UseGate,
+        sender: chat_sender.ChatSender,
     ) -> None:
         self._dispatcher = dispatcher
         self._timers = timers
         self._counters = counters
         self._stories = stories
-        self._address_of = address_of
         self._tell_peer = tell_peer
-        self._gate = gate
-        self._uses: dict[str, using.Use] = {}
+        self._sender = sender
         self._chats: dict[str, live_chat.LiveChat] = {}
         self._wake: timing.Subscription | None = None
         self._wake_at_seconds = math.inf
         self._running = False
         self._run_again = False
-        self.orderer: Orderer | None = None
+        self.orderer: orderers.Orderer | None = None
 
     @property
     def open_chats(self) -> int:
@@ -169,10 +144,10 @@
         """
         request_id = live.work.request_id
         now_seconds = self._timers.now_seconds()
-        self._end_use(live)
+        self._sender.end_use(live)
         self._counters.add("attempts_broken", reason)
         self._note(request_id, "attempt_broken", f"{live.endpoint}: {reason}")
-        if reason == NOT_HELD:
+        if reason == chat_sender.NOT_HELD:
             self._dispatcher.not_held(request_id, now_seconds=now_seconds)
         else:
             self._dispatcher.failed(
@@ -205,27 +180,10 @@
         live = self._chats.get(send.work.request_id)
         if live is None:
             return
-        address = self._address_of(send.endpoint)
         self._note(send.work.request_id, "sent", send.endpoint)
         if send.attempt > 1:
             self._counters.add("requests_retried", "attempt_broken")
-        if address is None:
-            # Unlisted between the decision and this line.
-            self._break_later(live, "unlisted")
-        elif not send.work.needs.adapter:
-            live.send(
-                endpoint=send.endpoint,
-                address=address,
-                body=_engine_request(live),
-            )
-        else:
-            live.endpoint = send.endpoint
-            self._gate.enter(
-                endpoint=send.endpoint,
-                adapter=send.work.needs,
-                granted=lambda use: self._send_under(live, address, use),
-                refused=lambda reason: self._not_let_in(live, reason),
-            )
+        self._sender.send(live, send.endpoint)
 
     def refuse(self, refuse: actions.Refuse) -> None:
         """Answer a chat with "not run".
@@ -246,7 +204,7 @@
             return
         kind = outcomes.Unknown if give_up.may_have_run else outcomes.NotRun
         self._counters.add("requests_refused", "endpoint_failed")
-        self._end(live, "endpoint_failed")
+        self._end(live, give_up.reason)
         live.refuse(
             kind(
                 status=STATUS_BAD_GATEWAY,
@@ -279,47 +237,6 @@
         """
         self._tell_peer(tell)
 
-    def _send_under(
-        self, live: live_chat.LiveChat, address: str, use: using.Use
-    ) -> None:
-        if live.finished:
-            self._gate.leave(use)
-            return
-        self._uses[live.work.request_id] = use
-        now_seconds = self._timers.now_seconds()
-        self._timers.once(
-            delay_seconds=use.ends_by_seconds - now_seconds,
-            callback=lambda: self._use_over(live, use),
-        )
-        live.send(
-            endpoint=live.endpoint,
-            address=address,
-            body=_engine_request(live),
-            may_send=lambda: self._timers.now_seconds() < use.send_by_seconds,
-        )
-
-    def _not_let_in(self, live: live_chat.LiveChat, reason: str) -> None:
-        self._counters.add("uses_not_begun", reason)
-        if not live.finished:
-            live.broken(NOT_HELD, may_have_run=False)
-
-    def _use_over(self, live: live_chat.LiveChat, use: using.Use) -> None:
-        # The holder counts on every use to end by now; what goes on is
-        # resumed under a new one, at the next token.
-        if not use.finished and not live.finished:
-            live.break_attempt("use_over")
-
-    def _end_use(self, live: live_chat.LiveChat) -> None:
-        use = self._uses.pop(live.work.request_id, None)
-        if use is not None:
-            self._gate.leave(use)
-
-    def _break_later(self, live: live_chat.LiveChat, reason: str) -> None:
-        self._timers.once(
-            delay_seconds=0.0,
-            callback=lambda: live.broken(reason, may_have_run=False),
-        )
-
     def _refuse(
         self, live: live_chat.LiveChat, refused: refusals.Refused
     ) -> None:
@@ -335,7 +252,7 @@
 
     def _end(self, live: live_chat.LiveChat, what: str) -> None:
         self._chats.pop(live.work.request_id, None)
-        self._end_use(live)
+        self._sender.end_use(live)
         self._note(live.work.request_id, what)
 
     def _note(self, request_id: str, what: str, detail: str = "") -> None:
@@ -371,23 +288,6 @@
     return float(live.work.prompt_tokens + live.generated_tokens)
 
 
-def _engine_request(live: live_chat.LiveChat) -> bytes:
-    work = live.work
-    return msgspec.json.encode(
-        {
-            "model": work.needs.model,
-            "adapter": work.needs.adapter,
-            "version": work.needs.version,
-            "messages": live.request["messages"],
-            "max_tokens": work.max_tokens,
-            "stream": True,
-            "priority": 0 if work.late_sensitive else 1,
-            "resume_from_token": live.generated_tokens,
-        }
-    )
-
-
 __all__ = [
     "Desk",
-    "Orderer",
 ]
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import ssl
-from typing import Any
 import uuid
 
 from boragefold.coordination.configuration import readiness
 from boragefold.entry import chat_face
+from boragefold.entry import inspection
 from boragefold.entry import operators
 from boragefold.entry import router as routers
 from boragefold.entry import service_face
 from boragefold.entry import stopping
+from boragefold.entry import ticket_face
 from boragefold.entry import together as togethers
 from boragefold.entry import traffic as traffics
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
 from boragefold.settings import serve as serve_settings
 from boragefold.telemetry import counters as telemetry
-from boragefold.telemetry import exposition
 from boragefold.telemetry import stories as telemetry_stories
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers as timing
@@ -36,7 +36,7 @@
 LEAVE_LIMIT_SECONDS = 10.0
 
 
-class Instance(operators.Inside):
+class Instance:
     """Everything of one entry instance, on one loop."""
 
     def __init__(
@@ -101,7 +101,12 @@
             host, port = serve_settings.split_address(
                 self.settings.operators_listen
             )
-            operators.serve(root=self.loop, host=host, port=port, inside=self)
+            operators.serve(
+                root=self.loop,
+                host=host,
+                port=port,
+                inside=self._inspection(),
+            )
         self.together.start()
         self.traffic.start()
 
@@ -112,71 +117,15 @@
         """
         return self._serving() and not self.stopping.begun
 
-    def status(self) -> dict[str, Any]:
-        """Describe what the instance holds.
-
-        :return: plain data
-        """
-        view = self.together.views.valid_view()
-        configuration = self.together.configuration.status()
-        return {
-            "instance": self.together.link.self_id,
-            "ready": self.ready(),
-            "readiness": configuration.readiness,
-            "stopping": self.stopping.begun,
-            "configuration": {
-                "role": configuration.role.name,
-                "newest_revision": configuration.newest_revision,
-                "paths": configuration.paths,
-                "heard_seconds_ago": configuration.heard_seconds_ago,
-                "rejections": {
-                    path: [rejection.revision, rejection.rejected]
-                    for path, rejection in configuration.rejections.items()
-                },
-            },
-            "view": view,
-            "view_valid_for_seconds": self.together.views.valid_for_seconds(),
-            "is_steward": self.together.views.is_steward,
-            "adapters": len(self.together.catalogue.adapters),
-            "open_chats": self.traffic.desk.open_chats,
-            "tickets_recorded": len(self.together.register),
-        }
-
-    def metrics(self) -> bytes:
-        """Write the counters.
-
-        :return: text
-        """
-        return exposition.write(self.counters)
-
-    def explain(self, request_id: str) -> dict[str, Any] | None:
-        """Tell a request's story.
-
-        :param request_id: from the answer's header
-        :return: plain data, or None
-        """
-        events = self.stories.read(request_id)
-        return None if events is None else {"events": events}
-
-    def audit(
-        self, path: str, at_seconds: float | None
-    ) -> list[dict[str, Any]] | None:
-        """Tell what was in force, on this instance, and from when.
-
-        :param path: of the published tree; empty for every path
-        :param at_seconds: a moment of the calendar, or None
-        :return: plain data; None for a moment older than what is kept
-        """
-        history = self.together.history
-        if at_seconds is not None:
-            records = history.at(at_seconds)
-        else:
-            records = history.of_path(path) if path else history.in_force()
-        if records is None:
-            return None
-        return [
-            record._asdict() for record in records if path in ("", record.path)
-        ]
+    def _inspection(self) -> inspection.Inspection:
+        return inspection.Inspection(
+            together=self.together,
+            desk=self.traffic.desk,
+            counters=self.counters,
+            stories=self.stories,
+            is_ready=self.ready,
+            is_stopping=lambda: self.stopping.begun,
+        )
 
     def _serving(self) -> bool:
         # A fresh instance may spend no tokens until its first view, and the
@@ -229,14 +178,19 @@
             events=self.traffic.desk,
             new_request_id=new_request_id,
         )
+        tickets = ticket_face.TicketFace(
+            timers=self.timers,
+            counters=self.counters,
+            office=together.office,
+            runner=together.runner,
+            new_request_id=new_request_id,
+        )
         services = service_face.ServiceFace(
             data_centre=self.settings.data_centre,
             catalogue=together.catalogue,
-            timers=self.timers,
             counters=self.counters,
             client=self._client,
-            office=together.office,
-            runner=together.runner,
+            tickets=tickets,
             new_request_id=new_request_id,
         )
         return routers.Router(
@@ -244,6 +198,7 @@
             counters=self.counters,
             chats=chats,
             services=services,
+            tickets=tickets,
             ready=self._serving,
             new_request_id=new_request_id,
         )
--- /dev/null
+++ b/src/boragefold/entry/orderer.py
@@ -0,0 +1,30 @@
+"""What carries out the orders that placement decides on."""
+
+from __future__ import annotations
+
+import abc
+
+from boragefold.policy import actions
+
+
+class Orderer(abc.ABC):
+    """Carries out the orders that placement decides on."""
+
+    @abc.abstractmethod
+    def order(self, order: actions.Order) -> None:
+        """Load an adapter, evicting another first where one is named.
+
+        :param order: what and where
+        """
+
+    @abc.abstractmethod
+    def drain(self, drain: actions.Drain) -> None:
+        """Have every instance stop using an adapter at an endpoint.
+
+        :param drain: which
+        """
+
+
+__all__ = [
+    "Orderer",
+]
--- a/src/boragefold/entry/router.py
+++ b/src/boragefold/entry/router.py
@@ -8,6 +8,7 @@
 from boragefold.entry import chat_face
 from boragefold.entry import identity
 from boragefold.entry import service_face
+from boragefold.entry import ticket_face
 from boragefold.protocol import outcome as outcomes
 from boragefold.state import catalogue as catalogues
 from boragefold.telemetry import counters as telemetry
@@ -30,6 +31,7 @@
         counters: telemetry.Counters,
         chats: chat_face.ChatFace,
         services: service_face.ServiceFace,
+        tickets: ticket_face.TicketFace,
         ready: Callable[[], bool],
         new_request_id: Callable[[], str],
     ) -> None:
@@ -37,6 +39,7 @@
         self._counters = counters
         self._chats = chats
         self._services = services
+        self._tickets = tickets
         self._ready = ready
         self._new_request_id = new_request_id
 
@@ -68,10 +71,10 @@
         if (method, path) == ("POST", "/v1/chat/completions"):
             self._chats.handle(request, exchange, caller)
         elif (method, path) == ("POST", "/v1/tickets"):
-            self._services.mint(exchange, caller)
+            self._tickets.mint(exchange, caller)
         elif method == "GET" and path.startswith(OUTCOMES_PREFIX):
             ticket = path.removeprefix(OUTCOMES_PREFIX)
-            self._services.outcome(ticket, exchange, caller)
+            self._tickets.outcome(ticket, exchange, caller)
         elif path.startswith(SERVICES_PREFIX):
             name, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
             self._services.call(request, exchange, caller, name, f"/{rest}")
--- a/src/boragefold/entry/service_face.py
+++ b/src/boragefold/entry/service_face.py
@@ -1,105 +1,50 @@
-"""The interface to plain services, tickets and outcomes."""
+"""The interface to plain services."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 import hashlib
 
-import msgspec
-
-from boragefold.coordination.once import runner as runners
-from boragefold.coordination.once import tickets
 from boragefold.entry import answers
 from boragefold.entry import chat_face
 from boragefold.entry import identity
-from boragefold.entry import once_call
 from boragefold.entry import plain_call
-from boragefold.protocol import once_messages
+from boragefold.entry import ticket_face
 from boragefold.protocol import outcome as outcomes
 from boragefold.state import catalogue as catalogues
 from boragefold.state import documents
 from boragefold.state import paths
 from boragefold.telemetry import counters as telemetry
-from boragefold.timing import timers as timing
 from boragefold.transport import http_client
 from boragefold.transport import http_server
 from boragefold.transport import whole_answer
 
-STATUS_CREATED = 201
-STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
-STATUS_PRECONDITION_REQUIRED = 428
 STATUS_UNAVAILABLE = 503
 # Silence of a service for longer than this is taken for a dead connection.
 PROGRESS_SECONDS = 10.0
 
 
 class ServiceFace:
-    """Answers ``/services/...``, ``/v1/tickets`` and ``/v1/outcomes/...``."""
+    """Answers ``/services/...``."""
 
     def __init__(
         self,
         *,
         data_centre: str,
         catalogue: catalogues.Catalogue,
-        timers: timing.TimerService,
         counters: telemetry.Counters,
         client: http_client.HttpClient,
-        office: tickets.TicketOffice,
-        runner: runners.Runner,
+        tickets: ticket_face.TicketFace,
         new_request_id: Callable[[], str],
     ) -> None:
         self._data_centre = data_centre
         self._catalogue = catalogue
-        self._timers = timers
         self._counters = counters
         self._client = client
-        self._office = office
-        self._runner = runner
+        self._tickets = tickets
         self._new_request_id = new_request_id
 
-    def mint(
-        self, exchange: http_server.Exchange, caller: identity.Caller
-    ) -> None:
-        """Answer ``POST /v1/tickets``.
-
-        :param exchange: where the answer goes
-        :param caller: whose ticket it will be
-        """
-        request_id = self._new_request_id()
-        headers = answers.outcome_headers("ran", "", request_id)
-        body = {
-            "ticket": self._new_ticket(caller),
-            "expires_in_seconds": tickets.TICKET_LIFETIME_SECONDS,
-        }
-        exchange.reply(
-            STATUS_CREATED, [answers.JSON, *headers], msgspec.json.encode(body)
-        )
-
-    def outcome(
-        self,
-        text: str,
-        exchange: http_server.Exchange,
-        caller: identity.Caller,
-    ) -> None:
-        """Answer ``GET /v1/outcomes/TICKET``.
-
-        :param text: the ticket
-        :param exchange: where the answer goes
-        :param caller: who asks
-        """
-        request_id = self._new_request_id()
-        ticket = self._read_ticket(text, caller)
-        if isinstance(ticket, outcomes.NotRun):
-            self._refuse(exchange, ticket, request_id)
-            return
-        handler = self._once_call(exchange, request_id, lambda done: None)
-        self._runner.ask(
-            ticket=ticket,
-            give_up_at_seconds=self._timers.now_seconds() + PROGRESS_SECONDS,
-            handler=handler,
-        )
-
     def call(
         self,
         request: http_server.Request,
@@ -163,39 +108,26 @@
         path: str,
     ) -> None:
         text = request.headers.get("idempotency-key", "")
-        ticket = self._read_ticket(text, caller)
+        ticket = self._tickets.read_ticket(text, caller)
         if isinstance(ticket, outcomes.NotRun):
             self._refuse(
-                exchange, ticket, request_id, ticket=self._new_ticket(caller)
+                exchange,
+                ticket,
+                request_id,
+                ticket=self._tickets.new_ticket(caller),
             )
             return
         deadline = chat_face.read_deadline_seconds(
             request, caller.settings.deadline_seconds
         )
         prepared = plain_call.prepare(request, path, ticket.serial)
-        self._runner.begin(
-            ticket=ticket,
-            digest=_digest(prepared, caller),
-            give_up_at_seconds=self._timers.now_seconds() + deadline,
-            handler=self._once_call(
-                exchange,
-                request_id,
-                lambda done: self._start(prepared, service, False, done),
-            ),
-        )
-
-    def _once_call(
-        self,
-        exchange: http_server.Exchange,
-        request_id: str,
-        start_call: once_call.StartCall,
-    ) -> once_call.OnceCall:
-        return once_call.OnceCall(
-            runner=self._runner,
-            exchange=exchange,
-            request_id=request_id,
-            start_call=start_call,
-            refused=lambda why: self._counters.add("requests_refused", why),
+        self._tickets.begin(
+            exchange,
+            request_id,
+            ticket,
+            _digest(prepared, caller),
+            deadline,
+            lambda done: self._start(prepared, service, False, done),
         )
 
     def _start(
@@ -235,27 +167,6 @@
         )
         return service if allowed else None
 
-    def _new_ticket(self, caller: identity.Caller) -> str:
-        return tickets.write(self._office.mint(caller.settings.workspace))
-
-    def _read_ticket(
-        self, text: str, caller: identity.Caller
-    ) -> once_messages.Ticket | outcomes.NotRun:
-        ticket = tickets.read(text)
-        if isinstance(ticket, tickets.Unreadable):
-            return outcomes.NotRun(
-                status=STATUS_PRECONDITION_REQUIRED,
-                reason="ticket_required",
-                remedy="repeat the call with the ticket as Idempotency-Key",
-            )
-        if ticket.workspace != caller.settings.workspace:
-            return outcomes.NotRun(
-                status=STATUS_FORBIDDEN,
-                reason="ticket_of_another_workspace",
-                remedy="use a ticket that was fetched with your own key",
-            )
-        return ticket
-
     def _pass_on(
         self,
         exchange: http_server.Exchange,
--- a/src/boragefold/entry/traffic.py
+++ b/src/boragefold/entry/traffic.py
@@ -9,6 +9,7 @@
 from boragefold.coordination.orders import times
 import boragefold.coordination.rights as rights_module
 from boragefold.entry import adapter_orders
+from boragefold.entry import chat_sender
 from boragefold.entry import desk as desks
 from boragefold.entry import engine_orders
 from boragefold.entry import load_reports
@@ -104,9 +105,13 @@
             timers=timers,
             counters=counters,
             stories=stories,
-            address_of=lambda name: self.reports.address_of(name),
             tell_peer=lambda tell: self.digests.tell(tell),
-            gate=self._gate,
+            sender=chat_sender.ChatSender(
+                timers=timers,
+                counters=counters,
+                address_of=lambda name: self.reports.address_of(name),
+                gate=self._gate,
+            ),
         )
         self.reports = load_reports.LoadReports(
             catalogue=together.catalogue,
--- a/src/boragefold/standins/engine.py
+++ b/src/boragefold/standins/engine.py
@@ -8,11 +8,8 @@
 import msgspec
 
 from boragefold.standins import engine_model
-from boragefold.timing import clock as clocks
-from boragefold.timing import timers as timing
+from boragefold.standins import process
 from boragefold.transport import http_server
-from boragefold.transport import loop as loops
-from boragefold.transport import sockets
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -209,27 +206,19 @@
     token_seconds: float,
 ) -> None:
     """Run one engine stand-in."""
-    timers = timing.TimerService(clock=clocks.BootClock())
-    loop = loops.Loop(timers=timers)
-    sockets_ = sockets.SocketSet(poller=loop.poller).register(loop)
-    engine = engine_model.Engine(
-        timers=timers,
-        model=model,
-        slots=slots,
-        batch_size=batch_size,
-        checks_fencing=checks_fencing,
-        token_seconds=token_seconds,
-    )
-    face = EngineFace(engine=engine)
-    host, _, port = listen.rpartition(":")
-    sockets_.listen(
-        host=host,
-        port=int(port),
-        make_handler=lambda: http_server.ServerConnection(
-            application=face, on_bad_request=lambda reason: None
+    process.run(
+        listen,
+        lambda timers: EngineFace(
+            engine=engine_model.Engine(
+                timers=timers,
+                model=model,
+                slots=slots,
+                batch_size=batch_size,
+                checks_fencing=checks_fencing,
+                token_seconds=token_seconds,
+            )
         ),
     )
-    loop.run()
 
 
 if __name__ == "__main__":
--- a/src/boragefold/standins/service.py
+++ b/src/boragefold/standins/service.py
@@ -7,11 +7,9 @@
 import click
 import msgspec
 
-from boragefold.timing import clock as clocks
+from boragefold.standins import process
 from boragefold.timing import timers as timing
 from boragefold.transport import http_server
-from boragefold.transport import loop as loops
-from boragefold.transport import sockets
 
 STATUS_OK = 200
 JSON_HEADERS = [("Content-Type", "application/json")]
@@ -63,19 +61,12 @@
 @click.option("--answer-seconds", default=0.01, show_default=True)
 def main(listen: str, answer_seconds: float) -> None:
     """Run one plain service stand-in."""
-    timers = timing.TimerService(clock=clocks.BootClock())
-    loop = loops.Loop(timers=timers)
-    sockets_ = sockets.SocketSet(poller=loop.poller).register(loop)
-    face = ServiceFace(timers=timers, answer_seconds=answer_seconds)
-    host, _, port = listen.rpartition(":")
-    sockets_.listen(
-        host=host,
-        port=int(port),
-        make_handler=lambda: http_server.ServerConnection(
-            application=face, on_bad_request=lambda reason: None
+    process.run(
+        listen,
+        lambda timers: ServiceFace(
+            timers=timers, answer_seconds=answer_seconds
         ),
     )
-    loop.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/boragefold/transport/client_connection.py
@@ -0,0 +1,236 @@
+"""One connection to one address, for one call at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+import h11
+
+from boragefold.transport import answer_parser
+from boragefold.transport import streams
+
+
+class Call(NamedTuple):
+    """One request to send.
+
+    ``fresh`` asks for a new connection. ``progress_seconds`` is how long the
+    other end may be silent, not how long the whole answer may take.
+    ``may_send`` is asked right before the first byte is written, after any
+    connecting; when it says no, nothing is sent.
+    """
+
+    address: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    fresh: bool
+    progress_seconds: float
+    may_send: Callable[[], bool] = lambda: True
+
+
+class Pending:
+    """A call whose answer has not ended."""
+
+    def __init__(self, *, call: Call, sink: answer_parser.AnswerSink) -> None:
+        self.call = call
+        self.sink = sink
+        self.connection: ClientConnection | None = None
+
+    def cancel(self) -> None:
+        """Give the call up; its sink hears nothing more."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.cancel()
+
+    def pause(self) -> None:
+        """Stop reading the answer, because its reader is slow."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self.connection is not None:
+            self.connection.resume()
+
+
+class ClientConnection(streams.StreamHandler):
+    """One connection to one address, for one call at a time."""
+
+    stream: streams.Stream
+
+    def __init__(self, *, client: ConnectionOwner, address: str) -> None:
+        self._client = client
+        self.address = address
+        self.pending: Pending | None = None
+        self.paused = False
+        self.used_before = False
+        self.sent_any = False
+        self.answer_began = False
+        self.progressed_at_seconds = 0.0
+        self._parser: answer_parser.AnswerParser | None = None
+
+    def begin(self, pending: Pending) -> None:
+        """Send a call, at once or when the connection opens.
+
+        :param pending: the call and who takes its answer
+        """
+        self.pending = pending
+        pending.connection = self
+        self.sent_any = False
+        self.answer_began = False
+        self.progressed_at_seconds = self._client.now_seconds()
+        if not self.stream.connecting:
+            self._send_call()
+
+    def connected(self) -> None:
+        """Send the call that waited for the connection."""
+        self.progressed_at_seconds = self._client.now_seconds()
+        self._send_call()
+
+    def received(self, data: bytes) -> None:
+        """Parse a part of the answer.
+
+        :param data: bytes
+        """
+        self.progressed_at_seconds = self._client.now_seconds()
+        self.answer_began = True
+        if self._parser is None:
+            self.stream.abort("unasked_answer")
+            return
+        if not self._parser.feed(data):
+            self.stream.abort("malformed_answer")
+        elif self._parser.complete and self.pending is not None:
+            self._end(self.pending, self._parser)
+
+    def drained(self) -> None:
+        """Do nothing: a call is written at once."""
+
+    def closed(self, reason: str) -> None:
+        """Fail the running call.
+
+        An answer that only the closing of its connection ends can't be told
+        from one that was cut, so it is never taken for whole.
+
+        :param reason: why the connection is gone
+        """
+        self._client.forget(self)
+        if self.pending is not None:
+            self._fail(reason)
+
+    def cancel(self) -> None:
+        """Give up the running call; the sink hears nothing more."""
+        self.pending = None
+        self.stream.abort()
+
+    def pause(self) -> None:
+        """Stop reading; a paused connection has no progress timeout."""
+        self.paused = True
+        self.stream.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        self.paused = False
+        self.progressed_at_seconds = self._client.now_seconds()
+        self.stream.resume_reading()
+
+    def _fail(self, reason: str) -> None:
+        pending, self.pending = self.pending, None
+        if pending is None:
+            return
+        pending.connection = None
+        failure = answer_parser.Failure(
+            reason=reason, may_have_arrived=self.sent_any
+        )
+        stale = self.used_before and not self.answer_began
+        self._client.call_failed(pending, failure, stale=stale)
+
+    def _send_call(self) -> None:
+        if self.pending is None:
+            self.stream.close()
+            return
+        if not self.pending.call.may_send():
+            # The process slept, or connecting took long: the right to send
+            # has ended meanwhile and may be another's.
+            self._client.fail_later(self, "right_ended")
+            return
+        self.sent_any = True
+        self._parser = answer_parser.AnswerParser(sink=self.pending.sink)
+        self.stream.write(_write_call(self.pending.call))
+
+    def _end(
+        self, pending: Pending, parser: answer_parser.AnswerParser
+    ) -> None:
+        self.pending = None
+        self._parser = None
+        pending.connection = None
+        if parser.keeps_open:
+            self.used_before = True
+            self._client.release(self)
+        else:
+            self.stream.close()
+        pending.sink.end()
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the client that holds it."""
+
+    def now_seconds(self) -> float:
+        """Read the clock.
+
+        :return: seconds
+        """
+
+    def release(self, connection: ClientConnection) -> None:
+        """Keep a connection for a later call.
+
+        :param connection: one whose call is over
+        """
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Drop a connection that is gone.
+
+        :param connection: which
+        """
+
+    def fail_later(self, connection: ClientConnection, reason: str) -> None:
+        """Fail a connection's call from the loop.
+
+        :param connection: whose call was not sent
+        :param reason: passed on to the sink
+        """
+
+    def call_failed(
+        self, pending: Pending, failure: answer_parser.Failure, *, stale: bool
+    ) -> None:
+        """Repeat a call on a new connection, or tell its sink.
+
+        :param pending: the call
+        :param failure: what went wrong
+        :param stale: whether a reused connection died before any answer
+        """
+
+
+def _write_call(call: Call) -> bytes:
+    writer = h11.Connection(h11.CLIENT)
+    head = h11.Request(
+        method=call.method,
+        target=call.target,
+        headers=[
+            ("Host", call.address),
+            ("Content-Length", str(len(call.body))),
+            *call.headers,
+        ],
+    )
+    events = (head, h11.Data(data=call.body), h11.EndOfMessage())
+    return b"".join(writer.send(event) or b"" for event in events)
+
+
+__all__ = [
+    "Call",
+    "ClientConnection",
+    "ConnectionOwner",
+    "Pending",
+]
--- /dev/null
+++ b/src/boragefold/transport/exchange.py
@@ -0,0 +1,107 @@
+"""One request and the answer to it, in pieces."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import h11
+
+Headers = list[tuple[str, str]]
+
+
+class Answering(Protocol):
+    """What an exchange needs of its connection."""
+
+    def send(self, event: h11.Event) -> bool:
+        """Send a part of the answer.
+
+        :param event: head or data
+        :return: whether the caller keeps up
+        """
+
+    def finish(self) -> None:
+        """End the answer."""
+
+    def abort(self) -> None:
+        """Cut the connection."""
+
+
+class Exchange:
+    """One request and the answer to it."""
+
+    def __init__(self, *, connection: Answering) -> None:
+        self._connection = connection
+        self.started = False
+        self.finished = False
+        self.on_closed: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer; the body follows in pieces.
+
+        :param status: the HTTP status
+        :param headers: names and values; without a length the body is chunked
+        """
+        if self.started or self.finished:
+            return
+        self.started = True
+        self._connection.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+    def send(self, data: bytes) -> bool:
+        """Send a piece of the body.
+
+        :param data: the piece
+        :return: whether the caller keeps up; if not, wait for ``on_drained``
+        """
+        if self.finished or not data:
+            return not self.finished
+        return self._connection.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer; only a whole answer may be ended."""
+        if not self.finished:
+            self.finished = True
+            self._connection.finish()
+
+    def abort(self) -> None:
+        """Cut the connection, so the caller sees that the answer is cut.
+
+        Ending a chunked body in the usual way would show a broken answer as
+        a whole one.
+        """
+        if not self.finished:
+            self.finished = True
+            self._connection.abort()
+
+    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer.
+
+        :param status: the HTTP status
+        :param headers: without the length, which is added
+        :param body: the whole body
+        """
+        length = ("Content-Length", str(len(body)))
+        self.start(status, [*headers, length])
+        self.send(body)
+        self.finish()
+
+    def closed(self) -> None:
+        """Learn that the caller is gone; called by the connection."""
+        self.finished = True
+        if self.on_closed is not None:
+            self.on_closed()
+
+    def drained(self) -> None:
+        """Learn that the caller caught up; called by the connection."""
+        if self.on_drained is not None and not self.finished:
+            self.on_drained()
+
+
+__all__ = [
+    "Answering",
+    "Exchange",
+    "Headers",
+]
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -9,14 +9,16 @@
 import h11
 import msgspec
 
-from boragefold.transport import sockets
+from boragefold.transport import exchange
+from boragefold.transport import streams
 
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 4_194_304
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
 
-Headers = list[tuple[str, str]]
+Exchange = exchange.Exchange
+Headers = exchange.Headers
 
 
 class Request(NamedTuple):
@@ -29,79 +31,6 @@
     body: bytes
 
 
-class Exchange:
-    """One request and the answer to it."""
-
-    def __init__(self, *, connection: ServerConnection) -> None:
-        self._connection = connection
-        self.started = False
-        self.finished = False
-        self.on_closed: Callable[[], None] | None = None
-        self.on_drained: Callable[[], None] | None = None
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send the head of the answer; the body follows in pieces.
-
-        :param status: the HTTP status
-        :param headers: names and values; without a length the body is chunked
-        """
-        if self.started or self.finished:
-            return
-        self.started = True
-        self._connection.send(
-            h11.Response(status_code=status, headers=headers)
-        )
-
-    def send(self, data: bytes) -> bool:
-        """Send a piece of the body.
-
-        :param data: the piece
-        :return: whether the caller keeps up; if not, wait for ``on_drained``
-        """
-        if self.finished or not data:
-            return not self.finished
-        return self._connection.send(h11.Data(data=data))
-
-    def finish(self) -> None:
-        """End the answer; only a whole answer may be ended."""
-        if not self.finished:
-            self.finished = True
-            self._connection.finish()
-
-    def abort(self) -> None:
-        """Cut the connection, so the caller sees that the answer is cut.
-
-        Ending a chunked body in the usual way would show a broken answer as
-        a whole one.
-        """
-        if not self.finished:
-            self.finished = True
-            self._connection.abort()
-
-    def reply(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer.
-
-        :param status: the HTTP status
-        :param headers: without the length, which is added
-        :param body: the whole body
-        """
-        length = ("Content-Length", str(len(body)))
-        self.start(status, [*headers, length])
-        self.send(body)
-        self.finish()
-
-    def closed(self) -> None:
-        """Learn that the caller is gone; called by the connection."""
-        self.finished = True
-        if self.on_closed is not None:
-            self.on_closed()
-
-    def drained(self) -> None:
-        """Learn that the caller caught up; called by the connection."""
-        if self.on_drained is not None and not self.finished:
-            self.on_drained()
-
-
 def bad_request_body(reason: str) -> bytes:
     """Write the body that tells a caller its bytes were no request.
 
@@ -119,10 +48,10 @@
 Application = Callable[[Request, Exchange], None]
 
 
-class ServerConnection(sockets.StreamHandler):
+class ServerConnection(streams.StreamHandler):
     """One caller's connection: requests one after the other."""
 
-    stream: sockets.Stream
+    stream: streams.Stream
 
     def __init__(
         self,
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
 import errno
 import os
@@ -12,184 +11,9 @@
 import circuits
 from circuits.core import pollers
 
-READ_BYTES = 65536
-# A caller that reads more slowly than its answer arrives fills this much;
-# then reading from the endpoint pauses until half has drained.
-HIGH_WATER_BYTES = 262_144
-LISTEN_BACKLOG = 1024
-
-
-class StreamHandler(abc.ABC):
-    """Reacts to what happens on one connection."""
-
-    @abc.abstractmethod
-    def connected(self) -> None:
-        """Learn that the connection is open for writing."""
-
-    @abc.abstractmethod
-    def received(self, data: bytes) -> None:
-        """Take bytes that arrived.
-
-        :param data: at least one byte
-        """
-
-    @abc.abstractmethod
-    def drained(self) -> None:
-        """Learn that the write buffer fell below half its high-water mark."""
-
-    @abc.abstractmethod
-    def closed(self, reason: str) -> None:
-        """Learn that the connection is gone; called once, also on failure.
-
-        :param reason: ``eof``, ``refused``, ``timeout``, ``reset`` or
-            ``closed_here``
-        """
+from boragefold.transport import streams
 
-
-class Stream:
-    """One TCP connection."""
-
-    def __init__(
-        self,
-        *,
-        owner: SocketSet,
-        sock: socket.socket,
-        handler: StreamHandler,
-        connecting: bool,
-    ) -> None:
-        self._owner = owner
-        self.sock = sock
-        self.handler = handler
-        self.connecting = connecting
-        self.open = True
-        self._closing = False
-        self._reading = False
-        self._above_high_water = False
-        self._unsent = bytearray()
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Tell how much waits to be sent.
-
-        :return: bytes in the write buffer
-        """
-        return len(self._unsent)
-
-    def write(self, data: bytes) -> bool:
-        """Send bytes, buffering what the kernel doesn't take.
-
-        :param data: what to send; ignored once the connection is closed
-        :return: whether the caller may go on writing at once
-        """
-        if not self.open or self._closing:
-            return False
-        if self._unsent or self.connecting:
-            self._unsent += data
-        else:
-            sent = self._send(data)
-            self._unsent += data[sent:]
-            if self._unsent and self.open:
-                self._owner.want_write(self, True)
-        if len(self._unsent) > HIGH_WATER_BYTES:
-            self._above_high_water = True
-        return not self._above_high_water
-
-    def pause_reading(self) -> None:
-        """Stop taking bytes from the other end."""
-        self._set_reading(False)
-
-    def resume_reading(self) -> None:
-        """Take bytes from the other end again."""
-        self._set_reading(True)
-
-    def close(self) -> None:
-        """Close once everything written has been sent."""
-        self._closing = True
-        if not self._unsent:
-            self.abort("closed_here")
-
-    def abort(self, reason: str = "closed_here") -> None:
-        """Close now and drop what is unsent.
-
-        :param reason: passed on to the handler
-        """
-        if not self.open:
-            return
-        self.open = False
-        self._owner.forget(self)
-        self.sock.close()
-        self.handler.closed(reason)
-
-    def on_readable(self) -> None:
-        """Read what there is; called by the socket set."""
-        while self.open and self._reading:
-            try:
-                data = self.sock.recv(READ_BYTES)
-            except (BlockingIOError, ssl.SSLWantReadError):
-                return
-            except ssl.SSLWantWriteError:
-                self._owner.want_write(self, True)
-                return
-            except OSError:
-                self.abort("reset")
-                return
-            if not data:
-                self.abort("eof")
-                return
-            self.handler.received(data)
-            if len(data) < READ_BYTES and not self._decrypted_bytes():
-                return
-
-    def on_writable(self) -> None:
-        """Finish connecting or go on sending; called by the socket set."""
-        if self.connecting and not self._finish_connecting():
-            return
-        if self._unsent:
-            sent = self._send(bytes(self._unsent))
-            del self._unsent[:sent]
-        if self.open and not self._unsent:
-            self._owner.want_write(self, False)
-            if self._closing:
-                self.abort("closed_here")
-        if self._above_high_water and self._below_half():
-            self._above_high_water = False
-            self.handler.drained()
-
-    def _below_half(self) -> bool:
-        return self.open and len(self._unsent) < HIGH_WATER_BYTES // 2
-
-    def _finish_connecting(self) -> bool:
-        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.abort("refused")
-            return False
-        self.connecting = False
-        self._set_reading(True)
-        self.handler.connected()
-        return self.open
-
-    def _send(self, data: bytes) -> int:
-        try:
-            return self.sock.send(data)
-        except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
-            return 0
-        except OSError:
-            # Whoever writes may be in the middle of something; it learns of
-            # the loss from the loop, never inside its own call.
-            self._owner.fail_later(self, "reset")
-            return 0
-
-    def _decrypted_bytes(self) -> int:
-        # Bytes that TLS has decrypted never make the descriptor readable
-        # again; without this the end of an answer could sit there for good.
-        if isinstance(self.sock, ssl.SSLSocket):
-            return self.sock.pending()
-        return 0
-
-    def _set_reading(self, reading: bool) -> None:
-        if self.open and reading != self._reading:
-            self._reading = reading
-            self._owner.want_read(self, reading)
+LISTEN_BACKLOG = 1024
 
 
 class SocketSet(circuits.BaseComponent):  # type: ignore[misc]
@@ -205,10 +29,10 @@
     def __init__(self, *, poller: pollers.BasePoller) -> None:
         super().__init__()
         self._poller = poller
-        self._streams: dict[socket.socket, Stream] = {}
+        self._streams: dict[socket.socket, streams.Stream] = {}
         self._listeners: dict[
             socket.socket,
-            tuple[Callable[[], StreamHandler], ssl.SSLContext | None],
+            tuple[Callable[[], streams.StreamHandler], ssl.SSLContext | None],
         ] = {}
 
     def listen(
@@ -216,7 +40,7 @@
         *,
         host: str,
         port: int,
-        make_handler: Callable[[], StreamHandler],
+        make_handler: Callable[[], streams.StreamHandler],
         tls: ssl.SSLContext | None = None,
     ) -> int:
         """Accept connections.
@@ -246,8 +70,8 @@
         self._listeners.clear()
 
     def connect(
-        self, *, host: str, port: int, handler: StreamHandler
-    ) -> Stream:
+        self, *, host: str, port: int, handler: streams.StreamHandler
+    ) -> streams.Stream:
         """Open a connection; the handler is told how it went.
 
         :param host: an IP number
@@ -259,7 +83,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         code = sock.connect_ex((host, port))
-        stream = Stream(
+        stream = streams.Stream(
             owner=self, sock=sock, handler=handler, connecting=True
         )
         self._streams[sock] = stream
@@ -269,7 +93,7 @@
             self.fail_later(stream, os.strerror(code))
         return stream
 
-    def want_read(self, stream: Stream, wanted: bool) -> None:
+    def want_read(self, stream: streams.Stream, wanted: bool) -> None:
         """Tell the poller whether to watch for bytes.
 
         :param stream: an open stream
@@ -280,7 +104,7 @@
         else:
             self._poller.removeReader(stream.sock)
 
-    def want_write(self, stream: Stream, wanted: bool) -> None:
+    def want_write(self, stream: streams.Stream, wanted: bool) -> None:
         """Tell the poller whether to watch for room in the kernel's buffer.
 
         :param stream: an open stream
@@ -292,7 +116,7 @@
         elif watched and not wanted:
             self._poller.removeWriter(stream.sock)
 
-    def forget(self, stream: Stream) -> None:
+    def forget(self, stream: streams.Stream) -> None:
         """Drop a stream that closes; called before its socket is closed.
 
         :param stream: the stream
@@ -300,7 +124,7 @@
         self._streams.pop(stream.sock, None)
         self._poller.discard(stream.sock)
 
-    def fail_later(self, stream: Stream, why: str) -> None:
+    def fail_later(self, stream: streams.Stream, why: str) -> None:
         """Abort a stream from the loop instead of from inside a call.
 
         :param stream: the stream
@@ -341,7 +165,7 @@
                     sock, server_side=True, do_handshake_on_connect=False
                 )
             handler = make_handler()
-            stream = Stream(
+            stream = streams.Stream(
                 owner=self, sock=sock, handler=handler, connecting=False
             )
             self._streams[sock] = stream
@@ -351,8 +175,5 @@
 
 
 __all__ = [
-    "HIGH_WATER_BYTES",
     "SocketSet",
-    "Stream",
-    "StreamHandler",
 ]
--- /dev/null
+++ b/src/boragefold/transport/streams.py
@@ -0,0 +1,225 @@
+"""One TCP connection: reading, bounded writing, and its end."""
+
+from __future__ import annotations
+
+import abc
+import socket
+import ssl
+from typing import Protocol
+
+READ_BYTES = 65536
+# A caller that reads more slowly than its answer arrives fills this much;
+# then reading from the endpoint pauses until half has drained.
+HIGH_WATER_BYTES = 262_144
+
+
+class StreamHandler(abc.ABC):
+    """Reacts to what happens on one connection."""
+
+    @abc.abstractmethod
+    def connected(self) -> None:
+        """Learn that the connection is open for writing."""
+
+    @abc.abstractmethod
+    def received(self, data: bytes) -> None:
+        """Take bytes that arrived.
+
+        :param data: at least one byte
+        """
+
+    @abc.abstractmethod
+    def drained(self) -> None:
+        """Learn that the write buffer fell below half its high-water mark."""
+
+    @abc.abstractmethod
+    def closed(self, reason: str) -> None:
+        """Learn that the connection is gone; called once, also on failure.
+
+        :param reason: ``eof``, ``refused``, ``timeout``, ``reset`` or
+            ``closed_here``
+        """
+
+
+class Stream:
+    """One TCP connection."""
+
+    def __init__(
+        self,
+        *,
+        owner: StreamOwner,
+        sock: socket.socket,
+        handler: StreamHandler,
+        connecting: bool,
+    ) -> None:
+        self._owner = owner
+        self.sock = sock
+        self.handler = handler
+        self.connecting = connecting
+        self.open = True
+        self._closing = False
+        self._reading = False
+        self._above_high_water = False
+        self._unsent = bytearray()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Tell how much waits to be sent.
+
+        :return: bytes in the write buffer
+        """
+        return len(self._unsent)
+
+    def write(self, data: bytes) -> bool:
+        """Send bytes, buffering what the kernel doesn't take.
+
+        :param data: what to send; ignored once the connection is closed
+        :return: whether the caller may go on writing at once
+        """
+        if not self.open or self._closing:
+            return False
+        if self._unsent or self.connecting:
+            self._unsent += data
+        else:
+            sent = self._send(data)
+            self._unsent += data[sent:]
+            if self._unsent and self.open:
+                self._owner.want_write(self, True)
+        if len(self._unsent) > HIGH_WATER_BYTES:
+            self._above_high_water = True
+        return not self._above_high_water
+
+    def pause_reading(self) -> None:
+        """Stop taking bytes from the other end."""
+        self._set_reading(False)
+
+    def resume_reading(self) -> None:
+        """Take bytes from the other end again."""
+        self._set_reading(True)
+
+    def close(self) -> None:
+        """Close once everything written has been sent."""
+        self._closing = True
+        if not self._unsent:
+            self.abort("closed_here")
+
+    def abort(self, reason: str = "closed_here") -> None:
+        """Close now and drop what is unsent.
+
+        :param reason: passed on to the handler
+        """
+        if not self.open:
+            return
+        self.open = False
+        self._owner.forget(self)
+        self.sock.close()
+        self.handler.closed(reason)
+
+    def on_readable(self) -> None:
+        """Read what there is; called by the socket set."""
+        while self.open and self._reading:
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except (BlockingIOError, ssl.SSLWantReadError):
+                return
+            except ssl.SSLWantWriteError:
+                self._owner.want_write(self, True)
+                return
+            except OSError:
+                self.abort("reset")
+                return
+            if not data:
+                self.abort("eof")
+                return
+            self.handler.received(data)
+            if len(data) < READ_BYTES and not self._decrypted_bytes():
+                return
+
+    def on_writable(self) -> None:
+        """Finish connecting or go on sending; called by the socket set."""
+        if self.connecting and not self._finish_connecting():
+            return
+        if self._unsent:
+            sent = self._send(bytes(self._unsent))
+            del self._unsent[:sent]
+        if self.open and not self._unsent:
+            self._owner.want_write(self, False)
+            if self._closing:
+                self.abort("closed_here")
+        if self._above_high_water and self._below_half():
+            self._above_high_water = False
+            self.handler.drained()
+
+    def _below_half(self) -> bool:
+        return self.open and len(self._unsent) < HIGH_WATER_BYTES // 2
+
+    def _finish_connecting(self) -> bool:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.abort("refused")
+            return False
+        self.connecting = False
+        self._set_reading(True)
+        self.handler.connected()
+        return self.open
+
+    def _send(self, data: bytes) -> int:
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+            return 0
+        except OSError:
+            # Whoever writes may be in the middle of something; it learns of
+            # the loss from the loop, never inside its own call.
+            self._owner.fail_later(self, "reset")
+            return 0
+
+    def _decrypted_bytes(self) -> int:
+        # Bytes that TLS has decrypted never make the descriptor readable
+        # again; without this the end of an answer could sit there for good.
+        if isinstance(self.sock, ssl.SSLSocket):
+            return self.sock.pending()
+        return 0
+
+    def _set_reading(self, reading: bool) -> None:
+        if self.open and reading != self._reading:
+            self._reading = reading
+            self._owner.want_read(self, reading)
+
+
+class StreamOwner(Protocol):
+    """What a stream needs of the component that holds its socket."""
+
+    def want_read(self, stream: Stream, wanted: bool) -> None:
+        """Tell the poller whether to watch for bytes.
+
+        :param stream: an open stream
+        :param wanted: whether to watch
+        """
+
+    def want_write(self, stream: Stream, wanted: bool) -> None:
+        """Tell the poller whether to watch for room to write.
+
+        :param stream: an open stream
+        :param wanted: whether to watch
+        """
+
+    def forget(self, stream: Stream) -> None:
+        """Drop a stream that closes.
+
+        :param stream: the stream
+        """
+
+    def fail_later(self, stream: Stream, why: str) -> None:
+        """Abort a stream from the loop.
+
+        :param stream: the stream
+        :param why: the reason
+        """
+
+
+__all__ = [
+    "HIGH_WATER_BYTES",
+    "Stream",
+    "StreamHandler",
+    "StreamOwner",
+]
