Show that a fresh process may use a raised part too early

Cause: the first weights that a process reads are put in force at once; it takes the smaller part only when a member of its data centre answers. When those are paused (but still in the view) nobody does.

Not mended: a fresh process would have to grant nothing until the members of its view answered or left it, which also decides how a fleet starts cold.

--- a/tests/coordination/rates/test_shares.py
+++ b/tests/coordination/rates/test_shares.py
@@ -62,3 +62,22 @@
     read(fleet, "north", 4, {"north": 18.0, "south": 4.0, "west": 8.0})
     fleet.run_for(10.0)
     assert bursts_tokens(fleet) == pytest.approx(fleet.limit.burst_tokens)
+
+
+def test_a_fresh_process_without_an_answer_does_not_raise() -> None:
+    # A caller would see up to 1,200 tokens out of a burst of 900. South is to
+    # get more, but the others have not read the change. One process of south
+    # restarts while the other one there is paused: nobody tells the fresh one
+    # that the raise waits, and it uses the published part at once.
+    fleet = fakes.Fleet()
+    fleet.run_for(3.0)
+    weights = {"north": 1.0, "south": 4.0, "west": 1.0}
+    read(fleet, "south", 2, weights)
+    lost, paused = fleet.processes["south"]
+    fleet.network.pause(paused.node)
+    fleet.kill(lost)
+    fleet.weights, fleet.revision = weights, 2
+    fleet.start("south")
+    fleet.change_view("south")
+    fleet.run_for(10.0)
+    assert bursts_tokens(fleet) <= fleet.limit.burst_tokens + 1e-6
