Let the fresh process hold the rate in the test of its first weights

Ruled out: that the fault needs the paused process out of the view.

Change: another seed of the fake network, and an assertion that the fresh process is the holder. Not weakened: the check of the sum is the same.

--- a/tests/coordination/rates/test_shares.py
+++ b/tests/coordination/rates/test_shares.py
@@ -69,7 +69,7 @@
     # get more, but the others have not read the change. One process of south
     # restarts while the other one there is paused: nobody tells the fresh one
     # that the raise waits, and it uses the published part at once.
-    fleet = fakes.Fleet()
+    fleet = fakes.Fleet(seed=2)
     fleet.run_for(3.0)
     weights = {"north": 1.0, "south": 4.0, "west": 1.0}
     read(fleet, "south", 2, weights)
@@ -77,7 +77,8 @@
     fleet.network.pause(paused.node)
     fleet.kill(lost)
     fleet.weights, fleet.revision = weights, 2
-    fleet.start("south")
+    fresh = fleet.start("south")
     fleet.change_view("south")
+    assert fleet.holder("south") is fresh
     fleet.run_for(10.0)
     assert bursts_tokens(fleet) <= fleet.limit.burst_tokens + 1e-6
