Hold a fresh process's part until its data centre's members have answered

Cause: a fresh process put its first weights in force at once.

Ruled out: waiting for a time, since a paused member may wake much later; holding until other data centres answer, since one that starts while cut off could then serve nothing. Change: the first part is nothing until each member of the view has answered or left it; then it is the smallest part that any of them uses, and while it holds a process answers that it knows no weights.

Open: a data centre whose members all restart during a change of weights that others have not read.

--- a/src/boragefold/coordination/rates/shares.py
+++ b/src/boragefold/coordination/rates/shares.py
@@ -62,6 +62,10 @@
         self._learned: set[ids.InstanceId] = set()
         self._learning: timing.Subscription | None = None
         self._asking: timing.Subscription | None = None
+        # From our first weights until our data centre's members have said
+        # which part they use; until then ours is nothing.
+        self._holding = False
+        self._least_part = float("inf")
         peers.subscribe(rate_messages.SharesAsked, self._asked)
         peers.subscribe(rate_messages.SharesKnown, self._known)
         rights.subscribe(lambda view: self._learn_anew())
@@ -118,11 +122,14 @@
         if missed:
             # A revision in between may have raised any of the others.
             self._lowered |= self._parts.keys() - {self._own_name}
+        if first:
+            self._holding = True
+            self._learn_anew()
+        if self._holding:
+            return
         target = self._parts.get(self._own_name, 0.0)
-        if first or target <= self._in_force.get(self._own_name, 0.0):
+        if target <= self._in_force.get(self._own_name, 0.0):
             self._put_in_force()
-            if first:
-                self._learn_anew()
             return
         self._counters.add("rate_share_raises", "waiting")
         self._ask()
@@ -165,8 +172,11 @@
         if self._learning is None:
             return
         view = self._rights.directory().get(self._own_name)
-        members = set(view.members) if view is not None else set()
-        others = members - {self._link.self_id}
+        if view is None:
+            return
+        others = set(view.members) - {self._link.self_id}
+        if others <= self._learned:
+            self._stop_holding()
         if others and others <= self._learned:
             self._learning.cancel()
             self._learning = None
@@ -180,7 +190,12 @@
     ) -> None:
         # A raise may be waiting that we know nothing of. If we used the
         # published part at once, a restart would undo the wait.
-        if self._learning is None or known.revision < 0:
+        if self._learning is None:
+            return
+        if self._holding:
+            self._learn_while_holding(sender, known)
+            return
+        if known.revision < 0:
             return
         self._learned.add(sender)
         self._newest_revision = max(self._newest_revision, known.revision)
@@ -193,6 +208,37 @@
             self._counters.add("rate_share_raises", "waiting")
             self._ask()
 
+    def _learn_while_holding(
+        self, sender: ids.InstanceId, known: rate_messages.SharesKnown
+    ) -> None:
+        # A member that is as fresh as we are knows of no raise that waits.
+        self._learned.add(sender)
+        if known.revision >= 0:
+            self._newest_revision = max(self._newest_revision, known.revision)
+            self._least_part = min(self._least_part, known.own_part)
+        self._learn()
+
+    def _stop_holding(self) -> None:
+        """Use the part that the members of our data centre use, at most.
+
+        A paused member can't say that a raise waits. If a fresh process used
+        the published part before it has answered or left the view, the parts
+        in use would add up to more than the rate.
+        """
+        if not self._holding:
+            return
+        self._holding = False
+        published = self._parts.get(self._own_name, 0.0)
+        if self._least_part >= published and not self._lowered:
+            self._put_in_force()
+            return
+        part = 0.0 if self._lowered else self._least_part
+        self._in_force = {**self._parts, self._own_name: part}
+        self._lowered |= self._parts.keys() - {self._own_name}
+        self._changed()
+        self._counters.add("rate_share_raises", "waiting")
+        self._ask()
+
     def _everybody_knows(self) -> bool:
         # A data centre without a view may be cut off and still grant by the
         # old weights. One that the operators have taken out of the document
@@ -218,9 +264,9 @@
         self, sender: ids.InstanceId, asked: rate_messages.SharesAsked
     ) -> None:
         own_part = self._in_force.get(self._own_name, 0.0)
+        revision = -1 if self._holding else self._revision
         self._link.send(
-            to=sender,
-            body=rate_messages.SharesKnown(self._revision, own_part),
+            to=sender, body=rate_messages.SharesKnown(revision, own_part)
         )
 
     def _known(
