Name registers that answer, so that a cut-off data centre goes on paying

Cause: the views of a data centre that is cut off stay in the directory, so tickets went on naming registers there, and every payout was refused until the cut healed. Ruled out: forgetting such views, which other parts rely on to wait for rights to end.

--- a/src/boragefold/coordination/once/runner.py
+++ b/src/boragefold/coordination/once/runner.py
@@ -6,6 +6,7 @@
 import itertools
 
 from boragefold.coordination import link as links
+from boragefold.coordination.once import reach as reaches
 from boragefold.coordination.once import register as registers
 from boragefold.coordination.once import telling
 from boragefold.protocol import ids
@@ -89,10 +90,12 @@
         timers: timing.TimerService,
         register: registers.Register,
         counters: telemetry.Counters,
+        reach: reaches.Reach | None = None,
     ) -> None:
         self._link = link
         self._timers = timers
         self._register = register
+        self._reach = reach or reaches.Reach(timers=timers)
         self._counters = counters
         self._numbers = itertools.count(1)
         self._asking: dict[once_messages.Attempt, Asking] = {}
@@ -231,6 +234,7 @@
             return
         if asking.timer is not None:
             asking.timer.cancel()
+        self._reach.note_heard(sender)
         if reply.verdict == "granted":
             self._granted(asking)
         else:
@@ -273,7 +277,9 @@
         if asking.asks_left > 0:
             self._counters.add("once_asks_repeated", "silence")
             self._ask_register(asking)
-        elif asking.register == asking.ticket.first:
+            return
+        self._reach.note_silent(asking.register)
+        if asking.register == asking.ticket.first:
             self._first_is_silent(asking)
         else:
             self._second_is_silent(asking)
--- a/src/boragefold/coordination/once/tickets.py
+++ b/src/boragefold/coordination/once/tickets.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from boragefold.coordination.once import reach as reaches
 from boragefold.protocol import ids
 from boragefold.protocol import once_messages
 from boragefold.timing import timers as timing
@@ -41,6 +42,7 @@
         self_id: ids.InstanceId,
         timers: timing.TimerService,
         others: Callable[[], list[ids.InstanceId]],
+        reach: reaches.Reach | None = None,
         new_serial: Callable[[], str] = lambda: secrets.token_hex(
             SERIAL_BYTES
         ),
@@ -48,6 +50,7 @@
         self._self_id = self_id
         self._timers = timers
         self._others = others
+        self._reach = reach or reaches.Reach(timers=timers)
         self._new_serial = new_serial
         # Made anew by each process, so a ticket of a predecessor is never
         # taken for one of ours.
@@ -89,14 +92,15 @@
         return age_seconds > TICKET_LIFETIME_SECONDS
 
     def _pick_second(self, serial: str) -> ids.InstanceId | None:
+        here = self._self_id.data_centre
         others = self._others()
-        elsewhere = [
-            other
-            for other in others
-            if other.data_centre != self._self_id.data_centre
+        answering = [
+            other for other in others if not self._reach.is_suspect(other)
         ]
-        # The loss of a whole data centre must not take both registers.
-        candidates = elsewhere or others
+        # The loss of a whole data centre must not take both registers, but
+        # one that can't be reached can't be one of them.
+        elsewhere = [each for each in answering if each.data_centre != here]
+        candidates = elsewhere or answering or others
         return max(
             candidates,
             default=None,
--- a/src/boragefold/entry/together.py
+++ b/src/boragefold/entry/together.py
@@ -11,6 +11,7 @@
 from boragefold.coordination.configuration import service as configuration
 import boragefold.coordination.listing as listings
 import boragefold.coordination.load_budget as load_budgets
+from boragefold.coordination.once import reach as reaches
 from boragefold.coordination.once import register as registers
 from boragefold.coordination.once import runner as runners
 from boragefold.coordination.once import tickets
@@ -92,8 +93,12 @@
         self.load_budget = load_budgets.LeasedLoadBudget(
             rates=self.rates, counters=counters
         )
+        reach = reaches.Reach(timers=timers)
         self.office = tickets.TicketOffice(
-            self_id=link.self_id, timers=timers, others=self.others
+            self_id=link.self_id,
+            timers=timers,
+            others=self.others,
+            reach=reach,
         )
         self.register = registers.Register(
             link=link, timers=timers, office=self.office, counters=counters
@@ -103,6 +108,7 @@
             timers=timers,
             register=self.register,
             counters=counters,
+            reach=reach,
         )
         self.lister = list_polling.ListPoller(
             reader=reader, timers=timers, counters=counters
--- a/tests/coordination/once/test_runner.py
+++ b/tests/coordination/once/test_runner.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from boragefold.coordination.once import reach as reaches
 from boragefold.coordination.once import register as registers
 from boragefold.coordination.once import runner as runners
 from boragefold.coordination.once import tickets
@@ -29,7 +30,9 @@
         self.answers = True
         counters = telemetry.Counters()
         self.peers = []
+        reach = reaches.Reach(timers=self.node.timers)
         self.office = tickets.TicketOffice(
+            reach=reach,
             self_id=self.node.self_id,
             timers=self.node.timers,
             others=lambda: [p.node.self_id for p in self.peers if p != self],
@@ -46,6 +49,7 @@
             timers=self.node.timers,
             register=register,
             counters=counters,
+            reach=reach,
         )
 
     def begin(self, ticket, digest="d", give_up_seconds=30.0):
@@ -207,6 +211,26 @@
     assert not runs
 
 
+def test_a_data_centre_that_is_cut_off_goes_on_paying(fleet):
+    # A data centre loses all others for minutes. Its first payout names a
+    # register over there and is refused; were the next tickets made in the
+    # same way, it could pay nobody until the cut heals.
+    net, entries, runs = fleet
+    net.is_cut = lambda a, b: (
+        "a" in (a.data_centre, b.data_centre)
+        and (a.data_centre != b.data_centre)
+    )
+    outcomes = []
+    for _ in range(4):
+        handler = entries[0].begin(entries[0].office.mint("rights"))
+        net.run_for(2)
+        outcomes.append(handler.outcome)
+    assert outcomes.count("ran") >= 2
+    assert outcomes[-1] == "ran"
+    assert set(outcomes) <= {"ran", "not_run:register_unreachable"}
+    assert len(runs) == outcomes.count("ran")
+
+
 def test_a_send_without_answer_is_unknown_everywhere(fleet):
     net, entries, runs = fleet
     ticket = entries[0].office.mint("rights")
