Take test ports from below the range of outgoing connections

A fleet did not start: an instance's port, free when it was chosen, had become an outgoing connection's by the time it bound (EADDRINUSE in the fleet's log). Ruled out: a slow machine; the other instances of that fleet were ready. Change: ports come from 20000 to 31999, each given once; 'serve' names the remedy instead of a traceback when an address is taken; endpoints and rates are gone through only when what they are read from has changed. A first form of the new test hung, because ZeroMQ's context waits for sockets that the failed instance left open; it now runs the program.

--- a/src/boragefold/cli/serve.py
+++ b/src/boragefold/cli/serve.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import click
+import zmq
 
 from boragefold.entry import instance as instances
 from boragefold.settings import serve as serve_settings
@@ -54,8 +55,16 @@
     if faults:
         sys.exit(EXIT_BAD_SETTINGS)
     logs.begin(json_lines=settings.json_logs)
-    instance = instances.Instance(settings=settings)
-    instance.start()
+    try:
+        instance = instances.Instance(settings=settings)
+        instance.start()
+    except (OSError, zmq.ZMQError) as error:
+        click.echo(
+            f"can't bind an address: {error}; give --listen, --peer-listen "
+            "and --operators-listen ports of this machine that are free",
+            err=True,
+        )
+        sys.exit(EXIT_BAD_SETTINGS)
     instance.loop.run()
 
 
--- a/src/boragefold/demo/fleet.py
+++ b/src/boragefold/demo/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import socket
 from typing import Any
 
 from boragefold.entry import instance as instances
@@ -14,6 +13,7 @@
 from boragefold.standins import example_tree
 from boragefold.standins import platform as platforms
 from boragefold.standins import platform_http
+from boragefold.standins import ports
 from boragefold.standins import service
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers as timing
@@ -43,7 +43,7 @@
         self.loop = loops.Loop(timers=self.timers)
         self.sockets = sockets.SocketSet(poller=self.loop.poller)
         self.sockets.register(self.loop)
-        self.platform_address = free_address()
+        self.platform_address = ports.free_address()
         self.service = service.ServiceFace(
             timers=self.timers, answer_seconds=SERVICE_SECONDS
         )
@@ -143,9 +143,9 @@
 
     def _make_instance(self, data_centre: str) -> instances.Instance:
         settings = serve_settings.ServeSettings(
-            listen=free_address(),
-            peer_listen=free_address(),
-            operators_listen=free_address(),
+            listen=ports.free_address(),
+            peer_listen=ports.free_address(),
+            operators_listen=ports.free_address(),
             platform=self.platform_address,
             data_centre=data_centre,
         )
@@ -182,16 +182,6 @@
         return f"{HOST}:{port}"
 
 
-def free_address() -> str:
-    """Find a port that nobody listens on.
-
-    :return: IP number and port
-    """
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return f"{HOST}:{sock.getsockname()[1]}"
-
-
 __all__ = [
     "DATA_CENTRES",
     "DemoFleet",
--- a/src/boragefold/entry/together.py
+++ b/src/boragefold/entry/together.py
@@ -28,6 +28,7 @@
 from boragefold.protocol import view_messages
 from boragefold.state import catalogue as catalogues
 from boragefold.state import history as histories
+from boragefold.state import paths
 from boragefold.state import tree as trees
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
@@ -42,8 +43,6 @@
     *view_messages.KINDS,
 )
 MILLISECONDS = 1_000
-STORE_PATH = "common/store"
-DATA_CENTRES_PATH = "common/data_centres"
 
 
 class Together:
@@ -158,6 +157,15 @@
         )
 
     def _changed(self, change: trees.Change) -> None:
+        match paths.parse(change.path):
+            case paths.TreePath("workspaces" | "defaults"):
+                self._update_rates()
+            case paths.TreePath("store"):
+                self._update_store()
+            case paths.TreePath("data_centres"):
+                self._update_weights(change)
+
+    def _update_rates(self) -> None:
         self.rates.update_workspaces(
             {
                 settings.workspace: limits.Limit(
@@ -166,17 +174,20 @@
                 for settings in self.catalogue.workspaces
             }
         )
+
+    def _update_store(self) -> None:
         store = self.catalogue.store()
-        if change.path == STORE_PATH and store is not None:
+        if store is not None:
             self.load_budget.update(store)
-        if change.path == DATA_CENTRES_PATH:
-            self.rates.update_data_centres(
-                revision=change.revision,
-                weights={
-                    name: published["weight"]
-                    for name, published in (change.document or {}).items()
-                },
-            )
+
+    def _update_weights(self, change: trees.Change) -> None:
+        self.rates.update_data_centres(
+            revision=change.revision,
+            weights={
+                name: published["weight"]
+                for name, published in (change.document or {}).items()
+            },
+        )
 
 
 __all__ = [
--- a/src/boragefold/entry/traffic.py
+++ b/src/boragefold/entry/traffic.py
@@ -21,11 +21,16 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import homes
 from boragefold.policy import work as works
+from boragefold.state import paths
+from boragefold.state import tree as trees
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import stories as telemetry_stories
 from boragefold.timing import timers as timing
 from boragefold.transport import http_client
 
+# What an endpoint's place and distance are read from.
+ENDPOINT_KINDS = ("endpoints", "data_centres")
+
 
 class HeldOrders(homes.OrderRights):
     """Whose order right an endpoint's is, by the views of the fleet."""
@@ -161,13 +166,20 @@
 
     def _follow_configuration(self) -> None:
         together = self._together
-        together.tree.subscribe(lambda change: self._refresh())
+        together.tree.subscribe(self._changed)
         together.catalogue.subscribe_leaving(lambda record: self._refresh())
         together.catalogue.subscribe_withdrawn(self.desk.withdraw_key)
         together.rates.stock.subscribe(lambda workspace: self.desk.run())
         together.load_budget.subscribe(self.desk.run)
         self.orders.uses.subscribe(self._gate.lease_came)
 
+    def _changed(self, change: trees.Change) -> None:
+        # A catalogue of adapters is some hundred paths, and going through
+        # every endpoint for each would make a start slow.
+        parsed = paths.parse(change.path)
+        if parsed is not None and parsed.kind in ENDPOINT_KINDS:
+            self._refresh()
+
     def _refresh(self) -> None:
         self.reports.refresh()
         self.orders.update_endpoints(self.reports.documents())
--- a/tests/cli/test_settings_page.py
+++ b/tests/cli/test_settings_page.py
@@ -1,11 +1,15 @@
 from __future__ import annotations
 
 import pathlib
+import socket
+import subprocess
+import sys
 
 from click import testing
 
 from boragefold.cli import main
 from boragefold.cli import settings_page
+from boragefold.standins import ports
 
 PAGE = pathlib.Path("docs/operators/settings.md")
 
@@ -41,3 +45,24 @@
         "--peer-secret",
         "--seeds",
     }
+
+
+def test_an_address_in_use_is_named_with_its_remedy() -> None:
+    # Another process listens where this instance was told to. The instance
+    # must end and say so, not fail with a traceback or hang.
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        ended = subprocess.run(
+            [
+                *(sys.executable, "-m", "boragefold", "serve"),
+                *("--listen", address, "--data-centre", "a"),
+                *("--platform", address),
+                *("--peer-listen", ports.free_address()),
+                *("--operators-listen", ports.free_address()),
+            ],
+            capture_output=True,
+            timeout=60,
+            check=False,
+        )
+    assert ended.returncode == 2
+    assert b"--listen" in ended.stderr
