--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -39,7 +39,7 @@
     the store doesn't answer it. ``used`` is what it has admitted since it
     started, by workspace that sent lately, ``unheard`` are the addresses of
     the peers that it speaks to and doesn't hear, and ``avoids`` the engines
-    that it can't reach. ``link_megabits`` is its network link's speed a second.
+    that it can't reach. ``link_megabits`` is the speed of its network link.
     """
 
     uptime_seconds: float
