--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV := .venv
 TOX := $(VENV)/bin/tox run -q
 
-.PHONY: demo test lint bench bench-check binary clean
+.PHONY: demo test lint bench bench-check soak binary clean
+SEEDS ?= 10
 
 $(VENV)/.ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +26,10 @@
 bench-check: $(VENV)/.ready
 	$(VENV)/bin/boragefold bench --check
 
+soak: $(VENV)/.ready
+	$(TOX) -e test --notest
+	PYTHONPATH=src:platform:. .tox/test/bin/python -m tests.soak --seeds $(SEEDS)
+
 binary: $(VENV)/.ready
 	$(VENV)/bin/pip install -q "shiv>=1.0.8"
 	tools/build-binary.sh
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -44,6 +44,15 @@
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._relay(reader, writer)
+        except asyncio.CancelledError:
+            # The run is over; asyncio would print each that was cancelled.
+            writer.transport.abort()
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.mode is Mode.RESET:
             writer.transport.abort()
@@ -58,11 +67,7 @@
         self._writers |= ends
         there = self._pump(reader, far_writer, answers=False)
         back = self._pump(far_reader, writer, answers=True)
-        try:
-            await asyncio.gather(there, back)
-        except asyncio.CancelledError:
-            # The run is over; asyncio would print each that was cancelled.
-            writer.transport.abort()
+        await asyncio.gather(there, back)
         self._writers -= ends
 
     async def _pump(
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,35 @@
+"""A short seeded run of the soak; longer ones: ``make soak SEEDS=50``."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.soak import plan
+from tests.soak import run
+
+# Short, and with few callers: a busy machine must not decide the verdict.
+LENGTH_SECONDS = 16.0
+CALLERS = 4
+SEEDS = (3, 8)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path) -> None:
+    faults = plan.make(seed, length_seconds=LENGTH_SECONDS)
+    one = run.Run(
+        tmp_path,
+        seed=seed,
+        gateways=3,
+        callers_count=CALLERS,
+        faults=faults,
+        length_seconds=LENGTH_SECONDS,
+    )
+    assert one.play() == []
+    assert sum(len(caller.seen) for caller in one.callers) > 100
+
+
+def test_a_seed_repeats_its_plan() -> None:
+    first = plan.make(5, length_seconds=24.0)
+    assert first == plan.make(5, length_seconds=24.0)
+    assert first != plan.make(6, length_seconds=24.0)
+    assert all(fault.kind in plan.KINDS for fault in first)
