Tell revisions apart by what is read apart

One revision was told for configuration and endpoints; who learned of a newer configuration from a peer that hadn't read the endpoints yet never asked for these. Told by prefix now; tests fail before and pass after; the incident is written up.

--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -366,7 +366,7 @@
     engines = tuple(
         (engine.name, engine.orders_in_seconds > 0) for engine in beat.engines
     )
-    return engines, beat.leaving, beat.avoids, beat.revision
+    return engines, beat.leaving, beat.avoids, beat.told
 
 
 def candidate_of(member: Member) -> hubs.Candidate:
--- a/src/boragefold/coordination/fleet/relay.py
+++ b/src/boragefold/coordination/fleet/relay.py
@@ -58,23 +58,23 @@
         :param beat: its heartbeat
         """
         now_seconds = self._timers.now_seconds()
-        if beat.revision <= self._items.told_revision or not self._behind():
+        if not self._items.lacks(beat.told) or not self._behind():
             return
         if now_seconds - self._asked_at_seconds < ASK_PAUSE_SECONDS:
             return
         self._asked_at_seconds = now_seconds
-        pull = messages.Pull(after_revision=self._items.told_revision)
+        pull = messages.Pull(told=dict(self._items.told))
         self._link.send(to=sender, body=pull)
 
     def _answer(self, sender: ids.InstanceId, pull: messages.Pull) -> None:
         items = tuple(
             messages.PublishedItem(*item)
-            for item in self._items.after(pull.after_revision)
+            for item in self._items.after(pull.told)
         )
         self._link.send(
             to=sender,
             body=messages.Published(
-                revision=self._items.told_revision,
+                told=dict(self._items.told),
                 items=items,
                 settling_seconds=self._lapses.settling_seconds(),
             ),
@@ -84,7 +84,8 @@
         if body.settling_seconds:
             self._lapses.store_returned(body.settling_seconds)
         items = (published_items.Item(*item) for item in body.items)
-        self._items.take(items, revision=body.revision)
+        newest = max(body.told.values(), default=0)
+        self._items.take(items, revision=newest, told=body.told)
 
 
 __all__ = [
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -102,7 +102,9 @@
         self._rng = random.Random()
         self._logged_belief: Belief = (None, frozenset(), frozenset())
         self._fleet = fleets.Fleet()
-        self._items = published_items.PublishedItems(matters=matters)
+        self._items = published_items.PublishedItems(
+            matters=matters, prefixes=prefixes
+        )
         self._lapses = lapses_module.Lapses(
             timers=self.timers, drop=self._fleet.drop_endpoint
         )
@@ -233,7 +235,7 @@
         return messages.Beat(
             uptime_seconds=self._members.uptime_seconds,
             leaving=self.stopping.begun,
-            revision=self._items.told_revision,
+            told=dict(self._items.told),
             engines=self._owner.statuses(),
             used=self._rate.used(now_seconds=self.timers.now_seconds()),
             avoids=self._owner.avoided(),
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -34,8 +34,9 @@
 class Beat(NamedTuple):
     """What an instance tells of itself, with what changes all the time.
 
-    ``revision`` is that of the newest published change that the sender has and
-    that matters to those who don't read the store; ``store_lost`` tells that
+    ``told`` has by prefix the revision of the newest published change that the
+    sender has and that matters to those who don't read the store;
+    ``store_lost`` tells that
     the store doesn't answer it. ``used`` is what it has admitted since it
     started, by workspace that sent lately, ``unheard`` are the addresses of
     the peers that it speaks to and doesn't hear, and ``avoids`` the engines
@@ -44,7 +45,7 @@
 
     uptime_seconds: float
     leaving: bool
-    revision: int
+    told: dict[str, int]
     engines: tuple[EngineStatus, ...]
     used: dict[str, float]
     unheard: tuple[str, ...]
@@ -80,9 +81,9 @@
 
 
 class Pull(NamedTuple):
-    """Asks for what was published after a revision."""
+    """Asks for what was published since; by prefix, what the asker has."""
 
-    after_revision: int
+    told: dict[str, int]
 
 
 class PublishedItem(NamedTuple):
@@ -94,13 +95,13 @@
 
 
 class Published(NamedTuple):
-    """Published items; complete up to ``revision`` from what was asked.
+    """Published items; complete up to ``told`` from what was asked.
 
     ``settling_seconds`` is how long removals among them still wait, because
     the store has just returned.
     """
 
-    revision: int
+    told: dict[str, int]
     items: tuple[PublishedItem, ...]
     settling_seconds: float = 0.0
 
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -28,26 +29,33 @@
     in force already. Removals are kept as well: without them an older copy
     of the item would bring it back.
 
-    ``revision`` is up to where all was read, ``told_revision`` that of the
-    newest change that matters to instances that don't read the store.
+    ``revision`` is up to where all was read. ``told`` has for each prefix the
+    revision of the newest change that matters to instances that don't read the
+    store. Prefixes are read apart: an instance that knows the newest
+    configuration may not know yet that an endpoint leaves which was announced
+    before it. With one number for both, whoever learned of the first from it
+    never asked for the second.
     """
 
     def __init__(
         self,
         *,
         matters: Matters = lambda old, new: True,
+        prefixes: Iterable[str] = (),
     ) -> None:
         """Begin empty.
 
         :param matters: tells whether a change of an item, from what it was,
             has to reach instances that don't read the store
+        :param prefixes: the starts of keys that are read apart
         """
         self._matters = matters
+        self._prefixes = tuple(prefixes)
         self._mattered: dict[str, int] = {}
         self._items: dict[str, Item] = {}
         self._subscribers: list[Subscriber] = []
         self.revision = 0
-        self.told_revision = 0
+        self.told: dict[str, int] = {}
 
     def subscribe(self, callback: Subscriber) -> None:
         """Be told of each change.
@@ -56,19 +64,28 @@
         """
         self._subscribers.append(callback)
 
-    def take(self, items: Iterable[Item], *, revision: int) -> list[Item]:
+    def take(
+        self,
+        items: Iterable[Item],
+        *,
+        revision: int,
+        told: Mapping[str, int] | None = None,
+    ) -> list[Item]:
         """Take over what was read.
 
         :param items: in any order
         :param revision: up to which these are complete
+        :param told: by prefix, the newest change that a peer told us of
         :return: the items that were news
         """
         news = [item for item in items if self._is_news(item)]
         for item in news:
             if self._matters(self._items.get(item.key), item):
                 self._mattered[item.key] = item.revision
-                self.told_revision = max(self.told_revision, item.revision)
+                self._raise_told(self._prefix_of(item.key), item.revision)
             self._items[item.key] = item
+        for prefix, told_revision in (told or {}).items():
+            self._raise_told(prefix, told_revision)
         self.revision = max(self.revision, revision)
         if news:
             for callback in self._subscribers:
@@ -97,16 +114,27 @@
         ]
         return self.take([*listed, *removed], revision=revision)
 
-    def after(self, revision: int) -> Iterator[Item]:
-        """List what changed after a revision in a way that matters.
+    def lacks(self, told: Mapping[str, int]) -> bool:
+        """Tell whether somebody knows more than we do.
 
-        :param revision: what the asker has
+        :param told: by prefix, the newest change that it knows
+        :return: whether one of them is newer than ours
+        """
+        return any(
+            revision > self.told.get(prefix, 0)
+            for prefix, revision in told.items()
+        )
+
+    def after(self, told: Mapping[str, int]) -> Iterator[Item]:
+        """List what changed since in a way that matters.
+
+        :param told: by prefix, the newest change that the asker has
         :return: items, removals included
         """
         return (
             self._items[key]
             for key, mattered_revision in self._mattered.items()
-            if mattered_revision > revision
+            if mattered_revision > told.get(self._prefix_of(key), 0)
         )
 
     def below(self, prefix: str) -> Iterator[Item]:
@@ -121,6 +149,12 @@
             if key.startswith(prefix) and item.value is not None
         )
 
+    def _prefix_of(self, key: str) -> str:
+        return next(filter(key.startswith, self._prefixes), "")
+
+    def _raise_told(self, prefix: str, revision: int) -> None:
+        self.told[prefix] = max(self.told.get(prefix, 0), revision)
+
     def _is_news(self, item: Item) -> bool:
         known = self._items.get(item.key)
         return known is None or item.revision > known.revision
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -188,6 +188,36 @@
     assert shunned.items.revision == 9
 
 
+def test_prefixes_that_are_read_apart_are_told_apart() -> None:
+    # An endpoint announces that it leaves; right after it the configuration
+    # changes. A peer has read the second and not yet the first, and passes it
+    # on to an instance that doesn't read the store. That one must still learn
+    # of the first: it sent requests there for three seconds.
+    fleet = settled()
+    ignorant, half, other, *_ = fleet.instances.values()
+    ignorant.behind = True
+    leaving = published_items.Item("servers/e1", 8, b"leaving")
+    changed = published_items.Item("op/config", 9, b"new")
+    half.items.take([changed], revision=9)
+    fleet.run(1.0)
+    other.items.take([changed, leaving], revision=9)
+    fleet.run(1.0)
+    assert [item.value for item in ignorant.items.below("")] == [
+        b"new",
+        b"leaving",
+    ]
+
+
+def test_a_change_that_is_known_already_isnt_asked_for_again() -> None:
+    # What a peer tells may be no news: without noting that it was told, the
+    # instance would ask for it with every heartbeat.
+    items = published_items.PublishedItems(prefixes=["op/"])
+    items.take([published_items.Item("op/x", 5, b"x")], revision=5)
+    items.take([], revision=7, told={"op/": 7})
+    assert not items.lacks({"op/": 7})
+    assert items.lacks({"op/": 8})
+
+
 def test_nothing_published_ever_goes_back() -> None:
     items = published_items.PublishedItems()
     items.take([published_items.Item("k", 5, b"new")], revision=5)
--- a/tests/fakes/gateways.py
+++ b/tests/fakes/gateways.py
@@ -15,6 +15,7 @@
 from tests.fakes import network as networks
 
 REFRESH_SECONDS = 0.1
+PREFIXES = ("op/", "servers/")
 CENTRES = ("dc-a", "dc-b", "dc-c")
 
 
@@ -45,7 +46,7 @@
         self.node = self.network.start(centre, address)
         self.leaving = False
         self.avoided = set()
-        self.items = published_items.PublishedItems()
+        self.items = published_items.PublishedItems(prefixes=PREFIXES)
         self.behind = False
         link = self.node.link
         self.members = members_module.Members(
@@ -93,7 +94,7 @@
         return messages.Beat(
             uptime_seconds=self.members.uptime_seconds,
             leaving=self.leaving,
-            revision=self.items.revision,
+            told=dict(self.items.told),
             engines=() if self.leaving else engines,
             used={},
             unheard=self.members.unheard(),
