Keep narrow links from passing heartbeats on

Ruled out: processor time (0.08 of a core at most, of half a core). Now links far narrower than the widest are left out while two remain.

--- a/src/boragefold/coordination/fleet/hubs.py
+++ b/src/boragefold/coordination/fleet/hubs.py
@@ -23,6 +23,12 @@
 
 # Hubs of a data centre: two may be lost in one moment without a pause.
 HUBS = 3
+# A hub sends its instances 340 KB a second at 28 of them, in two bursts. On a
+# link of 5 megabits each burst holds callers' answers up for a fifth of a
+# second; so links far narrower than the widest are left out while there are
+# two hubs without them.
+WIDE_SHARE = 0.5
+FEWEST_HUBS = 2
 # Hubs that an instance speaks to: one may be lost without a pause.
 UPLINKS = 2
 
@@ -57,13 +63,27 @@
     """
     by_centre = sorted(candidates, key=lambda each: each.data_centre)
     return {
-        centre: rank(members)[:HUBS]
+        centre: best(rank(members))
         for centre, members in itertools.groupby(
             by_centre, key=lambda each: each.data_centre
         )
     }
 
 
+def best(ranked: list[Candidate]) -> list[Candidate]:
+    """Choose the hubs among the instances of a data centre.
+
+    :param ranked: its instances, the best hub first
+    :return: the hubs, best first
+    """
+    widest = ranked[0].capacity if ranked else 0.0
+    return [
+        candidate
+        for place, candidate in enumerate(ranked[:HUBS])
+        if place < FEWEST_HUBS or candidate.capacity >= WIDE_SHARE * widest
+    ]
+
+
 def uplinks(
     own_address: str,
     ranked: list[Candidate],
@@ -82,10 +102,11 @@
     :param late: the addresses that should have been heard and were not
     :return: addresses; with late ones there are more of them
     """
+    chosen_hubs = best(ranked)
     first = sorted(
-        ranked[:HUBS], key=lambda hub: _hash(f"{own_address}\0{hub.address}")
+        chosen_hubs, key=lambda hub: _hash(f"{own_address}\0{hub.address}")
     )
-    wanted = itertools.chain(first, ranked[HUBS:])
+    wanted = itertools.chain(first, ranked[len(chosen_hubs) :])
     chosen: list[str] = []
     sound = 0
     for hub in wanted:
@@ -104,6 +125,7 @@
     "Candidate",
     "HUBS",
     "UPLINKS",
+    "best",
     "hubs",
     "rank",
     "uplinks",
