--- a/src/boragefold/coordination/fleet/heartbeats.py
+++ b/src/boragefold/coordination/fleet/heartbeats.py
@@ -8,6 +8,7 @@
 import random
 
 from boragefold.coordination.fleet import hubs
+from boragefold.coordination.fleet import member as member_module
 from boragefold.coordination.fleet import members as members_module
 import boragefold.coordination.link as links
 from boragefold.protocol import ids
@@ -83,13 +84,13 @@
 
     def refresh(self) -> None:
         """Send a heartbeat at once if others must hear of something new."""
-        if members_module.news_of(self._compose()) != self._told_news:
+        if member_module.news_of(self._compose()) != self._told_news:
             self.beat_now()
 
     def beat_now(self) -> None:
         """Send a heartbeat at once."""
         own = self._compose()
-        self._told_news = members_module.news_of(own)
+        self._told_news = member_module.news_of(own)
         targets = self._targets(own)
         self._members.await_from(targets)
         followers = self._followers(targets)
@@ -133,7 +134,7 @@
         )
         return {hub.address for hub in every} - {self_id.address}
 
-    def _followers(self, targets: set[str]) -> list[members_module.Member]:
+    def _followers(self, targets: set[str]) -> list[member_module.Member]:
         # Whoever speaks to us as to a hub, whether we think we are one or not.
         return [
             member
@@ -143,7 +144,7 @@
         ]
 
     def _told(
-        self, members: Iterable[members_module.Member]
+        self, members: Iterable[member_module.Member]
     ) -> tuple[messages.Told, ...]:
         now_seconds = self._timers.now_seconds()
         return tuple(
@@ -165,7 +166,7 @@
             member.instance.address: member
             for member in self._members.unreachable()
         }
-        best = hubs.hubs(map(members_module.candidate_of, silent.values()))
+        best = hubs.hubs(map(member_module.candidate_of, silent.values()))
         wanted = {
             candidate.address
             for candidate in itertools.chain.from_iterable(best.values())
--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -10,10 +10,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import dataclasses
 import math
 
 from boragefold.coordination.fleet import hubs
+from boragefold.coordination.fleet import member as member_module
 from boragefold.protocol import ids
 from boragefold.protocol import peer_messages as messages
 from boragefold.timing import timers as timing
@@ -39,25 +39,6 @@
 FORGET_SECONDS = 120.0
 
 
-@dataclasses.dataclass(kw_only=True)
-class Member:
-    """Another instance, as it was last heard.
-
-    ``heard_at_seconds`` is when it was last known to live, by its own word or
-    a hub's; ``direct_at_seconds`` by its own. ``awaited_since_seconds`` is
-    since when it owes us a heartbeat, ``failed_at_seconds`` when it had not
-    answered for too long.
-    """
-
-    instance: ids.InstanceId
-    found_at_seconds: float = 0.0
-    heard_at_seconds: float = 0.0
-    direct_at_seconds: float = -math.inf
-    awaited_since_seconds: float | None = None
-    failed_at_seconds: float = -math.inf
-    beat: messages.Beat | None = None
-
-
 class Members:
     """The other instances by address."""
 
@@ -72,7 +53,7 @@
         self._timers = timers
         self._self_id = self_id
         self._started_at_seconds = timers.now_seconds()
-        self._members: dict[str, Member] = {}
+        self._members: dict[str, member_module.Member] = {}
         self._on_beat: list[
             Callable[[ids.InstanceId, messages.Beat], None]
         ] = []
@@ -126,7 +107,7 @@
         """
         return SILENT_BEATS * self.beat_seconds()
 
-    def reachable(self) -> list[Member]:
+    def reachable(self) -> list[member_module.Member]:
         """List the instances that are heard.
 
         :return: those with a heartbeat that is not too old
@@ -147,7 +128,7 @@
             )
         ]
 
-    def unreachable(self) -> list[Member]:
+    def unreachable(self) -> list[member_module.Member]:
         """List the instances that are known and not heard.
 
         :return: those whose end isn't long past
@@ -159,7 +140,7 @@
             if address not in heard
         ]
 
-    def direct(self) -> list[Member]:
+    def direct(self) -> list[member_module.Member]:
         """List the instances that speak to us themselves.
 
         :return: those heard lately
@@ -184,7 +165,7 @@
             if member.beat is None and member.found_at_seconds >= new_since
         )
         return [
-            candidate_of(member)
+            member_module.candidate_of(member)
             for member in (*self.reachable(), *new)
             if member.instance.data_centre
             and now_seconds - member.failed_at_seconds > AVOID_HUB_SECONDS
@@ -316,7 +297,7 @@
         member.heard_at_seconds = heard_at_seconds
         self._take(member, told.beat)
 
-    def know(self, instance: ids.InstanceId) -> Member | None:
+    def know(self, instance: ids.InstanceId) -> member_module.Member | None:
         """Take note of an address where an instance may listen.
 
         :param instance: as far as it is known
@@ -326,7 +307,7 @@
             return None
         member = self._members.get(instance.address)
         if member is None:
-            member = Member(
+            member = member_module.Member(
                 instance=instance, found_at_seconds=self._timers.now_seconds()
             )
             self._members[instance.address] = member
@@ -334,7 +315,9 @@
             member.instance = instance
         return member
 
-    def _renew(self, member: Member, instance: ids.InstanceId) -> None:
+    def _renew(
+        self, member: member_module.Member, instance: ids.InstanceId
+    ) -> None:
         before = member.instance
         if before.incarnation == instance.incarnation:
             return
@@ -344,48 +327,20 @@
             for callback in self._on_gone:
                 callback(before)
 
-    def _take(self, member: Member, beat: messages.Beat) -> None:
+    def _take(self, member: member_module.Member, beat: messages.Beat) -> None:
         before = member.beat
         if before is not None and before.uptime_seconds > beat.uptime_seconds:
             # It came by a longer way.
             return
         member.beat = beat
-        if before is None or news_of(before) != news_of(beat):
+        if before is None or member_module.news_of(
+            before
+        ) != member_module.news_of(beat):
             self.news_version += 1
         for callback in self._on_beat:
             callback(member.instance, beat)
 
 
-def news_of(beat: messages.Beat) -> tuple[object, ...]:
-    """Pick out what others must hear of at once when it changes.
-
-    :param beat: what an instance tells of itself
-    :return: engines it owns and can't load at, whether it leaves, what it
-        gives up, and the newest published change that it knows
-    """
-    engines = tuple(
-        (engine.name, engine.orders_in_seconds > 0) for engine in beat.engines
-    )
-    return engines, beat.leaving, beat.avoids, beat.told
-
-
-def candidate_of(member: Member) -> hubs.Candidate:
-    """Describe an instance as a possible hub.
-
-    :param member: the instance
-    :return: what its rank depends on
-    """
-    beat = member.beat
-    return hubs.Candidate(
-        address=member.instance.address,
-        data_centre=member.instance.data_centre,
-        capacity=0.0 if beat is None else beat.link_megabits,
-    )
-
-
 __all__ = [
-    "Member",
     "Members",
-    "candidate_of",
-    "news_of",
 ]
--- a/src/boragefold/coordination/fleet/readers.py
+++ b/src/boragefold/coordination/fleet/readers.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import member as member_module
 from boragefold.protocol import ids
 
 # Readers of a data centre: one may be lost without a pause, and instances of
@@ -22,7 +22,7 @@
 
 
 def reads(
-    self_id: ids.InstanceId, members: Iterable[members_module.Member]
+    self_id: ids.InstanceId, members: Iterable[member_module.Member]
 ) -> bool:
     """Tell whether this instance reads the store.
 
--- a/src/boragefold/entry/engine_asker.py
+++ b/src/boragefold/entry/engine_asker.py
@@ -11,11 +11,11 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
-import functools
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import ownership as ownerships
 import boragefold.coordination.link as links
+from boragefold.entry import engine_views
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_choice
 from boragefold.protocol import ids
@@ -26,9 +26,6 @@
 
 # An ask whose message was lost is repeated; the owner knows it by its id.
 REPEAT_ASK_SECONDS = 0.5
-# What engines hold changes more slowly than requests come: built anew for each
-# request, the sets of 45 engines took a third of the choice's 445 us.
-REMEMBERED_SETS = 256
 # An owner answers each repetition. When it doesn't, the connection to it or
 # back may have been forgotten by something in between, and looks open for
 # ever: from this repetition on both sides use a new one.
@@ -205,9 +202,9 @@
             if status is not None and not status.answers:
                 continue
             yield (
-                _published_view(record, near, health)
+                engine_views.published_view(record, near, health)
                 if status is None
-                else _told_view(status, near, health)
+                else engine_views.told_view(status, near, health)
             )
 
     def _told(self) -> dict[str, messages.EngineStatus]:
@@ -279,47 +276,6 @@
         return self._asked.pop(request_id)
 
 
-@functools.lru_cache(maxsize=REMEMBERED_SETS)
-def _keys(
-    pairs: tuple[tuple[str, str], ...],
-) -> frozenset[deployment.AdapterKey]:
-    return frozenset(deployment.AdapterKey(*pair) for pair in pairs)
-
-
-def _told_view(
-    status: messages.EngineStatus, near: bool, health: float
-) -> engine_choice.EngineView:
-    return engine_choice.EngineView(
-        name=status.name,
-        near=near,
-        held=_keys(status.adapters),
-        models=frozenset(status.models),
-        backlog_seconds=status.backlog_seconds,
-        place_wait_seconds=status.place_wait_seconds,
-        health=health,
-        orders_in_seconds=status.orders_in_seconds,
-    )
-
-
-def _published_view(
-    record: deployment.EndpointRecord, near: bool, health: float
-) -> engine_choice.EngineView:
-    return engine_choice.EngineView(
-        name=record.name,
-        near=near,
-        held=frozenset(
-            deployment.AdapterKey(model, adapter)
-            for model, adapters in record.held.items()
-            for adapter in adapters
-        ),
-        models=frozenset(record.held),
-        backlog_seconds=0.0,
-        place_wait_seconds=0.0,
-        health=health,
-        scheduled=False,
-    )
-
-
 __all__ = [
     "Asker",
     "EngineAsker",
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -19,6 +19,7 @@
 import itertools
 
 from boragefold.policy import engine_asks
+from boragefold.policy import engine_pace
 from boragefold.policy import engine_places
 from boragefold.policy import load_times
 from boragefold.state import deployment
@@ -39,20 +40,6 @@
 MEMORY_SHARE = 0.9
 # A grant whose start nobody reported by then has started or was lost.
 START_REPORT_SECONDS = 3.0
-# Prompt tokens a second until the first starts were seen: a large model on
-# one accelerator.
-FIRST_TOKENS_PER_SECOND = 16_000.0
-# Bounds of one measurement: a prompt whose parts the engine had kept is read
-# at once, and one that met a pause of the engine says nothing of the next.
-LEAST_SPEED = 2_000.0
-MOST_SPEED = 60_000.0
-# Weight of the newest start in the measured speed; about ten starts count.
-SPEED_SMOOTHING = 0.1
-# Time a place is held by an answer, until some were measured.
-FIRST_RUN_SECONDS = 0.8
-# One answer that takes ten times as long as the others must not make the
-# engine look blocked.
-RUN_SMOOTHING = 0.1
 # Part of a caller's patience that the wait for a start may use up; the rest
 # is for the answer.
 START_PATIENCE_SHARE = 0.8
@@ -90,8 +77,7 @@
         self._runs: dict[str, Run] = {}
         self._arrivals = itertools.count()
         self._order_of: dict[str, int] = {}
-        self._tokens_per_second = FIRST_TOKENS_PER_SECOND
-        self._run_seconds = FIRST_RUN_SECONDS
+        self._pace = engine_pace.EnginePace()
 
     @property
     def running(self) -> int:
@@ -118,7 +104,7 @@
             "queued": len(self._queue),
             "running": len(self._runs),
             "unstarted_tokens": self._unstarted_tokens(),
-            "tokens_per_second": round(self._tokens_per_second),
+            "tokens_per_second": round(self._pace.tokens_per_second),
             "backlog_seconds": round(self.backlog_seconds(), 3),
             "place_wait_seconds": round(self.place_wait_seconds(), 3),
             "orders_in_seconds": round(self.places.orders_in_seconds, 3),
@@ -132,7 +118,7 @@
         """
         waiting = sum(ask.prompt_tokens for ask in self._queue.values())
         tokens = waiting + self._unstarted_tokens()
-        return tokens / self._tokens_per_second
+        return self._pace.reading_seconds(tokens)
 
     def place_wait_seconds(self) -> float:
         """Estimate how long an adapter that isn't held waits for a place.
@@ -142,7 +128,7 @@
         if self.places.has_room(self._wanted()):
             return 0.0
         ahead = 1 + self._unplaced_adapters()
-        return self._run_seconds * ahead / max(1, self.places.capacity)
+        return self._pace.run_seconds * ahead / max(1, self.places.capacity)
 
     def offer(
         self, ask: Ask, *, now_seconds: float
@@ -197,8 +183,7 @@
         if run is None:
             return
         self.places.leave(run.ask.needs, now_seconds=now_seconds)
-        took_seconds = now_seconds - run.granted_at_seconds
-        self._run_seconds += RUN_SMOOTHING * (took_seconds - self._run_seconds)
+        self._pace.ended(now_seconds - run.granted_at_seconds)
 
     def withdraw_where(
         self, gone: Callable[[Ask], bool], *, now_seconds: float
@@ -227,11 +212,9 @@
         run.started = True
         self.places.confirm(run.ask.needs)
         # What was ahead of it at its grant has been read too by now.
-        took_seconds = max(now_seconds - run.granted_at_seconds, 0.001)
-        speed = (run.ahead_tokens + run.ask.prompt_tokens) / took_seconds
-        speed = min(max(speed, LEAST_SPEED), MOST_SPEED)
-        self._tokens_per_second += SPEED_SMOOTHING * (
-            speed - self._tokens_per_second
+        self._pace.started(
+            run.ahead_tokens + run.ask.prompt_tokens,
+            now_seconds - run.granted_at_seconds,
         )
 
     def advance(self, *, now_seconds: float) -> list[Action]:
@@ -293,7 +276,7 @@
         # Those that can still be on time go first. In overload the one that
         # waited longest is late already; served before the others, it would
         # make each of them late in its turn.
-        reading_seconds = ask.prompt_tokens / self._tokens_per_second
+        reading_seconds = self._pace.reading_seconds(ask.prompt_tokens)
         late = now_seconds + reading_seconds > ask.on_time_by_seconds
         return (
             late,
@@ -306,7 +289,7 @@
         wait_seconds = self._wait_seconds(ask, now_seconds)
         patience_seconds = ask.give_up_at_seconds - now_seconds
         excess_seconds = wait_seconds - START_PATIENCE_SHARE * patience_seconds
-        reading_seconds = ask.prompt_tokens / self._tokens_per_second
+        reading_seconds = self._pace.reading_seconds(ask.prompt_tokens)
         starts_at_seconds = now_seconds + wait_seconds + reading_seconds
         if starts_at_seconds <= ask.on_time_by_seconds:
             return excess_seconds
@@ -324,7 +307,7 @@
         wait_seconds = self._wait_seconds(ask, now_seconds)
         if not held:
             wait_seconds += load_times.COLD_LOAD_SECONDS
-        reading_seconds = ask.prompt_tokens / self._tokens_per_second
+        reading_seconds = self._pace.reading_seconds(ask.prompt_tokens)
         starts_at_seconds = now_seconds + wait_seconds + reading_seconds
         return starts_at_seconds > ask.on_time_by_seconds
 
@@ -335,7 +318,7 @@
             for other in self._queue.values()
             if self._urgency(other, now_seconds) < urgency
         )
-        wait_seconds = tokens / self._tokens_per_second
+        wait_seconds = self._pace.reading_seconds(tokens)
         if not self.places.holds(ask.needs):
             wait_seconds += self.place_wait_seconds()
             wait_seconds += self.places.orders_in_seconds
@@ -360,7 +343,7 @@
         # before it gives up is told now, while it can still go elsewhere.
         tokens = self._unstarted_tokens()
         for ask in self._by_urgency(now_seconds):
-            wait_seconds = tokens / self._tokens_per_second
+            wait_seconds = self._pace.reading_seconds(tokens)
             patience_seconds = ask.give_up_at_seconds - now_seconds
             if wait_seconds > patience_seconds:
                 self.withdraw(ask.request_id, now_seconds=now_seconds)
--- a/tests/coordination/fleet/test_readers.py
+++ b/tests/coordination/fleet/test_readers.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from boragefold.coordination.fleet import members
+from boragefold.coordination.fleet import member as member_module
 from boragefold.coordination.fleet import readers
 from boragefold.protocol import ids
 from boragefold.protocol import peer_messages as messages
@@ -12,7 +12,9 @@
 
 def member(instance, *, lost=False):
     beat = messages.Beat(9.0, False, {}, (), {}, (), lost)
-    return members.Member(instance=instance, heard_at_seconds=0.0, beat=beat)
+    return member_module.Member(
+        instance=instance, heard_at_seconds=0.0, beat=beat
+    )
 
 
 def reading(lost=()):
