Forget doubtful orders; drop what left while only we had lost the store

Ruled out: a report that lagged (it showed the count two ahead). A lost order is ours for a second now. Ruled out: the store itself (five instances had the removal within 0.5 s). Now a peer that had the store all along counts. Tests fail before and pass after.

--- a/src/boragefold/coordination/fleet/lapses.py
+++ b/src/boragefold/coordination/fleet/lapses.py
@@ -22,13 +22,20 @@
     """Decides when a removed endpoint is really dropped."""
 
     def __init__(
-        self, *, timers: timing.TimerService, drop: Callable[[str], None]
+        self,
+        *,
+        timers: timing.TimerService,
+        drop: Callable[[str], None],
+        store_was_up: Callable[[], bool] = lambda: False,
     ) -> None:
         """Begin with a store that is sound.
 
         :param timers: the process clock
         :param drop: drops an endpoint for good
+        :param store_was_up: tells whether a peer has had the store all along:
+            then it turned only us away, no entry lapsed, and a removal is one
         """
+        self._store_was_up = store_was_up
         self._timers = timers
         self._drop = drop
         self._until_seconds = 0.0
@@ -55,7 +62,7 @@
         :param endpoint: its name
         """
         wait_seconds = self.settling_seconds()
-        if not wait_seconds:
+        if not wait_seconds or self._store_was_up():
             self._drop(endpoint)
             return
         self._missing.add(endpoint)
--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -48,6 +48,10 @@
 # Whoever looked at a turn this long ago was paused: owners look ten times a
 # second. Another instance may have begun a turn meanwhile.
 PAUSED_SECONDS = 1.0
+# An order without an answer may still arrive for so long; its connection was
+# reset. Taken for ours for ever, another giver's order would pass for it: with
+# two lost orders in a cut, two of a rival went unnoticed after it.
+DOUBT_SECONDS = 1.0
 # What a report says may be this old.
 REPORT_AGE_SECONDS = 0.4
 # The giver's number: which data centre, and the low bits of its address there.
@@ -103,6 +107,7 @@
         self._counted: Counted | None = None
         self._certain = False
         self._doubtful = 0
+        self._doubted_at_seconds = -math.inf
         self._pending = False
         self._moved_at_seconds: float | None = None
         self._accepted_at_seconds = -math.inf
@@ -214,11 +219,15 @@
                 orders=self._counted.orders + 1
             )
 
-    def in_doubt(self) -> None:
-        """Note that the order had no answer: the count must be read anew."""
+    def in_doubt(self, *, now_seconds: float) -> None:
+        """Note that the order had no answer: the count must be read anew.
+
+        :param now_seconds: reading of a clock that counts suspension
+        """
         self._pending = False
         self._certain = False
         self._doubtful += 1
+        self._doubted_at_seconds = now_seconds
 
     def refused(self) -> None:
         """Note that the engine refused: its count isn't what we expected."""
@@ -246,6 +255,8 @@
             self._counted = counted
             self._doubtful = 0
             return False
+        if now_seconds - self._doubted_at_seconds > DOUBT_SECONDS:
+            self._doubtful = 0
         ahead = counted.orders - before.orders
         age_seconds = now_seconds - self._accepted_at_seconds
         if ahead <= 0 and age_seconds < REPORT_AGE_SECONDS:
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -106,7 +106,9 @@
             matters=matters, prefixes=prefixes
         )
         self._lapses = lapses_module.Lapses(
-            timers=self.timers, drop=self._fleet.drop_endpoint
+            timers=self.timers,
+            drop=self._fleet.drop_endpoint,
+            store_was_up=self._store_was_up,
         )
         self._items.subscribe(make_reader(self._fleet, self._lapses))
         self._sockets = sockets.SocketSet(poller=self.loop.poller)
@@ -240,10 +242,27 @@
             used=self._rate.used(now_seconds=self.timers.now_seconds()),
             avoids=self._owner.avoided(),
             link_megabits=self.settings.link_megabits,
+            store_sound=self._store_sound(),
             store_lost=any(each.is_lost() for each in self._followers),
             unheard=self._members.unheard(),
         )
 
+    def _store_sound(self) -> bool:
+        # Endpoints change all the time; the rest may not for seconds, and its
+        # watch says nothing meanwhile.
+        away = self._lapses.settling_seconds() > 0 or any(
+            follower.is_lost() for follower in self._followers
+        )
+        return not away and any(
+            follower.is_sound() for follower in self._followers
+        )
+
+    def _store_was_up(self) -> bool:
+        return any(
+            member.beat is not None and member.beat.store_sound
+            for member in self._members.reachable()
+        )
+
     def _on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
         self._relay.on_beat(sender, beat)
         self._rate.hear(
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -237,7 +237,7 @@
 
     def _order_failed(self, outcome: str, now_seconds: float) -> None:
         if outcome == "unknown":
-            self._turns.in_doubt()
+            self._turns.in_doubt(now_seconds=now_seconds)
         else:
             self._turns.refused()
         self.schedule.places.order_failed(now_seconds=now_seconds)
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -28,6 +28,9 @@
 MAX_RETRY_SECONDS = 1.0
 # Whoever doesn't read looks this often whether it is needed again.
 REST_SECONDS = 0.3
+# Endpoints renew their entries all the time, so that a watch is answered at
+# least so often.
+SOUND_SECONDS = 1.0
 # An answer this old says that the store can't be relied on just now.
 STALE_SECONDS = 3.0
 
@@ -167,6 +170,16 @@
         now_seconds = self._timers.now_seconds()
         return now_seconds - self._answered_at_seconds > STALE_SECONDS
 
+    def is_sound(self) -> bool:
+        """Tell whether the store has answered us just now.
+
+        :return: whether others can rely on its being up
+        """
+        if self._lost or self._resting or self._answered_at_seconds is None:
+            return False
+        age_seconds = self._timers.now_seconds() - self._answered_at_seconds
+        return age_seconds < SOUND_SECONDS
+
     def is_lost(self) -> bool:
         """Tell whether the store failed us last.
 
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -40,7 +40,8 @@
     the store doesn't answer it. ``used`` is what it has admitted since it
     started, by workspace that sent lately, ``unheard`` are the addresses of
     the peers that it speaks to and doesn't hear, and ``avoids`` the engines
-    that it can't reach. ``link_megabits`` is the speed of its network link.
+    that it can't reach. ``link_megabits`` is the speed of its network link,
+    ``store_sound`` tells that it reads the store and lately always could.
     """
 
     uptime_seconds: float
@@ -52,6 +53,7 @@
     store_lost: bool = False
     avoids: tuple[str, ...] = ()
     link_megabits: float = 0.0
+    store_sound: bool = False
 
 
 class Told(NamedTuple):
--- a/tests/coordination/fleet/test_lapses.py
+++ b/tests/coordination/fleet/test_lapses.py
@@ -59,3 +59,15 @@
     side.lapses.removed("e1")
     side.pass_time(0.6)
     assert side.dropped == ["e1"]
+
+
+def test_a_removal_counts_at_once_where_only_we_lost_the_store(side) -> None:
+    # The store turned this instance away and served the others. An endpoint
+    # leaves just as the store takes us back: waiting for it to register anew,
+    # requests went there for 2.4 s.
+    lapses = lapses_module.Lapses(
+        timers=side.timers, drop=side.dropped.append, store_was_up=lambda: True
+    )
+    lapses.store_returned()
+    lapses.removed("e1")
+    assert side.dropped == ["e1"]
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -195,12 +195,31 @@
     giver.run(0.0, 1.0)
     giver.turns.sending()
     assert engine.take(giver.turns.expected, 1, 1.0)
-    giver.turns.in_doubt()
+    giver.turns.in_doubt(now_seconds=1.0)
     assert not giver.turns.may_order(now_seconds=1.1)
     assert giver.look(1.6) is False
     assert giver.try_order(1.6)
 
 
+def test_another_givers_order_isnt_taken_for_one_lost_long_ago(
+    engine,
+) -> None:
+    # Two orders were lost in a cut and never arrived. After it another owner
+    # gives two. Taken for the lost ones, they would go unnoticed, and the next
+    # order would be between that owner's.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    for at in (1.0, 1.1):
+        giver.turns.sending()
+        giver.turns.in_doubt(now_seconds=at)
+        giver.look(at + 0.05)
+    giver.look(2.5)
+    assert engine.take(engine.orders, 2, 2.6)
+    assert engine.take(engine.orders, 2, 2.7)
+    assert giver.look(3.0) is True
+    assert not giver.try_order(3.0)
+
+
 def test_a_report_while_an_order_is_on_its_way_changes_nothing(
     engine,
 ) -> None:
