Order no model that is on its way already

A restarted engine was ordered to load its model; reports list the model only when it is there, so after 0.4 s it was ordered again. Such an order is answered as if it were new and isn't counted, and the next owner used the same count with a lower part of its own. The report's word that a model is being loaded counts now, also for a successor. The test fails before and passes after.

--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -164,7 +164,10 @@
         now_seconds = self._timers.now_seconds()
         foreign = self._turns.reported(report.counted, now_seconds=now_seconds)
         self.schedule.places.learn(
-            report.held, report.coming, now_seconds=now_seconds
+            report.held,
+            report.coming,
+            now_seconds=now_seconds,
+            busy=report.busy,
         )
         self._log.write(
             "engine_report",
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -84,6 +84,7 @@
         self._ordered_at_seconds: dict[AdapterKey, float] = {}
         # Whether an order may be given now, and how long none can be expected:
         # right after the start, and while another instance gives them.
+        self._busy = False
         self.may_order = False
         self.orders_in_seconds = 0.0
 
@@ -323,13 +324,17 @@
         coming: Mapping[AdapterKey, int],
         *,
         now_seconds: float,
+        busy: bool = False,
     ) -> None:
         """Take over what the engine reports that it holds.
 
         :param held: versions by adapter by model
         :param coming: versions of the adapters on their way
         :param now_seconds: reading of the process clock
+        :param busy: whether it loads or drops a model, which it lists only
+            when it is done
         """
+        self._busy = busy
         oldest_seconds = now_seconds - REPORT_AGE_SECONDS
         self._ordered_at_seconds = {
             key: at_seconds
@@ -357,7 +362,7 @@
         self._models = {
             model: ready_at_seconds
             for model, ready_at_seconds in self._models.items()
-            if AdapterKey(model, "") in lately
+            if busy or AdapterKey(model, "") in lately
         } | {model: self._models.get(model, 0.0) for model in held}
 
     def dues(self, *, now_seconds: float) -> Iterator[float]:
@@ -408,7 +413,9 @@
     def _model_order(self, model: str) -> engine_asks.Order | None:
         # An engine that restarted is empty. One that holds another model has
         # no room for this one.
-        if self._models or model not in self._model_seconds:
+        # While it loads one, a second order is answered as if it were new and
+        # isn't counted: two givers would use one fencing number.
+        if self._busy or self._models or model not in self._model_seconds:
             return None
         return engine_asks.Load(AdapterKey(model, ""), 0)
 
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -176,3 +176,23 @@
     places = held_places()
     places.may_order = False
     assert places.next_order(unplaced(B), {}, now_seconds=11.0) is None
+
+
+def test_a_model_on_its_way_isnt_ordered_again() -> None:
+    # An engine restarted empty and was ordered to load its model, which takes
+    # two seconds. Its reports list the model only when it is there. A second
+    # order is answered as if it were new, without being counted; the next
+    # giver's number was then below one used before.
+    places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
+    places.learn({}, {}, now_seconds=0.0)
+    places.may_order = True
+    model = engine_loads.key("")
+    first = places.next_order(unplaced(A), {}, now_seconds=0.0)
+    assert first == engine_asks.Load(model, 0)
+    places.ordered(first, done=False, now_seconds=0.0)
+    places.learn({}, {}, now_seconds=1.0, busy=True)
+    assert places.next_order(unplaced(A), {}, now_seconds=1.0) is None
+    successor = engine_places.Places(engine=engine_loads.ENGINE, newest={})
+    successor.learn({}, {}, now_seconds=1.0, busy=True)
+    successor.may_order = True
+    assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
