Count an adapter's load when judging who can still be on time

The next place went to the request that was due soonest, though its adapter took until after that to load: it ended late and kept one from the place that could still have been on time.

The test fails before.

--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -141,6 +141,24 @@
         place = self._places.get(key)
         return place is None or place.ready_at_seconds <= now_seconds
 
+    def until_ready_seconds(
+        self, key: AdapterKey, *, now_seconds: float
+    ) -> float:
+        """Estimate when an adapter is there that gets its place now.
+
+        :param key: the adapter or model
+        :param now_seconds: reading of the process clock
+        :return: seconds; 0 for what is there
+        """
+        if not self.holds(key):
+            loading = self.loading(now_seconds=now_seconds)
+            load_seconds = self._load_times.seconds(key, loading=loading)
+            return load_seconds + self.orders_in_seconds
+        ready_at_seconds = self._models[key.model]
+        if (place := self._places.get(key)) is not None:
+            ready_at_seconds = max(ready_at_seconds, place.ready_at_seconds)
+        return max(0.0, ready_at_seconds - now_seconds)
+
     def version(self, key: AdapterKey) -> int:
         """Tell which version of an adapter is held.
 
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -24,7 +24,6 @@
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_pace
 from boragefold.policy import engine_places
-from boragefold.policy import load_times
 from boragefold.state import deployment
 
 AdapterKey = deployment.AdapterKey
@@ -333,9 +332,17 @@
         # Those that can still be on time go first. In overload the one that
         # waited longest is late already; served before the others, it would
         # make each of them late in its turn.
+        # One whose adapter can't be there in time is late too: given the next
+        # place, it would keep it from one that could still be on time.
         ask = waiting.ask
-        reading_seconds = self._pace.reading_seconds(ask.prompt_tokens)
-        late = now_seconds + reading_seconds > ask.on_time_by_seconds
+        starts_at_seconds = (
+            now_seconds
+            + self.places.until_ready_seconds(
+                ask.needs, now_seconds=now_seconds
+            )
+            + self._pace.reading_seconds(ask.prompt_tokens)
+        )
+        late = starts_at_seconds > ask.on_time_by_seconds
         return (late, ask.priority, ask.on_time_by_seconds, waiting.turn)
 
     def _excess_seconds(self, waiting: Waiting, now_seconds: float) -> float:
@@ -360,8 +367,6 @@
         ):
             return True
         wait_seconds = self._wait_seconds(waiting, now_seconds)
-        if not held:
-            wait_seconds += load_times.COLD_LOAD_SECONDS
         reading_seconds = self._pace.reading_seconds(ask.prompt_tokens)
         starts_at_seconds = now_seconds + wait_seconds + reading_seconds
         return starts_at_seconds > ask.on_time_by_seconds
@@ -376,10 +381,14 @@
         wait_seconds = self._reading_seconds(
             self._unstarted(), _prompts(before)
         )
-        if not self.places.holds(waiting.ask.needs):
-            wait_seconds += self.place_wait_seconds()
-            wait_seconds += self.places.orders_in_seconds
-        return wait_seconds
+        needs = waiting.ask.needs
+        place_seconds = self.places.until_ready_seconds(
+            needs, now_seconds=now_seconds
+        )
+        if not self.places.holds(needs):
+            place_seconds += self.place_wait_seconds()
+        # Other prompts are read while the adapter is on its way.
+        return max(wait_seconds, place_seconds)
 
     def _refusal(
         self, ask: Ask, excess_seconds: float
--- a/tests/policy/test_engine_schedule.py
+++ b/tests/policy/test_engine_schedule.py
@@ -234,3 +234,19 @@
     assert refusal is not None and refusal.reason == engine_schedule.BUSY
     held = engine_loads.ask("held", "a1", at=2.0)._replace(eager=True)
     assert bench.schedule.offer(held, now_seconds=2.0) is None
+
+
+def test_a_place_goes_to_who_can_be_on_time_with_it() -> None:
+    # Five places are taken. Two callers wait for the next; the first is due
+    # sooner, but its adapter would take until after that to load. Given the
+    # place, it makes the second late as well.
+    bench = engine_loads.Bench()
+    for number in range(4):
+        long = engine_loads.ask(f"long{number}", f"a{number}", output=800)
+        bench.submit(0.0, long)
+    bench.submit(0.0, engine_loads.ask("ends", "a4", output=60))
+    bench.submit(0.4, engine_loads.ask("doomed", "a8", at=0.4))
+    bench.submit(0.9, engine_loads.ask("hopeful", "a9", at=0.9))
+    bench.run(6.0)
+    assert 1.1 < bench.outcomes["ends"].started_seconds + 60 * 0.008 < 1.3
+    assert bench.outcomes["hopeful"].started_seconds < 1.9
