Queue for places apart from queuing for reading

Their prompts were counted as the engine's backlog, so that callers of adapters that run there were sent on and took a further place elsewhere. And 45% of the refused were held for three seconds first: whoever had missed its target went behind all that came after it, and was told "no" only when its patience ended.

Now the backlog counts what is held or gets an idle place; a queue for places is as long as its adapters take to get one; and the late hear at once when that is more than they may wait.

Also moves what decides on rows of prompts into a module of its own, with a test that replays them at an engine that reads in pieces.

--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -188,15 +188,14 @@
         if (place := self._places.get(key)) is not None:
             place.running = max(0, place.running - 1)
 
-    def has_room(self, wanted: Mapping[AdapterKey, int]) -> bool:
-        """Tell whether a further adapter finds a place at once.
+    def free(self, wanted: Mapping[AdapterKey, int]) -> int:
+        """Count the places that further adapters could have at once.
 
         :param wanted: how many requests wait for each adapter
-        :return: whether a place is free or idle
+        :return: those that are free or idle
         """
-        if len(self._places) < self.capacity:
-            return True
-        return any(self._idle(wanted))
+        free = self.capacity - len(self._places)
+        return free + sum(1 for _ in self._idle(wanted))
 
     def has_place_for(
         self,
@@ -214,8 +213,7 @@
         """
         if self.loading(now_seconds=now_seconds) >= load_times.MAX_LOADING:
             return False
-        free = self.capacity - len(self._places)
-        return free + sum(1 for _ in self._idle(wanted)) > waiting
+        return self.free(wanted) > waiting
 
     def next_order(
         self,
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -24,19 +24,13 @@
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_pace
 from boragefold.policy import engine_places
+from boragefold.policy import prompt_spacing
 from boragefold.state import deployment
 
 AdapterKey = deployment.AdapterKey
 Ask = engine_asks.Ask
 Action = engine_asks.Action
 
-# Part of the pause that running answers tolerate which the engine may spend on
-# prompts back to back. It reads prompts between the steps of running answers,
-# and each step then takes as long as the piece that it reads. Without a break
-# in which answers go on, every event of every answer comes late.
-PAUSE_SHARE = 0.6
-# Taken for that pause where no answer names one.
-DEFAULT_PAUSE_SECONDS = 0.4
 # Part of the memory for prompts that grants may fill. Beyond it the engine
 # preempts running answers and reads their prompts anew.
 MEMORY_SHARE = 0.9
@@ -115,9 +109,7 @@
         self._arrivals = itertools.count()
         self._pace = engine_pace.EnginePace()
         self._started_at_seconds = -math.inf
-        # How long the engine reads the prompts that it got since it last had
-        # none before it.
-        self._burst_seconds = 0.0
+        self._spacing = prompt_spacing.PromptSpacing(pace=self._pace)
 
     @property
     def running(self) -> int:
@@ -157,17 +149,19 @@
 
         :return: seconds; without the time that its adapter takes
         """
-        return self._reading_seconds(self._unstarted(), _prompts(self._asks()))
+        # Those that wait for a place are read when they have one: counted
+        # here, they would send callers of held adapters elsewhere, where each
+        # takes a further place.
+        soon = self._soon_placed()
+        waiting = (ask for ask in self._asks() if ask.needs in soon)
+        return self._reading_seconds(self._unstarted(), _prompts(waiting))
 
     def place_wait_seconds(self) -> float:
         """Estimate how long an adapter that isn't held waits for a place.
 
         :return: seconds; 0 when a place is free or idle
         """
-        if self.places.has_room(self._wanted()):
-            return 0.0
-        ahead = 1 + self._unplaced_adapters()
-        return self._pace.run_seconds * ahead / max(1, self.places.capacity)
+        return self._place_seconds(self._unplaced_adapters())
 
     def offer(
         self, ask: Ask, *, now_seconds: float
@@ -319,12 +313,14 @@
                 if self.places.ready(needs, now_seconds=now_seconds):
                     waiting.ready_at_seconds = now_seconds
 
-    def _by_urgency(self, now_seconds: float) -> list[Ask]:
-        in_turn = sorted(
+    def _in_turn(self, now_seconds: float) -> list[Waiting]:
+        return sorted(
             self._queue.values(),
             key=lambda waiting: self._urgency(waiting, now_seconds),
         )
-        return [waiting.ask for waiting in in_turn]
+
+    def _by_urgency(self, now_seconds: float) -> list[Ask]:
+        return [waiting.ask for waiting in self._in_turn(now_seconds)]
 
     def _urgency(
         self, waiting: Waiting, now_seconds: float
@@ -332,9 +328,13 @@
         # Those that can still be on time go first. In overload the one that
         # waited longest is late already; served before the others, it would
         # make each of them late in its turn.
+        ask = waiting.ask
+        late = self._is_late(ask, now_seconds)
+        return (late, ask.priority, ask.on_time_by_seconds, waiting.turn)
+
+    def _is_late(self, ask: Ask, now_seconds: float) -> bool:
         # One whose adapter can't be there in time is late too: given the next
         # place, it would keep it from one that could still be on time.
-        ask = waiting.ask
         starts_at_seconds = (
             now_seconds
             + self.places.until_ready_seconds(
@@ -342,8 +342,7 @@
             )
             + self._pace.reading_seconds(ask.prompt_tokens)
         )
-        late = starts_at_seconds > ask.on_time_by_seconds
-        return (late, ask.priority, ask.on_time_by_seconds, waiting.turn)
+        return starts_at_seconds > ask.on_time_by_seconds
 
     def _excess_seconds(self, waiting: Waiting, now_seconds: float) -> float:
         ask = waiting.ask
@@ -354,7 +353,10 @@
         starts_at_seconds = now_seconds + wait_seconds + reading_seconds
         if starts_at_seconds <= ask.on_time_by_seconds:
             return excess_seconds
-        late_seconds = self.backlog_seconds() - LATE_SHARE * patience_seconds
+        backlog_seconds = self.backlog_seconds()
+        if not self._is_placed(ask):
+            backlog_seconds = max(backlog_seconds, self.place_wait_seconds())
+        late_seconds = backlog_seconds - LATE_SHARE * patience_seconds
         return max(excess_seconds, late_seconds)
 
     def _must_be_late(self, waiting: Waiting, now_seconds: float) -> bool:
@@ -373,10 +375,12 @@
 
     def _wait_seconds(self, waiting: Waiting, now_seconds: float) -> float:
         urgency = self._urgency(waiting, now_seconds)
+        soon = self._soon_placed() | {waiting.ask.needs}
         before = (
             other.ask
             for other in self._queue.values()
-            if self._urgency(other, now_seconds) < urgency
+            if other.ask.needs in soon
+            and self._urgency(other, now_seconds) < urgency
         )
         wait_seconds = self._reading_seconds(
             self._unstarted(), _prompts(before)
@@ -407,20 +411,47 @@
     def _shed(self, now_seconds: float) -> Iterator[engine_asks.TurnAway]:
         # Others that are more urgent came since. Whoever can't start any more
         # before it gives up is told now, while it can still go elsewhere.
-        wait_seconds = self._reading_seconds(self._unstarted())
-        for ask in self._by_urgency(now_seconds):
+        reading_seconds = self._reading_seconds(self._unstarted())
+        unplaced: set[AdapterKey] = set()
+        for waiting in self._in_turn(now_seconds):
+            ask = waiting.ask
             patience_seconds = ask.give_up_at_seconds - now_seconds
+            if self._is_placed(ask):
+                wait_seconds = reading_seconds
+                reading_seconds += self._pace.reading_seconds(
+                    ask.prompt_tokens
+                )
+            else:
+                wait_seconds = self._place_seconds(len(unplaced))
+                unplaced.add(ask.needs)
+                if self._is_late(ask, now_seconds):
+                    patience_seconds *= LATE_SHARE
             if wait_seconds > patience_seconds:
                 self.withdraw(ask.request_id, now_seconds=now_seconds)
                 yield _too_long(ask, wait_seconds - patience_seconds)
-            else:
-                wait_seconds += self._pace.reading_seconds(ask.prompt_tokens)
+
+    def _place_seconds(self, ahead: int) -> float:
+        # Until a place is free for an adapter behind so many others.
+        behind = 1 + ahead - self.places.free(self._wanted())
+        if behind <= 0:
+            return 0.0
+        return self._pace.run_seconds * behind / max(1, self.places.capacity)
+
+    def _soon_placed(self) -> set[AdapterKey]:
+        # The adapters that are held, and those that get an idle place now.
+        wanted = self._wanted()
+        unplaced = (key for key in wanted if not self.places.holds(key))
+        coming = set(itertools.islice(unplaced, self.places.free(wanted)))
+        return coming | {key for key in wanted if self.places.holds(key)}
+
+    def _is_placed(self, ask: Ask) -> bool:
+        return self.places.holds(ask.needs)
 
     def _grant(self, ask: Ask, now_seconds: float) -> engine_asks.Grant:
         waits = self._queue.pop(ask.request_id).waits(now_seconds)
-        if not self._unstarted().number:
-            self._burst_seconds = 0.0
-        self._burst_seconds += self._pace.blocking_seconds(ask.prompt_tokens)
+        self._spacing.gave(
+            ask.prompt_tokens, reads=self._unstarted().number > 0
+        )
         self._runs[ask.request_id] = Run(
             ask=ask,
             granted_at_seconds=now_seconds,
@@ -439,14 +470,10 @@
         return not used or used + ask.total_tokens <= bound
 
     def _stalls_answers(self, ask: Ask) -> bool:
-        pauses = (run.ask.event_gap_seconds for run in self._runs.values())
-        pause_seconds = min(
-            filter(None, (*pauses, ask.event_gap_seconds)),
-            default=DEFAULT_PAUSE_SECONDS,
+        asks = (ask, *(run.ask for run in self._runs.values()))
+        return not self._spacing.allows(
+            ask.prompt_tokens, (each.event_gap_seconds for each in asks)
         )
-        burst_seconds = self._burst_seconds
-        burst_seconds += self._pace.blocking_seconds(ask.prompt_tokens)
-        return burst_seconds > PAUSE_SHARE * pause_seconds
 
     def _unstarted(self) -> Prompts:
         return _prompts(
--- /dev/null
+++ b/tests/fakes/chunked_engine.py
@@ -0,0 +1,117 @@
+"""An engine that reads prompts in pieces between the steps of its answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+
+from boragefold.policy import engine_asks
+from boragefold.policy import engine_places
+from boragefold.policy import engine_schedule
+from tests.fakes import engine_loads
+
+PIECE_TOKENS = 4_096
+STEP_SECONDS = 0.005
+# From the end of reading to the first event, and of each message.
+FIRST_EVENT_SECONDS = 0.04
+MESSAGE_SECONDS = 0.005
+
+
+@dataclasses.dataclass(kw_only=True)
+class Answer:
+    """A request at the engine."""
+
+    ask: engine_asks.Ask
+    unread: int
+    read_at: float = 0.0
+    tokens: int = 0
+    event_at: float = 0.0
+    longest_pause: float = 0.0
+
+
+class ChunkedEngine:
+    """Plays an engine and the messages between it and its schedule."""
+
+    def __init__(self, *, tokens_per_second: float, event_tokens: int):
+        self._speed = tokens_per_second
+        self._event_tokens = event_tokens
+        places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
+        places.learn({engine_loads.MODEL: {}}, {}, now_seconds=0.0)
+        self.schedule = engine_schedule.EngineSchedule(
+            engine=engine_loads.ENGINE, places=places
+        )
+        self.answers: dict[str, Answer] = {}
+        self.refused: dict[str, engine_asks.TurnAway] = {}
+        self._messages: list[tuple[float, int, str, engine_asks.Ask]] = []
+        self._order = itertools.count()
+
+    def submit(self, at: float, ask: engine_asks.Ask) -> None:
+        self._post(at, "ask", ask)
+
+    def run(self, until: float) -> None:
+        now = 0.0
+        while now < until:
+            self._deliver(now)
+            now = self._step(now)
+
+    def _post(self, at: float, kind: str, ask: engine_asks.Ask) -> None:
+        heapq.heappush(self._messages, (at, next(self._order), kind, ask))
+
+    def _deliver(self, now: float) -> None:
+        while self._messages and self._messages[0][0] <= now:
+            at, _, kind, ask = heapq.heappop(self._messages)
+            if kind == "grant":
+                self.answers[ask.request_id] = Answer(
+                    ask=ask, unread=ask.prompt_tokens
+                )
+                continue
+            if kind == "ask":
+                refusal = self.schedule.offer(ask, now_seconds=at)
+                if refusal is not None:
+                    self.refused[ask.request_id] = refusal
+            elif kind == "started":
+                self.schedule.started(ask.request_id, now_seconds=at)
+            else:
+                self.schedule.withdraw(ask.request_id, now_seconds=at)
+            for action in self.schedule.advance(now_seconds=at):
+                if isinstance(action, engine_asks.Grant):
+                    self._post(at + MESSAGE_SECONDS, "grant", action.ask)
+                elif isinstance(action, engine_asks.TurnAway):
+                    self.refused[action.ask.request_id] = action
+
+    def _step(self, now: float) -> float:
+        room = PIECE_TOKENS
+        for answer in self.answers.values():
+            piece = min(room, answer.unread)
+            room -= piece
+            answer.unread -= piece
+        read = PIECE_TOKENS - room
+        end = now + STEP_SECONDS + read / self._speed
+        for answer in self.answers.values():
+            self._answer(answer, end)
+        return end
+
+    def _answer(self, answer: Answer, now: float) -> None:
+        ask = answer.ask
+        if answer.unread or answer.tokens >= ask.output_tokens:
+            return
+        answer.read_at = answer.read_at or now
+        if now < answer.read_at + FIRST_EVENT_SECONDS:
+            return
+        answer.tokens += 1
+        if answer.tokens == 1:
+            self._post(now + MESSAGE_SECONDS, "started", ask)
+            answer.event_at = now
+        elif answer.tokens % self._event_tokens == 0:
+            pause = now - answer.event_at
+            answer.longest_pause = max(answer.longest_pause, pause)
+            answer.event_at = now
+        if answer.tokens == ask.output_tokens:
+            self._post(now + MESSAGE_SECONDS, "ended", ask)
+
+
+__all__ = [
+    "Answer",
+    "ChunkedEngine",
+]
--- a/tests/policy/test_engine_schedule.py
+++ b/tests/policy/test_engine_schedule.py
@@ -250,3 +250,44 @@
     bench.run(6.0)
     assert 1.1 < bench.outcomes["ends"].started_seconds + 60 * 0.008 < 1.3
     assert bench.outcomes["hopeful"].started_seconds < 1.9
+
+
+def test_who_waits_for_a_place_in_vain_hears_so_soon() -> None:
+    # Places are held by long answers, and more adapters are asked for than
+    # get one. Whoever missed its target is never served before those that
+    # come later; kept until its patience ends, it can't go elsewhere.
+    bench = engine_loads.Bench()
+    arrivals = {}
+    for number in range(60):
+        at = 0.12 * number
+        arrivals[f"r{number}"] = at
+        wanted = engine_loads.ask(
+            f"r{number}", f"a{number}", at=at, output=250, patience=8.0
+        )
+        bench.submit(at, wanted._replace(give_up_at_seconds=at + 4.0))
+    bench.run(20.0)
+    waited = [
+        outcome.refused_seconds - arrivals[request_id]
+        for request_id, outcome in bench.outcomes.items()
+        if outcome.refused
+    ]
+    assert len(waited) > 10
+    assert max(waited) <= 1.0
+
+
+def test_a_queue_for_places_keeps_no_caller_of_a_held_adapter_away() -> None:
+    # Eight callers wait for places, and nobody for the engine's reading. One
+    # that needs an adapter which runs there can join it at once; sent on, it
+    # would take a place at another engine too.
+    bench = engine_loads.Bench()
+    for number in range(5):
+        held = engine_loads.ask(f"r{number}", f"a{number}", output=400)
+        bench.submit(0.0, held)
+    bench.run(1.5)
+    for number in range(8):
+        waits_for_place = engine_loads.ask(f"w{number}", f"b{number}", at=1.5)
+        bench.schedule.offer(waits_for_place, now_seconds=1.5)
+    assert bench.schedule.queued >= 4
+    joining = engine_loads.ask("joining", "a1", at=1.5)._replace(eager=True)
+    assert bench.schedule.offer(joining, now_seconds=1.5) is None
+    assert bench.schedule.backlog_seconds() < 0.5
--- /dev/null
+++ b/tests/policy/test_prompt_spacing.py
@@ -0,0 +1,63 @@
+"""Prompts in rows, judged by what the answers beside them receive."""
+
+from __future__ import annotations
+
+from boragefold.policy import engine_pace
+from boragefold.policy import prompt_spacing
+from tests.fakes import chunked_engine
+from tests.fakes import engine_loads
+
+SPEED = 38_000.0
+
+
+def ask(request_id, *, at=0.0, prompt=3_000, output=300, gap=0.5):
+    wanted = engine_loads.ask(
+        request_id, "", at=at, prompt=prompt, output=output, patience=30.0
+    )
+    return wanted._replace(event_gap_seconds=gap)
+
+
+def test_prompts_in_a_row_neither_hold_answers_up_nor_idle_the_engine():
+    # Four callers read long answers when forty prompts come at once. Read
+    # back to back, they hold each event of the four up for over half a
+    # second. Sent one by one, the engine idles for more than a third of the
+    # time until it gets the next, and the last callers leave.
+    engine = chunked_engine.ChunkedEngine(
+        tokens_per_second=SPEED, event_tokens=5
+    )
+    for number in range(4):
+        engine.submit(0.0, ask(f"long{number}", prompt=500, output=1_500))
+    for number in range(40):
+        engine.submit(1.0, ask(f"row{number}", at=1.0, output=10))
+    engine.run(6.0)
+    long = [engine.answers[f"long{number}"] for number in range(4)]
+    assert max(answer.longest_pause for answer in long) <= 0.5
+    rows = [engine.answers[f"row{number}"] for number in range(40)]
+    whole_seconds = max(answer.read_at for answer in rows) - 1.0
+    reading_seconds = 40 * 3_000 / SPEED
+    assert reading_seconds >= 2 / 3 * whole_seconds
+
+
+def test_a_long_prompt_is_read_though_it_exceeds_the_bound() -> None:
+    # A document of 30,000 tokens takes longer than any pause that answers may
+    # make. It waits for its turn, and then it is read.
+    engine = chunked_engine.ChunkedEngine(
+        tokens_per_second=SPEED, event_tokens=5
+    )
+    for number in range(20):
+        engine.submit(0.02 * number, ask(f"short{number}", output=10))
+    engine.submit(0.1, ask("document", prompt=30_000, output=10))
+    engine.run(6.0)
+    assert engine.answers["document"].read_at
+
+
+def test_the_strictest_answer_decides() -> None:
+    pace = engine_pace.EnginePace()
+    spacing = prompt_spacing.PromptSpacing(pace=pace)
+    spacing.gave(2_000, reads=False)
+    tokens = int(0.2 * pace.tokens_per_second)
+    assert spacing.allows(tokens, [1.0, 0.0])
+    assert not spacing.allows(tokens, [1.0, 0.2, 0.0])
+    spacing.gave(1_000, reads=True)
+    spacing.gave(1_000, reads=False)
+    assert spacing.allows(tokens, [0.5])
