--- /dev/null
+++ b/src/boragefold/telemetry/late_table.py
@@ -0,0 +1,79 @@
+"""Where callers' time went, counted from the logs of several processes."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+
+from boragefold.telemetry import log_story
+
+ENDED = "request_ended"
+ANSWERED = "answered"
+# The parts of a streamed answer's time before its first event, as logged.
+PARTS = {
+    "place": "place_wait_seconds",
+    "load": "load_wait_seconds",
+    "turn": "turn_wait_seconds",
+}
+# What is left before the request was sent: asking, and asking elsewhere.
+ASKING = "asking"
+# From there to the first event.
+READING = "reading"
+
+
+class Row(NamedTuple):
+    """Streamed answers that ended alike, by what took them longest."""
+
+    route: str
+    outcome: str
+    cause: str
+    count: int
+    median_seconds: float
+
+
+def rows(lines: Iterable[log_story.Line]) -> list[Row]:
+    """Count streamed answers by route, outcome and cause.
+
+    :param lines: of the logs
+    :return: the most frequent first; without those that were on time
+    """
+    took: dict[tuple[str, str, str], list[float]] = collections.defaultdict(
+        list
+    )
+    for line in lines:
+        if line.event == ENDED and PARTS["place"] in line.fields:
+            for outcome, cause in _verdict(line.fields):
+                key = (str(line.fields["route"]), outcome, cause)
+                took[key].append(float(line.fields["took_seconds"]))
+    counted = (
+        Row(*key, len(seconds), sorted(seconds)[len(seconds) // 2])
+        for key, seconds in took.items()
+    )
+    return sorted(counted, key=lambda row: (-row.count, row))
+
+
+def _verdict(fields: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    if fields["outcome"] != ANSWERED:
+        yield str(fields["outcome"]), ""
+    elif fields.get("late") == "first_event":
+        parts = _parts(fields)
+        yield "late_first_event", max(parts, key=parts.__getitem__)
+    elif fields.get("late"):
+        yield f"late_{fields['late']}", ""
+
+
+def _parts(fields: dict[str, Any]) -> dict[str, float]:
+    parts = {part: float(fields[name]) for part, name in PARTS.items()}
+    waited_seconds = float(fields["waited_seconds"])
+    parts[ASKING] = waited_seconds - sum(parts.values())
+    parts[READING] = float(fields["first_event_seconds"]) - waited_seconds
+    return parts
+
+
+__all__ = [
+    "Row",
+    "rows",
+]
