--- a/src/boragefold/coordination/fleet/ownership.py
+++ b/src/boragefold/coordination/fleet/ownership.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 
 import xxhash
 
@@ -26,6 +27,8 @@
 # Others are found within two greetings. Orders come later, see order_turns;
 # until then it schedules what the engines hold, and learns what is asked for.
 SETTLE_SECONDS = 1.2
+# Every instance ranks for every engine ten times a second while claims change.
+REMEMBERED_HASHES = 16_384
 
 
 class Ownership:
@@ -135,8 +138,12 @@
     instance: ids.InstanceId, engine: deployment.EndpointRecord
 ) -> tuple[bool, int]:
     elsewhere = instance.data_centre != engine.data_centre
-    text = "\0".join((engine.name, instance.address))
-    return elsewhere, xxhash.xxh3_64_intdigest(text.encode())
+    return elsewhere, _hash(engine.name, instance.address)
+
+
+@functools.lru_cache(maxsize=REMEMBERED_HASHES)
+def _hash(engine: str, address: str) -> int:
+    return xxhash.xxh3_64_intdigest("\0".join((engine, address)).encode())
 
 
 __all__ = [
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -11,6 +11,7 @@
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import owned_engine
 from boragefold.policy import engine_asks
+from boragefold.policy import engine_copies
 from boragefold.policy import engine_places
 from boragefold.policy import engine_schedule
 from boragefold.protocol import ids
@@ -69,7 +70,11 @@
         self._lease_seconds = lease_seconds
         self._giver = giver
         self._started_at_seconds = timers.now_seconds()
-        self._loads_elsewhere = loads_elsewhere
+        self._count_loads_elsewhere = loads_elsewhere
+        # Looked at with each call of hold: counted anew for each decision,
+        # they cost more than it when there are many engines.
+        self._loads_elsewhere = 0
+        self._engines = 0
         self._owned: dict[str, owned_engine.OwnedEngine] = {}
         # Turns outlive ownership: whoever owns an engine again must know that
         # others gave it orders meanwhile.
@@ -85,6 +90,8 @@
 
         :param records: the engines that are ours
         """
+        self._loads_elsewhere = self._count_loads_elsewhere()
+        self._engines = sum(1 for _ in self._fleet.engines())
         wanted = {record.name: record for record in records}
         for name in self._owned.keys() - wanted.keys():
             self._owned.pop(name).stop()
@@ -173,7 +180,7 @@
             engine=engine,
             newest=self._fleet.versions,
             loads_elsewhere=lambda: self._loads_beside(record.name),
-            engines=lambda: sum(1 for _ in self._fleet.engines()),
+            engines=lambda: self._engines,
         )
         self._owned[record.name] = owned_engine.OwnedEngine(
             record=record,
@@ -196,7 +203,7 @@
             for other, engine in self._owned.items()
             if other != name
         )
-        return own + self._loads_elsewhere()
+        return own + self._loads_elsewhere
 
     def _take_ask(
         self, sender: ids.InstanceId, body: messages.EngineAsk
@@ -340,6 +347,7 @@
         place_wait_seconds=schedule.place_wait_seconds(),
         loading=places.loading(now_seconds=now_seconds),
         orders_in_seconds=places.orders_in_seconds,
+        copies=engine_copies.digests(places.copies()),
     )
 
 
--- a/src/boragefold/entry/engine_views.py
+++ b/src/boragefold/entry/engine_views.py
@@ -20,6 +20,11 @@
     return frozenset(deployment.AdapterKey(*pair) for pair in pairs)
 
 
+@functools.lru_cache(maxsize=REMEMBERED_SETS)
+def _copies(digests: tuple[int, ...]) -> frozenset[int]:
+    return frozenset(digests)
+
+
 def told_view(
     status: messages.EngineStatus, near: bool, health: float
 ) -> engine_choice.EngineView:
@@ -39,6 +44,7 @@
         place_wait_seconds=status.place_wait_seconds,
         health=health,
         orders_in_seconds=status.orders_in_seconds,
+        copies=_copies(status.copies),
     )
 
 
--- a/src/boragefold/policy/engine_choice.py
+++ b/src/boragefold/policy/engine_choice.py
@@ -15,13 +15,10 @@
 
 import xxhash
 
+from boragefold.policy import engine_copies
 from boragefold.policy import load_times
 from boragefold.state import deployment
 
-# What a request is delayed by when its adapter is not at an engine that had
-# it lately: half of a load from the store, because the engine may still have
-# a copy of its own.
-MISSING_SECONDS = load_times.COLD_LOAD_SECONDS / 2
 # Each step down an adapter's order of engines spreads its copies; a backlog
 # of this much is preferred to the next engine.
 STEP_SECONDS = 0.08
@@ -44,7 +41,8 @@
 
     ``health`` is 1 when nothing failed lately and 0 when everything did.
     Where nobody is known to schedule the engine, nothing is loaded there;
-    where somebody does, nothing for the next ``orders_in_seconds``.
+    where somebody does, nothing for the next ``orders_in_seconds``. ``copies``
+    are digests of the adapters that it loads quickly.
     """
 
     name: str
@@ -56,6 +54,7 @@
     health: float
     scheduled: bool = True
     orders_in_seconds: float = 0.0
+    copies: frozenset[int] = frozenset()
 
 
 def rank(
@@ -96,11 +95,17 @@
         return seconds
     seconds += STEP_SECONDS * min(place, MAX_STEPS)
     if key not in engine.held:
-        seconds += MISSING_SECONDS + engine.place_wait_seconds
+        seconds += _load_seconds(key, engine) + engine.place_wait_seconds
         seconds += engine.orders_in_seconds
     return seconds
 
 
+def _load_seconds(key: deployment.AdapterKey, engine: EngineView) -> float:
+    if engine_copies.digest(key) in engine.copies:
+        return load_times.WARM_LOAD_SECONDS
+    return load_times.COLD_LOAD_SECONDS
+
+
 def _hash(key: deployment.AdapterKey, engine: str) -> int:
     return xxhash.xxh3_64_intdigest("\0".join((*key, engine)).encode())
 
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -95,6 +95,17 @@
         """
         return tuple(self._places)
 
+    def copies(self) -> tuple[AdapterKey, ...]:
+        """List the adapters that could be held again quickly.
+
+        :return: those that the engine should have copies of
+        """
+        return tuple(
+            key
+            for key in self._load_times.remembered()
+            if key not in self._places
+        )
+
     def summary(self) -> dict[str, str]:
         """Tell what each place does, for the log.
 
--- a/src/boragefold/policy/load_times.py
+++ b/src/boragefold/policy/load_times.py
@@ -68,6 +68,13 @@
         """
         return key in self._remembered
 
+    def remembered(self) -> tuple[deployment.AdapterKey, ...]:
+        """List the adapters that the engine should have copies of.
+
+        :return: their keys, the one had longest ago first
+        """
+        return tuple(self._remembered)
+
     def late(self) -> None:
         """Note that an adapter from the store wasn't there in time."""
         self._stretch = min(MAX_STRETCH, self._stretch + STRETCH_UP)
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -18,7 +18,7 @@
     adapters are on their way to it. ``orders_in_seconds`` is how long nothing
     can be loaded: after the scheduler's start, and while another instance
     gives orders. ``answers`` is false while the engine gives its owner no
-    report.
+    report. ``copies`` are digests of the adapters that it keeps copies of.
     """
 
     name: str
@@ -29,6 +29,7 @@
     loading: int
     orders_in_seconds: float
     answers: bool = True
+    copies: tuple[int, ...] = ()
 
 
 class Beat(NamedTuple):
--- /dev/null
+++ b/tests/policy/test_engine_copies.py
@@ -0,0 +1,46 @@
+from __future__ import annotations
+
+from boragefold.policy import engine_choice
+from boragefold.policy import engine_copies
+from tests.fakes import engine_loads
+
+NAMES = [f"engine-{number}" for number in range(9)]
+
+
+def view(name, **changes):
+    defaults = engine_choice.EngineView(
+        name=name,
+        near=True,
+        held=frozenset(),
+        models=frozenset({"base"}),
+        backlog_seconds=0.0,
+        place_wait_seconds=0.0,
+        health=1.0,
+    )
+    return defaults._replace(**changes)
+
+
+def test_an_adapter_goes_where_a_copy_of_it_is() -> None:
+    # An adapter left its home in a busy moment and was dropped since. Sent
+    # home again, it comes from the store a second time; the engine that had
+    # it lately loads it ten times as fast.
+    key = engine_loads.key("a1")
+    ranked = engine_choice.rank(key, map(view, NAMES))
+    copies = frozenset(engine_copies.digests([key]))
+    views = [
+        view(name, copies=copies if name == ranked[2].name else frozenset())
+        for name in NAMES
+    ]
+    assert engine_choice.rank(key, views)[0].name == ranked[2].name
+
+
+def test_few_of_many_adapters_share_a_digest() -> None:
+    # Each engine tells of some sixty. A shared digest costs one load.
+    told = engine_copies.digests(
+        engine_loads.key(f"a{number}") for number in range(60)
+    )
+    wrong = sum(
+        engine_copies.digest(engine_loads.key(f"b{number}")) in told
+        for number in range(18_000)
+    )
+    assert wrong <= 18_000 / 200
