--- a/src/boragefold/coordination/fleet/hubs.py
+++ b/src/boragefold/coordination/fleet/hubs.py
@@ -23,10 +23,9 @@
 
 # Hubs of a data centre: two may be lost in one moment without a pause.
 HUBS = 3
-# A hub sends its instances 340 KB a second at 28 of them, in two bursts. On a
-# link of 5 megabits each burst holds callers' answers up for a fifth of a
-# second; so links far narrower than the widest are left out while there are
-# two hubs without them.
+# What a hub sends to all its instances at once holds callers' answers up on a
+# narrow link; so links far narrower than the widest are left out while there
+# are two hubs without them.
 WIDE_SHARE = 0.5
 FEWEST_HUBS = 2
 # Hubs that an instance speaks to: one may be lost without a pause.
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -29,8 +29,8 @@
 # Part of the time for the answer that may pass in looking.
 LOOKING_SHARE = 0.5
 # An engine that hadn't finished loading is asked once more: the adapter comes,
-# and a further engine would have to load it too. Of 3,055 requests of a busy
-# day 226 were refused for want of this.
+# and a further engine would have to load it too. Without it, a request that
+# was a moment early is refused.
 MAX_NOT_HELD = 3
 # A request may still be at an engine for so long after its caller's deadline.
 ENDS_SLACK_SECONDS = 1.0
--- a/src/boragefold/entry/engine_views.py
+++ b/src/boragefold/entry/engine_views.py
@@ -8,8 +8,8 @@
 from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 
-# What engines hold changes more slowly than requests come: built anew for each
-# request, the sets of 45 engines took a third of the choice's 445 us.
+# What engines hold changes more slowly than requests come. Built anew for each
+# request, the sets of many engines are a third of the choice's cost.
 REMEMBERED_SETS = 256
 
 
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -18,8 +18,8 @@
 # An answer is given up this long before its caller does: two network ways.
 MARGIN_SECONDS = 0.02
 # Where there is time, this part of it and at most so long: an instance on half
-# a core is late by more than the network. 333 of 13,964 callers of a busy day
-# left without an answer that was written a moment too late.
+# a core is late by more than the network, and its caller leaves a moment
+# before the answer is written.
 MARGIN_SHARE = 0.025
 MAX_MARGIN_SECONDS = 0.1
 # Where nothing better is known, a refused caller comes back after this.
--- a/src/boragefold/entry/load_reports.py
+++ b/src/boragefold/entry/load_reports.py
@@ -21,8 +21,8 @@
 # A report is of use for about a second; asking more often costs more than a
 # better choice saves.
 PERIOD_SECONDS = 0.5
-# However many endpoints there are, an instance asks no more often: at 1 ms of
-# processor time each this is 2% of a core.
+# However many endpoints there are, an instance asks no more often, so that its
+# processor time doesn't grow with them.
 MAX_ASKS_PER_SECOND = 20.0
 # An endpoint that doesn't say how loaded it is for so long is slow at least.
 SILENCE_SECONDS = 1.0
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -19,8 +19,7 @@
 # A report that was asked for and failed is asked for again after this.
 REPORT_PAUSE_SECONDS = 0.25
 # What a report says is about this old, so asking sooner tells nothing new. A
-# load that is overdue asks again and again: 11,400 reports in a day of 58 s
-# without this bound.
+# load that is overdue would ask at each event of the engine.
 REPORT_SPACING_SECONDS = 0.1
 # Reports lag by some hundred milliseconds; one that is read sooner after an
 # order may not know of it yet.
--- a/src/boragefold/policy/load_times.py
+++ b/src/boragefold/policy/load_times.py
@@ -30,8 +30,7 @@
 # that weren't there in time: what others load is known half a second late, and
 # some stores are slower. A late load raises it by ten times what one in time
 # lowers it by, so that one in eleven is late; beyond the bound something else
-# is wrong. Of a busy day's first 28 s, 199 of 2,073 requests reached an engine
-# too early without it, 58 of 1,975 with it.
+# is wrong. Without it, requests reach engines before their adapters do.
 STRETCH_UP = 0.05
 STRETCH_DOWN = 0.005
 MAX_STRETCH = 3.0
--- a/src/boragefold/transport/loop.py
+++ b/src/boragefold/transport/loop.py
@@ -29,7 +29,7 @@
         if len(self.root):
             # A callback fired an event; it must not wait for the poller. With
             # nothing fired, looking at once would only be a second wake-up
-            # for each: 3.2% of a core at an idle instance of 30, 2.5% without.
+            # for each.
             event.reduce_time_left(0)
         elif due_seconds is not None:
             wait_seconds = due_seconds - self._timers.now_seconds()
