--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -3,9 +3,8 @@
 Load pattern: a few popular adapters, and a long tail of which each is asked
 for once, in front of five places. Of those that nobody uses or waits for, the
 one with the fewest requests lately makes way. By the time of the last request
-alone, five cold adapters in a row push every popular one out: loads of three
-popular adapters among 200 requests, half of them cold, 39 by last use and
-16 by requests lately (replayed in virtual time).
+alone, five cold adapters in a row push every popular one out, and each is
+loaded again for its next request.
 """
 
 from __future__ import annotations
--- a/src/boragefold/telemetry/late_table.py
+++ b/src/boragefold/telemetry/late_table.py
@@ -30,7 +30,7 @@
     route: str
     outcome: str
     cause: str
-    count: int
+    answers: int
     median_seconds: float
 
 
@@ -52,7 +52,7 @@
         Row(*key, len(seconds), sorted(seconds)[len(seconds) // 2])
         for key, seconds in took.items()
     )
-    return sorted(counted, key=lambda row: (-row.count, row))
+    return sorted(counted, key=lambda row: (-row.answers, row))
 
 
 def _verdict(fields: dict[str, Any]) -> Iterator[tuple[str, str]]:
--- a/tests/telemetry/test_late_table.py
+++ b/tests/telemetry/test_late_table.py
@@ -29,7 +29,7 @@
         "torn {",
     ]
     rows = late_table.rows(log_story.read("front-1", text))
-    assert [(row.outcome, row.cause, row.count) for row in rows] == [
+    assert [(row.outcome, row.cause, row.answers) for row in rows] == [
         ("late_first_event", "place", 2),
         ("late_first_event", "reading", 1),
         ("late_pause", "", 1),
--- a/tools/late_table.py
+++ b/tools/late_table.py
@@ -26,10 +26,10 @@
             file.stem, file.read_text(errors="replace").splitlines()
         )
     )
-    click.echo(f"{'count':>6} {'median s':>9}  route, outcome, longest part")
+    click.echo(f"{'answers':>7} {'median s':>9}  route, outcome, longest part")
     for row in late_table.rows(lines):
         told = " ".join(filter(None, (row.route, row.outcome, row.cause)))
-        click.echo(f"{row.count:>6} {row.median_seconds:>9.3f}  {told}")
+        click.echo(f"{row.answers:>7} {row.median_seconds:>9.3f}  {told}")
 
 
 if __name__ == "__main__":
