--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -14,22 +14,22 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import itertools
 import math
-from typing import NamedTuple
 
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_pace
 from boragefold.policy import engine_places
+from boragefold.policy import engine_requests
 from boragefold.policy import prompt_spacing
 from boragefold.state import deployment
 
 AdapterKey = deployment.AdapterKey
 Ask = engine_asks.Ask
 Action = engine_asks.Action
+Prompts = engine_requests.Prompts
+Waiting = engine_requests.Waiting
 
 # Part of the memory for prompts that grants may fill. Beyond it the engine
 # preempts running answers and reads their prompts anew.
@@ -51,51 +51,6 @@
 BUSY = "busy"
 
 
-@dataclasses.dataclass(kw_only=True)
-class Waiting:
-    """A request that waits, and since when it has what.
-
-    ``placed_at_seconds`` is when its adapter was ordered, and
-    ``ready_at_seconds`` when that was there; None before.
-    """
-
-    ask: Ask
-    turn: int
-    since_seconds: float
-    placed_at_seconds: float | None = None
-    ready_at_seconds: float | None = None
-
-    def waits(self, now_seconds: float) -> engine_asks.Waits:
-        """Tell what it waited for until now.
-
-        :param now_seconds: reading of the process clock
-        :return: its parts
-        """
-        ready_at_seconds = _or(self.ready_at_seconds, now_seconds)
-        placed_at_seconds = _or(self.placed_at_seconds, ready_at_seconds)
-        return engine_asks.Waits(
-            place_seconds=placed_at_seconds - self.since_seconds,
-            load_seconds=ready_at_seconds - placed_at_seconds,
-            turn_seconds=now_seconds - ready_at_seconds,
-        )
-
-
-@dataclasses.dataclass(kw_only=True)
-class Run:
-    """A request that was granted."""
-
-    ask: Ask
-    granted_at_seconds: float
-    started: bool = False
-
-
-class Prompts(NamedTuple):
-    """Some prompts that are to be read."""
-
-    number: int
-    tokens: int
-
-
 class EngineSchedule:
     """The waiting, the running and the adapters of one engine."""
 
@@ -105,7 +60,7 @@
         self.engine = engine
         self.places = places
         self._queue: dict[str, Waiting] = {}
-        self._runs: dict[str, Run] = {}
+        self._runs: dict[str, engine_requests.Run] = {}
         self._arrivals = itertools.count()
         self._pace = engine_pace.EnginePace()
         self._started_at_seconds = -math.inf
@@ -154,7 +109,9 @@
         # takes a further place.
         soon = self._soon_placed()
         waiting = (ask for ask in self._asks() if ask.needs in soon)
-        return self._reading_seconds(self._unstarted(), _prompts(waiting))
+        return self._reading_seconds(
+            self._unstarted(), engine_requests.prompts_of(waiting)
+        )
 
     def place_wait_seconds(self) -> float:
         """Estimate how long an adapter that isn't held waits for a place.
@@ -306,12 +263,11 @@
     def _note_waits(self, now_seconds: float) -> None:
         for waiting in self._queue.values():
             needs = waiting.ask.needs
-            if waiting.placed_at_seconds is None:
-                if self.places.holds(needs):
-                    waiting.placed_at_seconds = now_seconds
-            if waiting.ready_at_seconds is None:
-                if self.places.ready(needs, now_seconds=now_seconds):
-                    waiting.ready_at_seconds = now_seconds
+            waiting.note(
+                placed=self.places.holds(needs),
+                ready=self.places.ready(needs, now_seconds=now_seconds),
+                now_seconds=now_seconds,
+            )
 
     def _in_turn(self, now_seconds: float) -> list[Waiting]:
         return sorted(
@@ -383,7 +339,7 @@
             and self._urgency(other, now_seconds) < urgency
         )
         wait_seconds = self._reading_seconds(
-            self._unstarted(), _prompts(before)
+            self._unstarted(), engine_requests.prompts_of(before)
         )
         needs = waiting.ask.needs
         place_seconds = self.places.until_ready_seconds(
@@ -452,7 +408,7 @@
         self._spacing.gave(
             ask.prompt_tokens, reads=self._unstarted().number > 0
         )
-        self._runs[ask.request_id] = Run(
+        self._runs[ask.request_id] = engine_requests.Run(
             ask=ask,
             granted_at_seconds=now_seconds,
         )
@@ -476,7 +432,7 @@
         )
 
     def _unstarted(self) -> Prompts:
-        return _prompts(
+        return engine_requests.prompts_of(
             run.ask for run in self._runs.values() if not run.started
         )
 
@@ -522,15 +478,6 @@
                 self.withdraw(run.ask.request_id, now_seconds=now_seconds)
 
 
-def _prompts(asks: Iterable[Ask]) -> Prompts:
-    tokens = [ask.prompt_tokens for ask in asks]
-    return Prompts(number=len(tokens), tokens=sum(tokens))
-
-
-def _or(at_seconds: float | None, otherwise_seconds: float) -> float:
-    return otherwise_seconds if at_seconds is None else at_seconds
-
-
 def _too_long(ask: Ask, excess_seconds: float) -> engine_asks.TurnAway:
     return engine_asks.TurnAway(
         ask=ask,
@@ -542,5 +489,4 @@
 __all__ = [
     "BUSY",
     "EngineSchedule",
-    "Run",
 ]
