Decide for the engine that a message concerns, and order its queue once

The others were stopped in turn, and it owned all nine engines: each ask, start and end made it decide for all of them, three times sorting each queue.

Ruled out: the store (untouched until 25 s), links (no disruption), the plain service (others' lookups ran).

Now a message decides for its engine alone; all are looked at ten times a second as before, and the queue is ordered once a decision. The test fails before.

--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -154,11 +154,24 @@
 
     def run(self) -> None:
         """Do what the schedules decide now."""
-        for name, engine in list(self._owned.items()):
-            for action in engine.advance():
-                self._answer(name, action)
+        for name in list(self._owned):
+            self._advance(name)
         self._set_due()
 
+    def _run_one(self, name: str) -> None:
+        # Deciding for every engine at each message of one of them, an instance
+        # that owns them all, because the others stopped, is busy with that
+        # alone: requests of its callers lie unread until they have left.
+        self._advance(name)
+        self._set_due()
+
+    def _advance(self, name: str) -> None:
+        engine = self._owned.get(name)
+        if engine is None:
+            return
+        for action in engine.advance():
+            self._answer(name, action)
+
     def _take_up(self, record: deployment.EndpointRecord) -> None:
         engine = self._fleet.engine_of(record)
         if engine is None:
@@ -193,7 +206,7 @@
             timers=self._timers,
             counters=self._counters,
             log=self._log,
-            changed=self.run,
+            changed=lambda: self._run_one(record.name),
         )
 
     def _loads_beside(self, name: str) -> int:
@@ -231,7 +244,7 @@
         elif body.unanswered:
             waits = messages.EngineWaits(ask.request_id, body.engine)
             self._link.send(to=sender, body=waits)
-        self.run()
+        self._run_one(body.engine)
 
     def _take_started(
         self, sender: ids.InstanceId, body: messages.RunStarted
@@ -241,7 +254,7 @@
             owned.schedule.started(
                 body.request_id, now_seconds=self._timers.now_seconds()
             )
-            self.run()
+            self._run_one(body.engine)
 
     def _take_ended(
         self, sender: ids.InstanceId, body: messages.RunEnded
@@ -255,7 +268,7 @@
         )
         if body.not_held and granted is not None:
             owned.refused(granted.ask.needs)
-        self.run()
+        self._run_one(body.engine)
 
     def _answer(self, engine: str, action: engine_asks.Action) -> None:
         if isinstance(action, engine_asks.Grant):
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -14,6 +14,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import itertools
 import math
@@ -213,11 +214,12 @@
         """
         self._forget_unreported(now_seconds)
         actions: list[Action] = [*self._expire(now_seconds)]
-        actions.extend(self._shed(now_seconds))
+        in_turn = self._in_turn(now_seconds)
+        actions.extend(self._shed(in_turn, now_seconds))
         self._note_waits(now_seconds)
         ready = (
             ask
-            for ask in self._by_urgency(now_seconds)
+            for ask in self._still_waiting(in_turn)
             if self.places.ready(ask.needs, now_seconds=now_seconds)
         )
         for ask in ready:
@@ -228,7 +230,7 @@
             actions.append(self._grant(ask, now_seconds))
         unplaced = [
             ask
-            for ask in self._by_urgency(now_seconds)
+            for ask in self._still_waiting(in_turn)
             if not self.places.holds(ask.needs)
         ]
         order = self.places.next_order(
@@ -275,8 +277,12 @@
             key=lambda waiting: self._urgency(waiting, now_seconds),
         )
 
-    def _by_urgency(self, now_seconds: float) -> list[Ask]:
-        return [waiting.ask for waiting in self._in_turn(now_seconds)]
+    def _still_waiting(self, in_turn: Iterable[Waiting]) -> Iterator[Ask]:
+        return (
+            waiting.ask
+            for waiting in in_turn
+            if waiting.ask.request_id in self._queue
+        )
 
     def _urgency(
         self, waiting: Waiting, now_seconds: float
@@ -364,12 +370,14 @@
             retry_after_seconds=max(excess_seconds, orders_in_seconds),
         )
 
-    def _shed(self, now_seconds: float) -> Iterator[engine_asks.TurnAway]:
+    def _shed(
+        self, in_turn: Iterable[Waiting], now_seconds: float
+    ) -> Iterator[engine_asks.TurnAway]:
         # Others that are more urgent came since. Whoever can't start any more
         # before it gives up is told now, while it can still go elsewhere.
         reading_seconds = self._reading_seconds(self._unstarted())
         unplaced: set[AdapterKey] = set()
-        for waiting in self._in_turn(now_seconds):
+        for waiting in in_turn:
             ask = waiting.ask
             patience_seconds = ask.give_up_at_seconds - now_seconds
             if self._is_placed(ask):
--- /dev/null
+++ b/tests/entry/test_engine_owner.py
@@ -0,0 +1,86 @@
+"""An instance that schedules many engines."""
+
+from __future__ import annotations
+
+import collections
+import types
+
+import pytest
+
+from boragefold.entry import engine_owner
+from boragefold.policy import engine_schedule
+from boragefold.protocol import peer_messages as messages
+from boragefold.telemetry import counters
+from tests.fakes import engine_loads
+from tests.fakes import gateways
+from tests.fakes import network as networks
+
+
+class Fleet:
+    versions: dict = {}
+
+    def engine_of(self, record):
+        return engine_loads.ENGINE
+
+    def engines(self):
+        return iter(gateways.ENGINES)
+
+
+@pytest.fixture
+def advances(monkeypatch):
+    counted = collections.Counter()
+    advance = engine_schedule.EngineSchedule.advance
+
+    def counting(self, *, now_seconds):
+        counted[id(self)] += 1
+        return advance(self, now_seconds=now_seconds)
+
+    monkeypatch.setattr(engine_schedule.EngineSchedule, "advance", counting)
+    return counted
+
+
+def owner_of_all(node):
+    owner = engine_owner.EngineOwner(
+        link=node.link,
+        fleet=Fleet(),
+        dialect=types.SimpleNamespace(report_call=lambda record: None),
+        client=types.SimpleNamespace(send=lambda call, sink: None),
+        timers=node.timers,
+        counters=counters.Counters(),
+        log=types.SimpleNamespace(write=lambda event, **fields: None),
+        lease_seconds=3.0,
+        giver=1,
+        loads_elsewhere=lambda: 0,
+    )
+    owner.hold(gateways.ENGINES)
+    return owner
+
+
+def test_a_message_of_one_engine_decides_for_that_one(advances) -> None:
+    # The other instances stop in turn, and one owns all nine engines. Were
+    # each ask, start and end to decide for all of them, it would do nothing
+    # else: its callers' requests lie unread for two seconds, and are sent on
+    # after the callers have left.
+    network = networks.Network(seed=1)
+    node = network.start("dc-a", "10.1.0.1:70")
+    asker = network.start("dc-a", "10.1.0.2:70")
+    owner_of_all(node)
+    advances.clear()
+    ask = messages.EngineAsk(
+        request_id="r",
+        engine="e3",
+        model=engine_loads.MODEL,
+        adapter="a1",
+        prompt_tokens=500,
+        output_tokens=50,
+        priority=0,
+        on_time_in_seconds=1.0,
+        give_up_in_seconds=4.0,
+        ends_in_seconds=5.0,
+    )
+    ended = messages.RunEnded("r", "e3", False)
+    for body in (ask, messages.RunStarted("r", "e3"), ended):
+        asker.link.send(to=node.link.self_id, body=body)
+        network.run_for(0.01)
+    assert sum(advances.values()) >= 3
+    assert len(advances) == 1
