--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/test_engine_choice.py
@@ -4,21 +4,10 @@
 
 from boragefold.policy import engine_choice
 from tests.fakes import engine_loads
+from tests.fakes import engine_views
 
-NAMES = [f"engine-{number}" for number in range(9)]
-
-
-def view(name, **changes):
-    defaults = engine_choice.EngineView(
-        name=name,
-        near=True,
-        held=frozenset(),
-        models=frozenset({"base"}),
-        backlog_seconds=0.0,
-        place_wait_seconds=0.0,
-        health=1.0,
-    )
-    return defaults._replace(**changes)
+NAMES = engine_views.NAMES
+view = engine_views.view
 
 
 def best(key, views):
--- a/tests/policy/test_engine_copies.py
+++ b/tests/policy/test_engine_copies.py
@@ -3,21 +3,10 @@
 from boragefold.policy import engine_choice
 from boragefold.policy import engine_copies
 from tests.fakes import engine_loads
+from tests.fakes import engine_views
 
-NAMES = [f"engine-{number}" for number in range(9)]
-
-
-def view(name, **changes):
-    defaults = engine_choice.EngineView(
-        name=name,
-        near=True,
-        held=frozenset(),
-        models=frozenset({"base"}),
-        backlog_seconds=0.0,
-        place_wait_seconds=0.0,
-        health=1.0,
-    )
-    return defaults._replace(**changes)
+NAMES = engine_views.NAMES
+view = engine_views.view
 
 
 def test_an_adapter_goes_where_a_copy_of_it_is() -> None:
