Log what an order relied on, and count orders that an engine didn't count

The users' record of two givers can't be told apart from our logs: they hold neither the fencing number nor how old the count was, and an order that was accepted but not counted looks like any other. engine_order now holds the fence, the count it relied on with its age, how long the answer took and the places; engine_report what was believed before, and the report's age.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -189,8 +189,18 @@
         :param now_seconds: reading of a clock that counts suspension
         :return: whether an order may rely on it; else a report is needed
         """
-        age_seconds = now_seconds - self._confirmed_at_seconds
-        return age_seconds <= CONFIRMED_SECONDS
+        return (
+            self.count_age_seconds(now_seconds=now_seconds)
+            <= CONFIRMED_SECONDS
+        )
+
+    def count_age_seconds(self, *, now_seconds: float) -> float:
+        """Tell how long ago the engine's count was seen or made.
+
+        :param now_seconds: reading of a clock that counts suspension
+        :return: seconds; infinite before the first report
+        """
+        return now_seconds - self._confirmed_at_seconds
 
     def fence(self) -> int:
         """Make the fencing number of the next order.
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import math
+from typing import NamedTuple
 
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_dialect as dialects
@@ -29,6 +30,16 @@
 ORDER_FRESH_SECONDS = 0.3
 
 
+class GivenOrder(NamedTuple):
+    """An order on its way, and what it relied on."""
+
+    order: engine_asks.Order
+    expected: int
+    fence: int
+    count_age_seconds: float
+    given_at_seconds: float
+
+
 class OwnedEngine:
     """Gives one engine its orders, and keeps its schedule informed."""
 
@@ -161,6 +172,7 @@
             self._ask_later(REPORT_PAUSE_SECONDS)
             return
         now_seconds = self._timers.now_seconds()
+        believed = self._turns.expected
         foreign = self._turns.reported(report.counted, now_seconds=now_seconds)
         self.schedule.places.learn(
             report.held,
@@ -172,9 +184,16 @@
             "engine_report",
             engine=self.record.name,
             count=report.counted.orders,
+            believed=believed,
+            born_milliseconds=report.counted.born_milliseconds,
+            age_seconds=round(now_seconds - self._asked_report_at_seconds, 3),
             adapters=len(self.schedule.places.held()),
+            coming=len(report.coming),
+            busy=report.busy,
             other_giver=foreign,
         )
+        if self._turns.expected < believed:
+            self._counters.add("engine_orders", "not_counted")
         if foreign:
             self._counters.add("engine_orders", "other_giver_seen")
         if not self._turns.begun or self._turns.waits(now_seconds=now_seconds):
@@ -188,19 +207,25 @@
         )
 
     def _give(self, order: engine_asks.Order) -> None:
-        expected = self._turns.expected
+        now_seconds = self._timers.now_seconds()
+        given = GivenOrder(
+            order=order,
+            expected=self._turns.expected,
+            fence=self._turns.fence(),
+            count_age_seconds=self._turns.count_age_seconds(
+                now_seconds=now_seconds
+            ),
+            given_at_seconds=now_seconds,
+        )
         call = self._dialect.order_call(
-            self.record, order, expected=expected, fence=self._turns.fence()
+            self.record, order, expected=given.expected, fence=given.fence
         )
         # Asked again right before the first byte, on a clock that counts
         # suspension: a process that was frozen since must not order.
-        asked_at_seconds = self._timers.now_seconds()
-        call = call._replace(
-            may_send=lambda: self._still_fresh(asked_at_seconds)
-        )
+        call = call._replace(may_send=lambda: self._still_fresh(now_seconds))
         self._turns.sending()
         sink = whole_answer.WholeAnswerSink(
-            done=lambda answer: self._take_order_answer(order, answer)
+            done=lambda answer: self._take_order_answer(given, answer)
         )
         self._client.send(call, sink)
 
@@ -210,10 +235,11 @@
 
     def _take_order_answer(
         self,
-        order: engine_asks.Order,
+        given: GivenOrder,
         answer: whole_answer.WholeAnswer | http_client.Failure,
     ) -> None:
         now_seconds = self._timers.now_seconds()
+        order = given.order
         outcome = self._outcome(order, answer)
         self._counters.add("engine_orders", outcome)
         self._log.write(
@@ -222,7 +248,11 @@
             order=type(order).__name__.lower(),
             model=order.key.model,
             adapter=order.key.adapter,
-            count=self._turns.expected,
+            count=given.expected,
+            count_age_seconds=round(given.count_age_seconds, 3),
+            fence=given.fence,
+            took_seconds=round(now_seconds - given.given_at_seconds, 3),
+            places=self.schedule.places.summary(),
             outcome=outcome,
         )
         done = outcome == dialects.OrderAnswer.DONE.value
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -108,10 +108,15 @@
     def summary(self) -> dict[str, str]:
         """Tell what each place does, for the log.
 
-        :return: running requests by adapter, marked where not there yet
+        :return: running requests by adapter; "?" marks what is not there yet,
+            "-" what leaves
         """
         return {
-            key.adapter: f"{place.running}{'' if place.confirmed else '?'}"
+            key.adapter: (
+                f"{place.running}"
+                f"{'' if place.confirmed else '?'}"
+                f"{'-' if place.leaving else ''}"
+            )
             for key, place in self._places.items()
         }
 
