Give no order to an engine that still carries one out

Cause: an engine that drops an adapter in use waits for its last answer. Until then it refuses every order but one: the same drop once more is accepted, whatever count it expects, and isn't counted. A new owner doesn't know what runs on its engine; it takes the leaving adapter for held and idle, and drops it again. Its order is invisible to the next owner, who finds the count unmoved, begins a turn and uses the same count with its own number. The engine as the arbiter only works for orders that it counts.

Ruled out: two counts for one start (no report holds the start, so that part of the fencing number is 0 in all of them); places that leave being lost from reports (they stay listed).

Why it works: reports say that the engine is busy. While it is, nothing is ordered; all but the repetition would be refused anyway. After our own drop of an adapter in use the engine is taken to be busy until a report that can know of it says otherwise. Reports go on being asked for until then.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -8,6 +8,11 @@
 believe they own the engine thus need no word between them: the first order of
 one makes the other's fail, and the loser stays away.
 
+That holds only for orders that the engine counts. It answers the repetition of
+an order that it still carries out as if it were new, whatever count that
+expects, and doesn't count it: nobody could see who gave it. So no order is
+given while the engine carries one out, whoever gave that.
+
 The fencing number of an order rises with that count and holds the giver's own
 number in its low digits, so that two givers never share one, and none is
 below one that was carried out.
@@ -109,6 +114,7 @@
         self._doubtful = 0
         self._doubted_at_seconds = -math.inf
         self._pending = False
+        self._busy = False
         self._moved_at_seconds: float | None = None
         self._accepted_at_seconds = -math.inf
         self._quiet_since_seconds: float | None = None
@@ -138,6 +144,14 @@
         """
         return 0 if self._counted is None else self._counted.orders
 
+    @property
+    def busy(self) -> bool:
+        """Tell whether the engine carries an order out.
+
+        :return: whether it takes no other until then
+        """
+        return self._busy
+
     @property
     def certain(self) -> bool:
         """Tell whether the engine's count is known.
@@ -175,13 +189,17 @@
         """Tell whether an order may be given now.
 
         :param now_seconds: reading of a clock that counts suspension
-        :return: whether the count is known and nobody else gives orders
+        :return: whether the count is known, the engine carries no order out
+            and nobody else gives orders
         """
         if now_seconds - self._looked_at_seconds > PAUSED_SECONDS:
             self.begin()
         self._looked_at_seconds = now_seconds
-        free = self._begun and self._certain and not self._pending
-        return free and not self.waits(now_seconds=now_seconds)
+        free = self._begun and self._certain
+        occupied = self._pending or self._busy
+        return (
+            free and not occupied and not self.waits(now_seconds=now_seconds)
+        )
 
     def confirmed(self, *, now_seconds: float) -> bool:
         """Tell whether the engine's count was seen or made just now.
@@ -216,12 +234,14 @@
         """Note that an order is on its way; there is one at a time."""
         self._pending = True
 
-    def accepted(self, *, now_seconds: float) -> None:
+    def accepted(self, *, busy: bool = False, now_seconds: float) -> None:
         """Note that the engine accepted the order.
 
+        :param busy: whether the engine takes no other until it is done
         :param now_seconds: reading of a clock that counts suspension
         """
         self._pending = False
+        self._busy = busy
         self._accepted_at_seconds = now_seconds
         self._confirmed_at_seconds = now_seconds
         if self._counted is not None:
@@ -244,10 +264,13 @@
         self._pending = False
         self._certain = False
 
-    def reported(self, counted: Counted, *, now_seconds: float) -> bool:
+    def reported(
+        self, counted: Counted, *, busy: bool = False, now_seconds: float
+    ) -> bool:
         """Take over the count that the engine reports.
 
         :param counted: what it reports, perhaps a moment old
+        :param busy: whether it says that it carries an order out
         :param now_seconds: reading of a clock that counts suspension
         :return: whether somebody else was found to give orders
         """
@@ -257,6 +280,9 @@
         before = self._counted
         self._certain = True
         self._confirmed_at_seconds = now_seconds
+        age_seconds = now_seconds - self._accepted_at_seconds
+        # An old report doesn't know yet of an order that was just accepted.
+        self._busy = busy or (self._busy and age_seconds < REPORT_AGE_SECONDS)
         self._listen(before, counted, now_seconds)
         if (
             before is None
@@ -268,7 +294,6 @@
         if now_seconds - self._doubted_at_seconds > DOUBT_SECONDS:
             self._doubtful = 0
         ahead = counted.orders - before.orders
-        age_seconds = now_seconds - self._accepted_at_seconds
         if ahead <= 0 and age_seconds < REPORT_AGE_SECONDS:
             # The report may be older than our last order.
             return False
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -173,7 +173,9 @@
             return
         now_seconds = self._timers.now_seconds()
         believed = self._turns.expected
-        foreign = self._turns.reported(report.counted, now_seconds=now_seconds)
+        foreign = self._turns.reported(
+            report.counted, busy=report.busy, now_seconds=now_seconds
+        )
         self.schedule.places.learn(
             report.held,
             report.coming,
@@ -196,11 +198,20 @@
             self._counters.add("engine_orders", "not_counted")
         if foreign:
             self._counters.add("engine_orders", "other_giver_seen")
-        if not self._turns.begun or self._turns.waits(now_seconds=now_seconds):
-            # The count must be seen to stand still.
+        if self._has_to_watch(now_seconds):
             self._ask_later(REPORT_PAUSE_SECONDS)
         self._changed()
 
+    def _has_to_watch(self, now_seconds: float) -> bool:
+        # The count must be seen to stand still, and an order that is carried
+        # out to be done.
+        turns = self._turns
+        return (
+            not turns.begun
+            or turns.busy
+            or turns.waits(now_seconds=now_seconds)
+        )
+
     def _ask_later(self, delay_seconds: float) -> None:
         self._timers.once(
             delay_seconds=delay_seconds, callback=self.ask_report
@@ -257,11 +268,12 @@
         )
         done = outcome == dialects.OrderAnswer.DONE.value
         if done or outcome == dialects.OrderAnswer.ACCEPTED.value:
-            self._turns.accepted(now_seconds=now_seconds)
+            leaves = isinstance(order, engine_asks.Unload) and not done
+            self._turns.accepted(busy=leaves, now_seconds=now_seconds)
             self.schedule.places.ordered(
                 order, done=done, now_seconds=now_seconds
             )
-            if isinstance(order, engine_asks.Unload) and not done:
+            if leaves:
                 self._ask_later(REPORT_PAUSE_SECONDS)
         else:
             self._order_failed(outcome, now_seconds)
