Count a report's age from when it was asked for

What callers could see: after a pause of an instance, an order that relies on a count from before it.

Cause: a report was taken for fresh when it was read. A process that pauses between question and answer, for less than the second after which its turn begins anew, reads what the engine said before another instance's orders. An order that the engine answers without a look at the count would then bear a number below those used since. In the same way two reports that were asked for close to each other and read a pause apart passed for a quiet time.

Why it works: what a report says was true at the earliest when it was asked for, less the engine's own lag. The age now counts for the confirmed count, for the quiet time and for whether the report can know of our last order. All three only become stricter.

Both tests failed before: the count passed for confirmed, and the turn for begun.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -265,12 +265,19 @@
         self._certain = False
 
     def reported(
-        self, counted: Counted, *, busy: bool = False, now_seconds: float
+        self,
+        counted: Counted,
+        *,
+        busy: bool = False,
+        age_seconds: float = 0.0,
+        now_seconds: float,
     ) -> bool:
         """Take over the count that the engine reports.
 
         :param counted: what it reports, perhaps a moment old
         :param busy: whether it says that it carries an order out
+        :param age_seconds: how long ago the report was asked for; it tells
+            nothing of what came after that
         :param now_seconds: reading of a clock that counts suspension
         :return: whether somebody else was found to give orders
         """
@@ -278,12 +285,17 @@
             # The order on its way decides what the count is next.
             return False
         before = self._counted
+        asked_at_seconds = now_seconds - age_seconds
         self._certain = True
-        self._confirmed_at_seconds = now_seconds
-        age_seconds = now_seconds - self._accepted_at_seconds
-        # An old report doesn't know yet of an order that was just accepted.
-        self._busy = busy or (self._busy and age_seconds < REPORT_AGE_SECONDS)
-        self._listen(before, counted, now_seconds)
+        self._confirmed_at_seconds = max(
+            self._confirmed_at_seconds, asked_at_seconds
+        )
+        # The report may be older than our last order.
+        knows_last = (
+            asked_at_seconds - self._accepted_at_seconds >= REPORT_AGE_SECONDS
+        )
+        self._busy = busy or (self._busy and not knows_last)
+        self._listen(before, counted, asked_at_seconds, now_seconds)
         if (
             before is None
             or before.born_milliseconds != counted.born_milliseconds
@@ -294,8 +306,7 @@
         if now_seconds - self._doubted_at_seconds > DOUBT_SECONDS:
             self._doubtful = 0
         ahead = counted.orders - before.orders
-        if ahead <= 0 and age_seconds < REPORT_AGE_SECONDS:
-            # The report may be older than our last order.
+        if ahead <= 0 and not knows_last:
             return False
         self._counted = counted
         foreign = ahead > self._doubtful
@@ -305,13 +316,17 @@
         return foreign
 
     def _listen(
-        self, before: Counted | None, counted: Counted, now_seconds: float
+        self,
+        before: Counted | None,
+        counted: Counted,
+        asked_at_seconds: float,
+        now_seconds: float,
     ) -> None:
         if self._begun:
             return
         if self._quiet_since_seconds is None or before != counted:
             self._quiet_since_seconds = now_seconds
-        quiet_seconds = now_seconds - self._quiet_since_seconds
+        quiet_seconds = asked_at_seconds - self._quiet_since_seconds
         self._begun = (
             quiet_seconds >= QUIET_SECONDS
             and now_seconds >= self._earliest_seconds
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -172,9 +172,13 @@
             self._ask_later(REPORT_PAUSE_SECONDS)
             return
         now_seconds = self._timers.now_seconds()
+        age_seconds = now_seconds - self._asked_report_at_seconds
         believed = self._turns.expected
         foreign = self._turns.reported(
-            report.counted, busy=report.busy, now_seconds=now_seconds
+            report.counted,
+            busy=report.busy,
+            age_seconds=age_seconds,
+            now_seconds=now_seconds,
         )
         self.schedule.places.learn(
             report.held,
@@ -188,7 +192,7 @@
             count=report.counted.orders,
             believed=believed,
             born_milliseconds=report.counted.born_milliseconds,
-            age_seconds=round(now_seconds - self._asked_report_at_seconds, 3),
+            age_seconds=round(age_seconds, 3),
             adapters=len(self.schedule.places.held()),
             coming=len(report.coming),
             busy=report.busy,
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -171,6 +171,26 @@
     assert not giver.turns.may_order(now_seconds=1.8)
 
 
+def test_a_report_that_was_read_late_confirms_nothing(engine) -> None:
+    # A process that paused reads a report from before another's orders.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    seen = engine.counted()
+    engine.take(engine.orders, 2, 1.2)
+    giver.turns.reported(seen, age_seconds=0.8, now_seconds=1.8)
+    giver.turns.may_order(now_seconds=1.8)
+    assert not giver.turns.confirmed(now_seconds=1.8)
+
+
+def test_reports_that_were_read_late_prove_no_quiet_time(engine) -> None:
+    # Two reports asked for at once, read before and after a pause.
+    giver = Giver(engine, 1)
+    seen = engine.counted()
+    giver.turns.reported(seen, now_seconds=0.0)
+    giver.turns.reported(seen, age_seconds=0.6, now_seconds=0.7)
+    assert not giver.turns.begun
+
+
 def test_a_former_owner_waits_a_lease_after_its_successor(engine) -> None:
     # An owner freezes, another takes over and orders; the first wakes and is
     # the owner again by hashing. Its next order must be a lease away.
