Reset the connection of a call that is given up

What callers could see: an order, or a request, that runs seconds after it was given up. Found by looking for the cause of two givers elsewhere: an order that waited on its way.

Cause: the connection of a call that timed out or was cancelled was closed. A plain close goes on delivering what the kernel has taken; behind a cut or on a link that loses packets it arrives when the next owner gives orders. Most such orders are refused for their count; one that holds already by then is answered without a look at it, with an old fencing number. The comment beside DOUBT_SECONDS took the reset for granted.

Why it works: with a reset the kernel drops what wasn't acknowledged. What the other end has received already may still be carried out, as before.

The test failed before: the other end read an orderly end, not a reset.

--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -142,7 +142,7 @@
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self.pending = None
-        self.stream.abort()
+        self.stream.reset()
 
     def pause(self) -> None:
         """Stop reading; a paused connection has no progress timeout."""
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -4,12 +4,15 @@
 
 import abc
 import socket
+import struct
 from typing import Protocol
 
 READ_BYTES = 65536
 # A caller that reads more slowly than its answer arrives fills this much;
 # then reading from the endpoint pauses until half has drained.
 HIGH_WATER_BYTES = 262_144
+# Linger for no time: closing sends a reset and drops what is unacknowledged.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class StreamHandler(abc.ABC):
@@ -120,6 +123,20 @@
         self.sock.close()
         self.handler.closed(reason)
 
+    def reset(self, reason: str = "closed_here") -> None:
+        """Close now, and let nothing arrive any more that was written.
+
+        A plain close goes on delivering what the kernel has taken, behind a
+        partition for as long as that lasts.
+
+        :param reason: passed on to the handler
+        """
+        if self.open:
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+        self.abort(reason)
+
     def on_readable(self) -> None:
         """Read what there is; called by the socket set."""
         while self.open and self._reading:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -64,6 +64,18 @@
     return sock
 
 
+def test_a_call_that_timed_out_cant_arrive_later(side):
+    # A plain close would deliver an order after its giver gave it up.
+    side.call()
+    sock = side.accept()
+    side.net.turn()
+    sock.recv(65536)
+    side.net.pass_time(5.2)
+    assert side.ended
+    with pytest.raises(ConnectionResetError):
+        sock.recv(65536)
+
+
 def test_an_idle_connection_that_died_is_replaced_before_blame(side):
     # A device between us and the endpoint has lost track of an idle
     # connection. The next call on it fails although the endpoint is well.
