--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -268,6 +268,7 @@
             fence=given.fence,
             took_seconds=round(now_seconds - given.given_at_seconds, 3),
             places=self.schedule.places.summary(),
+            status=_status_of(answer),
             outcome=outcome,
         )
         done = outcome == dialects.OrderAnswer.DONE.value
@@ -301,6 +302,14 @@
         return self._dialect.read_order_answer(order, answer.status).value
 
 
+def _status_of(
+    answer: whole_answer.WholeAnswer | http_client.Failure,
+) -> int | str:
+    if isinstance(answer, http_client.Failure):
+        return answer.reason
+    return answer.status
+
+
 __all__ = [
     "OwnedEngine",
 ]
