Ask an engine that is watched for one report at a time

Each report of an engine whose turn hasn't begun asks for the next a quarter of a second later.

Now one question waits at a time, the earliest.

--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -67,6 +67,8 @@
         self._changed = changed
         self._asking = False
         self._asked_report_at_seconds = -math.inf
+        self._next_report: timing.Subscription | None = None
+        self._next_report_at_seconds = math.inf
         self._stopped = False
         # Whether the engine gave us its last report. An owner behind a cut
         # believes that it owns engines which it can't reach.
@@ -147,6 +149,7 @@
 
     def ask_report(self) -> None:
         """Ask the engine what it holds and how many orders it accepted."""
+        self._drop_next_report()
         if self._asking or self._stopped:
             return
         self._asking = True
@@ -217,10 +220,23 @@
         )
 
     def _ask_later(self, delay_seconds: float) -> None:
-        self._timers.once(
+        # Each report may ask for the next: two that wait would go on for ever
+        # beside each other.
+        at_seconds = self._timers.now_seconds() + delay_seconds
+        if at_seconds >= self._next_report_at_seconds:
+            return
+        self._drop_next_report()
+        self._next_report_at_seconds = at_seconds
+        self._next_report = self._timers.once(
             delay_seconds=delay_seconds, callback=self.ask_report
         )
 
+    def _drop_next_report(self) -> None:
+        if self._next_report is not None:
+            self._next_report.cancel()
+        self._next_report = None
+        self._next_report_at_seconds = math.inf
+
     def _give(self, order: engine_asks.Order) -> None:
         now_seconds = self._timers.now_seconds()
         given = GivenOrder(
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -33,8 +33,10 @@
         self.leaving = ""
         self.orders = 0
         self.accepted: list[tuple[float, int, str]] = []
+        self.reports = 0
 
     def report_call(self, record):
+        self.reports += 1
         return None
 
     def read_report(self, status, body):
@@ -171,3 +173,17 @@
     assert len(fences) > 2
     assert fences == sorted(set(fences))
     assert engine.orders == len(fences)
+
+
+def test_an_engine_that_is_watched_is_asked_one_report_at_a_time(
+    network, node, engine
+) -> None:
+    # Reports that each ask for the next went on beside each other.
+    own(network, node, engine, 1, seconds=1.0)
+    reports = engine.reports
+    owned = take_up(node, engine, 2)
+    for _ in range(4):
+        owned.refused(engine_loads.key("b"))
+        network.run_for(0.1)
+    network.run_for(2.0)
+    assert engine.reports - reports <= 14
