Don't let a late report undo newer orders

What callers saw: an engine crashed and came back empty. It had been ordered to load a sixth adapter for its five places.

Cause: Places judged a report by the moment at which it was read. One that was asked for before an order, and read more than 0.4 s after it, undid the order; orders of the last 0.4 s stayed, and with them the count of orders. Where a later order had brought back an adapter that the old report still showed, one place too few was counted, the next load bore the right count, and the engine accepted it. Reports are asked for while loads are on their way, so orders are given while one is under way.

The users' record names neither orders nor reports, so that this is its cause is likely, not proven.

Ruled out: an older count that is taken over with an older list; the engine refuses the next order then.

Mend: a report is judged by when it was asked for. It may know of no order that was answered since, or in the 0.4 s before, however late it comes.

--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -97,7 +97,7 @@
         self.record = record
         if reborn:
             self.schedule.places.learn(
-                {}, {}, now_seconds=self._timers.now_seconds()
+                {}, {}, asked_at_seconds=self._timers.now_seconds()
             )
             self.ask_report()
 
@@ -177,7 +177,7 @@
         self.schedule.places.learn(
             report.held,
             report.coming,
-            now_seconds=now_seconds,
+            asked_at_seconds=self._asked_report_at_seconds,
             busy=report.busy,
         )
         self._log.write(
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -27,7 +27,7 @@
 RETRY_LOAD_SECONDS = 0.06
 # From then on a report is asked for: the load may have failed.
 OVERDUE_SECONDS = 0.1
-# A report may be this old: it doesn't undo what was ordered since.
+# A report shows the engine of at most so long before it was asked for.
 REPORT_AGE_SECONDS = 0.4
 # An order that failed or was refused is not repeated sooner.
 ORDER_PAUSE_SECONDS = 0.1
@@ -354,19 +354,20 @@
         held: Mapping[str, Mapping[str, int]],
         coming: Mapping[AdapterKey, int],
         *,
-        now_seconds: float,
+        asked_at_seconds: float,
         busy: bool = False,
     ) -> None:
         """Take over what the engine reports that it holds.
 
         :param held: versions by adapter by model
         :param coming: versions of the adapters on their way
-        :param now_seconds: reading of the process clock
+        :param asked_at_seconds: reading of the process clock when the report
+            was asked for; it may know of no order given since
         :param busy: whether it loads or drops a model, which it lists only
             when it is done
         """
         self._busy = busy
-        oldest_seconds = now_seconds - REPORT_AGE_SECONDS
+        oldest_seconds = asked_at_seconds - REPORT_AGE_SECONDS
         self._ordered_at_seconds = {
             key: at_seconds
             for key, at_seconds in self._ordered_at_seconds.items()
@@ -387,7 +388,7 @@
                 continue
             place = before.get(key)
             if place is None or place.version not in (0, version):
-                place = self._learned(place, version, now_seconds)
+                place = self._learned(place, version, asked_at_seconds)
             place.confirmed = key in present
             self._places[key] = place
         self._models = {
@@ -410,11 +411,11 @@
         return (due for due in expected if due > now_seconds)
 
     def _learned(
-        self, before: Place | None, version: int, now_seconds: float
+        self, before: Place | None, version: int, ready_at_seconds: float
     ) -> Place:
         return Place(
             version=version,
-            ready_at_seconds=now_seconds,
+            ready_at_seconds=ready_at_seconds,
             running=0 if before is None else before.running,
         )
 
--- a/tests/fakes/chunked_engine.py
+++ b/tests/fakes/chunked_engine.py
@@ -37,7 +37,7 @@
         self._speed = tokens_per_second
         self._event_tokens = event_tokens
         places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
-        places.learn({engine_loads.MODEL: {}}, {}, now_seconds=0.0)
+        places.learn({engine_loads.MODEL: {}}, {}, asked_at_seconds=0.0)
         self.schedule = engine_schedule.EngineSchedule(
             engine=engine_loads.ENGINE, places=places
         )
--- a/tests/fakes/engine_loads.py
+++ b/tests/fakes/engine_loads.py
@@ -69,7 +69,7 @@
     ):
         self.newest = newest or {}
         self.places = engine_places.Places(engine=ENGINE, newest=self.newest)
-        self.places.learn({MODEL: {}}, {}, now_seconds=0.0)
+        self.places.learn({MODEL: {}}, {}, asked_at_seconds=0.0)
         self.places.may_order = True
         self.schedule = engine_schedule.EngineSchedule(
             engine=ENGINE, places=self.places
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -11,7 +11,7 @@
     places = engine_places.Places(
         engine=engine_loads.ENGINE, newest=newest or {}
     )
-    places.learn({"base": {"a": 1}}, {}, now_seconds=10.0)
+    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=10.0)
     places.may_order = True
     return places
 
@@ -73,7 +73,7 @@
         newest={},
         loads_elsewhere=lambda: 15,
     )
-    places.learn({"base": {}}, {}, now_seconds=0.0)
+    places.learn({"base": {}}, {}, asked_at_seconds=0.0)
     places.ordered(engine_asks.Load(A, 0), done=False, now_seconds=0.0)
     assert not places.ready(A, now_seconds=0.45)
     assert places.ready(A, now_seconds=0.52)
@@ -83,7 +83,7 @@
     places = engine_places.Places(
         engine=engine_loads.ENGINE, newest={}, loads_elsewhere=lambda: 7
     )
-    places.learn({"base": {}}, {}, now_seconds=0.0)
+    places.learn({"base": {}}, {}, asked_at_seconds=0.0)
     places.may_order = True
     first = places.next_order(unplaced(A), {}, now_seconds=0.0)
     assert first == engine_asks.Load(A, 0)
@@ -121,7 +121,7 @@
     places.ordered(engine_asks.Unload(A), done=False, now_seconds=10.0)
     assert not places.holds(A)
     assert A in places.held()
-    places.learn({"base": {}}, {}, now_seconds=10.6)
+    places.learn({"base": {}}, {}, asked_at_seconds=10.6)
     assert A not in places.held()
 
 
@@ -131,10 +131,10 @@
     places = held_places()
     places.ordered(engine_asks.Unload(A), done=True, now_seconds=11.0)
     places.ordered(engine_asks.Load(B, 0), done=False, now_seconds=11.0)
-    places.learn({"base": {"a": 1}}, {}, now_seconds=11.1)
+    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=11.1)
     assert not places.holds(A)
     assert places.holds(B)
-    places.learn({"base": {"a": 1}}, {}, now_seconds=11.6)
+    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=11.6)
     assert places.holds(A)
     assert not places.holds(B)
 
@@ -162,7 +162,7 @@
 
 def test_an_engine_that_restarted_is_given_its_model_first() -> None:
     places = held_places()
-    places.learn({}, {}, now_seconds=20.0)
+    places.learn({}, {}, asked_at_seconds=20.0)
     order = places.next_order(unplaced(A), {}, now_seconds=20.0)
     assert order == engine_asks.Load(engine_loads.key(""), 0)
     places.ordered(order, done=False, now_seconds=20.0)
@@ -184,15 +184,15 @@
     # order is answered as if it were new, without being counted; the next
     # giver's number was then below one used before.
     places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
-    places.learn({}, {}, now_seconds=0.0)
+    places.learn({}, {}, asked_at_seconds=0.0)
     places.may_order = True
     model = engine_loads.key("")
     first = places.next_order(unplaced(A), {}, now_seconds=0.0)
     assert first == engine_asks.Load(model, 0)
     places.ordered(first, done=False, now_seconds=0.0)
-    places.learn({}, {}, now_seconds=1.0, busy=True)
+    places.learn({}, {}, asked_at_seconds=1.0, busy=True)
     assert places.next_order(unplaced(A), {}, now_seconds=1.0) is None
     successor = engine_places.Places(engine=engine_loads.ENGINE, newest={})
-    successor.learn({}, {}, now_seconds=1.0, busy=True)
+    successor.learn({}, {}, asked_at_seconds=1.0, busy=True)
     successor.may_order = True
     assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
