Let only a report that can know of it settle an order in doubt

What callers could see: an adapter dropped or loaded twice in a row.

Cause: an order without an answer makes the count uncertain until a report is read. Any report did, also one that was asked for before the engine could show the order. The old count then passed for certain, and the same order went out again: the engine accepts it and doesn't count it.

Why it works: a report counts only if it was asked for at least the reports' lag after the doubt. While the count is uncertain, reports go on being asked for, so a report that came too early is followed by another.

The test failed before: the order was allowed.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -59,6 +59,9 @@
 DOUBT_SECONDS = 1.0
 # What a report says may be this old.
 REPORT_AGE_SECONDS = 0.4
+# Reports lag by so much as a rule. One that was asked for sooner after an
+# order without an answer says nothing of what became of it.
+REPORT_LAG_SECONDS = 0.15
 # The giver's number: which data centre, and the low bits of its address there.
 ADDRESS_BITS = 10
 
@@ -286,6 +289,8 @@
             return False
         before = self._counted
         asked_at_seconds = now_seconds - age_seconds
+        if asked_at_seconds < self._doubted_at_seconds + REPORT_LAG_SECONDS:
+            return False
         self._certain = True
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, asked_at_seconds
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -22,9 +22,6 @@
 # What a report says is about this old, so asking sooner tells nothing new. A
 # load that is overdue would ask at each event of the engine.
 REPORT_SPACING_SECONDS = 0.1
-# Reports lag by some hundred milliseconds; one that is read sooner after an
-# order may not know of it yet.
-REPORT_LAG_SECONDS = 0.15
 # A giver that was paused between its decision and the write acts on a belief
 # of that age; the lease of a giver is ten times as long.
 ORDER_FRESH_SECONDS = 0.3
@@ -210,11 +207,12 @@
         self._changed()
 
     def _has_to_watch(self, now_seconds: float) -> bool:
-        # The count must be seen to stand still, and an order that is carried
-        # out to be done.
+        # The count must be known and be seen to stand still, and an order that
+        # is carried out to be done.
         turns = self._turns
         return (
             not turns.begun
+            or not turns.certain
             or turns.busy
             or turns.waits(now_seconds=now_seconds)
         )
@@ -306,7 +304,7 @@
         else:
             self._turns.refused()
         self.schedule.places.order_failed(now_seconds=now_seconds)
-        self._ask_later(REPORT_LAG_SECONDS)
+        self._ask_later(order_turns.REPORT_LAG_SECONDS)
 
     def _outcome(
         self,
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -221,6 +221,20 @@
     assert giver.try_order(1.6)
 
 
+def test_an_order_in_doubt_isnt_settled_by_an_older_report(engine) -> None:
+    # The same order would go out again, and the engine wouldn't count it.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    old = engine.counted()
+    giver.turns.sending()
+    assert engine.take(giver.turns.expected, 1, 1.0)
+    giver.turns.in_doubt(now_seconds=1.1)
+    giver.turns.reported(old, now_seconds=1.12)
+    assert not giver.turns.may_order(now_seconds=1.12)
+    giver.look(1.3)
+    assert giver.try_order(1.3)
+
+
 def test_another_givers_order_isnt_taken_for_one_lost_long_ago(
     engine,
 ) -> None:
