Reset connections of orders alone

A reset is sent once; where it is lost, on a link that loses packets, the endpoint goes on with a request whose caller has left, until it next writes. An orderly end is sent until it arrives.

Now a call says whether it expires; orders do. A test holds that other requests end in good order; it fails on the code before with a reset.

--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -24,7 +24,8 @@
     connecting; when it says no, nothing is sent. ``accepts`` tells whether an
     answer with these headers is the one to this call. ``whole_at_close`` takes
     an answer without a length for whole when its connection was closed in good
-    order; without it such an answer always counts as cut. A ``Host`` among the
+    order; without it such an answer always counts as cut. ``expires`` lets
+    nothing arrive any more once the call is given up. A ``Host`` among the
     headers goes before the address.
     """
 
@@ -38,6 +39,7 @@
     may_send: Callable[[], bool] = lambda: True
     accepts: answer_parser.Accepts = lambda headers: True
     whole_at_close: bool = False
+    expires: bool = False
 
 
 class Pending:
@@ -142,7 +144,17 @@
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self.pending = None
-        self.stream.reset()
+        self.stream.abort()
+
+    def give_up(self, reason: str) -> None:
+        """Fail the running call and close.
+
+        :param reason: passed on to the sink
+        """
+        if self.pending is not None and self.pending.call.expires:
+            self.stream.reset(reason)
+        else:
+            self.stream.abort(reason)
 
     def pause(self) -> None:
         """Stop reading; a paused connection has no progress timeout."""
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -148,7 +148,7 @@
             silent = now_seconds - connection.progressed_at_seconds
             allowed = self._allowed_seconds(connection)
             if silent > allowed and not connection.paused:
-                connection.stream.reset("timeout")
+                connection.give_up("timeout")
         for idle in list(self._idle.values()):
             while idle and (
                 now_seconds - idle[0].progressed_at_seconds > MAX_IDLE_SECONDS
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -19,7 +19,7 @@
         self.listener = loopback.Listener()
         self.ended = []
 
-    def call(self, *, fresh=False, address=None):
+    def call(self, *, fresh=False, address=None, expires=False):
         call = http_client.Call(
             address=address or self.listener.address,
             method="GET",
@@ -28,6 +28,7 @@
             body=b"",
             fresh=fresh,
             progress_seconds=5.0,
+            expires=expires,
         )
         sink = whole_answer.WholeAnswerSink(done=self.ended.append)
         self.net.client.send(call, sink)
@@ -66,7 +67,7 @@
 
 def test_a_call_that_timed_out_cant_arrive_later(side):
     # A plain close would deliver an order after its giver gave it up.
-    side.call()
+    side.call(expires=True)
     sock = side.accept()
     side.net.turn()
     sock.recv(65536)
@@ -76,6 +77,16 @@
         sock.recv(65536)
 
 
+def test_a_request_that_timed_out_ends_in_good_order(side):
+    # A reset is sent once: lost, the endpoint would go on with the request.
+    side.call()
+    sock = side.accept()
+    side.net.turn()
+    sock.recv(65536)
+    side.net.pass_time(5.2)
+    assert sock.recv(65536) == b""
+
+
 def test_an_idle_connection_that_died_is_replaced_before_blame(side):
     # A device between us and the endpoint has lost track of an idle
     # connection. The next call on it fails although the endpoint is well.
