Give no order on a belief older than the quiet time

What callers could see: two instances that both believe they own an engine, because they can't hear each other, order the same adapter shortly after each other.

Cause: an order relied on a count that was known for up to 0.4 s, was written up to 0.3 s after its decision, and reports lag by 0.15 s: together 0.85 s, more than the half second of quiet before a turn. In that time another's order couldn't be seen. The age of an answer counted from when it was read; a process that paused took it for fresh.

Why it works: 0.25 s and 0.1 s make half a second with the lag. It narrows the window in which two givers can order the same adapter; it doesn't close it.

The bound's test failed before, by the figures above; that of the late answer can't be told from a missing argument there.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -49,7 +49,12 @@
 # holds already whatever count it expects: with an old count it would bear a
 # fencing number below that of another's order. Whoever gave none for longer
 # reads a report first; an engine under load gets several orders a second.
-CONFIRMED_SECONDS = 0.4
+# With the time to send it and the reports' lag an order relies on nothing
+# older than the quiet time.
+CONFIRMED_SECONDS = 0.25
+# An order is written within so long of its decision, or not at all: a process
+# that was paused in between acts on an old belief.
+ORDER_FRESH_SECONDS = 0.1
 # Whoever looked at a turn this long ago was paused: owners look ten times a
 # second. Another instance may have begun a turn meanwhile.
 PAUSED_SECONDS = 1.0
@@ -237,16 +242,23 @@
         """Note that an order is on its way; there is one at a time."""
         self._pending = True
 
-    def accepted(self, *, busy: bool = False, now_seconds: float) -> None:
+    def accepted(
+        self,
+        *,
+        busy: bool = False,
+        age_seconds: float = 0.0,
+        now_seconds: float,
+    ) -> None:
         """Note that the engine accepted the order.
 
         :param busy: whether the engine takes no other until it is done
+        :param age_seconds: how long ago the order was decided
         :param now_seconds: reading of a clock that counts suspension
         """
         self._pending = False
         self._busy = busy
         self._accepted_at_seconds = now_seconds
-        self._confirmed_at_seconds = now_seconds
+        self._confirm(now_seconds - age_seconds)
         if self._counted is not None:
             self._counted = self._counted._replace(
                 orders=self._counted.orders + 1
@@ -292,9 +304,7 @@
         if asked_at_seconds < self._doubted_at_seconds + REPORT_LAG_SECONDS:
             return False
         self._certain = True
-        self._confirmed_at_seconds = max(
-            self._confirmed_at_seconds, asked_at_seconds
-        )
+        self._confirm(asked_at_seconds)
         # The report may be older than our last order.
         knows_last = (
             asked_at_seconds - self._accepted_at_seconds >= REPORT_AGE_SECONDS
@@ -320,6 +330,11 @@
             self._moved_at_seconds = now_seconds
         return foreign
 
+    def _confirm(self, at_seconds: float) -> None:
+        self._confirmed_at_seconds = max(
+            self._confirmed_at_seconds, at_seconds
+        )
+
     def _listen(
         self,
         before: Counted | None,
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -22,9 +22,6 @@
 # What a report says is about this old, so asking sooner tells nothing new. A
 # load that is overdue would ask at each event of the engine.
 REPORT_SPACING_SECONDS = 0.1
-# A giver that was paused between its decision and the write acts on a belief
-# of that age; the lease of a giver is ten times as long.
-ORDER_FRESH_SECONDS = 0.3
 
 
 class GivenOrder(NamedTuple):
@@ -260,7 +257,8 @@
 
     def _still_fresh(self, asked_at_seconds: float) -> bool:
         age_seconds = self._timers.now_seconds() - asked_at_seconds
-        return not self._stopped and age_seconds < ORDER_FRESH_SECONDS
+        fresh = age_seconds < order_turns.ORDER_FRESH_SECONDS
+        return not self._stopped and fresh
 
     def _take_order_answer(
         self,
@@ -288,7 +286,11 @@
         done = outcome == dialects.OrderAnswer.DONE.value
         if done or outcome == dialects.OrderAnswer.ACCEPTED.value:
             leaves = isinstance(order, engine_asks.Unload) and not done
-            self._turns.accepted(busy=leaves, now_seconds=now_seconds)
+            self._turns.accepted(
+                busy=leaves,
+                age_seconds=now_seconds - given.given_at_seconds,
+                now_seconds=now_seconds,
+            )
             self.schedule.places.ordered(
                 order, done=done, now_seconds=now_seconds
             )
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -182,6 +182,26 @@
     assert not giver.turns.confirmed(now_seconds=1.8)
 
 
+def test_an_answer_that_was_read_late_confirms_nothing(engine) -> None:
+    # A process that paused reads the answer to an order given before.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    giver.turns.sending()
+    assert engine.take(giver.turns.expected, 1, 1.0)
+    giver.turns.accepted(age_seconds=0.5, now_seconds=1.5)
+    assert not giver.turns.confirmed(now_seconds=1.5)
+
+
+def test_an_order_relies_on_nothing_older_than_the_quiet_time() -> None:
+    # Another's order that is younger than that couldn't be seen.
+    oldest_seconds = (
+        order_turns.CONFIRMED_SECONDS
+        + order_turns.ORDER_FRESH_SECONDS
+        + order_turns.REPORT_LAG_SECONDS
+    )
+    assert oldest_seconds <= order_turns.QUIET_SECONDS
+
+
 def test_reports_that_were_read_late_prove_no_quiet_time(engine) -> None:
     # Two reports asked for at once, read before and after a pause.
     giver = Giver(engine, 1)
