--- a/tests/fakes/model_engine.py
+++ b/tests/fakes/model_engine.py
@@ -29,8 +29,9 @@
 class GivenOrder(NamedTuple):
     """An order as it reached the engine, and its answer.
 
-    ``count`` is the engine's own after it, ``status`` None where the engine
-    was down; ``life`` counts the engine's starts.
+    ``count`` is the engine's own after it, ``counted`` whether it rose,
+    ``status`` None where the engine was down; ``life`` counts the engine's
+    starts.
     """
 
     at_seconds: float
@@ -40,6 +41,7 @@
     expected: int
     count: int
     status: int | None
+    counted: bool
     life: int
 
 
@@ -134,6 +136,7 @@
         :return: the status of the answer; None where there is no answer
         """
         self._settle()
+        before = self.count
         status = None if self.down else self._answer(order, expected)
         given = GivenOrder(
             at_seconds=self._clock.now_seconds(),
@@ -143,6 +146,7 @@
             expected=expected,
             count=self.count,
             status=status,
+            counted=self.count > before,
             life=self.life,
         )
         self.orders.append(given)
