--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -172,8 +172,14 @@
             self._ask_later(REPORT_PAUSE_SECONDS)
             return
         now_seconds = self._timers.now_seconds()
+        age_seconds = now_seconds - self._asked_report_at_seconds
         believed = self._turns.expected
-        foreign = self._turns.reported(report.counted, now_seconds=now_seconds)
+        foreign = self._turns.reported(
+            report.counted,
+            busy=report.busy,
+            age_seconds=age_seconds,
+            now_seconds=now_seconds,
+        )
         self.schedule.places.learn(
             report.held,
             report.coming,
@@ -186,7 +192,7 @@
             count=report.counted.orders,
             believed=believed,
             born_milliseconds=report.counted.born_milliseconds,
-            age_seconds=round(now_seconds - self._asked_report_at_seconds, 3),
+            age_seconds=round(age_seconds, 3),
             adapters=len(self.schedule.places.held()),
             coming=len(report.coming),
             busy=report.busy,
@@ -196,11 +202,20 @@
             self._counters.add("engine_orders", "not_counted")
         if foreign:
             self._counters.add("engine_orders", "other_giver_seen")
-        if not self._turns.begun or self._turns.waits(now_seconds=now_seconds):
-            # The count must be seen to stand still.
+        if self._has_to_watch(now_seconds):
             self._ask_later(REPORT_PAUSE_SECONDS)
         self._changed()
 
+    def _has_to_watch(self, now_seconds: float) -> bool:
+        # The count must be seen to stand still, and an order that is carried
+        # out to be done.
+        turns = self._turns
+        return (
+            not turns.begun
+            or turns.busy
+            or turns.waits(now_seconds=now_seconds)
+        )
+
     def _ask_later(self, delay_seconds: float) -> None:
         self._timers.once(
             delay_seconds=delay_seconds, callback=self.ask_report
@@ -253,15 +268,17 @@
             fence=given.fence,
             took_seconds=round(now_seconds - given.given_at_seconds, 3),
             places=self.schedule.places.summary(),
+            status=_status_of(answer),
             outcome=outcome,
         )
         done = outcome == dialects.OrderAnswer.DONE.value
         if done or outcome == dialects.OrderAnswer.ACCEPTED.value:
-            self._turns.accepted(now_seconds=now_seconds)
+            leaves = isinstance(order, engine_asks.Unload) and not done
+            self._turns.accepted(busy=leaves, now_seconds=now_seconds)
             self.schedule.places.ordered(
                 order, done=done, now_seconds=now_seconds
             )
-            if isinstance(order, engine_asks.Unload) and not done:
+            if leaves:
                 self._ask_later(REPORT_PAUSE_SECONDS)
         else:
             self._order_failed(outcome, now_seconds)
@@ -285,6 +302,14 @@
         return self._dialect.read_order_answer(order, answer.status).value
 
 
+def _status_of(
+    answer: whole_answer.WholeAnswer | http_client.Failure,
+) -> int | str:
+    if isinstance(answer, http_client.Failure):
+        return answer.reason
+    return answer.status
+
+
 __all__ = [
     "OwnedEngine",
 ]
