Let owners of the walk follow each other, and engines take time to restart

An instance that was to hand over before it had taken the engine up kept it for ever, so that plain hand-overs had two owners. An engine that restarts is down for up to 1.5 s.

--- a/tests/fakes/order_plans.py
+++ b/tests/fakes/order_plans.py
@@ -21,6 +21,7 @@
 SPLIT_SECONDS = (0.5, 5.0)
 PAUSE_SECONDS = (0.2, 3.5)
 BAD_SECONDS = (0.3, 3.0)
+RESTART_SECONDS = (0.0, 1.5)
 NOTICED_SECONDS = (1.0, 1.5)
 
 
@@ -53,6 +54,7 @@
         self._profile = profile
         self._instances = instances
         self._owner = 0
+        self._owned_at_seconds = 0.0
 
     def steps(self) -> list[Step]:
         """Draw the whole schedule.
@@ -98,8 +100,10 @@
     def _hand_over(self, at_seconds: float) -> Iterator[Step]:
         other = self._other()
         late_seconds = self._random.uniform(*HAND_OVER_SECONDS)
-        yield Step(at_seconds, "release", self._owner)
-        yield Step(at_seconds + late_seconds, "claim", other)
+        released_at_seconds = max(at_seconds, self._owned_at_seconds)
+        yield Step(released_at_seconds, "release", self._owner)
+        self._owned_at_seconds = released_at_seconds + late_seconds
+        yield Step(self._owned_at_seconds, "claim", other)
         self._owner = other
 
     def _split(self, at_seconds: float) -> Iterator[Step]:
@@ -127,7 +131,8 @@
         yield Step(at_seconds, "kill", self._owner)
 
     def _restart(self, at_seconds: float) -> Iterator[Step]:
-        yield Step(at_seconds, "restart")
+        seconds = self._random.uniform(*RESTART_SECONDS)
+        yield Step(at_seconds, "restart", seconds=seconds)
 
 
 def draw(
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -41,8 +41,8 @@
 class Step(NamedTuple):
     """One event of a schedule.
 
-    ``instance`` is an index; ``seconds`` how long a pause, bad network or run
-    lasts; ``adapter`` which one a request asks for.
+    ``instance`` is an index; ``seconds`` how long a pause, restart, bad network
+    or run lasts; ``adapter`` which one a request asks for.
     """
 
     at_seconds: float
@@ -378,6 +378,10 @@
         self._bad_until_seconds[step.instance] = self.now() + step.seconds
 
     def _restart(self, step: Step) -> None:
+        self.engine.down = True
+        self.later(step.seconds, self._start)
+
+    def _start(self) -> None:
         self.engine.restart()
         born = int(self.network.clock.now_seconds() * 1000)
         self.later(RECORD_SECONDS, lambda: self._renew(born))
