--- a/src/boragefold/entry/adapter_orders.py
+++ b/src/boragefold/entry/adapter_orders.py
@@ -15,8 +15,7 @@
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 
-# How long an eviction may wait for running requests before the load is tried
-# elsewhere. Longer than most answers; shorter than a caller's patience.
+# Longer than most answers, shorter than a caller's patience.
 EVICTION_SECONDS = 5.0
 
 
@@ -140,7 +139,7 @@
         self._changed()
 
     def _fail_later(self, load: loads.Load, reason: str) -> None:
-        # Not at once: the decisions may be in the middle of giving orders.
+        # Deferred: the decisions may be in the middle of giving orders.
         self._counters.add("loads_failed", reason)
         self._timers.once(
             delay_seconds=0.0, callback=lambda: self._failed(load)
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -160,9 +160,7 @@
         )
 
     def _is_unfit(self, facts: dialects.AnswerFacts) -> bool:
-        # A success without the endpoint's signature isn't its answer, and a
-        # status that promises "not run" without the endpoint's word for it
-        # would be a promise that nobody can keep.
+        # A success needs the endpoint's signature, and "not run" its word.
         if facts.status in SUCCESSES:
             return not facts.signed
         return facts.status in NOT_RUN_STATUSES
--- a/src/boragefold/entry/chat_sender.py
+++ b/src/boragefold/entry/chat_sender.py
@@ -92,8 +92,7 @@
             live.broken(NOT_HELD, may_have_run=False)
 
     def _use_over(self, live: live_chat.LiveChat, use: using.Use) -> None:
-        # The holder counts on every use to end by now; what goes on is
-        # resumed under a new one, at the next token.
+        # The holder counts on every use to end by now.
         if not use.finished and not live.finished:
             live.break_attempt("use_over")
 
--- a/src/boragefold/entry/engine_answer.py
+++ b/src/boragefold/entry/engine_answer.py
@@ -118,8 +118,7 @@
         if self._ended:
             return
         if not self._done or self._usage is None:
-            # A proxy that closes in good order makes a cut answer look like
-            # a short one. Without the terminator it isn't whole.
+            # A connection closed without the terminator cut the answer off.
             self._break("cut", may_have_run=True)
             return
         self._ended = True
--- a/src/boragefold/entry/engine_asker.py
+++ b/src/boragefold/entry/engine_asker.py
@@ -24,11 +24,9 @@
 from boragefold.state import fleet as fleets
 from boragefold.timing import timers as timing
 
-# An ask whose message was lost is repeated; the owner knows it by its id.
+# Asks are idempotent: the owner knows them by their id.
 REPEAT_ASK_SECONDS = 0.5
-# An owner answers each repetition. When it doesn't, the connection to it or
-# back may have been forgotten by something in between, and looks open for
-# ever: from this repetition on both sides use a new one.
+# A connection that looks open may be dead; both sides then reconnect.
 RECONNECT_UNANSWERED = 2
 
 
@@ -133,7 +131,7 @@
         """
         owner = self._ownership.owner(engine)
         if owner is None:
-            # Nobody schedules it: what it holds can be used all the same.
+            # Without an owner, what the engine holds can still be used.
             self._timers.once(
                 delay_seconds=0.0,
                 callback=lambda: asker.granted(engine, 0, engine_asks.Waits()),
@@ -246,7 +244,7 @@
         asked = self._answered(sender, body.request_id, body.engine)
         if asked is None:
             if body.request_id not in self._granted:
-                # The request gave up meanwhile; its place is free again.
+                # The request gave up meanwhile.
                 ended = messages.RunEnded(body.request_id, body.engine, False)
                 self._link.send(to=sender, body=ended)
             return
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -16,21 +16,17 @@
 from boragefold.state import deployment
 from boragefold.transport import http_server
 
-# Owners that a request asks one after the other, eagerly: whoever could only
-# serve it late sends it on, and it waits where the wait is least when all did.
-# What is known of engines is half a second old, so that the best looking one
-# has often taken its last place meanwhile. Each costs a round trip.
+# Owners that a request asks in turn before it waits where the wait is least;
+# each costs a round trip.
 EAGER_ASKS = 3
 # Asks in all, when owners change or queues are too long.
 MAX_ASKS = 5
-# With no engine in reach a request looks again this often: owners of engines
-# are found within a second after many instances were lost at once.
+# How often a request without an engine in reach looks again.
 LOOK_AGAIN_SECONDS = 0.1
 # Part of the time for the answer that may pass in looking.
 LOOKING_SHARE = 0.5
-# An engine that hadn't finished loading is asked once more: the adapter comes,
-# and a further engine would have to load it too. Without it, a request that
-# was a moment early is refused.
+# An engine that is about to finish loading is asked again, rather than have
+# another one load as well.
 MAX_NOT_HELD = 3
 # A request may still be at an engine for so long after its caller's deadline.
 ENDS_SLACK_SECONDS = 1.0
@@ -243,8 +239,7 @@
         )
 
     def _give_up_at_seconds(self) -> float:
-        # Callers leave when an answer has not begun by then; what would begin
-        # later is read for nobody.
+        # What begins later finds its caller gone.
         admitted = self.admitted
         patience_seconds = self.shared.dialect.first_event_seconds(
             admitted.route
--- a/src/boragefold/entry/engine_orders.py
+++ b/src/boragefold/entry/engine_orders.py
@@ -13,8 +13,7 @@
 
 STATUS_OK = 200
 OLD_FENCING = "old_fencing"
-# A load takes a quarter of a second while the store isn't crowded, and
-# proportionally longer beyond; ten seconds of silence is a lost answer.
+# After this the answer is taken for lost.
 ANSWER_SECONDS = 10.0
 
 
--- a/src/boragefold/entry/engine_views.py
+++ b/src/boragefold/entry/engine_views.py
@@ -8,8 +8,7 @@
 from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 
-# What engines hold changes more slowly than requests come. Built anew for each
-# request, the sets of many engines are a third of the choice's cost.
+# Engines' sets change more slowly than requests come.
 REMEMBERED_SETS = 256
 
 
--- a/src/boragefold/entry/event_stream.py
+++ b/src/boragefold/entry/event_stream.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-# An event of a stream holds a few tokens; one without an end in so many bytes
-# is passed on as it is rather than kept in memory.
+# A longer event is passed on unfinished rather than kept in memory.
 MAX_EVENT_BYTES = 65_536
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -15,14 +15,12 @@
 from boragefold.transport import http_client
 from boragefold.transport import http_server
 
-# An answer is given up this long before its caller does: two network ways.
+# An answer is given up this long before its caller leaves.
 MARGIN_SECONDS = 0.02
-# Where there is time, this part of it and at most so long: an instance on half
-# a core is late by more than the network, and its caller leaves a moment
-# before the answer is written.
+# With more time the margin grows, for an instance short of processor time.
 MARGIN_SHARE = 0.025
 MAX_MARGIN_SECONDS = 0.1
-# Where nothing better is known, a refused caller comes back after this.
+# Where nothing better is known.
 RETRY_AFTER_SECONDS = 0.3
 
 
@@ -263,15 +261,14 @@
             self._note_unreachable(endpoint)
         resumable = self._events is not None or not self._exchange.started
         if not may_have_run and self.left_seconds() > MARGIN_SECONDS:
-            # Nothing was sent, so no endpoint gets more than one request by
-            # it; each endpoint is tried once.
+            # Nothing was sent, so this is no retry.
             self.begin()
         elif resumable and self.may_repeat(
             endpoint, may_have_run=may_have_run
         ):
             self._begin_again()
         elif self._exchange.started:
-            # Ended in the usual way it would look whole.
+            # Closed normally it would look whole.
             self._exchange.abort()
             self._finish("broken_off", 0)
         elif may_have_run:
@@ -339,9 +336,8 @@
             target=request.http.target,
             headers=headers,
             body=request.http.body,
-            # A connection that idled may be dead without a sign. What may
-            # run only once is never given to one: its outcome would be
-            # unknown where a new connection would have shown the failure.
+            # An idle connection may be dead, which would leave the outcome of
+            # a non-idempotent request unknown.
             fresh=not self.admitted.route.repeatable,
             progress_seconds=max(self.left_seconds(), MARGIN_SECONDS) + 1.0,
             may_send=lambda: not self._over,
@@ -383,8 +379,7 @@
         self._log_end(outcome, status, retry_after_seconds)
 
     def _give_back_unused(self) -> None:
-        # A workspace pays for what ran. What was refused here would otherwise
-        # count against its rate twice, when the caller comes back.
+        # A request that didn't run isn't charged.
         workspace = self.admitted.workspace
         attempt = self._attempt
         unused = attempt is None or attempt.rejected
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -20,7 +20,7 @@
 from boragefold.state import deployment
 from boragefold.transport import http_server
 
-# Nothing is known yet; configuration arrives within a second of the start.
+# Configuration arrives within a second of the start.
 STARTING_RETRY_SECONDS = 0.5
 
 
@@ -202,7 +202,7 @@
 
 
 def _digest(key: str) -> str:
-    # Enough to compare two lines, too little to use: no key is ever logged.
+    # Keys are never logged; this is enough to compare two lines.
     return xxhash.xxh3_64_hexdigest(key.encode())[:8] if key else ""
 
 
--- a/src/boragefold/entry/gateway_faces.py
+++ b/src/boragefold/entry/gateway_faces.py
@@ -13,7 +13,7 @@
 from boragefold.transport import http_server
 from boragefold.transport import sockets
 
-# Callers' connections are looked at this often for their limits of time.
+# Connections are checked for their timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 STATUS_READY = 200
@@ -93,8 +93,7 @@
     def _answer_metrics(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
-        # Read late: most instances are never asked, and the library takes a
-        # megabyte of memory on each.
+        # Imported late: most instances are never scraped.
         from boragefold.telemetry import exposition
 
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -43,15 +43,13 @@
 from boragefold.transport import peer_link
 from boragefold.transport import sockets
 
-# Claims on engines and open asks are looked at this often, beside each change.
+# Claims on engines and open asks are refreshed this often.
 REFRESH_SECONDS = 0.1
-# Endpoints of the region answer within milliseconds. Behind a cut nothing
-# answers; a third of what the quickest requests may take is lost on it.
+# An endpoint behind a partition doesn't answer at all.
 CONNECT_SECONDS = 0.25
-# The balancer asks once a second and needs two refusals. Connections that it
-# has sent by then are still accepted.
+# The balancer needs two failed health checks.
 STOP_NOTICE_SECONDS = 2.5
-# A planned stop ends this long before the process would be killed.
+# A planned stop ends this long before the process is killed.
 STOP_MARGIN_SECONDS = 0.5
 
 
@@ -225,7 +223,7 @@
     def _apply_settings(
         self, settings: gateway_settings.GatewaySettings
     ) -> None:
-        # Addresses stay those that were bound at the start.
+        # Listening addresses can't change while the process runs.
         self.settings = settings
         self._heartbeats.add_seeds(settings.seeds)
         self._rate.tolerance = settings.rate_tolerance
@@ -248,8 +246,7 @@
         )
 
     def _store_sound(self) -> bool:
-        # Endpoints change all the time; the rest may not for seconds, and its
-        # watch says nothing meanwhile.
+        # A watch on what rarely changes is silent; that on endpoints isn't.
         away = self._lapses.settling_seconds() > 0 or any(
             follower.is_lost() for follower in self._followers
         )
@@ -289,7 +286,7 @@
         )
         before, self._logged_belief = self._logged_belief, belief
         if belief == before:
-            # Only what an engine holds has changed, as it does all the time.
+            # Only what an engine holds has changed.
             return
         self.log.write(
             "fleet_changed",
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -30,8 +30,8 @@
 from boragefold.transport import platform_client
 from boragefold.transport import sockets
 
-# A new rate holder waits for the grants of its predecessor to end, two
-# seconds, and then has one second's tokens to give.
+# A new rate holder waits for its predecessor's grants to end, and then starts
+# with an empty bucket.
 SETTLE_SECONDS = 3.0
 LEAVE_LIMIT_SECONDS = 10.0
 
@@ -128,11 +128,9 @@
         )
 
     def _serving(self) -> bool:
-        # A fresh instance may spend no tokens until its first view, and the
-        # rate holders of a fresh data centre begin with empty buckets. Asked
-        # earlier, it would refuse what is within the rate. Later a lost lease
-        # doesn't count: it hits all instances of a cut-off data centre at
-        # once, and the balancer would have none left.
+        # Before its first view an instance has no tokens and would refuse what
+        # is within the rate. A lease lost later doesn't count: the balancer
+        # would drop all instances of a partitioned data centre.
         now_seconds = self.timers.now_seconds()
         if (
             self._joined_at_seconds is None
@@ -225,8 +223,8 @@
         return served and self._has_left()
 
     def _has_left(self) -> bool:
-        # Where no steward can lead, the view never lets us go. Every right
-        # of ours ends by itself in less time than this.
+        # Without a steward the view never lets us go; our leases have ended by
+        # then.
         waited_seconds = self.timers.now_seconds() - self._left_at_seconds
         left = self.together.views.has_left
         return left or waited_seconds > LEAVE_LIMIT_SECONDS
--- a/src/boragefold/entry/live_chat.py
+++ b/src/boragefold/entry/live_chat.py
@@ -15,8 +15,7 @@
 
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
-# Engines send a token each 28 ms, or nothing while they read a long prompt.
-# Silence for this long is a dead connection, not a slow engine.
+# Longer than an engine takes to read a long prompt.
 PROGRESS_SECONDS = 10.0
 EVENT_STREAM = ("Content-Type", "text/event-stream")
 
@@ -140,8 +139,8 @@
         self.finished = True
         self._cancel_attempt()
         if self._exchange.started:
-            # Part of the answer is with the caller already. The error event
-            # and the missing terminator both show that it isn't whole.
+            # The error event and the missing terminator show that it isn't
+            # whole.
             self._exchange.send(
                 b"data: " + answers.error_body(refusal, {}) + b"\n\n"
             )
--- a/src/boragefold/entry/load_reports.py
+++ b/src/boragefold/entry/load_reports.py
@@ -18,16 +18,14 @@
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 
-# A report is of use for about a second; asking more often costs more than a
-# better choice saves.
+# A report is of use for about a second.
 PERIOD_SECONDS = 0.5
-# However many endpoints there are, an instance asks no more often, so that its
-# processor time doesn't grow with them.
+# Bounds the processor time, however many endpoints there are.
 MAX_ASKS_PER_SECOND = 20.0
-# An endpoint that doesn't say how loaded it is for so long is slow at least.
+# An endpoint without a report for so long is taken to be slow.
 SILENCE_SECONDS = 1.0
 STATUS_OK = 200
-# Round trips to be expected, until a published figure says otherwise.
+# Expected round trips until one is published.
 NEAR_SECONDS = 0.0005
 SAME_REGION_SECONDS = 0.003
 FAR_SECONDS = 0.08
@@ -232,8 +230,8 @@
                 incarnation=report.incarnation,
                 running=report.running,
                 waiting=report.waiting,
-                # It was measured after we asked; counting what we sent since
-                # then twice is safer than not at all.
+                # It was measured after we asked; counting our requests twice
+                # is the safe side.
                 measured_at_seconds=asked_at_seconds,
                 resident=tuple(running),
             )
--- a/src/boragefold/entry/reloading.py
+++ b/src/boragefold/entry/reloading.py
@@ -12,8 +12,7 @@
 from boragefold.telemetry import decision_log
 from boragefold.timing import timers as timing
 
-# The file may change without a signal; it is some hundred bytes, and read in
-# less than a millisecond.
+# The file may change without a signal.
 CHECK_SECONDS = 2.0
 
 
@@ -51,7 +50,7 @@
 
     def start(self) -> None:
         """Begin to look; from now on the signal doesn't end the process."""
-        # Python's own handling of this signal ends the process.
+        # Python's default for this signal ends the process.
         signal.signal(signal.SIGHUP, self._hang_up)
         self._timers.every(period_seconds=CHECK_SECONDS, callback=self.check)
 
--- a/src/boragefold/entry/router.py
+++ b/src/boragefold/entry/router.py
@@ -94,8 +94,7 @@
     def _key_in_request(
         self, request: http_server.Request
     ) -> outcomes.NotRun | None:
-        # The body and the query go to an endpoint. A caller that repeats its
-        # key there would show it to whoever runs the endpoint.
+        # A key in the body or query would reach whoever runs the endpoint.
         authorization = request.headers.get("authorization", "")
         key = authorization.partition(" ")[2].strip()
         if not key:
--- a/src/boragefold/entry/stopping.py
+++ b/src/boragefold/entry/stopping.py
@@ -86,8 +86,7 @@
             logging.info("stopping: finished")
             self._stop_loop()
         elif self._is_over_limit():
-            # A caller that takes nothing any more keeps its connection open.
-            # Whoever asked us to stop ends the process soon in any case.
+            # A caller that reads nothing keeps its connection open.
             logging.warning("stopping: the time for it is over")
             self._stop_loop()
 
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -14,24 +14,19 @@
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 
-# A watch that finds nothing is answered after this. It also bounds how long a
-# connection that was silently forgotten in between goes unnoticed.
+# Long poll; also bounds how long a dead connection goes unnoticed.
 WAIT_SECONDS = 2.0
-# An answer that is later than this after its wait isn't coming.
+# Silence after the end of a long poll.
 SILENCE_SECONDS = 0.7
-# Changes that come in quick succession are read together: each read is paid
-# for, and what is published must be in force within two seconds.
+# Changes that come in quick succession share one read.
 READ_PAUSE_SECONDS = 0.7
-# A store that is down or turns us away is asked again after this, doubled up
-# to the second figure. It comes back within seconds, and its return counts.
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.0
-# Whoever doesn't read looks this often whether it is needed again.
+# How often an instance that doesn't read checks whether it must.
 REST_SECONDS = 0.3
-# Endpoints renew their entries all the time, so that a watch is answered at
-# least so often.
+# Endpoints renew their entries at least this often.
 SOUND_SECONDS = 1.0
-# An answer this old says that the store can't be relied on just now.
+# An answer this old no longer proves that the store works.
 STALE_SECONDS = 3.0
 
 
@@ -208,8 +203,7 @@
         self._succeeded()
         self._listed.extend(page.items)
         if self._listed_revision is None:
-            # Pages are not a snapshot. What changes while they are read is
-            # read again by the watch, which begins at the first page.
+            # Pages are not a snapshot: the watch begins at the first page.
             self._listed_revision = page.revision
         if page.more:
             self._list(page.last_key)
@@ -224,7 +218,7 @@
     def _watch(self) -> None:
         self._resting = not self._wanted()
         if self._resting:
-            # Enough others of the data centre read, and tell us.
+            # Enough others of the data centre read.
             self._timers.once(delay_seconds=REST_SECONDS, callback=self._watch)
             return
         call = self._dialect.watch_call(
@@ -283,8 +277,7 @@
                 reason=reason,
                 revision=self._revision,
             )
-        # Many instances that lost the store together must not come back in
-        # the same instant.
+        # Jitter: instances that lost the store together don't return together.
         delay_seconds = self._retry_seconds * (0.5 + self._rng.random())
         self._retry_seconds = min(2 * self._retry_seconds, MAX_RETRY_SECONDS)
         self._timers.once(delay_seconds=delay_seconds, callback=again)
--- a/src/boragefold/entry/traffic.py
+++ b/src/boragefold/entry/traffic.py
@@ -174,8 +174,7 @@
         self.orders.uses.subscribe(self._gate.lease_came)
 
     def _changed(self, change: trees.Change) -> None:
-        # A catalogue of adapters is some hundred paths, and going through
-        # every endpoint for each would make a start slow.
+        # Spares a look at every endpoint for each path of a catalogue.
         parsed = paths.parse(change.path)
         if parsed is not None and parsed.kind in ENDPOINT_KINDS:
             self._refresh()
--- a/src/boragefold/entry/use_gate.py
+++ b/src/boragefold/entry/use_gate.py
@@ -10,7 +10,7 @@
 from boragefold.protocol import order_messages
 from boragefold.timing import timers as timing
 
-# A new holder gives no leases for 2.1 s; with its first report this is three.
+# Until a new holder gives leases.
 WAIT_SECONDS = 3.0
 CHECK_SECONDS = 0.25
 # Reasons that pass by themselves; any other sends the chat elsewhere.
@@ -91,8 +91,7 @@
             return
         use = self._uses().begin(waiting.target)
         if isinstance(use, using.Use):
-            # A lease that was asked for inside begin() may have let this one
-            # through already.
+            # begin() may have let it through already.
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
                 waiting.granted(use)
--- a/src/boragefold/protocol/envelope.py
+++ b/src/boragefold/protocol/envelope.py
@@ -12,15 +12,13 @@
 
 from boragefold.protocol import ids
 
-# What a hub tells of 86 instances is 25 KB of names that repeat, and a seventh
-# of that when compressed; what is shorter than this gains nothing.
+# Shorter messages gain nothing from compression.
 COMPRESSED_FROM_BYTES = 1_500
-# The fastest level: the others save a tenth more for twice the time.
+# The fastest; higher levels save little more.
 COMPRESSION_LEVEL = 1
-# A compressed message is marked by its first byte, which no array of three
-# begins with.
+# Marks a compressed message; no other message begins with it.
 COMPRESSED_MARK = b"\x00"
-# No message of ours is longer; a peer that sends more is broken.
+# Longer messages come from a broken peer.
 MAX_BYTES = 16_777_216
 
 
--- a/src/boragefold/protocol/ids.py
+++ b/src/boragefold/protocol/ids.py
@@ -5,8 +5,7 @@
 from typing import NamedTuple
 import uuid
 
-# Each message between instances carries them; the rest of a UUID would be a
-# fifth of a heartbeat.
+# Every message between instances carries them.
 INCARNATION_DIGITS = 16
 
 
--- a/src/boragefold/telemetry/decision_log.py
+++ b/src/boragefold/telemetry/decision_log.py
@@ -11,11 +11,9 @@
 
 from boragefold.telemetry import counters as telemetry
 
-# Lines of ordinary successes beyond this many a second are left out; failures,
-# refusals and changes of belief are always written. At 30 requests a second
-# an instance writes all of its lines.
+# Only lines of ordinary successes are limited.
 ORDINARY_PER_SECOND = 60.0
-# A reader that has stopped costs lines, not memory: about 1,000 lines.
+# A stopped reader costs lines, not memory.
 MAX_UNWRITTEN_BYTES = 262_144
 
 
@@ -94,8 +92,7 @@
             try:
                 written = os.write(self._descriptor, self._unwritten)
             except OSError:
-                # Nobody reads, or nobody ever will: the buffer is bounded,
-                # and what doesn't fit is counted.
+                # The buffer is bounded; what doesn't fit is counted.
                 return
             del self._unwritten[:written]
 
--- a/src/boragefold/telemetry/stories.py
+++ b/src/boragefold/telemetry/stories.py
@@ -6,7 +6,7 @@
 from typing import Any
 from typing import NamedTuple
 
-# About 400 bytes each: under 1 MB in all.
+# Bounds the memory.
 MAX_STORIES = 2_000
 MAX_EVENTS = 20
 
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -114,8 +114,7 @@
     def on_message_begin(self) -> None:
         """Refuse a second answer to one call; called by the parser."""
         if self.complete:
-            # Bytes behind the end belong to no call of ours. Passing them on
-            # would give one caller the answer of another.
+            # Passed on, these bytes would be another caller's answer.
             raise ValueError("a second answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -134,8 +133,7 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on; called by the parser."""
-        # A late second answer to an earlier call may come first. It belongs
-        # to nobody: passed on, one caller would get the answer of another.
+        # A late second answer to an earlier call would reach another caller.
         self._skipping = not self._accepts(self._headers)
         status = self._parser.get_status_code()
         self._until_close = (
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -11,7 +11,7 @@
 from boragefold.transport import answer_parser
 from boragefold.transport import streams
 
-# Requests that usually have no body carry no length either.
+# These usually have no body and then carry no length either.
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
@@ -111,8 +111,7 @@
             return
         parsed = self._parser.feed(data)
         if self._parser.complete and self.pending is not None:
-            # Bytes behind the end of a whole answer belong to no call. The
-            # answer counts; the connection isn't used again.
+            # The answer is whole, but the connection isn't reused.
             self._end(self.pending, self._parser, clean=parsed)
         elif not parsed:
             self.stream.abort("malformed_answer")
@@ -171,8 +170,8 @@
             self.stream.close()
             return
         if not self.pending.call.may_send():
-            # The process slept, or connecting took long: the right to send
-            # has ended meanwhile and may be another's.
+            # The right to send ended while connecting, or while the process
+            # slept.
             self._client.fail_later(self, "right_ended")
             return
         self.sent_any = True
@@ -191,8 +190,7 @@
         self.pending = None
         self._parser = None
         pending.connection = None
-        # An endpoint may answer before it has read a long body. What is still
-        # unsent would be taken for the next request on this connection.
+        # The unsent rest of the body would be taken for the next request.
         all_sent = self.stream.unsent_bytes == 0
         if clean and parser.keeps_open and all_sent:
             self.used_before = True
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -11,8 +11,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 SWEEP_SECONDS = 0.1
-# An idle connection that a device in between has forgotten looks open. The
-# longer it idled the likelier that is, so old ones are not used again.
+# The longer a connection idled, the likelier it is dead without a sign.
 MAX_IDLE_SECONDS = 15.0
 MAX_IDLE_PER_ADDRESS = 32
 
@@ -85,10 +84,8 @@
         :param failure: what went wrong
         :param stale: whether a reused connection died before any answer
         """
-        # A connection that idled may be dead without a sign: the write goes
-        # through and nothing comes back. That says nothing about the
-        # endpoint, so it is tried again on a new connection, once. Calls
-        # that may not run twice never use an idle connection.
+        # An idle connection may be dead without a sign, which says nothing of
+        # the endpoint: it is tried once more on a new one.
         if stale:
             self._dispatch(pending, fresh=True)
         else:
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -170,9 +170,7 @@
         self._head = None
         self._moved_at_seconds = self._now_seconds()
         if self._parser.our_state is h11.MUST_CLOSE or self._last_answer():
-            # The head of a long answer may have gone out before it was known
-            # to be the last. A request that is taken behind it, shortly before
-            # the process ends, would be given up with no answer.
+            # This answer is the last: a request behind it would get none.
             self.stream.close()
             return
         if self._parser.their_state is h11.DONE:
@@ -202,8 +200,7 @@
             if not self._take(event):
                 return
         if self._exchange is not None and self._parser.trailing_data[0]:
-            # A pipelined request waits in the parser. Reading on would let a
-            # caller that never reads its answers grow that buffer for good.
+            # Bounds the buffer of a caller that pipelines and never reads.
             self.stream.pause_reading()
 
     def _take(self, event: object) -> bool:
@@ -223,9 +220,7 @@
     def _take_head(self, head: h11.Request) -> bool:
         names = {name for name, _ in head.headers}
         if {b"content-length", b"transfer-encoding"} <= names:
-            # Two framings: a proxy in front may follow the other one, and a
-            # second request hidden in the body would be answered to someone
-            # else. The parser alone would accept it.
+            # Request smuggling: a proxy in front may follow the other framing.
             self._refuse("conflicting_framing", STATUS_BAD_REQUEST)
             return False
         self._head = head
--- a/src/boragefold/transport/loop.py
+++ b/src/boragefold/transport/loop.py
@@ -27,9 +27,7 @@
         self._timers.run_due()
         due_seconds = self._timers.next_due_seconds()
         if len(self.root):
-            # A callback fired an event; it must not wait for the poller. With
-            # nothing fired, looking at once would only be a second wake-up
-            # for each.
+            # A fired event must not wait for the poller.
             event.reduce_time_left(0)
         elif due_seconds is not None:
             wait_seconds = due_seconds - self._timers.now_seconds()
--- a/src/boragefold/transport/peer_link.py
+++ b/src/boragefold/transport/peer_link.py
@@ -18,20 +18,17 @@
 from boragefold.timing import timers as timing
 from boragefold.transport import peer_keys
 
-# A peer that takes nothing for this many messages is as good as silent; more
-# would only arrive too late to matter.
+# A peer this far behind is as good as silent.
 SEND_QUEUE_MESSAGES = 1_000
-# ZeroMQ's own heartbeats find connections that a device in between forgot.
-# Where each instance speaks to dozens of others they are two packets a second
-# on each of thousands of connections. There whoever waits for an answer that
-# doesn't come reconnects instead.
+# Finds connections that a middlebox has forgotten. Large fleets do without and
+# reconnect when an answer doesn't come.
 HEARTBEAT_MILLISECONDS = 1_000
 HEARTBEAT_TIMEOUT_MILLISECONDS = 3_000
-# A connection whose other end has vanished is closed by the kernel.
+# The kernel closes a connection whose other end has vanished.
 KEEPALIVE_IDLE_SECONDS = 10
 RECONNECT_MILLISECONDS = 100
 RECONNECT_MAX_MILLISECONDS = 1_000
-# A socket to an address that we stopped talking to is closed.
+# Sockets to addresses that are no longer used are closed.
 IDLE_SECONDS = 60.0
 MAX_MESSAGE_BYTES = 2_097_152
 
@@ -164,7 +161,7 @@
             route.socket.close(linger=0)
         self._routes.clear()
         for descriptor in self._descriptors:
-            # The poller would report a closed socket once more.
+            # The poller would report the closed socket once more.
             self._poller.discard(descriptor)
         self._inbox.close(linger=0)
         if self._gate is not None:
@@ -176,8 +173,7 @@
             return
         if self._gate is not None:
             self._gate.answer()
-        # The descriptor of a ZeroMQ socket is edge-triggered: unless all is
-        # read now, the loop sleeps on messages that are already here.
+        # A ZeroMQ descriptor is edge-triggered: all must be read now.
         while True:
             try:
                 frames = self._inbox.recv_multipart(zmq.NOBLOCK)
@@ -191,8 +187,7 @@
             return
         incarnation, data = frames
         if incarnation not in (b"", self._self_id.incarnation.encode()):
-            # It was meant for a process that ran at this address before us,
-            # and speaks of rights and records that we don't have.
+            # It was meant for an earlier incarnation at this address.
             self._counters.add("peer_messages_refused", "incarnation")
             return
         received = self._codec.decode(data)
--- a/src/boragefold/transport/platform_client.py
+++ b/src/boragefold/transport/platform_client.py
@@ -10,7 +10,7 @@
 from boragefold.transport import whole_answer
 
 STATUS_OK = 200
-# What the service may need on top of the wait that was asked for.
+# What the service may need beyond the wait of a long poll.
 GRACE_SECONDS = 5.0
 MAX_TREE_BYTES = 268_435_456
 
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -164,7 +164,7 @@
             return streams.Stream(
                 owner=self, sock=sock, handler=handler, connecting=False
             )
-        # Loaded here, so that an instance without TLS does without its memory.
+        # Imported here to spare instances without TLS its memory.
         from boragefold.transport import tls_streams
 
         wrapped = tls.wrap_socket(
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 READ_BYTES = 65536
-# A caller that reads more slowly than its answer arrives fills this much;
-# then reading from the endpoint pauses until half has drained.
+# Backpressure: above this, reading from the endpoint pauses until half has
+# drained.
 HIGH_WATER_BYTES = 262_144
 
 
@@ -174,8 +174,8 @@
         except (*self.wants_read, *self.wants_write):
             return 0
         except OSError:
-            # Whoever writes may be in the middle of something; it learns of
-            # the loss from the loop, never inside its own call.
+            # The writer may be in the middle of something, so it is told
+            # later.
             self._owner.fail_later(self, "reset")
             return 0
 
--- a/src/boragefold/transport/tls_streams.py
+++ b/src/boragefold/transport/tls_streams.py
@@ -18,8 +18,7 @@
     wants_write = (ssl.SSLWantWriteError,)
 
     def _decrypted_bytes(self) -> int:
-        # Bytes that TLS has decrypted never make the descriptor readable
-        # again; without this the end of an answer could sit there for good.
+        # Bytes that TLS has decrypted don't make the descriptor readable.
         assert isinstance(self.sock, ssl.SSLSocket)
         return self.sock.pending()
 
