--- a/src/boragefold/bench/bounds.py
+++ b/src/boragefold/bench/bounds.py
@@ -14,10 +14,9 @@
 from boragefold.bench import runs
 
 FILE = "bounds.json"
-# A bound leaves a measure this much air, so that a change that doesn't matter
-# doesn't have to touch it.
+# Small changes of a measure don't touch its bound.
 AIR = 1.25
-# Below this many seconds of stalls a ratio says nothing.
+# Below this a ratio of stalls says nothing.
 LEAST_STALL_SECONDS = 5.0
 
 
--- a/src/boragefold/bench/capacity.py
+++ b/src/boragefold/bench/capacity.py
@@ -24,7 +24,7 @@
 DATA_CENTRES = 29
 ADAPTERS = 18_000
 REQUESTS_PER_SECOND = 29_000
-# Assumed: one request in a hundred is a payout, an order or a filing.
+# An assumption about payouts, orders and filings.
 ONCE_SHARE = 0.01
 ACTIVE_WORKSPACES = 100
 BUDGET_CORE = 0.037
--- a/src/boragefold/bench/capacity_rates.py
+++ b/src/boragefold/bench/capacity_rates.py
@@ -19,14 +19,11 @@
 from boragefold.policy import stock
 from boragefold.telemetry import counters as counting
 
-# What one instance serves at the size to design for: 29,000 requests a second
-# before 890 instances.
 REQUESTS_PER_SECOND = 29_000 / 890
 LOAD = 0.7
 MEAN_USED_TOKENS = 186.7
 BURST_SECONDS = 3.0
-# Eight of the largest requests; a smaller part of it in each data centre
-# would make every request a loan.
+# A smaller part in each data centre would make every request a loan.
 LEAST_BURST_TOKENS = 4000.0
 WARM_UP_SECONDS = 6.0
 MEASURED_SECONDS = 20.0
--- a/src/boragefold/bench/capacity_views.py
+++ b/src/boragefold/bench/capacity_views.py
@@ -22,7 +22,7 @@
 from boragefold.timing import timers
 
 DELAY_SECONDS = 0.001
-# The views of 29 data centres have reached everyone by then.
+# The views have reached everyone by then.
 WARM_SECONDS = 60.0
 LIST_PERIOD_SECONDS = 1.0
 EPOCH_START_MS = 1_800_000_000_000
--- a/src/boragefold/bench/decision_cost.py
+++ b/src/boragefold/bench/decision_cost.py
@@ -20,8 +20,7 @@
 from boragefold.policy import work as works
 from boragefold.telemetry import counters
 
-# One data centre's part of the plan: 890 entry nodes, 12,000 replicas and
-# 18,000 adapters over 29 data centres; the catalogue is the same in all.
+# One data centre's part of the size to design for.
 INSTANCES = 31
 REPLICAS = 414
 ADAPTERS = 18_000
@@ -29,12 +28,10 @@
 BATCH_SIZE = 16
 WORKSPACES = 100
 REQUESTS_PER_SECOND = 1_000
-# The best of some blocks, in processor time: what a busy machine adds to the
-# others isn't ours.
+# The best block counts: the others include a busy machine's noise.
 BLOCKS = 8
 BLOCK_REQUESTS = 500
 COUNTED_REQUESTS = 1_000
-# Requests in flight per instance: 1,000 a second over 31 instances, 4 s each.
 IN_FLIGHT = 130
 POPULARITY_EXPONENT = 1.6
 # The sum of rank to the minus 1.6 over all ranks.
--- a/src/boragefold/bench/deployments.py
+++ b/src/boragefold/bench/deployments.py
@@ -8,9 +8,7 @@
 MODEL = "base"
 DESK_MODEL = "desk"
 
-# An engine alone gives one request 60 tokens/s; a full batch of 16 gives each
-# about 33, or 530 together. The shapes, not the figures, matter: every bound
-# is a ratio between systems on the same engine.
+# Only the shapes matter: each bound is a ratio on the same engine.
 SINGLE_TOKENS_PER_SECOND = 60.0
 SLOWDOWN_PER_REQUEST = 0.045
 SLOWDOWN_PER_ADAPTER = 0.01
@@ -20,9 +18,7 @@
 MEAN_PROMPT_TOKENS = 500
 MEAN_ANSWER_TOKENS = 220
 TYPICAL_ADAPTERS_IN_BATCH = 8
-# Rates that engines can honour: together 85% of what full batches serve, and
-# a burst that drains, next to everyone's usual traffic, within the shortest
-# patience below.
+# Rates that engines can honour, and a burst that drains in time.
 SOLD_PART = 0.85
 BURST_SECONDS = 12.0
 
--- a/src/boragefold/bench/rates.py
+++ b/src/boragefold/bench/rates.py
@@ -27,7 +27,7 @@
 WORKSPACE = "quadro/drafts"
 LIMIT = limits.Limit(3000.0, 9000.0)
 DATA_CENTRES = ("north", "south", "west")
-# Buckets of fresh holders are empty; measuring begins once they are full.
+# Buckets of fresh holders fill up first.
 WARM_UP_SECONDS = 10.0
 MEASURED_SECONDS = 60.0
 FAULT_PERIOD_SECONDS = 10.0
--- a/src/boragefold/bench/scenarios.py
+++ b/src/boragefold/bench/scenarios.py
@@ -11,7 +11,7 @@
 
 WARM_UP_SECONDS = 40.0
 END_SECONDS = 120.0
-# Faults and changes begin here, so that both sides of them are measured.
+# Both sides of a change are covered.
 CHANGE_SECONDS = 60.0
 RECOVERY_SECONDS = 90.0
 
--- a/src/boragefold/bench/traffic.py
+++ b/src/boragefold/bench/traffic.py
@@ -12,8 +12,6 @@
 from boragefold.bench import deployments
 from boragefold.policy import work as works
 
-# The first 24 of 3,000 adapters then get 89 of 100 requests, the first 240
-# about 97.
 POPULARITY_EXPONENT = 1.6
 MAX_ANSWER_TOKENS = 1024
 VERSION = "1"
--- a/src/boragefold/cli/check.py
+++ b/src/boragefold/cli/check.py
@@ -19,8 +19,7 @@
 
 URL_TIMEOUT_SECONDS = 30.0
 EXIT_REJECTED = 1
-# A value is validated in one go, on the thread that passes tokens on. One of
-# this size takes some 5 ms; one of a megabyte holds every stream up.
+# A value is validated at once and blocks the streams of tokens.
 LARGE_BYTES = 64 * 1024
 
 
--- a/src/boragefold/demo/fleet.py
+++ b/src/boragefold/demo/fleet.py
@@ -29,7 +29,7 @@
 TOKEN_SECONDS = 0.01
 SERVICE_SECONDS = 0.02
 HOST = "127.0.0.1"
-# The hot caller of the demonstration sends about 180 tokens a second.
+# Below what the hot caller sends.
 RATE_TOKENS_PER_SECOND = 120.0
 BURST_TOKENS = 600.0
 PAYOUTS = "/payouts"
--- a/src/boragefold/policy/admission.py
+++ b/src/boragefold/policy/admission.py
@@ -16,14 +16,11 @@
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
-# A grant from inside the data centre takes milliseconds, one lent from
-# another some hundred; a second covers both and is short beside the tens of
-# seconds that callers wait for an answer.
+# Covers a grant that is lent by another data centre.
 MAX_WAIT_SECONDS = 1.0
-# The wait for tokens may use up a quarter of the caller's patience; the rest
-# is for the queue and the endpoint.
+# The rest is for the queue and the endpoint.
 PATIENCE_SHARE = 0.25
-# A refused caller that comes back at once would be refused again.
+# A caller that is back earlier would be refused again.
 MIN_RETRY_AFTER_SECONDS = 0.1
 
 
@@ -135,8 +132,7 @@
     def _join(
         self, line: rate_line.Line, work: works.Work, now_seconds: float
     ) -> Waiting | refusal.Refused:
-        # Whoever comes while others wait must not ask the stock first: small
-        # requests would take the tokens that a large one waits for.
+        # Small requests would take the tokens that a large one waits for.
         tokens = works.tokens_of(work)
         wait_seconds = line.wait_seconds(tokens, now_seconds=now_seconds)
         if wait_seconds <= _bound_seconds(work, now_seconds):
@@ -177,8 +173,7 @@
             return Decided(entry.work, self._too_large())
         line.asked(now_seconds=now_seconds, ready_in_seconds=ready_in_seconds)
         if now_seconds + ready_in_seconds > entry.until_seconds:
-            # It can't be served in time any more; holding it until its limit
-            # would only keep its caller from coming back.
+            # It can't be served in time any more.
             return self._refuse(entry, ready_in_seconds)
         return None
 
@@ -235,8 +230,7 @@
         return self._over_rate(wait_seconds)
 
     def _no_holder(self, wait_seconds: float) -> refusal.Refused:
-        # A caller inside its rate that is told it exceeded it would slow
-        # down for nothing, and its operators would look in the wrong place.
+        # This caller is inside its rate, and must not be told otherwise.
         self._counters.add("requests_refused", "no_rate_holder")
         return refusal.Refused(
             status=refusal.UNAVAILABLE,
--- a/src/boragefold/policy/arrival_rates.py
+++ b/src/boragefold/policy/arrival_rates.py
@@ -12,11 +12,8 @@
 
 from boragefold.policy import work as works
 
-# The rate forgets with this time constant: ten seconds of a new popularity
-# show clearly, a minute of silence leaves little.
 MEMORY_SECONDS = 20.0
-# Below this expected number of recent arrivals an adapter is forgotten; it is
-# reached five minutes after the last of many, a minute after a single one.
+# Below this expected number of recent arrivals an adapter is forgotten.
 FORGOTTEN_ARRIVALS = 0.05
 SWEEP_SECONDS = 10.0
 # The weight of the latest gap between two uses.
--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -18,9 +18,7 @@
 from boragefold.policy import sending as sending_module
 from boragefold.telemetry import counters as telemetry
 
-# Each refusal for want of the adapter takes one endpoint out of the view, so
-# that a request comes to rest by itself; beyond so many the views of the
-# fleet don't agree, and the caller is told.
+# Beyond so many the views of the fleet don't agree.
 MAX_NOT_HELD = 32
 NOT_HELD_RETRY_AFTER_SECONDS = 2.0
 
@@ -156,9 +154,8 @@
         endpoint: str,
         now_seconds: float,
     ) -> None:
-        # The only holder of an adapter may fail its requests again and again,
-        # each within milliseconds, until no retry is left and the caller is
-        # cut off. Taken for no holder, it makes placement load another one.
+        # The only holder may fail its requests again and again; counted as no
+        # holder, it makes placement load another.
         if endpoint in self._requests.excluded.get(
             request.work.request_id, frozenset()
         ):
@@ -173,8 +170,7 @@
         now_seconds: float,
     ) -> None:
         if request.answered:
-            # Its caller has been reading since, not waiting; counted from the
-            # arrival, a long answer could never be resumed.
+            # Counted from the arrival, a long answer could never be resumed.
             work = request.work
             patience = work.give_up_at_seconds - work.arrived_at_seconds
             request.work = work._replace(
--- a/src/boragefold/policy/backoff.py
+++ b/src/boragefold/policy/backoff.py
@@ -14,10 +14,9 @@
 
 Key = TypeVar("Key")
 
-# Twice a load of a quarter of a second, so a single failure costs little.
+# A single failure costs little.
 FIRST_SECONDS = 0.5
-# A damaged adapter is tried once a minute: seldom enough to cost nothing,
-# often enough that its repair is noticed.
+# Often enough to notice that a damaged adapter was repaired.
 MAX_SECONDS = 60.0
 # Attempts that failed together must not come back together.
 JITTER = 0.5
--- a/src/boragefold/policy/choice.py
+++ b/src/boragefold/policy/choice.py
@@ -19,25 +19,19 @@
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
-# Up to this fill of its batch an endpoint is preferred for what it already
-# serves: generating for half a batch costs little more than for one request.
+# Half a batch costs little more than one request.
 CONCENTRATE_FILL = 0.5
-# From there on requests are passed on, with a chance that reaches one at this
-# fill. A sharp limit would be crossed by every instance at the same moment,
-# because all see the same late report.
+# With a chance that reaches one at this fill: at a sharp limit all instances
+# would move on together.
 SPREAD_FILL = 1.0
-# Holders tried in their common order; hardly an adapter needs more copies.
 ORDERED_HOLDERS = 8
-# Two choices remove most of the imbalance of one; two more make up for those
-# that turn out full or slow.
+# Two choices remove most imbalance; two more replace full or slow ones.
 RANDOM_CHOICES = 4
-# If those are all full, this many neighbours are looked through for room;
-# the bound keeps the decision's time from growing with the fleet.
+# Bounds the time of a decision.
 SCANNED_HOLDERS = 32
-# Assumed where nothing was measured yet: the first token within 0.4 s.
+# Assumed before the first answer.
 DEFAULT_LATENCY_SECONDS = 0.4
-# A farther data centre must be better by more than its distance: its reports
-# are later, and its own callers need it.
+# A farther data centre's reports are older.
 FAR_MARGIN_SECONDS = 0.05
 
 
@@ -140,8 +134,8 @@
         work: works.Work,
         excluded: frozenset[str],
     ) -> fleet.EndpointState | None:
-        # Every instance tries the same holders in the same order, so they
-        # fill one batch together instead of starting one each.
+        # In the same order everywhere, so that instances fill one batch
+        # together.
         cached = self._cached(near, work)
         if cached is not None and self._accepts(cached, excluded):
             self._counters.add("requests_chosen", "prefix")
@@ -174,9 +168,7 @@
     ) -> bool:
         if state.spec.name in excluded:
             return False
-        # The others see the same report and the same order of holders, and
-        # send as much as we do; without them the first holder would get many
-        # times its batch before the next report shows it.
+        # The other instances see the same report and send as much as we do.
         unseen = (self._instances() - 1) * state.sent_since
         fill = state.fill() + unseen / max(state.spec.batch_size, 1)
         over = fill - CONCENTRATE_FILL
@@ -203,8 +195,7 @@
                 ),
                 None,
             )
-        # A slow endpoint comes up as often as its weight says, and alone
-        # only where nothing else is left.
+        # A slow endpoint comes up as often as its weight says.
         healthy = [
             state for state in usable if self._rng.random() < state.weight
         ]
--- a/src/boragefold/policy/digest.py
+++ b/src/boragefold/policy/digest.py
@@ -15,7 +15,6 @@
 from boragefold.policy import demand as demands
 from boragefold.policy import work as works
 
-# Digests come several times a second; after this a peer's is not believed.
 STALE_SECONDS = 1.0
 
 
--- a/src/boragefold/policy/drain_rate.py
+++ b/src/boragefold/policy/drain_rate.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-# Measured over about this time. Engines that were filled at once become free
-# at once, seconds apart: a shorter time would measure one of these waves.
+# Longer than the waves in which engines that were filled together empty.
 MEMORY_SECONDS = 5.0
-# Fewer services tell nothing; a wrong speed would refuse who could be served.
+# A wrong speed would refuse who could be served.
 MIN_SERVICES = 4
 
 
--- a/src/boragefold/policy/endpoint_state.py
+++ b/src/boragefold/policy/endpoint_state.py
@@ -16,25 +16,19 @@
 from boragefold.policy import endpoint_spec
 from boragefold.policy import work as works
 
-# A tenth of the weight per answer: single long answers don't matter, ten
-# slow ones in a row do. Where answers are rarer than one a second, each counts
-# for the time since the last: an instance that sends there once in six seconds
-# would need a minute to notice otherwise.
+# Single slow answers don't matter, ten in a row do. Rare answers count for the
+# time since the last.
 LATENCY_SMOOTHING = 0.1
 LATENCY_MEMORY_SECONDS = 10.0
-# Prompt tokens that cost as much as the fixed part of a first token; latencies
-# of long and short prompts are compared after dividing by tokens plus this.
+# The fixed part of a first token, in prompt tokens.
 FIXED_COST_TOKENS = 256
-# Reports come about once a second; after five lost in a row the last one says
-# nothing, and an endpoint must not be held full by it for good.
+# An endpoint must not be held full by an old report.
 REPORT_STALE_SECONDS = 5.0
-# Reports miss what other instances have sent since; a tenth more than a batch
-# may be sent, so that a batch that just lost a request is filled up again.
+# Reports lag, so a batch may be overfilled a little to keep it full.
 ROOM_FILL = 1.1
-# Below this weight an endpoint is slow: requests look farther for another
-# one, and its adapters are copied away from it.
+# A slower endpoint's adapters are copied away.
 POOR_WEIGHT = 0.5
-# How many former incarnations a late report is recognised by.
+# Late reports of former incarnations are recognised.
 FORMER_INCARNATIONS = 4
 
 
@@ -227,8 +221,7 @@
         self.duration_seconds += LATENCY_SMOOTHING * (
             elapsed_seconds - self.duration_seconds
         )
-        # The next report may have been measured before this moment, so the
-        # request stays on the list until a later report.
+        # The next report may have been measured before this moment.
         self.ended.append(
             endpoint_requests.Ended(sent.sent_at_seconds, now_seconds)
         )
--- a/src/boragefold/policy/endpoints.py
+++ b/src/boragefold/policy/endpoints.py
@@ -23,9 +23,8 @@
 LoadReport = endpoint_spec.LoadReport
 
 
-# An eviction is over, one way or the other, within half of this. An adapter
-# that is listed still was kept; blocked for good here and held in everyone
-# else's view, it would be neither used nor loaded anew.
+# An eviction is over by then. An adapter that is still listed was kept, and
+# can be used again.
 BLOCKED_SECONDS = 10.0
 
 
@@ -217,8 +216,7 @@
             self._delist(state, adapter)
 
     def _restart(self, state: EndpointState, incarnation: str) -> None:
-        # An engine that restarted holds nothing. Seen as a holder it would
-        # be sent requests that it answers with the bare model or an error.
+        # An engine that restarted holds nothing.
         self._unindex(state)
         state.restart(incarnation)
         self._index(state)
@@ -226,7 +224,7 @@
     def _reconcile(self, state: EndpointState, report: LoadReport) -> None:
         listed = frozenset(report.resident or ())
         measured_at = report.measured_at_seconds
-        # A report older than our own order shows what was before it.
+        # An older report shows what was before our order.
         for adapter, blocked_at in list(state.blocked_at.items()):
             gone = adapter not in listed and blocked_at < measured_at
             if gone or measured_at - blocked_at > BLOCKED_SECONDS:
--- a/src/boragefold/policy/engine_choice.py
+++ b/src/boragefold/policy/engine_choice.py
@@ -19,20 +19,17 @@
 from boragefold.policy import load_times
 from boragefold.state import deployment
 
-# Each step down an adapter's order of engines spreads its copies; a backlog
-# of this much is preferred to the next engine.
+# The backlog that is preferred to the next engine in an adapter's order.
 STEP_SECONDS = 0.08
-# From here on all engines are alike: the adapter is a guest at any of them.
+# Beyond this the adapter is a guest at any engine.
 MAX_STEPS = 4
-# An engine in another data centre answers later, and its bytes are paid for.
 FAR_SECONDS = 0.01
-# An engine that fails half of its requests is passed over for as long as
-# waiting elsewhere takes less than this.
+# Multiplied by the part of requests that an engine fails.
 UNHEALTHY_SECONDS = 2.0
 
-# Where nobody schedules an engine, its backlog is not known.
+# Without an owner the backlog isn't known.
 UNSCHEDULED_SECONDS = 0.1
-# An engine that holds no model yet has to load one first.
+# A model has to be loaded first.
 EMPTY_SECONDS = 2.0
 
 
--- a/src/boragefold/policy/engine_copies.py
+++ b/src/boragefold/policy/engine_copies.py
@@ -16,10 +16,9 @@
 
 from boragefold.state import deployment
 
-# A digest travels with each heartbeat, so it is short. Two adapters that share
-# one cost a load from the store now and then: one in a thousand among sixty.
+# Short, as it travels with each heartbeat; a collision costs one load.
 DIGEST_BITS = 16
-# The copies of an engine change slowly, and are told several times a second.
+# An engine's copies change more slowly than they are told.
 REMEMBERED_DIGESTS = 4_096
 
 
--- a/src/boragefold/policy/engine_pace.py
+++ b/src/boragefold/policy/engine_pace.py
@@ -12,26 +12,21 @@
 
 import dataclasses
 
-# Assumed until starts were seen: a large model on one accelerator.
+# Assumed until starts were seen.
 FIRST_FIXED_SECONDS = 0.03
 FIRST_TOKENS_PER_SECOND = 20_000.0
-# The assumption counts like starts of these lengths, so that a few odd ones
-# don't decide alone.
+# The assumption weighs as much as starts of these lengths.
 FIRST_PROMPTS_TOKENS = (300, 4_000) * 5
-# A start counts as this many times quicker or slower than expected at most.
-# A prompt whose parts the engine had kept is read at once, and one that met a
-# pause of the engine says nothing of the next; a lasting change shows again.
+# Limits outliers: a prompt read from the cache, or a pause of the engine.
 MOST_STRETCH = 2.0
-# Bounds of what is believed.
 LEAST_SPEED = 2_000.0
 MOST_SPEED = 200_000.0
 MOST_FIXED_SECONDS = 0.5
-# A start counts this much less with each that follows: about fifteen count.
+# Exponential forgetting with each start.
 FADING = 0.93
-# Time a place is held by an answer, until some were measured.
+# Assumed before the first answer.
 FIRST_RUN_SECONDS = 0.8
-# One answer that takes ten times as long as the others must not make the
-# engine look blocked.
+# One long answer must not make the engine look blocked.
 RUN_SMOOTHING = 0.1
 
 
--- a/src/boragefold/policy/fair_queue.py
+++ b/src/boragefold/policy/fair_queue.py
@@ -19,14 +19,12 @@
 from boragefold.policy import work as works
 from boragefold.telemetry import counters as telemetry
 
-# Late-sensitive work gets up to four fifths while ordinary work waits too:
-# it waits a quarter longer than alone, and ordinary work still moves.
+# Ordinary work still moves beside late-sensitive work.
 ORDINARY_SHARE = 0.2
 LATE_SENSITIVE_SHARE = 1 - ORDINARY_SHARE
-# A request that would start later than this part of its caller's patience is
-# refused; the rest of the patience is for the answer itself.
+# The rest of the caller's patience is for the answer.
 START_PATIENCE_SHARE = 0.7
-# Queues change within this time; to come back sooner is to be refused again.
+# A caller that is back earlier would be refused again.
 MIN_RETRY_AFTER_SECONDS = 0.5
 
 
--- a/src/boragefold/policy/fair_share.py
+++ b/src/boragefold/policy/fair_share.py
@@ -14,10 +14,9 @@
 import dataclasses
 import math
 
-# Demand is measured over about this time: longer than a burst that the queue
-# takes in, shorter than the patience of callers.
+# Longer than a burst that the queue takes in.
 MEMORY_SECONDS = 5.0
-# The division is worked out this often; its cost grows with the workspaces.
+# The cost grows with the workspaces.
 UPDATE_SECONDS = 0.5
 # A workspace may send the share of this time at once.
 BURST_SECONDS = 1.0
--- a/src/boragefold/policy/fleet_events.py
+++ b/src/boragefold/policy/fleet_events.py
@@ -19,15 +19,13 @@
 from boragefold.policy import sending as sending_module
 from boragefold.policy import work as works
 
-# Loads and the queue's delay are looked at this often: less than half of a
-# load. A request for a cold adapter brings the next look on, but not closer
-# than the least time: a look costs a millisecond when everything is full.
+# Less than half of a load. A cold adapter brings the next look on, but not
+# closer than the least time.
 TICK_SECONDS = 0.1
 LEAST_TICK_SECONDS = 0.02
-# Latencies are compared, and stale reports forgotten, this often.
+# How often latencies are compared and stale reports forgotten.
 REFRESH_SECONDS = 1.0
-# Peers hear at once of a request for a cold adapter, and otherwise this often:
-# what they do with it, copies and evictions, takes a load's time anyway.
+# A cold adapter is told at once, the rest this often.
 TELL_SECONDS = 0.25
 
 
--- a/src/boragefold/policy/homes.py
+++ b/src/boragefold/policy/homes.py
@@ -17,14 +17,13 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import work as works
 
-# Data centres within this round trip join their loads: a request sent to one
-# of them loses a tenth of what a load of a quarter of a second would cost.
+# Nearer data centres load an adapter once for all of them.
 JOINED_SECONDS = 0.025
-# An endpoint that gets less than this part of its share is no adapter's home.
+# An endpoint with less of its share is no adapter's home.
 LEAST_WEIGHT = 0.5
-# Nor is one whose batch is fuller: the load would serve nobody for a while.
+# Nor is one whose batch is fuller.
 MOST_FILL = 0.8
-# With nine of ten endpoints unfit, five of six adapters still find a fit one.
+# Enough to find a fit one when most are unfit.
 TRIES = 16
 
 
@@ -100,8 +99,7 @@
         return home
 
     def _reachable_of(self, model: str) -> dict[str, fleet.EndpointState]:
-        # An endpoint whose orderer can't be reached is left out: what is held
-        # there is loaded a second time, for as long as the cut lasts.
+        # While an orderer can't be reached, its adapters are loaded elsewhere.
         states = self._reachable.get(model)
         if states is None:
             states = {
@@ -122,8 +120,7 @@
     adapter: works.AdapterVersion,
     reachable: Mapping[str, fleet.EndpointState],
 ) -> str:
-    # A series of hashes over the sorted names: an endpoint that becomes unfit
-    # moves only its own adapters, and the cost is that of the tries.
+    # Rendezvous by tries: an unfit endpoint moves only its own adapters.
     names = list(reachable)
     text = "\0".join(adapter).encode()
     tries = [
--- a/src/boragefold/policy/hot_adapters.py
+++ b/src/boragefold/policy/hot_adapters.py
@@ -14,14 +14,11 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import work as works
 
-# An adapter gets another copy when its arrivals would fill this part of what
-# its holders have for it: a load takes a quarter of a second, in which a rate
-# that doubles every few seconds doesn't fill the rest.
+# A new copy must be loaded before the rest is full.
 HOT_FILL = 0.7
-# Assumed where no duration was measured yet; 70 tokens at 28 ms.
+# Assumed before the first answer.
 DEFAULT_DURATION_SECONDS = 2.0
-# This many holders stand for all: summing over 414 at each arrival of a hot
-# adapter cost more than all other decisions on a request together.
+# A sample: the cost of a sum grows with the holders.
 EXAMINED_HOLDERS = 16
 
 
@@ -78,8 +75,8 @@
         if not holders:
             return False
         if all(state.is_poor() for state in holders):
-            # Its requests would wait at a slow endpoint, where no queue of
-            # ours shows it.
+            # Its requests would wait at a slow endpoint instead of in our
+            # queue.
             return True
         durations = [
             state.duration_seconds
@@ -107,7 +104,7 @@
 ) -> Sequence[fleet.EndpointState]:
     if len(holders) <= EXAMINED_HOLDERS:
         return holders
-    # Evenly spread over the list, which is in order of distance.
+    # Evenly spread over the distances.
     step = len(holders) / EXAMINED_HOLDERS
     return [holders[int(turn * step)] for turn in range(EXAMINED_HOLDERS)]
 
--- a/src/boragefold/policy/load_wants.py
+++ b/src/boragefold/policy/load_wants.py
@@ -21,14 +21,12 @@
 from boragefold.policy import virtual_counter
 from boragefold.policy import work as works
 
-# Each further request that waits for an adapter lets it overtake those wanted
-# for half a second longer, by at most five seconds: a load that serves many
-# goes first, and one that serves a single request still gets its turn.
+# How far a waiting request lets an adapter overtake, and the bound that keeps
+# the others from starving.
 OVERTAKE_SECONDS = 0.5
 MAX_OVERTAKE_SECONDS = 5.0
 
-# A cold adapter that found no slot for so long gets one emptied for it. It is
-# a dozen loads, so slots that free themselves are used first.
+# Slots that free themselves are used first.
 DRAIN_AFTER_SECONDS = 3.0
 
 COLD = "cold"
@@ -192,8 +190,8 @@
     :param states: endpoints that may be given orders
     :return: some of them
     """
-    # In an overload every holder is full and every adapter looks hot. A copy
-    # on an endpoint that is full too would serve nobody, and evict something.
+    # In an overload every adapter looks hot; a copy on a full endpoint would
+    # serve nobody.
     if want.reason != HOT:
         return states
     return [state for state in states if state.fill() < hot_adapters.HOT_FILL]
--- a/src/boragefold/policy/loads.py
+++ b/src/boragefold/policy/loads.py
@@ -15,8 +15,6 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import work as works
 
-# A load takes a quarter of a second, and proportionally longer when more
-# than eight share the store; after this its answer won't come any more.
 LOAD_TIMEOUT_SECONDS = 10.0
 
 
@@ -130,10 +128,8 @@
         :param load: the very order that was given, not one equal to it
         :return: its record; None when it was forgotten before
         """
-        # An endpoint restarts in the middle of a load, and the same load is
-        # ordered anew. The first order's late answer is equal in everything;
-        # taken for the second's, the endpoint would be seen as a holder of
-        # what it is only loading.
+        # After a restart of the endpoint the same load is ordered again; the
+        # first order's late answer must not count for the second.
         at_endpoint = self._running.get(load.endpoint, {})
         running = at_endpoint.get(load.adapter)
         if running is None or running.load is not load:
--- a/src/boragefold/policy/overload.py
+++ b/src/boragefold/policy/overload.py
@@ -25,21 +25,17 @@
     ORDINARY = 4
 
 
-# The queue delay that each level answers, as a part of the callers' patience:
-# who waits long rather than be refused must not be refused for a short queue.
-# Extras stop when the queue can be felt at all. Requests are shed from a tenth
-# on, in equal steps; the last stays well below the part at which the queue
-# itself refuses. The figures and what was weighed stand in the design note.
+# Relative to the callers' patience. Extras stop first, then requests are shed
+# in equal steps, before the queue itself refuses.
 DELAY_PATIENCE_SHARE = {
     Level.NO_EXTRAS: 0.02,
     Level.ABOVE_SHARE: 0.1,
     Level.ORDINARY_COLD: 0.2,
     Level.ORDINARY: 0.3,
 }
-# The patience is a mean over about the last fifty requests.
+# A mean over recent requests.
 PATIENCE_SMOOTHING = 0.02
-# The part of the service that the fair shares give out. The rest empties the
-# queue that made the shedding necessary, faster where it is longer.
+# The rest empties the queue.
 GIVEN_PART = {
     Level.NORMAL: 1.0,
     Level.NO_EXTRAS: 1.0,
@@ -47,18 +43,15 @@
     Level.ORDINARY_COLD: 0.75,
     Level.ORDINARY: 0.6,
 }
-# A delay must last this long to raise the level: a burst that the queue takes
-# in and serves within half a second is what the queue is for. The later levels
-# wait longer: what the one before sheds needs time to show, and they refuse
-# those who did nothing to fill the queue.
+# Longer than a burst that the queue can take in. Later levels wait longer,
+# because shedding needs time to show.
 RAISE_AFTER_SECONDS = {
     Level.NO_EXTRAS: 0.5,
     Level.ABOVE_SHARE: 0.5,
     Level.ORDINARY_COLD: 2.0,
     Level.ORDINARY: 2.0,
 }
-# It is lowered more slowly, and at half of the delay that raised it: what was
-# refused comes back at once, and would raise it again.
+# Hysteresis: what was refused comes back at once.
 LOWER_AFTER_SECONDS = 2.0
 LOWER_FACTOR = 0.5
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -191,8 +184,7 @@
         )
 
     def _raise_unless_falling(self, now_seconds: float) -> None:
-        # What is shed already may be enough, and the queue needs time to
-        # empty; further levels would refuse who did nothing to fill it.
+        # What is shed already may be enough.
         falling = self._delay_seconds < self._delay_before_seconds
         if not falling:
             self._change(+1)
--- a/src/boragefold/policy/placement.py
+++ b/src/boragefold/policy/placement.py
@@ -32,12 +32,11 @@
 LoadBudget = loads_module.LoadBudget
 Drain = loads_module.Drain
 
-# The store's figure for one load while few are in flight.
+# Of one load while few are in flight.
 EXPECTED_LOAD_SECONDS = 0.25
-# Where so many adapters of one model, all cold or all hot, found no slot, the
-# next won't either.
+# Where so many found no slot, the next won't either.
 MAX_UNPLACED = 2
-# Adapters whose failures are remembered before old ones are dropped.
+# Bounds the memory.
 MAX_FAILURES = 256
 
 
--- a/src/boragefold/policy/places.py
+++ b/src/boragefold/policy/places.py
@@ -14,9 +14,7 @@
 from boragefold.policy import slots as slots_module
 from boragefold.policy import work as works
 
-# Endpoints looked at for one load; the least used of their hundred or so slots
-# is among the least used of any number, and the decision's time doesn't grow
-# with the fleet.
+# Power of a few random choices; bounds the time of a decision.
 EXAMINED_ENDPOINTS = 8
 
 
--- a/src/boragefold/policy/popularity.py
+++ b/src/boragefold/policy/popularity.py
@@ -6,11 +6,9 @@
 
 from boragefold.state import deployment
 
-# Demand moves on within some seconds; a request counts half after this.
 HALF_LIFE_SECONDS = 8.0
-# Adapters that are kept count of: many times the places of an engine.
+# Many times the places of an engine.
 MAX_KEYS = 256
-# Below this an adapter was asked for once, half a minute ago.
 NEGLIGIBLE = 0.05
 
 
--- a/src/boragefold/policy/prefixes.py
+++ b/src/boragefold/policy/prefixes.py
@@ -11,8 +11,7 @@
 
 from boragefold.policy import work as works
 
-# About four minutes of requests at the 33 a second of one of 890 instances;
-# engines' caches keep a beginning for less. Two megabytes.
+# Engines' caches keep a prefix for less time.
 MAX_PREFIXES = 8192
 
 
--- a/src/boragefold/policy/prompt_spacing.py
+++ b/src/boragefold/policy/prompt_spacing.py
@@ -16,10 +16,9 @@
 
 from boragefold.policy import engine_pace
 
-# Part of the pause that running answers may make which the engine may spend
-# on prompts back to back; the rest is for the steps of the answers.
+# The rest of the pause is for the steps of running answers.
 PAUSE_SHARE = 0.6
-# Taken for that pause where no answer names one.
+# Where no answer names one.
 DEFAULT_PAUSE_SECONDS = 0.4
 
 
--- a/src/boragefold/policy/queue_class.py
+++ b/src/boragefold/policy/queue_class.py
@@ -17,12 +17,9 @@
 from boragefold.policy import virtual_counter
 from boragefold.policy import work as works
 
-# A token of length makes a request stand as if it had come 5 ms later: 2,000
-# tokens, ten seconds. A fifth of the time in which an endpoint generates a
-# token, so short ones overtake long ones by a part of the long one's duration.
+# Short requests overtake long ones by a part of the long one's duration.
 HANDICAP_SECONDS_PER_TOKEN = 0.005
-# No handicap uses up more than this part of a caller's patience; a long
-# request is therefore delayed by short ones, but never until it expires.
+# A long request must not expire behind short ones.
 HANDICAP_PATIENCE_SHARE = 0.25
 
 
@@ -189,8 +186,7 @@
             # The usual case: an adapter that one workspace uses.
             workspace = next(iter(shelf.lanes))
             return self._counter.value(workspace), workspace
-        # Counters have risen since the workspaces were put in order; one
-        # that came up too early goes back to where it belongs now.
+        # Counters have risen since; one that came up too early goes back.
         while (top := shelf.order.first()) is not None:
             stored, workspace = top
             present = self._counter.value(workspace)
--- a/src/boragefold/policy/rate_line.py
+++ b/src/boragefold/policy/rate_line.py
@@ -13,8 +13,7 @@
 from boragefold.policy import drain_rate
 from boragefold.policy import work as works
 
-# How often the head asks again when the stock doesn't call back; a callback
-# may be lost with the message that it follows from.
+# The stock's callback may be lost with a message.
 ASK_SECONDS = 0.05
 
 
@@ -119,7 +118,7 @@
         measured = self._drain_rate.tokens_per_second(now_seconds=now_seconds)
         if measured is not None:
             return measured
-        # Too few have been served yet. The head lacks at most all its tokens.
+        # Too few have been served to tell a speed.
         head_seconds = self._ready_at_seconds - self._began_at_seconds
         return self.head().tokens / max(head_seconds, ASK_SECONDS)
 
--- a/src/boragefold/policy/removable_heap.py
+++ b/src/boragefold/policy/removable_heap.py
@@ -13,8 +13,7 @@
 
 Item = TypeVar("Item", bound=Hashable)
 
-# Removed items stay in the heap until they come up or outnumber the others;
-# below this number a clean-up isn't worth its cost.
+# Below this length a clean-up isn't worth its cost.
 MIN_CLEAN_LENGTH = 32
 
 
--- a/src/boragefold/policy/retry_budget.py
+++ b/src/boragefold/policy/retry_budget.py
@@ -13,19 +13,15 @@
 
 from boragefold.telemetry import counters as telemetry
 
-# One retry for ten fresh requests: enough for a fleet that loses one in ten
-# endpoints, and at worst a tenth more load for the others.
+# Bounds the load that retries add.
 RETRY_RATIO = 0.1
-# Six failures bring an endpoint's share down to its probes; ten saved retries
-# cover them and those already on their way.
+# Covers the failures until an endpoint gets only probes.
 MAX_SAVED_PER_ENDPOINT = 10.0
-# A rack of endpoints that fails at once; more would be felt by the others.
+# Covers a rack of endpoints that fails at once.
 MAX_SAVED_IN_ALL = 100.0
-# With little traffic the ratio alone would allow no retry at all.
+# With little traffic the ratio alone would allow no retry.
 SAVED_PER_SECOND = 0.1
-# A process that has just started knows nothing of the fleet's health. A broken
-# stream may need two: one at the only endpoint that holds its adapter, and one
-# elsewhere when that fails it again.
+# A broken stream may need two: at its only holder, and elsewhere.
 FIRST_SAVED = 2.0
 
 
@@ -52,8 +48,7 @@
     window_seconds: float
 
 
-# Part of a fleet's limit that is used: instances count for themselves, and a
-# span that begins with all savings full must stay within it too.
+# Each instance counts for itself, and starts with full savings.
 USED_SHARE = 0.75
 
 
@@ -138,7 +133,7 @@
         :return: whether to repeat it; the reason of a no is counted
         """
         if bytes_sent and not idempotent:
-            # It may have run. Repeating it would pay or print twice.
+            # It may have run.
             self._counters.add("retries_denied", "not_idempotent")
             return False
         both = self._save(endpoint, 0.0, now_seconds)
--- a/src/boragefold/policy/roles.py
+++ b/src/boragefold/policy/roles.py
@@ -16,24 +16,20 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.telemetry import counters as telemetry
 
-# Above this fill a pool asks for endpoints, so many that it comes to the
-# target: below the fill at which requests begin to queue.
+# Below the fill at which requests begin to queue.
 HIGH_FILL = 0.9
 TARGET_FILL = 0.75
-# A pool gives an endpoint only if it stays below this fill without it. The
-# gap up to the high fill is the hysteresis: its own demand has to grow by
-# half before it asks for the endpoint back.
+# The gap up to the high fill is the hysteresis.
 GIVER_FILL = 0.6
-# A burst passes in this time; a shift of the demand doesn't.
+# Longer than a burst.
 CONFIRM_SECONDS = 3.0
-# To load a model takes minutes; an endpoint must serve several times as long
-# as it was out of service.
+# Several times as long as a model takes to load.
 MIN_STAY_SECONDS = 600.0
-# A move that isn't seen in what is published within this time has failed.
+# A move that isn't published within this time has failed.
 MOVE_TIMEOUT_SECONDS = 300.0
-# Part of a giving pool that may move at once: its estimate may be wrong.
+# The pool's estimate may be wrong.
 MAX_GIVEN_SHARE = 0.25
-# A pool that once had demand keeps one endpoint, so that it can answer.
+# A pool that once had demand must be able to answer.
 MIN_KEPT = 1
 
 
@@ -108,8 +104,8 @@
         self._counters.add("role_changes_failed", order.pool.role)
 
     def _members(self) -> dict[Pool, list[fleet.EndpointState]]:
-        # An endpoint that was ordered to move counts where it goes to. If it
-        # counted where it was, each further decision would move one more.
+        # An endpoint that moves counts where it goes to, or each decision
+        # would move one more.
         members = collections.defaultdict(list)
         for state in self._endpoints:
             if not state.spec.leaving:
--- a/src/boragefold/policy/sending.py
+++ b/src/boragefold/policy/sending.py
@@ -23,8 +23,7 @@
 from boragefold.policy import service_rate
 from boragefold.policy import work as works
 
-# Holders looked at for room before a request is taken from the queue; the
-# bound keeps the decision's time from growing with the fleet.
+# Bounds the time of a decision.
 SCANNED_HOLDERS = 32
 
 
@@ -54,8 +53,7 @@
         self._share = share
         self._service = service_rate.ServiceRate()
         self._delay_seconds = 0.0
-        # Adapters and endpoints for which something changed since the last
-        # look; everything else was matched then.
+        # Adapters and endpoints that changed since the last look.
         self._stirred: set[works.AdapterVersion] = set()
         self._stirred_endpoints: set[str] = set()
 
@@ -155,7 +153,7 @@
                 return
             endpoint = self._choose(work, excluded)
             if endpoint is None:
-                # Taken in vain: it goes back, and its charge with it.
+                # Taken in vain: its charge goes back with it.
                 self._queue.settle(work, used_tokens=0.0)
                 self._queue.push(work, now_seconds=now_seconds)
                 ready.discard(work.needs)
@@ -167,9 +165,8 @@
                 ready.discard(adapter)
 
     def _starts_at_once(self, work: works.Work) -> bool:
-        # The queue's delay is that of adapters whose holders are full. A
-        # request that finds room must not be refused for it: one slow
-        # endpoint would have its whole fleet's callers sent away.
+        # The queue's delay is that of adapters whose holders are full; others
+        # must not be refused for it.
         return work.needs not in self._demand() and self._has_room(work.needs)
 
     def _ready(self) -> set[works.AdapterVersion]:
@@ -208,7 +205,7 @@
         )
         if without and isinstance(chosen, choices.NoHolder):
             # Only endpoints that failed it are left; better one of them than
-            # a request that waits until its caller gives up.
+            # none.
             chosen = self._choice.choose(
                 work, queued_seconds=self._delay_seconds
             )
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -13,19 +13,16 @@
 import dataclasses
 import random
 
-# Weight of the newest result; about five results count.
 SMOOTHING = 0.2
-# Without results an endpoint's record improves by half in this time, so that
-# it is tried again.
+# A failing endpoint is tried again.
 FORGIVE_SECONDS = 3.0
-# A sound endpoint's record, in failures per request, below which it isn't
-# told from the others: some services fail part of their requests by nature.
+# Some services fail part of their requests by nature.
 TOLERATED_FAILURES = 0.25
-# What an endpoint in another data centre is behind by.
+# A penalty for another data centre.
 FAR_LOAD = 0.15
-# Requests of other instances that an endpoint reported count for this long.
+# Reported requests of other instances count this long.
 REPORT_SECONDS = 0.5
-# Load of an endpoint that fails everything: behind any that is merely full.
+# Behind any endpoint that is merely full.
 FAILING_LOAD = 4.0
 
 
@@ -156,7 +153,7 @@
         failures = self._failures(record, now_seconds)
         load += FAILING_LOAD * max(0.0, failures - TOLERATED_FAILURES)
         load += self._slowness(record)
-        # Instances that all see the same idle endpoint would all choose it.
+        # Jitter: all instances see the same idle endpoint.
         jitter = self._rng.random() / max(1, slots)
         return load + (0.0 if near else FAR_LOAD) + jitter
 
--- a/src/boragefold/policy/service_rate.py
+++ b/src/boragefold/policy/service_rate.py
@@ -10,10 +10,9 @@
 
 import math
 
-# Long enough to smooth single requests, short enough to follow an endpoint
-# that leaves.
+# Smooths single requests, yet follows an endpoint that leaves.
 MEMORY_SECONDS = 4.0
-# With less than this observed, nothing is known and nothing refused for it.
+# With less than this nothing is refused.
 LEAST_BUSY_SECONDS = 0.5
 
 
--- a/src/boragefold/policy/shared_rate.py
+++ b/src/boragefold/policy/shared_rate.py
@@ -22,18 +22,15 @@
 
 from boragefold.state import deployment
 
-# An instance that was not heard for this long no longer counts: it has ended,
-# and its callers are served by the others. A cut is rarely so long.
+# The callers of an ended instance are served by the others.
 FORGET_SECONDS = 20.0
-# A request that would fit this soon is told to come back then, not earlier.
 MIN_RETRY_AFTER_SECONDS = 0.1
 
 
-# Sums are told for so long after they changed: four heartbeats at the least,
-# so that one that is lost leaves no error.
+# Several heartbeats, so that a lost one leaves no error.
 TELL_SECONDS = 4.0
-# Part of the tolerance that is used. The rest is for what others admitted
-# since their last heartbeat, and for buckets that start full after a restart.
+# The rest is for what others admitted since their last heartbeat, and for
+# buckets that start full.
 TOLERANCE_SHARE = 0.5
 
 
@@ -117,8 +114,7 @@
         if instance not in self._heard_at_seconds and fresh:
             self._heard_fresh.add(instance)
         for workspace, amount in used.items():
-            # What an instance admitted long before we first heard of it is
-            # past. What one admitted that has just started counts.
+            # Only what a new instance admitted is recent.
             unknown = 0.0 if instance in self._heard_fresh else amount
             known = before.get(workspace, unknown)
             if (bucket := self._buckets.get(workspace)) is not None:
--- a/src/boragefold/policy/slots.py
+++ b/src/boragefold/policy/slots.py
@@ -16,11 +16,9 @@
 from boragefold.policy import loads
 from boragefold.policy import work as works
 
-# A loaded adapter stays at least eight loads of a quarter of a second, so
-# that loading takes at most an eighth of a slot's time.
+# Bounds the part of a slot's time that goes to loading.
 MIN_RESIDENCY_SECONDS = 2.0
-# It stays for two of its usual gaps between uses, but not longer than this:
-# callers of others wait meanwhile, and the first of them tens of seconds.
+# Callers of other adapters wait meanwhile.
 MAX_RESIDENCY_SECONDS = 10.0
 PROTECTED_GAPS = 2.0
 
--- a/src/boragefold/policy/slow_endpoints.py
+++ b/src/boragefold/policy/slow_endpoints.py
@@ -13,17 +13,14 @@
 
 from boragefold.policy import endpoint_state
 
-# Fill and chance make an endpoint up to twice as slow as the median of its
-# peers; three times is no chance with the smoothing of ten answers.
+# More than fill and chance explain.
 SLOW_RATIO = 3.0
-# A slow endpoint still gets one of fifty of the requests that it would have
-# got; these are the probes that show its recovery.
+# The probes that show its recovery.
 MIN_WEIGHT = 0.02
-# With fewer than three there is no majority to compare with.
+# With fewer there is no majority to compare with.
 MIN_PEERS = 3
-# Without answers for so long, a bad measurement is forgotten by halves.
+# A bad measurement fades without answers.
 FORGET_AFTER_SECONDS = 10.0
-# One failure halves the share; ten seconds without one restore it.
 FAILURE_FACTOR = 0.5
 RECOVERY_PER_REFRESH = 0.1
 
@@ -72,8 +69,7 @@
 
 
 def _share(latency: float, median: float) -> float:
-    # The share falls with the square: an endpoint just past the limit loses
-    # little, one ten times slower than its peers gets a tenth.
+    # An endpoint just past the limit loses little.
     if median <= 0 or latency <= SLOW_RATIO * median:
         return 1.0
     share = SLOW_RATIO * median / latency
--- a/src/boragefold/policy/virtual_counter.py
+++ b/src/boragefold/policy/virtual_counter.py
@@ -12,11 +12,8 @@
 
 import dataclasses
 
-# A workspace that waits for something only it needs falls behind the virtual
-# time; it may catch up at most this many of the largest charges seen, so that
-# it doesn't shut the others out afterwards. Fairness needs one.
+# How far a workspace that waited may catch up without starving others.
 MAX_LAG_CHARGES = 2
-# Idle counters are looked for when the table has doubled.
 MIN_SWEEP_LENGTH = 64
 
 
@@ -103,8 +100,7 @@
     def _sweep(self) -> None:
         if len(self._accounts) < self._sweep_length:
             return
-        # An idle workspace behind the virtual time would rejoin at it: its
-        # account says nothing.
+        # An idle workspace would rejoin at the virtual time anyway.
         self._accounts = {
             workspace: account
             for workspace, account in self._accounts.items()
--- a/src/boragefold/policy/warm_up.py
+++ b/src/boragefold/policy/warm_up.py
@@ -18,11 +18,9 @@
 from boragefold.policy import slots as slots_module
 from boragefold.policy import work as works
 
-# Loads that nobody waits for are looked for twice a second, so that they
-# leave part of a rate of two to four loads a second to a sudden need.
+# Leaves part of the store's rate to a sudden need.
 PERIOD_SECONDS = 0.5
-# An adapter asked for twice in the last twenty seconds will be again; one
-# asked for once may not.
+# Asked for at least twice in that time.
 MIN_PER_SECOND = 2 / arrival_rates.MEMORY_SECONDS
 
 
--- a/src/boragefold/standins/example_tree.py
+++ b/src/boragefold/standins/example_tree.py
@@ -10,8 +10,7 @@
 
 from boragefold.state import documents
 
-# A value travels whole whenever one entry of it changes, so pieces are kept
-# small: 100 adapters are about 9 KB.
+# A change of one entry sends its whole piece.
 ADAPTERS_PER_PATH = 100
 VERSIONS_PER_ADAPTER = 2
 
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -16,7 +16,7 @@
 STATUS_CONFLICT = 409
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
-# What an engine held before comes back in this part of the time.
+# For what the engine held before.
 WARM_SHARE = 0.1
 SIGNATURE = "Boragefold-Response-Signature"
 NOT_EXECUTED = "Boragefold-Not-Executed"
--- a/src/boragefold/standins/platform.py
+++ b/src/boragefold/standins/platform.py
@@ -14,9 +14,9 @@
 
 from boragefold.protocol import platform_api
 
-# The brief's limit over all readers.
+# Over all readers together.
 CALLS_PER_SECOND = 2000
-# Enough to show a lagging copy; older versions of a path are dropped.
+# Enough to show a lagging copy.
 KEPT_VERSIONS = 32
 
 
--- a/src/boragefold/standins/ports.py
+++ b/src/boragefold/standins/ports.py
@@ -7,9 +7,8 @@
 import socket
 
 HOST = "127.0.0.1"
-# Below the range that the kernel takes outgoing connections' ports from. A
-# port from there that is free now may be a connection's a moment later, and
-# the server that was to listen on it fails to start.
+# Below the ephemeral ports: one from there may be taken by an outgoing
+# connection at any moment.
 LOWEST_PORT = 20_000
 HIGHEST_PORT = 32_000
 
