--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -325,7 +325,7 @@
     def _take(self, member: member_module.Member, beat: messages.Beat) -> None:
         before = member.beat
         if before is not None and before.uptime_seconds > beat.uptime_seconds:
-            # A longer way brought it.
+            # A newer one has come already, by a shorter way.
             return
         member.beat = beat
         if before is None or member_module.news_of(
--- a/src/boragefold/policy/homes.py
+++ b/src/boragefold/policy/homes.py
@@ -120,7 +120,7 @@
     adapter: works.AdapterVersion,
     reachable: Mapping[str, fleet.EndpointState],
 ) -> str:
-    # Rendezvous by tries: an unfit endpoint moves only its own adapters.
+    # An unfit endpoint moves only its own adapters.
     names = list(reachable)
     text = "\0".join(adapter).encode()
     tries = [
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -43,8 +43,7 @@
 
 
 def test_a_restarted_instance_is_found_though_its_seeds_are_down() -> None:
-    # An instance restarts while every address that it was told of is down.
-    # The others remember where its predecessor listened and greet it.
+    # The seeds of a restarted instance are down, yet the others must find it.
     fleet = settled()
     lost = fleet.addresses[6]
     fleet.kill(lost)
@@ -76,10 +75,7 @@
 
 
 def test_engines_have_owners_soon_after_all_were_killed() -> None:
-    # All instances were killed together and came back. Until somebody
-    # schedules an engine, what is asked for there is not seen, and the first
-    # loads take the places of its most popular adapters. None may claim
-    # before it had the time to hear others, or each would claim everything.
+    # After a restart of all, no instance may claim every engine at once.
     fleet = gateways.Gateways()
     fleet.run(1.0)
     assert not any(fleet.claimants().values())
@@ -96,8 +92,7 @@
 
 
 def test_an_owner_that_comes_back_takes_nothing_away() -> None:
-    # Engines that move back and forth with every restart would stand still
-    # for a lease each time.
+    # Engines that change owners with every restart stand still each time.
     fleet = settled()
     (owner,) = fleet.claimants()["e0"]
     fleet.kill(owner)
@@ -118,8 +113,7 @@
 
 
 def test_an_engine_that_its_owner_cant_reach_goes_to_another() -> None:
-    # An engine is cut off from its owner alone. Another instance must own it
-    # within a second, and the first must not take it back at once.
+    # An engine partitioned from its owner alone must get another, for good.
     fleet = settled()
     (owner,) = fleet.claimants()["e0"]
     fleet.instances[owner].avoided.add("e0")
@@ -174,8 +168,7 @@
 
 
 def test_peers_tell_what_the_store_doesnt() -> None:
-    # The store turns one instance away and serves the others. A key is
-    # withdrawn; the instance must learn of it within a second.
+    # An instance that the store turns away must learn of a withdrawn key.
     fleet = settled()
     shunned, *others = fleet.instances.values()
     shunned.behind = True
@@ -189,10 +182,7 @@
 
 
 def test_prefixes_that_are_read_apart_are_told_apart() -> None:
-    # An endpoint announces that it leaves; right after it the configuration
-    # changes. A peer has read the second and not yet the first, and passes it
-    # on to an instance that doesn't read the store. That one must still learn
-    # of the first: it sent requests there for three seconds.
+    # Being behind on one prefix must not hide a newer change of another.
     fleet = settled()
     ignorant, half, other, *_ = fleet.instances.values()
     ignorant.behind = True
@@ -209,8 +199,7 @@
 
 
 def test_a_change_that_is_known_already_isnt_asked_for_again() -> None:
-    # What a peer tells may be no news: without noting that it was told, the
-    # instance would ask for it with every heartbeat.
+    # News that is known already must not be asked for with every heartbeat.
     items = published_items.PublishedItems(prefixes=["op/"])
     items.take([published_items.Item("op/x", 5, b"x")], revision=5)
     items.take([], revision=7, told={"op/": 7})
--- a/tests/coordination/fleet/test_hubs.py
+++ b/tests/coordination/fleet/test_hubs.py
@@ -41,8 +41,7 @@
 
 
 def test_the_widest_links_are_hubs() -> None:
-    # Two instances of a data centre have wide links. A third hub on a narrow
-    # one would hold its callers' answers up with every burst that it sends.
+    # A hub on a narrow link would hold its callers' answers up.
     wide = [candidate(number, capacity=200.0) for number in range(2)]
     narrow = [candidate(number) for number in range(2, 9)]
     chosen = hubs.hubs([*narrow, *wide, candidate(20, "dc-b")])
@@ -95,9 +94,7 @@
 
 
 def test_all_hubs_of_a_data_centre_are_lost_at_once() -> None:
-    # A rack with all three hubs of a data centre loses power. Its other
-    # instances speak to nobody else, and hear of nobody else. If they took
-    # everyone for dead, or were taken for dead, engines would change owners.
+    # The loss of all hubs must not make engines change owners.
     fleet = large()
     owners = fleet.claimants()
     lost = hubs_of(fleet, "dc-a")
@@ -134,9 +131,7 @@
 
 
 def test_an_owner_that_leaves_is_replaced_at_once() -> None:
-    # The word that it leaves passes two hubs; waiting for their next
-    # heartbeats it would come a second later, and all requests for its
-    # engines would be sent away meanwhile.
+    # News of a leaving owner must not wait for heartbeats.
     fleet = large()
     (owner,) = fleet.claimants()["e0"]
     fleet.instances[owner].leaving = True
@@ -147,9 +142,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_large_fleet_finds_itself_after_cuts_and_kills(seed) -> None:
-    # A data centre is cut off while many instances are lost, hubs among them;
-    # then all are back. Nobody lists the instances: whoever was on the other
-    # side must be found again.
+    # After a partition and losses on both sides, all must meet again.
     fleet = large(seed=seed, loss=0.01)
     rng = fleet.network.random
     inside = [
@@ -174,9 +167,7 @@
 
 
 def test_a_change_that_one_instance_read_is_everywhere_at_once() -> None:
-    # A key is withdrawn, and two instances of each data centre read the store.
-    # At each step on its way to the others the word would wait for the next
-    # heartbeat: more than a second of the two that there are.
+    # News of a withdrawn key must not wait for heartbeats.
     fleet = large()
     for instance in fleet.instances.values():
         instance.behind = True
@@ -189,8 +180,7 @@
 
 
 def test_an_instance_that_is_cut_off_alone_serves_what_it_can() -> None:
-    # One instance loses everyone. It must know within seconds that it is
-    # alone, to own the engines that it still reaches.
+    # An instance partitioned from all must serve the engines it reaches.
     fleet = large()
     alone = fleet.addresses[-1]
     fleet.cut([alone], [each for each in fleet.addresses if each != alone])
--- a/tests/coordination/fleet/test_lapses.py
+++ b/tests/coordination/fleet/test_lapses.py
@@ -32,8 +32,7 @@
 
 
 def test_an_endpoint_that_comes_back_never_went(side) -> None:
-    # The store was down; entries lapsed meanwhile. It returns, the entries
-    # are missing, and a second later the endpoints have registered anew.
+    # An entry that lapsed while the store was down is no removal.
     side.lapses.store_returned()
     side.lapses.removed("e1")
     side.lapses.removed("e2")
@@ -62,9 +61,7 @@
 
 
 def test_a_removal_counts_at_once_where_only_we_lost_the_store(side) -> None:
-    # The store turned this instance away and served the others. An endpoint
-    # leaves just as the store takes us back: waiting for it to register anew,
-    # requests went there for 2.4 s.
+    # A removal must count at once where only this instance lost the store.
     lapses = lapses_module.Lapses(
         timers=side.timers, drop=side.dropped.append, store_was_up=lambda: True
     )
--- a/tests/entry/test_engine_answer.py
+++ b/tests/entry/test_engine_answer.py
@@ -84,9 +84,7 @@
     ],
 )
 def test_nothing_but_the_asked_answer_is_passed_on(pieces, ended, passed_on):
-    # An engine lost its slots, or a connection was crossed, and a well-formed
-    # text of another adapter, version or caller arrives. Or an answer ends in
-    # good order half-way. The caller must see neither as its answer.
+    # Another request's answer, or half of one, must not pass for the caller's.
     reader = read(*pieces)
     assert (reader.ended, len(reader.texts)) == (ended, passed_on)
 
--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -97,9 +97,7 @@
 
 
 def test_a_killed_instance_leaves_its_data_centre_served(fleet):
-    # One of two instances of a data centre is killed with everything it
-    # held: rates, order rights, the view's lease. Callers on the other one
-    # must be served again, adapters that aren't loaded yet included.
+    # Callers of a killed instance's data centre must still be served.
     serves(fleet, fleet.entries[0], fleet.adapter())
     fleet.entries[0].signal(signal.SIGKILL)
     fleet.entries = fleet.entries[1:]
@@ -110,8 +108,7 @@
 
 
 def test_a_paused_instance_wakes_without_its_rights(kept):
-    # An instance is stopped for longer than every lease and then goes on,
-    # believing that no time has passed. Others hold its rights by then.
+    # An instance paused for longer than its leases must not use them.
     fleet = kept
     entry = fleet.entries[0]
     serves(fleet, entry, fleet.adapter())
@@ -128,8 +125,7 @@
 
 
 def test_a_planned_stop_cuts_off_no_stream(fleet):
-    # An operator rolls the fleet. A caller is in the middle of a long
-    # answer; the operator, impatient, sends the signal twice.
+    # A planned stop must not cut off a stream, even when signalled twice.
     entry = fleet.entries[0]
     serves(fleet, entry, fleet.adapter())
     stream = Stream(fleet, entry, fleet.adapter())
@@ -143,8 +139,7 @@
 
 
 def test_a_withdrawn_key_stops_working_on_open_streams(kept):
-    # A key is withdrawn while its caller has a stream open. The caller
-    # must lose the stream and get no further request through anywhere.
+    # A withdrawn key must stop its open streams and further requests.
     fleet = kept
     entry, model = fleet.entries[0], fleet.adapter()
     serves(fleet, entry, model)
@@ -171,9 +166,7 @@
     ids=["engine restarts empty", "engine cuts the answer"],
 )
 def test_a_broken_stream_resumes_at_the_right_token(kept, fault):
-    # The engine loses a stream half-way, once by a restart that empties its
-    # slots, once by ending the answer early. The caller must see one whole
-    # answer, without a gap and without a repeated token.
+    # A stream that an engine breaks off must reach its caller whole and once.
     fleet = kept
     entry, model = fleet.entries[0], fleet.adapter()
     serves(fleet, entry, model)
@@ -208,8 +201,7 @@
 
 
 def test_the_fleet_serves_on_without_the_platform(fleet):
-    # The configuration service goes down for good. Running instances serve
-    # on; an instance that starts now learns the configuration from a peer.
+    # Without the configuration service instances must serve on, and start.
     serves(fleet, fleet.entries[0], fleet.adapter())
     fleet.processes[0].kill()
     fleet.processes[0].wait()
@@ -217,8 +209,7 @@
 
 
 def test_a_payout_without_an_answer_is_unknown_and_never_repeated(fleet):
-    # The service takes a payout and dies before it answers. Nobody can tell
-    # whether it was paid; the caller repeats it through every instance.
+    # A payout without an answer must never be repeated.
     first = fleet.entries[0]
     ticket = processes.call(
         first.address, "/v1/tickets", key=fleet.key, method="POST"
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -11,8 +11,7 @@
 
 from tests.fakes import machines as machines_module
 
-# A caller that is told to come back does so this often; on a busy machine a
-# load may be later than its owner expects several times.
+# On a busy machine a load may be later than expected several times.
 RETURNS = 8
 
 
@@ -59,9 +58,7 @@
 
 
 def test_thousands_of_adapters_share_few_places(machines) -> None:
-    # Twelve adapters for four places, asked for through both instances at
-    # once. Every caller is served, the refused ones when they come back as
-    # they were told, and no engine holds too many: the stand-in would fail.
+    # Many adapters must not overfill an engine or starve a caller.
     with concurrent.futures.ThreadPoolExecutor(8) as pool:
         replies = list(
             pool.map(
@@ -99,16 +96,14 @@
 
 
 def test_a_lookup_that_fails_is_tried_at_another_endpoint(machines) -> None:
-    # One endpoint fails everything. Callers must see none of it while the
-    # budget for repeats lasts.
+    # A failing endpoint must not be seen by callers while retries are left.
     machines.faults("desk-0", status=500)
     replies = [machines.ask("/reads/1", method="GET") for _ in range(3)]
     assert [reply.status for reply in replies] == [200, 200, 200]
 
 
 def test_a_payout_that_fails_is_never_repeated(machines) -> None:
-    # Both endpoints answer 500 after they ran the order. The caller gets that
-    # answer as it is; a repeat would pay twice.
+    # A non-idempotent request that failed must not be retried.
     for name in ("desk-0", "desk-1"):
         machines.faults(name, status=500)
     before = len(machines.runs("desk"))
@@ -132,8 +127,7 @@
 def test_a_promise_that_the_endpoint_didnt_give_isnt_passed_on(
     machines, status
 ) -> None:
-    # The endpoint ran the order and answers with a status that promises the
-    # opposite, without its word that nothing ran. The caller must not repeat.
+    # Only the endpoint's word may tell a caller "not run".
     for name in ("desk-0", "desk-1"):
         machines.faults(name, status=status)
     reply = machines.ask("/orders/1", body=b"pay")
@@ -164,8 +158,7 @@
 
 
 def test_a_broken_stream_doesnt_look_whole(machines) -> None:
-    # An engine breaks off in the middle of an event of a stream that can't be
-    # resumed. The caller must see a broken connection, not a short answer.
+    # A stream that can't be resumed must not look whole when it breaks off.
     for name in ("engine-0", "engine-1"):
         machines.faults(name, cut_after=2)
     with pytest.raises(
@@ -177,8 +170,7 @@
 def test_a_broken_stream_is_resumed_where_the_route_allows_it(
     machines,
 ) -> None:
-    # The engine breaks off after two events. The rest must come from another
-    # engine, from the third event on, in the same answer.
+    # A broken stream must go on from its next event.
     for name in ("engine-0", "engine-1"):
         machines.faults(name, cut_after=2)
     pieces = machines.generate("", path="/drafts/x", events=4).body
@@ -261,8 +253,7 @@
 
 
 def test_a_killed_instance_is_replaced_and_served_again(machines) -> None:
-    # One instance is killed. The other takes its engines over; the restarted
-    # one serves again.
+    # The engines of a killed instance must get an owner.
     machines.signal(1, signal.SIGKILL)
     machines.wait(1)
     machines_module.eventually(
@@ -276,8 +267,7 @@
 
 
 def test_a_planned_stop_cuts_nothing(machines) -> None:
-    # An instance is told to stop while a stream runs through it. It turns not
-    # ready at once, the stream ends whole, and the process ends by itself.
+    # A planned stop must not cut off a running stream.
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         running = pool.submit(
             lambda: machines.generate("", number=1, events=200)
@@ -317,9 +307,7 @@
 def test_a_caller_that_takes_nothing_doesnt_hold_a_planned_stop(
     machines,
 ) -> None:
-    # A caller asks for a long stream and never reads it: its connection is
-    # dead without a sign. Told to stop, the instance must end before it is
-    # killed, so that its place is taken in good order.
+    # A caller that reads nothing must not delay a stop until the kill.
     host, _, port = machines.gateways[1]["front"].rpartition(":")
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -348,8 +336,7 @@
 def test_a_changed_settings_file_is_taken_over_and_a_bad_one_isnt(
     machines,
 ) -> None:
-    # The settings file changes, with a signal and without; once it is torn.
-    # The process goes on with the last that it could use.
+    # A torn settings file must not replace the settings in use.
     path = machines.folder / "gateway-0.json"
     text = path.read_text()
     path.write_text(text.replace('"retry_slack": 50', '"retry_slack": 40'))
@@ -372,9 +359,7 @@
 
 
 def test_an_endpoint_behind_a_cut_costs_no_request(machines) -> None:
-    # An endpoint's address refuses connections: it is behind a cut, and still
-    # published. Nothing was sent there, so every request can go elsewhere,
-    # payouts as well, whatever the budget for repeats says.
+    # An endpoint that refuses connections must cost no request and no retry.
     machines.put(
         "servers/cut-off",
         {
@@ -392,8 +377,7 @@
 
 
 def test_an_endpoint_that_hangs_loses_its_requests(machines) -> None:
-    # One endpoint takes requests and never answers, while its entry says that
-    # it is ready. After a few callers' time ran out, hardly any may go there.
+    # An endpoint that never answers must lose its share of requests.
     machines.faults("desk-0", silent=True)
     short = {"Boragefold-Deadline-Ms": "250"}
     statuses = [
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -97,8 +97,7 @@
 
 
 def test_a_listing_is_followed_by_a_watch_from_its_first_page() -> None:
-    # An item changes while the pages of a listing are read. The watch must
-    # begin at the first page, or that change is never seen.
+    # A change made while pages are read must not be missed.
     side = Side()
     side.answer(store_follower.Page((item("s/a", 2),), 5, "s/a", True))
     side.answer(store_follower.Page((item("s/b", 7),), 7, "s/b", False))
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -67,8 +67,7 @@
 
 
 def test_a_payout_runs_once_through_two_instances(fleet):
-    # A caller's connection breaks after it sent a payout. It repeats the call
-    # with its ticket, and the balancer picks an instance elsewhere.
+    # A payout repeated with its ticket elsewhere must run once.
     first, other = fleet.entries[0], fleet.entries[2]
     minted = processes.call(
         first.address, "/v1/tickets", key=fleet.key, method="POST"
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -65,8 +65,7 @@
 
 
 def test_an_idle_connection_that_died_is_replaced_before_blame(side):
-    # A device between us and the endpoint has lost track of an idle
-    # connection. The next call on it fails although the endpoint is well.
+    # A dead idle connection must not be blamed on the endpoint.
     old = pooled(side)
     old.close()
     side.call()
@@ -122,8 +121,7 @@
 
 
 def test_silence_is_a_timeout_and_progress_is_not(side):
-    # A stream that goes on is never cut for its length; a connection on
-    # which nothing comes any more is given up.
+    # A long stream must not be cut; a silent connection must be.
     side.call(fresh=True)
     sock = side.accept()
     side.net.turn(lambda: False)
@@ -171,8 +169,7 @@
 
 
 def test_an_answer_without_a_length_ends_with_its_connection(side):
-    # Some endpoints send no length and close after the answer. Where that is
-    # known, the answer is whole.
+    # An answer may end with its connection where that is known.
     sock = call_of(side, whole_at_close=True)
     sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nall of it")
     sock.close()
@@ -181,8 +178,7 @@
 
 
 def test_an_answer_without_a_length_is_cut_by_a_reset(side):
-    # The endpoint crashed in the middle: its connection is reset. Passed on
-    # as whole, a caller would take half an answer for all of it.
+    # A reset must not make half an answer look whole.
     sock = call_of(side, whole_at_close=True)
     sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf of")
     side.net.turn(lambda: False)
@@ -195,8 +191,7 @@
 
 
 def test_the_answer_to_another_request_is_skipped(side):
-    # An endpoint answers an earlier request twice; the second copy comes
-    # first on the connection. The caller must get its own answer.
+    # A repeated answer to an earlier request must not reach the next caller.
     sock = call_of(side, accepts=lambda headers: headers.get("x-id") == "mine")
     foreign = (
         b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
@@ -210,8 +205,7 @@
 
 
 def test_bytes_behind_a_whole_answer_cost_only_the_connection(side):
-    # A faulty endpoint sends more than its answer in one write. The answer
-    # counts; what follows must not reach the next call on the connection.
+    # Bytes behind an answer must not reach the next request.
     sock = call_of(side, fresh=False)
     sock.sendall(WHOLE + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
     side.net.turn(lambda: bool(side.ended))
@@ -224,8 +218,7 @@
 
 
 def test_an_answer_before_the_body_was_read_ends_the_connection(side):
-    # An endpoint rejects a long request before it has read it, and keeps the
-    # connection. The next request would be taken for the rest of that body.
+    # The unsent rest of a body must not be taken for the next request.
     body = bytes(4_000_000)
     sock = call_of(side, method="POST", body=body, fresh=False)
     sock.sendall(WHOLE)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -49,8 +49,7 @@
 
 
 def test_pipelined_requests_are_both_answered_in_order(face):
-    # A caller sends two requests in one segment. The HTTP library that the
-    # operators' face uses answers only the first; the caller would hang.
+    # A pipelined request must not be lost.
     second = GOOD.replace(b"abc", b"xyz")
     answer = face.say(GOOD + second)
     assert answer.count(b"HTTP/1.1 200") == 2
@@ -105,8 +104,7 @@
 
 
 def test_a_slow_reader_fills_a_bounded_buffer():
-    # A caller asks for a long stream and reads nothing. Whoever writes is
-    # told to wait, and is told again when the caller has caught up.
+    # A caller that reads slowly must not fill the memory.
     face = Face()
     face.application = face.hold
     sock = face.net.connect(face.port)
@@ -198,8 +196,7 @@
     ids=["waits", "idle", "slow head", "body", "slow body"],
 )
 def test_callers_that_send_nothing_or_too_slowly(sent, waited, answered):
-    # Callers open connections and send nothing, or part of a request. Kept
-    # for ever, they would take every descriptor of the process.
+    # Idle callers must not use up the descriptors.
     net, connections, sock = slow_side()
     sock.sendall(sent)
     net.turn(lambda: False)
@@ -216,9 +213,7 @@
 
 
 def test_an_answer_that_turned_out_to_be_the_last_ends_its_connection():
-    # An instance is told to stop while a long answer runs, whose head said
-    # nothing of closing. The caller's next request comes at once behind the
-    # answer. Taken in, it would be given up when the process ends.
+    # A request behind the last answer must not be taken and then given up.
     net = loopback.Loopback()
     taken, last = [], []
 
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -78,8 +78,7 @@
 
 
 def test_a_message_for_a_predecessor_is_dropped(pair):
-    # A process was restarted at the same address. A peer that hasn't noticed
-    # still sends what only the dead process could make sense of.
+    # A message for an earlier incarnation must not reach its successor.
     one, two = pair.links
     one.send(to=two.self_id._replace(incarnation="dead"), body=Ping(1))
     one.send(to=two.self_id, body=Ping(2))
@@ -89,8 +88,7 @@
 
 
 def test_a_stranger_is_not_heard():
-    # Someone on the network learnt the public key and connects with a key
-    # pair of their own.
+    # Knowing the public key must not be enough to be heard.
     ours, theirs = keys(), keys()
     stranger = theirs._replace(public=theirs.public)
     pair = Pair(stranger, ours)
