Give the caller's answer and the end of a request modules of their own

Forwarding now decides where a request goes and what follows a failure; what is passed on stands in caller_answer, when it is given up in answer_deadline, and what is logged and counted at its end in request_end. Behaviour is unchanged.

--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from boragefold.entry import answer_deadline
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_asker
 from boragefold.entry import engine_owner
@@ -247,7 +248,7 @@
         first_event_at_seconds = (
             admitted.arrived_at_seconds
             + patience_seconds
-            - forwarding.MARGIN_SECONDS
+            - answer_deadline.MARGIN_SECONDS
         )
         return min(self.ends_at_seconds, first_event_at_seconds)
 
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -5,23 +5,21 @@
 import abc
 from typing import Any
 
-from boragefold.entry import answer_times
+from boragefold.entry import answer_deadline
 from boragefold.entry import attempt as attempts
+from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
-from boragefold.entry import event_stream
 from boragefold.entry import refusals
+from boragefold.entry import request_end
 from boragefold.entry import serving
 from boragefold.state import deployment
 from boragefold.transport import http_client
 from boragefold.transport import http_server
 
-# An answer is given up this long before its caller leaves.
-MARGIN_SECONDS = 0.02
-# With more time the margin grows, for an instance short of processor time.
-MARGIN_SHARE = 0.025
-MAX_MARGIN_SECONDS = 0.1
 # Where nothing better is known.
 RETRY_AFTER_SECONDS = 0.3
+# The deadline ends a request before its connection's silence does.
+PROGRESS_SLACK_SECONDS = 1.0
 
 
 class Forwarding(abc.ABC):
@@ -36,29 +34,15 @@
     ) -> None:
         self.admitted = admitted
         self.shared = shared
-        self._exchange = exchange
         self._attempt: attempts.Attempt | None = None
         self._sent_to: list[str] = []
         self._unreachable: set[str] = set()
         self._over = False
         self._sent_at_seconds = admitted.arrived_at_seconds
-        self._times = answer_times.AnswerTimes(
-            arrived_at_seconds=admitted.arrived_at_seconds
-        )
-        self._events = (
-            event_stream.EventSplitter() if admitted.route.resumable else None
-        )
-        limit_seconds = admitted.route.timeout_seconds
-        if admitted.request.deadline_seconds is not None:
-            limit_seconds = min(
-                limit_seconds, admitted.request.deadline_seconds
-            )
-        margin_seconds = min(MARGIN_SHARE * limit_seconds, MAX_MARGIN_SECONDS)
-        self.ends_at_seconds = (
-            admitted.arrived_at_seconds
-            + limit_seconds
-            - max(MARGIN_SECONDS, margin_seconds)
+        self._answer = caller_answer.CallerAnswer(
+            admitted=admitted, exchange=exchange, shared=shared
         )
+        self.ends_at_seconds = answer_deadline.ends_at_seconds(admitted)
         exchange.on_closed = self._caller_gone
         exchange.on_drained = self._caller_caught_up
         self._timeout = shared.timers.once(
@@ -73,16 +57,6 @@
         """
         return self._over
 
-    @property
-    def resume_after(self) -> str:
-        """Tell which event of a stream the caller got last.
-
-        :return: its id; empty before the first
-        """
-        if self._events is None or not self._events.last_event_id:
-            return self.admitted.request.last_event_id
-        return self._events.last_event_id
-
     def left_seconds(self) -> float:
         """Tell how much time is left for the answer.
 
@@ -165,10 +139,10 @@
         workspace = admitted.workspace
         target = dialects.EndpointTarget(
             record=record,
-            deadline_seconds=max(self.left_seconds(), MARGIN_SECONDS),
+            deadline_seconds=self._allowed_seconds(),
             workspace="" if workspace is None else workspace.name,
             version=version,
-            resume_after=self.resume_after,
+            resume_after=self._answer.last_event_id,
         )
         shared.log.write_ordinary(
             "request_sent",
@@ -187,7 +161,7 @@
         :param may_have_run: whether it may have run there
         :return: whether kind, budget and time allow it
         """
-        if self.left_seconds() <= MARGIN_SECONDS:
+        if self.left_seconds() <= answer_deadline.MARGIN_SECONDS:
             return False
         budget = self.shared.retries.of(self.admitted.service.name)
         return budget.try_retry(
@@ -203,41 +177,23 @@
         :param status: its status
         :param headers: its headers
         """
-        if self._exchange.started:
-            return
-        passed = self.shared.dialect.caller_headers(headers)
-        if self._events is not None:
-            # The rest may come from another endpoint with another length.
-            passed = [
-                (name, value)
-                for name, value in passed
-                if name.lower() != "content-length"
-            ]
-        self._exchange.start(status, passed)
+        self._answer.pass_head(status, headers)
 
     def pass_data(self, data: bytes) -> None:
         """Pass a piece of an endpoint's answer on.
 
         :param data: the piece
         """
-        if self._events is not None:
-            # Whole events only: the rest of a torn one would be joined with
-            # another endpoint's.
-            data = self._events.feed(data)
-        if data:
-            self._times.passed(now_seconds=self.shared.timers.now_seconds())
-        if not self._exchange.send(data) and self._attempt is not None:
-            if not self._exchange.finished and data:
-                self._attempt.pause()
+        keeps_up = self._answer.pass_data(data)
+        if not keeps_up and self._attempt is not None:
+            self._attempt.pause()
 
     def pass_end(self, status: int) -> None:
         """Tell the caller that the answer is whole.
 
         :param status: the answer's
         """
-        if self._events is not None:
-            self._exchange.send(self._events.rest())
-        self._exchange.finish()
+        self._answer.pass_end()
         self._finish("answered", status)
 
     def attempt_failed(
@@ -255,21 +211,23 @@
             endpoint=endpoint,
             reason=reason,
             may_have_run=may_have_run,
-            answer_begun=self._exchange.started,
+            answer_begun=self._answer.started,
         )
         if not may_have_run:
             self._note_unreachable(endpoint)
-        resumable = self._events is not None or not self._exchange.started
-        if not may_have_run and self.left_seconds() > MARGIN_SECONDS:
+        if (
+            not may_have_run
+            and self.left_seconds() > answer_deadline.MARGIN_SECONDS
+        ):
             # Nothing was sent, so this is no retry.
             self.begin()
-        elif resumable and self.may_repeat(
+        elif self._answer.resumable and self.may_repeat(
             endpoint, may_have_run=may_have_run
         ):
-            self._begin_again()
-        elif self._exchange.started:
-            # Closed normally it would look whole.
-            self._exchange.abort()
+            self._answer.drop_torn_event()
+            self.begin()
+        elif self._answer.started:
+            self._answer.break_off()
             self._finish("broken_off", 0)
         elif may_have_run:
             self.refuse(refusals.UNKNOWN, reason)
@@ -290,18 +248,7 @@
         """
         if self._over:
             return
-        if self._exchange.started:
-            self._exchange.abort()
-        else:
-            refusals.write(
-                self._exchange,
-                kind,
-                reason,
-                retry_after_seconds=retry_after_seconds,
-                headers=self.shared.dialect.refusal_headers(
-                    self.admitted.request
-                ),
-            )
+        self._answer.refuse(kind, reason, retry_after_seconds)
         self.shared.counters.add("requests_refused", reason)
         self._finish(reason, kind.status, retry_after_seconds)
 
@@ -312,6 +259,9 @@
         """
         return {}
 
+    def _allowed_seconds(self) -> float:
+        return max(self.left_seconds(), answer_deadline.MARGIN_SECONDS)
+
     def _waited_seconds(self) -> float:
         return self._sent_at_seconds - self.admitted.arrived_at_seconds
 
@@ -322,11 +272,6 @@
             endpoint, now_seconds=self.shared.timers.now_seconds()
         )
 
-    def _begin_again(self) -> None:
-        if self._exchange.started and self._events is not None:
-            self._events.drop_torn()
-        self.begin()
-
     def _call(self, target: dialects.EndpointTarget) -> http_client.Call:
         request = self.admitted.request
         headers = self.shared.dialect.endpoint_headers(request, target)
@@ -339,7 +284,7 @@
             # An idle connection may be dead, which would leave the outcome of
             # a non-idempotent request unknown.
             fresh=not self.admitted.route.repeatable,
-            progress_seconds=max(self.left_seconds(), MARGIN_SECONDS) + 1.0,
+            progress_seconds=self._allowed_seconds() + PROGRESS_SLACK_SECONDS,
             may_send=lambda: not self._over,
             accepts=lambda found: self.shared.dialect.answers(request, found),
             whole_at_close=True,
@@ -376,7 +321,16 @@
         self._timeout.cancel()
         self._ended()
         self._give_back_unused()
-        self._log_end(outcome, status, retry_after_seconds)
+        end = request_end.RequestEnd(
+            outcome=outcome,
+            status=status,
+            retry_after_seconds=retry_after_seconds,
+            sent_to=self._sent_to,
+            waited_seconds=self._waited_seconds(),
+            wait_fields=self.wait_fields(),
+            times=self._answer.times,
+        )
+        request_end.record(end, admitted=self.admitted, shared=self.shared)
 
     def _give_back_unused(self) -> None:
         # A request that didn't run isn't charged.
@@ -390,60 +344,8 @@
                 now_seconds=self.shared.timers.now_seconds(),
             )
 
-    def _log_end(
-        self, outcome: str, status: int, retry_after_seconds: float
-    ) -> None:
-        shared, admitted = self.shared, self.admitted
-        took_seconds = (
-            shared.timers.now_seconds() - admitted.arrived_at_seconds
-        )
-        current = shared.fleet.deployment
-        fields = {
-            "request_id": admitted.request.request_id,
-            "route": admitted.route.name,
-            "workspace": admitted.workspace and admitted.workspace.name,
-            "outcome": outcome,
-            "status": status,
-            "endpoints": self._sent_to,
-            "took_seconds": round(took_seconds, 4),
-            "retry_after_seconds": round(retry_after_seconds, 3),
-            "deployment_version": current and current.version,
-        }
-        if admitted.route.kind is deployment.RouteKind.STREAM:
-            fields |= self.wait_fields() | self._stream_fields()
-        shared.counters.add("requests_ended", outcome)
-        shared.counters.observe_seconds("request_seconds", took_seconds)
-        if outcome == "answered" and len(self._sent_to) == 1:
-            shared.log.write_ordinary("request_ended", **fields)
-        else:
-            shared.log.write("request_ended", **fields)
-
-    def _stream_fields(self) -> dict[str, Any]:
-        times = self._times
-        if times.first_event_seconds is None:
-            return {}
-        counters = self.shared.counters
-        lateness = times.lateness(self.admitted.route)
-        if lateness is not answer_times.Lateness.NONE:
-            counters.add("answers_late", lateness.value)
-        waited_seconds = self._waited_seconds()
-        counters.observe_seconds("waited_seconds", waited_seconds)
-        counters.observe_seconds(
-            "first_event_seconds", times.first_event_seconds
-        )
-        counters.observe_seconds(
-            "longest_pause_seconds", times.longest_pause_seconds
-        )
-        return {
-            "waited_seconds": round(waited_seconds, 4),
-            "first_event_seconds": round(times.first_event_seconds, 4),
-            "longest_pause_seconds": round(times.longest_pause_seconds, 4),
-            "late": lateness.value,
-        }
-
 
 __all__ = [
     "Forwarding",
-    "MARGIN_SECONDS",
     "RETRY_AFTER_SECONDS",
 ]
--- /dev/null
+++ b/src/boragefold/entry/request_end.py
@@ -0,0 +1,88 @@
+"""What is logged and counted when a request has ended."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+
+from boragefold.entry import answer_times
+from boragefold.entry import serving
+from boragefold.state import deployment
+
+
+class RequestEnd(NamedTuple):
+    """How a request ended, and where its time went.
+
+    ``waited_seconds`` is the time before the last sending; ``wait_fields``
+    tells its parts.
+    """
+
+    outcome: str
+    status: int
+    retry_after_seconds: float
+    sent_to: Sequence[str]
+    waited_seconds: float
+    wait_fields: dict[str, Any]
+    times: answer_times.AnswerTimes
+
+
+def record(
+    end: RequestEnd, *, admitted: serving.Admitted, shared: serving.Shared
+) -> None:
+    """Count the end of a request, and write its line.
+
+    :param end: how it ended
+    :param admitted: the request
+    :param shared: the log and the counters
+    """
+    took_seconds = shared.timers.now_seconds() - admitted.arrived_at_seconds
+    current = shared.fleet.deployment
+    fields = {
+        "request_id": admitted.request.request_id,
+        "route": admitted.route.name,
+        "workspace": admitted.workspace and admitted.workspace.name,
+        "outcome": end.outcome,
+        "status": end.status,
+        "endpoints": end.sent_to,
+        "took_seconds": round(took_seconds, 4),
+        "retry_after_seconds": round(end.retry_after_seconds, 3),
+        "deployment_version": current and current.version,
+    }
+    if admitted.route.kind is deployment.RouteKind.STREAM:
+        fields |= end.wait_fields | _stream_fields(end, admitted, shared)
+    shared.counters.add("requests_ended", end.outcome)
+    shared.counters.observe_seconds("request_seconds", took_seconds)
+    if end.outcome == "answered" and len(end.sent_to) == 1:
+        shared.log.write_ordinary("request_ended", **fields)
+    else:
+        shared.log.write("request_ended", **fields)
+
+
+def _stream_fields(
+    end: RequestEnd, admitted: serving.Admitted, shared: serving.Shared
+) -> dict[str, Any]:
+    times = end.times
+    if times.first_event_seconds is None:
+        return {}
+    counters = shared.counters
+    lateness = times.lateness(admitted.route)
+    if lateness is not answer_times.Lateness.NONE:
+        counters.add("answers_late", lateness.value)
+    counters.observe_seconds("waited_seconds", end.waited_seconds)
+    counters.observe_seconds("first_event_seconds", times.first_event_seconds)
+    counters.observe_seconds(
+        "longest_pause_seconds", times.longest_pause_seconds
+    )
+    return {
+        "waited_seconds": round(end.waited_seconds, 4),
+        "first_event_seconds": round(times.first_event_seconds, 4),
+        "longest_pause_seconds": round(times.longest_pause_seconds, 4),
+        "late": lateness.value,
+    }
+
+
+__all__ = [
+    "RequestEnd",
+    "record",
+]
