Take the store's followers and the fleet's log out of the gateway's assembly

What the followers say together stands in store_followers, what is logged of the fleet in fleet_log, and the heartbeats of reachable members have one home in Members.beats. The assembly puts parts together and no more. Behaviour is unchanged.

--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -123,6 +123,17 @@
             )
         ]
 
+    def beats(self) -> list[messages.Beat]:
+        """List what the instances that are heard tell of themselves.
+
+        :return: their last heartbeats
+        """
+        return [
+            member.beat
+            for member in self.reachable()
+            if member.beat is not None
+        ]
+
     def unreachable(self) -> list[member_module.Member]:
         """List the instances that are known and not heard.
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -18,12 +18,14 @@
 from boragefold.entry import engine_asker
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
+from boragefold.entry import fleet_log
 from boragefold.entry import gateway
 from boragefold.entry import gateway_faces
 from boragefold.entry import reloading
 from boragefold.entry import serving
 from boragefold.entry import stopping
 from boragefold.entry import store_follower
+from boragefold.entry import store_followers
 from boragefold.policy import retry_budget
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -53,10 +55,6 @@
 STOP_MARGIN_SECONDS = 0.5
 
 
-# The deployment's version, the endpoints, and those of them that leave.
-Belief = tuple[int | None, frozenset[str], frozenset[str]]
-
-
 class GatewayInstance:
     """Everything of one gateway instance, on one loop."""
 
@@ -98,11 +96,13 @@
             counters=self.counters,
         )
         self._rng = random.Random()
-        self._logged_belief: Belief = (None, frozenset(), frozenset())
         self._fleet = fleets.Fleet()
         self._items = published_items.PublishedItems(
             matters=matters, prefixes=prefixes
         )
+        self._fleet_log = fleet_log.FleetLog(
+            fleet=self._fleet, items=self._items, log=self.log
+        )
         self._lapses = lapses_module.Lapses(
             timers=self.timers,
             drop=self._fleet.drop_endpoint,
@@ -116,9 +116,18 @@
             timers=self.timers,
             connect_seconds=CONNECT_SECONDS,
         )
-        self._followers = [
-            self._follower(prefix, store) for prefix in prefixes
-        ]
+        self._followers = store_followers.StoreFollowers(
+            prefixes=prefixes,
+            dialect=store,
+            client=self._client,
+            items=self._items,
+            timers=self.timers,
+            counters=self.counters,
+            log=self.log,
+            rng=self._rng,
+            wanted=self._wants_to_read,
+            lapses=self._lapses,
+        )
         self._link = self_link.SelfLink(
             link=self._make_link(), timers=self.timers
         )
@@ -154,7 +163,7 @@
             link=self._link,
             items=self._items,
             timers=self.timers,
-            behind=lambda: any(each.is_stale() for each in self._followers),
+            behind=self._followers.any_stale,
             lapses=self._lapses,
         )
         self._faces = gateway_faces.GatewayFaces(
@@ -197,9 +206,8 @@
             on_gone=self._owner.peer_gone,
             on_silent=self._on_silent,
         )
-        self._fleet.subscribe(self._fleet_changed)
-        for follower in self._followers:
-            follower.start()
+        self._fleet.subscribe(self._fleet_log.fleet_changed)
+        self._followers.start()
         self._heartbeats.start()
         self.timers.every(
             period_seconds=REFRESH_SECONDS, callback=self._refresh
@@ -240,25 +248,13 @@
             used=self._rate.used(now_seconds=self.timers.now_seconds()),
             avoids=self._owner.avoided(),
             link_megabits=self.settings.link_megabits,
-            store_sound=self._store_sound(),
-            store_lost=any(each.is_lost() for each in self._followers),
+            store_sound=self._followers.is_store_sound(),
+            store_lost=self._followers.any_lost(),
             unheard=self._members.unheard(),
         )
 
-    def _store_sound(self) -> bool:
-        # A watch on what rarely changes is silent; that on endpoints isn't.
-        away = self._lapses.settling_seconds() > 0 or any(
-            follower.is_lost() for follower in self._followers
-        )
-        return not away and any(
-            follower.is_sound() for follower in self._followers
-        )
-
     def _store_was_up(self) -> bool:
-        return any(
-            member.beat is not None and member.beat.store_sound
-            for member in self._members.reachable()
-        )
+        return any(beat.store_sound for beat in self._members.beats())
 
     def _on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
         self._relay.on_beat(sender, beat)
@@ -277,26 +273,6 @@
         )
         self._refresh()
 
-    def _fleet_changed(self) -> None:
-        current = self._fleet.deployment
-        belief = (
-            current and current.version,
-            frozenset(self._fleet.names()),
-            frozenset(self._fleet.names(leaving=True)),
-        )
-        before, self._logged_belief = self._logged_belief, belief
-        if belief == before:
-            # Only what an engine holds has changed.
-            return
-        self.log.write(
-            "fleet_changed",
-            deployment_version=belief[0],
-            joined=sorted(belief[1] - before[1]),
-            gone=sorted(before[1] - belief[1]),
-            leaving=sorted(belief[2]),
-            revision=self._items.revision,
-        )
-
     def _refresh(self) -> None:
         engines = {record.name: record for record in self._fleet.engines()}
         self._ownership.refresh(engines.values())
@@ -315,22 +291,6 @@
             endpoint, now_seconds=self.timers.now_seconds()
         )
 
-    def _follower(
-        self, prefix: str, store: store_follower.StoreDialect
-    ) -> store_follower.StoreFollower:
-        return store_follower.StoreFollower(
-            prefix=prefix,
-            dialect=store,
-            client=self._client,
-            items=self._items,
-            timers=self.timers,
-            counters=self.counters,
-            log=self.log,
-            rng=self._rng,
-            wanted=self._wants_to_read,
-            returned=self._lapses.store_returned,
-        )
-
     def _make_link(self) -> peer_link.ZmqPeerLink:
         link = peer_link.ZmqPeerLink(
             poller=self.loop.poller,
@@ -376,9 +336,8 @@
     def _loads_elsewhere(self) -> int:
         return sum(
             engine.loading
-            for member in self._members.reachable()
-            if member.beat is not None
-            for engine in member.beat.engines
+            for beat in self._members.beats()
+            for engine in beat.engines
         )
 
     def _make_gateway(self, dialect: dialects.Dialect) -> gateway.Gateway:
