--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,28 @@
+"""The users' machines, started once a module."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes import machines as machines_module
+
+GATEWAYS = 2
+
+
+@pytest.fixture(scope="module")
+def machines(request, tmp_path_factory):
+    machines = machines_module.Machines(
+        tmp_path_factory.mktemp("machines"),
+        gateways=getattr(request.module, "GATEWAYS", GATEWAYS),
+    )
+    try:
+        yield machines.start()
+    finally:
+        machines.stop()
+
+
+@pytest.fixture
+def sound(machines):
+    yield
+    for name in machines.endpoints:
+        machines.faults(name)
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import concurrent.futures
-import signal
 import socket
 import time
 
@@ -14,21 +13,23 @@
 # On a busy machine a load may be later than expected several times.
 RETURNS = 8
 
+pytestmark = pytest.mark.usefixtures("sound")
 
-@pytest.fixture(scope="module")
-def machines(tmp_path_factory):
-    machines = machines_module.Machines(tmp_path_factory.mktemp("machines"))
-    try:
-        yield machines.start()
-    finally:
-        machines.stop()
 
+def _served(machines, adapter, *, number):
+    for _ in range(RETURNS):
+        reply = machines.generate(adapter, number=number)
+        if reply.status != 503:
+            break
+        time.sleep(float(reply.headers["retry-after"]))
+    return reply
 
-@pytest.fixture(autouse=True)
-def sound(machines):
-    yield
-    for name in machines.endpoints:
-        machines.faults(name)
+
+def _reached(machines, name, *, requests):
+    before = len(machines.seen(name)["runs"])
+    for _ in range(requests):
+        machines.ask("/orders/1", body=b"x")
+    return len(machines.seen(name)["runs"]) - before
 
 
 def test_a_payout_runs_once_and_comes_back_whole(machines) -> None:
@@ -252,112 +253,6 @@
     assert b"boragefold_requests_ended" in reply.body
 
 
-def test_a_killed_instance_is_replaced_and_served_again(machines) -> None:
-    # The engines of a killed instance must get an owner.
-    machines.signal(1, signal.SIGKILL)
-    machines.wait(1)
-    machines_module.eventually(
-        lambda: machines.generate("z1", number=0).status == 200
-    )
-    machines.start_gateway(1)
-    machines_module.eventually(lambda: machines.is_ready(1))
-    machines_module.eventually(
-        lambda: machines.generate("z2", number=1).status == 200
-    )
-
-
-def test_a_planned_stop_cuts_nothing(machines) -> None:
-    # A planned stop must not cut off a running stream.
-    with concurrent.futures.ThreadPoolExecutor(1) as pool:
-        running = pool.submit(
-            lambda: machines.generate("", number=1, events=200)
-        )
-        machines_module.eventually(
-            lambda: any(
-                run["headers"].get("boragefold-token-usage") == "100,200"
-                for run in machines.runs("engine")
-            )
-        )
-        machines.signal(1, signal.SIGTERM)
-        machines_module.eventually(lambda: not machines.is_ready(1))
-        reply = running.result()
-    assert reply.status == 200
-    assert reply.body.count(b"id: ") == 200
-    assert machines.wait(1) == 0
-    machines.start_gateway(1)
-    machines_module.eventually(lambda: machines.is_ready(1))
-
-
-def _served(machines, adapter, *, number):
-    for _ in range(RETURNS):
-        reply = machines.generate(adapter, number=number)
-        if reply.status != 503:
-            break
-        time.sleep(float(reply.headers["retry-after"]))
-    return reply
-
-
-def _reached(machines, name, *, requests):
-    before = len(machines.seen(name)["runs"])
-    for _ in range(requests):
-        machines.ask("/orders/1", body=b"x")
-    return len(machines.seen(name)["runs"]) - before
-
-
-def test_a_caller_that_takes_nothing_doesnt_hold_a_planned_stop(
-    machines,
-) -> None:
-    # A caller that reads nothing must not delay a stop until the kill.
-    host, _, port = machines.gateways[1]["front"].rpartition(":")
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.connect((host, int(port)))
-    sock.sendall(
-        b"POST /notes/x HTTP/1.1\r\nHost: press.example\r\n"
-        b"Boragefold-Key: granted-key\r\nBoragefold-Model: base\r\n"
-        b"Boragefold-Attempt-Id: deaf\r\nContent-Length: 0\r\n"
-        b"Boragefold-Token-Usage: 100,3000\r\n\r\n"
-    )
-    machines_module.eventually(
-        lambda: any(
-            run["headers"].get("boragefold-attempt-id") == "deaf"
-            for run in machines.runs("engine")
-        )
-    )
-    begun = time.monotonic()
-    machines.signal(1, signal.SIGTERM)
-    assert machines.wait(1) == 0
-    assert time.monotonic() - begun < 8.0
-    sock.close()
-    machines.start_gateway(1)
-    machines_module.eventually(lambda: machines.is_ready(1))
-
-
-def test_a_changed_settings_file_is_taken_over_and_a_bad_one_isnt(
-    machines,
-) -> None:
-    # A torn settings file must not replace the settings in use.
-    path = machines.folder / "gateway-0.json"
-    text = path.read_text()
-    path.write_text(text.replace('"retry_slack": 50', '"retry_slack": 40'))
-    machines.signal(0, signal.SIGHUP)
-    machines_module.eventually(
-        lambda: any(
-            line["event"] == "settings_reloaded"
-            and line["changed"] == ["retry_limit"]
-            for line in machines.lines(0)
-        )
-    )
-    path.write_text(text[:40])
-    machines_module.eventually(
-        lambda: any(
-            line["event"] == "settings_refused" for line in machines.lines(0)
-        )
-    )
-    assert machines.ask("/orders/1", body=b"x").status == 200
-    path.write_text(text)
-
-
 def test_an_endpoint_behind_a_cut_costs_no_request(machines) -> None:
     # An endpoint that refuses connections must cost no request and no retry.
     machines.put(
--- a/tests/entry/test_operations.py
+++ b/tests/entry/test_operations.py
@@ -12,24 +12,9 @@
 from tests.fakes import machines as machines_module
 
 PAGE = pathlib.Path("docs/OPERATIONS.md")
+GATEWAYS = 1
 
-
-@pytest.fixture(scope="module")
-def machines(tmp_path_factory):
-    machines = machines_module.Machines(
-        tmp_path_factory.mktemp("operations"), gateways=1
-    )
-    try:
-        yield machines.start()
-    finally:
-        machines.stop()
-
-
-@pytest.fixture(autouse=True)
-def sound(machines):
-    yield
-    for name in machines.endpoints:
-        machines.faults(name)
+pytestmark = pytest.mark.usefixtures("sound")
 
 
 def story(machines, request_id):
