Give an attempt's handler and its way through the registers modules of their own

The runner drives attempts; what one has been granted stands in asking, what a caller is told in attempt_handler, and a ticket names its registers itself. A flag that nothing read is gone. Behaviour is unchanged.

--- /dev/null
+++ b/src/boragefold/coordination/once/asking.py
@@ -0,0 +1,60 @@
+"""One attempt, or one question, on its way through a ticket's registers."""
+
+from __future__ import annotations
+
+from boragefold.coordination.once import attempt_handler
+from boragefold.protocol import ids
+from boragefold.protocol import once_messages
+from boragefold.timing import timers as timing
+
+ASKS_PER_REGISTER = 2
+
+
+class Asking:
+    """Which register is asked now, and what the others have granted.
+
+    ``sealing`` tells that the registers are asked never to grant the ticket,
+    rather than to grant it to this attempt.
+    """
+
+    def __init__(
+        self,
+        *,
+        ticket: once_messages.Ticket,
+        attempt: once_messages.Attempt,
+        digest: str,
+        handler: attempt_handler.AttemptHandler,
+        give_up_at_seconds: float,
+        sealing: bool,
+    ) -> None:
+        self.ticket = ticket
+        self.attempt = attempt
+        self.digest = digest
+        self.handler = handler
+        self.give_up_at_seconds = give_up_at_seconds
+        self.sealing = sealing
+        self.register = ticket.first
+        self.asks_left = ASKS_PER_REGISTER
+        self.claimed_at: list[ids.InstanceId] = []
+        self.timer: timing.Subscription | None = None
+
+    def move_to(self, register: ids.InstanceId) -> None:
+        """Ask another register from now on.
+
+        :param register: which
+        """
+        self.register = register
+        self.asks_left = ASKS_PER_REGISTER
+
+    def message(self) -> once_messages.Claim | once_messages.Seal:
+        """Write the question to the register.
+
+        :return: the message
+        """
+        kind = once_messages.Seal if self.sealing else once_messages.Claim
+        return kind(self.ticket, self.attempt, self.digest)
+
+
+__all__ = [
+    "Asking",
+]
--- a/src/boragefold/coordination/once/runner.py
+++ b/src/boragefold/coordination/once/runner.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import abc
 import itertools
 
 from boragefold.coordination import link as links
+from boragefold.coordination.once import asking as askings
+from boragefold.coordination.once import attempt_handler
 from boragefold.coordination.once import reach as reaches
 from boragefold.coordination.once import register as registers
 from boragefold.coordination.once import telling
@@ -16,67 +17,14 @@
 
 # A round trip between data centres, with a busy peer.
 ASK_TIMEOUT_SECONDS = 0.4
-ASKS_PER_REGISTER = 2
-
-
-class AttemptHandler(abc.ABC):
-    """Learns, exactly once, what became of an attempt's permission."""
-
-    @abc.abstractmethod
-    def go(self, attempt: once_messages.Attempt) -> None:
-        """Send now; both registers have recorded the attempt.
-
-        :param attempt: to be given to ``finished`` or ``release`` later
-        """
-
-    @abc.abstractmethod
-    def replay(self, answer: once_messages.StoredAnswer) -> None:
-        """Pass on the answer of an earlier attempt; nothing runs.
-
-        :param answer: what the endpoint answered then
-        """
-
-    @abc.abstractmethod
-    def not_run(self, reason: str) -> None:
-        """Tell the caller that the ticket hasn't run.
-
-        :param reason: ``ticket_sealed``, ``ticket_expired``,
-            ``ticket_foreign``, ``register_full``, ``register_unreachable``,
-            ``request_differs`` or ``deadline``
-        """
-
-    @abc.abstractmethod
-    def unknown(self, reason: str) -> None:
-        """Tell the caller that the ticket may have run.
-
-        :param reason: ``already_sent`` or ``registers_unreachable``
-        """
-
-
-class Asking:
-    """One attempt, or one question, on its way through the registers."""
-
-    def __init__(
-        self,
-        *,
-        ticket: once_messages.Ticket,
-        attempt: once_messages.Attempt,
-        digest: str,
-        handler: AttemptHandler,
-        give_up_at_seconds: float,
-        question_only: bool,
-    ) -> None:
-        self.ticket = ticket
-        self.attempt = attempt
-        self.digest = digest
-        self.handler = handler
-        self.give_up_at_seconds = give_up_at_seconds
-        self.sealing = question_only
-        self.question_only = question_only
-        self.register = ticket.first
-        self.asks_left = ASKS_PER_REGISTER
-        self.claimed_at: list[ids.InstanceId] = []
-        self.timer: timing.Subscription | None = None
+# Why a ticket hasn't run, by a register's verdict.
+NOT_RUN_REASONS = {
+    "sealed": "ticket_sealed",
+    "foreign": "ticket_foreign",
+    "expired": "ticket_expired",
+    "full": "register_full",
+    "mismatch": "request_differs",
+}
 
 
 class Runner:
@@ -97,7 +45,7 @@
         self._reach = reach or reaches.Reach(timers=timers)
         self._counters = counters
         self._numbers = itertools.count(1)
-        self._asking: dict[once_messages.Attempt, Asking] = {}
+        self._asking: dict[once_messages.Attempt, askings.Asking] = {}
         self._tickets: dict[once_messages.Attempt, once_messages.Ticket] = {}
         self._teller = telling.Teller(
             link=link, timers=timers, register=register
@@ -118,7 +66,7 @@
         ticket: once_messages.Ticket,
         digest: str,
         give_up_at_seconds: float,
-        handler: AttemptHandler,
+        handler: attempt_handler.AttemptHandler,
     ) -> None:
         """Try to run a ticket.
 
@@ -127,14 +75,14 @@
         :param give_up_at_seconds: the clock reading after which not to send
         :param handler: learns the decision
         """
-        self._start(ticket, digest, give_up_at_seconds, handler, False)
+        self._start(ticket, digest, give_up_at_seconds, handler, sealing=False)
 
     def ask(
         self,
         *,
         ticket: once_messages.Ticket,
         give_up_at_seconds: float,
-        handler: AttemptHandler,
+        handler: attempt_handler.AttemptHandler,
     ) -> None:
         """Find out what became of a ticket, without running it.
 
@@ -145,7 +93,7 @@
         :param give_up_at_seconds: the clock reading after which to stop
         :param handler: learns the outcome; never told to go
         """
-        self._start(ticket, "", give_up_at_seconds, handler, True)
+        self._start(ticket, "", give_up_at_seconds, handler, sealing=True)
 
     def finished(
         self,
@@ -159,7 +107,7 @@
         """
         ticket = self._tickets.pop(attempt)
         store = once_messages.Store(ticket.serial, attempt, answer)
-        for register in _registers(ticket):
+        for register in ticket.registers:
             self._teller.tell(register, store)
 
     def release(self, attempt: once_messages.Attempt) -> None:
@@ -171,7 +119,7 @@
         """
         ticket = self._tickets.pop(attempt)
         release = once_messages.Release(ticket.serial, attempt)
-        for register in _registers(ticket):
+        for register in ticket.registers:
             self._teller.tell(register, release)
 
     def lost(self, attempt: once_messages.Attempt) -> None:
@@ -186,27 +134,27 @@
         ticket: once_messages.Ticket,
         digest: str,
         give_up_at_seconds: float,
-        handler: AttemptHandler,
-        question_only: bool,
+        handler: attempt_handler.AttemptHandler,
+        *,
+        sealing: bool,
     ) -> None:
         attempt = once_messages.Attempt(
             self._link.self_id, next(self._numbers)
         )
-        asking = Asking(
+        asking = askings.Asking(
             ticket=ticket,
             attempt=attempt,
             digest=digest,
             handler=handler,
             give_up_at_seconds=give_up_at_seconds,
-            question_only=question_only,
+            sealing=sealing,
         )
         self._asking[attempt] = asking
         self._ask_register(asking)
 
-    def _ask_register(self, asking: Asking) -> None:
+    def _ask_register(self, asking: askings.Asking) -> None:
         asking.asks_left -= 1
-        kind = once_messages.Seal if asking.sealing else once_messages.Claim
-        message = kind(asking.ticket, asking.attempt, asking.digest)
+        message = asking.message()
         if asking.register == self._link.self_id:
             self._ask_ourselves(message)
             return
@@ -239,12 +187,11 @@
         else:
             self._refused(asking, reply)
 
-    def _granted(self, asking: Asking) -> None:
+    def _granted(self, asking: askings.Asking) -> None:
         asking.claimed_at.append(asking.register)
         second = asking.ticket.second
         if asking.register == asking.ticket.first and second is not None:
-            asking.register = second
-            asking.asks_left = ASKS_PER_REGISTER
+            asking.move_to(second)
             self._ask_register(asking)
             return
         del self._asking[asking.attempt]
@@ -257,7 +204,7 @@
         asking.handler.go(asking.attempt)
 
     def _refused(
-        self, asking: Asking, reply: once_messages.ClaimReply
+        self, asking: askings.Asking, reply: once_messages.ClaimReply
     ) -> None:
         self._give_back(asking)
         del self._asking[asking.attempt]
@@ -269,7 +216,7 @@
         else:
             self._end_not_run(asking, NOT_RUN_REASONS[reply.verdict])
 
-    def _on_silence(self, asking: Asking) -> None:
+    def _on_silence(self, asking: askings.Asking) -> None:
         if asking.attempt not in self._asking:
             return
         if asking.asks_left > 0:
@@ -282,7 +229,7 @@
         else:
             self._second_is_silent(asking)
 
-    def _first_is_silent(self, asking: Asking) -> None:
+    def _first_is_silent(self, asking: askings.Asking) -> None:
         second = asking.ticket.second
         if second is None:
             del self._asking[asking.attempt]
@@ -291,11 +238,10 @@
         # Nothing can run without the second register, so sealing there makes
         # "not run" true.
         asking.sealing = True
-        asking.register = second
-        asking.asks_left = ASKS_PER_REGISTER
+        asking.move_to(second)
         self._ask_register(asking)
 
-    def _second_is_silent(self, asking: Asking) -> None:
+    def _second_is_silent(self, asking: askings.Asking) -> None:
         del self._asking[asking.attempt]
         if asking.claimed_at:
             self._give_back(asking)
@@ -303,39 +249,24 @@
         else:
             self._end_unknown(asking, "registers_unreachable")
 
-    def _give_back(self, asking: Asking) -> None:
+    def _give_back(self, asking: askings.Asking) -> None:
         # Released even where the reply was lost, so that a repeat isn't
         # refused.
         if not asking.claimed_at:
             return
         release = once_messages.Release(asking.ticket.serial, asking.attempt)
-        for register in _registers(asking.ticket):
+        for register in asking.ticket.registers:
             self._teller.tell(register, release)
 
-    def _end_not_run(self, asking: Asking, reason: str) -> None:
+    def _end_not_run(self, asking: askings.Asking, reason: str) -> None:
         self._counters.add("once_outcomes", reason)
         asking.handler.not_run(reason)
 
-    def _end_unknown(self, asking: Asking, reason: str) -> None:
+    def _end_unknown(self, asking: askings.Asking, reason: str) -> None:
         self._counters.add("once_outcomes", reason)
         asking.handler.unknown(reason)
 
 
-NOT_RUN_REASONS = {
-    "sealed": "ticket_sealed",
-    "foreign": "ticket_foreign",
-    "expired": "ticket_expired",
-    "full": "register_full",
-    "mismatch": "request_differs",
-}
-
-
-def _registers(ticket: once_messages.Ticket) -> list[ids.InstanceId]:
-    second = ticket.second
-    return [ticket.first] if second is None else [ticket.first, second]
-
-
 __all__ = [
-    "AttemptHandler",
     "Runner",
 ]
--- a/src/boragefold/entry/once_call.py
+++ b/src/boragefold/entry/once_call.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from boragefold.coordination.once import attempt_handler
 from boragefold.coordination.once import runner as runners
 from boragefold.entry import answers
 from boragefold.entry import plain_call
@@ -40,7 +41,7 @@
 StartCall = Callable[[Callable[[plain_call.Result], None]], None]
 
 
-class OnceCall(runners.AttemptHandler):
+class OnceCall(attempt_handler.AttemptHandler):
     """Runs the call if its registers permit, and says truthfully what was.
 
     The caller may disconnect at any time; that cancels nothing, and the
--- a/src/boragefold/protocol/once_messages.py
+++ b/src/boragefold/protocol/once_messages.py
@@ -21,6 +21,16 @@
     issued_at_seconds: float
     seal: bytes
 
+    @property
+    def registers(self) -> list[ids.InstanceId]:
+        """List the registers that have to grant it.
+
+        :return: one or two
+        """
+        if self.second is None:
+            return [self.first]
+        return [self.first, self.second]
+
 
 class Attempt(NamedTuple):
     """One attempt to run a ticket, by one incarnation; never used twice."""
--- a/tests/coordination/once/test_runner.py
+++ b/tests/coordination/once/test_runner.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from boragefold.coordination.once import attempt_handler
 from boragefold.coordination.once import reach as reaches
 from boragefold.coordination.once import register as registers
 from boragefold.coordination.once import runner as runners
@@ -74,7 +75,7 @@
         return handler
 
 
-class Handler(runners.AttemptHandler):
+class Handler(attempt_handler.AttemptHandler):
     def __init__(self, entry, ticket):
         self.entry = entry
         self.ticket = ticket
