--- a/src/boragefold/bench/capacity_views.py
+++ b/src/boragefold/bench/capacity_views.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable
 import heapq
 import itertools
 import random
@@ -11,7 +10,7 @@
 from typing import Any
 from typing import NamedTuple
 
-from boragefold.coordination import link
+from boragefold.bench import virtual_process
 from boragefold.coordination import listing
 from boragefold.coordination import views
 from boragefold.protocol import envelope
@@ -44,30 +43,13 @@
     change_bytes: float
 
 
-class _Link(link.PeerLink):
-    def __init__(self, *, self_id: ids.InstanceId, network: _Network) -> None:
-        self._self_id = self_id
-        self._network = network
-        self.handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {}
-
-    @property
-    def self_id(self) -> ids.InstanceId:
-        return self._self_id
-
-    def send(self, *, to: ids.InstanceId, body: Any) -> None:
-        self._network.post(self._self_id, to, body)
-
-    def subscribe(self, kind: Any, handler: Any) -> None:
-        self.handlers[kind] = handler
-
-
 class _Network:
     """Delivers encoded messages in virtual time and counts their bytes."""
 
     def __init__(self) -> None:
         self.clock = clocks.VirtualClock()
         self.timers = timers.TimerService(clock=self.clock)
-        self.links: dict[str, _Link] = {}
+        self.links: dict[str, virtual_process.ProcessLink] = {}
         self.bytes: collections.Counter[str] = collections.Counter()
         self.messages: collections.Counter[str] = collections.Counter()
         self._codec = envelope.Codec(kinds=messages.KINDS)
@@ -138,7 +120,9 @@
         self_id = ids.InstanceId(
             entry.data_centre, entry.address, f"{source.getrandbits(128):032x}"
         )
-        peer_link = _Link(self_id=self_id, network=self.network)
+        peer_link = virtual_process.ProcessLink(
+            self_id=self_id, post=self.network.post
+        )
         self.network.links[entry.address] = peer_link
         instance = views.Views(
             peer_link=peer_link,
--- a/src/boragefold/bench/rate_fleet.py
+++ b/src/boragefold/bench/rate_fleet.py
@@ -6,7 +6,7 @@
 import random
 from typing import Any
 
-from boragefold.coordination import link
+from boragefold.bench import virtual_process
 import boragefold.coordination.rights as membership
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
@@ -32,9 +32,13 @@
         self.paused = False
         self.dead = False
         self.late: list[timing.Callback] = []
-        self.link = _Link(fleet=fleet, instance=self)
+        self.link = virtual_process.ProcessLink(
+            self_id=self_id, post=fleet.post
+        )
         self.rights = _Rights(fleet=fleet, self_id=self_id)
-        self.timers = _Timers(shared=fleet.timers, instance=self)
+        self.timers = virtual_process.ProcessTimers(
+            shared=fleet.timers, run=self.run
+        )
 
     def run(self, callback: timing.Callback) -> None:
         """Run something now, or when the process wakes up.
@@ -54,59 +58,6 @@
             callback()
 
 
-class _Timers(timing.TimerService):
-    """The timers of one process, on the heap of the fleet."""
-
-    def __init__(
-        self, *, shared: timing.TimerService, instance: Instance
-    ) -> None:
-        self._shared = shared
-        self._instance = instance
-
-    def now_seconds(self) -> float:
-        return self._shared.now_seconds()
-
-    def once(
-        self, *, delay_seconds: float, callback: timing.Callback
-    ) -> timing.Subscription:
-        return self._shared.once(
-            delay_seconds=delay_seconds,
-            callback=lambda: self._instance.run(callback),
-        )
-
-    def every(
-        self,
-        *,
-        period_seconds: float,
-        callback: timing.Callback,
-        first_delay_seconds: float | None = None,
-    ) -> timing.Subscription:
-        return self._shared.every(
-            period_seconds=period_seconds,
-            callback=lambda: self._instance.run(callback),
-            first_delay_seconds=first_delay_seconds,
-        )
-
-
-class _Link(link.PeerLink):
-    """Counts messages and their bytes, and delivers them after a delay."""
-
-    def __init__(self, *, fleet: VirtualFleet, instance: Instance) -> None:
-        self._fleet = fleet
-        self._instance = instance
-        self.handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {}
-
-    @property
-    def self_id(self) -> ids.InstanceId:
-        return self._instance.self_id
-
-    def send(self, *, to: ids.InstanceId, body: Any) -> None:
-        self._fleet.post(self.self_id, to, body)
-
-    def subscribe(self, kind: Any, handler: Any) -> None:
-        self.handlers[kind] = handler
-
-
 class _Rights(membership.Rights):
     """Views that change for all members of a data centre at once."""
 
--- a/src/boragefold/bench/virtual_network.py
+++ b/src/boragefold/bench/virtual_network.py
@@ -8,62 +8,49 @@
 import random
 from typing import Any
 
-from boragefold.coordination import link as links
+from boragefold.bench import virtual_process
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers as timing
 
 
-class VirtualLink(links.PeerLink):
+class VirtualLink(virtual_process.ProcessLink):
     """The link of one instance; counts what it sends and receives."""
 
     def __init__(
         self, *, network: VirtualNetwork, self_id: ids.InstanceId
     ) -> None:
-        self._network = network
-        self._self_id = self_id
-        self.handlers: dict[type, Callable[[ids.InstanceId, Any], None]] = {}
+        super().__init__(
+            self_id=self_id,
+            post=lambda sender, to, body: network.post(self, to, body),
+        )
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.received_bytes: collections.Counter[str] = collections.Counter()
         self.sent: collections.Counter[str] = collections.Counter()
 
-    @property
-    def self_id(self) -> ids.InstanceId:
-        """Tell who we are.
-
-        :return: the identity
-        """
-        return self._self_id
-
-    def send(self, *, to: ids.InstanceId, body: Any) -> None:
-        """Send a message.
-
-        :param to: the receiver
-        :param body: the message
-        """
-        self._network.post(self, to, body)
-
-    def subscribe(self, kind: Any, handler: Any) -> None:
-        """Receive one kind of message.
-
-        :param kind: the message type
-        :param handler: called with the sender and the message
-        """
-        self.handlers[kind] = handler
-
 
 class VirtualNode:
     """One instance: its link and the network's timers."""
 
     def __init__(
-        self, *, network: VirtualNetwork, self_id: ids.InstanceId
+        self,
+        *,
+        network: VirtualNetwork,
+        self_id: ids.InstanceId,
+        shared_timers: timing.TimerService,
     ) -> None:
         self.self_id = self_id
         self.link = VirtualLink(network=network, self_id=self_id)
-        self.timers = timing.TimerService(clock=network.clock)
+        self.timers = virtual_process.ProcessTimers(
+            shared=shared_timers, run=self._run
+        )
         self.dead = False
 
+    def _run(self, callback: timing.Callback) -> None:
+        if not self.dead:
+            callback()
+
 
 class VirtualNetwork:
     """Instances on one virtual clock; every choice comes from one seed.
@@ -101,8 +88,9 @@
         """
         incarnation = f"{self.random.getrandbits(128):032x}"
         self_id = ids.InstanceId(data_centre, address, incarnation)
-        node = VirtualNode(network=self, self_id=self_id)
-        node.timers = _Timers(node=node, service=self._timers)
+        node = VirtualNode(
+            network=self, self_id=self_id, shared_timers=self._timers
+        )
         self.nodes[address] = node
         return node
 
@@ -167,42 +155,6 @@
             handler(sender, body)
 
 
-class _Timers(timing.TimerService):
-    """The shared service, as seen by an instance that may die."""
-
-    def __init__(
-        self, *, node: VirtualNode, service: timing.TimerService
-    ) -> None:
-        self._node = node
-        self._service = service
-
-    def now_seconds(self) -> float:
-        return self._service.now_seconds()
-
-    def once(
-        self, *, delay_seconds: float, callback: timing.Callback
-    ) -> timing.Subscription:
-        return self._service.once(
-            delay_seconds=delay_seconds, callback=self._alive(callback)
-        )
-
-    def every(
-        self,
-        *,
-        period_seconds: float,
-        callback: timing.Callback,
-        first_delay_seconds: float | None = None,
-    ) -> timing.Subscription:
-        return self._service.every(
-            period_seconds=period_seconds,
-            callback=self._alive(callback),
-            first_delay_seconds=first_delay_seconds,
-        )
-
-    def _alive(self, callback: timing.Callback) -> timing.Callback:
-        return lambda: None if self._node.dead else callback()
-
-
 __all__ = [
     "VirtualLink",
     "VirtualNetwork",
--- a/src/boragefold/coordination/membership.py
+++ b/src/boragefold/coordination/membership.py
@@ -82,10 +82,7 @@
         state = self._state
         ballot = messages.Ballot(renewal.round, sender.incarnation)
         if not self._follow(sender, ballot, renewal.sent_seconds):
-            self._link.send(
-                to=sender,
-                body=messages.Refusal(state.view_id(), state.promised),
-            )
+            self._refuse(sender)
             return
         if renewal.echo_seconds <= 0:
             self._beat(sender)
@@ -128,8 +125,7 @@
             or state.is_outdated()
         ):
             self._counters.add("view_promises_refused", "promised")
-            refusal = messages.Refusal(state.view_id(), state.promised)
-            self._link.send(to=sender, body=refusal)
+            self._refuse(sender)
             return
         if ballot != state.promised:
             self._stewardship.step_down()
@@ -161,8 +157,7 @@
             self._counters.add("view_messages_dropped", "backwards")
             return
         if not state.follow(ballot):
-            refusal = messages.Refusal(state.view_id(), state.promised)
-            self._link.send(to=sender, body=refusal)
+            self._refuse(sender)
             return
         state.steward = sender
         state.accept(ballot, successor)
@@ -247,6 +242,11 @@
         self._echo_seconds = max(self._echo_seconds, sent_seconds)
         return True
 
+    def _refuse(self, sender: ids.InstanceId) -> None:
+        state = self._state
+        refusal = messages.Refusal(state.view_id(), state.promised)
+        self._link.send(to=sender, body=refusal)
+
     def _beat(self, steward: ids.InstanceId) -> None:
         state = self._state
         self._beat_seconds = state.now_seconds()
