Name the pool of grants and the listeners for what they are

purse.py is grant_pool.py and gateway_faces.py is gateway_listeners.py; retries are safe rather than lawful.

--- a/src/boragefold/coordination/rates/account.py
+++ b/src/boragefold/coordination/rates/account.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.coordination.rates import grants
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import purse as purses
 from boragefold.coordination.rates import usage
 from boragefold.policy import stock
 from boragefold.timing import timers as timing
@@ -26,7 +26,7 @@
 class Account:
     """What is known of one workspace that was used of late."""
 
-    purse: purses.Purse
+    grant_pool: grant_pools.GrantPool
     use: usage.RecentUse
     fetch_ahead: bool
     wanted_tokens: float = 0.0
@@ -40,7 +40,7 @@
         :param tokens: how many are needed
         :return: whether they are there
         """
-        return self.purse.left_tokens() + limits.TINY_TOKENS >= tokens
+        return self.grant_pool.left_tokens() + limits.TINY_TOKENS >= tokens
 
     def is_wanted(self, now_seconds: float) -> bool:
         """Tell whether a request waits that found too few tokens.
--- a/src/boragefold/coordination/rates/purse.py
+++ b/src/boragefold/coordination/rates/grant_pool.py
@@ -12,7 +12,7 @@
 from boragefold.protocol import rate_messages
 
 
-class Purse:
+class GrantPool:
     """Tokens of one workspace from one holder.
 
     A grant ends on our own clock, counted from when we asked, so it ends
@@ -71,7 +71,7 @@
     def idle(self) -> bool:
         """Tell whether nothing is left to spend, to settle or to report.
 
-        :return: whether the purse can be forgotten
+        :return: whether the pool can be forgotten
         """
         return not (self._grants or self._outbox)
 
@@ -289,5 +289,5 @@
 
 
 __all__ = [
-    "Purse",
+    "GrantPool",
 ]
--- a/src/boragefold/coordination/rates/lenders.py
+++ b/src/boragefold/coordination/rates/lenders.py
@@ -10,9 +10,9 @@
 
 import xxhash
 
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.coordination.rates import grants
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import purse as purses
 from boragefold.protocol import rate_messages
 
 # So that a grant survives the way to the instance.
@@ -57,7 +57,7 @@
         self._now_seconds = now_seconds
         self._send = send
         self._numbers = numbers
-        self._purses: dict[str, purses.Purse] = {}
+        self._grant_pools: dict[str, grant_pools.GrantPool] = {}
         self._again_at_seconds: dict[str, float] = {}
 
     def left_tokens(self) -> float:
@@ -66,8 +66,8 @@
         :return: tokens
         """
         return sum(
-            purse.left_tokens(life_seconds=LEAST_LIFE_SECONDS)
-            for purse in self._purses.values()
+            grant_pool.left_tokens(life_seconds=LEAST_LIFE_SECONDS)
+            for grant_pool in self._grant_pools.values()
         )
 
     def in_flight(self) -> bool:
@@ -76,8 +76,8 @@
         :return: whether an answer is to be expected
         """
         return any(
-            purse.in_flight and purse.unanswered < UNREACHABLE_AFTER
-            for purse in self._purses.values()
+            grant_pool.in_flight and grant_pool.unanswered < UNREACHABLE_AFTER
+            for grant_pool in self._grant_pools.values()
         )
 
     def rate(self, parts: dict[str, limits.Limit]) -> float:
@@ -90,8 +90,8 @@
             (
                 part.rate_tokens_per_second
                 for name, part in parts.items()
-                if name in self._purses
-                and self._purses[name].unanswered < UNREACHABLE_AFTER
+                if name in self._grant_pools
+                and self._grant_pools[name].unanswered < UNREACHABLE_AFTER
             ),
             start=0.0,
         )
@@ -115,7 +115,7 @@
                 (self._estimate_tokens(name, part), name)
                 for name, part in parts.items()
                 if now_seconds >= self._again_at_seconds.get(name, 0.0)
-                and not self._purse(name).in_flight
+                and not self._grant_pool(name).in_flight
             ),
             key=lambda pair: (-pair[0], self._preference(pair[1])),
         )
@@ -123,12 +123,12 @@
         for estimate_tokens, name in able:
             if short_tokens <= limits.TINY_TOKENS:
                 return
-            purse = self._purse(name)
-            lost = purse.unanswered >= UNREACHABLE_AFTER
+            grant_pool = self._grant_pool(name)
+            lost = grant_pool.unanswered >= UNREACHABLE_AFTER
             self._again_at_seconds[name] = now_seconds + (
                 UNREACHABLE_SECONDS if lost else wait_seconds
             )
-            purse.ask(
+            grant_pool.ask(
                 needed_tokens=min(short_tokens, parts[name].burst_tokens),
                 ahead_tokens=ahead_tokens,
             )
@@ -151,12 +151,14 @@
         :return: what was charged, by lender
         """
         loans = []
-        for name, purse in self._purses.items():
-            left_tokens = purse.left_tokens(life_seconds=LEAST_LIFE_SECONDS)
+        for name, grant_pool in self._grant_pools.items():
+            left_tokens = grant_pool.left_tokens(
+                life_seconds=LEAST_LIFE_SECONDS
+            )
             part = min(tokens, left_tokens)
             if part <= 0:
                 continue
-            draft = purse.take(
+            draft = grant_pool.take(
                 part, life_seconds=LEAST_LIFE_SECONDS, loose=True
             )
             loans.append(Loan(name, draft, part))
@@ -171,7 +173,7 @@
         """
         return min(
             (
-                self._purses[loan.data_centre].life_seconds(loan.draft)
+                self._grant_pools[loan.data_centre].life_seconds(loan.draft)
                 for loan in loans
             ),
             default=limits.GRANT_SECONDS,
@@ -183,7 +185,7 @@
         :param loan: from :meth:`take`
         :param used_tokens: what was used
         """
-        self._purses[loan.data_centre].settle(
+        self._grant_pools[loan.data_centre].settle(
             loan.draft, used_tokens=used_tokens
         )
 
@@ -193,7 +195,9 @@
         :param loan: from :meth:`take`
         :param kept_tokens: what was charged of it
         """
-        self._purses[loan.data_centre].pin(loan.draft, kept_tokens=kept_tokens)
+        self._grant_pools[loan.data_centre].pin(
+            loan.draft, kept_tokens=kept_tokens
+        )
 
     def answer(
         self, data_centre: str, given: rate_messages.TokensGiven
@@ -203,41 +207,41 @@
         :param data_centre: the lender's
         :param given: its answer
         """
-        self._purse(data_centre).answer(given)
+        self._grant_pool(data_centre).answer(given)
 
     def tick(self) -> None:
         """Close what has ended."""
-        for purse in self._purses.values():
-            purse.tick()
+        for grant_pool in self._grant_pools.values():
+            grant_pool.tick()
 
-    def items(self) -> Iterable[tuple[str, purses.Purse]]:
+    def items(self) -> Iterable[tuple[str, grant_pools.GrantPool]]:
         """Go through what was borrowed.
 
-        :return: purses by the lender's data centre
+        :return: pools of grants by the lender's data centre
         """
-        return self._purses.items()
+        return self._grant_pools.items()
 
     def _estimate_tokens(self, name: str, part: limits.Limit) -> float:
         """Guess a lender's level from its last answer and its refill."""
-        purse = self._purse(name)
-        if purse.given_at_seconds is None:
+        grant_pool = self._grant_pool(name)
+        if grant_pool.given_at_seconds is None:
             return part.burst_tokens
-        elapsed_seconds = self._now_seconds() - purse.given_at_seconds
+        elapsed_seconds = self._now_seconds() - grant_pool.given_at_seconds
         refill_tokens = elapsed_seconds * part.rate_tokens_per_second
-        return min(part.burst_tokens, purse.given_tokens + refill_tokens)
+        return min(part.burst_tokens, grant_pool.given_tokens + refill_tokens)
 
     def _preference(self, name: str) -> int:
         return xxhash.xxh3_64_intdigest(f"{self._workspace}\0{name}".encode())
 
-    def _purse(self, data_centre: str) -> purses.Purse:
-        if data_centre not in self._purses:
-            self._purses[data_centre] = purses.Purse(
+    def _grant_pool(self, data_centre: str) -> grant_pools.GrantPool:
+        if data_centre not in self._grant_pools:
+            self._grant_pools[data_centre] = grant_pools.GrantPool(
                 workspace=self._workspace,
                 now_seconds=self._now_seconds,
                 send=lambda asked: self._send(data_centre, asked),
                 numbers=self._numbers,
             )
-        return self._purses[data_centre]
+        return self._grant_pools[data_centre]
 
 
 __all__ = [
--- a/src/boragefold/coordination/rates/outbox.py
+++ b/src/boragefold/coordination/rates/outbox.py
@@ -15,7 +15,7 @@
 
 
 class Outbox:
-    """The reports of one purse that nobody has acknowledged yet."""
+    """The reports of one pool that nobody has acknowledged yet."""
 
     def __init__(self) -> None:
         """Start empty."""
--- a/src/boragefold/coordination/rates/reports.py
+++ b/src/boragefold/coordination/rates/reports.py
@@ -7,7 +7,7 @@
 import itertools
 from typing import NamedTuple
 
-from boragefold.coordination.rates import purse as purses
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.protocol import ids
 from boragefold.protocol import rate_messages
 
@@ -19,11 +19,11 @@
 
 
 class Due(NamedTuple):
-    """A purse that may have something to report, and to whom."""
+    """A pool of grants that may have something to report, and to whom."""
 
     find_holder: Callable[[], ids.InstanceId | None]
     workspace: str
-    purse: purses.Purse
+    grant_pool: grant_pools.GrantPool
 
 
 class Reports:
@@ -43,20 +43,23 @@
         self._send = send
         self._numbers = numbers
         self._sent: dict[
-            int, list[tuple[purses.Purse, tuple[rate_messages.Usage, ...]]]
+            int,
+            list[
+                tuple[grant_pools.GrantPool, tuple[rate_messages.Usage, ...]]
+            ],
         ] = {}
 
     def flush(self, due: Iterable[Due], *, after_seconds: float) -> None:
         """Send what waited long enough.
 
-        :param due: the purses
+        :param due: the pools of grants
         :param after_seconds: how long a report waits for a request
         """
         by_holder: dict[
             ids.InstanceId, list[tuple[Due, tuple[rate_messages.Usage, ...]]]
         ] = {}
         for each in due:
-            usages = each.purse.due_usages(after_seconds=after_seconds)
+            usages = each.grant_pool.due_usages(after_seconds=after_seconds)
             holder = each.find_holder() if usages else None
             if holder is not None:
                 by_holder.setdefault(holder, []).append((each, usages))
@@ -69,8 +72,8 @@
 
         :param number: of the message that arrived
         """
-        for purse, usages in self._sent.pop(number, ()):
-            purse.noted(usages)
+        for grant_pool, usages in self._sent.pop(number, ()):
+            grant_pool.noted(usages)
 
     def _send_some(
         self,
@@ -78,7 +81,9 @@
         found: list[tuple[Due, tuple[rate_messages.Usage, ...]]],
     ) -> None:
         number = next(self._numbers)
-        self._sent[number] = [(each.purse, usages) for each, usages in found]
+        self._sent[number] = [
+            (each.grant_pool, usages) for each, usages in found
+        ]
         if len(self._sent) > MOST_UNNOTED:
             del self._sent[next(iter(self._sent))]
         reports = tuple(
--- a/src/boragefold/coordination/rates/service.py
+++ b/src/boragefold/coordination/rates/service.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 from boragefold.coordination import link
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.coordination.rates import holders
 from boragefold.coordination.rates import holding
 from boragefold.coordination.rates import ledger as ledgers
 from boragefold.coordination.rates import lenders as lending
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import purse as purses
 from boragefold.coordination.rates import reports as reporting
 from boragefold.coordination.rates import shares as sharing
 from boragefold.coordination.rates import stock as stocks
@@ -79,7 +79,7 @@
             timers=timers,
             counters=counters,
             limit_of=lambda workspace: self._limits.get(workspace),
-            open_purse=self._open_purse,
+            open_grant_pool=self._open_grant_pool,
             has_holder=lambda workspace: (
                 self._holding.here(workspace) is not None
             ),
@@ -168,17 +168,17 @@
         )
 
     def _granted(self) -> Iterator[reporting.Due]:
-        for workspace, purse in self.stock.items():
+        for workspace, grant_pool in self.stock.items():
             find = functools.partial(self._holding.here, workspace)
-            yield reporting.Due(find, workspace, purse)
+            yield reporting.Due(find, workspace, grant_pool)
 
     def _borrowed(self) -> Iterator[reporting.Due]:
         for tenure in self._holders:
-            for data_centre, purse in tenure.lenders.items():
+            for data_centre, grant_pool in tenure.lenders.items():
                 find = functools.partial(
                     self._holding.elsewhere, data_centre, tenure.workspace
                 )
-                yield reporting.Due(find, tenure.workspace, purse)
+                yield reporting.Due(find, tenure.workspace, grant_pool)
 
     def _begin(self, workspace: str, ledger: ledgers.Ledger) -> tenures.Tenure:
         return tenures.Tenure(
@@ -212,8 +212,8 @@
             and views[name].members
         }
 
-    def _open_purse(self, workspace: str) -> purses.Purse:
-        return purses.Purse(
+    def _open_grant_pool(self, workspace: str) -> grant_pools.GrantPool:
+        return grant_pools.GrantPool(
             workspace=workspace,
             now_seconds=self._timers.now_seconds,
             send=self._ask_holder,
--- a/src/boragefold/coordination/rates/stock.py
+++ b/src/boragefold/coordination/rates/stock.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 
 from boragefold.coordination.rates import account as accounts
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import purse as purses
 from boragefold.coordination.rates import usage
 from boragefold.policy import stock
 from boragefold.protocol import rate_messages
@@ -40,7 +40,7 @@
         timers: timing.TimerService,
         counters: counting.Counters,
         limit_of: Callable[[str], limits.Limit | None],
-        open_purse: Callable[[str], purses.Purse],
+        open_grant_pool: Callable[[str], grant_pools.GrantPool],
         has_holder: Callable[[str], bool],
     ) -> None:
         """Start with no tokens.
@@ -48,13 +48,13 @@
         :param timers: the timer service
         :param counters: where refusals are counted
         :param limit_of: the fleet's rate and burst of a workspace
-        :param open_purse: makes the purse of a workspace
+        :param open_grant_pool: makes the pool of a workspace
         :param has_holder: tells whether anybody could be asked
         """
         self._timers = timers
         self._counters = counters
         self._limit_of = limit_of
-        self._open_purse = open_purse
+        self._open_grant_pool = open_grant_pool
         self._has_holder = has_holder
         self._accounts: dict[str, accounts.Account] = {}
         self._callbacks: list[Callable[[str], None]] = []
@@ -80,7 +80,7 @@
             self._want(workspace, account, tokens)
         if not account.covers(tokens):
             return self._shortfall(workspace, account)
-        draft = account.purse.take(tokens)
+        draft = account.grant_pool.take(tokens)
         if account.fetch_ahead:
             account.use.add(tokens, now_seconds)
         account.wanted_tokens = 0.0
@@ -107,12 +107,12 @@
         if excess_tokens > 0:
             # Charged here, the excess isn't granted a second time.
             self._counters.add("rate_overruns", "", excess_tokens)
-            left_tokens = account.purse.left_tokens()
-            extra = account.purse.take(min(excess_tokens, left_tokens))
-            account.purse.settle(extra, used_tokens=excess_tokens)
-        before_tokens = account.purse.left_tokens()
-        account.purse.settle(reservation.draft, used_tokens=used_tokens)
-        if account.purse.left_tokens() > before_tokens:
+            left_tokens = account.grant_pool.left_tokens()
+            extra = account.grant_pool.take(min(excess_tokens, left_tokens))
+            account.grant_pool.settle(extra, used_tokens=excess_tokens)
+        before_tokens = account.grant_pool.left_tokens()
+        account.grant_pool.settle(reservation.draft, used_tokens=used_tokens)
+        if account.grant_pool.left_tokens() > before_tokens:
             self._wake(reservation.workspace, account)
 
     def subscribe(self, callback: Callable[[str], None]) -> None:
@@ -130,7 +130,7 @@
         account = self._accounts.get(given.workspace)
         if account is None:
             return
-        got_more = account.purse.answer(given)
+        got_more = account.grant_pool.answer(given)
         if got_more:
             account.refused_tokens = 0.0
             self._wake(given.workspace, account)
@@ -146,27 +146,27 @@
     def holder_changed(self) -> None:
         """Ask anew, because earlier requests went to a former holder."""
         for workspace, account in self._accounts.items():
-            account.purse.forget_request()
+            account.grant_pool.forget_request()
             account.refused_tokens = 0.0
             self._retry_later(workspace, account, 0.0)
 
     def tick(self) -> None:
-        """Close ended grants, repeat overdue requests, forget idle purses."""
+        """Close ended grants, repeat overdue requests, forget idle pools."""
         for workspace, account in list(self._accounts.items()):
-            account.purse.tick()
-            if account.purse.overdue:
+            account.grant_pool.tick()
+            if account.grant_pool.overdue:
                 self._ask_if_wanted(workspace, account)
-            idle = account.purse.idle and not account.purse.in_flight
+            idle = account.grant_pool.idle and not account.grant_pool.in_flight
             if idle and not account.is_wanted(self._timers.now_seconds()):
                 del self._accounts[workspace]
 
-    def items(self) -> Iterable[tuple[str, purses.Purse]]:
+    def items(self) -> Iterable[tuple[str, grant_pools.GrantPool]]:
         """Go through the grants of this instance.
 
-        :return: purses by workspace
+        :return: pools of grants by workspace
         """
         return [
-            (workspace, account.purse)
+            (workspace, account.grant_pool)
             for workspace, account in self._accounts.items()
         ]
 
@@ -186,12 +186,12 @@
         self, workspace: str, account: accounts.Account
     ) -> stock.Shortfall:
         now_seconds = self._timers.now_seconds()
-        left_seconds = account.purse.ready_at_seconds - now_seconds
+        left_seconds = account.grant_pool.ready_at_seconds - now_seconds
         if not self._has_holder(workspace):
             return self._unheld("no_holder")
-        if account.purse.unanswered >= UNANSWERED:
+        if account.grant_pool.unanswered >= UNANSWERED:
             return self._unheld("unanswered")
-        if account.purse.in_flight:
+        if account.grant_pool.in_flight:
             wait_seconds = max(limits.IN_FLIGHT_SECONDS, left_seconds)
             return self._short("asking", wait_seconds)
         return self._short(
@@ -202,7 +202,7 @@
         if workspace not in self._accounts:
             limit = self._limit_of(workspace)
             self._accounts[workspace] = accounts.Account(
-                purse=self._open_purse(workspace),
+                grant_pool=self._open_grant_pool(workspace),
                 use=usage.RecentUse(),
                 fetch_ahead=limit is not None and limit.fetch_ahead,
             )
@@ -216,10 +216,10 @@
             account.wanted_tokens = 0.0
         account.wanted_tokens = max(account.wanted_tokens, tokens)
         account.wanted_at_seconds = now_seconds
-        if account.purse.in_flight:
+        if account.grant_pool.in_flight:
             return
         refused = (
-            now_seconds < account.purse.ready_at_seconds
+            now_seconds < account.grant_pool.ready_at_seconds
             and tokens >= account.refused_tokens > 0
         )
         if not refused:
@@ -231,7 +231,7 @@
         if not self._has_holder(workspace):
             self._retry_later(workspace, account, limits.RETRY_SECONDS)
             return
-        needed_tokens = max(0.0, tokens - account.purse.left_tokens())
+        needed_tokens = max(0.0, tokens - account.grant_pool.left_tokens())
         self._ask_quietly(account, needed_tokens)
 
     def _ask_quietly(
@@ -242,7 +242,7 @@
         use_tokens = account.use.tokens(self._timers.now_seconds())
         was_reserving, self._reserving = self._reserving, True
         try:
-            account.purse.ask(
+            account.grant_pool.ask(
                 needed_tokens=needed_tokens,
                 ahead_tokens=max(0.0, use_tokens - needed_tokens)
                 * AHEAD_SECONDS,
@@ -255,11 +255,11 @@
         use_tokens = account.use.tokens(now_seconds)
         if use_tokens < FETCH_REQUESTS * tokens:
             return
-        if account.purse.left_tokens() >= use_tokens * LOW_SECONDS:
+        if account.grant_pool.left_tokens() >= use_tokens * LOW_SECONDS:
             return
-        if account.purse.in_flight:
+        if account.grant_pool.in_flight:
             return
-        if now_seconds < account.purse.ready_at_seconds:
+        if now_seconds < account.grant_pool.ready_at_seconds:
             return
         self._ask_quietly(account, 0.0)
 
@@ -268,7 +268,7 @@
     ) -> None:
         if (
             not account.is_wanted(self._timers.now_seconds())
-            or account.purse.in_flight
+            or account.grant_pool.in_flight
         ):
             return
         if not account.covers(account.wanted_tokens):
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -12,7 +12,7 @@
 if typing.TYPE_CHECKING:
     from boragefold.entry import forwarding as forwardings
 
-# Statuses by which a server promises that a request has not run and won't.
+# Statuses that say that a request has not run and won't.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERRORS = range(500, 600)
 SUCCESSES = range(200, 300)
@@ -160,7 +160,7 @@
         )
 
     def _is_unfit(self, facts: dialects.AnswerFacts) -> bool:
-        # A success needs the endpoint's signature, and "not run" its word.
+        # An unsigned success, or a "not run" that the endpoint didn't confirm.
         if facts.status in SUCCESSES:
             return not facts.signed
         return facts.status in NOT_RUN_STATUSES
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -1,4 +1,4 @@
-"""One caller's request on its way: sent, repeated where lawful, answered."""
+"""One request on its way: sent, retried where that is safe, answered."""
 
 from __future__ import annotations
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -20,7 +20,7 @@
 from boragefold.entry import engine_owner
 from boragefold.entry import fleet_log
 from boragefold.entry import gateway
-from boragefold.entry import gateway_faces
+from boragefold.entry import gateway_listeners
 from boragefold.entry import reloading
 from boragefold.entry import serving
 from boragefold.entry import stopping
@@ -166,7 +166,7 @@
             behind=self._followers.any_stale,
             lapses=self._lapses,
         )
-        self._faces = gateway_faces.GatewayFaces(
+        self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
             application=self._make_gateway(dialect).handle,
             counters=self.counters,
@@ -178,7 +178,7 @@
             timers=self.timers,
             notice_seconds=STOP_NOTICE_SECONDS,
             hand_over=self._stop_taking,
-            finished=lambda: self._faces.callers.close_idle() == 0,
+            finished=lambda: self._listeners.callers.close_idle() == 0,
             stop=self._stop,
             limit_seconds=settings.stop_seconds - STOP_MARGIN_SECONDS,
         )
@@ -197,7 +197,7 @@
         :raises OSError: when an address can't be bound
         """
         settings = self.settings
-        self._faces.listen(settings)
+        self._listeners.listen(settings)
         self.stopping.register(self.loop)
         self._reloading.register(self.loop)
         self._reloading.start()
@@ -366,7 +366,7 @@
 
     def _stop_taking(self) -> None:
         self.log.write("stopping", step="no_new_callers")
-        self._faces.callers.stop_listening()
+        self._listeners.callers.stop_listening()
 
     def _stop(self) -> None:
         self.log.write("stopped")
--- a/src/boragefold/entry/gateway_faces.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -20,7 +20,7 @@
 STATUS_NOT_READY = 503
 
 
-class GatewayFaces:
+class GatewayListeners:
     """Listens where callers, the balancer and operators connect."""
 
     def __init__(
@@ -113,5 +113,5 @@
 
 
 __all__ = [
-    "GatewayFaces",
+    "GatewayListeners",
 ]
--- a/src/boragefold/entry/once_call.py
+++ b/src/boragefold/entry/once_call.py
@@ -83,7 +83,7 @@
         self._exchange.reply(answer.status, [content_type, *headers], body)
 
     def not_run(self, reason: str) -> None:
-        """Refuse truthfully.
+        """Refuse the call.
 
         :param reason: why nothing ran
         """
--- a/src/boragefold/entry/plain_call.py
+++ b/src/boragefold/entry/plain_call.py
@@ -42,7 +42,7 @@
 
 
 class PlainCall:
-    """Tries addresses in turn, as far as that is lawful.
+    """Tries addresses in turn, as far as retries are safe.
 
     A call that may not be repeated goes on a connection of its own: on a
     reused one that is silently dead, the write succeeds and nobody can tell
--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -1,4 +1,4 @@
-"""Attempts at endpoints: begun, ended, and repeated where that is lawful.
+"""Attempts at endpoints: begun, ended, and retried where that is safe.
 
 Load pattern: an endpoint fails with many requests in flight. Without the
 budget and the rule for non-idempotent requests, each of them comes back at
@@ -90,7 +90,7 @@
         used_tokens: float,
         now_seconds: float,
     ) -> actions.GiveUp | None:
-        """Note that an attempt failed, and repeat it where that is lawful.
+        """Note that an attempt failed, and retry it where that is safe.
 
         :param request: a request that was sent
         :param bytes_sent: whether a byte of it may have reached the endpoint
--- a/src/boragefold/policy/dispatcher.py
+++ b/src/boragefold/policy/dispatcher.py
@@ -114,7 +114,7 @@
         used_tokens: float = 0.0,
         now_seconds: float,
     ) -> None:
-        """Note that an attempt failed; it is repeated where that is lawful.
+        """Note that an attempt failed; it is retried where that is safe.
 
         :param request_id: the request
         :param bytes_sent: whether a byte of it may have reached the endpoint
--- a/tests/coordination/rates/test_purse.py
+++ b/tests/coordination/rates/test_grant_pool.py
@@ -4,19 +4,19 @@
 
 import pytest
 
+from boragefold.coordination.rates import grant_pool as grant_pools
 from boragefold.coordination.rates import limits
-from boragefold.coordination.rates import purse as purses
 from boragefold.protocol import rate_messages
 from boragefold.timing import clock as clocks
 
 
 class Source:
-    """A purse, and what it sent."""
+    """A pool of grants, and what it sent."""
 
     def __init__(self) -> None:
         self.clock = clocks.VirtualClock()
         self.sent: list[rate_messages.TokensAsked] = []
-        self.purse = purses.Purse(
+        self.grant_pool = grant_pools.GrantPool(
             workspace="w",
             now_seconds=self.clock.now_seconds,
             send=self.sent.append,
@@ -24,7 +24,7 @@
         )
 
     def give(self, tokens: float, *, number: int = 0) -> bool:
-        return self.purse.answer(
+        return self.grant_pool.answer(
             rate_messages.TokensGiven(
                 "w", number, tokens, limits.GRANT_SECONDS, 0.0, False
             )
@@ -32,24 +32,24 @@
 
     def usages(self) -> tuple[rate_messages.Usage, ...]:
         """Look at what a request would carry now."""
-        self.purse.tick()
-        self.purse.ask(needed_tokens=1.0, ahead_tokens=0.0)
+        self.grant_pool.tick()
+        self.grant_pool.ask(needed_tokens=1.0, ahead_tokens=0.0)
         return self.sent[-1].usages
 
 
 @pytest.fixture
 def source() -> Source:
     made = Source()
-    made.purse.ask(needed_tokens=100.0, ahead_tokens=0.0)
+    made.grant_pool.ask(needed_tokens=100.0, ahead_tokens=0.0)
     return made
 
 
 def test_a_doubled_grant_counts_once(source) -> None:
     # The network delivers a grant twice; the holder debited it once.
     assert source.give(100.0)
-    source.purse.take(60.0)
+    source.grant_pool.take(60.0)
     assert not source.give(100.0)
-    assert source.purse.left_tokens() == 40.0
+    assert source.grant_pool.left_tokens() == 40.0
 
 
 def test_a_grant_ends_counted_from_its_request(source) -> None:
@@ -59,7 +59,7 @@
     source.clock.move_to(limits.GRANT_SECONDS - 0.1)
     assert source.give(100.0)
     source.clock.move_to(limits.GRANT_SECONDS + 0.1)
-    assert source.purse.left_tokens() == 0.0
+    assert source.grant_pool.left_tokens() == 0.0
 
 
 def test_an_answer_after_the_end_is_worthless(source) -> None:
@@ -67,7 +67,7 @@
     source.clock.move_to(limits.GRANT_SECONDS)
     assert source.usages() == (rate_messages.Usage(0, 0.0, True),)
     assert not source.give(100.0)
-    assert source.purse.left_tokens() == 0.0
+    assert source.grant_pool.left_tokens() == 0.0
 
 
 def test_what_was_granted_on_is_not_reported_as_charged(source) -> None:
@@ -75,38 +75,38 @@
     # If the lender took it for charged, it would refill its place at once,
     # and both amounts could be charged in one instant.
     source.give(100.0)
-    draft = source.purse.take(100.0, loose=True)
+    draft = source.grant_pool.take(100.0, loose=True)
     assert source.usages() == ()
-    source.purse.pin(draft, kept_tokens=70.0)
+    source.grant_pool.pin(draft, kept_tokens=70.0)
     assert source.usages()[-1] == rate_messages.Usage(0, 70.0, False)
-    source.purse.settle(draft, used_tokens=10.0)
+    source.grant_pool.settle(draft, used_tokens=10.0)
     assert source.usages()[-1] == rate_messages.Usage(0, 10.0, True)
 
 
 def test_a_remainder_is_local_while_the_grant_lives(source) -> None:
     source.give(100.0)
-    draft = source.purse.take(80.0)
-    source.purse.settle(draft, used_tokens=30.0)
-    source.purse.settle(draft, used_tokens=0.0)
-    assert source.purse.left_tokens() == 70.0
+    draft = source.grant_pool.take(80.0)
+    source.grant_pool.settle(draft, used_tokens=30.0)
+    source.grant_pool.settle(draft, used_tokens=0.0)
+    assert source.grant_pool.left_tokens() == 70.0
 
 
 def test_reports_are_repeated_until_acknowledged(source) -> None:
     # The message that gives tokens back is lost.
     source.give(100.0)
-    draft = source.purse.take(100.0)
-    assert source.purse.due_usages(after_seconds=0.0) == ()
-    source.purse.settle(draft, used_tokens=20.0)
+    draft = source.grant_pool.take(100.0)
+    assert source.grant_pool.due_usages(after_seconds=0.0) == ()
+    source.grant_pool.settle(draft, used_tokens=20.0)
     final = (rate_messages.Usage(0, 20.0, True),)
-    assert source.purse.due_usages(after_seconds=0.0) == final
+    assert source.grant_pool.due_usages(after_seconds=0.0) == final
     assert source.usages() == final
     assert source.usages() == final
     source.give(1.0, number=source.sent[-1].number)
-    assert source.purse.due_usages(after_seconds=0.0) == ()
+    assert source.grant_pool.due_usages(after_seconds=0.0) == ()
 
 
 def test_noted_reports_are_forgotten(source) -> None:
     source.give(100.0)
-    source.purse.settle(source.purse.take(100.0), used_tokens=20.0)
-    source.purse.noted(source.purse.due_usages(after_seconds=0.0))
-    assert source.purse.idle
+    source.grant_pool.settle(source.grant_pool.take(100.0), used_tokens=20.0)
+    source.grant_pool.noted(source.grant_pool.due_usages(after_seconds=0.0))
+    assert source.grant_pool.idle
