--- a/src/boragefold/coordination/rates/purse.py
+++ b/src/boragefold/coordination/rates/grant_pool.py
@@ -12,7 +12,7 @@
 from boragefold.protocol import rate_messages
 
 
-class Purse:
+class GrantPool:
     """Tokens of one workspace from one holder.
 
     A grant ends on our own clock, counted from when we asked, so it ends
@@ -71,7 +71,7 @@
     def idle(self) -> bool:
         """Tell whether nothing is left to spend, to settle or to report.
 
-        :return: whether the purse can be forgotten
+        :return: whether the pool can be forgotten
         """
         return not (self._grants or self._outbox)
 
@@ -261,8 +261,8 @@
             grant.left_tokens += tokens
 
     def _close(self, number: int, grant: grants.Grant) -> None:
-        # Tokens that were never received are reported as not charged: once
-        # closed, the grant takes no late answer, so nobody can spend them.
+        # A closed grant takes no late answer, so nobody can spend these
+        # tokens.
         grant.closed = True
         grant.left_tokens = 0.0
         self._report(number, grant)
@@ -289,5 +289,5 @@
 
 
 __all__ = [
-    "Purse",
+    "GrantPool",
 ]
