Don't let instances that wait for one lease begin together

What callers could see: nothing yet; found by random schedules with two owners of one engine, as when they can't hear each other.

Cause: both saw the last order of a third instance and waited for its lease. It passed for both at about the same time, and requests for the same adapters waited at both. The orders of both reached the engine before a report showed the first, and it takes a load that is on its way, or an unload of what has gone, without a look at the count: the second bore a lower fencing number.

Why it works: each waits one of three slots longer, by its own number, and a slot is longer than it takes to see an order in a report. It costs nothing while nobody else gives orders. The test failed before.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -41,6 +41,11 @@
 # turns without either seeing the other. In this time claims on the engine have
 # also reached every instance that hears the others.
 QUIET_SECONDS = 0.5
+# Several that saw the same order of another wait for the same lease. If they
+# began together, each with the same adapter, they would take turns unseen. A
+# slot is longer than it takes to see an order in a report.
+SLOT_SECONDS = 0.4
+SLOTS = 3
 # A process that has just started doesn't know whether its predecessor gave
 # orders a moment ago. It gives none until this much more than a lease has
 # passed.
@@ -104,7 +109,7 @@
         :param started_at_seconds: when this process started, on the clock
             that all methods are given readings of
         """
-        self._lease_seconds = lease_seconds
+        self._wait_seconds = lease_seconds + SLOT_SECONDS * (giver % SLOTS)
         self._earliest_seconds = (
             started_at_seconds + lease_seconds + START_SLACK_SECONDS
         )
@@ -169,7 +174,7 @@
         moved_at_seconds = self._moved_at_seconds
         return (
             moved_at_seconds is not None
-            and now_seconds - moved_at_seconds < self._lease_seconds
+            and now_seconds - moved_at_seconds < self._wait_seconds
         )
 
     def orders_in_seconds(self, *, now_seconds: float) -> float:
@@ -181,7 +186,7 @@
         free_at_seconds = self._earliest_seconds
         if self._moved_at_seconds is not None:
             free_at_seconds = max(
-                free_at_seconds, self._moved_at_seconds + self._lease_seconds
+                free_at_seconds, self._moved_at_seconds + self._wait_seconds
             )
         return max(0.0, free_at_seconds - now_seconds)
 
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from boragefold.coordination.fleet import order_turns
@@ -208,6 +210,27 @@
     assert not alternations(engine.accepted)
 
 
+def test_two_that_wait_for_one_lease_dont_begin_together(engine) -> None:
+    # A third gives an order that both see. When its lease has passed both
+    # would load the same adapter at once, and the engine takes both orders.
+    first_seconds = []
+    for number in (1, 2, 3):
+        giver = Giver(engine, number)
+        giver.look(0.0)
+        engine.take(engine.orders, 9, 0.1)
+        now = 0.2
+        while not giver.try_order(now):
+            now += 0.05
+            giver.look(now)
+        first_seconds.append(now)
+    first_seconds.sort()
+    assert first_seconds[0] >= 0.2 + LEASE_SECONDS
+    assert all(
+        later - sooner >= 0.35
+        for sooner, later in itertools.pairwise(first_seconds)
+    )
+
+
 def test_an_order_in_doubt_is_not_taken_for_another_givers(engine) -> None:
     # The answer to an order is lost. The count has moved by it; the giver
     # must not stay away from its own engine for that.
