Let each instance drop another of the adapters that it knows nothing of

What callers could see: nothing yet; found by random schedules in which two instances take one engine up at once, as after a cut between them.

Cause: neither knows how popular the adapters are, and of several alike the first in the report made way. So both dropped the same one, within the time that a report takes to show it. The engine answers an unload of what has gone without a look at the count: the second bore a lower fencing number.

Why it works: ties are broken by a hash of the adapter and the instance's own number. The second order is then mostly for an adapter that is there; the engine refuses it for its count, and the loser stays away. Two still agree on one of n idle adapters once in n. The test failed before: one adapter was dropped by all.

--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -194,6 +194,7 @@
             newest=self._fleet.versions,
             loads_elsewhere=lambda: self._loads_beside(record.name),
             engines=lambda: self._engines,
+            giver=self._giver,
         )
         self._owned[record.name] = owned_engine.OwnedEngine(
             record=record,
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -16,6 +16,8 @@
 import dataclasses
 import itertools
 
+import xxhash
+
 from boragefold.policy import engine_asks
 from boragefold.policy import load_times
 from boragefold.policy import popularity
@@ -59,6 +61,7 @@
         newest: Mapping[AdapterKey, int],
         loads_elsewhere: Callable[[], int] = lambda: 0,
         engines: Callable[[], int] = lambda: 1,
+        giver: int = 0,
     ) -> None:
         """Begin with nothing held.
 
@@ -66,7 +69,9 @@
         :param newest: the newest version of each adapter that has several
         :param loads_elsewhere: how many loads other engines have on the way
         :param engines: how many engines share the store
+        :param giver: the number of the instance that gives the orders
         """
+        self._giver = giver
         self._load_times = load_times.LoadTimes(
             loads_elsewhere=loads_elsewhere, engines=engines
         )
@@ -478,10 +483,20 @@
     ) -> AdapterKey | None:
         return min(
             self._idle(wanted),
-            key=lambda key: self._popularity.of(key, now_seconds=now_seconds),
+            key=lambda key: (
+                self._popularity.of(key, now_seconds=now_seconds),
+                self._tie_break(key),
+            ),
             default=None,
         )
 
+    def _tie_break(self, key: AdapterKey) -> int:
+        # Two instances that take an engine up at once know of no popularity.
+        # If both dropped the same adapter, the engine would answer the second
+        # order without a look at its count.
+        text = f"{self._giver}\0{key.model}\0{key.adapter}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
     def _idle(self, wanted: Mapping[AdapterKey, int]) -> Iterator[AdapterKey]:
         return (
             key
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -196,3 +196,19 @@
     successor.learn({}, {}, asked_at_seconds=1.0, busy=True)
     successor.may_order = True
     assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
+
+
+def test_two_that_take_an_engine_up_at_once_drop_different_adapters() -> None:
+    # Neither has heard a request yet. Dropped by both, an adapter's second
+    # unload is answered whatever count it expects: two give orders at once.
+    dropped = set()
+    for giver in range(20):
+        places = engine_places.Places(
+            engine=engine_loads.ENGINE, newest={}, giver=giver
+        )
+        held = {"base": dict.fromkeys("abcde", 1)}
+        places.learn(held, {}, asked_at_seconds=10.0)
+        places.may_order = True
+        wanted = unplaced(engine_loads.key("f"))
+        dropped.add(places.next_order(wanted, {}, now_seconds=10.0))
+    assert len(dropped) == 5
