--- a/src/boragefold/entry/gateway_faces.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -13,14 +13,14 @@
 from boragefold.transport import http_server
 from boragefold.transport import sockets
 
-# Callers' connections are looked at this often for their limits of time.
+# Connections are checked for their timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
 
-class GatewayFaces:
+class GatewayListeners:
     """Listens where callers, the balancer and operators connect."""
 
     def __init__(
@@ -93,8 +93,7 @@
     def _answer_metrics(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
-        # Read late: most instances are never asked, and the library takes a
-        # megabyte of memory on each.
+        # Imported late: most instances are never scraped.
         from boragefold.telemetry import exposition
 
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
@@ -114,5 +113,5 @@
 
 
 __all__ = [
-    "GatewayFaces",
+    "GatewayListeners",
 ]
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -22,12 +22,6 @@
 # What a report says is about this old, so asking sooner tells nothing new. A
 # load that is overdue would ask at each event of the engine.
 REPORT_SPACING_SECONDS = 0.1
-# Reports lag by some hundred milliseconds; one that is read sooner after an
-# order may not know of it yet.
-REPORT_LAG_SECONDS = 0.15
-# A giver that was paused between its decision and the write acts on a belief
-# of that age; the lease of a giver is ten times as long.
-ORDER_FRESH_SECONDS = 0.3
 
 
 class GivenOrder(NamedTuple):
@@ -210,11 +204,12 @@
         self._changed()
 
     def _has_to_watch(self, now_seconds: float) -> bool:
-        # The count must be seen to stand still, and an order that is carried
-        # out to be done.
+        # The count must be known and be seen to stand still, and an order that
+        # is carried out to be done.
         turns = self._turns
         return (
             not turns.begun
+            or not turns.certain
             or turns.busy
             or turns.waits(now_seconds=now_seconds)
         )
@@ -262,7 +257,8 @@
 
     def _still_fresh(self, asked_at_seconds: float) -> bool:
         age_seconds = self._timers.now_seconds() - asked_at_seconds
-        return not self._stopped and age_seconds < ORDER_FRESH_SECONDS
+        fresh = age_seconds < order_turns.ORDER_FRESH_SECONDS
+        return not self._stopped and fresh
 
     def _take_order_answer(
         self,
@@ -290,7 +286,11 @@
         done = outcome == dialects.OrderAnswer.DONE.value
         if done or outcome == dialects.OrderAnswer.ACCEPTED.value:
             leaves = isinstance(order, engine_asks.Unload) and not done
-            self._turns.accepted(busy=leaves, now_seconds=now_seconds)
+            self._turns.accepted(
+                busy=leaves,
+                age_seconds=now_seconds - given.given_at_seconds,
+                now_seconds=now_seconds,
+            )
             self.schedule.places.ordered(
                 order, done=done, now_seconds=now_seconds
             )
@@ -306,7 +306,7 @@
         else:
             self._turns.refused()
         self.schedule.places.order_failed(now_seconds=now_seconds)
-        self._ask_later(REPORT_LAG_SECONDS)
+        self._ask_later(order_turns.REPORT_LAG_SECONDS)
 
     def _outcome(
         self,
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -11,7 +11,7 @@
 from boragefold.transport import answer_parser
 from boragefold.transport import streams
 
-# Requests that usually have no body carry no length either.
+# These usually have no body and then carry no length either.
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
@@ -24,7 +24,8 @@
     connecting; when it says no, nothing is sent. ``accepts`` tells whether an
     answer with these headers is the one to this call. ``whole_at_close`` takes
     an answer without a length for whole when its connection was closed in good
-    order; without it such an answer always counts as cut. A ``Host`` among the
+    order; without it such an answer always counts as cut. ``expires`` lets
+    nothing arrive any more once the call is given up. A ``Host`` among the
     headers goes before the address.
     """
 
@@ -38,6 +39,7 @@
     may_send: Callable[[], bool] = lambda: True
     accepts: answer_parser.Accepts = lambda headers: True
     whole_at_close: bool = False
+    expires: bool = False
 
 
 class Pending:
@@ -111,8 +113,7 @@
             return
         parsed = self._parser.feed(data)
         if self._parser.complete and self.pending is not None:
-            # Bytes behind the end of a whole answer belong to no call. The
-            # answer counts; the connection isn't used again.
+            # The answer is whole, but the connection isn't reused.
             self._end(self.pending, self._parser, clean=parsed)
         elif not parsed:
             self.stream.abort("malformed_answer")
@@ -142,7 +143,17 @@
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self.pending = None
-        self.stream.reset()
+        self.stream.abort()
+
+    def give_up(self, reason: str) -> None:
+        """Fail the running call and close.
+
+        :param reason: passed on to the sink
+        """
+        if self.pending is not None and self.pending.call.expires:
+            self.stream.reset(reason)
+        else:
+            self.stream.abort(reason)
 
     def pause(self) -> None:
         """Stop reading; a paused connection has no progress timeout."""
@@ -171,8 +182,8 @@
             self.stream.close()
             return
         if not self.pending.call.may_send():
-            # The process slept, or connecting took long: the right to send
-            # has ended meanwhile and may be another's.
+            # The right to send ended while connecting, or while the process
+            # slept.
             self._client.fail_later(self, "right_ended")
             return
         self.sent_any = True
@@ -191,8 +202,7 @@
         self.pending = None
         self._parser = None
         pending.connection = None
-        # An endpoint may answer before it has read a long body. What is still
-        # unsent would be taken for the next request on this connection.
+        # The unsent rest of the body would be taken for the next request.
         all_sent = self.stream.unsent_bytes == 0
         if clean and parser.keeps_open and all_sent:
             self.used_before = True
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -184,6 +184,26 @@
     assert not giver.turns.confirmed(now_seconds=1.8)
 
 
+def test_an_answer_that_was_read_late_confirms_nothing(engine) -> None:
+    # A process that paused reads the answer to an order given before.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    giver.turns.sending()
+    assert engine.take(giver.turns.expected, 1, 1.0)
+    giver.turns.accepted(age_seconds=0.5, now_seconds=1.5)
+    assert not giver.turns.confirmed(now_seconds=1.5)
+
+
+def test_an_order_relies_on_nothing_older_than_the_quiet_time() -> None:
+    # Another's order that is younger than that couldn't be seen.
+    oldest_seconds = (
+        order_turns.CONFIRMED_SECONDS
+        + order_turns.ORDER_FRESH_SECONDS
+        + order_turns.REPORT_LAG_SECONDS
+    )
+    assert oldest_seconds <= order_turns.QUIET_SECONDS
+
+
 def test_reports_that_were_read_late_prove_no_quiet_time(engine) -> None:
     # Two reports asked for at once, read before and after a pause.
     giver = Giver(engine, 1)
@@ -244,6 +264,20 @@
     assert giver.try_order(1.6)
 
 
+def test_an_order_in_doubt_isnt_settled_by_an_older_report(engine) -> None:
+    # The same order would go out again, and the engine wouldn't count it.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    old = engine.counted()
+    giver.turns.sending()
+    assert engine.take(giver.turns.expected, 1, 1.0)
+    giver.turns.in_doubt(now_seconds=1.1)
+    giver.turns.reported(old, now_seconds=1.12)
+    assert not giver.turns.may_order(now_seconds=1.12)
+    giver.look(1.3)
+    assert giver.try_order(1.3)
+
+
 def test_no_order_is_given_while_a_lost_one_may_still_arrive(engine) -> None:
     # An unload has no answer, is given again and counted, and its first copy
     # comes late: answered with "done", it bears a number that is too low.
