Take an engine's places from the report that its count comes from

What callers saw: an engine crashed and came back empty. It had been ordered to load a sixth adapter for its five places.

Cause: places and count of orders were believed separately. Whether a report undid an order depended on how long ago the order was answered, per adapter; whether its count was taken over depended on the last order alone. So places of one moment could meet the count of another, and the engine accepts what bears the right count. Two such orderings were traced in virtual time:

- A report is read late.
Orders older than 0.4 s were undone, the newer ones kept, and with them the newer count.
Where one of the newer had brought back an adapter that the old report still showed, one place too few was counted.
- An adapter is dropped and loaded again, and the answer to the load is lost.
The next report shows the adapter and the count, and the count was believed; the adapter wasn't, because it had been dropped less than 0.4 s ago.

Ruled out: judging a report by when it was asked for, alone.

Why it holds: a report is taken over whole when the next order will expect its count, and otherwise only shows that older loads have arrived. Any order that the engine counted meanwhile makes the next one fail; orders that it doesn't count change nothing there.

--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -174,12 +174,7 @@
         now_seconds = self._timers.now_seconds()
         believed = self._turns.expected
         foreign = self._turns.reported(report.counted, now_seconds=now_seconds)
-        self.schedule.places.learn(
-            report.held,
-            report.coming,
-            now_seconds=now_seconds,
-            busy=report.busy,
-        )
+        self._learn(report, now_seconds)
         self._log.write(
             "engine_report",
             engine=self.record.name,
@@ -201,6 +196,20 @@
             self._ask_later(REPORT_PAUSE_SECONDS)
         self._changed()
 
+    def _learn(
+        self, report: dialects.EngineReport, now_seconds: float
+    ) -> None:
+        places = self.schedule.places
+        if report.counted.orders != self._turns.expected:
+            places.learn_former(report.held, count=report.counted.orders)
+            return
+        places.learn(
+            report.held,
+            report.coming,
+            now_seconds=now_seconds,
+            busy=report.busy,
+        )
+
     def _ask_later(self, delay_seconds: float) -> None:
         self._timers.once(
             delay_seconds=delay_seconds, callback=self.ask_report
@@ -259,7 +268,10 @@
         if done or outcome == dialects.OrderAnswer.ACCEPTED.value:
             self._turns.accepted(now_seconds=now_seconds)
             self.schedule.places.ordered(
-                order, done=done, now_seconds=now_seconds
+                order,
+                done=done,
+                now_seconds=now_seconds,
+                count=given.expected + 1,
             )
             if isinstance(order, engine_asks.Unload) and not done:
                 self._ask_later(REPORT_PAUSE_SECONDS)
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -27,8 +27,6 @@
 RETRY_LOAD_SECONDS = 0.06
 # From then on a report is asked for: the load may have failed.
 OVERDUE_SECONDS = 0.1
-# A report may be this old: it doesn't undo what was ordered since.
-REPORT_AGE_SECONDS = 0.4
 # An order that failed or was refused is not repeated sooner.
 ORDER_PAUSE_SECONDS = 0.1
 
@@ -39,10 +37,12 @@
 
     ``confirmed`` once a report or an answer showed that the adapter is there,
     ``warm`` while it is taken to come from the engine's own memory.
+    ``count`` is the engine's count of orders after the load.
     """
 
     version: int
     ready_at_seconds: float
+    count: int = 0
     confirmed: bool = False
     running: int = 0
     leaving: bool = False
@@ -80,7 +80,6 @@
             model.name: model.load_seconds for model in engine.models
         }
         self._not_before_seconds = 0.0
-        self._ordered_at_seconds: dict[AdapterKey, float] = {}
         # Whether an order may be given now, and how long none can be expected:
         # right after the start, and while another instance gives them.
         self._busy = False
@@ -210,7 +209,7 @@
         :return: those that are free or idle
         """
         free = self.capacity - len(self._places)
-        return free + sum(1 for _ in self._idle(wanted))
+        return max(0, free + sum(1 for _ in self._idle(wanted)))
 
     def has_place_for(
         self,
@@ -258,6 +257,7 @@
         *,
         done: bool,
         now_seconds: float,
+        count: int = 0,
     ) -> None:
         """Note that the engine accepted an order.
 
@@ -265,9 +265,9 @@
         :param done: whether it is carried out already; an adapter that is
             still used keeps its place until its requests have ended
         :param now_seconds: reading of the process clock
+        :param count: the engine's count of orders after it
         """
         key = order.key
-        self._ordered_at_seconds[key] = now_seconds
         if isinstance(order, engine_asks.Unload):
             if done:
                 self._places.pop(key, None)
@@ -286,6 +286,7 @@
             self._places[key] = Place(
                 version=order.version,
                 ready_at_seconds=now_seconds + load_seconds,
+                count=count,
                 running=0 if before is None else before.running,
                 warm=self._load_times.is_warm(key),
             )
@@ -359,6 +360,9 @@
     ) -> None:
         """Take over what the engine reports that it holds.
 
+        Only for the report whose count of orders the next order expects:
+        places from another one would be too few or too many for that count.
+
         :param held: versions by adapter by model
         :param coming: versions of the adapters on their way
         :param now_seconds: reading of the process clock
@@ -366,25 +370,10 @@
             when it is done
         """
         self._busy = busy
-        oldest_seconds = now_seconds - REPORT_AGE_SECONDS
-        self._ordered_at_seconds = {
-            key: at_seconds
-            for key, at_seconds in self._ordered_at_seconds.items()
-            if at_seconds > oldest_seconds
-        }
-        lately = self._ordered_at_seconds
-        present = {
-            AdapterKey(model, adapter): version
-            for model, adapters in held.items()
-            for adapter, version in adapters.items()
-        }
+        present = _flat(held)
         before = self._places
-        self._places = {
-            key: place for key, place in before.items() if key in lately
-        }
+        self._places = {}
         for key, version in {**coming, **present}.items():
-            if key in lately and key not in before:
-                continue
             place = before.get(key)
             if place is None or place.version not in (0, version):
                 place = self._learned(place, version, now_seconds)
@@ -393,9 +382,22 @@
         self._models = {
             model: ready_at_seconds
             for model, ready_at_seconds in self._models.items()
-            if busy or AdapterKey(model, "") in lately
+            if busy
         } | {model: self._models.get(model, 0.0) for model in held}
 
+    def learn_former(
+        self, held: Mapping[str, Mapping[str, int]], *, count: int
+    ) -> None:
+        """Take over what a report shows that doesn't know of our last orders.
+
+        :param held: versions by adapter by model
+        :param count: how many orders the engine had accepted
+        """
+        present = _flat(held)
+        for key, place in self._places.items():
+            if place.count <= count and present.get(key) == place.version:
+                place.confirmed = True
+
     def dues(self, *, now_seconds: float) -> Iterator[float]:
         """List when something that is on its way should be there.
 
@@ -492,6 +494,16 @@
         )
 
 
+def _flat(
+    held: Mapping[str, Mapping[str, int]],
+) -> dict[AdapterKey, int]:
+    return {
+        AdapterKey(model, adapter): version
+        for model, adapters in held.items()
+        for adapter, version in adapters.items()
+    }
+
+
 __all__ = [
     "Place",
     "Places",
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -129,11 +129,14 @@
     # Reports lag. One that was made before an order would bring back what was
     # dropped, and requests would be sent to an adapter that isn't there.
     places = held_places()
-    places.ordered(engine_asks.Unload(A), done=True, now_seconds=11.0)
-    places.ordered(engine_asks.Load(B, 0), done=False, now_seconds=11.0)
-    places.learn({"base": {"a": 1}}, {}, now_seconds=11.1)
+    places.ordered(engine_asks.Unload(A), done=True, now_seconds=11.0, count=1)
+    places.ordered(
+        engine_asks.Load(B, 0), done=False, now_seconds=11.0, count=2
+    )
+    places.learn_former({"base": {"a": 1, "b": 0}}, count=1)
     assert not places.holds(A)
     assert places.holds(B)
+    assert places.summary()["b"] == "0?"
     places.learn({"base": {"a": 1}}, {}, now_seconds=11.6)
     assert places.holds(A)
     assert not places.holds(B)
