--- a/tests/fakes/engine_wire.py
+++ b/tests/fakes/engine_wire.py
@@ -126,11 +126,12 @@
             travel.there_seconds, lambda: self._arrive(call, sink, travel)
         )
 
-    def ask(self, adapter: str, *, run_seconds: float = 0.05) -> None:
+    def ask(self, adapter: str, *, run_seconds: float = 0.05) -> str:
         """Let a request ask for an adapter.
 
         :param adapter: its name
         :param run_seconds: how long its answer takes
+        :return: the request
         """
         now_seconds = self.clock.now_seconds()
         ask = engine_loads.ask(
@@ -138,6 +139,16 @@
         )
         self.owned.schedule.offer(ask, now_seconds=now_seconds)
         self._in_process(self.advance)
+        return ask.request_id
+
+    def give_up(self, request_id: str) -> None:
+        """Let the caller of a request leave.
+
+        :param request_id: which
+        """
+        self.owned.schedule.withdraw(
+            request_id, now_seconds=self.clock.now_seconds()
+        )
 
     def pause(self, seconds: float) -> None:
         """Stop the owner's process for a while.
