Count an adapter twice while a newer version replaces it

What callers would see: an engine that crashes because a newer version of an adapter was loaded beside the older one, which still ran, with all places taken; or two owners' orders with one fencing number.

Cause: a newer version was taken to need no place of its own. Also, while it was on its way, reports list both; the older won, looked outdated, was ordered again (the engine answers that as if it were new and doesn't count it) and looked idle, so that it could be dropped.

Evidence: reading, and the users' words for the rule, which count what is being replaced while the older version still runs.

Mend: an adapter that replaces another takes two places until it was seen there. With all places taken, an older version that nothing uses makes way for the newer one; one that is used lets an idle adapter make way. Of two versions in a report the one on its way counts.

--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -37,7 +37,8 @@
 
     ``confirmed`` once a report or an answer showed that the adapter is there,
     ``warm`` while it is taken to come from the engine's own memory.
-    ``count`` is the engine's count of orders after the load.
+    ``count`` is the engine's count of orders after the load. While it
+    ``replaces`` an older version, the engine may hold both.
     """
 
     version: int
@@ -47,6 +48,7 @@
     running: int = 0
     leaving: bool = False
     warm: bool = False
+    replaces: bool = False
 
 
 class Places:
@@ -208,7 +210,7 @@
         :param wanted: how many requests wait for each adapter
         :return: those that are free or idle
         """
-        free = self.capacity - len(self._places)
+        free = self.capacity - self._taken()
         return max(0, free + sum(1 for _ in self._idle(wanted)))
 
     def has_place_for(
@@ -249,7 +251,7 @@
             order = self._order_for(ask.needs, wanted, now_seconds)
             if order is not None:
                 return order
-        return self._renewal(now_seconds)
+        return self._renewal(wanted, now_seconds)
 
     def ordered(
         self,
@@ -280,8 +282,7 @@
             load_seconds = self._load_times.seconds(
                 key, loading=self.loading(now_seconds=now_seconds)
             )
-            # A newer version takes the place of the older when that one's
-            # requests have ended; they still count.
+            # The requests of an older version go on beside the newer one.
             before = self._places.get(key)
             self._places[key] = Place(
                 version=order.version,
@@ -289,6 +290,7 @@
                 count=count,
                 running=0 if before is None else before.running,
                 warm=self._load_times.is_warm(key),
+                replaces=before is not None,
             )
         self._load_times.remember(key)
 
@@ -326,6 +328,7 @@
         if not place.confirmed and not place.warm:
             self._load_times.in_time()
         place.confirmed = True
+        place.replaces = False
 
     def overdue(self, *, now_seconds: float) -> bool:
         """Tell whether a load should be there and nothing has shown it.
@@ -373,11 +376,12 @@
         present = _flat(held)
         before = self._places
         self._places = {}
-        for key, version in {**coming, **present}.items():
+        for key, version in {**present, **coming}.items():
             place = before.get(key)
             if place is None or place.version not in (0, version):
                 place = self._learned(place, version, now_seconds)
-            place.confirmed = key in present
+            place.confirmed = key not in coming
+            place.replaces = key in coming and key in present
             self._places[key] = place
         self._models = {
             model: ready_at_seconds
@@ -397,6 +401,7 @@
         for key, place in self._places.items():
             if place.count <= count and present.get(key) == place.version:
                 place.confirmed = True
+                place.replaces = False
 
     def dues(self, *, now_seconds: float) -> Iterator[float]:
         """List when something that is on its way should be there.
@@ -434,15 +439,21 @@
             key, loading=self.loading(now_seconds=now_seconds)
         ):
             return None
-        version = self._newest.get(key, 0)
         place = self._places.get(key)
         if place is not None and place.leaving:
             return None
-        if place is not None or len(self._places) < self.capacity:
-            return engine_asks.Load(key, version)
+        if self._taken() < self.capacity:
+            return engine_asks.Load(key, self._newest.get(key, 0))
+        if place is not None and place.confirmed and not place.running:
+            return engine_asks.Unload(key)
         idlest = self._least_popular(wanted, now_seconds)
         return None if idlest is None else engine_asks.Unload(idlest)
 
+    def _taken(self) -> int:
+        return len(self._places) + sum(
+            place.replaces for place in self._places.values()
+        )
+
     def _model_order(self, model: str) -> engine_asks.Order | None:
         # An engine that restarted is empty. One that holds another model has
         # no room for this one.
@@ -464,15 +475,15 @@
         )
         return next(outdated, None)
 
-    def _renewal(self, now_seconds: float) -> engine_asks.Order | None:
+    def _renewal(
+        self, wanted: Mapping[AdapterKey, int], now_seconds: float
+    ) -> engine_asks.Order | None:
         # A newer version of an adapter that is held: nothing of the older may
         # begin much later, so it is replaced before it is asked for.
         key = self.outdated()
-        if key is None or not self._load_times.may_load(
-            key, loading=self.loading(now_seconds=now_seconds)
-        ):
+        if key is None:
             return None
-        return engine_asks.Load(key, self._newest[key])
+        return self._order_for(key, wanted, now_seconds)
 
     def _least_popular(
         self, wanted: Mapping[AdapterKey, int], now_seconds: float
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -199,3 +199,54 @@
     successor.learn({}, {}, now_seconds=1.0, busy=True)
     successor.may_order = True
     assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
+
+
+def test_a_newer_version_on_its_way_is_neither_ordered_again_nor_dropped() -> (
+    None
+):
+    # While it came, reports listed the older one too: the load was repeated,
+    # which the engine didn't count, and the adapter looked idle.
+    places = held_places({A: 2})
+    places.ordered(engine_asks.Load(A, 2), done=False, now_seconds=11.0)
+    places.learn({"base": {"a": 1}}, {A: 2}, now_seconds=11.1)
+    assert places.next_order([], {}, now_seconds=11.1) is None
+    assert places.summary()["a"] == "0?"
+
+
+def test_an_older_version_that_still_runs_needs_a_place_of_its_own() -> None:
+    # All places were taken: the newer version that was loaded beside the
+    # older one was one adapter too many.
+    newest = {A: 1}
+    places = held_places(newest)
+    places.learn({"base": dict.fromkeys("abcde", 1)}, {}, now_seconds=10.5)
+    for key in (A, B):
+        places.enter(key, now_seconds=10.5)
+    newest[A] = 2
+    first = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert first == engine_asks.Unload(C)
+    places.ordered(first, done=True, now_seconds=11.0)
+    second = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert second == engine_asks.Load(A, 2)
+    places.ordered(second, done=False, now_seconds=11.0)
+    assert places.next_order(
+        unplaced(engine_loads.key("f")), {}, now_seconds=11.1
+    ) == engine_asks.Unload(engine_loads.key("d"))
+
+
+def test_an_older_version_that_nothing_uses_makes_way_for_the_newer() -> None:
+    # All places were taken: see above. Nothing else is dropped for it.
+    newest = {A: 1}
+    places = held_places(newest)
+    places.learn({"base": dict.fromkeys("abcde", 1)}, {}, now_seconds=10.5)
+    newest[A] = 2
+    order = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert order == engine_asks.Unload(A)
+
+
+def test_no_place_is_free_while_more_are_taken_than_there_are() -> None:
+    # With fewer than none a request that asked ended in an exception.
+    places = held_places()
+    places.learn({"base": dict.fromkeys("abcdef", 1)}, {}, now_seconds=10.5)
+    for each in "abcdef":
+        places.enter(engine_loads.key(each), now_seconds=10.5)
+    assert places.free({}) == 0
