--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -221,6 +221,10 @@
     places.learn({"base": dict.fromkeys("abcde", 1)}, {}, now_seconds=10.5)
     for key in (A, B):
         places.enter(key, now_seconds=10.5)
+    # So that it is clear which of the idle ones is asked for least.
+    for key in map(engine_loads.key, "dee"):
+        places.enter(key, now_seconds=10.5)
+        places.leave(key, now_seconds=10.5)
     newest[A] = 2
     first = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
     assert first == engine_asks.Unload(C)
