Let any report that shows an order in doubt settle it

Callers would have seen an engine without loads for three seconds.

The test failed before: the order passed for another giver's.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -313,7 +313,10 @@
             return False
         before = self._counted
         asked_at_seconds = now_seconds - age_seconds
-        if asked_at_seconds < self._doubted_at_seconds + REPORT_LAG_SECONDS:
+        knows_lost = (
+            asked_at_seconds >= self._doubted_at_seconds + REPORT_LAG_SECONDS
+        )
+        if not knows_lost and not self._shows_lost(counted):
             return False
         self._certain = True
         self._confirm(asked_at_seconds)
@@ -342,6 +345,12 @@
             self._moved_at_seconds = now_seconds
         return foreign
 
+    def _shows_lost(self, counted: Counted) -> bool:
+        if self._counted is None:
+            return False
+        ahead = counted.orders - self._counted.orders
+        return 0 < ahead <= self._doubtful
+
     def _confirm(self, at_seconds: float) -> None:
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, at_seconds
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -278,6 +278,19 @@
     assert giver.try_order(1.3)
 
 
+def test_a_report_that_shows_an_order_in_doubt_settles_it(engine) -> None:
+    # Asked for before the doubt, it was passed over; seen later, the order
+    # was taken for another giver's, and a lease was waited for.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    giver.turns.sending()
+    assert engine.take(giver.turns.expected, 1, 1.0)
+    giver.turns.in_doubt(now_seconds=1.5)
+    giver.turns.reported(engine.counted(), age_seconds=0.3, now_seconds=1.55)
+    assert giver.look(2.6) is False
+    assert giver.try_order(2.6)
+
+
 def test_no_order_is_given_while_a_lost_one_may_still_arrive(engine) -> None:
     # An unload has no answer, is given again and counted, and its first copy
     # comes late: answered with "done", it bears a number that is too low.
