Don't drop an adapter that is on its way again

It has the shape of the users' record: two instances, one count, the second with the lower fencing number, seconds apart.

Cause: an owner drops an adapter and loads it again for a new request. A report that was asked for right then shows the engine of a moment before, with the adapter. It passed for the word that the load is done; once the request had been sent back the adapter was idle, and made way for another while it was still on its way. The engine answers such an unload with "done", changes nothing and counts nothing. The next owner uses the same count; with a lower number of its own its fencing number falls.

Why it works: where the adapter was dropped within the age of a report, only a run on it or a later report shows that it is there.

--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -86,6 +86,7 @@
         }
         self._not_before_seconds = 0.0
         self._ordered_at_seconds: dict[AdapterKey, float] = {}
+        self._dropped_at_seconds: dict[AdapterKey, float] = {}
         # Whether an order may be given now, and how long none can be expected:
         # right after the start, and while another instance gives them.
         self._busy = False
@@ -274,6 +275,7 @@
         key = order.key
         self._ordered_at_seconds[key] = now_seconds
         if isinstance(order, engine_asks.Unload):
+            self._dropped_at_seconds[key] = now_seconds
             if done:
                 self._places.pop(key, None)
             elif key in self._places:
@@ -373,12 +375,10 @@
         """
         self._busy = busy
         oldest_seconds = asked_at_seconds - REPORT_AGE_SECONDS
-        self._ordered_at_seconds = {
-            key: at_seconds
-            for key, at_seconds in self._ordered_at_seconds.items()
-            if at_seconds > oldest_seconds
-        }
-        lately = self._ordered_at_seconds
+        lately = _since(self._ordered_at_seconds, oldest_seconds)
+        self._ordered_at_seconds = lately
+        dropped_lately = _since(self._dropped_at_seconds, oldest_seconds)
+        self._dropped_at_seconds = dropped_lately
         present = {
             AdapterKey(model, adapter): version
             for model, adapters in held.items()
@@ -394,7 +394,12 @@
             place = before.get(key)
             if place is None or place.version not in (0, version):
                 place = self._learned(place, version, asked_at_seconds)
-            place.confirmed = key in present
+            # An adapter that was dropped and is loaded again is on its way. A
+            # report from before may list it; dropped by that once more, the
+            # engine would not count the order.
+            place.confirmed = key in present and (
+                place.confirmed or key not in dropped_lately
+            )
             self._places[key] = place
         self._models = {
             model: ready_at_seconds
@@ -508,6 +513,12 @@
         )
 
 
+def _since(
+    at_seconds: Mapping[AdapterKey, float], oldest_seconds: float
+) -> dict[AdapterKey, float]:
+    return {key: at for key, at in at_seconds.items() if at > oldest_seconds}
+
+
 __all__ = [
     "Place",
     "Places",
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -212,3 +212,20 @@
         wanted = unplaced(engine_loads.key("f"))
         dropped.add(places.next_order(wanted, {}, now_seconds=10.0))
     assert len(dropped) == 5
+
+
+def test_what_is_loaded_again_isnt_dropped_by_an_old_report() -> None:
+    # A report from before the unload lists the adapter, which is on its way
+    # again. The engine answers its unload, but doesn't count it: the next
+    # instance gives orders with the same count.
+    places = held_places()
+    places.ordered(engine_asks.Unload(A), done=True, now_seconds=10.5)
+    places.ordered(engine_asks.Load(A, 0), done=False, now_seconds=10.51)
+    held = {"base": dict.fromkeys("abcde", 1)}
+    wanted = unplaced(engine_loads.key("f"))
+    for asked_at_seconds, dropped in ((10.52, False), (11.0, True)):
+        places.learn(held, {}, asked_at_seconds=asked_at_seconds)
+        for key in map(engine_loads.key, "bcde"):
+            places.enter(key, now_seconds=asked_at_seconds)
+        order = places.next_order(wanted, {}, now_seconds=asked_at_seconds)
+        assert (order == engine_asks.Unload(A)) is dropped
