Keep the schedules that broke the rule of one giver of orders

The smallest schedule of each class that random ones found, each with ten seeds of the network, or with the six that failed where it is rare.

--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -1,4 +1,4 @@
-"""Random schedules for the owners of one engine, judged by its record."""
+"""Schedules for the owners of one engine, judged by its record of orders."""
 
 from __future__ import annotations
 
@@ -7,20 +7,125 @@
 from tests.fakes import order_plans
 from tests.fakes import order_walk
 
-SEEDS = 6
+Step = order_walk.Step
 
+SEEDS = range(10)
 
-def breaches(*, seed, profile):
-    steps = order_plans.draw(seed=seed, profile=profile)
-    return order_walk.OrderWalk(seed=seed, steps=steps).run()
+
+def ask(at_seconds, adapter, seconds=0.1):
+    return Step(at_seconds, "ask", seconds=seconds, adapter=adapter)
+
+
+def claim(at_seconds, instance):
+    return Step(at_seconds, "claim", instance)
+
+
+def release(at_seconds, instance):
+    return Step(at_seconds, "release", instance)
+
+
+# Instance 0 owns the engine and fills it.
+FILLED = [
+    claim(0.0, 0),
+    *(ask(0.6 + number / 50, f"a{number}") for number in range(5)),
+]
+
+
+def breaches(steps, seeds=SEEDS):
+    return {
+        seed: found
+        for seed in seeds
+        if (found := order_walk.OrderWalk(seed=seed, steps=steps).run())
+    }
 
 
 @pytest.mark.parametrize("profile", order_plans.PROFILES)
 def test_no_schedule_has_two_givers_at_once(profile) -> None:
     # Two instances take turns at one engine, or a fencing number falls.
-    broken = {
-        seed: found
-        for seed in range(SEEDS)
-        if (found := breaches(seed=seed, profile=profile))
-    }
+    broken = {}
+    for seed in SEEDS:
+        steps = order_plans.draw(seed=seed, profile=profile)
+        if found := order_walk.OrderWalk(seed=seed, steps=steps).run():
+            broken[seed] = found
     assert not broken
+
+
+def test_what_leaves_is_not_dropped_by_the_next_owner() -> None:
+    # An adapter leaves while a former owner's request runs on it. The next
+    # owner dropped it again, which isn't counted; the third used its count.
+    steps = [
+        claim(0.0, 0),
+        ask(0.9, "a5", 4.0),
+        ask(1.0, "a3"),
+        ask(1.3, "a7"),
+        release(1.7, 0),
+        claim(2.2, 0),
+        ask(2.85, "a2"),
+        ask(2.87, "a1"),
+        ask(3.0, "a0"),
+        release(3.06, 0),
+        claim(3.2, 1),
+        ask(3.4, "a0"),
+        release(4.5, 1),
+        claim(6.5, 0),
+        ask(6.6, "a0"),
+    ]
+    assert not breaches(steps)
+
+
+def test_an_order_that_comes_late_finds_no_repetition_of_itself() -> None:
+    # The answer to an order is lost, the order is given again, and the first
+    # copy arrives after it with a fencing number that is too low.
+    asked = [
+        ask(0.8 + number / 10, f"a{number % 8}", 0.2) for number in range(30)
+    ]
+    steps = [*FILLED, Step(0.7, "bad", 0, 3.0), *asked]
+    assert not breaches(steps, seeds=(12, 46, 53, 92, 124, 125))
+
+
+def test_two_that_take_a_full_engine_up_at_once_dont_share_a_count() -> None:
+    # Both dropped the first adapter of the report for their first load.
+    steps = [
+        *FILLED,
+        release(2.0, 0),
+        claim(2.1, 1),
+        claim(2.17, 2),
+        *(
+            ask(2.2 + number / 20, f"a{5 + number % 4}")
+            for number in range(16)
+        ),
+    ]
+    assert not breaches(steps)
+
+
+def test_two_that_wait_for_one_lease_dont_share_a_count() -> None:
+    # Both saw the former owner's last order and began when its lease passed.
+    steps = [
+        *FILLED,
+        claim(1.0, 1),
+        claim(1.1, 2),
+        ask(2.0, "a6"),
+        release(2.3, 0),
+        *(ask(2.5 + number / 8, f"a{5 + number % 4}") for number in range(32)),
+    ]
+    assert not breaches(steps)
+
+
+def test_what_was_dropped_and_loaded_again_is_not_dropped_early() -> None:
+    # A report from before the unload passed for the end of the new load; the
+    # second unload isn't counted, and the next owner used its count.
+    steps = [
+        claim(0.0, 2),
+        ask(4.0, "a0"),
+        ask(4.1, "a1"),
+        ask(9.46, "a2", 0.7),
+        ask(9.52, "a8", 0.4),
+        ask(9.63, "a4", 0.6),
+        ask(9.767, "a7", 0.4),
+        ask(9.832, "a0", 0.6),
+        ask(9.88, "a3", 0.4),
+        release(9.96, 2),
+        claim(11.2, 1),
+        ask(13.7, "a1"),
+    ]
+    assert not breaches(steps)
