--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -93,7 +93,7 @@
         self.record = record
         if reborn:
             self.schedule.places.learn(
-                {}, {}, asked_at_seconds=self._timers.now_seconds()
+                {}, {}, now_seconds=self._timers.now_seconds()
             )
             self.ask_report()
 
@@ -177,12 +177,7 @@
             age_seconds=age_seconds,
             now_seconds=now_seconds,
         )
-        self.schedule.places.learn(
-            report.held,
-            report.coming,
-            asked_at_seconds=self._asked_report_at_seconds,
-            busy=report.busy,
-        )
+        self._learn(report, now_seconds)
         self._log.write(
             "engine_report",
             engine=self.record.name,
@@ -203,6 +198,20 @@
             self._ask_later(REPORT_PAUSE_SECONDS)
         self._changed()
 
+    def _learn(
+        self, report: dialects.EngineReport, now_seconds: float
+    ) -> None:
+        places = self.schedule.places
+        if report.counted.orders != self._turns.expected:
+            places.learn_former(report.held, count=report.counted.orders)
+            return
+        places.learn(
+            report.held,
+            report.coming,
+            now_seconds=now_seconds,
+            busy=report.busy,
+        )
+
     def _has_to_watch(self, now_seconds: float) -> bool:
         # The count must be known and be seen to stand still, and an order that
         # is carried out to be done.
@@ -292,7 +301,10 @@
                 now_seconds=now_seconds,
             )
             self.schedule.places.ordered(
-                order, done=done, now_seconds=now_seconds
+                order,
+                done=done,
+                now_seconds=now_seconds,
+                count=given.expected + 1,
             )
             if leaves:
                 self._ask_later(REPORT_PAUSE_SECONDS)
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -29,8 +29,6 @@
 RETRY_LOAD_SECONDS = 0.06
 # From then on a report is asked for: the load may have failed.
 OVERDUE_SECONDS = 0.1
-# A report shows the engine of at most so long before it was asked for.
-REPORT_AGE_SECONDS = 0.4
 # An order that failed or was refused is not repeated sooner.
 ORDER_PAUSE_SECONDS = 0.1
 
@@ -41,14 +39,18 @@
 
     ``confirmed`` once a report or an answer showed that the adapter is there,
     ``warm`` while it is taken to come from the engine's own memory.
+    ``count`` is the engine's count of orders after the load. While it
+    ``replaces`` an older version, the engine may hold both.
     """
 
     version: int
     ready_at_seconds: float
+    count: int = 0
     confirmed: bool = False
     running: int = 0
     leaving: bool = False
     warm: bool = False
+    replaces: bool = False
 
 
 class Places:
@@ -85,8 +87,6 @@
             model.name: model.load_seconds for model in engine.models
         }
         self._not_before_seconds = 0.0
-        self._ordered_at_seconds: dict[AdapterKey, float] = {}
-        self._dropped_at_seconds: dict[AdapterKey, float] = {}
         # Whether an order may be given now, and how long none can be expected:
         # right after the start, and while another instance gives them.
         self._busy = False
@@ -215,8 +215,8 @@
         :param wanted: how many requests wait for each adapter
         :return: those that are free or idle
         """
-        free = self.capacity - len(self._places)
-        return free + sum(1 for _ in self._idle(wanted))
+        free = self.capacity - self._taken()
+        return max(0, free + sum(1 for _ in self._idle(wanted)))
 
     def has_place_for(
         self,
@@ -256,7 +256,7 @@
             order = self._order_for(ask.needs, wanted, now_seconds)
             if order is not None:
                 return order
-        return self._renewal(now_seconds)
+        return self._renewal(wanted, now_seconds)
 
     def ordered(
         self,
@@ -264,6 +264,7 @@
         *,
         done: bool,
         now_seconds: float,
+        count: int = 0,
     ) -> None:
         """Note that the engine accepted an order.
 
@@ -271,11 +272,10 @@
         :param done: whether it is carried out already; an adapter that is
             still used keeps its place until its requests have ended
         :param now_seconds: reading of the process clock
+        :param count: the engine's count of orders after it
         """
         key = order.key
-        self._ordered_at_seconds[key] = now_seconds
         if isinstance(order, engine_asks.Unload):
-            self._dropped_at_seconds[key] = now_seconds
             if done:
                 self._places.pop(key, None)
             elif key in self._places:
@@ -287,14 +287,15 @@
             load_seconds = self._load_times.seconds(
                 key, loading=self.loading(now_seconds=now_seconds)
             )
-            # A newer version takes the place of the older when that one's
-            # requests have ended; they still count.
+            # The requests of an older version go on beside the newer one.
             before = self._places.get(key)
             self._places[key] = Place(
                 version=order.version,
                 ready_at_seconds=now_seconds + load_seconds,
+                count=count,
                 running=0 if before is None else before.running,
                 warm=self._load_times.is_warm(key),
+                replaces=before is not None,
             )
         self._load_times.remember(key)
 
@@ -332,6 +333,7 @@
         if not place.confirmed and not place.warm:
             self._load_times.in_time()
         place.confirmed = True
+        place.replaces = False
 
     def overdue(self, *, now_seconds: float) -> bool:
         """Tell whether a load should be there and nothing has shown it.
@@ -361,52 +363,51 @@
         held: Mapping[str, Mapping[str, int]],
         coming: Mapping[AdapterKey, int],
         *,
-        asked_at_seconds: float,
+        now_seconds: float,
         busy: bool = False,
     ) -> None:
         """Take over what the engine reports that it holds.
 
+        Only for the report whose count of orders the next order expects:
+        places from another one would be too few or too many for that count.
+
         :param held: versions by adapter by model
         :param coming: versions of the adapters on their way
-        :param asked_at_seconds: reading of the process clock when the report
-            was asked for; it may know of no order given since
+        :param now_seconds: reading of the process clock
         :param busy: whether it loads or drops a model, which it lists only
             when it is done
         """
         self._busy = busy
-        oldest_seconds = asked_at_seconds - REPORT_AGE_SECONDS
-        lately = _since(self._ordered_at_seconds, oldest_seconds)
-        self._ordered_at_seconds = lately
-        dropped_lately = _since(self._dropped_at_seconds, oldest_seconds)
-        self._dropped_at_seconds = dropped_lately
-        present = {
-            AdapterKey(model, adapter): version
-            for model, adapters in held.items()
-            for adapter, version in adapters.items()
-        }
+        present = _flat(held)
         before = self._places
-        self._places = {
-            key: place for key, place in before.items() if key in lately
-        }
-        for key, version in {**coming, **present}.items():
-            if key in lately and key not in before:
-                continue
+        self._places = {}
+        for key, version in {**present, **coming}.items():
             place = before.get(key)
             if place is None or place.version not in (0, version):
-                place = self._learned(place, version, asked_at_seconds)
-            # An adapter that was dropped and is loaded again is on its way. A
-            # report from before may list it; dropped by that once more, the
-            # engine would not count the order.
-            place.confirmed = key in present and (
-                place.confirmed or key not in dropped_lately
-            )
+                place = self._learned(place, version, now_seconds)
+            place.confirmed = key not in coming
+            place.replaces = key in coming and key in present
             self._places[key] = place
         self._models = {
             model: ready_at_seconds
             for model, ready_at_seconds in self._models.items()
-            if busy or AdapterKey(model, "") in lately
+            if busy
         } | {model: self._models.get(model, 0.0) for model in held}
 
+    def learn_former(
+        self, held: Mapping[str, Mapping[str, int]], *, count: int
+    ) -> None:
+        """Take over what a report shows that doesn't know of our last orders.
+
+        :param held: versions by adapter by model
+        :param count: how many orders the engine had accepted
+        """
+        present = _flat(held)
+        for key, place in self._places.items():
+            if place.count <= count and present.get(key) == place.version:
+                place.confirmed = True
+                place.replaces = False
+
     def dues(self, *, now_seconds: float) -> Iterator[float]:
         """List when something that is on its way should be there.
 
@@ -443,15 +444,21 @@
             key, loading=self.loading(now_seconds=now_seconds)
         ):
             return None
-        version = self._newest.get(key, 0)
         place = self._places.get(key)
         if place is not None and place.leaving:
             return None
-        if place is not None or len(self._places) < self.capacity:
-            return engine_asks.Load(key, version)
+        if self._taken() < self.capacity:
+            return engine_asks.Load(key, self._newest.get(key, 0))
+        if place is not None and place.confirmed and not place.running:
+            return engine_asks.Unload(key)
         idlest = self._least_popular(wanted, now_seconds)
         return None if idlest is None else engine_asks.Unload(idlest)
 
+    def _taken(self) -> int:
+        return len(self._places) + sum(
+            place.replaces for place in self._places.values()
+        )
+
     def _model_order(self, model: str) -> engine_asks.Order | None:
         # An engine that restarted is empty. One that holds another model has
         # no room for this one.
@@ -473,15 +480,15 @@
         )
         return next(outdated, None)
 
-    def _renewal(self, now_seconds: float) -> engine_asks.Order | None:
+    def _renewal(
+        self, wanted: Mapping[AdapterKey, int], now_seconds: float
+    ) -> engine_asks.Order | None:
         # A newer version of an adapter that is held: nothing of the older may
         # begin much later, so it is replaced before it is asked for.
         key = self.outdated()
-        if key is None or not self._load_times.may_load(
-            key, loading=self.loading(now_seconds=now_seconds)
-        ):
+        if key is None:
             return None
-        return engine_asks.Load(key, self._newest[key])
+        return self._order_for(key, wanted, now_seconds)
 
     def _least_popular(
         self, wanted: Mapping[AdapterKey, int], now_seconds: float
@@ -513,10 +520,14 @@
         )
 
 
-def _since(
-    at_seconds: Mapping[AdapterKey, float], oldest_seconds: float
-) -> dict[AdapterKey, float]:
-    return {key: at for key, at in at_seconds.items() if at > oldest_seconds}
+def _flat(
+    held: Mapping[str, Mapping[str, int]],
+) -> dict[AdapterKey, int]:
+    return {
+        AdapterKey(model, adapter): version
+        for model, adapters in held.items()
+        for adapter, version in adapters.items()
+    }
 
 
 __all__ = [
--- a/tests/entry/test_engine_orders.py
+++ b/tests/entry/test_engine_orders.py
@@ -32,3 +32,21 @@
     wire.ask("g")
     wire.run_for(0.5)
     assert not wire.engine.overfull
+
+
+def test_a_load_without_an_answer_keeps_its_place() -> None:
+    # A sixth adapter was loaded: one that was dropped and loaded again had no
+    # answer to its load, and the report that showed it was not believed.
+    wire = full_wire()
+    wire.ask("f")
+    wire.run_for(0.06)
+    request_id = wire.ask("a")
+    wire.run_for(0.003)
+    wire.order_travel = Travel(lost=True)
+    wire.run_for(0.003)
+    wire.order_travel = Travel()
+    wire.give_up(request_id)
+    wire.run_for(0.05)
+    wire.ask("g")
+    wire.run_for(0.5)
+    assert not wire.engine.overfull
--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -11,7 +11,7 @@
     places = engine_places.Places(
         engine=engine_loads.ENGINE, newest=newest or {}
     )
-    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=10.0)
+    places.learn({"base": {"a": 1}}, {}, now_seconds=10.0)
     places.may_order = True
     return places
 
@@ -73,7 +73,7 @@
         newest={},
         loads_elsewhere=lambda: 15,
     )
-    places.learn({"base": {}}, {}, asked_at_seconds=0.0)
+    places.learn({"base": {}}, {}, now_seconds=0.0)
     places.ordered(engine_asks.Load(A, 0), done=False, now_seconds=0.0)
     assert not places.ready(A, now_seconds=0.45)
     assert places.ready(A, now_seconds=0.52)
@@ -83,7 +83,7 @@
     places = engine_places.Places(
         engine=engine_loads.ENGINE, newest={}, loads_elsewhere=lambda: 7
     )
-    places.learn({"base": {}}, {}, asked_at_seconds=0.0)
+    places.learn({"base": {}}, {}, now_seconds=0.0)
     places.may_order = True
     first = places.next_order(unplaced(A), {}, now_seconds=0.0)
     assert first == engine_asks.Load(A, 0)
@@ -121,7 +121,7 @@
     places.ordered(engine_asks.Unload(A), done=False, now_seconds=10.0)
     assert not places.holds(A)
     assert A in places.held()
-    places.learn({"base": {}}, {}, asked_at_seconds=10.6)
+    places.learn({"base": {}}, {}, now_seconds=10.6)
     assert A not in places.held()
 
 
@@ -129,12 +129,15 @@
     # Reports lag. One that was made before an order would bring back what was
     # dropped, and requests would be sent to an adapter that isn't there.
     places = held_places()
-    places.ordered(engine_asks.Unload(A), done=True, now_seconds=11.0)
-    places.ordered(engine_asks.Load(B, 0), done=False, now_seconds=11.0)
-    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=11.1)
+    places.ordered(engine_asks.Unload(A), done=True, now_seconds=11.0, count=1)
+    places.ordered(
+        engine_asks.Load(B, 0), done=False, now_seconds=11.0, count=2
+    )
+    places.learn_former({"base": {"a": 1, "b": 0}}, count=1)
     assert not places.holds(A)
     assert places.holds(B)
-    places.learn({"base": {"a": 1}}, {}, asked_at_seconds=11.6)
+    assert places.summary()["b"] == "0?"
+    places.learn({"base": {"a": 1}}, {}, now_seconds=11.6)
     assert places.holds(A)
     assert not places.holds(B)
 
@@ -162,7 +165,7 @@
 
 def test_an_engine_that_restarted_is_given_its_model_first() -> None:
     places = held_places()
-    places.learn({}, {}, asked_at_seconds=20.0)
+    places.learn({}, {}, now_seconds=20.0)
     order = places.next_order(unplaced(A), {}, now_seconds=20.0)
     assert order == engine_asks.Load(engine_loads.key(""), 0)
     places.ordered(order, done=False, now_seconds=20.0)
@@ -184,16 +187,16 @@
     # order is answered as if it were new, without being counted; the next
     # giver's number was then below one used before.
     places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
-    places.learn({}, {}, asked_at_seconds=0.0)
+    places.learn({}, {}, now_seconds=0.0)
     places.may_order = True
     model = engine_loads.key("")
     first = places.next_order(unplaced(A), {}, now_seconds=0.0)
     assert first == engine_asks.Load(model, 0)
     places.ordered(first, done=False, now_seconds=0.0)
-    places.learn({}, {}, asked_at_seconds=1.0, busy=True)
+    places.learn({}, {}, now_seconds=1.0, busy=True)
     assert places.next_order(unplaced(A), {}, now_seconds=1.0) is None
     successor = engine_places.Places(engine=engine_loads.ENGINE, newest={})
-    successor.learn({}, {}, asked_at_seconds=1.0, busy=True)
+    successor.learn({}, {}, now_seconds=1.0, busy=True)
     successor.may_order = True
     assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
 
@@ -207,7 +210,7 @@
             engine=engine_loads.ENGINE, newest={}, giver=giver
         )
         held = {"base": dict.fromkeys("abcde", 1)}
-        places.learn(held, {}, asked_at_seconds=10.0)
+        places.learn(held, {}, now_seconds=10.0)
         places.may_order = True
         wanted = unplaced(engine_loads.key("f"))
         dropped.add(places.next_order(wanted, {}, now_seconds=10.0))
@@ -219,13 +222,66 @@
     # again. The engine answers its unload, but doesn't count it: the next
     # instance gives orders with the same count.
     places = held_places()
-    places.ordered(engine_asks.Unload(A), done=True, now_seconds=10.5)
-    places.ordered(engine_asks.Load(A, 0), done=False, now_seconds=10.51)
     held = {"base": dict.fromkeys("abcde", 1)}
+    places.learn(held, {}, now_seconds=10.4)
+    for key in map(engine_loads.key, "bcde"):
+        places.enter(key, now_seconds=10.4)
+    unload, load = engine_asks.Unload(A), engine_asks.Load(A, 1)
+    places.ordered(unload, done=True, now_seconds=10.5, count=5)
+    places.ordered(load, done=False, now_seconds=10.51, count=6)
     wanted = unplaced(engine_loads.key("f"))
-    for asked_at_seconds, dropped in ((10.52, False), (11.0, True)):
-        places.learn(held, {}, asked_at_seconds=asked_at_seconds)
-        for key in map(engine_loads.key, "bcde"):
-            places.enter(key, now_seconds=asked_at_seconds)
-        order = places.next_order(wanted, {}, now_seconds=asked_at_seconds)
-        assert (order == engine_asks.Unload(A)) is dropped
+    places.learn_former(held, count=4)
+    assert places.next_order(wanted, {}, now_seconds=10.6) is None
+    places.learn_former(held, count=6)
+    assert places.next_order(wanted, {}, now_seconds=10.6) == unload
+
+
+def test_a_newer_version_on_its_way_is_neither_ordered_again_nor_dropped() -> (
+    None
+):
+    # While it came, reports listed the older one too: the load was repeated,
+    # which the engine didn't count, and the adapter looked idle.
+    places = held_places({A: 2})
+    places.ordered(engine_asks.Load(A, 2), done=False, now_seconds=11.0)
+    places.learn({"base": {"a": 1}}, {A: 2}, now_seconds=11.1)
+    assert places.next_order([], {}, now_seconds=11.1) is None
+    assert places.summary()["a"] == "0?"
+
+
+def test_an_older_version_that_still_runs_needs_a_place_of_its_own() -> None:
+    # All places were taken: the newer version that was loaded beside the
+    # older one was one adapter too many.
+    newest = {A: 1}
+    places = held_places(newest)
+    places.learn({"base": dict.fromkeys("abcde", 1)}, {}, now_seconds=10.5)
+    for key in (A, B):
+        places.enter(key, now_seconds=10.5)
+    newest[A] = 2
+    first = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert first == engine_asks.Unload(C)
+    places.ordered(first, done=True, now_seconds=11.0)
+    second = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert second == engine_asks.Load(A, 2)
+    places.ordered(second, done=False, now_seconds=11.0)
+    assert places.next_order(
+        unplaced(engine_loads.key("f")), {}, now_seconds=11.1
+    ) == engine_asks.Unload(engine_loads.key("d"))
+
+
+def test_an_older_version_that_nothing_uses_makes_way_for_the_newer() -> None:
+    # All places were taken: see above. Nothing else is dropped for it.
+    newest = {A: 1}
+    places = held_places(newest)
+    places.learn({"base": dict.fromkeys("abcde", 1)}, {}, now_seconds=10.5)
+    newest[A] = 2
+    order = places.next_order(unplaced(A), {A: 1}, now_seconds=11.0)
+    assert order == engine_asks.Unload(A)
+
+
+def test_no_place_is_free_while_more_are_taken_than_there_are() -> None:
+    # With fewer than none a request that asked ended in an exception.
+    places = held_places()
+    places.learn({"base": dict.fromkeys("abcdef", 1)}, {}, now_seconds=10.5)
+    for each in "abcdef":
+        places.enter(engine_loads.key(each), now_seconds=10.5)
+    assert places.free({}) == 0
