Keep a schedule in which two owners load one adapter at once

The engine takes a load of what is on its way without a look at the count, and a report shows the first one only 0.1 to 0.15 s later.

--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -129,3 +129,16 @@
         ask(13.7, "a1"),
     ]
     assert not breaches(steps)
+
+
+def test_two_that_own_an_idle_engine_dont_load_the_same_adapter() -> None:
+    # Two that can't hear each other load one adapter within a report's lag;
+    # the engine takes the second order without a look at its count.
+    steps = [
+        claim(0.0, 0),
+        claim(0.2, 1),
+        *(ask(3.0 + number / 100, "a0", 0.5) for number in range(6)),
+        ask(3.3, "a1"),
+        ask(3.4, "a2"),
+    ]
+    assert not breaches(steps)
