Keep a model's load in mind when the engine's new record arrives

Cause: an engine restarts and its owner orders its model. A moment later the store tells of the new life. Taking that over forgot the load on its way, and the model was ordered again before a report showed it. The engine answers that without counting it, and the next owner uses the same count.

Why it works: until its first report such an engine is taken for one that loads: its adapters are forgotten, its models aren't, and none is ordered.

--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -92,8 +92,10 @@
         reborn = record.born_milliseconds != self.record.born_milliseconds
         self.record = record
         if reborn:
+            # Its model may be on the way already. Ordered again before a
+            # report says so, the load wouldn't be counted.
             self.schedule.places.learn(
-                {}, {}, now_seconds=self._timers.now_seconds()
+                {}, {}, now_seconds=self._timers.now_seconds(), busy=True
             )
             self.ask_report()
 
--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -131,6 +131,23 @@
     assert not breaches(steps)
 
 
+def test_a_model_isnt_ordered_again_when_the_record_tells_of_the_restart() -> (
+    None
+):
+    # The engine's new record forgot the load that was ordered since.
+    steps = [
+        claim(0.0, 0),
+        Step(1.0, "restart", seconds=0.4),
+        release(1.2, 0),
+        claim(1.4, 1),
+        *(ask(1.6 + number / 8, f"a{number % 4}") for number in range(16)),
+    ]
+    walks = [order_walk.OrderWalk(seed=seed, steps=steps) for seed in SEEDS]
+    assert not any(walk.run() for walk in walks)
+    orders = [order for walk in walks for order in walk.engine.orders]
+    assert all(order.counted for order in orders if order.status == 202)
+
+
 def test_two_that_own_an_idle_engine_dont_load_the_same_adapter() -> None:
     # Two that can't hear each other load one adapter within a report's lag;
     # the engine takes the second order without a look at its count.
