--- a/tests/policy/test_engine_places.py
+++ b/tests/policy/test_engine_places.py
@@ -215,6 +215,41 @@
     assert successor.next_order(unplaced(A), {}, now_seconds=1.0) is None
 
 
+def test_two_that_take_an_engine_up_at_once_drop_different_adapters() -> None:
+    # Neither has heard a request yet. Dropped by both, an adapter's second
+    # unload is answered whatever count it expects: two give orders at once.
+    dropped = set()
+    for giver in range(20):
+        places = engine_places.Places(
+            engine=engine_loads.ENGINE, newest={}, giver=giver
+        )
+        held = {"base": dict.fromkeys("abcde", 1)}
+        places.learn(held, {}, now_seconds=10.0)
+        places.may_order = True
+        wanted = unplaced(engine_loads.key("f"))
+        dropped.add(places.next_order(wanted, {}, now_seconds=10.0))
+    assert len(dropped) == 5
+
+
+def test_what_is_loaded_again_isnt_dropped_by_an_old_report() -> None:
+    # A report from before the unload lists the adapter, which is on its way
+    # again. The engine answers its unload, but doesn't count it: the next
+    # instance gives orders with the same count.
+    places = held_places()
+    held = {"base": dict.fromkeys("abcde", 1)}
+    places.learn(held, {}, now_seconds=10.4)
+    for key in map(engine_loads.key, "bcde"):
+        places.enter(key, now_seconds=10.4)
+    unload, load = engine_asks.Unload(A), engine_asks.Load(A, 1)
+    places.ordered(unload, done=True, now_seconds=10.5, count=5)
+    places.ordered(load, done=False, now_seconds=10.51, count=6)
+    wanted = unplaced(engine_loads.key("f"))
+    places.learn_former(held, count=4)
+    assert places.next_order(wanted, {}, now_seconds=10.6) is None
+    places.learn_former(held, count=6)
+    assert places.next_order(wanted, {}, now_seconds=10.6) == unload
+
+
 def test_a_newer_version_on_its_way_is_neither_ordered_again_nor_dropped() -> (
     None
 ):
