--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -287,6 +287,8 @@
     assert engine.take(giver.turns.expected, 1, 1.0)
     giver.turns.in_doubt(now_seconds=1.5)
     giver.turns.reported(engine.counted(), age_seconds=0.3, now_seconds=1.55)
+    for now in (1.6, 2.2):
+        giver.turns.may_order(now_seconds=now)
     assert giver.look(2.6) is False
     assert giver.try_order(2.6)
 
