Say plainly what bounds a turn

Comments of the constants told stories of their failures; they now give the reason alone, and the module says what the engine as arbiter can't see. No code changed.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -8,14 +8,14 @@
 believe they own the engine thus need no word between them: the first order of
 one makes the other's fail, and the loser stays away.
 
-That holds only for orders that the engine counts. It answers the repetition of
-an order that it still carries out as if it were new, whatever count that
-expects, and doesn't count it: nobody could see who gave it. So no order is
-given while the engine carries one out, whoever gave that.
+That holds only for orders that the engine counts. What is done or under way
+already it answers without a look at the count, and doesn't count it: nobody
+can see who gave that order. So an order must be one that changes something, as
+far as its giver can know: none is given while the engine carries one out, on
+an old belief, or while a lost one may still arrive.
 
 The fencing number of an order rises with that count and holds the giver's own
-number in its low digits, so that two givers never share one, and none is
-below one that was carried out.
+number in its low digits, so that two givers never share one.
 """
 
 from __future__ import annotations
@@ -30,50 +30,37 @@
 EPOCH_SECONDS = 1_704_067_200
 # Orders in one life of an engine: 40 a second for seven hours.
 COUNT_BITS = 20
-# One part in so many for each giver, see Giver.
+# One part in so many for each giver, see giver_number.
 GIVER_BITS = 15
+# The giver's number: which data centre, and the low bits of its address there.
+ADDRESS_BITS = 10
 
-
-# A new turn begins only after the count has stood still for this long. An
-# engine answers a load that is on its way already as if it were new, whatever
-# count was expected, and doesn't count it: two givers that begin together
-# after a restart of the whole fleet, and want the same adapter, would take
-# turns without either seeing the other. In this time claims on the engine have
-# also reached every instance that hears the others.
+# A turn begins only after the count has stood still for so long: in this time
+# claims reach every instance that hears the others, and reports show what
+# another giver did.
 QUIET_SECONDS = 0.5
-# Several that saw the same order of another wait for the same lease. If they
-# began together, each with the same adapter, they would take turns unseen. A
-# slot is longer than it takes to see an order in a report.
+# Several that saw the same order wait for the same lease; in slots by their
+# numbers they don't begin together. A slot is longer than a report's lag.
 SLOT_SECONDS = 0.4
 SLOTS = 3
 # A process that has just started doesn't know whether its predecessor gave
-# orders a moment ago. It gives none until this much more than a lease has
-# passed.
+# orders a moment ago; it waits for so much more than a lease.
 START_SLACK_SECONDS = 0.2
-# What the count was is known for so long. The engine answers an order that
-# holds already whatever count it expects: with an old count it would bear a
-# fencing number below that of another's order. Whoever gave none for longer
-# reads a report first; an engine under load gets several orders a second.
-# With the time to send it and the reports' lag an order relies on nothing
-# older than the quiet time.
+# What the count was is known for so long. With the time to send an order and
+# the reports' lag, an order relies on nothing older than the quiet time.
 CONFIRMED_SECONDS = 0.25
-# An order is written within so long of its decision, or not at all: a process
-# that was paused in between acts on an old belief.
+# An order is written within so long of its decision, or not at all.
 ORDER_FRESH_SECONDS = 0.1
-# Whoever looked at a turn this long ago was paused: owners look ten times a
-# second. Another instance may have begun a turn meanwhile.
+# Owners look ten times a second: whoever looked this long ago was paused, and
+# another instance may have begun a turn.
 PAUSED_SECONDS = 1.0
-# An order without an answer may still arrive for so long; its connection was
-# reset. Taken for ours for ever, another giver's order would pass for it: with
-# two lost orders in a cut, two of a rival went unnoticed after it.
+# An order without an answer may still arrive for so long, and counts as ours
+# in reports. Later a rise of the count is another giver's.
 DOUBT_SECONDS = 1.0
-# What a report says may be this old.
+# What a report says may be this old when it is asked for,
 REPORT_AGE_SECONDS = 0.4
-# Reports lag by so much as a rule. One that was asked for sooner after an
-# order without an answer says nothing of what became of it.
+# and is this old as a rule.
 REPORT_LAG_SECONDS = 0.15
-# The giver's number: which data centre, and the low bits of its address there.
-ADDRESS_BITS = 10
 
 
 class Counted(NamedTuple):
