Play the orders of owners against one model of an engine

Two fakes wrote orders and read their answers in the same words, and the tests of owners in turn had an engine of their own, without a lag, loads on their way or a limit. The dialect stands once, and those tests use the model with the measured answers. Their assertions are as strict: no order of a new owner while one is carried out; fencing numbers rise, and every order is counted.

--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -7,96 +7,73 @@
 import pytest
 
 from boragefold.coordination.fleet import order_turns
-from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import owned_engine
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_places
 from boragefold.policy import engine_schedule
 from boragefold.telemetry import counters
-from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
+from tests.fakes import model_engine
 from tests.fakes import network as networks
+from tests.fakes import plain_dialect
 
-LEASE_SECONDS = 3.0
-HELD = ("a", "b", "c", "d", "e")
+ANSWER_SECONDS = 0.001
+ANSWERS_SECONDS = 3.0
 
 
-class Engine(dialects.EngineDialect):
-    """An engine whose adapter ``a`` is used by somebody's long answer.
+class Engine:
+    """A full engine with a long answer on each adapter, somebody else's."""
 
-    Its dialect carries orders and reports as they are.
-    """
-
-    def __init__(self) -> None:
-        self.held = dict.fromkeys(HELD, 1)
-        self.leaving = ""
-        self.orders = 0
-        self.accepted: list[tuple[float, int, str]] = []
-        self.reports = 0
-
-    def report_call(self, record):
-        self.reports += 1
-        return None
-
-    def read_report(self, status, body):
-        return dialects.EngineReport(
-            counted=order_turns.Counted(0, self.orders),
-            held={engine_loads.MODEL: dict(self.held)},
-            coming={},
-            busy=bool(self.leaving),
-        )
-
-    def order_call(self, record, order, *, expected, fence):
-        return http_client.Call(
-            address="",
-            method="",
-            target="",
-            headers=[],
-            body=(order, expected, fence),
-            fresh=True,
-            progress_seconds=1.0,
+    def __init__(self, *, clock) -> None:
+        self.model = model_engine.ModelEngine(
+            clock=clock, models=(engine_loads.MODEL,), load_seconds=0.0
         )
+        for expected, key in enumerate(map(engine_loads.key, "abcde")):
+            self.model.order(
+                engine_asks.Load(key, 0),
+                giver="before",
+                fence=expected,
+                expected=expected,
+            )
+            assert self.model.run(key, seconds=ANSWERS_SECONDS)
+        self.before = len(self.model.orders)
+        self.dialect = plain_dialect.Dialect()
+        self.reports = 0
 
-    def read_order_answer(self, order, status):
-        return dialects.OrderAnswer(status)
-
-    def carry_out(self, order, expected, fence, now_seconds) -> str:
-        adapter = order.key.adapter
-        repeated = bool(self.leaving) and adapter == self.leaving
-        if not repeated:
-            if self.leaving or expected != self.orders:
-                return "count_differs"
-            self.orders += 1
-        self.accepted.append((now_seconds, fence, adapter))
-        if adapter == "a":
-            self.leaving = adapter
-            return "accepted"
-        if isinstance(order, engine_asks.Load):
-            self.held[adapter] = 1
-            return "accepted"
-        del self.held[adapter]
-        return "done"
-
-    def end_answers(self) -> None:
-        self.held.pop(self.leaving, None)
-        self.leaving = ""
+    def accepted(self):
+        return [
+            given
+            for given in self.model.orders[self.before :]
+            if given.status in model_engine.CARRIED_OUT
+        ]
 
 
 class Client:
     """Brings calls to the engine and its answers back."""
 
-    def __init__(self, *, engine, timers) -> None:
+    def __init__(self, *, engine, timers, giver) -> None:
         self._engine = engine
         self._timers = timers
+        self._giver = giver
 
     def send(self, call, sink) -> None:
-        status = 200
-        if call is not None:
-            now_seconds = self._timers.now_seconds()
-            status = self._engine.carry_out(*call.body, now_seconds)
+        engine = self._engine
+        if call is None:
+            engine.reports += 1
+            status = model_engine.OK
+            body = engine.dialect.write_report(engine.model.report())
+        else:
+            body = b""
+            status = engine.model.order(
+                call.order,
+                giver=str(self._giver),
+                fence=call.fence,
+                expected=call.expected,
+            )
         sink.head(status, {})
-        self._timers.once(delay_seconds=0.001, callback=sink.end)
+        sink.data(body)
+        self._timers.once(delay_seconds=ANSWER_SECONDS, callback=sink.end)
 
 
 @pytest.fixture
@@ -111,9 +88,11 @@
         schedule=engine_schedule.EngineSchedule(
             engine=engine_loads.ENGINE, places=places
         ),
-        turns=order_turns.OrderTurns(lease_seconds=LEASE_SECONDS, giver=giver),
-        dialect=engine,
-        client=Client(engine=engine, timers=node.timers),
+        turns=order_turns.OrderTurns(
+            lease_seconds=model_engine.LEASE_SECONDS, giver=giver
+        ),
+        dialect=engine.dialect,
+        client=Client(engine=engine, timers=node.timers, giver=giver),
         timers=node.timers,
         counters=counters.Counters(),
         log=types.SimpleNamespace(write=lambda event, **fields: None),
@@ -134,13 +113,15 @@
 
 
 @pytest.fixture
-def engine():
-    return Engine()
+def node(network):
+    return network.start("dc-a", "10.1.0.1:70")
 
 
 @pytest.fixture
-def node(network):
-    return network.start("dc-a", "10.1.0.1:70")
+def engine(network):
+    engine = Engine(clock=network.clock)
+    network.run_for(0.5)
+    return engine
 
 
 def own(network, node, engine, giver, *, seconds) -> None:
@@ -154,25 +135,23 @@
     network, node, engine
 ) -> None:
     # A second drop of an adapter that leaves is accepted and not counted.
-    own(network, node, engine, 1, seconds=1.0)
-    assert engine.leaving
-    given = len(engine.accepted)
-    own(network, node, engine, 2, seconds=1.5)
-    assert len(engine.accepted) == given
+    own(network, node, engine, 1, seconds=0.9)
+    assert engine.accepted()[-1].status == model_engine.ACCEPTED
+    given = len(engine.accepted())
+    own(network, node, engine, 2, seconds=1.3)
+    assert len(engine.accepted()) == given
 
 
 def test_owners_of_a_busy_engine_never_share_a_count(
     network, node, engine
 ) -> None:
     # An order of an owner that wasn't counted lets the next one go below it.
-    own(network, node, engine, 1, seconds=1.0)
-    own(network, node, engine, 3, seconds=1.5)
-    engine.end_answers()
-    own(network, node, engine, 2, seconds=1.5)
-    fences = [fence for _, fence, _ in engine.accepted]
+    for giver, seconds in ((1, 0.9), (3, 1.3), (2, 1.5)):
+        own(network, node, engine, giver, seconds=seconds)
+    fences = [given.fence for given in engine.accepted()]
     assert len(fences) > 2
     assert fences == sorted(set(fences))
-    assert engine.orders == len(fences)
+    assert all(given.counted for given in engine.accepted())
 
 
 def test_an_engine_that_is_watched_is_asked_one_report_at_a_time(
--- a/tests/fakes/engine_wire.py
+++ b/tests/fakes/engine_wire.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 from boragefold.coordination.fleet import order_turns
-from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import owned_engine
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_places
@@ -22,6 +21,7 @@
 from tests.fakes import engine_loads
 from tests.fakes import gateways
 from tests.fakes import model_engine
+from tests.fakes import plain_dialect
 
 START_SECONDS = 100.0
 LOOK_SECONDS = 0.05
@@ -37,55 +37,6 @@
     lost: bool = False
 
 
-class OrderCall(NamedTuple):
-    """An order as the dialect writes it."""
-
-    order: engine_asks.Order
-    expected: int
-    fence: int
-    may_send: Callable[[], bool] = lambda: True
-
-
-class Dialect(dialects.EngineDialect):
-    """Hands reports and orders over as they are."""
-
-    def __init__(self) -> None:
-        self._reports: list[dialects.EngineReport] = []
-
-    def write_report(self, report: dialects.EngineReport) -> bytes:
-        self._reports.append(report)
-        return str(len(self._reports) - 1).encode()
-
-    def report_call(self, record: deployment.EndpointRecord) -> Any:
-        return None
-
-    def read_report(
-        self, status: int, body: bytes
-    ) -> dialects.EngineReport | None:
-        return self._reports[int(body)] if body else None
-
-    def order_call(
-        self,
-        record: deployment.EndpointRecord,
-        order: engine_asks.Order,
-        *,
-        expected: int,
-        fence: int,
-    ) -> Any:
-        return OrderCall(order, expected, fence)
-
-    def read_order_answer(
-        self, order: engine_asks.Order, status: int
-    ) -> dialects.OrderAnswer:
-        if status == model_engine.OK and isinstance(order, engine_asks.Unload):
-            return dialects.OrderAnswer.DONE
-        return {
-            model_engine.OK: dialects.OrderAnswer.HELD_ALREADY,
-            model_engine.ACCEPTED: dialects.OrderAnswer.ACCEPTED,
-            model_engine.CONFLICT: dialects.OrderAnswer.COUNT_DIFFERS,
-        }.get(status, dialects.OrderAnswer.REFUSED)
-
-
 class EngineWire:
     """The only owner of an engine, which gives orders from the start.
 
@@ -103,7 +54,7 @@
         self.order_travel = Travel()
         self._paused_until_seconds = 0.0
         self._numbers = itertools.count()
-        self._dialect = Dialect()
+        self._dialect = plain_dialect.Dialect()
         self.newest: dict[deployment.AdapterKey, int] = {}
         self.owned = self._owner()
         self.timers.every(
@@ -196,7 +147,7 @@
 
     def _arrive(
         self,
-        call: OrderCall | None,
+        call: plain_dialect.OrderCall | None,
         sink: http_client.AnswerSink,
         travel: Travel,
     ) -> None:
@@ -213,7 +164,9 @@
             lambda: self._in_process(lambda: _deliver(sink, status, body)),
         )
 
-    def _answer(self, call: OrderCall | None) -> tuple[int | None, bytes]:
+    def _answer(
+        self, call: plain_dialect.OrderCall | None
+    ) -> tuple[int | None, bytes]:
         if call is not None:
             status = self.engine.order(
                 call.order,
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -10,9 +10,7 @@
 from typing import NamedTuple
 
 from boragefold.coordination.fleet import order_turns
-from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import engine_owner
-from boragefold.policy import engine_asks
 from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 from boragefold.telemetry import counters
@@ -21,6 +19,7 @@
 from tests.fakes import gateways
 from tests.fakes import model_engine
 from tests.fakes import network as networks
+from tests.fakes import plain_dialect
 
 CENTRE = "dc-a"
 START_SECONDS = 100.0
@@ -52,15 +51,6 @@
     adapter: str = ""
 
 
-class OrderCall(NamedTuple):
-    """An order as the fake dialect writes it."""
-
-    order: engine_asks.Order
-    expected: int
-    fence: int
-    may_send: Callable[[], bool] = lambda: True
-
-
 class Connected(NamedTuple):
     """The connection of a call is open."""
 
@@ -79,7 +69,10 @@
     """One call and whoever waits for its answer."""
 
     def __init__(
-        self, *, call: OrderCall | None, sink: http_client.AnswerSink
+        self,
+        *,
+        call: plain_dialect.OrderCall | None,
+        sink: http_client.AnswerSink,
     ) -> None:
         self.call = call
         self.sink = sink
@@ -87,50 +80,6 @@
         self.over = False
 
 
-class Dialect(dialects.EngineDialect):
-    """Hands orders and reports over as they are."""
-
-    def __init__(self) -> None:
-        self._reports: list[dialects.EngineReport] = []
-
-    def write_report(self, report: dialects.EngineReport) -> bytes:
-        self._reports.append(report)
-        return str(len(self._reports) - 1).encode()
-
-    def report_call(self, record: deployment.EndpointRecord) -> Any:
-        return None
-
-    def read_report(
-        self, status: int, body: bytes
-    ) -> dialects.EngineReport | None:
-        return self._reports[int(body)]
-
-    def order_call(
-        self,
-        record: deployment.EndpointRecord,
-        order: engine_asks.Order,
-        *,
-        expected: int,
-        fence: int,
-    ) -> Any:
-        return OrderCall(order, expected, fence)
-
-    def read_order_answer(
-        self, order: engine_asks.Order, status: int
-    ) -> dialects.OrderAnswer:
-        if status == model_engine.ACCEPTED:
-            return dialects.OrderAnswer.ACCEPTED
-        if status == model_engine.OK:
-            return (
-                dialects.OrderAnswer.DONE
-                if isinstance(order, engine_asks.Unload)
-                else dialects.OrderAnswer.HELD_ALREADY
-            )
-        if status == model_engine.CONFLICT:
-            return dialects.OrderAnswer.COUNT_DIFFERS
-        return dialects.OrderAnswer.REFUSED
-
-
 class Log:
     """Keeps what an instance logs, for whoever looks at one schedule."""
 
@@ -264,7 +213,7 @@
         self.random = random.Random(seed)
         self.network = networks.Network(seed=seed)
         self.network.clock.move_to(START_SECONDS)
-        self.dialect = Dialect()
+        self.dialect = plain_dialect.Dialect()
         self.log: list[tuple[float, str, str, dict[str, object]]] = []
         self.engine = model_engine.ModelEngine(
             clock=self.network.clock,
@@ -327,7 +276,7 @@
         self.later(delay_seconds, arrive)
 
     def engine_answer(
-        self, call: OrderCall | None, giver: str
+        self, call: plain_dialect.OrderCall | None, giver: str
     ) -> tuple[int | None, bytes]:
         """Let the engine answer a call.
 
--- /dev/null
+++ b/tests/fakes/plain_dialect.py
@@ -0,0 +1,67 @@
+"""A dialect that hands orders and reports over as they are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from boragefold.entry import engine_dialect as dialects
+from boragefold.policy import engine_asks
+from boragefold.state import deployment
+from tests.fakes import model_engine
+
+
+class OrderCall(NamedTuple):
+    """An order as the dialect writes it."""
+
+    order: engine_asks.Order
+    expected: int
+    fence: int
+    may_send: Callable[[], bool] = lambda: True
+
+
+class Dialect(dialects.EngineDialect):
+    """Hands reports and orders over as they are."""
+
+    def __init__(self) -> None:
+        self._reports: list[dialects.EngineReport] = []
+
+    def write_report(self, report: dialects.EngineReport) -> bytes:
+        self._reports.append(report)
+        return str(len(self._reports) - 1).encode()
+
+    def report_call(self, record: deployment.EndpointRecord) -> Any:
+        return None
+
+    def read_report(
+        self, status: int, body: bytes
+    ) -> dialects.EngineReport | None:
+        return self._reports[int(body)] if body else None
+
+    def order_call(
+        self,
+        record: deployment.EndpointRecord,
+        order: engine_asks.Order,
+        *,
+        expected: int,
+        fence: int,
+    ) -> Any:
+        return OrderCall(order, expected, fence)
+
+    def read_order_answer(
+        self, order: engine_asks.Order, status: int
+    ) -> dialects.OrderAnswer:
+        if status == model_engine.OK and isinstance(order, engine_asks.Unload):
+            return dialects.OrderAnswer.DONE
+        return {
+            model_engine.OK: dialects.OrderAnswer.HELD_ALREADY,
+            model_engine.ACCEPTED: dialects.OrderAnswer.ACCEPTED,
+            model_engine.CONFLICT: dialects.OrderAnswer.COUNT_DIFFERS,
+        }.get(status, dialects.OrderAnswer.REFUSED)
+
+
+__all__ = [
+    "Dialect",
+    "OrderCall",
+]
