--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -57,9 +57,9 @@
 # An order without an answer may still arrive for so long, and counts as ours
 # in reports. Later a rise of the count is another giver's.
 DOUBT_SECONDS = 1.0
-# What a report says may be this old when it is asked for,
+# What a report says may be this old already when it is asked for.
 REPORT_AGE_SECONDS = 0.4
-# and is this old as a rule.
+# It is this old as a rule.
 REPORT_LAG_SECONDS = 0.15
 
 
