Play owners that are cut off from each other, and faults together

Schedules knew two owners only as two claims, not why both believe. Now one of three instances is cut off, and the owner and another instance own the engine until the cut has healed.

The draws of the older profiles are the same.

--- a/tests/fakes/order_plans.py
+++ b/tests/fakes/order_plans.py
@@ -23,6 +23,7 @@
 BAD_SECONDS = (0.3, 3.0)
 RESTART_SECONDS = (0.0, 1.5)
 NOTICED_SECONDS = (1.0, 1.5)
+LEARNS_SECONDS = (0.0, 0.3)
 
 
 class Profile(NamedTuple):
@@ -34,6 +35,7 @@
     bad: int = 0
     kill: int = 0
     restart: int = 0
+    cut: int = 0
 
 
 PROFILES = {
@@ -41,6 +43,10 @@
     "split": Profile(hand_over=1, split=2),
     "pause": Profile(hand_over=1, pause=2),
     "bad": Profile(hand_over=1, bad=2),
+    "cut": Profile(hand_over=1, cut=2),
+    "badhand": Profile(hand_over=3, bad=3),
+    "pausehand": Profile(hand_over=3, pause=2),
+    "badpause": Profile(hand_over=2, bad=2, pause=2),
     "restart": Profile(hand_over=2, kill=1, restart=1),
     "all": Profile(hand_over=4, split=2, pause=2, bad=2, kill=1, restart=1),
 }
@@ -120,9 +126,22 @@
             return
         paused, self._owner = self._owner, self._other()
         yield Step(at_seconds + noticed_seconds, "claim", self._owner)
-        learns_seconds = seconds + self._random.uniform(0.0, 0.3)
+        learns_seconds = seconds + self._random.uniform(*LEARNS_SECONDS)
         yield Step(at_seconds + learns_seconds, "release", paused)
 
+    def _cut(self, at_seconds: float) -> Iterator[Step]:
+        # One is cut off from all others; the owner and another instance
+        # believe that they own the engine until the cut has healed.
+        other = self._other()
+        cut_off = self._random.choice((self._owner, other))
+        noticed_seconds = self._random.uniform(*NOTICED_SECONDS)
+        seconds = noticed_seconds + self._random.uniform(*SPLIT_SECONDS)
+        healed_at_seconds = at_seconds + seconds
+        learns_seconds = self._random.uniform(*LEARNS_SECONDS)
+        yield Step(at_seconds, "cut", cut_off, seconds)
+        yield Step(at_seconds + noticed_seconds, "claim", other)
+        yield Step(healed_at_seconds + learns_seconds, "release", other)
+
     def _bad(self, at_seconds: float) -> Iterator[Step]:
         seconds = self._random.uniform(*BAD_SECONDS)
         yield Step(at_seconds, "bad", self._owner, seconds)
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -11,6 +11,7 @@
 
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_owner
+from boragefold.protocol import ids
 from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 from boragefold.telemetry import counters
@@ -40,7 +41,7 @@
 class Step(NamedTuple):
     """One event of a schedule.
 
-    ``instance`` is an index; ``seconds`` how long a pause, restart, bad
+    ``instance`` is an index; ``seconds`` how long a pause, cut, restart, bad
     network or run lasts; ``adapter`` which one a request asks for.
     """
 
@@ -227,6 +228,8 @@
         self._asks = itertools.count()
         self._run_seconds: dict[str, tuple[str, float]] = {}
         self._bad_until_seconds: dict[int, float] = {}
+        self._cut_until_seconds: dict[str, float] = {}
+        self.network.is_cut = self._is_cut
         self._instances = [
             Instance(walk=self, number=number, started_before_seconds=60.0)
             for number in range(instances)
@@ -323,6 +326,19 @@
         )
         self._instances[step.instance].claims = before.claims
 
+    def _cut(self, step: Step) -> None:
+        address = self._instances[step.instance].node.self_id.address
+        self._cut_until_seconds[address] = self.now() + step.seconds
+
+    def _is_cut(self, one: ids.InstanceId, other: ids.InstanceId) -> bool:
+        instances = {each.node.self_id.address for each in self._instances}
+        ends_seconds = (
+            self._cut_until_seconds.get(peer.address, 0.0)
+            for peer in (one, other)
+        )
+        is_between = {one.address, other.address} <= instances
+        return is_between and max(ends_seconds) > self.now()
+
     def _bad(self, step: Step) -> None:
         self._bad_until_seconds[step.instance] = self.now() + step.seconds
 
