Say why an engine changes hands and what explains its count

After two instances had both given one engine orders, their logs said when each took it up, not why: neither whom it heard nor which owner it took for gone. `engine_report` said `other_giver: false` of a count that had risen, not which order in doubt the rise was put down to.

`engine_taken_up` tells the former owner, how long ago it was heard, and how many of the known instances of the engine's data centre are heard; `engine_given_up` the reason and the owner now; `engine_report` how many orders were in doubt and which of them explained a rise, and whether the count is certain; `engine_order` how old the last report was, as of its asking, and how many orders were in doubt. Each is one line for a decision, and names three orders at most.

`boragefold story` matched requests alone, so it showed no order. It takes an engine's name, too, and leaves out the reports that told what was believed.

--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -130,6 +130,14 @@
         """
         return self._timers.now_seconds() - member.started_at_seconds
 
+    def heard_seconds_ago(self, member: member_module.Member) -> float:
+        """Tell how long ago an instance was last known to live.
+
+        :param member: which
+        :return: seconds; infinite for one that was never heard
+        """
+        return self._timers.now_seconds() - member.heard_at_seconds
+
     def to_vouch_for(self) -> list[member_module.Member]:
         """List the instances that others may be told of.
 
--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -70,6 +70,14 @@
     orders: int
 
 
+class Doubt(NamedTuple):
+    """An order that had no answer, and may have been accepted."""
+
+    order: str
+    sent_at_seconds: float
+    began_at_seconds: float
+
+
 def giver_number(
     *, data_centres: Iterable[str], data_centre: str, address: str
 ) -> int:
@@ -111,7 +119,8 @@
         self._giver = giver
         self._counted: Counted | None = None
         self._certain = False
-        self._doubtful = 0
+        self._doubts: tuple[Doubt, ...] = ()
+        self._explained: tuple[Doubt, ...] = ()
         self._doubted_at_seconds = -math.inf
         self._pending = False
         self._busy = False
@@ -160,6 +169,22 @@
         """
         return self._certain
 
+    @property
+    def doubts(self) -> tuple[Doubt, ...]:
+        """List the orders that may have been accepted.
+
+        :return: the orders in doubt, oldest first
+        """
+        return self._doubts
+
+    @property
+    def explained(self) -> tuple[Doubt, ...]:
+        """List what the last report's rise of the count was put down to.
+
+        :return: orders that were in doubt
+        """
+        return self._explained
+
     def waits(self, *, now_seconds: float) -> bool:
         """Tell whether another giver's lease has to pass first.
 
@@ -206,7 +231,7 @@
         # would be answered without a look at the count: with the fencing
         # number of then, below those used since.
         age_seconds = now_seconds - self._doubted_at_seconds
-        return self._doubtful > 0 and age_seconds < DOUBT_SECONDS
+        return bool(self._doubts) and age_seconds < DOUBT_SECONDS
 
     def confirmed(self, *, now_seconds: float) -> bool:
         """Tell whether the engine's count was seen or made just now.
@@ -263,14 +288,23 @@
                 orders=self._counted.orders + 1
             )
 
-    def in_doubt(self, *, now_seconds: float) -> None:
+    def in_doubt(
+        self,
+        *,
+        order: str = "",
+        age_seconds: float = 0.0,
+        now_seconds: float,
+    ) -> None:
         """Note that the order had no answer: the count must be read anew.
 
+        :param order: what it was, for the log
+        :param age_seconds: how long ago it was sent
         :param now_seconds: reading of a clock that counts suspension
         """
         self._pending = False
         self._certain = False
-        self._doubtful += 1
+        doubt = Doubt(order, now_seconds - age_seconds, now_seconds)
+        self._doubts = (*self._doubts, doubt)
         self._doubted_at_seconds = now_seconds
 
     def refused(self) -> None:
@@ -295,6 +329,7 @@
         :param now_seconds: reading of a clock that counts suspension
         :return: whether somebody else was found to give orders
         """
+        self._explained = ()
         if self._pending:
             # The order on its way decides what the count is next.
             return False
@@ -318,25 +353,28 @@
             or before.born_milliseconds != counted.born_milliseconds
         ):
             self._counted = counted
-            self._doubtful = 0
+            self._doubts = ()
             return False
         if now_seconds - self._doubted_at_seconds > DOUBT_SECONDS:
-            self._doubtful = 0
+            self._doubts = ()
         ahead = counted.orders - before.orders
         if ahead <= 0 and not knows_last:
             return False
         self._counted = counted
-        foreign = ahead > self._doubtful
-        self._doubtful = max(0, self._doubtful - ahead)
+        foreign = ahead > len(self._doubts)
+        settled = max(0, ahead)
         if foreign:
             self._moved_at_seconds = now_seconds
+        else:
+            self._explained = self._doubts[:settled]
+        self._doubts = self._doubts[settled:]
         return foreign
 
     def _shows_lost(self, counted: Counted) -> bool:
         if self._counted is None:
             return False
         ahead = counted.orders - self._counted.orders
-        return 0 < ahead <= self._doubtful
+        return 0 < ahead <= len(self._doubts)
 
     def _confirm(self, at_seconds: float) -> None:
         self._confirmed_at_seconds = max(
@@ -363,6 +401,7 @@
 
 __all__ = [
     "Counted",
+    "Doubt",
     "GIVER_BITS",
     "OrderTurns",
     "giver_number",
--- a/src/boragefold/coordination/fleet/ownership.py
+++ b/src/boragefold/coordination/fleet/ownership.py
@@ -25,6 +25,7 @@
 import xxhash
 
 from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import owner_changes
 from boragefold.protocol import ids
 from boragefold.state import deployment
 
@@ -70,6 +71,10 @@
         self._avoids = avoids
         self._claimed: set[str] = set()
         self._owners: dict[str, ids.InstanceId] = {}
+        self._places: Mapping[str, str] = {}
+        self._changes = owner_changes.OwnerChanges(
+            self_id=self_id, members=members
+        )
         self._looked_at: tuple[object, ...] = ()
         self._look_until_seconds = -math.inf
 
@@ -89,6 +94,31 @@
         """
         return self._owners.get(engine)
 
+    def change(
+        self, record: deployment.EndpointRecord
+    ) -> owner_changes.OwnerChange:
+        """Tell why an engine is ours, or isn't any more.
+
+        :param record: the engine
+        :return: what led to its owner
+        """
+        return self._changes.of(
+            record.name,
+            record.data_centre,
+            reason=self._reason(record.name),
+        )
+
+    def _reason(self, engine: str) -> str:
+        if engine in self._claimed:
+            return ""
+        if self._leaving():
+            return owner_changes.LEAVING
+        if engine not in self._places:
+            return owner_changes.ENGINE_GONE
+        if self._avoids(engine):
+            return owner_changes.UNREACHABLE
+        return owner_changes.OTHER_OWNER
+
     def refresh(self, engines: Iterable[deployment.EndpointRecord]) -> None:
         """Look at all claims anew, if something about them has changed.
 
@@ -112,6 +142,7 @@
     def _look(
         self, places: Mapping[str, str], avoided: frozenset[str]
     ) -> None:
+        self._places = places
         claims = self._claims(avoided)
         unclaimed = places.keys() - claims.keys()
         settled = self._settled(avoided) if unclaimed else {}
@@ -127,6 +158,8 @@
         self._owners = {
             name: owner for name, owner in owners.items() if owner is not None
         }
+        self._changes.note(self._owners)
+        self._changes.forget(places)
         self._claimed = {
             name
             for name, owner in self._owners.items()
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -7,6 +7,7 @@
 import math
 
 from boragefold.coordination.fleet import order_turns
+from boragefold.coordination.fleet import owner_changes
 import boragefold.coordination.link as links
 from boragefold.entry import engine_asker
 from boragefold.entry import engine_dialect as dialects
@@ -49,6 +50,9 @@
         lease_seconds: float,
         giver: int,
         loads_elsewhere: Callable[[], int],
+        owner_change: Callable[
+            [deployment.EndpointRecord], owner_changes.OwnerChange
+        ],
     ) -> None:
         """Begin without an engine.
 
@@ -62,6 +66,7 @@
         :param lease_seconds: how long the orders of two givers must be apart
         :param giver: our own number in fencing numbers
         :param loads_elsewhere: loads on the way to engines of other owners
+        :param owner_change: tells why an engine is ours, or isn't any more
         """
         self._link = link
         self._fleet = fleet
@@ -74,6 +79,7 @@
         self._giver = giver
         self._started_at_seconds = timers.now_seconds()
         self._count_loads_elsewhere = loads_elsewhere
+        self._owner_change = owner_change
         # Looked at with each call of hold: counted anew for each decision,
         # they cost more than it when there are many engines.
         self._loads_elsewhere = 0
@@ -97,8 +103,9 @@
         self._engines = sum(1 for _ in self._fleet.engines())
         wanted = {record.name: record for record in records}
         for name in self._owned.keys() - wanted.keys():
-            self._owned.pop(name).stop()
-            self._log.write("engine_given_up", engine=name)
+            given_up = self._owned.pop(name)
+            given_up.stop()
+            self._log_given_up(given_up.record)
         for name, record in wanted.items():
             owned = self._owned.get(name)
             if owned is None:
@@ -176,15 +183,35 @@
         for action in engine.advance():
             self._answer(name, action)
 
-    def _take_up(self, record: deployment.EndpointRecord) -> None:
-        engine = self._fleet.engine_of(record)
-        if engine is None:
-            return
+    def _log_given_up(self, record: deployment.EndpointRecord) -> None:
+        change = self._owner_change(record)
+        self._log.write(
+            "engine_given_up",
+            engine=record.name,
+            reason=change.reason,
+            owner=change.owner,
+            instances_heard=change.instances_heard,
+            instances_known=change.instances_known,
+        )
+
+    def _log_taken_up(self, record: deployment.EndpointRecord) -> None:
+        change = self._owner_change(record)
+        heard_seconds = change.former_heard_seconds
         self._log.write(
             "engine_taken_up",
             engine=record.name,
             born_milliseconds=record.born_milliseconds,
+            former_owner=change.former_owner,
+            former_heard_seconds=heard_seconds and round(heard_seconds, 3),
+            instances_heard=change.instances_heard,
+            instances_known=change.instances_known,
         )
+
+    def _take_up(self, record: deployment.EndpointRecord) -> None:
+        engine = self._fleet.engine_of(record)
+        if engine is None:
+            return
+        self._log_taken_up(record)
         turns = self._turns.setdefault(
             record.name,
             order_turns.OrderTurns(
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -324,6 +324,7 @@
                 address=settings.peer_listen,
             ),
             loads_elsewhere=self._loads_elsewhere,
+            owner_change=self._ownership.change,
         )
 
     def _retry_allowance(self) -> retry_budget.Allowance:
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -22,6 +22,8 @@
 # What a report says is about this old, so asking sooner tells nothing new. A
 # load that is overdue would ask at each event of the engine.
 REPORT_SPACING_SECONDS = 0.1
+# Of orders in doubt a line of the log names so many.
+MAX_LOGGED_DOUBTS = 3
 
 
 class GivenOrder(NamedTuple):
@@ -31,6 +33,8 @@
     expected: int
     fence: int
     count_age_seconds: float
+    report_age_seconds: float
+    in_doubt: int
     given_at_seconds: float
 
 
@@ -61,6 +65,8 @@
         self._changed = changed
         self._asking = False
         self._asked_report_at_seconds = -math.inf
+        # When the last report that we have was asked for.
+        self._told_as_of_seconds = -math.inf
         self._next_report: timing.Subscription | None = None
         self._next_report_at_seconds = math.inf
         self._stopped = False
@@ -172,7 +178,9 @@
             return
         now_seconds = self._timers.now_seconds()
         age_seconds = now_seconds - self._asked_report_at_seconds
+        self._told_as_of_seconds = self._asked_report_at_seconds
         believed = self._turns.expected
+        in_doubt = len(self._turns.doubts)
         foreign = self._turns.reported(
             report.counted,
             busy=report.busy,
@@ -191,6 +199,9 @@
             coming=len(report.coming),
             busy=report.busy,
             other_giver=foreign,
+            certain=self._turns.certain,
+            in_doubt=in_doubt,
+            explained_by=_doubts_told(self._turns.explained, now_seconds),
         )
         if self._turns.expected < believed:
             self._counters.add("engine_orders", "not_counted")
@@ -252,6 +263,8 @@
             count_age_seconds=self._turns.count_age_seconds(
                 now_seconds=now_seconds
             ),
+            report_age_seconds=now_seconds - self._told_as_of_seconds,
+            in_doubt=len(self._turns.doubts),
             given_at_seconds=now_seconds,
         )
         call = self._dialect.order_call(
@@ -288,6 +301,8 @@
             adapter=order.key.adapter,
             count=given.expected,
             count_age_seconds=round(given.count_age_seconds, 3),
+            report_age_seconds=round(given.report_age_seconds, 3),
+            in_doubt=given.in_doubt,
             fence=given.fence,
             took_seconds=round(now_seconds - given.given_at_seconds, 3),
             places=self.schedule.places.summary(),
@@ -311,12 +326,18 @@
             if leaves:
                 self._ask_later(REPORT_PAUSE_SECONDS)
         else:
-            self._order_failed(outcome, now_seconds)
+            self._order_failed(given, outcome, now_seconds)
         self._changed()
 
-    def _order_failed(self, outcome: str, now_seconds: float) -> None:
+    def _order_failed(
+        self, given: GivenOrder, outcome: str, now_seconds: float
+    ) -> None:
         if outcome == "unknown":
-            self._turns.in_doubt(now_seconds=now_seconds)
+            self._turns.in_doubt(
+                order=_order_told(given.order),
+                age_seconds=now_seconds - given.given_at_seconds,
+                now_seconds=now_seconds,
+            )
         else:
             self._turns.refused()
         self.schedule.places.order_failed(now_seconds=now_seconds)
@@ -332,6 +353,20 @@
         return self._dialect.read_order_answer(order, answer.status).value
 
 
+def _order_told(order: engine_asks.Order) -> str:
+    kind = type(order).__name__.lower()
+    return f"{kind} {order.key.adapter or order.key.model}"
+
+
+def _doubts_told(
+    doubts: tuple[order_turns.Doubt, ...], now_seconds: float
+) -> list[str]:
+    return [
+        f"{doubt.order}, sent {now_seconds - doubt.sent_at_seconds:.3f} s ago"
+        for doubt in doubts[:MAX_LOGGED_DOUBTS]
+    ]
+
+
 def _status_of(
     answer: whole_answer.WholeAnswer | http_client.Failure,
 ) -> int | str:
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -1,4 +1,4 @@
-"""One request's way, put together from the logs of several processes."""
+"""One request's or engine's way, put together from several logs."""
 
 from __future__ import annotations
 
@@ -30,6 +30,9 @@
 )
 
 
+REPORT = "engine_report"
+
+
 class Line(NamedTuple):
     """One line of a log; ``source`` names the process."""
 
@@ -42,7 +45,8 @@
 def read(source: str, lines: Iterable[str]) -> Iterator[Line]:
     """Read a log; torn and foreign lines are passed over.
 
-    :param source: names the process, such as the file's name
+    :param source: names the process, such as the file's name; where several
+        share a log, the word before a line's object names it
     :param lines: of its log
     :return: the lines that are ours
     """
@@ -54,7 +58,7 @@
             fields = msgspec.json.decode(text[begin:])
             yield Line(
                 float(fields.pop("time_seconds", 0.0)),
-                source,
+                _source(text[:begin]) or source,
                 str(fields.pop("event")),
                 fields,
             )
@@ -92,6 +96,34 @@
     ]
 
 
+def engine_story(engine: str, lines: Iterable[Line]) -> list[Line]:
+    """Pick what instances believed of an engine and ordered from it.
+
+    Reports are left out that told what was believed already.
+
+    :param engine: its name
+    :param lines: of all processes
+    :return: in the order of their times; empty for an unknown engine
+    """
+    return sorted(
+        (line for line in lines if _is_of_engine(line, engine)),
+        key=lambda line: line.time_seconds,
+    )
+
+
+def _is_of_engine(line: Line, engine: str) -> bool:
+    fields = line.fields
+    if fields.get("engine") != engine or "request_id" in fields:
+        return False
+    told_nothing = fields.get("count") == fields.get("believed")
+    return line.event != REPORT or not told_nothing
+
+
+def _source(prefix: str) -> str:
+    words = prefix.replace("|", " ").split()
+    return words[-1] if words else ""
+
+
 def write(line: Line) -> str:
     """Write a line for a person.
 
@@ -109,6 +141,7 @@
 __all__ = [
     "BELIEFS",
     "Line",
+    "engine_story",
     "read",
     "story",
     "write",
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import json
+
 from click import testing
 
 from boragefold.cli import main
@@ -8,6 +10,7 @@
     '{"time_seconds":1.5,"event":"request_refused",'
     '"request_id":"r1","reason":"rate_exceeded"}\n'
 )
+SAME = {"believed": 6}
 
 
 def test_a_story_from_files(tmp_path) -> None:
@@ -25,6 +28,48 @@
     assert "rate_exceeded" in result.output
 
 
+def test_an_engines_story_has_the_orders_of_all_instances(tmp_path) -> None:
+    # Two owners took turns at one engine; each log alone looks right.
+    lines = [
+        (3.0, "b", "engine_taken_up", {"engine": "e1"}),
+        (3.1, "b", "engine_report", {"engine": "e1", "count": 6, **SAME}),
+        (3.4, "a", "engine_order", {"engine": "e1", "adapter": "a5"}),
+        (3.5, "a", "engine_order", {"engine": "e2", "adapter": "a9"}),
+        (4.4, "b", "engine_order", {"engine": "e1", "adapter": "a7"}),
+        (4.6, "a", "engine_report", {"engine": "e1", "count": 7, **SAME}),
+        (4.7, "a", "engine_order", {"engine": "e1", "adapter": "a8"}),
+        (4.8, "a", "engine_rejected", {"engine": "e1", "request_id": "r1"}),
+    ]
+    files = [tmp_path / "front-b.log", tmp_path / "front-a.log"]
+    for file in files:
+        file.write_text(
+            "\n".join(
+                json.dumps({"time_seconds": at, "event": event, **fields})
+                for at, name, event, fields in lines
+                if file.stem == f"front-{name}"
+            )
+        )
+    result = testing.CliRunner().invoke(
+        main.main, ["story", "e1", *map(str, files)]
+    )
+    told = [line.split()[:3] for line in result.output.splitlines()]
+    assert told == [
+        ["3.000", "front-b", "engine_taken_up"],
+        ["3.400", "front-a", "engine_order"],
+        ["4.400", "front-b", "engine_order"],
+        ["4.600", "front-a", "engine_report"],
+        ["4.700", "front-a", "engine_order"],
+    ]
+
+
+def test_a_log_that_processes_share_names_them() -> None:
+    runner = testing.CliRunner()
+    result = runner.invoke(
+        main.main, ["story", "r1"], input=f"front-2 | {LINE}"
+    )
+    assert "1.500 front-2 request_refused" in result.output
+
+
 def test_an_unknown_request_names_the_remedy() -> None:
     runner = testing.CliRunner()
     result = runner.invoke(main.main, ["story", "other"], input=LINE)
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from boragefold.coordination.fleet import owner_changes
 from boragefold.state import published_items
 from tests.fakes import gateways
 
@@ -125,6 +126,48 @@
     assert fleet.claimants()["e0"] == [successor]
 
 
+def test_a_new_owner_tells_whom_it_replaced_and_whom_it_hears() -> None:
+    # The log of an incident told neither.
+    fleet = settled()
+    engine = gateways.ENGINES[0]
+    (lost,) = fleet.claimants()[engine.name]
+    fleet.kill(lost)
+    fleet.run(2.0)
+    (owner,) = fleet.claimants()[engine.name]
+    change = fleet.instances[owner].ownership.change(engine)
+    near = sum(
+        instance.node.self_id.data_centre == engine.data_centre
+        for instance in fleet.instances.values()
+    )
+    assert change.owner == owner
+    assert change.former_owner == lost
+    assert 1.0 <= change.former_heard_seconds <= 2.5
+    assert change.instances_heard == near
+    assert change.instances_known == near + 1
+    assert change.reason == ""
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [owner_changes.LEAVING, owner_changes.UNREACHABLE],
+)
+def test_an_instance_tells_why_it_gave_an_engine_up(reason) -> None:
+    # Whoever can't reach an engine looked like one that was cut off.
+    fleet = settled()
+    engine = gateways.ENGINES[0]
+    (former,) = fleet.claimants()[engine.name]
+    instance = fleet.instances[former]
+    if reason == owner_changes.LEAVING:
+        instance.leaving = True
+    else:
+        instance.avoided = {engine.name}
+    fleet.run(1.0)
+    (owner,) = fleet.claimants()[engine.name]
+    change = instance.ownership.change(engine)
+    assert (change.reason, change.owner) == (reason, owner)
+    assert owner != former
+
+
 def test_a_cut_data_centre_keeps_its_own_engines() -> None:
     fleet = settled()
     inside = [
--- a/tests/entry/test_engine_owner.py
+++ b/tests/entry/test_engine_owner.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from boragefold.coordination.fleet import owner_changes
 from boragefold.entry import engine_owner
 from boragefold.policy import engine_schedule
 from boragefold.protocol import peer_messages as messages
@@ -39,7 +40,7 @@
     return counted
 
 
-def owner_of_all(node):
+def owner_of_all(node, *, log=None, owner_change=gateways.no_change):
     owner = engine_owner.EngineOwner(
         link=node.link,
         fleet=Fleet(),
@@ -47,10 +48,11 @@
         client=types.SimpleNamespace(send=lambda call, sink: None),
         timers=node.timers,
         counters=counters.Counters(),
-        log=types.SimpleNamespace(write=lambda event, **fields: None),
+        log=log or types.SimpleNamespace(write=lambda event, **fields: None),
         lease_seconds=3.0,
         giver=1,
         loads_elsewhere=lambda: 0,
+        owner_change=owner_change,
     )
     owner.hold(gateways.ENGINES)
     return owner
@@ -84,3 +86,34 @@
         network.run_for(0.01)
     assert sum(advances.values()) >= 3
     assert len(advances) == 1
+
+
+def test_the_log_says_why_an_engine_changed_hands() -> None:
+    # Two instances held one engine, and no line told whom each took for gone.
+    lines = []
+    log = types.SimpleNamespace(
+        write=lambda event, **fields: lines.append((event, fields))
+    )
+    change = owner_changes.OwnerChange(
+        owner="10.1.0.2:70",
+        former_owner="10.1.0.3:70",
+        former_heard_seconds=1.23456,
+        instances_heard=2,
+        instances_known=3,
+        reason=owner_changes.UNREACHABLE,
+    )
+    node = networks.Network(seed=1).start("dc-a", "10.1.0.1:70")
+    owner = owner_of_all(node, log=log, owner_change=lambda record: change)
+    owner.hold([])
+    engines = len(gateways.ENGINES)
+    taken_up, given_up = lines[0], lines[-1]
+    assert [event for event, _ in lines] == (
+        ["engine_taken_up"] * engines + ["engine_given_up"] * engines
+    )
+    assert taken_up[1]["former_owner"] == "10.1.0.3:70"
+    assert taken_up[1]["former_heard_seconds"] == 1.235
+    assert given_up[1]["owner"] == "10.1.0.2:70"
+    assert given_up[1]["reason"] == "unreachable"
+    for _, fields in (taken_up, given_up):
+        assert fields["instances_heard"] == 2
+        assert fields["instances_known"] == 3
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -12,6 +12,7 @@
 from boragefold.policy import engine_places
 from boragefold.policy import engine_schedule
 from boragefold.telemetry import counters
+from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
 from tests.fakes import model_engine
@@ -20,6 +21,7 @@
 
 ANSWER_SECONDS = 0.001
 ANSWERS_SECONDS = 3.0
+TIMEOUT_SECONDS = 0.5
 
 
 class Engine:
@@ -49,6 +51,40 @@
         ]
 
 
+class LosingClient:
+    """Lets the engine take the first order, and loses its answer."""
+
+    def __init__(self, *, client, timers) -> None:
+        self._client = client
+        self._timers = timers
+        self._lost = False
+
+    def send(self, call, sink) -> None:
+        if call is None or self._lost:
+            self._client.send(call, sink)
+            return
+        self._lost = True
+        self._client.send(call, Nobody())
+        failure = http_client.Failure(reason="timeout", may_have_arrived=True)
+        self._timers.once(
+            delay_seconds=TIMEOUT_SECONDS,
+            callback=lambda: sink.failed(failure),
+        )
+
+
+class Nobody:
+    """Takes an answer that is lost."""
+
+    def head(self, status, headers) -> None:
+        pass
+
+    def data(self, body) -> None:
+        pass
+
+    def end(self) -> None:
+        pass
+
+
 class Client:
     """Brings calls to the engine and its answers back."""
 
@@ -81,7 +117,7 @@
     return networks.Network(seed=1)
 
 
-def take_up(node, engine, giver):
+def take_up(node, engine, giver, *, log=None, client=None):
     places = engine_places.Places(engine=engine_loads.ENGINE, newest={})
     return owned_engine.OwnedEngine(
         record=gateways.ENGINES[0],
@@ -92,10 +128,11 @@
             lease_seconds=model_engine.LEASE_SECONDS, giver=giver
         ),
         dialect=engine.dialect,
-        client=Client(engine=engine, timers=node.timers, giver=giver),
+        client=client
+        or Client(engine=engine, timers=node.timers, giver=giver),
         timers=node.timers,
         counters=counters.Counters(),
-        log=types.SimpleNamespace(write=lambda event, **fields: None),
+        log=log or types.SimpleNamespace(write=lambda event, **fields: None),
         changed=lambda: None,
     )
 
@@ -166,3 +203,28 @@
         network.run_for(0.1)
     network.run_for(2.0)
     assert engine.reports - reports <= 14
+
+
+def test_the_log_says_what_explained_a_rise_of_the_count(
+    network, node, engine
+) -> None:
+    # An order of another owner passed for one in doubt, and no line told so.
+    lines = []
+    log = types.SimpleNamespace(
+        write=lambda event, **fields: lines.append((event, fields))
+    )
+    client = Client(engine=engine, timers=node.timers, giver=1)
+    losing = LosingClient(client=client, timers=node.timers)
+    owned = take_up(node, engine, 1, log=log, client=losing)
+    want(owned, network, seconds=2.5)
+    orders = [fields for event, fields in lines if event == "engine_order"]
+    (lost,) = [order for order in orders if order["outcome"] == "unknown"]
+    assert lost["in_doubt"] == 0
+    assert 0 <= lost["report_age_seconds"] <= 0.3
+    reports = [fields for event, fields in lines if event == "engine_report"]
+    (rise,) = [report for report in reports if report["explained_by"]]
+    assert rise["count"] == rise["believed"] + 1
+    assert (rise["other_giver"], rise["in_doubt"]) == (False, 1)
+    (told,) = rise["explained_by"]
+    assert told.startswith(f"{lost['order']} {lost['adapter']}, sent ")
+    assert rise["certain"]
--- a/tests/fakes/gateways.py
+++ b/tests/fakes/gateways.py
@@ -7,6 +7,7 @@
 from boragefold.coordination.fleet import heartbeats
 from boragefold.coordination.fleet import lapses
 from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import owner_changes
 from boragefold.coordination.fleet import ownership as ownerships
 from boragefold.coordination.fleet import rate_messages
 from boragefold.coordination.fleet import relay as relays
@@ -41,6 +42,10 @@
 ]
 
 
+def no_change(record):
+    return owner_changes.OwnerChange(None, None, None, 1, 1, "")
+
+
 def idle_status(name):
     return messages.EngineStatus(name, (), (), 0.0, 0.0, 0, 0.0)
 
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -136,6 +136,7 @@
                 data_centres=[CENTRE], data_centre=CENTRE, address=address
             ),
             loads_elsewhere=lambda: 0,
+            owner_change=gateways.no_change,
         )
         self.owner._started_at_seconds -= started_before_seconds
         self.node.timers.every(
