Give an engine orders only under a lease that a majority promised

What callers saw: nothing at once.

Cause: an instance that hears nobody takes the others for gone, takes their engines up and orders, while their owners go on. The engine is the arbiter only of orders that it counts; what holds already or is under way it answers without a look at the count. Both are asked for the same adapters when demand moves, so both give the same order within a report's lag. No look at the engine can tell the two apart; so they must not both believe.

Now an owner orders only while more than half of the engine's voters have promised the engine to it. Voters are the instances of the engine's data centre, five at most, and one fewer from elsewhere: all of a data centre are a majority, so it goes on when it is cut off, and one that lost most of its instances goes on with votes from elsewhere. A promise outlasts the lease by the time in which an order arrives or is given up. The lease counts from when it was asked for, on a clock that counts suspension, and is looked at again before the first byte of an order: after a pause it has ended. Nothing outlives a process: one that started promises nothing until its predecessor's promises have ended. A new holder is told when another one's lease ended, and relies on no report from before that. A lease is asked for when there is something to order, and freed when an engine is given up, so that a handover waits for nobody's promise.

Voters that fell silent still count: nobody can tell whether they ended or are cut off. Where too few were heard for some seconds, an owner orders without the lease, with care: only for what it has lacked for longer than reports lag, later than others that may be alone, too, and only while the count stands still.

Ruled out: refused connections as a sign of an end (a cut may refuse, too); hearing most of the data centre instead of votes (a pause, a late hub, or a cut in one direction makes two believe); a wait of half a second before each order; fresher reports, a longer quiet time, slots (tried before).

--- /dev/null
+++ b/src/boragefold/coordination/fleet/electorate.py
@@ -0,0 +1,172 @@
+"""Whose votes decide which instance gives an engine its orders.
+
+The instances of the engine's data centre vote, and one fewer of others. All of
+the data centre are a majority, so it goes on by itself when it is cut off. One
+that lost most of its instances goes on with votes from elsewhere.
+
+Instances that fell silent still count for long: whoever hears nobody can't
+know whether the others have ended or it was cut off from them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Iterable
+import functools
+import itertools
+from typing import NamedTuple
+
+import xxhash
+
+from boragefold.coordination.fleet import lease_voter
+from boragefold.coordination.fleet import member as member_module
+from boragefold.coordination.fleet import members as members_module
+from boragefold.protocol import ids
+
+# Of a large data centre so many vote: two may be lost at once.
+MAX_VOTERS = 5
+# Longer than most cuts last.
+SILENT_VOTES_SECONDS = 60.0
+LOOK_AGAIN_SECONDS = 0.25
+REMEMBERED_HASHES = 4_096
+
+
+class Electorate(NamedTuple):
+    """The voters for one engine, ``near`` those of its data centre.
+
+    ``near_heard`` tells whether these are all heard.
+    """
+
+    near: tuple[ids.InstanceId, ...]
+    far: tuple[ids.InstanceId, ...] = ()
+    near_heard: bool = True
+
+    def decides(self, voted: Collection[ids.InstanceId]) -> bool:
+        """Tell whether votes are enough.
+
+        :param voted: those who promised the engine
+        :return: whether nobody else can have enough at the same time
+        """
+        voters = (*self.near, *self.far)
+        return 2 * sum(voter in voted for voter in voters) > len(voters)
+
+
+class Voters:
+    """The voters for each engine, as this instance knows them."""
+
+    def __init__(
+        self,
+        *,
+        self_id: ids.InstanceId,
+        members: members_module.Members,
+    ) -> None:
+        """Begin with the members known so far.
+
+        :param self_id: who we are
+        :param members: the other instances
+        """
+        self._self_id = self_id
+        self._members = members
+        self._known: dict[str, Electorate] = {}
+        self._known_for: tuple[object, ...] = ()
+
+    def of(self, data_centre: str) -> Electorate:
+        """List the voters for the engines of a data centre.
+
+        :param data_centre: the engines'
+        :return: the voters, the same at all instances that know the same
+        """
+        # Asked for at each decision of an owner whose voters are silent.
+        slot = self._members.uptime_seconds // LOOK_AGAIN_SECONDS
+        known_for = (self._members.version, slot)
+        if known_for != self._known_for:
+            self._known_for = known_for
+            self._known = {}
+        if data_centre not in self._known:
+            self._known[data_centre] = self._choose(data_centre)
+        return self._known[data_centre]
+
+    def majority_unheard_seconds(self, electorate: Electorate) -> float:
+        """Tell how long ago enough voters to decide were heard.
+
+        :param electorate: the voters
+        :return: seconds; 0 while they are
+        """
+        unheard_seconds = {
+            member.instance: self._members.unheard_seconds(member)
+            for member in self._members.unreachable()
+        }
+        voters = (*electorate.near, *electorate.far)
+        ages_seconds = sorted(
+            unheard_seconds.get(voter, 0.0) for voter in voters
+        )
+        return ages_seconds[len(voters) // 2] if voters else 0.0
+
+    def _choose(self, data_centre: str) -> Electorate:
+        by_centre: dict[str, list[ids.InstanceId]] = {}
+        for instance in self._counted():
+            # One that was never heard may be of any data centre.
+            centre = instance.data_centre or data_centre
+            by_centre.setdefault(centre, []).append(instance)
+        near = _ranked(by_centre.pop(data_centre, ()))[:MAX_VOTERS]
+        far = _spread(map(_ranked, by_centre.values()))
+        wanted = len(near) - 1 if near else MAX_VOTERS
+        return Electorate(
+            near=tuple(near),
+            far=tuple(far[:wanted]),
+            near_heard=bool(near) and self._heard().issuperset(near),
+        )
+
+    def _heard(self) -> set[ids.InstanceId]:
+        heard = {member.instance for member in self._members.reachable()}
+        return heard | {self._self_id}
+
+    def _counted(self) -> Iterable[ids.InstanceId]:
+        if self._members.uptime_seconds >= lease_voter.PROMISE_SECONDS:
+            yield self._self_id
+        for member in self._members.reachable():
+            if self._has_voted_before(member):
+                yield member.instance
+        for member in self._members.unreachable():
+            has_left = member.beat is not None and member.beat.leaving
+            silent_seconds = self._members.unheard_seconds(member)
+            if not has_left and silent_seconds < SILENT_VOTES_SECONDS:
+                yield member.instance
+
+    def _has_voted_before(self, member: member_module.Member) -> bool:
+        # Many that join together would outvote the others, and promise nothing
+        # until they have been there for a while.
+        age_seconds = self._members.age_seconds(member)
+        is_new = age_seconds < lease_voter.PROMISE_SECONDS
+        return bool(member.former) or not is_new
+
+
+def _ranked(instances: Iterable[ids.InstanceId]) -> list[ids.InstanceId]:
+    return sorted(instances, key=_rank)
+
+
+def _rank(instance: ids.InstanceId) -> tuple[int, str]:
+    return _hash(instance.address), instance.address
+
+
+@functools.lru_cache(maxsize=REMEMBERED_HASHES)
+def _hash(address: str) -> int:
+    return xxhash.xxh3_64_intdigest(address.encode())
+
+
+def _spread(
+    by_centre: Iterable[list[ids.InstanceId]],
+) -> list[ids.InstanceId]:
+    # The first of each data centre before the second of any.
+    tiers = itertools.zip_longest(*by_centre)
+    return [
+        instance for tier in tiers for instance in _ranked(filter(None, tier))
+    ]
+
+
+__all__ = [
+    "Electorate",
+    "MAX_VOTERS",
+    "SILENT_VOTES_SECONDS",
+    "Voters",
+]
--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -138,6 +138,15 @@
         """
         return self._timers.now_seconds() - member.heard_at_seconds
 
+    def unheard_seconds(self, member: member_module.Member) -> float:
+        """Tell how long ago an instance was heard, or heard of, last.
+
+        :param member: which
+        :return: seconds
+        """
+        last_seconds = max(member.heard_at_seconds, member.found_at_seconds)
+        return self._timers.now_seconds() - last_seconds
+
     def to_vouch_for(self) -> list[member_module.Member]:
         """List the instances that others may be told of.
 
@@ -295,11 +304,10 @@
     def forget_lost(self) -> None:
         """Give up the addresses that nothing was heard from for long."""
         now_seconds = self._timers.now_seconds()
-        oldest = now_seconds - FORGET_SECONDS
         lost = [
             address
             for address, member in self._members.items()
-            if max(member.heard_at_seconds, member.found_at_seconds) < oldest
+            if self.unheard_seconds(member) > FORGET_SECONDS
         ]
         for address in lost:
             del self._members[address]
--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -137,6 +137,15 @@
         self._certain = False
         self._quiet_since_seconds = None
 
+    def listen_since(self, at_seconds: float) -> None:
+        """Begin anew, unless the engine was listened to since then.
+
+        :param at_seconds: when another instance could give orders last
+        """
+        listening = self._quiet_since_seconds
+        if listening is not None and listening < at_seconds:
+            self.begin()
+
     @property
     def begun(self) -> bool:
         """Tell whether the engine was quiet for long enough to begin.
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 import math
 
+from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import order_turns
 from boragefold.coordination.fleet import owner_changes
 import boragefold.coordination.link as links
@@ -49,6 +50,7 @@
         log: decision_log.DecisionLog,
         lease_seconds: float,
         giver: int,
+        leases: order_leases.OrderLeases,
         loads_elsewhere: Callable[[], int],
         owner_change: Callable[
             [deployment.EndpointRecord], owner_changes.OwnerChange
@@ -65,6 +67,7 @@
         :param log: of this process
         :param lease_seconds: how long the orders of two givers must be apart
         :param giver: our own number in fencing numbers
+        :param leases: under which orders are given
         :param loads_elsewhere: loads on the way to engines of other owners
         :param owner_change: tells why an engine is ours, or isn't any more
         """
@@ -77,6 +80,7 @@
         self._log = log
         self._lease_seconds = lease_seconds
         self._giver = giver
+        self._leases = leases
         self._started_at_seconds = timers.now_seconds()
         self._count_loads_elsewhere = loads_elsewhere
         self._owner_change = owner_change
@@ -233,6 +237,11 @@
                 engine=engine, places=places
             ),
             turns=turns,
+            lease=self._leases.lease(
+                record.name,
+                record.data_centre,
+                changed=lambda: self._run_one(record.name),
+            ),
             dialect=self._dialect,
             client=self._client,
             timers=self._timers,
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -6,9 +6,11 @@
 import random
 import sys
 
+from boragefold.coordination.fleet import electorate
 from boragefold.coordination.fleet import heartbeats
 from boragefold.coordination.fleet import lapses as lapses_module
 from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import order_turns
 from boragefold.coordination.fleet import ownership as ownerships
 from boragefold.coordination.fleet import rate_messages
@@ -33,6 +35,7 @@
 from boragefold.policy import shared_rate
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
+from boragefold.protocol import order_lease_messages
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
 from boragefold.state import deployment
@@ -298,7 +301,9 @@
                 self.settings.peer_listen,
                 ids.new_incarnation(),
             ),
-            codec=envelope.Codec(kinds=messages.KINDS),
+            codec=envelope.Codec(
+                kinds=(*messages.KINDS, *order_lease_messages.KINDS)
+            ),
             counters=self.counters,
             heartbeats=False,
         )
@@ -323,10 +328,25 @@
                 data_centre=settings.data_centre,
                 address=settings.peer_listen,
             ),
+            leases=self._make_leases(),
             loads_elsewhere=self._loads_elsewhere,
             owner_change=self._ownership.change,
         )
 
+    def _make_leases(self) -> order_leases.OrderLeases:
+        voters = electorate.Voters(
+            self_id=self._link.self_id, members=self._members
+        )
+        return order_leases.OrderLeases(
+            link=self._link,
+            timers=self.timers,
+            voters=voters.of,
+            majority_unheard_seconds=voters.majority_unheard_seconds,
+            rng=self._rng,
+            log=self.log,
+            started_at_seconds=self.timers.now_seconds(),
+        )
+
     def _retry_allowance(self) -> retry_budget.Allowance:
         return retry_budget.allowance_of(
             self.settings.retry_limit, 1 + len(self._members.instances())
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -6,6 +6,7 @@
 import math
 from typing import NamedTuple
 
+from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_dialect as dialects
 from boragefold.policy import engine_asks
@@ -24,6 +25,10 @@
 REPORT_SPACING_SECONDS = 0.1
 # Of orders in doubt a line of the log names so many.
 MAX_LOGGED_DOUBTS = 3
+# Without the lease, orders go only to an engine that was watched for long.
+WATCH_SECONDS = 2.0
+# An order without an answer, which may have arrived.
+UNKNOWN = "unknown"
 
 
 class GivenOrder(NamedTuple):
@@ -35,6 +40,7 @@
     count_age_seconds: float
     report_age_seconds: float
     in_doubt: int
+    leased: bool
     given_at_seconds: float
 
 
@@ -47,6 +53,7 @@
         record: deployment.EndpointRecord,
         schedule: engine_schedule.EngineSchedule,
         turns: order_turns.OrderTurns,
+        lease: order_lease.OrderLease,
         dialect: dialects.EngineDialect,
         client: http_client.HttpClient,
         timers: timing.TimerService,
@@ -57,6 +64,8 @@
         self.record = record
         self.schedule = schedule
         self._turns = turns
+        self._lease = lease
+        self._ordering = False
         self._dialect = dialect
         self._client = client
         self._timers = timers
@@ -73,7 +82,8 @@
         # Whether the engine gave us its last report. An owner behind a cut
         # believes that it owns engines which it can't reach.
         self.answers = False
-        self._silent_since_seconds = timers.now_seconds()
+        self._taken_up_at_seconds = timers.now_seconds()
+        self._silent_since_seconds = self._taken_up_at_seconds
         turns.begin()
         self.ask_report()
 
@@ -89,6 +99,8 @@
     def stop(self) -> None:
         """Give no further order: the engine is another instance's now."""
         self._stopped = True
+        if not self._ordering:
+            self._lease.end()
 
     def renew(self, record: deployment.EndpointRecord) -> None:
         """Take over the engine's newest record.
@@ -111,20 +123,29 @@
         :return: grants and refusals for requests
         """
         now_seconds = self._timers.now_seconds()
+        wants_order = self.schedule.wants_order()
+        if wants_order and not self._stopped:
+            self._lease.want()
+        self._turns.listen_since(self._lease.others_until_seconds())
+        self.schedule.order_delay_seconds = self._lease.order_delay_seconds(
+            now_seconds=now_seconds
+        )
         may_order = (
-            self._turns.may_order(now_seconds=now_seconds)
+            self._has_right(now_seconds)
+            and self._turns.may_order(now_seconds=now_seconds)
             and not self._stopped
             and not self.record.leaving
         )
         confirmed = self._turns.confirmed(now_seconds=now_seconds)
         self.schedule.places.may_order = may_order and confirmed
-        self.schedule.places.orders_in_seconds = self._turns.orders_in_seconds(
-            now_seconds=now_seconds
+        self.schedule.places.orders_in_seconds = max(
+            self._turns.orders_in_seconds(now_seconds=now_seconds),
+            self._lease.wait_seconds(now_seconds=now_seconds),
         )
         fresh_seconds = now_seconds - self._asked_report_at_seconds
         if fresh_seconds >= REPORT_SPACING_SECONDS and (
             self.schedule.places.overdue(now_seconds=now_seconds)
-            or (may_order and not confirmed and self.schedule.wants_order())
+            or (may_order and not confirmed and wants_order)
             or self._has_to_listen(fresh_seconds)
         ):
             self.ask_report()
@@ -134,6 +155,12 @@
                 self._give(action)
         return actions
 
+    def _has_right(self, now_seconds: float) -> bool:
+        if self._lease.held(now_seconds=now_seconds):
+            return True
+        owned_seconds = now_seconds - self._taken_up_at_seconds
+        return owned_seconds >= WATCH_SECONDS and self._lease.alone()
+
     def _has_to_listen(self, fresh_seconds: float) -> bool:
         # A turn that begins asks by itself until it has begun. One that was
         # begun anew after a pause has nobody who asks.
@@ -265,6 +292,7 @@
             ),
             report_age_seconds=now_seconds - self._told_as_of_seconds,
             in_doubt=len(self._turns.doubts),
+            leased=self._lease.held(now_seconds=now_seconds),
             given_at_seconds=now_seconds,
         )
         call = self._dialect.order_call(
@@ -274,21 +302,25 @@
         # suspension: a process that was frozen since must not order.
         call = call._replace(may_send=lambda: self._still_fresh(now_seconds))
         self._turns.sending()
+        self._ordering = True
         sink = whole_answer.WholeAnswerSink(
             done=lambda answer: self._take_order_answer(given, answer)
         )
         self._client.send(call, sink)
 
     def _still_fresh(self, asked_at_seconds: float) -> bool:
-        age_seconds = self._timers.now_seconds() - asked_at_seconds
+        now_seconds = self._timers.now_seconds()
+        age_seconds = now_seconds - asked_at_seconds
         fresh = age_seconds < order_turns.ORDER_FRESH_SECONDS
-        return not self._stopped and fresh
+        allowed = self._has_right(now_seconds)
+        return not self._stopped and fresh and allowed
 
     def _take_order_answer(
         self,
         given: GivenOrder,
         answer: whole_answer.WholeAnswer | http_client.Failure,
     ) -> None:
+        self._ordering = False
         now_seconds = self._timers.now_seconds()
         order = given.order
         outcome = self._outcome(order, answer)
@@ -304,6 +336,7 @@
             report_age_seconds=round(given.report_age_seconds, 3),
             in_doubt=given.in_doubt,
             fence=given.fence,
+            leased=given.leased,
             took_seconds=round(now_seconds - given.given_at_seconds, 3),
             places=self.schedule.places.summary(),
             status=_status_of(answer),
@@ -327,12 +360,14 @@
                 self._ask_later(REPORT_PAUSE_SECONDS)
         else:
             self._order_failed(given, outcome, now_seconds)
+        if self._stopped and outcome != UNKNOWN:
+            self._lease.end()
         self._changed()
 
     def _order_failed(
         self, given: GivenOrder, outcome: str, now_seconds: float
     ) -> None:
-        if outcome == "unknown":
+        if outcome == UNKNOWN:
             self._turns.in_doubt(
                 order=_order_told(given.order),
                 age_seconds=now_seconds - given.given_at_seconds,
@@ -349,7 +384,7 @@
         answer: whole_answer.WholeAnswer | http_client.Failure,
     ) -> str:
         if isinstance(answer, http_client.Failure):
-            return "unknown" if answer.may_have_arrived else "not_sent"
+            return UNKNOWN if answer.may_have_arrived else "not_sent"
         return self._dialect.read_order_answer(order, answer.status).value
 
 
--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -242,12 +242,15 @@
         wanted: Mapping[AdapterKey, int],
         *,
         now_seconds: float,
+        renews: bool = True,
     ) -> engine_asks.Order | None:
         """Choose the order to give now.
 
         :param unplaced: requests whose adapter isn't held, most urgent first
         :param wanted: how many requests wait for each adapter
         :param now_seconds: reading of the process clock
+        :param renews: whether newer versions are loaded before they are asked
+            for
         :return: the order; None when nothing can be ordered
         """
         if not self.may_order or now_seconds < self._not_before_seconds:
@@ -256,7 +259,7 @@
             order = self._order_for(ask.needs, wanted, now_seconds)
             if order is not None:
                 return order
-        return self._renewal(wanted, now_seconds)
+        return self._renewal(wanted, now_seconds) if renews else None
 
     def ordered(
         self,
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -60,6 +60,8 @@
     ) -> None:
         self.engine = engine
         self.places = places
+        # How long a request waits before an order is given for it.
+        self.order_delay_seconds = 0.0
         self._queue: dict[str, Waiting] = {}
         self._runs: dict[str, engine_requests.Run] = {}
         self._arrivals = itertools.count()
@@ -231,14 +233,7 @@
             if not self._has_room(ask):
                 break
             actions.append(self._grant(ask, now_seconds))
-        unplaced = [
-            ask
-            for ask in self._still_waiting(in_turn)
-            if not self.places.holds(ask.needs)
-        ]
-        order = self.places.next_order(
-            unplaced, self._wanted(), now_seconds=now_seconds
-        )
+        order = self._next_order(in_turn, now_seconds)
         return actions if order is None else [*actions, order]
 
     def wants_order(self) -> bool:
@@ -262,6 +257,24 @@
         dues = self.places.dues(now_seconds=now_seconds)
         return min(itertools.chain(expiries, dues))
 
+    def _next_order(
+        self, in_turn: Iterable[Waiting], now_seconds: float
+    ) -> engine_asks.Order | None:
+        latest_seconds = now_seconds - self.order_delay_seconds
+        unplaced = [
+            waiting.ask
+            for waiting in in_turn
+            if waiting.ask.request_id in self._queue
+            and waiting.since_seconds <= latest_seconds
+            and not self.places.holds(waiting.ask.needs)
+        ]
+        return self.places.next_order(
+            unplaced,
+            self._wanted(),
+            now_seconds=now_seconds,
+            renews=not self.order_delay_seconds,
+        )
+
     def _asks(self) -> Iterator[Ask]:
         return (waiting.ask for waiting in self._queue.values())
 
--- /dev/null
+++ b/tests/coordination/fleet/test_electorate.py
@@ -0,0 +1,128 @@
+"""Who votes for the owners of engines, as a fleet in virtual time knows it."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragefold.coordination.fleet import electorate as electorates
+from tests.fakes import gateways
+
+SETTLED_SECONDS = 6.0
+NOTICED_SECONDS = 3.0
+
+
+def settled(count=9):
+    fleet = gateways.Gateways(count)
+    fleet.run(SETTLED_SECONDS)
+    return fleet
+
+
+def voters_of(fleet, address):
+    instance = fleet.instances[address]
+    return electorates.Voters(
+        self_id=instance.node.self_id, members=instance.members
+    )
+
+
+def of_centre(fleet, centre):
+    return [
+        address
+        for address, instance in fleet.instances.items()
+        if instance.node.self_id.data_centre == centre
+    ]
+
+
+def decide(fleet, address, among, centre="dc-a"):
+    voted = {fleet.instances[each].node.self_id for each in among}
+    return voters_of(fleet, address).of(centre).decides(voted)
+
+
+def test_all_instances_name_the_same_voters() -> None:
+    fleet = settled()
+    named = {
+        voters_of(fleet, address).of(centre)
+        for address in fleet.instances
+        for centre in gateways.CENTRES
+    }
+    assert len(named) == len(gateways.CENTRES)
+
+
+def test_a_data_centre_that_is_cut_off_decides_alone() -> None:
+    # Its engines got no orders while it was cut off.
+    fleet = settled()
+    near = of_centre(fleet, "dc-a")
+    others = [each for each in fleet.addresses if each not in near]
+    fleet.cut(near, others)
+    fleet.run(NOTICED_SECONDS)
+    assert decide(fleet, near[0], near)
+    assert not decide(fleet, others[0], others)
+
+
+def test_an_instance_that_is_cut_off_decides_nothing() -> None:
+    # It took the others for gone, and their engines for its own.
+    for count in (6, 7, 9, 12):
+        fleet = settled(count)
+        lone, *others = fleet.addresses
+        fleet.cut([lone], others)
+        fleet.run(NOTICED_SECONDS)
+        assert not decide(fleet, lone, [lone])
+        assert decide(fleet, others[2], others)
+
+
+def test_the_last_of_a_data_centre_decides_with_votes_from_elsewhere() -> None:
+    # With most of a data centre killed its engines got no orders.
+    fleet = settled()
+    last, *killed = of_centre(fleet, "dc-a")
+    for address in killed:
+        fleet.kill(address)
+    fleet.run(NOTICED_SECONDS)
+    assert decide(fleet, last, fleet.instances)
+
+
+def test_it_is_known_how_long_no_majority_is_heard() -> None:
+    # An owner whose voters were back went on as if they weren't.
+    fleet = settled(3)
+    last, *cut_off = fleet.addresses
+    voters = voters_of(fleet, last)
+    assert voters.majority_unheard_seconds(voters.of("dc-b")) == 0
+    fleet.cut([last], cut_off)
+    fleet.run(NOTICED_SECONDS)
+    unheard_seconds = voters.majority_unheard_seconds(voters.of("dc-b"))
+    assert unheard_seconds == pytest.approx(NOTICED_SECONDS, abs=0.6)
+    fleet.heal()
+    fleet.run(NOTICED_SECONDS)
+    assert voters.majority_unheard_seconds(voters.of("dc-b")) == 0
+
+
+def test_silent_voters_count_no_longer_after_a_while() -> None:
+    # Engines whose voters were lost for good were ordered with care for ever.
+    fleet = settled(3)
+    last, *killed = fleet.addresses
+    for address in killed:
+        fleet.kill(address)
+    fleet.run(electorates.SILENT_VOTES_SECONDS - NOTICED_SECONDS)
+    assert not decide(fleet, last, [last], "dc-b")
+    fleet.run(2 * NOTICED_SECONDS)
+    assert decide(fleet, last, [last], "dc-b")
+
+
+def test_many_that_join_dont_outvote_those_that_were_there() -> None:
+    # Nobody could give orders until they had been there for a while.
+    fleet = settled(6)
+    near = of_centre(fleet, "dc-a")
+    for number in range(30):
+        address = f"10.2.0.{number}:70"
+        fleet.addresses.append(address)
+        fleet.start(address)
+    fleet.run(1.0)
+    assert decide(fleet, near[0], near)
+
+
+def test_a_newcomer_that_hears_nobody_decides_nothing() -> None:
+    # It was started behind a cut, and took itself for the only instance.
+    fleet = settled(3)
+    fleet.addresses.append("10.2.0.1:70")
+    fleet.cut(fleet.addresses[:3])
+    lone = fleet.start("10.2.0.1:70").node.self_id.address
+    fleet.run(NOTICED_SECONDS)
+    assert not decide(fleet, lone, [lone])
--- /dev/null
+++ b/tests/coordination/fleet/test_order_leases.py
@@ -0,0 +1,219 @@
+"""Leases of engines' orders, over a network in virtual time."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+
+from boragefold.coordination.fleet import lease_voter
+from boragefold.coordination.fleet import order_turns
+from boragefold.coordination.fleet import voted_lease
+from boragefold.protocol import order_lease_messages as messages
+from tests.fakes import leases as fakes
+from tests.fakes import network as networks
+
+ENGINE = "e1"
+STEP_SECONDS = 0.05
+
+
+class Owner:
+    """An instance that wants to give the engine orders while it is told to."""
+
+    def __init__(self, group, number):
+        self.group = group
+        self.wants = False
+        self.start(number, started_before_seconds=60.0)
+
+    def start(self, number, *, started_before_seconds=0.0):
+        network = self.group.network
+        self.node = network.start("dc-a", f"10.0.0.{number}:70")
+        self.leases = fakes.voted(
+            self.node,
+            self.group.voters,
+            rng=random.Random(number),
+            started_before_seconds=started_before_seconds,
+        )
+        self.lease = self.leases.lease(ENGINE, "dc-a", changed=lambda: None)
+        self.node.timers.every(
+            period_seconds=STEP_SECONDS, callback=self._look
+        )
+
+    def _look(self):
+        if self.wants:
+            self.lease.want()
+
+    @property
+    def holds(self):
+        now_seconds = self.group.network.clock.now_seconds()
+        return not self.node.paused and self.lease.held(
+            now_seconds=now_seconds
+        )
+
+
+class Group:
+    """The instances of a data centre, each a voter."""
+
+    def __init__(self, seed, instances=3):
+        self.network = networks.Network(seed=seed, loss=0.05, doubling=0.05)
+        self.network.run_for(100.0)
+        self.owners = []
+        for number in range(instances):
+            self.owners.append(Owner(self, number))
+        self.highest = 0
+        self.network.after_step = self._count
+
+    def voters(self):
+        return [owner.node.self_id for owner in self.owners]
+
+    def cut_off(self, *numbers):
+        addresses = {
+            self.owners[number].node.self_id.address for number in numbers
+        }
+        self.network.is_cut = lambda one, other: (
+            (one.address in addresses) != (other.address in addresses)
+        )
+
+    def heal(self):
+        self.network.is_cut = lambda one, other: False
+
+    def _count(self):
+        holding = sum(owner.holds for owner in self.owners)
+        self.highest = max(self.highest, holding)
+
+
+def promises(voter, asker, number, *, now_seconds):
+    vote = voter.vote(asker, ENGINE, number, now_seconds=now_seconds)
+    return vote.refused_seconds == 0
+
+
+@pytest.fixture
+def group():
+    return Group(seed=1)
+
+
+def test_all_that_want_orders_never_hold_a_lease_together() -> None:
+    # Cuts, pauses and restarts let two believe that they are the owner.
+    for seed in range(20):
+        group = Group(seed, instances=random.Random(seed).randint(2, 5))
+        rng = random.Random(seed)
+        for owner in group.owners:
+            owner.wants = True
+        for _ in range(25):
+            number = rng.randrange(len(group.owners))
+            owner = group.owners[number]
+            fault = rng.choice(("cut", "heal", "pause", "restart", "end"))
+            if fault == "cut":
+                group.cut_off(number)
+            elif fault == "heal":
+                group.heal()
+            elif fault == "pause" and not owner.node.paused:
+                group.network.pause(owner.node)
+                group.network.run_for(rng.uniform(0.1, 3.0))
+                early = rng.random() < 0.5
+                group.network.resume(owner.node, timers_first=early)
+            elif fault == "restart":
+                group.network.kill(owner.node)
+                owner.start(number)
+            else:
+                owner.lease.end()
+            group.network.run_for(rng.uniform(0.0, 1.0))
+        assert group.highest == 1
+
+
+def test_the_larger_side_of_a_cut_goes_on(group) -> None:
+    # An owner that is cut off stops before another one begins.
+    former, other, _ = group.owners
+    former.wants = True
+    group.network.run_for(1.0)
+    assert former.holds
+    group.cut_off(0)
+    other.wants = True
+    group.network.run_for(4.0)
+    assert other.holds
+    assert not former.holds
+    assert group.highest == 1
+
+
+def test_a_lease_that_was_given_up_is_had_at_once(group) -> None:
+    # Each handover cost the rest of a lease without orders.
+    former, other, _ = group.owners
+    group.network.loss = 0.0
+    former.wants = True
+    group.network.run_for(1.0)
+    former.wants = False
+    former.lease.end()
+    group.network.run_for(0.01)
+    other.wants = True
+    group.network.run_for(2 * STEP_SECONDS)
+    assert other.holds
+
+
+def test_an_end_that_comes_late_frees_no_later_promise() -> None:
+    # An instance that gave an engine up and took it up again lost its lease.
+    voter = lease_voter.LeaseVoter(started_at_seconds=0.0)
+    network = networks.Network(seed=1)
+    one = network.start("dc-a", "10.0.0.1:70").self_id
+    other = network.start("dc-a", "10.0.0.2:70").self_id
+    assert promises(voter, one, 1, now_seconds=10.0)
+    assert promises(voter, one, 2, now_seconds=10.1)
+    voter.end(one, ENGINE, 1, now_seconds=10.2)
+    assert not promises(voter, other, 1, now_seconds=10.2)
+    voter.end(one, ENGINE, 2, now_seconds=10.3)
+    assert promises(voter, other, 2, now_seconds=10.3)
+
+
+def test_a_voter_tells_of_the_one_before() -> None:
+    # A new holder relied on a report from before the last orders of another.
+    voter = lease_voter.LeaseVoter(started_at_seconds=0.0)
+    network = networks.Network(seed=1)
+    one = network.start("dc-a", "10.0.0.1:70").self_id
+    other = network.start("dc-a", "10.0.0.2:70").self_id
+    vote = voter.vote(one, ENGINE, 1, now_seconds=10.0)
+    assert vote.others_seconds == math.inf
+    voter.end(one, ENGINE, 1, now_seconds=10.2)
+    vote = voter.vote(other, ENGINE, 1, now_seconds=10.5)
+    assert vote.others_seconds == pytest.approx(0.3)
+    vote = voter.vote(other, ENGINE, 2, now_seconds=10.6)
+    assert vote.others_seconds == pytest.approx(0.4)
+
+
+def test_a_lost_holder_costs_no_quiet_time_beyond_its_promise() -> None:
+    # Its successor listened in vain until the promise had ended, and anew.
+    voter = lease_voter.LeaseVoter(started_at_seconds=0.0)
+    network = networks.Network(seed=1)
+    one = network.start("dc-a", "10.0.0.1:70").self_id
+    other = network.start("dc-a", "10.0.0.2:70").self_id
+    assert promises(voter, one, 1, now_seconds=10.0)
+    ends_at_seconds = 10.0 + lease_voter.PROMISE_SECONDS
+    vote = voter.vote(other, ENGINE, 1, now_seconds=ends_at_seconds)
+    assert vote.refused_seconds == 0
+    assert vote.others_seconds >= order_turns.QUIET_SECONDS
+
+
+def test_a_process_that_has_started_promises_nothing_yet() -> None:
+    # Its predecessor's promise was forgotten with it.
+    voter = lease_voter.LeaseVoter(started_at_seconds=10.0)
+    asker = networks.Network(seed=1).start("dc-a", "10.0.0.1:70").self_id
+    assert not promises(voter, asker, 1, now_seconds=10.5)
+    free_at_seconds = 10.0 + lease_voter.PROMISE_SECONDS
+    assert promises(voter, asker, 2, now_seconds=free_at_seconds)
+
+
+def test_a_promise_outlasts_the_lease_by_an_orders_way() -> None:
+    # An order that is written at the end of a lease arrives in its time.
+    margin_seconds = lease_voter.PROMISE_SECONDS - voted_lease.LEASE_SECONDS
+    assert margin_seconds >= 0.6
+
+
+def test_votes_of_a_round_that_was_given_up_dont_count(group) -> None:
+    # A late vote made a lease of a promise that had been freed.
+    owner, voter, _ = group.owners
+    group.cut_off(0)
+    owner.wants = True
+    group.network.run_for(1.0)
+    owner.wants = False
+    vote = messages.LeaseVote(1, ENGINE, 0.0, math.inf)
+    owner.node.receive(voter.node.self_id, vote)
+    assert not owner.holds
--- a/tests/entry/test_engine_owner.py
+++ b/tests/entry/test_engine_owner.py
@@ -14,6 +14,7 @@
 from boragefold.telemetry import counters
 from tests.fakes import engine_loads
 from tests.fakes import gateways
+from tests.fakes import leases
 from tests.fakes import network as networks
 
 
@@ -51,6 +52,7 @@
         log=log or types.SimpleNamespace(write=lambda event, **fields: None),
         lease_seconds=3.0,
         giver=1,
+        leases=leases.alone(node),
         loads_elsewhere=lambda: 0,
         owner_change=owner_change,
     )
--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -148,6 +148,33 @@
     assert all(order.counted for order in orders if order.status == 202)
 
 
+def test_an_owner_that_is_cut_off_orders_nothing() -> None:
+    # It takes the others for gone, and orders what their owner orders, too.
+    for cut_off in (0, 1):
+        steps = [
+            claim(0.0, 0),
+            Step(0.1, "cut", cut_off, 20.0),
+            claim(1.3, 1),
+            *(ask(4.0 + number / 100, "a0", 0.5) for number in range(6)),
+            ask(4.3, "a1"),
+            ask(4.4, "a2"),
+        ]
+        walks = [
+            order_walk.OrderWalk(seed=seed, steps=steps) for seed in SEEDS
+        ]
+        assert not any(walk.run() for walk in walks)
+        givers = {
+            order.giver for walk in walks for order in walk.engine.orders
+        }
+        assert givers == {f"instance-{1 - cut_off}"}
+
+
+def test_a_new_holder_relies_on_no_report_of_the_time_before() -> None:
+    # It had listened while another one held the lease, and began at once.
+    steps = order_plans.draw(seed=1317, profile="badsplit")
+    assert not order_walk.OrderWalk(seed=1317, steps=steps).run()
+
+
 def test_two_that_own_an_idle_engine_dont_load_the_same_adapter() -> None:
     # Two that can't hear each other load one adapter within a report's lag;
     # the engine takes the second order without a look at its count.
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -15,6 +15,7 @@
 from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
+from tests.fakes import leases
 from tests.fakes import model_engine
 from tests.fakes import network as networks
 from tests.fakes import plain_dialect
@@ -127,6 +128,7 @@
         turns=order_turns.OrderTurns(
             lease_seconds=model_engine.LEASE_SECONDS, giver=giver
         ),
+        lease=leases.Held(),
         dialect=engine.dialect,
         client=client
         or Client(engine=engine, timers=node.timers, giver=giver),
--- a/tests/fakes/engine_wire.py
+++ b/tests/fakes/engine_wire.py
@@ -20,6 +20,7 @@
 from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
+from tests.fakes import leases
 from tests.fakes import model_engine
 from tests.fakes import plain_dialect
 
@@ -137,6 +138,7 @@
                 engine=engine_loads.ENGINE, places=places
             ),
             turns=order_turns.OrderTurns(lease_seconds=3.0, giver=GIVER),
+            lease=leases.Held(),
             dialect=self._dialect,
             client=self,
             timers=self.timers,
--- /dev/null
+++ b/tests/fakes/leases.py
@@ -0,0 +1,66 @@
+"""Leases of an instance that votes alone."""
+
+from __future__ import annotations
+
+import math
+import random
+import types
+
+from boragefold.coordination.fleet import electorate
+from boragefold.coordination.fleet import order_lease
+from boragefold.coordination.fleet import order_leases
+
+LOG = types.SimpleNamespace(write=lambda event, **fields: None)
+
+
+class Held(order_lease.OrderLease):
+    """The lease of an owner that has no rival."""
+
+    def want(self) -> None:
+        return
+
+    def held(self, *, now_seconds: float) -> bool:
+        return True
+
+    def alone(self) -> bool:
+        return False
+
+    def wait_seconds(self, *, now_seconds: float) -> float:
+        return 0.0
+
+    def order_delay_seconds(self, *, now_seconds: float) -> float:
+        return 0.0
+
+    def others_until_seconds(self) -> float:
+        return -math.inf
+
+    def end(self) -> None:
+        return
+
+
+def alone(node) -> order_leases.OrderLeases:
+    """Make the leases of the only instance of a data centre."""
+    return voted(node, lambda: [node.self_id], rng=random.Random(1))
+
+
+def voted(
+    node, voters, *, rng, log=LOG, started_before_seconds=60.0
+) -> order_leases.OrderLeases:
+    """Make the leases of one of several instances of a data centre."""
+    now_seconds = node.timers.now_seconds()
+    return order_leases.OrderLeases(
+        link=node.link,
+        timers=node.timers,
+        voters=lambda centre: electorate.Electorate(tuple(voters()), ()),
+        majority_unheard_seconds=lambda electorate: 0.0,
+        rng=rng,
+        log=log,
+        started_at_seconds=now_seconds - started_before_seconds,
+    )
+
+
+__all__ = [
+    "Held",
+    "alone",
+    "voted",
+]
--- a/tests/fakes/order_plans.py
+++ b/tests/fakes/order_plans.py
@@ -47,6 +47,7 @@
     "badhand": Profile(hand_over=3, bad=3),
     "pausehand": Profile(hand_over=3, pause=2),
     "badpause": Profile(hand_over=2, bad=2, pause=2),
+    "badsplit": Profile(hand_over=1, split=2, bad=3),
     "restart": Profile(hand_over=2, kill=1, restart=1),
     "all": Profile(hand_over=4, split=2, pause=2, bad=2, kill=1, restart=1),
 }
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -18,6 +18,7 @@
 from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
+from tests.fakes import leases
 from tests.fakes import model_engine
 from tests.fakes import network as networks
 from tests.fakes import plain_dialect
@@ -135,6 +136,13 @@
             giver=order_turns.giver_number(
                 data_centres=[CENTRE], data_centre=CENTRE, address=address
             ),
+            leases=leases.voted(
+                self.node,
+                walk.voters,
+                rng=walk.random,
+                log=Log(walk=walk, name=self.name),
+                started_before_seconds=started_before_seconds,
+            ),
             loads_elsewhere=lambda: 0,
             owner_change=gateways.no_change,
         )
@@ -253,6 +261,13 @@
         """
         return self.network.clock.now_seconds() - START_SECONDS
 
+    def voters(self) -> list[ids.InstanceId]:
+        """List who votes for owners of the engine.
+
+        :return: all instances, also those that are paused
+        """
+        return [instance.node.self_id for instance in self._instances]
+
     def later(self, delay_seconds: float, callback: Callable[[], None]):
         """Let something happen outside all processes.
 
