Rely on no report that may be older than a refusal

Callers saw nothing at once; two instances gave one engine orders in turn within the lease, and a fencing number fell.

Cause: a refusal for the count says that another instance gave an order. It only made the count uncertain, and the next report made it certain again, also one that still told the count of before the refusal. The same adapter was then loaded on the old count, and the engine answers what it holds already without a look at it.

A report makes the count certain again only if it was asked for so long after the refusal that it must know of what came before. If it then tells a higher count, a whole lease is waited for, as for any other giver's order.

Ruled out: to wait for the lease from the refusal on.

Tests: three cases of the report from before the refusal failed before.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -122,6 +122,7 @@
         self._doubts: tuple[Doubt, ...] = ()
         self._explained: tuple[Doubt, ...] = ()
         self._doubted_at_seconds = -math.inf
+        self._refused_at_seconds = -math.inf
         self._pending = False
         self._pending_of_former_turn = False
         self._busy = False
@@ -323,11 +324,23 @@
             doubt = Doubt(order, now_seconds - age_seconds, now_seconds)
             self._doubts = (*self._doubts, doubt)
 
-    def refused(self) -> None:
-        """Note that the engine refused: its count isn't what we expected."""
+    def unsent(self) -> None:
+        """Note that the order didn't go out."""
         self._pending = False
         self._certain = False
 
+    def refused(self, *, now_seconds: float) -> None:
+        """Note that the engine refused: its count isn't what we expected.
+
+        Another giver's order may have come before ours. Only a report that
+        must know of it tells the count again, or that there was none.
+
+        :param now_seconds: reading of a clock that counts suspension
+        """
+        self._pending = False
+        self._certain = False
+        self._refused_at_seconds = now_seconds
+
     def reported(
         self,
         counted: Counted,
@@ -356,7 +369,9 @@
         )
         if not knows_lost and not self._shows_lost(counted):
             return False
-        self._certain = True
+        self._certain = (
+            asked_at_seconds - self._refused_at_seconds >= REPORT_AGE_SECONDS
+        )
         self._confirm(asked_at_seconds)
         # The report may be older than our last order.
         knows_last = (
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -373,8 +373,10 @@
                 age_seconds=now_seconds - given.given_at_seconds,
                 now_seconds=now_seconds,
             )
+        elif outcome == "not_sent":
+            self._turns.unsent()
         else:
-            self._turns.refused()
+            self._turns.refused(now_seconds=now_seconds)
         self.schedule.places.order_failed(now_seconds=now_seconds)
         self._ask_later(order_turns.REPORT_LAG_SECONDS)
 
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -48,7 +48,7 @@
         if self.engine.take(self.turns.expected, self.number, now):
             self.turns.accepted(now_seconds=now)
             return True
-        self.turns.refused()
+        self.turns.refused(now_seconds=now)
         return False
 
     def run(self, start, end, step=0.1):
@@ -370,6 +370,49 @@
     assert giver.try_order(2.1)
 
 
+@pytest.mark.parametrize("lag_seconds", [0.155, 0.3, 0.39])
+def test_a_refusal_isnt_forgotten_for_a_report_from_before_it(
+    engine, lag_seconds
+) -> None:
+    # Another's order was counted, and ours refused for it. A report that still
+    # told the count of before passed for news, and an order relied on it.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    before = engine.counted()
+    assert engine.take(engine.orders, 2, 1.14)
+    assert not giver.try_order(1.15)
+    giver.turns.reported(before, now_seconds=1.15 + lag_seconds)
+    assert not giver.turns.may_order(now_seconds=1.15 + lag_seconds)
+    assert giver.look(1.6) is True
+    giver.run(1.7, 4.4)
+    assert engine.accepted[-1] == (1.14, 2)
+
+
+def test_a_refusal_for_another_reason_costs_no_lease(engine) -> None:
+    # An engine refuses a load beside too many others in the same words.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    giver.turns.sending()
+    giver.turns.refused(now_seconds=1.0)
+    giver.look(1.2)
+    assert not giver.try_order(1.2)
+    giver.look(1.45)
+    assert giver.try_order(1.45)
+
+
+def test_a_refusal_for_a_count_taken_for_higher_costs_no_lease(
+    engine,
+) -> None:
+    # Our last order was answered and not counted; nobody else gave one.
+    giver = Giver(engine, 1)
+    giver.run(0.0, 1.0)
+    giver.turns.sending()
+    giver.turns.accepted(now_seconds=1.0)
+    assert not giver.try_order(1.1)
+    giver.look(1.55)
+    assert giver.try_order(1.55)
+
+
 def test_a_report_while_an_order_is_on_its_way_changes_nothing(
     engine,
 ) -> None:
