Test the accounts of rates without a network

What callers saw: nothing.

Evidence: five schedules of accounts, sums and totals, in which everyone must believe exactly what was admitted.

--- /dev/null
+++ b/tests/policy/test_rate_accounts.py
@@ -0,0 +1,208 @@
+"""What was admitted stands in one account, whoever counts it."""
+
+from __future__ import annotations
+
+from boragefold.policy import rate_accounts
+from boragefold.policy import shared_rate
+from boragefold.state import deployment
+
+FULL_TOKENS = 1e9
+# Nothing is refused and nothing is filled: a bucket's level tells the sum.
+WORKSPACE = deployment.Workspace(
+    name="press",
+    keys=frozenset({"k"}),
+    priority=1,
+    rate_per_second=1e-9,
+    burst=FULL_TOKENS,
+    in_tokens=True,
+    plain_tokens=1.0,
+)
+BEAT_SECONDS = 0.5
+HUBS = ("hub-a", "hub-b")
+OTHERS = ("one", "two", "three")
+
+
+class Instance:
+    """One instance and what it believes was admitted by all."""
+
+    def __init__(self, name):
+        self.name = name
+        self.rate = shared_rate.SharedRate()
+        self.accounts = rate_accounts.RateAccounts(rate=self.rate)
+        self.begun = 0.0
+
+    def believed(self):
+        level = self.rate.level(WORKSPACE.name)
+        return FULL_TOKENS - level - self.begun
+
+
+class Fleet:
+    """Two hubs and some others; their messages take no time."""
+
+    def __init__(self):
+        self.now_seconds = 0.0
+        self.started_seconds = {}
+        self.instances = {}
+        self.hubs = set()
+        self.counters = {}
+        for name in HUBS:
+            self.add_hub(name)
+        for name in OTHERS:
+            self.start(name)
+            self.counters[name] = HUBS[0]
+        # Of a workspace that is new to an instance the first word is where
+        # its sum begins.
+        for _ in range(2):
+            for name in sorted(self.instances):
+                self.admit(name, 1.0)
+            self.level_out()
+        for instance in self.instances.values():
+            instance.begun = instance.believed()
+
+    def start(self, name):
+        self.instances[name] = Instance(name)
+        self.started_seconds[name] = self.now_seconds
+        self.admit(name, 0.0)
+
+    def add_hub(self, name):
+        if name not in self.instances:
+            self.start(name)
+        self.hubs.add(name)
+        self.counters[name] = ""
+
+    def lose_first_hub(self):
+        self.hubs.discard(HUBS[0])
+        del self.instances[HUBS[0]]
+
+    def admit(self, name, amount):
+        wait_seconds = self.instances[name].rate.admit(
+            WORKSPACE, amount, share=1.0, now_seconds=self.now_seconds
+        )
+        assert wait_seconds is None
+
+    def give(self, name):
+        """Compose an account, which may be lost on its way."""
+        return self.instances[name].accounts.give(
+            self.counters[name], now_seconds=self.now_seconds
+        )
+
+    def tell_account(self, name):
+        statement = self.give(name)
+        if statement.counter in self.instances:
+            self.instances[statement.counter].accounts.count(
+                name, statement, now_seconds=self.now_seconds
+            )
+
+    def tell_hubs(self, hub):
+        sums = self.instances[hub].accounts.sums(now_seconds=self.now_seconds)
+        uptime_seconds = self.now_seconds - self.started_seconds[hub]
+        for other in self.hubs - {hub}:
+            self.instances[other].accounts.hear_sums(
+                hub,
+                sums,
+                uptime_seconds=uptime_seconds,
+                now_seconds=self.now_seconds,
+            )
+
+    def totals(self, hub):
+        return self.instances[hub].accounts.totals(
+            now_seconds=self.now_seconds
+        )
+
+    def hear_totals(self, name, hub, totals):
+        self.instances[name].accounts.hear_totals(
+            hub, totals, now_seconds=self.now_seconds
+        )
+
+    def tell_totals(self, hub):
+        for name in self.instances.keys() - self.hubs:
+            self.hear_totals(name, hub, self.totals(hub))
+
+    def beat(self):
+        """Let everyone tell what it has, once."""
+        self.now_seconds += BEAT_SECONDS
+        for name in sorted(self.instances):
+            self.tell_account(name)
+        for hub in sorted(self.hubs):
+            self.tell_hubs(hub)
+        for hub in sorted(self.hubs):
+            self.tell_totals(hub)
+
+    def level_out(self):
+        for _ in range(3):
+            self.beat()
+
+    def believed(self):
+        self.level_out()
+        return {
+            name: instance.believed()
+            for name, instance in self.instances.items()
+        }
+
+    def all_believe(self, amount):
+        return self.believed() == dict.fromkeys(self.instances, amount)
+
+    def choose_second_hub(self):
+        self.counters.update(dict.fromkeys(OTHERS, HUBS[1]))
+
+
+def test_who_returns_to_a_counter_loses_nothing() -> None:
+    # Guards against a new account that passes for the former one there.
+    fleet = Fleet()
+    for counter in (HUBS[1], HUBS[0], HUBS[1]):
+        fleet.admit("one", 10.0)
+        fleet.level_out()
+        fleet.counters["one"] = counter
+    fleet.admit("one", 5.0)
+    assert fleet.all_believe(35.0)
+
+
+def test_who_is_a_hub_again_counts_nothing_twice() -> None:
+    # Guards against sums of the other hubs that go on from its last time as
+    # a hub, though it heard totals meanwhile.
+    fleet = Fleet()
+    fleet.add_hub("one")
+    fleet.level_out()
+    fleet.hubs.discard("one")
+    fleet.counters["one"] = HUBS[0]
+    fleet.level_out()
+    fleet.admit("two", 10.0)
+    fleet.level_out()
+    fleet.add_hub("one")
+    fleet.level_out()
+    fleet.admit("two", 5.0)
+    assert fleet.all_believe(15.0)
+
+
+def test_what_a_lost_counter_never_got_is_given_to_the_next() -> None:
+    # Guards against an account that was sent and passes for one that arrived.
+    fleet = Fleet()
+    fleet.admit("one", 10.0)
+    fleet.give("one")
+    fleet.lose_first_hub()
+    fleet.choose_second_hub()
+    assert fleet.all_believe(10.0)
+
+
+def test_who_changes_the_counter_misses_nothing_meanwhile() -> None:
+    # Guards against a new counter's totals that begin when it is chosen.
+    fleet = Fleet()
+    fleet.counters["two"] = HUBS[1]
+    fleet.level_out()
+    fleet.lose_first_hub()
+    fleet.admit("two", 10.0)
+    fleet.beat()
+    fleet.choose_second_hub()
+    assert fleet.all_believe(10.0)
+
+
+def test_a_hub_that_began_later_changes_no_sum() -> None:
+    # Guards against totals of different beginnings that are taken for one.
+    fleet = Fleet()
+    fleet.admit("one", 100.0)
+    fleet.level_out()
+    fleet.add_hub("late")
+    fleet.instances["late"].begun = -100.0
+    fleet.level_out()
+    fleet.admit("one", 5.0)
+    assert fleet.all_believe(105.0)
