Keep where totals stood when the counter was heard, however many come

What callers saw: after a hub was lost, an instance could forget seconds of what the others had admitted, and admit a workspace beyond its rate.

Cause: who changes the counter goes on from where the next one's total stood when the former was heard last. Twelve totals of each hub were remembered for that. Hubs tell news at once, up to twenty times a second, with a total each time; the loss of a hub is news, and after half a second that place was gone. The oldest total that was remembered stood in for it, and the rise before was never taken out.

The new test, twenty totals within a second, failed before.

Ruled out: more room for totals; how many come isn't bounded.

Why it works: the place is written down when the counter is heard, not searched for afterwards. Nothing else of the history was used.

--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Mapping
 import math
 from typing import NamedTuple
@@ -20,15 +19,17 @@
 from boragefold.policy import recent_sums
 from boragefold.policy import shared_rate
 
-# Heartbeats that a hub may miss before it is lost, and some more.
-REMEMBERED_TOTALS = 12
-
 
 class HeardTotals(NamedTuple):
-    """What a hub said that others admitted, and when it said so."""
+    """What a hub said that others admitted, and when it said so last.
+
+    ``basis`` is where that stood when a total was taken out last, or what it
+    said first since.
+    """
 
     at_seconds: float
     others: dict[str, float]
+    basis: dict[str, float]
 
 
 class Statement(NamedTuple):
@@ -61,10 +62,9 @@
         self._counted: dict[str, float] = {}
         self._sums = recent_sums.RecentSums()
         self._totals = recent_sums.RecentSums()
-        self._heard_totals: dict[str, collections.deque[HeardTotals]] = {}
+        self._heard_totals: dict[str, HeardTotals] = {}
         # Where the counter's total stood when it was taken out last.
         self._applied: dict[str, float] = {}
-        self._applied_at_seconds = -math.inf
         self._hub_since_seconds = math.inf
 
     @property
@@ -147,7 +147,7 @@
         hub_seconds = now_seconds - self._hub_since_seconds
         if hub_seconds < 0:
             return
-        self._applied_at_seconds = now_seconds
+        self._renew_bases()
         added = self._rate.hear(
             f"{hub}/{self._serial}",
             sums,
@@ -181,14 +181,14 @@
             workspace: amount - self._counted_in_all(workspace)
             for workspace, amount in totals.items()
         }
-        history = self._heard_totals.setdefault(
-            hub, collections.deque(maxlen=REMEMBERED_TOTALS)
-        )
-        before = history[-1].others if history else {}
-        history.append(HeardTotals(now_seconds, {**before, **others}))
+        before = self._heard_totals.get(hub)
+        if before is not None:
+            others = {**before.others, **others}
+        basis = others if before is None else before.basis
+        self._heard_totals[hub] = HeardTotals(now_seconds, others, basis)
         if not is_counter:
             return
-        self._applied_at_seconds = now_seconds
+        self._renew_bases()
         self._rate.take_out(
             {
                 workspace: amount - self._applied.get(workspace, amount)
@@ -204,9 +204,9 @@
         """
         oldest_seconds = now_seconds - shared_rate.FORGET_SECONDS
         self._heard_totals = {
-            hub: history
-            for hub, history in self._heard_totals.items()
-            if history[-1].at_seconds >= oldest_seconds
+            hub: heard
+            for hub, heard in self._heard_totals.items()
+            if heard.at_seconds >= oldest_seconds
         }
 
     def sums(self, *, now_seconds: float) -> dict[str, float]:
@@ -230,14 +230,14 @@
         return settled + self._counted.get(workspace, 0.0)
 
     def _basis(self, counter: str) -> dict[str, float]:
-        history = self._heard_totals.get(counter, ())
-        former = [
-            heard
-            for heard in history
-            if heard.at_seconds <= self._applied_at_seconds
-        ]
-        basis = former[-1:] or list(history)[:1]
-        return dict(basis[0].others) if basis else {}
+        heard = self._heard_totals.get(counter)
+        return {} if heard is None else dict(heard.basis)
+
+    def _renew_bases(self) -> None:
+        self._heard_totals = {
+            hub: heard._replace(basis=heard.others)
+            for hub, heard in self._heard_totals.items()
+        }
 
     def _settle(self) -> None:
         # What the former counter hasn't confirmed is given to the next.
--- a/tests/policy/test_rate_accounts.py
+++ b/tests/policy/test_rate_accounts.py
@@ -18,6 +18,8 @@
     plain_tokens=1.0,
 )
 BEAT_SECONDS = 0.5
+# Of others' comings and goings a hub tells at once, with its totals.
+NEWS_SECONDS = 0.05
 HUBS = ("hub-a", "hub-b")
 OTHERS = ("one", "two", "three")
 
@@ -196,6 +198,22 @@
     assert fleet.all_believe(10.0)
 
 
+def test_news_while_a_counter_is_silent_makes_nobody_forget() -> None:
+    # Guards against totals of the next counter that come so often that where
+    # they stood when the former was heard is no longer known.
+    fleet = Fleet()
+    fleet.counters["two"] = HUBS[1]
+    fleet.level_out()
+    fleet.lose_first_hub()
+    fleet.admit("two", 10.0)
+    fleet.beat()
+    for _ in range(20):
+        fleet.now_seconds += NEWS_SECONDS
+        fleet.tell_totals(HUBS[1])
+    fleet.choose_second_hub()
+    assert fleet.all_believe(10.0)
+
+
 def test_a_hub_that_began_later_changes_no_sum() -> None:
     # Guards against totals of different beginnings that are taken for one.
     fleet = Fleet()
