Don't hold what a process left unanswered against its successor

What callers saw: for eight seconds after a hub was killed and restarted, one instance could forget all that the others admitted, and admit workspaces beyond their rate.

Cause: an instance that doesn't answer is no hub for eight seconds. That was kept by address, over a restart as well. Whoever stood in for the killed hub went on as a hub beside the new process: no hub took it for one, so none told it sums; it counted for itself, so it took no totals out. It waited for answers of the other data centres' hubs in vain and gave them up one after the other, too.

The new test of restarted hubs failed before. The walk's bounds were so wide that almost nothing broke them; they now come from what a killed hub may cost: its own moment, its data centre's moment twice, and a moment of all for who stands in for it.

Ruled out: to take a hub for sound when others vouch for it; who is cut off from it alone has to avoid it.

--- a/src/boragefold/coordination/fleet/awaited.py
+++ b/src/boragefold/coordination/fleet/awaited.py
@@ -51,6 +51,15 @@
         if address in self._since_seconds:
             self._since_seconds[address] = self._timers.now_seconds()
 
+    def renewed(self, address: str) -> None:
+        """Note that another process listens at an address.
+
+        What the former one left unanswered says nothing of it.
+
+        :param address: where
+        """
+        self._failed_at_seconds.pop(address, None)
+
     def late(self, *, beyond_seconds: float) -> frozenset[str]:
         """List the instances that owe us a heartbeat.
 
--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -408,6 +408,7 @@
         if before.incarnation == instance.incarnation:
             return
         member.renew(instance)
+        self.awaited.renewed(instance.address)
         self._valid_until_seconds = -math.inf
         if before.incarnation:
             for callback in self._on_gone:
--- a/tests/coordination/fleet/test_hubs.py
+++ b/tests/coordination/fleet/test_hubs.py
@@ -122,6 +122,26 @@
     assert everyone_hears_everyone(fleet)
 
 
+def test_a_hub_that_was_restarted_is_a_hub_for_all() -> None:
+    # Whoever stood in for it took itself for a hub beside it for as long as
+    # the former process was held against the new one; nobody told it sums.
+    fleet = gateways.Gateways(24)
+    fleet.run(SETTLED_SECONDS)
+    hubs_of_all = {
+        hub for centre in gateways.CENTRES for hub in hubs_of(fleet, centre)
+    }
+    for hub in sorted(hubs_of_all):
+        fleet.kill(hub)
+        fleet.run(2.5)
+        fleet.start(hub)
+        fleet.run(3.0)
+        assert hubs_of_all == {
+            address
+            for address, instance in fleet.instances.items()
+            if instance.heartbeats.is_hub
+        }
+
+
 def test_a_killed_owner_of_a_large_fleet_is_replaced() -> None:
     fleet = large()
     (owner,) = fleet.claimants()["e0"]
--- a/tests/coordination/fleet/test_rate_walk.py
+++ b/tests/coordination/fleet/test_rate_walk.py
@@ -141,7 +141,7 @@
     assert 0.0 >= errors[0] >= -ROUNDS * walk.most_in(UNTOLD_SECONDS) / COUNT
 
 
-@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("seed", range(6))
 def test_a_killed_hub_costs_what_was_admitted_in_a_moment(seed) -> None:
     # Its instances find another hub; neither history nor seconds are lost.
     walk = Walk(seed)
@@ -150,5 +150,11 @@
         walk.admit_for(2.0)
     errors = walk.errors()
     moment = walk.most_in(UNTOLD_SECONDS)
-    assert abs(statistics.median(errors)) <= ROUNDS * moment / 2
-    assert max(map(abs, errors)) <= 2 * ROUNDS * moment
+    # What a hub hadn't told of its own is lost. What it had told of a moment
+    # is counted twice at worst: it counts for its own data centre at most.
+    lost = ROUNDS * moment / COUNT
+    doubled = ROUNDS * moment / len(gateways.CENTRES)
+    assert -lost <= statistics.median(errors) <= doubled
+    # Who stands in for a hub misses a moment of all others, for itself.
+    assert min(errors) >= -lost - moment
+    assert max(errors) <= doubled + moment
