Let only hubs pass on what they hear

Cause: whoever spoke to an instance passed for its follower. Two instances of a data centre that had met while they looked for their hubs told each other all that they heard from then on, each the other's follower for good, and passed each piece of news on up to twenty times a second, as hubs do. Of 186 instances that are no hubs all had such followers, three of them 62. A heartbeat now says whether its receiver is taken for a hub; only then is its sender told what we hear. Who is heard directly counts as before.

The test failed before: ordinary instances spoke to each other.

--- a/src/boragefold/coordination/fleet/heartbeats.py
+++ b/src/boragefold/coordination/fleet/heartbeats.py
@@ -150,6 +150,7 @@
             lacks=self._members.lacks(),
             account=self._rates.account(routes),
             sums=self._rates.sums(routes),
+            to_hub=True,
         )
         if not followers:
             self._send(routes.targets, heartbeat)
@@ -258,7 +259,7 @@
     def _take_heartbeat(
         self, sender: ids.InstanceId, body: messages.Heartbeat
     ) -> None:
-        self._members.hear(sender, body.beat)
+        self._members.hear(sender, body.beat, follows=body.to_hub)
         if body.report is not None:
             self._members.hear_report(sender, body.report)
         if self._link.self_id.address in body.lacks:
--- a/src/boragefold/coordination/fleet/member.py
+++ b/src/boragefold/coordination/fleet/member.py
@@ -15,7 +15,8 @@
     """Another instance, as it was last heard.
 
     ``heard_at_seconds`` is when it was last known to live, by its own word or
-    a hub's; ``direct_at_seconds`` by its own; ``vouched_at_seconds`` by the
+    a hub's; ``direct_at_seconds`` by its own; ``follows_at_seconds`` when it
+    last spoke to us as to its hub; ``vouched_at_seconds`` by the
     newest word of those who still hear it, and ``first_hand_at_seconds`` of
     those among them that hear it themselves. ``standing_said_milliseconds``
     and ``engines_said_milliseconds`` are its uptimes when it said what
@@ -27,6 +28,7 @@
     found_at_seconds: float = 0.0
     heard_at_seconds: float = -math.inf
     direct_at_seconds: float = -math.inf
+    follows_at_seconds: float = -math.inf
     vouched_at_seconds: float = -math.inf
     first_hand_at_seconds: float = -math.inf
     started_at_seconds: float = math.inf
--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -198,6 +198,18 @@
             if member.direct_at_seconds >= oldest and member.beat is not None
         ]
 
+    def followers(self) -> list[member_module.Member]:
+        """List the instances that take us for a hub.
+
+        :return: those that spoke to us as to their hub lately
+        """
+        oldest = self._timers.now_seconds() - self.silent_seconds()
+        return [
+            member
+            for member in self._members.values()
+            if member.follows_at_seconds >= oldest and member.beat is not None
+        ]
+
     def hub_candidates(self) -> list[hubs.Candidate]:
         """List the other instances that heartbeats could travel through.
 
@@ -316,12 +328,17 @@
         self._hub_reports.forget(before_seconds=now_seconds - stale_seconds)
 
     def hear(
-        self, sender: ids.InstanceId, beat: messages.Beat | None = None
+        self,
+        sender: ids.InstanceId,
+        beat: messages.Beat | None = None,
+        *,
+        follows: bool = False,
     ) -> None:
         """Note that an instance spoke to us.
 
         :param sender: which
         :param beat: its heartbeat, if it sent one
+        :param follows: whether it takes us for its hub
         """
         member = self.know(sender)
         now_seconds = self._timers.now_seconds()
@@ -335,6 +352,8 @@
             self.news_version += 1
         member.direct_at_seconds = now_seconds
         member.heard_at_seconds = now_seconds
+        if follows:
+            member.follows_at_seconds = now_seconds
         self.awaited.heard(sender.address)
         if beat is None:
             return
--- a/src/boragefold/coordination/fleet/routes.py
+++ b/src/boragefold/coordination/fleet/routes.py
@@ -77,11 +77,11 @@
         """List the instances that take us for a hub, whether we do or not.
 
         :param targets: whom we speak to ourselves
-        :return: those of our data centre that speak to us
+        :return: those of our data centre that speak to us as to their hub
         """
         return [
             member
-            for member in self._members.direct()
+            for member in self._members.followers()
             if member.instance.address not in targets
             and member.instance.data_centre == self._self_id.data_centre
         ]
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -146,7 +146,8 @@
     ``lacks`` are the addresses of the hubs whose reports the sender missed.
     A hub tells other hubs the ``sums`` of what it counts, and the instances
     that speak to it the ``totals`` of what all hubs do, since it started and
-    by workspace that sent lately.
+    by workspace that sent lately. ``to_hub`` tells that the sender takes the
+    receiver for its hub, and wants to be told what that one hears.
     """
 
     beat: Beat
@@ -155,6 +156,7 @@
     account: Account | None = None
     sums: dict[str, float] | None = None
     totals: dict[str, float] | None = None
+    to_hub: bool = False
 
 
 class Introduction(NamedTuple):
--- a/tests/coordination/fleet/test_hundreds.py
+++ b/tests/coordination/fleet/test_hundreds.py
@@ -72,6 +72,29 @@
     assert many.mean(many.bytes) <= GROWTH * few.mean(few.bytes)
 
 
+def test_only_hubs_pass_on_what_they_hear() -> None:
+    # Two that had met took each other for followers for good: each told the
+    # other all that it heard, and passed each piece of news on.
+    fleet = settled(MANY)
+    hubs = {
+        address
+        for address, instance in fleet.instances.items()
+        if instance.heartbeats.is_hub
+    }
+    told = []
+    post = fleet.network.post
+
+    def watched(sender, to, body):
+        if isinstance(body, messages.Heartbeat):
+            told.append({sender.address, to.address})
+        post(sender, to, body)
+
+    fleet.network.post = watched
+    fleet.run(2.0)
+    assert told
+    assert all(pair & hubs for pair in told)
+
+
 def test_hundreds_notice_losses_and_news_at_once() -> None:
     fleet = settled(MANY)
     assert one_owner_each(fleet)
