Import nothing large at the start that no request needs

What callers saw: nothing; hundreds that start together after a loss of power take some 0.25 s of processor time each.

Ruled out: h11, msgspec and pyzmq, which requests need; dataclasses' inspect, which they import.

--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -193,6 +193,7 @@
             hand_over=self._stop_taking,
             finished=lambda: self._listeners.callers.close_idle() == 0,
             stop=self._stop,
+            say=lambda step: self.log.write("stopping", step=step),
             limit_seconds=settings.stop_seconds - STOP_MARGIN_SECONDS,
         )
         self._reloading = reloading.Reloading(
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -5,6 +5,8 @@
 import ssl
 import uuid
 
+from absl import logging
+
 from boragefold.coordination.configuration import readiness
 from boragefold.entry import chat_face
 from boragefold.entry import inspection
@@ -86,6 +88,7 @@
             hand_over=self._hand_over,
             finished=self._finished,
             stop=self._stop,
+            say=lambda step: logging.info("stopping: %s", step),
         )
 
     def start(self, *, operators_face: bool = True) -> None:
--- a/src/boragefold/entry/stopping.py
+++ b/src/boragefold/entry/stopping.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import signal
 
-from absl import logging
 import circuits
 
 from boragefold.timing import timers as timing
@@ -35,6 +34,7 @@
         hand_over: Callable[[], None],
         finished: Callable[[], bool],
         stop: Callable[[], None],
+        say: Callable[[str], None],
         limit_seconds: float | None = None,
     ) -> None:
         """Wait for the signal.
@@ -44,6 +44,7 @@
         :param hand_over: gives rights up and accepts nothing more
         :param finished: tells whether nothing runs any more
         :param stop: ends the loop
+        :param say: logs each step
         :param limit_seconds: when to end all the same, counted from the
             signal; None waits for as long as something runs
         """
@@ -55,6 +56,7 @@
         self._hand_over = hand_over
         self._finished = finished
         self._stop_loop = stop
+        self._say = say
         self.begun = False
 
     def begin(self) -> None:
@@ -63,7 +65,7 @@
             return
         self.begun = True
         self._begun_at_seconds = self._timers.now_seconds()
-        logging.info("stopping: not ready, accepting for a while longer")
+        self._say("not ready, accepting for a while longer")
         self._timers.once(
             delay_seconds=self._notice_seconds, callback=self._noticed
         )
@@ -77,17 +79,17 @@
             self.begin()
 
     def _noticed(self) -> None:
-        logging.info("stopping: rights handed over, finishing what runs")
+        self._say("rights handed over, finishing what runs")
         self._hand_over()
         self._timers.every(period_seconds=CHECK_SECONDS, callback=self._check)
 
     def _check(self) -> None:
         if self._finished():
-            logging.info("stopping: finished")
+            self._say("finished")
             self._stop_loop()
         elif self._is_over_limit():
             # A caller that reads nothing keeps its connection open.
-            logging.warning("stopping: the time for it is over")
+            self._say("the time for it is over")
             self._stop_loop()
 
     def _is_over_limit(self) -> bool:
