Look at the hubs of other data centres only as a hub

What callers saw: nothing. Cause: each instance ranked the whole fleet once a second, and whenever anybody came, went or changed an engine, to learn that it is no hub of its own data centre. Now its own data centre decides; hubs go on as before, the choice is the same.

The test failed before: all three data centres were looked at.

--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -210,9 +210,12 @@
             if member.follows_at_seconds >= oldest and member.beat is not None
         ]
 
-    def hub_candidates(self) -> list[hubs.Candidate]:
+    def hub_candidates(
+        self, data_centre: str | None = None
+    ) -> list[hubs.Candidate]:
         """List the other instances that heartbeats could travel through.
 
+        :param data_centre: only those of this one
         :return: those that live, or were found a moment ago
         """
         now_seconds = self._timers.now_seconds()
@@ -226,6 +229,7 @@
             member_module.candidate_of(member)
             for member in (*self.reachable(), *new)
             if member.instance.data_centre
+            and data_centre in (None, member.instance.data_centre)
             and not self.awaited.failed_lately(member.instance.address)
             and not (member.beat is not None and member.beat.leaving)
         ]
--- a/src/boragefold/coordination/fleet/routes.py
+++ b/src/boragefold/coordination/fleet/routes.py
@@ -92,19 +92,17 @@
             self._self_id.data_centre,
             own.link_megabits,
         )
-        others = self._members.hub_candidates()
+        near = hubs.rank(self._members.hub_candidates(us.data_centre))
         # A late hub's successor acts before that hub is given up, or nobody
         # would hear of its instances.
-        sound = [other for other in others if other.address not in late]
-        at_once = hubs.hubs(sound if own.leaving else [us, *sound])
-        if us not in at_once.get(us.data_centre, []):
-            near = [
-                other
-                for other in others
-                if other.data_centre == us.data_centre
-            ]
-            uplinks = hubs.uplinks(us.address, hubs.rank(near), late=late)
+        beside = [other for other in near if other.address not in late]
+        if own.leaving or us not in hubs.best(hubs.rank([us, *beside])):
+            uplinks = hubs.uplinks(us.address, near, late=late)
             return Chosen(tuple(uplinks), False, False)
+        # Only a hub has to know the hubs of other data centres.
+        others = self._members.hub_candidates()
+        sound = [other for other in others if other.address not in late]
+        at_once = hubs.hubs([us, *sound])
         lasting = hubs.hubs([us, *others])
         every = itertools.chain(*at_once.values(), *lasting.values())
         targets = dict.fromkeys(hub.address for hub in every)
--- a/tests/coordination/fleet/test_hundreds.py
+++ b/tests/coordination/fleet/test_hundreds.py
@@ -95,6 +95,32 @@
     assert all(pair & hubs for pair in told)
 
 
+def test_who_is_no_hub_looks_at_its_own_data_centre_only() -> None:
+    # Each ranked the whole fleet every second, to find that it is no hub.
+    fleet = settled(MANY)
+    looked_at = collections.defaultdict(set)
+
+    def watch(address, members):
+        list_candidates = members.hub_candidates
+
+        def watched(*data_centre):
+            found = list_candidates(*data_centre)
+            looked_at[address].update(each.data_centre for each in found)
+            return found
+
+        members.hub_candidates = watched
+
+    for address, instance in fleet.instances.items():
+        if not instance.heartbeats.is_hub:
+            watch(address, instance.members)
+    fleet.run(2.0)
+    assert len(looked_at) > MANY / 2
+    assert all(
+        centres == {fleet.instances[address].node.self_id.data_centre}
+        for address, centres in looked_at.items()
+    )
+
+
 def test_hundreds_notice_losses_and_news_at_once() -> None:
     fleet = settled(MANY)
     assert one_owner_each(fleet)
