Let the last of a data centre tell the others that it leaves

Callers saw: the only instance of a data centre begins a planned stop, and requests for its engine that need another adapter wait until the others have taken it for silent; where silent instances still vote for the orders of an engine, until its vote has lapsed.

Cause: an instance that leaves is no hub, and speaks to hubs of its own data centre only. There are none, so its heartbeat has no receiver.

Why the fix works: whoever has no hub near speaks to the hubs elsewhere, which hear it themselves and pass it on.

The test failed before: nobody heard the instance leave.

--- a/src/boragefold/coordination/fleet/routes.py
+++ b/src/boragefold/coordination/fleet/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import itertools
 from typing import NamedTuple
 
@@ -98,18 +99,30 @@
         beside = [other for other in near if other.address not in late]
         if own.leaving or us not in hubs.best(hubs.rank([us, *beside])):
             uplinks = hubs.uplinks(us.address, near, late=late)
-            return Chosen(tuple(uplinks), False, False)
+            # Whoever leaves as the last of its data centre tells the others.
+            return Chosen(tuple(uplinks) or self._far_hubs(late), False, False)
         # Only a hub has to know the hubs of other data centres.
         others = self._members.hub_candidates()
         sound = [other for other in others if other.address not in late]
         at_once = hubs.hubs([us, *sound])
         lasting = hubs.hubs([us, *others])
-        every = itertools.chain(*at_once.values(), *lasting.values())
-        targets = dict.fromkeys(hub.address for hub in every)
+        every = (*_every(at_once), *_every(lasting))
+        targets = dict.fromkeys(every)
         targets.pop(us.address, None)
         counts = us in lasting.get(us.data_centre, [])
         return Chosen(tuple(targets), True, counts)
 
+    def _far_hubs(self, late: frozenset[str]) -> tuple[str, ...]:
+        others = self._members.hub_candidates()
+        return _every(
+            hubs.hubs(other for other in others if other.address not in late)
+        )
+
+
+def _every(by_centre: Mapping[str, list[hubs.Candidate]]) -> tuple[str, ...]:
+    every = itertools.chain.from_iterable(by_centre.values())
+    return tuple(hub.address for hub in every)
+
 
 __all__ = [
     "Chosen",
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -113,6 +113,20 @@
     assert successor != owner
 
 
+def test_the_last_of_a_data_centre_tells_the_others_that_it_leaves() -> None:
+    # It has no hub near and told nobody, so it was taken for silent.
+    fleet = settled(count=3)
+    leaver = fleet.instances["10.1.0.1:70"]
+    leaver.leaving = True
+    fleet.run(0.2)
+    for address in ("10.1.0.0:70", "10.1.0.2:70"):
+        told = fleet.instances[address].members.reachable()
+        leaving = [each.instance.address for each in told if each.beat.leaving]
+        assert leaving == ["10.1.0.1:70"]
+    fleet.run(4.0)
+    assert everyone_knows_everyone(fleet)
+
+
 def test_an_engine_that_its_owner_cant_reach_goes_to_another() -> None:
     # An engine partitioned from its owner alone must get another, for good.
     fleet = settled()
