Ask a voter that gave no vote on a new connection

What callers would see: no new adapters for seconds after a cut has healed, where the owner of an engine speaks to its voters for votes alone. Cause: a connection that was cut looks open, and what waits on it goes out late; heartbeats renew only the connections that they use. In large data centres voters are no hubs.

A voter that is heard and gave no vote in time is asked again on a new connection, and told so, as its own may be dead as well. Ruled out: to renew the connections of those that are silent; heartbeats look after them, and a cut would cost a connection each half second. The test failed before: nobody reconnected.

--- a/src/boragefold/coordination/fleet/electorate.py
+++ b/src/boragefold/coordination/fleet/electorate.py
@@ -86,6 +86,14 @@
             self._known[data_centre] = self._choose(data_centre)
         return self._known[data_centre]
 
+    def is_heard(self, voter: ids.InstanceId) -> bool:
+        """Tell whether a voter is heard.
+
+        :param voter: which
+        :return: whether it is, or is ourselves
+        """
+        return voter in self._heard()
+
     def majority_unheard_seconds(self, electorate: Electorate) -> float:
         """Tell how long ago enough voters to decide were heard.
 
--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -48,6 +48,7 @@
         rng: random.Random,
         log: decision_log.DecisionLog,
         started_at_seconds: float,
+        is_heard: Callable[[ids.InstanceId], bool] = lambda voter: True,
     ) -> None:
         """Begin without leases and promises.
 
@@ -59,6 +60,7 @@
         :param rng: spreads repeated attempts
         :param log: of this process
         :param started_at_seconds: when this process started
+        :param is_heard: tells whether an instance is heard
         """
         self._link = link
         self._timers = timers
@@ -66,6 +68,8 @@
         self._majority_unheard_seconds = majority_unheard_seconds
         self._rng = rng
         self._log = log
+        self._is_heard = is_heard
+        self._unanswered: set[str] = set()
         self._voter = lease_voter.LeaseVoter(
             started_at_seconds=started_at_seconds
         )
@@ -131,10 +135,21 @@
             self_id, engine, number, now_seconds=now_seconds
         )
         if not round_.count(self_id, vote, now_seconds=now_seconds):
-            body = messages.LeaseAsk(number, engine)
+            unanswered = tuple(sorted(self._unanswered))
+            body = messages.LeaseAsk(number, engine, unanswered)
             self._link.send_all(to=round_.asked, body=body)
         return round_
 
+    def missed(self, round_: Round) -> None:
+        """Note that a round got too few votes in time.
+
+        :param round_: the round
+        """
+        # A connection that was cut looks open for long after the cut.
+        for voter in filter(self._is_heard, round_.unanswered()):
+            self._unanswered.add(voter.address)
+            self._link.reconnect(voter)
+
     def free(self, engine: str, round_: Round) -> None:
         """Free the voters of what they promised us.
 
@@ -184,6 +199,8 @@
     def _take_ask(
         self, sender: ids.InstanceId, body: messages.LeaseAsk
     ) -> None:
+        if self._link.self_id.address in body.unanswered:
+            self._link.reconnect(sender)
         vote = self._voter.vote(
             sender,
             body.engine,
@@ -196,6 +213,7 @@
     def _take_vote(
         self, sender: ids.InstanceId, body: messages.LeaseVote
     ) -> None:
+        self._unanswered.discard(sender.address)
         lease = self._leases.get(body.engine)
         if lease is not None:
             lease.take_vote(sender, body)
--- a/src/boragefold/coordination/fleet/voted_lease.py
+++ b/src/boragefold/coordination/fleet/voted_lease.py
@@ -74,6 +74,13 @@
         self.over = self.electorate.decides(self.voted)
         return self.over
 
+    def unanswered(self) -> set[ids.InstanceId]:
+        """List who gave no vote.
+
+        :return: those that were asked and neither promised nor refused
+        """
+        return {*self.asked} - self.voted - self.refused
+
     def is_lost(self) -> bool:
         """Tell whether too many refused.
 
@@ -105,6 +112,13 @@
         :return: the round, perhaps decided by our own vote
         """
 
+    @abc.abstractmethod
+    def missed(self, round_: Round) -> None:
+        """Note that a round got too few votes in time.
+
+        :param round_: the round
+        """
+
     @abc.abstractmethod
     def free(self, engine: str, round_: Round) -> None:
         """Free the voters of what they promised us.
@@ -297,6 +311,7 @@
         self._failed = True
         retry_seconds = self._ballot.retry_seconds()
         self._not_before_seconds = now_seconds + retry_seconds
+        self._ballot.missed(round_)
         if self.held(now_seconds=now_seconds):
             return
         self._refused_until_seconds = now_seconds + round_.refused_seconds
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -346,6 +346,7 @@
             rng=self._rng,
             log=self.log,
             started_at_seconds=self.timers.now_seconds(),
+            is_heard=voters.is_heard,
         )
 
     def _retry_allowance(self) -> retry_budget.Allowance:
--- a/src/boragefold/protocol/order_lease_messages.py
+++ b/src/boragefold/protocol/order_lease_messages.py
@@ -10,10 +10,15 @@
 
 
 class LeaseAsk(NamedTuple):
-    """Asks for a vote that the sender gives an engine its orders."""
+    """Asks for a vote that the sender gives an engine its orders.
+
+    ``unanswered`` are the addresses of those that are heard and gave the
+    sender no vote last time: their connection to it may be dead.
+    """
 
     number: int
     engine: str
+    unanswered: tuple[str, ...] = ()
 
 
 class LeaseVote(NamedTuple):
--- a/tests/coordination/fleet/test_order_leases.py
+++ b/tests/coordination/fleet/test_order_leases.py
@@ -207,6 +207,27 @@
     assert margin_seconds >= 0.6
 
 
+def test_a_voter_that_doesnt_answer_is_tried_on_a_new_connection(
+    group,
+) -> None:
+    # After a cut the connections of both sides looked open, and no vote came.
+    owner, *voters = group.owners
+    reconnected = {}
+    for each in group.owners:
+        reconnected[each] = []
+        each.node.link.reconnect = reconnected[each].append
+    group.cut_off(0)
+    owner.wants = True
+    group.network.run_for(0.5)
+    voter_ids = {voter.node.self_id for voter in voters}
+    assert voter_ids == {*reconnected[owner]}
+    group.heal()
+    group.network.run_for(1.0)
+    assert owner.holds
+    told = {peer for voter in voters for peer in reconnected[voter]}
+    assert told == {owner.node.self_id}
+
+
 def test_votes_of_a_round_that_was_given_up_dont_count(group) -> None:
     # A late vote made a lease of a promise that had been freed.
     owner, voter, _ = group.owners
