Let the voters from elsewhere go on for a data centre that is lost

Cause: where no majority is heard for long, only voters near the engine went on without the lease. Those from elsewhere go on after them, each at a place of its own, so that of several that are cut off from each other the later ones see the first one's orders.

--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -172,13 +172,13 @@
         """Tell after how long without a majority we go on without the lease.
 
         :param data_centre: where the engine is
-        :return: seconds, different for each voter near the engine; infinite
-            for all others
+        :return: seconds, different for each voter; infinite for all others
         """
-        near = self._voters(data_centre).near
-        if self._link.self_id not in near:
+        near, far, _ = self._voters(data_centre)
+        voters = (*near, *far)
+        if self._link.self_id not in voters:
             return math.inf
-        place = near.index(self._link.self_id)
+        place = voters.index(self._link.self_id)
         return ALONE_SECONDS + ALONE_STEP_SECONDS * place
 
     def retry_seconds(self) -> float:
--- a/src/boragefold/coordination/fleet/voted_lease.py
+++ b/src/boragefold/coordination/fleet/voted_lease.py
@@ -140,8 +140,7 @@
         """Tell after how long without a majority we go on without the lease.
 
         :param data_centre: where the engine is
-        :return: seconds, different for each voter near the engine; infinite
-            for all others
+        :return: seconds, different for each voter; infinite for all others
         """
 
     @abc.abstractmethod
--- a/tests/coordination/fleet/test_order_leases.py
+++ b/tests/coordination/fleet/test_order_leases.py
@@ -228,6 +228,14 @@
     assert told == {owner.node.self_id}
 
 
+def test_those_without_a_majority_go_on_one_after_the_other(group) -> None:
+    # All that were cut off from each other began to order at once.
+    waits_seconds = {
+        owner.leases.alone_after_seconds("dc-a") for owner in group.owners
+    }
+    assert len(waits_seconds) == len(group.owners)
+
+
 def test_votes_of_a_round_that_was_given_up_dont_count(group) -> None:
     # A late vote made a lease of a promise that had been freed.
     owner, voter, _ = group.owners
