Guard an order in doubt once

A report that was asked for within 0.15 s of the moment in which an order was taken for lost was passed over, unless it showed that order. Beside it no order is given for a second, unless a report shows the lost one; and after that second an order needs a count of the last quarter of one. So the first guard held nothing that the second doesn't.

The tests of orders in doubt pass unchanged.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -364,11 +364,6 @@
             return False
         before = self._counted
         asked_at_seconds = now_seconds - age_seconds
-        knows_lost = (
-            asked_at_seconds >= self._doubted_at_seconds + REPORT_LAG_SECONDS
-        )
-        if not knows_lost and not self._shows_lost(counted):
-            return False
         self._certain = (
             asked_at_seconds - self._refused_at_seconds >= REPORT_AGE_SECONDS
         )
@@ -405,12 +400,6 @@
         self._doubts = self._doubts[settled:]
         return foreign
 
-    def _shows_lost(self, counted: Counted) -> bool:
-        if self._counted is None:
-            return False
-        ahead = counted.orders - self._counted.orders
-        return 0 < ahead <= len(self._doubts)
-
     def _confirm(self, at_seconds: float) -> None:
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, at_seconds
