--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -13,27 +13,14 @@
 can see who gave that order. So an order must be one that changes something, as
 far as its giver can know: none is given while the engine carries one out, on
 an old belief, or while a lost one may still arrive.
-
-The fencing number of an order rises with that count and holds the giver's own
-number in its low digits, so that two givers never share one.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-import ipaddress
 import math
 from typing import NamedTuple
 
-# Lives of an engine that starts again under its name are told apart by the
-# second of their start, counted from here: the start of 2024, UTC.
-EPOCH_SECONDS = 1_704_067_200
-# Orders in one life of an engine: 40 a second for seven hours.
-COUNT_BITS = 20
-# One part in so many for each giver, see giver_number.
-GIVER_BITS = 15
-# The giver's number: which data centre, and the low bits of its address there.
-ADDRESS_BITS = 10
+from boragefold.coordination.fleet import fencing_numbers
 
 # A turn begins only after the count has stood still for so long: in this time
 # claims reach every instance that hears the others, and reports show what
@@ -63,13 +50,6 @@
 REPORT_LAG_SECONDS = 0.15
 
 
-class Counted(NamedTuple):
-    """An engine's count of orders, in one life of the engine."""
-
-    born_milliseconds: int
-    orders: int
-
-
 class Doubt(NamedTuple):
     """An order that had no answer, and may have been accepted."""
 
@@ -78,23 +58,6 @@
     began_at_seconds: float
 
 
-def giver_number(
-    *, data_centres: Iterable[str], data_centre: str, address: str
-) -> int:
-    """Make an instance's own part of fencing numbers.
-
-    :param data_centres: all there are, the same at every instance
-    :param data_centre: the instance's own
-    :param address: its IPv4 number, perhaps with a port
-    :return: below two to GIVER_BITS; another for each of the first 1,024
-        addresses in each of 32 data centres
-    """
-    place = sorted(data_centres).index(data_centre)
-    number = int(ipaddress.IPv4Address(address.partition(":")[0]))
-    low = number % (1 << ADDRESS_BITS)
-    return ((place << ADDRESS_BITS) | low) % (1 << GIVER_BITS)
-
-
 class OrderTurns:
     """One instance's turns at one engine."""
 
@@ -117,7 +80,7 @@
             started_at_seconds + lease_seconds + START_SLACK_SECONDS
         )
         self._giver = giver
-        self._counted: Counted | None = None
+        self._counted: fencing_numbers.Counted | None = None
         self._certain = False
         self._doubts: tuple[Doubt, ...] = ()
         self._explained: tuple[Doubt, ...] = ()
@@ -272,10 +235,7 @@
 
         :return: a number that rises with the engine's count
         """
-        born = 0 if self._counted is None else self._counted.born_milliseconds
-        life = max(0, born // 1000 - EPOCH_SECONDS)
-        numbered = (life << COUNT_BITS) | self.expected
-        return (numbered << GIVER_BITS) | self._giver
+        return fencing_numbers.fence(self._counted, giver=self._giver)
 
     def sending(self) -> None:
         """Note that an order is on its way; there is one at a time."""
@@ -343,7 +303,7 @@
 
     def reported(
         self,
-        counted: Counted,
+        counted: fencing_numbers.Counted,
         *,
         busy: bool = False,
         age_seconds: float = 0.0,
@@ -407,8 +367,8 @@
 
     def _listen(
         self,
-        before: Counted | None,
-        counted: Counted,
+        before: fencing_numbers.Counted | None,
+        counted: fencing_numbers.Counted,
         asked_at_seconds: float,
         now_seconds: float,
     ) -> None:
@@ -424,9 +384,6 @@
 
 
 __all__ = [
-    "Counted",
     "Doubt",
-    "GIVER_BITS",
     "OrderTurns",
-    "giver_number",
 ]
--- a/src/boragefold/entry/engine_dialect.py
+++ b/src/boragefold/entry/engine_dialect.py
@@ -6,7 +6,7 @@
 import enum
 from typing import NamedTuple
 
-from boragefold.coordination.fleet import order_turns
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.policy import engine_asks
 from boragefold.state import deployment
 from boragefold.transport import http_client
@@ -15,7 +15,7 @@
 class EngineReport(NamedTuple):
     """What an engine says that it holds and does."""
 
-    counted: order_turns.Counted
+    counted: fencing_numbers.Counted
     held: dict[str, dict[str, int]]
     coming: dict[deployment.AdapterKey, int]
     busy: bool
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -7,11 +7,11 @@
 import sys
 
 from boragefold.coordination.fleet import electorate
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.coordination.fleet import heartbeats
 from boragefold.coordination.fleet import lapses as lapses_module
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import order_leases
-from boragefold.coordination.fleet import order_turns
 from boragefold.coordination.fleet import ownership as ownerships
 from boragefold.coordination.fleet import rate_messages
 from boragefold.coordination.fleet import readers
@@ -324,7 +324,7 @@
             counters=self.counters,
             log=self.log,
             lease_seconds=settings.order_lease_seconds,
-            giver=order_turns.giver_number(
+            giver=fencing_numbers.giver_number(
                 data_centres=settings.data_centres,
                 data_centre=settings.data_centre,
                 address=settings.peer_listen,
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.coordination.fleet import order_turns
 
 LEASE_SECONDS = 3.0
@@ -18,7 +19,7 @@
         self.accepted = []
 
     def counted(self):
-        return order_turns.Counted(self.born, self.orders)
+        return fencing_numbers.Counted(self.born, self.orders)
 
     def take(self, expected, giver, at):
         if expected != self.orders:
@@ -471,7 +472,7 @@
 def test_each_instance_has_a_number_of_its_own() -> None:
     centres = [f"dc-{number:02}" for number in range(29)]
     numbers = {
-        order_turns.giver_number(
+        fencing_numbers.giver_number(
             data_centres=centres,
             data_centre=centre,
             address=f"10.{place}.0.{host}:8000",
@@ -480,4 +481,4 @@
         for host in range(1, 32)
     }
     assert len(numbers) == 29 * 31
-    assert max(numbers) < 2**order_turns.GIVER_BITS
+    assert max(numbers) < 2**fencing_numbers.GIVER_BITS
--- a/tests/fakes/model_engine.py
+++ b/tests/fakes/model_engine.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from boragefold.coordination.fleet import order_turns
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.entry import engine_dialect as dialects
 from boragefold.policy import engine_asks
 from boragefold.state import deployment
@@ -307,7 +307,7 @@
         for key, version in self._held.items():
             held.setdefault(key.model, {})[key.adapter] = version
         report = dialects.EngineReport(
-            counted=order_turns.Counted(0, self.count),
+            counted=fencing_numbers.Counted(0, self.count),
             held=held,
             coming={key: one[1] for key, one in self._coming.items()},
             busy=self._busy(),
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -9,7 +9,7 @@
 from typing import Any
 from typing import NamedTuple
 
-from boragefold.coordination.fleet import order_turns
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.entry import engine_owner
 from boragefold.protocol import ids
 from boragefold.protocol import peer_messages as messages
@@ -133,7 +133,7 @@
             counters=counters.Counters(),
             log=Log(walk=walk, name=self.name),
             lease_seconds=model_engine.LEASE_SECONDS,
-            giver=order_turns.giver_number(
+            giver=fencing_numbers.giver_number(
                 data_centres=[CENTRE], data_centre=CENTRE, address=address
             ),
             leases=leases.voted(
