Keep what is in doubt apart from turns

What an order without an answer explains, and how long it may still arrive, are a job of their own beside whose turn it is. No behaviour changes.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -18,8 +18,8 @@
 from __future__ import annotations
 
 import math
-from typing import NamedTuple
 
+from boragefold.coordination.fleet import doubted_orders
 from boragefold.coordination.fleet import fencing_numbers
 
 # A turn begins only after the count has stood still for so long: in this time
@@ -41,23 +41,12 @@
 # Owners look ten times a second: whoever looked this long ago was paused, and
 # another instance may have begun a turn.
 PAUSED_SECONDS = 1.0
-# An order without an answer may still arrive for so long, and counts as ours
-# in reports. Later a rise of the count is another giver's.
-DOUBT_SECONDS = 1.0
 # What a report says may be this old already when it is asked for.
 REPORT_AGE_SECONDS = 0.4
 # It is this old as a rule.
 REPORT_LAG_SECONDS = 0.15
 
 
-class Doubt(NamedTuple):
-    """An order that had no answer, and may have been accepted."""
-
-    order: str
-    sent_at_seconds: float
-    began_at_seconds: float
-
-
 class OrderTurns:
     """One instance's turns at one engine."""
 
@@ -82,9 +71,8 @@
         self._giver = giver
         self._counted: fencing_numbers.Counted | None = None
         self._certain = False
-        self._doubts: tuple[Doubt, ...] = ()
-        self._explained: tuple[Doubt, ...] = ()
-        self._doubted_at_seconds = -math.inf
+        self._doubted = doubted_orders.DoubtedOrders()
+        self._explained: tuple[doubted_orders.Doubt, ...] = ()
         self._refused_at_seconds = -math.inf
         self._pending = False
         self._pending_of_former_turn = False
@@ -101,9 +89,7 @@
         self._begun = False
         self._certain = False
         self._quiet_since_seconds = None
-        # Another may have owned the engine since. Whoever explained its order
-        # by one of ours that was lost would give the next one between its.
-        self._doubts = ()
+        self._doubted.begin_turn()
         self._pending_of_former_turn = self._pending
 
     def listen_since(self, at_seconds: float) -> None:
@@ -148,15 +134,15 @@
         return self._certain
 
     @property
-    def doubts(self) -> tuple[Doubt, ...]:
-        """List the orders that may have been accepted.
+    def in_doubt_count(self) -> int:
+        """Count the orders of this turn that may have been accepted.
 
-        :return: the orders in doubt, oldest first
+        :return: how many orders
         """
-        return self._doubts
+        return len(self._doubted)
 
     @property
-    def explained(self) -> tuple[Doubt, ...]:
+    def explained(self) -> tuple[doubted_orders.Doubt, ...]:
         """List what the last report's rise of the count was put down to.
 
         :return: orders that were in doubt
@@ -199,18 +185,15 @@
             self.begin()
         self._looked_at_seconds = now_seconds
         free = self._begun and self._certain
-        occupied = self._pending or self._busy or self._may_arrive(now_seconds)
+        occupied = (
+            self._pending
+            or self._busy
+            or self._doubted.may_arrive(now_seconds=now_seconds)
+        )
         return (
             free and not occupied and not self.waits(now_seconds=now_seconds)
         )
 
-    def _may_arrive(self, now_seconds: float) -> bool:
-        # Given once more and counted, an order whose first copy comes late
-        # would be answered without a look at the count: with the fencing
-        # number of then, below those used since.
-        age_seconds = now_seconds - self._doubted_at_seconds
-        return age_seconds < DOUBT_SECONDS
-
     def confirmed(self, *, now_seconds: float) -> bool:
         """Tell whether the engine's count was seen or made just now.
 
@@ -279,10 +262,11 @@
         """
         self._pending = False
         self._certain = False
-        self._doubted_at_seconds = now_seconds
-        if not self._pending_of_former_turn:
-            doubt = Doubt(order, now_seconds - age_seconds, now_seconds)
-            self._doubts = (*self._doubts, doubt)
+        self._doubted.add(
+            doubted_orders.Doubt(order, now_seconds - age_seconds),
+            of_this_turn=not self._pending_of_former_turn,
+            now_seconds=now_seconds,
+        )
 
     def unsent(self) -> None:
         """Note that the order didn't go out."""
@@ -339,25 +323,19 @@
             or before.born_milliseconds != counted.born_milliseconds
         ):
             self._counted = counted
-            self._doubts = ()
-            self._doubted_at_seconds = -math.inf
+            self._doubted.forget()
             return False
-        if now_seconds - self._doubted_at_seconds > DOUBT_SECONDS:
-            self._doubts = ()
+        self._doubted.forget_late(now_seconds=now_seconds)
         ahead = counted.orders - before.orders
         if ahead <= 0 and not knows_last:
             return False
         self._counted = counted
-        foreign = ahead > len(self._doubts)
-        settled = max(0, ahead)
+        foreign = ahead > len(self._doubted)
+        settled = self._doubted.settle(max(0, ahead))
         if foreign:
             self._moved_at_seconds = now_seconds
         else:
-            self._explained = self._doubts[:settled]
-            if settled and not self._doubts[settled:]:
-                # All have arrived.
-                self._doubted_at_seconds = -math.inf
-        self._doubts = self._doubts[settled:]
+            self._explained = settled
         return foreign
 
     def _confirm(self, at_seconds: float) -> None:
@@ -384,6 +362,5 @@
 
 
 __all__ = [
-    "Doubt",
     "OrderTurns",
 ]
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -6,6 +6,7 @@
 import math
 from typing import NamedTuple
 
+from boragefold.coordination.fleet import doubted_orders
 from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_dialect as dialects
@@ -207,7 +208,7 @@
         age_seconds = now_seconds - self._asked_report_at_seconds
         self._told_as_of_seconds = self._asked_report_at_seconds
         believed = self._turns.expected
-        in_doubt = len(self._turns.doubts)
+        in_doubt = self._turns.in_doubt_count
         foreign = self._turns.reported(
             report.counted,
             busy=report.busy,
@@ -291,7 +292,7 @@
                 now_seconds=now_seconds
             ),
             report_age_seconds=now_seconds - self._told_as_of_seconds,
-            in_doubt=len(self._turns.doubts),
+            in_doubt=self._turns.in_doubt_count,
             leased=self._lease.held(now_seconds=now_seconds),
             given_at_seconds=now_seconds,
         )
@@ -396,7 +397,7 @@
 
 
 def _doubts_told(
-    doubts: tuple[order_turns.Doubt, ...], now_seconds: float
+    doubts: tuple[doubted_orders.Doubt, ...], now_seconds: float
 ) -> list[str]:
     return [
         f"{doubt.order}, sent {now_seconds - doubt.sent_at_seconds:.3f} s ago"
