Go on from what was taken out as a hub when no longer one

What callers saw: an instance that had been a hub for less than twenty seconds counted what it had heard of meanwhile once more, and refused callers inside their rate; or it never learned what the others admitted while it became a hub.

Cause: a hub takes others' sums out, and goes on by totals afterwards, from where the next counter's total stood. If that had told it none while it was a hub, this was from before, and everything that came by sums and accounts was in it. What had been heard of twice or not at all depended on which hubs still told it totals.

Evidence: two new tests failed before: what a hub heard and counted isn't heard again; who stood in for a hub learns what it missed.

Why it works: what is taken out as a hub raises the places from which totals go on. So the next total takes out exactly the rest.

--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -24,7 +24,7 @@
     """What a hub said that others admitted, and when it said so last.
 
     ``basis`` is where that stood when a total was taken out last, or what it
-    said first since.
+    said first since, and what was taken out as a hub besides.
     """
 
     at_seconds: float
@@ -126,6 +126,7 @@
         )
         self._sums.add_all(added, now_seconds=now_seconds)
         self._totals.add_all(added, now_seconds=now_seconds)
+        self._raise_bases(added)
 
     def hear_sums(
         self,
@@ -149,7 +150,6 @@
         hub_seconds = now_seconds - self._hub_since_seconds
         if hub_seconds < 0:
             return
-        self._renew_bases()
         added = self._rate.hear(
             f"{hub}/{self._serial}",
             sums,
@@ -157,6 +157,7 @@
             now_seconds=now_seconds,
         )
         self._totals.add_all(added, now_seconds=now_seconds)
+        self._raise_bases(added)
 
     def hear_totals(
         self,
@@ -188,7 +189,7 @@
         before = self._heard_totals.get(hub)
         if before is not None:
             others = {**before.others, **others}
-        basis = others if before is None else before.basis
+        basis = dict(others) if before is None else before.basis
         self._heard_totals[hub] = HeardTotals(now_seconds, others, basis)
         if not is_counter:
             return
@@ -239,10 +240,19 @@
 
     def _renew_bases(self) -> None:
         self._heard_totals = {
-            hub: heard._replace(basis=heard.others)
+            hub: heard._replace(basis=dict(heard.others))
             for hub, heard in self._heard_totals.items()
         }
 
+    def _raise_bases(self, added: Mapping[str, float]) -> None:
+        # Totals hold this as well.
+        for heard in self._heard_totals.values():
+            heard.basis.update(
+                (workspace, heard.basis[workspace] + amount)
+                for workspace, amount in added.items()
+                if workspace in heard.basis
+            )
+
     def _settle(self) -> None:
         # What the former counter hasn't confirmed is given to the next.
         for workspace, amount in self._confirmed.items():
--- a/tests/policy/test_rate_accounts.py
+++ b/tests/policy/test_rate_accounts.py
@@ -58,8 +58,12 @@
             for name in sorted(self.instances):
                 self.admit(name, 1.0)
             self.level_out()
+        self.begin()
+
+    def begin(self):
+        """Count from here on."""
         for instance in self.instances.values():
-            instance.begun = instance.believed()
+            instance.begun += instance.believed()
 
     def start(self, name):
         self.instances[name] = Instance(name)
@@ -72,6 +76,10 @@
         self.hubs.add(name)
         self.counters[name] = ""
 
+    def step_down(self, name):
+        self.hubs.discard(name)
+        self.counters[name] = HUBS[0]
+
     def lose_first_hub(self):
         self.hubs.discard(HUBS[0])
         del self.instances[HUBS[0]]
@@ -165,8 +173,7 @@
     fleet = Fleet()
     fleet.add_hub("one")
     fleet.level_out()
-    fleet.hubs.discard("one")
-    fleet.counters["one"] = HUBS[0]
+    fleet.step_down("one")
     fleet.level_out()
     fleet.admit("two", 10.0)
     fleet.level_out()
@@ -176,6 +183,45 @@
     assert fleet.all_believe(15.0)
 
 
+def test_what_a_hub_heard_isnt_heard_again_when_it_is_none() -> None:
+    # Guards against the next counter's total that goes on from before the
+    # time as a hub, over what was heard of and counted as one.
+    fleet = Fleet()
+    # A hub is believed from its first word on.
+    fleet.add_hub("one")
+    fleet.admit("one", 1.0)
+    fleet.level_out()
+    fleet.step_down("one")
+    fleet.level_out()
+    fleet.begin()
+    fleet.add_hub("one")
+    fleet.level_out()
+    fleet.counters["three"] = "one"
+    for name in OTHERS:
+        fleet.admit(name, 10.0)
+    fleet.level_out()
+    fleet.step_down("one")
+    fleet.counters["three"] = HUBS[0]
+    assert fleet.believed()["one"] == 30.0
+
+
+def test_who_stood_in_for_a_hub_learns_what_it_missed() -> None:
+    # Guards against totals that begin anew after a time as a hub: what the
+    # others admitted before it was told sums would be forgotten.
+    fleet = Fleet()
+    fleet.admit("two", 10.0)
+    for name in (*HUBS, "two", "three"):
+        fleet.tell_account(name)
+    for hub in HUBS:
+        fleet.tell_hubs(hub)
+    fleet.add_hub("one")
+    fleet.level_out()
+    fleet.admit("two", 5.0)
+    fleet.level_out()
+    fleet.step_down("one")
+    assert fleet.all_believe(15.0)
+
+
 def test_what_a_lost_counter_never_got_is_given_to_the_next() -> None:
     # Guards against an account that was sent and passes for one that arrived.
     fleet = Fleet()
