Write the two tellings of a heartbeat once

Hubs and followers were told by two methods of one shape, each of which worked out whose reports we lack; the sums and the totals of rates likewise. No behaviour changes: the tests of the fleet and of rates pass unchanged, style and types are clean.

--- a/src/boragefold/coordination/fleet/heartbeats.py
+++ b/src/boragefold/coordination/fleet/heartbeats.py
@@ -128,9 +128,10 @@
         self._has_followers = bool(followers)
         # After the followers are known: who fell silent is news as well.
         self._passed_version = self._members.news_version
-        self._tell_hubs(own, routes, followers)
+        heartbeat = messages.Heartbeat(own, lacks=self._members.lacks())
+        self._tell_hubs(heartbeat, routes, followers)
         if followers:
-            self._tell_followers(own, routes, followers)
+            self._tell_followers(heartbeat, routes, followers)
 
     def _beat(self) -> None:
         self.beat_now()
@@ -141,13 +142,11 @@
 
     def _tell_hubs(
         self,
-        own: messages.Beat,
+        heartbeat: messages.Heartbeat,
         routes: routes_module.Chosen,
         followers: list[member_module.Member],
     ) -> None:
-        heartbeat = messages.Heartbeat(
-            own,
-            lacks=self._members.lacks(),
+        heartbeat = heartbeat._replace(
             account=self._rates.account(routes),
             sums=self._rates.sums(routes),
             to_hub=True,
@@ -156,32 +155,33 @@
             self._send(routes.targets, heartbeat)
             return
         receivers = [self._members.identity(each) for each in routes.targets]
-        for report, chosen in self._to_hubs.write(
-            followers, receivers, now_seconds=self._timers.now_seconds()
-        ):
-            self._send(
-                (hub.address for hub in chosen),
-                heartbeat._replace(report=report),
-            )
+        self._send_reports(self._to_hubs, followers, receivers, heartbeat)
 
     def _tell_followers(
         self,
-        own: messages.Beat,
+        heartbeat: messages.Heartbeat,
         routes: routes_module.Chosen,
         followers: list[member_module.Member],
     ) -> None:
-        heartbeat = messages.Heartbeat(
-            own,
-            lacks=self._members.lacks(),
-            totals=self._rates.totals(routes),
-        )
-        for report, chosen in self._to_followers.write(
+        self._send_reports(
+            self._to_followers,
             self._members.to_vouch_for(),
             [member.instance for member in followers],
-            now_seconds=self._timers.now_seconds(),
+            heartbeat._replace(totals=self._rates.totals(routes)),
+        )
+
+    def _send_reports(
+        self,
+        writer: reports.ReportWriter,
+        subjects: list[member_module.Member],
+        receivers: list[ids.InstanceId],
+        heartbeat: messages.Heartbeat,
+    ) -> None:
+        for report, chosen in writer.write(
+            subjects, receivers, now_seconds=self._timers.now_seconds()
         ):
             self._send(
-                (follower.address for follower in chosen),
+                (receiver.address for receiver in chosen),
                 heartbeat._replace(report=report),
             )
 
--- a/src/boragefold/coordination/fleet/rate_messages.py
+++ b/src/boragefold/coordination/fleet/rate_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import routes as routes_module
 from boragefold.policy import rate_accounts
@@ -9,6 +11,8 @@
 from boragefold.protocol import peer_messages as messages
 from boragefold.timing import timers as timing
 
+Amounts = dict[str, float]
+
 
 class RateMessages:
     """Brings the accounts of rates into heartbeats and out of them."""
@@ -54,27 +58,21 @@
             statement.counter, statement.serial, _plain(statement.amounts)
         )
 
-    def sums(self, routes: routes_module.Chosen) -> dict[str, float] | None:
+    def sums(self, routes: routes_module.Chosen) -> Amounts | None:
         """State what we count.
 
         :param routes: whom we speak to
         :return: sums by workspace; None from whoever counts none
         """
-        if not routes.counts:
-            return None
-        now_seconds = self._timers.now_seconds()
-        return _plain(self._accounts.sums(now_seconds=now_seconds))
+        return self._told(routes, self._accounts.sums)
 
-    def totals(self, routes: routes_module.Chosen) -> dict[str, float] | None:
+    def totals(self, routes: routes_module.Chosen) -> Amounts | None:
         """State what all hubs count.
 
         :param routes: whom we speak to
         :return: sums by workspace; None from whoever counts none
         """
-        if not routes.counts:
-            return None
-        now_seconds = self._timers.now_seconds()
-        return _plain(self._accounts.totals(now_seconds=now_seconds))
+        return self._told(routes, self._accounts.totals)
 
     def take(
         self, sender: ids.InstanceId, heartbeat: messages.Heartbeat
@@ -128,6 +126,13 @@
             if hub in self._counts_at_seconds
         }
 
+    def _told(
+        self, routes: routes_module.Chosen, tell: Callable[..., Amounts]
+    ) -> Amounts | None:
+        if not routes.counts:
+            return None
+        return _plain(tell(now_seconds=self._timers.now_seconds()))
+
     def _choose_counter(self, routes: routes_module.Chosen) -> str | None:
         if routes.counts:
             return ""
@@ -150,7 +155,7 @@
         return heard_at_seconds is not None and heard_at_seconds >= oldest
 
 
-def _plain(amounts: dict[str, float]) -> dict[str, float]:
+def _plain(amounts: Amounts) -> Amounts:
     # A whole number takes a third of the bytes of a float.
     return {
         workspace: int(amount) if float(amount).is_integer() else amount
