Let what is published move no engine and no hub

What callers saw: nothing. Cause: instances count one version of all that they hear. A publication that a peer has, and a load that it waits for, counted like an owner's end: each instance looked at the claims on all engines ten times a second for over two seconds, and chose its hubs anew. Only owned engines, leaving and what is given up count now, as both depend on nothing else of a heartbeat; who is heard counts as before. News is passed on as before.

The test failed before: the version rose with each publication.

--- a/src/boragefold/coordination/fleet/member.py
+++ b/src/boragefold/coordination/fleet/member.py
@@ -85,6 +85,16 @@
     return engines, beat.leaving, beat.avoids, beat.told
 
 
+def claims_of(beat: messages.Beat) -> tuple[object, ...]:
+    """Pick out what decides who owns engines and who is a hub.
+
+    :param beat: what an instance tells of itself
+    :return: engines it owns, whether it leaves, and what it gives up
+    """
+    names = tuple(engine.name for engine in beat.engines)
+    return names, beat.leaving, beat.avoids
+
+
 def candidate_of(member: Member) -> hubs.Candidate:
     """Describe an instance as a possible hub.
 
@@ -102,5 +112,6 @@
 __all__ = [
     "Member",
     "candidate_of",
+    "claims_of",
     "news_of",
 ]
--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -361,8 +361,9 @@
         self.awaited.heard(sender.address)
         if beat is None:
             return
+        before = member.beat
         if told_parts.take_beat(member, beat, now_seconds=now_seconds):
-            self._note_change()
+            self._note_change(before, member)
         if sender.address not in self._reachable:
             self._valid_until_seconds = -math.inf
         for callback in self._on_beat:
@@ -417,12 +418,22 @@
         ):
             return
         self._renew(member, instance)
+        before = member.beat
         if told_parts.take_told(member, told, now_seconds=now_seconds):
-            self._note_change()
+            self._note_change(before, member)
 
-    def _note_change(self) -> None:
+    def _note_change(
+        self, before: messages.Beat | None, member: member_module.Member
+    ) -> None:
         self.news_version += 1
-        self.version += 1
+        # Most news is of what was published, which moves no engine and no hub.
+        if (
+            before is None
+            or member.beat is None
+            or member_module.claims_of(before)
+            != member_module.claims_of(member.beat)
+        ):
+            self.version += 1
 
     def _renew(
         self, member: member_module.Member, instance: ids.InstanceId
--- a/tests/coordination/fleet/test_hundreds.py
+++ b/tests/coordination/fleet/test_hundreds.py
@@ -121,6 +121,21 @@
     )
 
 
+def test_what_is_published_moves_no_engine_and_no_hub() -> None:
+    # Each publication had every instance look at all owners ten times a
+    # second, for seconds.
+    fleet = settled(FEW)
+    for instance in fleet.instances.values():
+        instance.behind = True
+    instances = fleet.instances.values()
+    before = [instance.members.version for instance in instances]
+    item = published_items.Item("op/config", 9, b"new")
+    fleet.instances[fleet.addresses[7]].items.take([item], revision=9)
+    fleet.run(1.0)
+    assert {instance.items.revision for instance in instances} == {9}
+    assert [instance.members.version for instance in instances] == before
+
+
 def test_hundreds_notice_losses_and_news_at_once() -> None:
     fleet = settled(MANY)
     assert one_owner_each(fleet)
