Remove the sums of a rate that only tests asked for

What an instance admitted is told by its accounts; the recent sums of the rate itself were read by its tests alone. These now read what was admitted, as the accounts do: the expected values are the same. Giving back needs no time any more. No behaviour changes: the tests of the policies, the walk of rates and the gateway's tests pass.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -339,11 +339,7 @@
         attempt = self._attempt
         unused = attempt is None or attempt.rejected
         if workspace is not None and unused:
-            self.shared.rate.give_back(
-                workspace.name,
-                self.admitted.charged,
-                now_seconds=self.shared.timers.now_seconds(),
-            )
+            self.shared.rate.give_back(workspace.name, self.admitted.charged)
 
 
 __all__ = [
--- a/src/boragefold/policy/shared_rate.py
+++ b/src/boragefold/policy/shared_rate.py
@@ -20,7 +20,6 @@
 import math
 from typing import NamedTuple
 
-from boragefold.policy import recent_sums
 from boragefold.state import deployment
 
 # The callers of an ended instance are served by the others.
@@ -71,7 +70,7 @@
     def __init__(self, *, tolerance: Tolerance | None = None) -> None:
         self.tolerance = tolerance or Tolerance()
         self._buckets: dict[str, Bucket] = {}
-        self._used = recent_sums.RecentSums()
+        self._admitted: dict[str, float] = {}
         self._heard: dict[str, dict[str, float]] = {}
         self._heard_fresh: set[str] = set()
         self._heard_at_seconds: dict[str, float] = {}
@@ -82,7 +81,7 @@
 
         :return: tokens or requests, by workspace
         """
-        return self._used.amounts
+        return self._admitted
 
     def level(self, workspace: str) -> float:
         """Tell what a workspace may still be given.
@@ -92,14 +91,6 @@
         """
         return self._buckets[workspace].level
 
-    def used(self, *, now_seconds: float) -> dict[str, float]:
-        """Tell what this instance has admitted to those that sent lately.
-
-        :param now_seconds: reading of the process clock
-        :return: tokens or requests since the start, by workspace
-        """
-        return self._used.recent(now_seconds=now_seconds)
-
     def hear(
         self,
         source: str,
@@ -168,21 +159,18 @@
             wait_seconds = (need - bucket.level) / max(rate, 1e-9)
             return max(MIN_RETRY_AFTER_SECONDS, wait_seconds)
         bucket.level -= amount
-        self._used.add(workspace.name, amount, now_seconds=now_seconds)
+        self._count(workspace.name, amount)
         return None
 
-    def give_back(
-        self, workspace: str, amount: float, *, now_seconds: float
-    ) -> None:
+    def give_back(self, workspace: str, amount: float) -> None:
         """Return what was admitted and never ran.
 
         :param workspace: whose
         :param amount: as admitted
-        :param now_seconds: reading of the process clock
         """
         if (bucket := self._buckets.get(workspace)) is not None:
             bucket.level += amount
-            self._used.add(workspace, -amount, now_seconds=now_seconds)
+            self._count(workspace, -amount)
 
     def forget(self, *, now_seconds: float) -> None:
         """Drop the counts that were not heard of for long.
@@ -198,6 +186,10 @@
             del self._heard[source], self._heard_at_seconds[source]
             self._heard_fresh.discard(source)
 
+    def _count(self, workspace: str, amount: float) -> None:
+        before = self._admitted.get(workspace, 0.0)
+        self._admitted[workspace] = before + amount
+
     def _fill(
         self,
         workspace: deployment.Workspace,
--- a/tests/policy/test_shared_rate.py
+++ b/tests/policy/test_shared_rate.py
@@ -63,7 +63,7 @@
                 if one != other and self.sides[one] == self.sides[other]:
                     rate.hear(
                         str(one),
-                        sender.used(now_seconds=self.now),
+                        sender.admitted,
                         fresh=self.now < 1.0,
                         now_seconds=self.now,
                     )
@@ -139,9 +139,9 @@
 def test_what_never_ran_is_given_back() -> None:
     fleet = Instances(1)
     fleet.offer(1_000.0)
-    fleet.rates[0].give_back("press", 1_000.0, now_seconds=0.0)
+    fleet.rates[0].give_back("press", 1_000.0)
     assert fleet.offer(1_000.0) is None
-    assert fleet.rates[0].used(now_seconds=0.0) == {"press": 1_000.0}
+    assert fleet.rates[0].admitted == {"press": 1_000.0}
 
 
 def test_a_restarted_instance_is_not_charged_for_its_past() -> None:
