Move the places that reports show into a module of their own

What an engine reports says which adapters hold places, whatever was ordered and wanted. No behaviour changes: the tests of the policies and the walks of orders pass unchanged, known failures aside; style and types are clean.

--- a/src/boragefold/policy/engine_places.py
+++ b/src/boragefold/policy/engine_places.py
@@ -13,11 +13,11 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import itertools
 
 import xxhash
 
+from boragefold.policy import adapter_places
 from boragefold.policy import engine_asks
 from boragefold.policy import load_times
 from boragefold.policy import popularity
@@ -33,26 +33,6 @@
 ORDER_PAUSE_SECONDS = 0.1
 
 
-@dataclasses.dataclass(kw_only=True)
-class Place:
-    """An adapter's place at an engine.
-
-    ``confirmed`` once a report or an answer showed that the adapter is there,
-    ``warm`` while it is taken to come from the engine's own memory.
-    ``count`` is the engine's count of orders after the load. While it
-    ``replaces`` an older version, the engine may hold both.
-    """
-
-    version: int
-    ready_at_seconds: float
-    count: int = 0
-    confirmed: bool = False
-    running: int = 0
-    leaving: bool = False
-    warm: bool = False
-    replaces: bool = False
-
-
 class Places:
     """The models and adapters of one engine."""
 
@@ -81,7 +61,7 @@
         self._engine = engine
         self._newest = newest
         self._models: dict[str, float] = {}
-        self._places: dict[AdapterKey, Place] = {}
+        self._places: dict[AdapterKey, adapter_places.Place] = {}
         self._popularity = popularity.Popularity()
         self._model_seconds = {
             model.name: model.load_seconds for model in engine.models
@@ -292,7 +272,7 @@
             )
             # The requests of an older version go on beside the newer one.
             before = self._places.get(key)
-            self._places[key] = Place(
+            self._places[key] = adapter_places.Place(
                 version=order.version,
                 ready_at_seconds=now_seconds + load_seconds,
                 count=count,
@@ -381,16 +361,9 @@
             when it is done
         """
         self._busy = busy
-        present = _flat(held)
-        before = self._places
-        self._places = {}
-        for key, version in {**present, **coming}.items():
-            place = before.get(key)
-            if place is None or place.version not in (0, version):
-                place = self._learned(place, version, now_seconds)
-            place.confirmed = key not in coming
-            place.replaces = key in coming and key in present
-            self._places[key] = place
+        self._places = adapter_places.learned(
+            self._places, held, coming, now_seconds=now_seconds
+        )
         self._models = {
             model: ready_at_seconds
             for model, ready_at_seconds in self._models.items()
@@ -405,12 +378,7 @@
         :param held: versions by adapter by model
         :param count: how many orders the engine had accepted
         """
-        present = _flat(held)
-        for key, place in self._places.items():
-            seen = place.version in (0, present.get(key, -1))
-            if place.count <= count and key in present and seen:
-                place.confirmed = True
-                place.replaces = False
+        adapter_places.confirm_former(self._places, held, count=count)
 
     def dues(self, *, now_seconds: float) -> Iterator[float]:
         """List when something that is on its way should be there.
@@ -425,15 +393,6 @@
         )
         return (due for due in expected if due > now_seconds)
 
-    def _learned(
-        self, before: Place | None, version: int, ready_at_seconds: float
-    ) -> Place:
-        return Place(
-            version=version,
-            ready_at_seconds=ready_at_seconds,
-            running=0 if before is None else before.running,
-        )
-
     def _order_for(
         self,
         key: AdapterKey,
@@ -524,17 +483,6 @@
         )
 
 
-def _flat(
-    held: Mapping[str, Mapping[str, int]],
-) -> dict[AdapterKey, int]:
-    return {
-        AdapterKey(model, adapter): version
-        for model, adapters in held.items()
-        for adapter, version in adapters.items()
-    }
-
-
 __all__ = [
-    "Place",
     "Places",
 ]
