Move the requests that run on an engine out of its schedule

What runs, the room that it leaves and what its starts and ends teach stand by themselves; the schedule keeps who waits and who is next.

--- /dev/null
+++ b/src/boragefold/policy/engine_runs.py
@@ -0,0 +1,158 @@
+"""The requests that run on one engine, and the room that they leave."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import math
+
+from boragefold.policy import engine_asks
+from boragefold.policy import engine_pace
+from boragefold.policy import engine_requests
+from boragefold.policy import prompt_spacing
+from boragefold.state import deployment
+
+# Part of the memory for prompts that grants may fill. Beyond it the engine
+# preempts running answers and reads their prompts anew.
+MEMORY_SHARE = 0.9
+# A grant whose start nobody reported by then has started or was lost.
+START_REPORT_SECONDS = 3.0
+
+
+class EngineRuns:
+    """What was granted at one engine and has not ended."""
+
+    def __init__(
+        self, *, engine: deployment.Engine, pace: engine_pace.EnginePace
+    ) -> None:
+        """Begin with nothing granted.
+
+        :param engine: what it has room for
+        :param pace: learns from starts and ends
+        """
+        self._engine = engine
+        self._pace = pace
+        self._runs: dict[str, engine_requests.Run] = {}
+        self._started_at_seconds = -math.inf
+        self._spacing = prompt_spacing.PromptSpacing(pace=pace)
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def asks(self) -> Iterator[engine_asks.Ask]:
+        """List what runs.
+
+        :return: the requests
+        """
+        return (run.ask for run in self._runs.values())
+
+    def find(self, request_id: str) -> engine_asks.Ask | None:
+        """Find a request that runs.
+
+        :param request_id: which
+        :return: the request; None when it doesn't run
+        """
+        run = self._runs.get(request_id)
+        return None if run is None else run.ask
+
+    def begin(self, ask: engine_asks.Ask, *, now_seconds: float) -> None:
+        """Note that a request was granted.
+
+        :param ask: the request
+        :param now_seconds: reading of the process clock
+        """
+        self._spacing.gave(
+            ask.prompt_tokens, reads=self.unstarted().number > 0
+        )
+        self._runs[ask.request_id] = engine_requests.Run(
+            ask=ask,
+            granted_at_seconds=now_seconds,
+        )
+
+    def end(
+        self, request_id: str, *, now_seconds: float
+    ) -> engine_asks.Ask | None:
+        """Note that a request has ended.
+
+        :param request_id: which
+        :param now_seconds: reading of the process clock
+        :return: the request; None when it didn't run
+        """
+        run = self._runs.pop(request_id, None)
+        if run is None:
+            return None
+        self._pace.ended(now_seconds - run.granted_at_seconds)
+        return run.ask
+
+    def started(
+        self, request_id: str, *, now_seconds: float
+    ) -> engine_asks.Ask | None:
+        """Note the first event of an answer.
+
+        :param request_id: whose
+        :param now_seconds: reading of the process clock
+        :return: the request; None when that was known, or it doesn't run
+        """
+        run = self._runs.get(request_id)
+        if run is None or run.started:
+            return None
+        run.started = True
+        # It was read since the one before it had been.
+        since_seconds = max(run.granted_at_seconds, self._started_at_seconds)
+        self._started_at_seconds = now_seconds
+        self._pace.started(run.ask.prompt_tokens, now_seconds - since_seconds)
+        return run.ask
+
+    def unstarted(self) -> engine_requests.Prompts:
+        """Add up the prompts that the engine has not read yet.
+
+        :return: their number and tokens
+        """
+        return engine_requests.prompts_of(
+            run.ask for run in self._runs.values() if not run.started
+        )
+
+    def has_room(self, ask: engine_asks.Ask) -> bool:
+        """Tell whether a request could run beside those that do.
+
+        :param ask: the request
+        :return: whether slots, memory and the answers under way allow it
+        """
+        if len(self._runs) >= self._engine.slots:
+            return False
+        if self.unstarted().number and self._stalls_answers(ask):
+            return False
+        used = sum(each.total_tokens for each in self.asks())
+        bound = MEMORY_SHARE * self._engine.kv_tokens
+        return not used or used + ask.total_tokens <= bound
+
+    def take_for_started(self, *, now_seconds: float) -> None:
+        """Give up the reports of starts that are long overdue.
+
+        :param now_seconds: reading of the process clock
+        """
+        for run in self._runs.values():
+            if now_seconds - run.granted_at_seconds > START_REPORT_SECONDS:
+                run.started = True
+
+    def overdue(self, *, now_seconds: float) -> list[str]:
+        """List the requests that must have ended.
+
+        :param now_seconds: reading of the process clock
+        :return: their ids
+        """
+        return [
+            ask.request_id
+            for ask in self.asks()
+            if now_seconds > ask.ends_by_seconds
+        ]
+
+    def _stalls_answers(self, ask: engine_asks.Ask) -> bool:
+        return not self._spacing.allows(
+            ask.prompt_tokens,
+            (each.event_gap_seconds for each in (ask, *self.asks())),
+        )
+
+
+__all__ = [
+    "EngineRuns",
+]
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -17,13 +17,12 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import itertools
-import math
 
 from boragefold.policy import engine_asks
 from boragefold.policy import engine_pace
 from boragefold.policy import engine_places
 from boragefold.policy import engine_requests
-from boragefold.policy import prompt_spacing
+from boragefold.policy import engine_runs
 from boragefold.state import deployment
 
 AdapterKey = deployment.AdapterKey
@@ -32,11 +31,6 @@
 Prompts = engine_requests.Prompts
 Waiting = engine_requests.Waiting
 
-# Part of the memory for prompts that grants may fill. Beyond it the engine
-# preempts running answers and reads their prompts anew.
-MEMORY_SHARE = 0.9
-# A grant whose start nobody reported by then has started or was lost.
-START_REPORT_SECONDS = 3.0
 # Part of a caller's patience that the wait for a start may use up; the rest
 # is for the answer.
 START_PATIENCE_SHARE = 0.8
@@ -63,11 +57,9 @@
         # How long a request waits before an order is given for it.
         self.order_delay_seconds = 0.0
         self._queue: dict[str, Waiting] = {}
-        self._runs: dict[str, engine_requests.Run] = {}
         self._arrivals = itertools.count()
         self._pace = engine_pace.EnginePace()
-        self._started_at_seconds = -math.inf
-        self._spacing = prompt_spacing.PromptSpacing(pace=self._pace)
+        self._runs = engine_runs.EngineRuns(engine=engine, pace=self._pace)
 
     @property
     def running(self) -> int:
@@ -93,7 +85,7 @@
         return {
             "queued": len(self._queue),
             "running": len(self._runs),
-            "unstarted_tokens": self._unstarted().tokens,
+            "unstarted_tokens": self._runs.unstarted().tokens,
             "fixed_seconds": round(self._pace.fixed_seconds, 3),
             "tokens_per_second": round(self._pace.tokens_per_second),
             "backlog_seconds": round(self.backlog_seconds(), 3),
@@ -113,7 +105,7 @@
         soon = self._soon_placed()
         waiting = (ask for ask in self._asks() if ask.needs in soon)
         return self._reading_seconds(
-            self._unstarted(), engine_requests.prompts_of(waiting)
+            self._runs.unstarted(), engine_requests.prompts_of(waiting)
         )
 
     def place_wait_seconds(self) -> float:
@@ -158,11 +150,11 @@
         :param request_id: which
         :return: the grant; None when it waits or is unknown
         """
-        run = self._runs.get(request_id)
-        if run is None:
+        ask = self._runs.find(request_id)
+        if ask is None:
             return None
-        version = self.places.version(run.ask.needs)
-        return engine_asks.Grant(ask=run.ask, version=version)
+        version = self.places.version(ask.needs)
+        return engine_asks.Grant(ask=ask, version=version)
 
     def withdraw(self, request_id: str, *, now_seconds: float) -> None:
         """Forget a request that has ended, or whose caller has gone.
@@ -171,11 +163,9 @@
         :param now_seconds: reading of the process clock
         """
         self._queue.pop(request_id, None)
-        run = self._runs.pop(request_id, None)
-        if run is None:
-            return
-        self.places.leave(run.ask.needs, now_seconds=now_seconds)
-        self._pace.ended(now_seconds - run.granted_at_seconds)
+        ask = self._runs.end(request_id, now_seconds=now_seconds)
+        if ask is not None:
+            self.places.leave(ask.needs, now_seconds=now_seconds)
 
     def withdraw_where(
         self, gone: Callable[[Ask], bool], *, now_seconds: float
@@ -188,7 +178,7 @@
         """
         asks = [
             *self._asks(),
-            *(run.ask for run in self._runs.values()),
+            *self._runs.asks(),
         ]
         lost = list(filter(gone, asks))
         for ask in lost:
@@ -201,15 +191,9 @@
         :param request_id: whose
         :param now_seconds: reading of the process clock
         """
-        run = self._runs.get(request_id)
-        if run is None or run.started:
-            return
-        run.started = True
-        self.places.confirm(run.ask.needs)
-        # It was read since the one before it had been.
-        since_seconds = max(run.granted_at_seconds, self._started_at_seconds)
-        self._started_at_seconds = now_seconds
-        self._pace.started(run.ask.prompt_tokens, now_seconds - since_seconds)
+        ask = self._runs.started(request_id, now_seconds=now_seconds)
+        if ask is not None:
+            self.places.confirm(ask.needs)
 
     def advance(self, *, now_seconds: float) -> list[Action]:
         """Decide what to do now; call it after each event and when due.
@@ -230,7 +214,7 @@
         for ask in ready:
             # One that doesn't fit holds those behind it back: passed over by
             # every shorter one, a long prompt would never be read.
-            if not self._has_room(ask):
+            if not self._runs.has_room(ask):
                 break
             actions.append(self._grant(ask, now_seconds))
         order = self._next_order(in_turn, now_seconds)
@@ -361,7 +345,7 @@
             and self._urgency(other, now_seconds) < urgency
         )
         wait_seconds = self._reading_seconds(
-            self._unstarted(), engine_requests.prompts_of(before)
+            self._runs.unstarted(), engine_requests.prompts_of(before)
         )
         needs = waiting.ask.needs
         place_seconds = self.places.until_ready_seconds(
@@ -391,7 +375,7 @@
     ) -> Iterator[engine_asks.TurnAway]:
         # Others that are more urgent came since. Whoever can't start any more
         # before it gives up is told now, while it can still go elsewhere.
-        reading_seconds = self._reading_seconds(self._unstarted())
+        reading_seconds = self._reading_seconds(self._runs.unstarted())
         unplaced: set[AdapterKey] = set()
         for waiting in in_turn:
             ask = waiting.ask
@@ -429,37 +413,11 @@
 
     def _grant(self, ask: Ask, now_seconds: float) -> engine_asks.Grant:
         waits = self._queue.pop(ask.request_id).waits(now_seconds)
-        self._spacing.gave(
-            ask.prompt_tokens, reads=self._unstarted().number > 0
-        )
-        self._runs[ask.request_id] = engine_requests.Run(
-            ask=ask,
-            granted_at_seconds=now_seconds,
-        )
+        self._runs.begin(ask, now_seconds=now_seconds)
         self.places.enter(ask.needs, now_seconds=now_seconds)
         version = self.places.version(ask.needs)
         return engine_asks.Grant(ask=ask, version=version, waits=waits)
 
-    def _has_room(self, ask: Ask) -> bool:
-        if len(self._runs) >= self.engine.slots:
-            return False
-        if self._unstarted().number and self._stalls_answers(ask):
-            return False
-        used = sum(run.ask.total_tokens for run in self._runs.values())
-        bound = MEMORY_SHARE * self.engine.kv_tokens
-        return not used or used + ask.total_tokens <= bound
-
-    def _stalls_answers(self, ask: Ask) -> bool:
-        asks = (ask, *(run.ask for run in self._runs.values()))
-        return not self._spacing.allows(
-            ask.prompt_tokens, (each.event_gap_seconds for each in asks)
-        )
-
-    def _unstarted(self) -> Prompts:
-        return engine_requests.prompts_of(
-            run.ask for run in self._runs.values() if not run.started
-        )
-
     def _reading_seconds(self, *parts: Prompts) -> float:
         return self._pace.reading_seconds(
             sum(part.tokens for part in parts),
@@ -495,11 +453,9 @@
     def _forget_unreported(self, now_seconds: float) -> None:
         # The report of a start or an end may be lost with its message or its
         # sender. Kept for ever, it would take the engine's room away.
-        for run in list(self._runs.values()):
-            if now_seconds - run.granted_at_seconds > START_REPORT_SECONDS:
-                run.started = True
-            if now_seconds > run.ask.ends_by_seconds:
-                self.withdraw(run.ask.request_id, now_seconds=now_seconds)
+        self._runs.take_for_started(now_seconds=now_seconds)
+        for request_id in self._runs.overdue(now_seconds=now_seconds):
+            self.withdraw(request_id, now_seconds=now_seconds)
 
 
 def _too_long(ask: Ask, excess_seconds: float) -> engine_asks.TurnAway:
