Take what surrounds owners of engines out of the walk of one engine

The way of calls to an engine, the requests that owners let run and the log stand in a module of their own, so that a walk of a whole fleet can use them.

--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterator
-import itertools
-import random
 from typing import Any
 from typing import NamedTuple
 
 from boragefold.coordination.fleet import fencing_numbers
 from boragefold.entry import engine_owner
 from boragefold.protocol import ids
-from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 from boragefold.telemetry import counters
-from boragefold.transport import http_client
 from tests.fakes import engine_loads
+from tests.fakes import engine_world
 from tests.fakes import gateways
 from tests.fakes import leases
 from tests.fakes import model_engine
@@ -27,14 +23,8 @@
 START_SECONDS = 100.0
 END_SECONDS = 14.0
 LOOK_SECONDS = 0.1
-CONNECT_SECONDS = (0.0005, 0.004)
-TRAVEL_SECONDS = (0.0005, 0.004)
-# An order whose answer doesn't come may still arrive.
-LATE_SECONDS = (0.05, 0.9)
-TIMEOUT_SECONDS = 0.5
 # The store tells of an engine's new life after so long.
 RECORD_SECONDS = 0.7
-FIRST_EVENT_SECONDS = 0.05
 ADAPTERS = 9
 ADAPTER_WEIGHTS = [1 / (rank + 1) for rank in range(ADAPTERS)]
 
@@ -53,46 +43,6 @@
     adapter: str = ""
 
 
-class Connected(NamedTuple):
-    """The connection of a call is open."""
-
-    exchange: Exchange
-
-
-class Answered(NamedTuple):
-    """The answer to a call; ``status`` None where it was reset."""
-
-    exchange: Exchange
-    status: int | None
-    body: bytes
-
-
-class Exchange:
-    """One call and whoever waits for its answer."""
-
-    def __init__(
-        self,
-        *,
-        call: plain_dialect.OrderCall | None,
-        sink: http_client.AnswerSink,
-    ) -> None:
-        self.call = call
-        self.sink = sink
-        self.sent = False
-        self.over = False
-
-
-class Log:
-    """Keeps what an instance logs, for whoever looks at one schedule."""
-
-    def __init__(self, *, walk: OrderWalk, name: str) -> None:
-        self._walk = walk
-        self._name = name
-
-    def write(self, event: str, **fields: object) -> None:
-        self._walk.log.append((self._walk.now(), self._name, event, fields))
-
-
 class Deployment:
     """What owners ask of the published deployment."""
 
@@ -121,17 +71,17 @@
         address = f"10.0.0.{number + 1}:7000"
         self.node = walk.network.start(CENTRE, address)
         self.claims = False
-        handlers = self.node.link.handlers
-        handlers[Connected] = lambda _, body: self._connected(body.exchange)
-        handlers[Answered] = lambda _, body: self._answered(body)
+        log = engine_world.Log(world=walk, name=self.name)
         self.owner = engine_owner.EngineOwner(
             link=self.node.link,
             fleet=Deployment(),
             dialect=walk.dialect,
-            client=self,
+            client=engine_world.Calls(
+                world=walk, node=self.node, number=number, name=self.name
+            ),
             timers=self.node.timers,
             counters=counters.Counters(),
-            log=Log(walk=walk, name=self.name),
+            log=log,
             lease_seconds=model_engine.LEASE_SECONDS,
             giver=fencing_numbers.giver_number(
                 data_centres=[CENTRE], data_centre=CENTRE, address=address
@@ -140,7 +90,7 @@
                 self.node,
                 walk.voters,
                 rng=walk.random,
-                log=Log(walk=walk, name=self.name),
+                log=log,
                 started_before_seconds=started_before_seconds,
             ),
             loads_elsewhere=lambda: 0,
@@ -153,90 +103,24 @@
             callback=self._look,
         )
 
-    def send(self, call: Any, sink: http_client.AnswerSink) -> None:
-        exchange = Exchange(call=call, sink=sink)
-        self.walk.later(
-            self.walk.random.uniform(*CONNECT_SECONDS),
-            lambda: self._receive(Connected(exchange)),
-        )
-        self.node.timers.once(
-            delay_seconds=TIMEOUT_SECONDS,
-            callback=lambda: self._fail(exchange, "timeout"),
-        )
-
     def _look(self) -> None:
         self.owner.hold([self.walk.record] if self.claims else [])
 
-    def _receive(self, body: Any) -> None:
-        if not self.node.dead:
-            self.node.receive(self.node.self_id, body)
-
-    def _connected(self, exchange: Exchange) -> None:
-        if exchange.over:
-            return
-        if exchange.call is not None and not exchange.call.may_send():
-            self._fail(exchange, "right_ended")
-            return
-        exchange.sent = True
-        self.walk.travel(
-            self.number,
-            lambda: self._arrived(exchange),
-            late=exchange.call is not None,
-        )
-
-    def _arrived(self, exchange: Exchange) -> None:
-        status, body = self.walk.engine_answer(exchange.call, self.name)
-        self.walk.travel(
-            self.number,
-            lambda: self._receive(Answered(exchange, status, body)),
-            late=False,
-        )
-
-    def _answered(self, answer: Answered) -> None:
-        exchange = answer.exchange
-        if exchange.over:
-            return
-        if answer.status is None:
-            self._fail(exchange, "reset")
-            return
-        exchange.over = True
-        exchange.sink.head(answer.status, {})
-        exchange.sink.data(answer.body)
-        exchange.sink.end()
-
-    def _fail(self, exchange: Exchange, reason: str) -> None:
-        if exchange.over:
-            return
-        exchange.over = True
-        failure = http_client.Failure(
-            reason=reason, may_have_arrived=exchange.sent
-        )
-        exchange.sink.failed(failure)
-
 
-class OrderWalk:
+class OrderWalk(engine_world.World):
     """Plays one schedule; all chances come from one seed."""
 
     def __init__(
         self, *, seed: int, steps: list[Step], instances: int = 3
     ) -> None:
-        self.random = random.Random(seed)
-        self.network = networks.Network(seed=seed)
-        self.network.clock.move_to(START_SECONDS)
+        super().__init__(seed=seed, start_seconds=START_SECONDS)
         self.dialect = plain_dialect.Dialect()
-        self.log: list[tuple[float, str, str, dict[str, object]]] = []
         self.engine = model_engine.ModelEngine(
             clock=self.network.clock,
             seed=seed,
             models=(engine_loads.MODEL,),
         )
         self.record = gateways.ENGINES[0]
-        self._world = self.network.start(CENTRE, "10.0.1.1:1")
-        self._asker = self.network.start(CENTRE, "10.0.1.2:1")
-        self._asker.link.subscribe(messages.EngineGrant, self._run)
-        self._asks = itertools.count()
-        self._run_seconds: dict[str, tuple[str, float]] = {}
-        self._bad_until_seconds: dict[int, float] = {}
         self._cut_until_seconds: dict[str, float] = {}
         self.network.is_cut = self._is_cut
         self._instances = [
@@ -254,13 +138,6 @@
         self.network.run_for(END_SECONDS)
         return self.engine.breaches()
 
-    def now(self) -> float:
-        """Read the clock.
-
-        :return: seconds since the start of the schedule
-        """
-        return self.network.clock.now_seconds() - START_SECONDS
-
     def voters(self) -> list[ids.InstanceId]:
         """List who votes for owners of the engine.
 
@@ -268,50 +145,13 @@
         """
         return [instance.node.self_id for instance in self._instances]
 
-    def later(self, delay_seconds: float, callback: Callable[[], None]):
-        """Let something happen outside all processes.
-
-        :param delay_seconds: when
-        :param callback: what
-        """
-        self._world.timers.once(delay_seconds=delay_seconds, callback=callback)
-
-    def travel(
-        self, number: int, arrive: Callable[[], None], *, late: bool
-    ) -> None:
-        """Carry a call or an answer.
-
-        :param number: whose
-        :param arrive: called unless it is lost
-        :param late: whether on a bad network it may come late
-        """
-        delay_seconds = self.random.uniform(*TRAVEL_SECONDS)
-        if self._bad_until_seconds.get(number, 0.0) > self.now():
-            draw = self.random.random()
-            if draw < 0.3:
-                return
-            if draw < 0.6 and late:
-                delay_seconds = self.random.uniform(*LATE_SECONDS)
-        self.later(delay_seconds, arrive)
+    def engine_of(self, name: str) -> model_engine.ModelEngine:
+        return self.engine
 
     def engine_answer(
         self, call: plain_dialect.OrderCall | None, giver: str
     ) -> tuple[int | None, bytes]:
-        """Let the engine answer a call.
-
-        :param call: an order; None asks for a report
-        :param giver: the instance
-        :return: status and body
-        """
-        if call is None:
-            report = self.engine.report()
-            if report is None:
-                return None, b""
-            return model_engine.OK, self.dialect.write_report(report)
-        status = self.engine.order(
-            call.order, giver=giver, fence=call.fence, expected=call.expected
-        )
-        return status, b""
+        return engine_world.answer(self.engine, self.dialect, call, giver)
 
     def _take(self, step: Step) -> None:
         getattr(self, f"_{step.kind}")(step)
@@ -373,40 +213,10 @@
     def _ask(self, step: Step) -> None:
         owners = [one for one in self._instances if one.claims]
         if owners:
-            self._ask_one(self.random.choice(owners), step)
-
-    def _ask_one(self, instance: Instance, step: Step) -> None:
-        request_id = f"r{next(self._asks)}"
-        self._run_seconds[request_id] = (step.adapter, step.seconds)
-        ask = messages.EngineAsk(
-            request_id=request_id,
-            engine=self.record.name,
-            model=engine_loads.MODEL,
-            adapter=step.adapter,
-            prompt_tokens=200,
-            output_tokens=50,
-            priority=0,
-            on_time_in_seconds=1.0,
-            give_up_in_seconds=4.0,
-            ends_in_seconds=6.0,
-        )
-        self._asker.link.send(to=instance.node.self_id, body=ask)
-
-    def _run(self, owner: Any, grant: messages.EngineGrant) -> None:
-        adapter, seconds = self._run_seconds[grant.request_id]
-        key = deployment.AdapterKey(engine_loads.MODEL, adapter)
-        runs = self.engine.run(key, seconds=seconds)
-        if runs:
-            started = messages.RunStarted(grant.request_id, grant.engine)
-            self._tell(owner, started, min(seconds, FIRST_EVENT_SECONDS))
-        ended = messages.RunEnded(grant.request_id, grant.engine, not runs)
-        self._tell(owner, ended, seconds if runs else 0.0)
-
-    def _tell(self, owner: Any, body: Any, delay_seconds: float) -> None:
-        self.later(
-            delay_seconds,
-            lambda: self._asker.link.send(to=owner, body=body),
-        )
+            owner = self.random.choice(owners).node.self_id
+            self.ask(
+                owner, self.record.name, step.adapter, run_seconds=step.seconds
+            )
 
 
 __all__ = [
