Play whole fleets and their engines in virtual time

Callers saw two instances that couldn't hear each other give one engine orders. The walks up to now play the owners of one engine with a fixed list of voters, so nothing showed whether instances that find each other, share engines out and vote by what they hear keep the rule, nor how long an engine waits for orders.

Several instances in two or three data centres run the real members, heartbeats, ownership, voters, leases and owners against an engine for each data centre. Schedules cut off instances, pairs, one way or a data centre, also for long; pause, kill with and without restart, let instances leave and join, and lose messages. Callers ask every instance that takes itself for the owner.

--- /dev/null
+++ b/tests/entry/test_fleet_walk.py
@@ -0,0 +1,109 @@
+"""Schedules of whole fleets, judged by the engines' records of orders."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from tests.fakes import fleet_plans
+from tests.fakes import fleet_walk
+
+Fault = fleet_walk.Fault
+
+SEEDS = 2
+# They take as long as four others.
+SEEDS_OF_LONG_CUTS = 1
+THREE_CENTRES = {"dc-a": 3, "dc-b": 2, "dc-c": 1}
+# A cut or a kill is noticed, and a lease of another owner has passed.
+GOES_ON_SECONDS = 6.0
+# For how long the votes of the lost are waited for.
+BOUNDED_SECONDS = 20.0
+
+
+def addresses(centre, centres):
+    return tuple(fleet_walk.addresses_of(centre, centres))
+
+
+def others(centres, *group):
+    return tuple(
+        address
+        for centre in centres
+        for address in addresses(centre, centres)
+        if address not in group
+    )
+
+
+def cut_off(centres, *group, seconds=10.0):
+    return Fault(1.0, "cut", group, seconds, others(centres, *group))
+
+
+def gaps_seconds(centres, faults, *, seconds, seed=1):
+    walk = fleet_walk.FleetWalk(seed=seed, centres=centres, faults=faults)
+    assert not walk.run(seconds)
+    return {name: walk.longest_gap_seconds(name) for name in walk.models}
+
+
+@pytest.mark.parametrize("kind", fleet_plans.KINDS)
+def test_no_fleet_has_two_givers_at_one_engine(kind) -> None:
+    # Instances that can't hear each other order at one engine together.
+    seeds = SEEDS_OF_LONG_CUTS if kind.startswith("long") else SEEDS
+    broken = {}
+    for seed in range(seeds):
+        schedule = fleet_plans.draw(seed=seed, kind=kind)
+        walk = fleet_walk.FleetWalk(
+            seed=seed, centres=schedule.centres, faults=schedule.faults
+        )
+        if found := walk.run(schedule.seconds):
+            broken[seed] = found
+    assert not broken
+
+
+def test_the_engines_of_a_data_centre_that_is_cut_off_get_orders() -> None:
+    # Its owner needs nobody elsewhere for its lease.
+    near = addresses("dc-a", THREE_CENTRES)
+    faults = [cut_off(THREE_CENTRES, *near)]
+    gaps = gaps_seconds(THREE_CENTRES, faults, seconds=10.0)
+    assert max(gaps.values()) < GOES_ON_SECONDS
+
+
+@pytest.mark.parametrize("number", [0, 1])
+@pytest.mark.parametrize("fault", ["cut", "kill"])
+def test_a_data_centre_of_two_that_lost_one_goes_on(number, fault) -> None:
+    # One of two is no majority; those elsewhere vote for the one that is left.
+    lost = addresses("dc-b", THREE_CENTRES)[number]
+    faults = [
+        Fault(1.0, "kill", (lost,), math.inf)
+        if fault == "kill"
+        else cut_off(THREE_CENTRES, lost)
+    ]
+    gaps = gaps_seconds(THREE_CENTRES, faults, seconds=9.0)
+    assert max(gaps.values()) < GOES_ON_SECONDS
+
+
+def test_the_last_of_a_data_centre_gives_orders_after_a_while() -> None:
+    # Those that were killed never vote again, and nobody can know that.
+    centres = {"dc-a": 4, "dc-b": 1}
+    first, *lost = addresses("dc-a", centres)
+    faults = [Fault(1.0, "kill", tuple(lost), math.inf)]
+    gaps = gaps_seconds(centres, faults, seconds=24.0)
+    assert max(gaps.values()) < BOUNDED_SECONDS
+
+
+def test_a_planned_stop_costs_no_wait_for_votes() -> None:
+    # The votes of one that left were waited for as of one that fell silent.
+    centres = {"dc-a": 3, "dc-b": 1}
+    (last,) = addresses("dc-b", centres)
+    faults = [Fault(1.0, "leave", (last,), 2.5)]
+    gaps = gaps_seconds(centres, faults, seconds=12.0)
+    assert max(gaps.values()) < GOES_ON_SECONDS
+
+
+def test_orders_go_on_soon_after_a_cut_has_healed() -> None:
+    # The wait for silent voters was kept when they were heard again.
+    centres = {"dc-a": 2, "dc-b": 1, "dc-c": 1}
+    lost = (*addresses("dc-b", centres), *addresses("dc-c", centres))
+    lost = (addresses("dc-a", centres)[1], *lost)
+    faults = [cut_off(centres, each, seconds=5.0) for each in lost]
+    gaps = gaps_seconds(centres, faults, seconds=14.0)
+    assert max(gaps.values()) < 5.0 + GOES_ON_SECONDS
--- a/tests/fakes/gateways.py
+++ b/tests/fakes/gateways.py
@@ -107,18 +107,20 @@
         self.heartbeats.refresh()
 
     def _beat(self):
-        engines = tuple(
-            self.fleet.status(name) for name in sorted(self.ownership.claimed)
-        )
         return messages.Beat(
             uptime_seconds=self.members.uptime_seconds,
             leaving=self.leaving,
             told=dict(self.items.told),
-            engines=() if self.leaving else engines,
+            engines=() if self.leaving else self._statuses(),
             unheard=self.members.unheard(),
             avoids=tuple(self.avoided),
         )
 
+    def _statuses(self):
+        return tuple(
+            self.fleet.status(name) for name in sorted(self.ownership.claimed)
+        )
+
 
 class Gateways:
     """A fleet of instances."""
