Let a report of fewer orders than were given confirm nothing

Callers saw: nothing yet; in random schedules an engine that had just started again was given an order on the count of its former life, with a fencing number that is higher than all of its new life.

Cause: a report that counts fewer orders may be older than our last order, so the count stands; but it also passed for a confirmation of that count. After a start within the reports' age of our last order, the next order was given on it. The engine refuses a load, but answers the unload of what it doesn't hold any more without a look at the count.

Why the fix works: a report that is behind proves the count neither way. What was accepted is confirmed by its answer, and later by a report that shows it.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -311,11 +311,12 @@
         self._certain = (
             asked_at_seconds - self._refused_at_seconds >= REPORT_AGE_SECONDS
         )
-        self._confirm(asked_at_seconds)
         # The report may be older than our last order.
         knows_last = (
             asked_at_seconds - self._accepted_at_seconds >= REPORT_AGE_SECONDS
         )
+        if knows_last or not self._is_behind(counted):
+            self._confirm(asked_at_seconds)
         self._busy = busy or (self._busy and not knows_last)
         self._listen(before, counted, asked_at_seconds, now_seconds)
         if (
@@ -338,6 +339,10 @@
             self._explained = settled
         return foreign
 
+    def _is_behind(self, counted: fencing_numbers.Counted) -> bool:
+        # It is older than our last order, or the engine has started again.
+        return counted.orders < self.expected
+
     def _confirm(self, at_seconds: float) -> None:
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, at_seconds
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -195,6 +195,19 @@
     assert not giver.turns.confirmed(now_seconds=1.5)
 
 
+def test_a_report_of_fewer_orders_confirms_nothing(engine) -> None:
+    # The engine had started again, and its report passed for an older one
+    # that confirms the former life's count.
+    giver = Giver(engine, number=1)
+    giver.run(0.0, 1.0)
+    assert giver.try_order(1.05)
+    engine.orders = 0
+    giver.look(1.35)
+    assert not giver.try_order(1.36)
+    giver.look(1.5)
+    assert giver.try_order(1.51)
+
+
 def test_an_order_relies_on_nothing_older_than_the_quiet_time() -> None:
     # Another's order that is younger than that couldn't be seen.
     oldest_seconds = (
--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -193,3 +193,15 @@
         ask(3.4, "a2"),
     ]
     assert not breaches(steps)
+
+
+def test_no_order_of_a_former_life_is_given_to_an_engine_that_is_back() -> (
+    None
+):
+    # Its first report counts no orders, and confirmed the count of before.
+    broken = {}
+    for seed in (1175, 1335, 1436):
+        steps = order_plans.draw(seed=seed, profile="all")
+        if found := order_walk.OrderWalk(seed=seed, steps=steps).run():
+            broken[seed] = found
+    assert not broken
