--- a/tests/fakes/fleet_walk.py
+++ b/tests/fakes/fleet_walk.py
@@ -15,8 +15,8 @@
 from typing import NamedTuple
 
 from boragefold.coordination.fleet import electorate
+from boragefold.coordination.fleet import fencing_numbers
 from boragefold.coordination.fleet import order_leases
-from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_owner
 from boragefold.protocol import ids
 from boragefold.state import deployment
@@ -128,7 +128,7 @@
             counters=counters.Counters(),
             log=log,
             lease_seconds=model_engine.LEASE_SECONDS,
-            giver=order_turns.giver_number(
+            giver=fencing_numbers.giver_number(
                 data_centres=walk.centres,
                 data_centre=centre,
                 address=address,
