Close what a review of the leases found

Who hadn't seen the work read it and wrote tests that fail on it.

An owner without a majority ordered beside the holder of the lease, or beside others like it, when demand came back after a lull: each had waited for its turn while nobody asked, and answered the same requests within a report's lag. An order without the lease now waits long enough for those of others to show, and longer by the place among the voters.

A renewal that failed freed the voters while an order could still be on its way. A lease kept the first data centre of its engine. Going on without a majority outlived its return if nothing was wanted. A seed that was never heard counted as a voter near every engine. An instance in its first moments asked voters of whom it knew too few. A vote long after its round counted. Each but the last two with a test that failed before.

--- a/src/boragefold/coordination/fleet/electorate.py
+++ b/src/boragefold/coordination/fleet/electorate.py
@@ -45,7 +45,8 @@
         """Tell whether votes are enough.
 
         :param voted: those who promised the engine
-        :return: whether nobody else can have enough at the same time
+        :return: whether nobody else can have enough at the same time, as far
+            as all know the same voters
         """
         voters = (*self.near, *self.far)
         return 2 * sum(voter in voted for voter in voters) > len(voters)
@@ -111,10 +112,13 @@
         return ages_seconds[len(voters) // 2] if voters else 0.0
 
     def _choose(self, data_centre: str) -> Electorate:
+        if self._members.uptime_seconds < lease_voter.PROMISE_SECONDS:
+            # Too few are known yet.
+            return Electorate(near=(), far=(), near_heard=False)
         by_centre: dict[str, list[ids.InstanceId]] = {}
         for instance in self._counted():
-            # One that was never heard may be of any data centre.
-            centre = instance.data_centre or data_centre
+            # One that was never heard may be of our own data centre.
+            centre = instance.data_centre or self._self_id.data_centre
             by_centre.setdefault(centre, []).append(instance)
         near = _ranked(by_centre.pop(data_centre, ()))[:MAX_VOTERS]
         far = _spread(map(_ranked, by_centre.values()))
@@ -130,8 +134,7 @@
         return heard | {self._self_id}
 
     def _counted(self) -> Iterable[ids.InstanceId]:
-        if self._members.uptime_seconds >= lease_voter.PROMISE_SECONDS:
-            yield self._self_id
+        yield self._self_id
         for member in self._members.reachable():
             if self._has_voted_before(member):
                 yield member.instance
--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -100,6 +100,7 @@
                 note=functools.partial(self._note, engine),
             )
             self._leases[engine] = lease
+        lease.data_centre = data_centre
         lease.changed = changed
         return lease
 
@@ -168,6 +169,17 @@
         """
         return self._majority_unheard_seconds(self._voters(data_centre))
 
+    def place(self, data_centre: str) -> int:
+        """Tell our place among the voters for an engine.
+
+        :param data_centre: where the engine is
+        :return: another number for each of them; for all others the next
+        """
+        near, far, _ = self._voters(data_centre)
+        voters = (*near, *far)
+        self_id = self._link.self_id
+        return voters.index(self_id) if self_id in voters else len(voters)
+
     def alone_after_seconds(self, data_centre: str) -> float:
         """Tell after how long without a majority we go on without the lease.
 
@@ -175,11 +187,9 @@
         :return: seconds, different for each voter; infinite for all others
         """
         near, far, _ = self._voters(data_centre)
-        voters = (*near, *far)
-        if self._link.self_id not in voters:
+        if self._link.self_id not in (*near, *far):
             return math.inf
-        place = voters.index(self._link.self_id)
-        return ALONE_SECONDS + ALONE_STEP_SECONDS * place
+        return ALONE_SECONDS + ALONE_STEP_SECONDS * self.place(data_centre)
 
     def retry_seconds(self) -> float:
         """Draw when the next attempt may be made.
--- a/src/boragefold/coordination/fleet/ownership.py
+++ b/src/boragefold/coordination/fleet/ownership.py
@@ -7,8 +7,8 @@
 separates no engine from its owner.
 
 Two instances that can't hear each other may both believe they own an engine.
-That is harmless for requests and safe for orders: see
-:mod:`boragefold.coordination.fleet.order_turns`.
+That is harmless for requests; which of them may give orders is voted on, see
+:mod:`boragefold.coordination.fleet.order_leases`.
 """
 
 from __future__ import annotations
--- a/src/boragefold/coordination/fleet/voted_lease.py
+++ b/src/boragefold/coordination/fleet/voted_lease.py
@@ -24,9 +24,14 @@
 # Whoever has no majority by then frees its voters, and tries again later:
 # two that ask at the same time would keep half of the voters each.
 ANSWER_SECONDS = 0.25
-# Without the lease, an order waits until one that its holder, cut off from us,
-# gave for the same requests would show in reports.
-RIVAL_SECONDS = 0.75
+# Without the lease, an order waits until those show in reports that others
+# gave for the same requests: its holder, or one that is alone as well.
+RIVAL_SECONDS = 1.5
+RIVAL_STEP_SECONDS = 0.75
+# What voters told so long ago is asked for anew.
+STALE_SECONDS = 2.0
+# So long after a lease an order of it may still be on its way.
+ORDER_SECONDS = 0.6
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -135,6 +140,14 @@
         :return: seconds; 0 while they are
         """
 
+    @abc.abstractmethod
+    def place(self, data_centre: str) -> int:
+        """Tell our place among the voters for an engine.
+
+        :param data_centre: where the engine is
+        :return: another number for each of them; for all others the next
+        """
+
     @abc.abstractmethod
     def alone_after_seconds(self, data_centre: str) -> float:
         """Tell after how long without a majority we go on without the lease.
@@ -174,7 +187,7 @@
         """
         self.changed: Callable[[], None] = lambda: None
         self._engine = engine
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._ballot = ballot
         self._now_seconds = now_seconds
         self._note = note
@@ -185,6 +198,7 @@
         self._outcome = ""
         self._until_seconds = -math.inf
         self._others_until_seconds = -math.inf
+        self._asked_at_seconds = -math.inf
         self._not_before_seconds = -math.inf
         self._refused_until_seconds = -math.inf
 
@@ -233,7 +247,8 @@
         """
         # Voters that are back promise nothing at first. Until they do, or
         # tell of another holder, all goes on as if they weren't.
-        self._alone = self._alone or (
+        age_seconds = self._now_seconds() - self._asked_at_seconds
+        self._alone = (self._alone and age_seconds <= STALE_SECONDS) or (
             self._failed
             and self._unheard_seconds() >= self._alone_after_seconds()
         )
@@ -245,7 +260,10 @@
         :param now_seconds: reading of a clock that counts suspension
         :return: seconds; 0 while the lease is held
         """
-        return 0.0 if self.held(now_seconds=now_seconds) else RIVAL_SECONDS
+        if self.held(now_seconds=now_seconds):
+            return 0.0
+        place = self._ballot.place(self.data_centre)
+        return RIVAL_SECONDS + RIVAL_STEP_SECONDS * place
 
     def others_until_seconds(self) -> float:
         """Tell when another instance's lease ended last.
@@ -274,6 +292,8 @@
         if round_ is None or round_.over or answer.number != round_.number:
             return
         now_seconds = self._now_seconds()
+        if now_seconds - round_.sent_at_seconds >= LEASE_SECONDS:
+            return
         was_held = self.held(now_seconds=now_seconds)
         vote = lease_voter.Vote(answer.refused_seconds, answer.others_seconds)
         if round_.count(voter, vote, now_seconds=now_seconds):
@@ -288,9 +308,10 @@
 
     def _ask(self) -> None:
         self._number += 1
+        self._asked_at_seconds = self._now_seconds()
         round_ = self._ballot.ask(
             self._engine,
-            self._data_centre,
+            self.data_centre,
             self._number,
             everybody=self._failed,
         )
@@ -311,17 +332,17 @@
         retry_seconds = self._ballot.retry_seconds()
         self._not_before_seconds = now_seconds + retry_seconds
         self._ballot.missed(round_)
-        if self.held(now_seconds=now_seconds):
+        if now_seconds < self._until_seconds + ORDER_SECONDS:
             return
         self._refused_until_seconds = now_seconds + round_.refused_seconds
         self._note_outcome(round_, "no_majority", self._unheard_seconds())
         self._ballot.free(self._engine, round_)
 
     def _alone_after_seconds(self) -> float:
-        return self._ballot.alone_after_seconds(self._data_centre)
+        return self._ballot.alone_after_seconds(self.data_centre)
 
     def _unheard_seconds(self) -> float:
-        return self._ballot.majority_unheard_seconds(self._data_centre)
+        return self._ballot.majority_unheard_seconds(self.data_centre)
 
     def _note_outcome(
         self, round_: Round, outcome: str, unheard_seconds: float
--- a/tests/coordination/fleet/test_electorate.py
+++ b/tests/coordination/fleet/test_electorate.py
@@ -126,3 +126,11 @@
     lone = fleet.start("10.2.0.1:70").node.self_id.address
     fleet.run(NOTICED_SECONDS)
     assert not decide(fleet, lone, [lone])
+
+
+def test_a_seed_that_was_never_heard_blocks_no_other_data_centre() -> None:
+    # One that has no instances had a voter that nobody knows, and no other.
+    seeds = ["10.1.0.0:70", "10.1.0.1:70", "10.8.0.1:70"]
+    fleet = gateways.Gateways(6, seeds=seeds)
+    fleet.run(SETTLED_SECONDS)
+    assert decide(fleet, fleet.addresses[0], fleet.addresses, "dc-z")
--- a/tests/coordination/fleet/test_order_leases.py
+++ b/tests/coordination/fleet/test_order_leases.py
@@ -64,6 +64,9 @@
         self.highest = 0
         self.network.after_step = self._count
 
+    def now(self):
+        return self.network.clock.now_seconds()
+
     def voters(self):
         return [owner.node.self_id for owner in self.owners]
 
@@ -228,6 +231,53 @@
     assert told == {owner.node.self_id}
 
 
+def test_a_failed_renewal_frees_no_voter_while_an_order_is_on_its_way(
+    group,
+) -> None:
+    # Another one began while the last order of the lease could still arrive.
+    owner, *voters = group.owners
+    group.network.loss = group.network.doubling = 0.0
+    freed = []
+    owner.leases.free = lambda engine, round_: freed.append(group.now())
+    owner.wants = True
+    group.network.run_for(0.5)
+    cut_at_seconds = group.now()
+    group.cut_off(0)
+    group.network.run_for(2.0)
+    lasts_seconds = voted_lease.LEASE_SECONDS + voted_lease.ORDER_SECONDS
+    assert freed
+    assert freed[0] - cut_at_seconds >= lasts_seconds - 2 * STEP_SECONDS - (
+        voted_lease.RENEW_SECONDS
+    )
+
+
+def test_an_engine_that_moved_is_voted_for_where_it_is_now(group) -> None:
+    # The voters of its former data centre and those of its new one both chose.
+    owner = group.owners[0]
+    asked = []
+    voters = owner.leases._voters
+    owner.leases._voters = lambda centre: (
+        asked.append(centre) or voters(centre)
+    )
+    owner.leases.lease(ENGINE, "dc-b", changed=lambda: None).want()
+    assert asked == ["dc-b"]
+
+
+def test_who_is_alone_is_so_no_longer_when_voters_are_heard(group) -> None:
+    # Long after the cut the first demand was met without asking for votes.
+    owner = group.owners[0]
+    unheard_seconds = [100.0]
+    owner.leases._majority_unheard_seconds = lambda among: unheard_seconds[0]
+    group.cut_off(0)
+    owner.wants = True
+    group.network.run_for(1.0)
+    owner.wants = False
+    assert owner.lease.alone()
+    unheard_seconds[0] = 0.0
+    group.network.run_for(voted_lease.STALE_SECONDS + 1.0)
+    assert not owner.lease.alone()
+
+
 def test_those_without_a_majority_go_on_one_after_the_other(group) -> None:
     # All that were cut off from each other began to order at once.
     waits_seconds = {
--- a/tests/entry/test_fleet_walk.py
+++ b/tests/entry/test_fleet_walk.py
@@ -17,6 +17,7 @@
 THREE_CENTRES = {"dc-a": 3, "dc-b": 2, "dc-c": 1}
 # A cut or a kill is noticed, and a lease of another owner has passed.
 GOES_ON_SECONDS = 6.0
+LULL_BEGINS_SECONDS = 7.0
 # For how long the votes of the lost are waited for.
 BOUNDED_SECONDS = 20.0
 
@@ -107,3 +108,41 @@
     faults = [cut_off(centres, each, seconds=5.0) for each in lost]
     gaps = gaps_seconds(centres, faults, seconds=14.0)
     assert max(gaps.values()) < 5.0 + GOES_ON_SECONDS
+
+
+class Lull(fleet_walk.FleetWalk):
+    """A fleet of whose adapters none is asked for during most of a cut."""
+
+    lull_ends_seconds = 25.0
+
+    def _ask_owners(self) -> None:
+        if LULL_BEGINS_SECONDS < self.now() < self.lull_ends_seconds:
+            self.later(0.1, self._ask_owners)
+            return
+        super()._ask_owners()
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("number", [0, 2])
+def test_one_that_is_alone_after_a_lull_lets_others_order_first(
+    number, seed
+) -> None:
+    # It and the holder of the lease answered the same requests at once.
+    centres = {"dc-a": 3, "dc-b": 1}
+    lone = addresses("dc-a", centres)[number]
+    faults = [cut_off(centres, lone, seconds=22.0)]
+    walk = Lull(seed=seed, centres=centres, faults=faults)
+    assert not walk.run(22.5)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_several_that_are_alone_after_a_lull_dont_order_at_once(seed) -> None:
+    # Each had waited for its turn while nobody asked for anything.
+    centres = {"dc-a": 3}
+    faults = [
+        cut_off(centres, each, seconds=60.0)
+        for each in addresses("dc-a", centres)
+    ]
+    walk = Lull(seed=seed, centres=centres, faults=faults)
+    walk.lull_ends_seconds = 37.0
+    assert not walk.run(44.0)
