Say plainly what leases and turns rest on

Reading the change as a newcomer: the turns' page still said that two owners need no word between them, names hid what failed, and a type stood under two names. No behaviour changes. The pages say what leases don't hold.

--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -24,6 +24,7 @@
 from boragefold.telemetry import decision_log
 from boragefold.timing import timers as timing
 
+# Spread, as those that ask together would ask together again.
 RETRY_SECONDS = (0.05, 0.3)
 # Longer than most restarts and cuts: a rival that is cut off from us can't be
 # told from one that has ended, and not all of its orders show in time.
@@ -32,8 +33,6 @@
 # the first and stay away.
 ALONE_STEP_SECONDS = 4.0
 
-Round = voted_lease.Round
-
 
 class OrderLeases(voted_lease.Ballot):
     """The leases of one instance, and its votes for those of others."""
@@ -81,7 +80,7 @@
     def lease(
         self, engine: str, data_centre: str, *, changed: Callable[[], None]
     ) -> order_lease.OrderLease:
-        """Find the lease of an engine; at first it isn't held.
+        """Find the lease of an engine, or make it.
 
         :param engine: the engine's name
         :param data_centre: where the engine is
@@ -111,7 +110,7 @@
         number: int,
         *,
         everybody: bool,
-    ) -> Round:
+    ) -> voted_lease.Round:
         """Ask the voters for an engine.
 
         :param engine: the engine's name
@@ -124,7 +123,7 @@
         now_seconds = self._timers.now_seconds()
         electorate = self._voters(data_centre)
         everybody = everybody or not electorate.near_heard
-        round_ = Round(
+        round_ = voted_lease.Round(
             number=number,
             sent_at_seconds=now_seconds,
             electorate=electorate,
@@ -141,7 +140,7 @@
             self._link.send_all(to=round_.asked, body=body)
         return round_
 
-    def missed(self, round_: Round) -> None:
+    def missed(self, round_: voted_lease.Round) -> None:
         """Note that a round got too few votes in time.
 
         :param round_: the round
@@ -151,7 +150,7 @@
             self._unanswered.add(voter.address)
             self._link.reconnect(voter)
 
-    def free(self, engine: str, round_: Round) -> None:
+    def free(self, engine: str, round_: voted_lease.Round) -> None:
         """Free the voters of what they promised us.
 
         :param engine: the engine's name
@@ -241,7 +240,7 @@
     def _note(
         self,
         engine: str,
-        round_: Round,
+        round_: voted_lease.Round,
         outcome: str,
         unheard_seconds: float,
     ) -> None:
--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -4,15 +4,16 @@
 orders, and no instance can write down who gives them. The engine itself
 decides instead: it counts the orders that it accepted, and refuses one that
 expects another count. Whoever learns that the count has moved without it
-stays away until it has stood still for a whole lease. Two instances that both
-believe they own the engine thus need no word between them: the first order of
-one makes the other's fail, and the loser stays away.
+stays away until it has stood still for a whole lease. Where two instances both
+give orders, the first one's makes the other's fail, and the loser stays away.
 
 That holds only for orders that the engine counts. What is done or under way
 already it answers without a look at the count, and doesn't count it: nobody
 can see who gave that order. So an order must be one that changes something, as
 far as its giver can know: none is given while the engine carries one out, on
-an old belief, or while a lost one may still arrive.
+an old belief, or while a lost one may still arrive. Two that order at the same
+time may still give the same order; which of them may order at all is therefore
+put to the vote, see :mod:`boragefold.coordination.fleet.order_leases`.
 """
 
 from __future__ import annotations
--- a/src/boragefold/coordination/fleet/voted_lease.py
+++ b/src/boragefold/coordination/fleet/voted_lease.py
@@ -28,7 +28,7 @@
 # gave for the same requests: its holder, or one that is alone as well.
 RIVAL_SECONDS = 1.5
 RIVAL_STEP_SECONDS = 0.75
-# What voters told so long ago is asked for anew.
+# Whoever asked for nothing for so long goes by who is heard now.
 STALE_SECONDS = 2.0
 # So long after a lease an order of it may still be on its way.
 ORDER_SECONDS = 0.6
@@ -193,7 +193,7 @@
         self._note = note
         self._number = 0
         self._round: Round | None = None
-        self._failed = False
+        self._last_round_failed = False
         self._alone = False
         self._outcome = ""
         self._until_seconds = -math.inf
@@ -231,7 +231,7 @@
         """
         if self.held(now_seconds=now_seconds) or self.alone():
             return 0.0
-        if not self._failed:
+        if not self._last_round_failed:
             return 0.0
         unheard_seconds = self._unheard_seconds()
         if unheard_seconds > 0:
@@ -249,7 +249,7 @@
         # tell of another holder, all goes on as if they weren't.
         age_seconds = self._now_seconds() - self._asked_at_seconds
         self._alone = (self._alone and age_seconds <= STALE_SECONDS) or (
-            self._failed
+            self._last_round_failed
             and self._unheard_seconds() >= self._alone_after_seconds()
         )
         return self._alone
@@ -313,14 +313,14 @@
             self._engine,
             self.data_centre,
             self._number,
-            everybody=self._failed,
+            everybody=self._last_round_failed,
         )
         self._round = round_
         if round_.over:
             self._obtain(round_)
 
     def _obtain(self, round_: Round) -> None:
-        self._failed = False
+        self._last_round_failed = False
         self._alone = False
         self._until_seconds = round_.sent_at_seconds + LEASE_SECONDS
         self._others_until_seconds = round_.others_until_seconds
@@ -328,7 +328,7 @@
 
     def _give_round_up(self, round_: Round, now_seconds: float) -> None:
         round_.over = True
-        self._failed = True
+        self._last_round_failed = True
         retry_seconds = self._ballot.retry_seconds()
         self._not_before_seconds = now_seconds + retry_seconds
         self._ballot.missed(round_)
