--- a/src/boragefold/coordination/fleet/lease_voter.py
+++ b/src/boragefold/coordination/fleet/lease_voter.py
@@ -7,7 +7,7 @@
 
 from boragefold.protocol import ids
 
-# Longer than a lease by the time in which its last order arrives or is dropped.
+# Longer than a lease by the time in which an order arrives or is dropped.
 PROMISE_SECONDS = 1.2
 # By so much earlier the holder has given its last order, unless that was held
 # up on its way.
