--- a/src/boragefold/coordination/fleet/electorate.py
+++ b/src/boragefold/coordination/fleet/electorate.py
@@ -41,6 +41,14 @@
     far: tuple[ids.InstanceId, ...] = ()
     near_heard: bool = True
 
+    @property
+    def voters(self) -> tuple[ids.InstanceId, ...]:
+        """List all voters.
+
+        :return: those of the engine's data centre first
+        """
+        return (*self.near, *self.far)
+
     def decides(self, voted: Collection[ids.InstanceId]) -> bool:
         """Tell whether votes are enough.
 
@@ -48,7 +56,7 @@
         :return: whether nobody else can have enough at the same time, as far
             as all know the same voters
         """
-        voters = (*self.near, *self.far)
+        voters = self.voters
         return 2 * sum(voter in voted for voter in voters) > len(voters)
 
 
@@ -105,7 +113,7 @@
             member.instance: self._members.unheard_seconds(member)
             for member in self._members.unreachable()
         }
-        voters = (*electorate.near, *electorate.far)
+        voters = electorate.voters
         ages_seconds = sorted(
             unheard_seconds.get(voter, 0.0) for voter in voters
         )
--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -3,7 +3,7 @@
 Engines refuse an order that another instance's order came before, unless it
 asks for what holds already: two that both believe they own an engine can't be
 told apart by it. So an instance gives orders only while more than half of the
-engine's voters have promised the engine to it.
+engine's voters have promised the engine to it, or seem to be gone for long.
 """
 
 from __future__ import annotations
@@ -174,8 +174,7 @@
         :param data_centre: where the engine is
         :return: another number for each of them; for all others the next
         """
-        near, far, _ = self._voters(data_centre)
-        voters = (*near, *far)
+        voters = self._voters(data_centre).voters
         self_id = self._link.self_id
         return voters.index(self_id) if self_id in voters else len(voters)
 
@@ -185,8 +184,7 @@
         :param data_centre: where the engine is
         :return: seconds, different for each voter; infinite for all others
         """
-        near, far, _ = self._voters(data_centre)
-        if self._link.self_id not in (*near, *far):
+        if self._link.self_id not in self._voters(data_centre).voters:
             return math.inf
         return ALONE_SECONDS + ALONE_STEP_SECONDS * self.place(data_centre)
 
@@ -201,8 +199,7 @@
         self, electorate: electorates.Electorate, *, everybody: bool
     ) -> Iterator[ids.InstanceId]:
         # A data centre whose instances are all there decides by itself.
-        far = electorate.far if everybody else ()
-        voters = (*electorate.near, *far)
+        voters = electorate.voters if everybody else electorate.near
         return (voter for voter in voters if voter != self._link.self_id)
 
     def _take_ask(
--- a/src/boragefold/coordination/fleet/voted_lease.py
+++ b/src/boragefold/coordination/fleet/voted_lease.py
@@ -91,7 +91,7 @@
 
         :return: whether those who haven't answered can't make a majority
         """
-        voters = {*self.electorate.near, *self.electorate.far}
+        voters = {*self.electorate.voters}
         return not self.electorate.decides(voters - self.refused)
 
 
