Tell the last that leaves a data centre who is there

What callers saw: an instance that stops as the last of its data centre took all other instances for gone for most of its grace. It then works with a part of each rate, and finds no owner for an engine, for requests that it still has.

Cause: it is no hub any more and speaks to hubs elsewhere. Those send reports to whoever takes them for a hub, but only in their own data centre, so it heard them when it greeted them, once in two seconds, and not between.

Evidence: in virtual time, three instances in three data centres, one leaving, seeds 0 to 39, code as landed: in 13 one doesn't hear another at the end, and the leaver hears nobody from 1.0 to 1.8 s and from 3.0 to 3.8 s. The existing test looks once, at a moment when it has just greeted, with one seed; another order of random draws made it fail.

Why it works: whoever leaves and takes an instance for its hub is told as a follower. Instances of other data centres that don't leave speak as hubs, and are answered as such.

--- a/src/boragefold/coordination/fleet/routes.py
+++ b/src/boragefold/coordination/fleet/routes.py
@@ -78,13 +78,17 @@
         """List the instances that take us for a hub, whether we do or not.
 
         :param targets: whom we speak to ourselves
-        :return: those of our data centre that speak to us as to their hub
+        :return: those of our data centre that speak to us as to their hub, and
+            those that leave theirs as the last
         """
         return [
             member
             for member in self._members.followers()
             if member.instance.address not in targets
-            and member.instance.data_centre == self._self_id.data_centre
+            and (
+                member.instance.data_centre == self._self_id.data_centre
+                or (member.beat is not None and member.beat.leaving)
+            )
         ]
 
     def _choose(self, own: messages.Beat, late: frozenset[str]) -> Chosen:
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -127,6 +127,21 @@
     assert everyone_knows_everyone(fleet)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_the_last_of_a_data_centre_hears_the_others_while_it_leaves(
+    seed,
+) -> None:
+    # Its hubs elsewhere told it nothing, and it took all others for gone.
+    fleet = gateways.Gateways(3, seed=seed)
+    fleet.run(8.0)
+    leaver = fleet.instances["10.1.0.1:70"]
+    leaver.leaving = True
+    for _ in range(20):
+        fleet.run(0.2)
+        assert len(leaver.members.reachable()) == 2
+        assert everyone_knows_everyone(fleet)
+
+
 def test_an_engine_that_its_owner_cant_reach_goes_to_another() -> None:
     # An engine partitioned from its owner alone must get another, for good.
     fleet = settled()
