Count rates in entries of which each has one writer

What callers saw: after hubs were killed one after the other, instances believed different sums of what all had admitted.

Cause: the totals of two hubs began at different times, so an instance took out how the total of its own hub rose, and kept a basis for each other hub.

Now each hub writes one entry and numbers its versions. Every hub holds the entries of all, lost ones too, and a total is their sum: hubs that hold the same versions tell the same totals, and a change of hub needs no basis. An entry has the number of the last account of each giver, so a giver learns of any version what of its own is in it, gives the rest to the next hub, and takes back what shows later. Versions of lost hubs are compared by a digest and exchanged. A new hub takes the whole ledger over before it tells totals. Where nobody tells one, it begins an era; instances take no difference over a change of era, nor over hubs that counted apart for long.

Gone with the bases: the first word of a workspace, which was where its sum began; accounts taken for counted after two totals; what a hub missed from the lost one's last word on. Sums may fall, which spoke against the highest of several totals.

--- a/src/boragefold/coordination/fleet/heartbeats.py
+++ b/src/boragefold/coordination/fleet/heartbeats.py
@@ -128,10 +128,11 @@
         self._has_followers = bool(followers)
         # After the followers are known: who fell silent is news as well.
         self._passed_version = self._members.news_version
-        heartbeat = messages.Heartbeat(own, lacks=self._members.lacks())
+        lacks = {*self._members.lacks(), *self._rates.lacks()}
+        heartbeat = messages.Heartbeat(own, lacks=tuple(sorted(lacks)))
         self._tell_hubs(heartbeat, routes, followers)
         if followers:
-            self._tell_followers(heartbeat, routes, followers)
+            self._tell_followers(heartbeat, followers)
 
     def _beat(self) -> None:
         self.beat_now()
@@ -147,43 +148,35 @@
         followers: list[member_module.Member],
     ) -> None:
         heartbeat = heartbeat._replace(
-            account=self._rates.account(routes),
-            sums=self._rates.sums(routes),
+            account=self._rates.compose(routes),
+            entry=self._rates.entry(),
             to_hub=True,
         )
         if not followers:
             self._send(routes.targets, heartbeat)
             return
         receivers = [self._members.identity(each) for each in routes.targets]
-        self._send_reports(self._to_hubs, followers, receivers, heartbeat)
+        for report, chosen in self._to_hubs.write(
+            followers, receivers, now_seconds=self._timers.now_seconds()
+        ):
+            self._send(
+                (receiver.address for receiver in chosen),
+                heartbeat._replace(report=report),
+            )
 
     def _tell_followers(
         self,
         heartbeat: messages.Heartbeat,
-        routes: routes_module.Chosen,
         followers: list[member_module.Member],
     ) -> None:
-        self._send_reports(
-            self._to_followers,
-            self._members.to_vouch_for(),
-            [member.instance for member in followers],
-            heartbeat._replace(totals=self._rates.totals(routes)),
-        )
-
-    def _send_reports(
-        self,
-        writer: reports.ReportWriter,
-        subjects: list[member_module.Member],
-        receivers: list[ids.InstanceId],
-        heartbeat: messages.Heartbeat,
-    ) -> None:
-        for report, chosen in writer.write(
+        subjects = self._members.to_vouch_for()
+        receivers = [member.instance for member in followers]
+        for report, chosen in self._to_followers.write(
             subjects, receivers, now_seconds=self._timers.now_seconds()
         ):
-            self._send(
-                (receiver.address for receiver in chosen),
-                heartbeat._replace(report=report),
-            )
+            totals = self._rates.totals(whole=report.since is None)
+            body = heartbeat._replace(report=report, totals=totals)
+            self._send((receiver.address for receiver in chosen), body)
 
     def _send(self, addresses: Iterable[str], body: object) -> None:
         self._link.send_all(to=map(_anyone, addresses), body=body)
--- a/src/boragefold/coordination/fleet/rate_messages.py
+++ b/src/boragefold/coordination/fleet/rate_messages.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Iterator
+import math
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import routes as routes_module
+import boragefold.coordination.link as links
 from boragefold.policy import rate_accounts
 from boragefold.protocol import ids
-from boragefold.protocol import peer_messages as messages
+from boragefold.protocol import peer_messages
+from boragefold.protocol import rate_ledger_messages as messages
 from boragefold.timing import timers as timing
 
-Amounts = dict[str, float]
+# A hub that has just started hears of the others' entries within this.
+ERA_SECONDS = 1.0
+# Hubs that start together begin an era one after the other: the first one's
+# serves all.
+ERA_STEP_SECONDS = 0.25
+LEDGER_ASK_SECONDS = 1.0
 
 
 class RateMessages:
@@ -20,62 +28,95 @@
     def __init__(
         self,
         *,
-        self_id: ids.InstanceId,
+        link: links.PeerLink,
         members: members_module.Members,
         accounts: rate_accounts.RateAccounts,
         timers: timing.TimerService,
     ) -> None:
         """Begin as an instance that nobody gives accounts.
 
-        :param self_id: who we are
+        :param link: to the peers
         :param members: the other instances
         :param accounts: what was admitted, here and elsewhere
         :param timers: the process clock
         """
-        self._self_id = self_id
+        self._link = link
         self._members = members
         self._accounts = accounts
         self._timers = timers
-        self._counts_rates = False
+        self._counting_since_seconds = math.inf
+        self._asked_at_seconds = -math.inf
+        # The hubs that tell totals, by incarnation: their entries, and when
+        # they told them first and last.
+        self._counters: dict[str, str] = {}
         self._counts_at_seconds: dict[str, float] = {}
-        self._counting_since_seconds: dict[str, float] = {}
+        self._counts_since_seconds: dict[str, float] = {}
+        members.subscribe(
+            on_beat=lambda peer, beat: None,
+            on_gone=lambda gone: accounts.forget_instance(gone.incarnation),
+        )
+        link.subscribe(messages.LedgerAsk, self._take_ledger_ask)
+        link.subscribe(messages.Ledger, self._take_ledger)
 
-    def account(self, routes: routes_module.Chosen) -> messages.Account | None:
-        """State what we admitted, for the hub that counts it.
+    def compose(self, routes: routes_module.Chosen) -> messages.Account | None:
+        """Count what we admitted, or state it for the hub that does.
 
         :param routes: whom we speak to
-        :return: the account; None where we count ourselves, or no hub counts
+        :return: the account; None where we count ourselves, no hub counts, or
+            the one that does has all
         """
-        self._counts_rates = routes.counts
         now_seconds = self._timers.now_seconds()
+        if routes.counts:
+            self._count(routes, now_seconds)
+            return None
+        self._counting_since_seconds = math.inf
+        self._accounts.stop_counting()
         counter = self._choose_counter(routes)
         if counter is None:
             return None
-        statement = self._accounts.give(counter, now_seconds=now_seconds)
-        if not counter:
+        account = self._accounts.state(counter, now_seconds=now_seconds)
+        if not account.amounts and not account.former:
             return None
-        return messages.Account(
-            statement.counter, statement.serial, _plain(statement.amounts)
+        return account._replace(amounts=plain(account.amounts))
+
+    def entry(self) -> messages.ToldEntry | None:
+        """State what we count, for other hubs.
+
+        :return: None from whoever counts nothing
+        """
+        told = self._accounts.told_entry(
+            now_seconds=self._timers.now_seconds()
         )
+        if told is None or told.entry is None:
+            return told
+        entry = told.entry._replace(sums=plain(told.entry.sums))
+        return told._replace(entry=entry)
 
-    def sums(self, routes: routes_module.Chosen) -> Amounts | None:
-        """State what we count.
+    def totals(self, *, whole: bool) -> messages.Totals | None:
+        """State what all hubs count, for the instances that speak to us.
 
-        :param routes: whom we speak to
-        :return: sums by workspace; None from whoever counts none
+        :param whole: whether the receivers know nothing yet
+        :return: None from whoever doesn't know it
         """
-        return self._told(routes, self._accounts.sums)
+        totals = self._accounts.told_totals(
+            whole=whole, now_seconds=self._timers.now_seconds()
+        )
+        return totals and totals._replace(amounts=plain(totals.amounts))
 
-    def totals(self, routes: routes_module.Chosen) -> Amounts | None:
-        """State what all hubs count.
+    def lacks(self) -> Iterator[str]:
+        """List the hubs that have to tell us their totals whole.
 
-        :param routes: whom we speak to
-        :return: sums by workspace; None from whoever counts none
+        :return: their addresses
         """
-        return self._told(routes, self._accounts.totals)
+        if not self._accounts.lacks_totals:
+            return
+        for member in self._members.direct():
+            incarnation = member.instance.incarnation
+            if self._counters.get(incarnation) == self._accounts.counter:
+                yield member.instance.address
 
     def take(
-        self, sender: ids.InstanceId, heartbeat: messages.Heartbeat
+        self, sender: ids.InstanceId, heartbeat: peer_messages.Heartbeat
     ) -> None:
         """Take over what a heartbeat says of rates.
 
@@ -83,71 +124,101 @@
         :param heartbeat: the heartbeat
         """
         now_seconds = self._timers.now_seconds()
-        account = heartbeat.account
-        is_ours = (
-            account is not None
-            and account.counter == self._self_id.incarnation
-        )
-        if account is not None and is_ours and self._counts_rates:
+        if heartbeat.account is not None:
             self._accounts.count(
-                sender.incarnation,
-                rate_accounts.Statement(*account),
-                now_seconds=now_seconds,
-            )
-        if heartbeat.sums is not None:
-            self._accounts.hear_sums(
-                sender.incarnation,
-                heartbeat.sums,
-                uptime_seconds=heartbeat.beat.uptime_seconds,
-                now_seconds=now_seconds,
+                sender.incarnation, heartbeat.account, now_seconds=now_seconds
             )
+        if heartbeat.entry is not None:
+            self._take_entry(sender, heartbeat.entry, now_seconds)
         if heartbeat.totals is not None:
-            hub = sender.incarnation
-            self._counts_at_seconds[hub] = now_seconds
-            self._counting_since_seconds.setdefault(hub, now_seconds)
-            self._accounts.hear_totals(
-                hub,
-                heartbeat.totals,
-                now_seconds=now_seconds,
+            self._take_totals(
+                sender.incarnation, heartbeat.totals, now_seconds
             )
 
     def forget(self) -> None:
         """Drop what was heard of hubs that are gone."""
         now_seconds = self._timers.now_seconds()
         self._accounts.forget(now_seconds=now_seconds)
-        self._counts_at_seconds = {
-            hub: heard_at_seconds
-            for hub, heard_at_seconds in self._counts_at_seconds.items()
-            if self._counts(hub)
-        }
-        self._counting_since_seconds = {
-            hub: since_seconds
-            for hub, since_seconds in self._counting_since_seconds.items()
-            if hub in self._counts_at_seconds
-        }
-
-    def _told(
-        self, routes: routes_module.Chosen, tell: Callable[..., Amounts]
-    ) -> Amounts | None:
-        if not routes.counts:
-            return None
-        return _plain(tell(now_seconds=self._timers.now_seconds()))
+        for hub in list(self._counters):
+            if not self._counts(hub):
+                del self._counters[hub]
+                del self._counts_at_seconds[hub]
+                del self._counts_since_seconds[hub]
+
+    def _take_entry(
+        self,
+        sender: ids.InstanceId,
+        entry: messages.ToldEntry,
+        now_seconds: float,
+    ) -> None:
+        if self._accounts.hear_entry(
+            sender.incarnation, entry, now_seconds=now_seconds
+        ):
+            self._ask_for_ledger(sender, now_seconds)
+
+    def _take_totals(
+        self, hub: str, totals: messages.Totals, now_seconds: float
+    ) -> None:
+        self._counters[hub] = messages.entry_name(hub, totals.serial)
+        self._counts_at_seconds[hub] = now_seconds
+        self._counts_since_seconds.setdefault(hub, now_seconds)
+        self._accounts.hear_totals(hub, totals, now_seconds=now_seconds)
+
+    def _count(self, routes: routes_module.Chosen, now_seconds: float) -> None:
+        self._accounts.begin_counting(now_seconds=now_seconds)
+        self._counting_since_seconds = min(
+            self._counting_since_seconds, now_seconds
+        )
+        if not self._accounts.complete:
+            self._begin_era(routes, now_seconds)
+        self._accounts.count_own(now_seconds=now_seconds)
+
+    def _begin_era(
+        self, routes: routes_module.Chosen, now_seconds: float
+    ) -> None:
+        counting_seconds = now_seconds - self._counting_since_seconds
+        address = self._link.self_id.address
+        place = sorted((*routes.targets, address)).index(address)
+        if counting_seconds < ERA_SECONDS + ERA_STEP_SECONDS * place:
+            return
+        self._accounts.begin_era(
+            heard_count=len(self._members.reachable()),
+            now_seconds=now_seconds,
+        )
+
+    def _ask_for_ledger(self, hub: ids.InstanceId, now_seconds: float) -> None:
+        if now_seconds - self._asked_at_seconds < LEDGER_ASK_SECONDS:
+            return
+        self._asked_at_seconds = now_seconds
+        self._link.send(to=hub, body=messages.LedgerAsk())
+
+    def _take_ledger_ask(
+        self, sender: ids.InstanceId, body: messages.LedgerAsk
+    ) -> None:
+        ledger = self._accounts.ledger(now_seconds=self._timers.now_seconds())
+        if ledger is not None:
+            self._link.send(to=sender, body=ledger)
+
+    def _take_ledger(
+        self, sender: ids.InstanceId, body: messages.Ledger
+    ) -> None:
+        self._accounts.merge(body, now_seconds=self._timers.now_seconds())
 
     def _choose_counter(self, routes: routes_module.Chosen) -> str | None:
-        if routes.counts:
-            return ""
         hubs = [
             self._members.identity(address).incarnation
             for address in routes.targets
         ]
-        counts = list(filter(self._counts, hubs))
-        if self._accounts.counter in counts:
+        counting = list(filter(self._counts, hubs))
+        counters = {self._counters[hub] for hub in counting}
+        if self._accounts.counter in counters:
             return self._accounts.counter
-        # One that has just started has not heard of all hubs yet.
-        return min(counts, key=self._counting_since, default=None)
+        # One that has just started has not heard of all instances yet.
+        hub = min(counting, key=self._counting_since, default=None)
+        return None if hub is None else self._counters[hub]
 
     def _counting_since(self, incarnation: str) -> float:
-        return self._counting_since_seconds[incarnation]
+        return self._counts_since_seconds[incarnation]
 
     def _counts(self, incarnation: str) -> bool:
         oldest = self._timers.now_seconds() - self._members.silent_seconds()
@@ -155,8 +226,12 @@
         return heard_at_seconds is not None and heard_at_seconds >= oldest
 
 
-def _plain(amounts: Amounts) -> Amounts:
-    # A whole number takes a third of the bytes of a float.
+def plain(amounts: dict[str, float]) -> dict[str, float]:
+    """Write whole numbers as such: they take a third of the bytes.
+
+    :param amounts: tokens or requests, by workspace
+    :return: the same amounts
+    """
     return {
         workspace: int(amount) if float(amount).is_integer() else amount
         for workspace, amount in amounts.items()
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -52,8 +52,6 @@
 
 # Claims on engines and open asks are refreshed this often.
 REFRESH_SECONDS = 0.1
-# Counts of rates that ended are dropped this often.
-FORGET_RATES_SECONDS = 1.0
 # An endpoint behind a partition doesn't answer at all.
 CONNECT_SECONDS = 0.25
 # The balancer needs two failed health checks.
@@ -150,9 +148,12 @@
             compose=self._beat,
             rng=self._rng,
             rates=rate_messages.RateMessages(
-                self_id=self._link.self_id,
+                link=self._link,
                 members=self._members,
-                accounts=rate_accounts.RateAccounts(rate=self._rate),
+                accounts=rate_accounts.RateAccounts(
+                    rate=self._rate,
+                    incarnation=self._link.self_id.incarnation,
+                ),
                 timers=self.timers,
             ),
         )
@@ -226,9 +227,6 @@
         self.timers.every(
             period_seconds=REFRESH_SECONDS, callback=self._refresh
         )
-        self.timers.every(
-            period_seconds=FORGET_RATES_SECONDS, callback=self._forget_rates
-        )
         self.log.write(
             "started",
             instance=settings.instance_name,
@@ -281,9 +279,6 @@
         self._heartbeats.refresh()
         self._asker.look_after()
 
-    def _forget_rates(self) -> None:
-        self._rate.forget(now_seconds=self.timers.now_seconds())
-
     def _limits(self) -> deployment.CallerLimits | None:
         current = self._fleet.deployment
         return None if current is None else current.limits
@@ -303,7 +298,10 @@
                 ids.new_incarnation(),
             ),
             codec=envelope.Codec(
-                kinds=(*messages.KINDS, *order_lease_messages.KINDS)
+                kinds=(
+                    *messages.KINDS,
+                    *order_lease_messages.KINDS,
+                )
             ),
             counters=self.counters,
             heartbeats=False,
--- /dev/null
+++ b/src/boragefold/policy/own_rate_entry.py
@@ -0,0 +1,121 @@
+"""The entry of what a hub counts of rates, as the hub itself writes it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import xxhash
+
+from boragefold.policy import recent_sums
+from boragefold.protocol import rate_ledger_messages as messages
+
+
+class OwnEntry:
+    """The entry that this instance writes as a hub."""
+
+    def __init__(
+        self, *, incarnation: str, serial: int, now_seconds: float
+    ) -> None:
+        """Begin with nothing counted.
+
+        :param incarnation: this process's
+        :param serial: another one for each of its entries
+        :param now_seconds: reading of the process clock
+        """
+        self.name = messages.entry_name(incarnation, serial)
+        self.serial = serial
+        self._began_at_seconds = now_seconds
+        self._changed_at_seconds = now_seconds
+        self._version = 0
+        self._sums: dict[str, float] = {}
+        self._counted: dict[int, int] = {}
+        self._given: dict[int, dict[str, float]] = {}
+        # Shorter than the givers' own numbers; none is ever used again.
+        self._places: dict[int, int] = {}
+        self._placed_at_seconds: dict[int, float] = {}
+
+    def count(
+        self,
+        giver: int,
+        number: int,
+        amounts: Mapping[str, float],
+        *,
+        now_seconds: float,
+    ) -> None:
+        """Count what an instance gives.
+
+        :param giver: the instance
+        :param number: of its account; one that came late is lower
+        :param amounts: what it gave in all to this entry, by workspace that
+            changed
+        :param now_seconds: reading of the process clock
+        """
+        if giver not in self._places:
+            self._places[giver] = len(self._places)
+            self._placed_at_seconds[giver] = now_seconds
+        place = self._places[giver]
+        if number <= self._counted.get(place, 0):
+            return
+        before = self._given.setdefault(giver, {})
+        for workspace, amount in amounts.items():
+            added = amount - before.get(workspace, 0.0)
+            self._sums[workspace] = self._sums.get(workspace, 0.0) + added
+        before.update(amounts)
+        self._counted[place] = number
+        self._version += 1
+        self._changed_at_seconds = now_seconds
+
+    def forget(self, giver: int) -> None:
+        """Drop an instance that ended; what it gave stays.
+
+        :param giver: the instance
+        """
+        self._given.pop(giver, None)
+
+    def changed_lately(self, *, now_seconds: float) -> bool:
+        """Tell whether others may not know the newest version.
+
+        :param now_seconds: reading of the process clock
+        :return: whether it is told whole
+        """
+        unchanged_seconds = now_seconds - self._changed_at_seconds
+        return unchanged_seconds <= recent_sums.TELL_SECONDS
+
+    def entry(
+        self, *, whole: bool = False, now_seconds: float
+    ) -> messages.Entry:
+        """Tell the newest version.
+
+        :param whole: whether the places of all givers are told
+        :param now_seconds: reading of the process clock
+        :return: a copy
+        """
+        oldest_seconds = now_seconds - recent_sums.TELL_SECONDS
+        places = {
+            giver: place
+            for giver, place in self._places.items()
+            if whole or self._placed_at_seconds[giver] >= oldest_seconds
+        }
+        return messages.Entry(
+            version=self._version,
+            age_seconds=int(now_seconds - self._began_at_seconds),
+            sums=dict(self._sums),
+            counted=dict(self._counted),
+            places=places,
+            places_count=len(self._places),
+        )
+
+
+def giver_of(incarnation: str) -> int:
+    """Make the number that stands for an instance in entries.
+
+    :param incarnation: the instance's
+    :return: half as long as its name
+    """
+    return xxhash.xxh3_64_intdigest(incarnation.encode())
+
+
+__all__ = [
+    "OwnEntry",
+    "giver_of",
+]
--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -2,268 +2,361 @@
 
 Load pattern: dozens of workspaces that send through hundreds of instances.
 Told of each instance's sums, everyone holds and hears all workspaces times all
-instances. Here an instance gives what it admitted to one hub to count, the
-hubs tell each other what they count, and instances the total.
-
-What was admitted stands in one account at a time. It moves to another hub
-only if the one that should have counted it is lost: what that one counted and
-told in its last moments is then counted twice, and nothing is forgotten.
+instances. Here an instance gives what it admitted to one hub to count, hubs
+tell each other the entries that they write, and the instances the totals.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 import math
-from typing import NamedTuple
 
-from boragefold.policy import recent_sums
+from boragefold.policy import given_amounts
+from boragefold.policy import own_rate_entry
+from boragefold.policy import rate_ledger
 from boragefold.policy import shared_rate
-
-
-class HeardTotals(NamedTuple):
-    """What a hub said that others admitted, and when it said so last.
-
-    ``basis`` is where that stood when a total was taken out last, or what it
-    said first since, and what was taken out as a hub besides.
-    """
-
-    at_seconds: float
-    others: dict[str, float]
-    basis: dict[str, float]
-
-
-class Statement(NamedTuple):
-    """One account: a hub counts its amounts from 0 on.
-
-    Whoever gives its amounts to another hub begins a new account; ``serial``
-    tells the accounts of one process apart.
-    """
-
-    counter: str
-    serial: int
-    amounts: dict[str, float]
+from boragefold.protocol import rate_ledger_messages as messages
 
 
 class RateAccounts:
     """What this instance gives others to count, and counts for them."""
 
-    def __init__(self, *, rate: shared_rate.SharedRate) -> None:
+    def __init__(
+        self, *, rate: shared_rate.SharedRate, incarnation: str
+    ) -> None:
         """Begin as an instance that counts for nobody.
 
         :param rate: what is admitted here
+        :param incarnation: this process's
         """
         self._rate = rate
+        self._incarnation = incarnation
+        self._giver = own_rate_entry.giver_of(incarnation)
+        self._given = given_amounts.GivenAmounts()
         self._counter = ""
-        self._serial = 0
-        # What former accounts hold, what this one was given, what its counter
-        # has by its last total, and what it has surely got.
-        self._settled: dict[str, float] = {}
-        self._given = recent_sums.RecentSums()
-        self._counted: dict[str, float] = {}
-        self._confirmed: dict[str, float] = {}
-        self._sums = recent_sums.RecentSums()
-        self._totals = recent_sums.RecentSums()
-        self._heard_totals: dict[str, HeardTotals] = {}
-        # Where the counter's total stood when it was taken out last.
-        self._applied: dict[str, float] = {}
-        self._hub_since_seconds = math.inf
+        self._ledger = rate_ledger.RateLedger()
+        self._entry: own_rate_entry.OwnEntry | None = None
+        self._entries_begun = 0
+        self._former: dict[int, tuple[str, ...]] = {}
+        # Which place each entry gave us.
+        self._places: dict[str, int] = {}
+        # What was told last, and what of it others had admitted.
+        self._totals: dict[str, float] = {}
+        self._taken_out: dict[str, float] = {}
+        self._totals_era = messages.Era()
+        self._totals_at_seconds = -math.inf
+        self._lacks_totals = False
 
     @property
     def counter(self) -> str:
-        """Tell who counts what we admit.
+        """Tell which entry counts what we admit.
 
-        :return: an incarnation; empty if we do, or nobody was chosen
+        :return: its name; empty if nobody was chosen
         """
         return self._counter
 
-    def give(self, counter: str, *, now_seconds: float) -> Statement:
+    @property
+    def lacks_totals(self) -> bool:
+        """Tell whether the counter's hub has to tell its totals whole.
+
+        :return: whether what it told last can't be used
+        """
+        return self._lacks_totals
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether we can tell totals.
+
+        :return: whether the entries of others are known
+        """
+        return self._entry is not None and self._ledger.complete
+
+    def begin_counting(self, *, now_seconds: float) -> None:
+        """Write an entry of our own from now on, as a hub.
+
+        :param now_seconds: reading of the process clock
+        """
+        if self._entry is not None:
+            return
+        # What a former one held that wasn't told is given to this one.
+        self._entry = own_rate_entry.OwnEntry(
+            incarnation=self._incarnation,
+            serial=self._entries_begun,
+            now_seconds=now_seconds,
+        )
+        self._entries_begun += 1
+        self._ledger = rate_ledger.RateLedger()
+        self._former = {}
+
+    def stop_counting(self) -> None:
+        """Write no entry: we aren't a hub any more."""
+        self._entry = None
+
+    def begin_era(self, *, heard_count: int, now_seconds: float) -> None:
+        """Go on without the entries of others: nobody tells them.
+
+        :param heard_count: how many instances are heard
+        :param now_seconds: reading of the process clock
+        """
+        era = rate_ledger.era_of(self._incarnation, heard_count=heard_count)
+        self._ledger.begin(era, now_seconds=now_seconds)
+        self.count_own(now_seconds=now_seconds)
+
+    def state(self, counter: str, *, now_seconds: float) -> messages.Account:
         """Give what was admitted here to a hub to count.
 
-        :param counter: the hub's incarnation; empty counts here
+        :param counter: its entry's name
         :param now_seconds: reading of the process clock
         :return: what to tell the hub
         """
-        if counter != self._counter:
-            self._settle()
-            self._counter = counter
-            self._serial += 1
-            self._applied = self._basis(counter)
-        if counter:
-            self._hub_since_seconds = math.inf
-        else:
-            self._hub_since_seconds = min(self._hub_since_seconds, now_seconds)
-        pending = {
-            workspace: amount
-            - self._settled.get(workspace, 0.0)
-            - self._given.amounts.get(workspace, 0.0)
-            for workspace, amount in self._rate.admitted.items()
-        }
-        self._given.add_all(pending, now_seconds=now_seconds)
-        if not counter:
-            # Nobody has to confirm it.
-            self._counted = dict(self._given.amounts)
-            self._confirmed = self._counted
-            self._sums.add_all(pending, now_seconds=now_seconds)
-            self._totals.add_all(pending, now_seconds=now_seconds)
-        return Statement(
-            counter, self._serial, self._given.recent(now_seconds=now_seconds)
+        self._counter = counter
+        return self._given.state(
+            counter, self._rate.admitted, now_seconds=now_seconds
         )
 
-    def count(
-        self, sender: str, statement: Statement, *, now_seconds: float
-    ) -> None:
-        """Count what another instance gives us.
+    def count_own(self, *, now_seconds: float) -> None:
+        """Count what was admitted here, as a hub.
 
-        :param sender: its incarnation
-        :param statement: its account
         :param now_seconds: reading of the process clock
         """
-        added = self._rate.hear(
-            f"{sender}/{statement.serial}",
-            statement.amounts,
-            fresh=True,
+        if self._entry is None or not self._ledger.complete:
+            return
+        statement = self.state(self._entry.name, now_seconds=now_seconds)
+        if statement.amounts:
+            self._count(self._giver, statement, now_seconds)
+        entry = self._entry.entry(whole=True, now_seconds=now_seconds)
+        self._ledger.put(self._entry.name, entry, now_seconds=now_seconds)
+        numbers = self._ledger.settled(
+            self._giver, (*statement.former, self._entry.name)
+        )
+        self._given.note_held(numbers)
+        self._take_out(
+            self._ledger.totals,
+            self._ledger.era,
+            whole=True,
             now_seconds=now_seconds,
         )
-        self._sums.add_all(added, now_seconds=now_seconds)
-        self._totals.add_all(added, now_seconds=now_seconds)
-        self._raise_bases(added)
 
-    def hear_sums(
+    def count(
         self,
-        hub: str,
-        sums: Mapping[str, float],
+        sender: str,
+        statement: messages.Account,
         *,
-        uptime_seconds: float,
         now_seconds: float,
     ) -> None:
-        """Take out what another hub counts.
-
-        Only hubs do: others hear the same by totals. Whoever becomes a hub
-        has heard what was counted until then, and begins with what it is told
-        first.
+        """Count what another instance gives us.
 
-        :param hub: its incarnation
-        :param sums: what it counted since it started, by workspace
-        :param uptime_seconds: how long ago it started
+        :param sender: its incarnation
+        :param statement: its account; one for another entry is left out
         :param now_seconds: reading of the process clock
         """
-        hub_seconds = now_seconds - self._hub_since_seconds
-        if hub_seconds < 0:
+        if self._entry is None or statement.counter != self._entry.name:
             return
-        added = self._rate.hear(
-            f"{hub}/{self._serial}",
-            sums,
-            fresh=uptime_seconds < min(hub_seconds, recent_sums.TELL_SECONDS),
-            now_seconds=now_seconds,
-        )
-        self._totals.add_all(added, now_seconds=now_seconds)
-        self._raise_bases(added)
+        giver = own_rate_entry.giver_of(sender)
+        self._former[giver] = statement.former
+        self._count(giver, statement, now_seconds)
 
-    def hear_totals(
-        self,
-        hub: str,
-        totals: Mapping[str, float],
-        *,
-        now_seconds: float,
-    ) -> None:
-        """Take out what all hubs count, as one of them tells it.
+    def forget_instance(self, incarnation: str) -> None:
+        """Drop an instance that has ended; what it gave stays counted.
 
-        The hubs' totals began at different times, so only how the counter's
-        own rises is taken out. Of the others it is kept in mind: whoever
-        counts next goes on from where its total stood when the former counter
-        was heard last.
+        :param incarnation: which
+        """
+        giver = own_rate_entry.giver_of(incarnation)
+        self._former.pop(giver, None)
+        if self._entry is not None:
+            self._entry.forget(giver)
+
+    def told_entry(self, *, now_seconds: float) -> messages.ToldEntry | None:
+        """Tell other hubs what is counted here.
 
-        :param hub: its incarnation
-        :param totals: what it heard of since it started, by workspace
         :param now_seconds: reading of the process clock
+        :return: our entry; None from whoever writes none
         """
-        is_counter = hub == self._counter
-        if is_counter:
-            # The total may have crossed what was given last.
-            self._confirmed = self._counted
-            self._counted = dict(self._given.amounts)
-        others = {
-            workspace: amount - self._counted_in_all(workspace)
-            for workspace, amount in totals.items()
-        }
-        before = self._heard_totals.get(hub)
-        if before is not None:
-            others = {**before.others, **others}
-        basis = dict(others) if before is None else before.basis
-        self._heard_totals[hub] = HeardTotals(now_seconds, others, basis)
-        if not is_counter:
-            return
-        self._renew_bases()
-        self._rate.take_out(
-            {
-                workspace: amount - self._applied.get(workspace, amount)
-                for workspace, amount in others.items()
-            }
+        own = self._entry
+        if own is None:
+            return None
+        entry = own.entry(now_seconds=now_seconds)
+        return messages.ToldEntry(
+            serial=own.serial,
+            version=entry.version,
+            era=self._ledger.era,
+            lost_digest=self._ledger.lost_digest(now_seconds=now_seconds),
+            entry=(
+                entry if own.changed_lately(now_seconds=now_seconds) else None
+            ),
         )
-        self._applied.update(others)
 
-    def forget(self, *, now_seconds: float) -> None:
-        """Drop the totals of hubs that were not heard for long.
+    def hear_entry(
+        self, hub: str, told: messages.ToldEntry, *, now_seconds: float
+    ) -> bool:
+        """Take over what another hub counts.
 
+        :param hub: its incarnation
+        :param told: its entry
         :param now_seconds: reading of the process clock
+        :return: whether it has to tell us its whole ledger
         """
-        oldest_seconds = now_seconds - shared_rate.FORGET_SECONDS
-        self._heard_totals = {
-            hub: heard
-            for hub, heard in self._heard_totals.items()
-            if heard.at_seconds >= oldest_seconds
-        }
+        if self._entry is None or not told.era.known:
+            return False
+        if not self._ledger.complete:
+            return True
+        if told.era.founding > self._ledger.era.founding:
+            # Nothing that we hold has to do with theirs.
+            self.stop_counting()
+            self.begin_counting(now_seconds=now_seconds)
+            return True
+        if told.era.founding < self._ledger.era.founding:
+            return False
+        self._ledger.note_reunions(told.era, now_seconds=now_seconds)
+        name = messages.entry_name(hub, told.serial)
+        if told.entry is not None:
+            is_known = self._ledger.put(
+                name, told.entry, now_seconds=now_seconds
+            )
+        else:
+            is_known = self._ledger.note_unchanged(
+                name, told.version, now_seconds=now_seconds
+            )
+        self.count_own(now_seconds=now_seconds)
+        digest = self._ledger.lost_digest(now_seconds=now_seconds)
+        return not is_known or digest != told.lost_digest
 
-    def sums(self, *, now_seconds: float) -> dict[str, float]:
-        """Tell other hubs what is counted here.
+    def ledger(self, *, now_seconds: float) -> messages.Ledger | None:
+        """Tell the entries of all hubs.
+
+        :param now_seconds: reading of the process clock
+        :return: None where they aren't known
+        """
+        if not self.complete:
+            return None
+        return self._ledger.contents(now_seconds=now_seconds)
+
+    def merge(self, theirs: messages.Ledger, *, now_seconds: float) -> None:
+        """Take over what another hub holds of all entries.
 
+        :param theirs: as it told it
         :param now_seconds: reading of the process clock
-        :return: sums since the start, by workspace that sent lately
         """
-        return self._sums.recent(now_seconds=now_seconds)
+        if self._entry is not None and theirs.era.known:
+            self._ledger.merge(theirs, now_seconds=now_seconds)
+            self.count_own(now_seconds=now_seconds)
 
-    def totals(self, *, now_seconds: float) -> dict[str, float]:
+    def told_totals(
+        self, *, whole: bool, now_seconds: float
+    ) -> messages.Totals | None:
         """Tell instances what all hubs count.
 
+        :param whole: whether they know nothing yet
+        :param now_seconds: reading of the process clock
+        :return: None from whoever doesn't know it
+        """
+        own = self._entry
+        if own is None or not self._ledger.complete:
+            return None
+        entry = own.entry(whole=whole, now_seconds=now_seconds)
+        lately = whole or own.changed_lately(now_seconds=now_seconds)
+        return messages.Totals(
+            serial=own.serial,
+            era=self._ledger.era,
+            whole=self._ledger.is_whole(whole=whole, now_seconds=now_seconds),
+            amounts=self._ledger.told_totals(
+                whole=whole, now_seconds=now_seconds
+            ),
+            counted=entry.counted if lately else {},
+            places=entry.places,
+            settled={
+                giver: self._ledger.settled(giver, former)
+                for giver, former in self._former.items()
+                if former
+            },
+        )
+
+    def hear_totals(
+        self, hub: str, totals: messages.Totals, *, now_seconds: float
+    ) -> None:
+        """Take out what others admitted, as one hub tells it.
+
+        :param hub: its incarnation
+        :param totals: what all hubs count; those of another hub than the one
+            that counts for us are left out
         :param now_seconds: reading of the process clock
-        :return: sums since the start, by workspace that sent lately
         """
-        return self._totals.recent(now_seconds=now_seconds)
+        counter = messages.entry_name(hub, totals.serial)
+        # Whoever has just started takes the first that it hears.
+        self._counter = self._counter or counter
+        if self._giver in totals.places:
+            self._places[counter] = totals.places[self._giver]
+        if counter != self._counter:
+            return
+        numbers = dict(totals.settled.get(self._giver, {}))
+        number = totals.counted.get(self._places.get(counter, -1))
+        if number is not None:
+            numbers[counter] = number
+        self._given.note_held(numbers)
+        self._take_out(
+            totals.amounts,
+            totals.era,
+            whole=totals.whole,
+            now_seconds=now_seconds,
+        )
 
-    def _counted_in_all(self, workspace: str) -> float:
-        settled = self._settled.get(workspace, 0.0)
-        return settled + self._counted.get(workspace, 0.0)
+    def forget(self, *, now_seconds: float) -> None:
+        """Drop what nobody asks for any more.
 
-    def _basis(self, counter: str) -> dict[str, float]:
-        heard = self._heard_totals.get(counter)
-        return {} if heard is None else dict(heard.basis)
+        :param now_seconds: reading of the process clock
+        """
+        self._given.forget()
+        self._ledger.fold(now_seconds=now_seconds)
 
-    def _renew_bases(self) -> None:
-        self._heard_totals = {
-            hub: heard._replace(basis=dict(heard.others))
-            for hub, heard in self._heard_totals.items()
-        }
+    def _count(
+        self,
+        giver: int,
+        statement: messages.Account,
+        now_seconds: float,
+    ) -> None:
+        assert self._entry is not None
+        self._entry.count(
+            giver,
+            statement.number,
+            statement.amounts,
+            now_seconds=now_seconds,
+        )
 
-    def _raise_bases(self, added: Mapping[str, float]) -> None:
-        # Totals hold this as well.
-        for heard in self._heard_totals.values():
-            heard.basis.update(
-                (workspace, heard.basis[workspace] + amount)
-                for workspace, amount in added.items()
-                if workspace in heard.basis
+    def _take_out(
+        self,
+        amounts: Mapping[str, float],
+        era: messages.Era,
+        *,
+        whole: bool,
+        now_seconds: float,
+    ) -> None:
+        silent_seconds = now_seconds - self._totals_at_seconds
+        follows = (
+            era == self._totals_era
+            and silent_seconds <= shared_rate.FORGET_SECONDS
+        )
+        self._lacks_totals = not follows and not whole
+        if self._lacks_totals:
+            return
+        if not follows:
+            self._totals.clear()
+        self._totals.update(amounts)
+        self._totals_era = era
+        self._totals_at_seconds = now_seconds
+        others = {
+            workspace: amount - self._given.held(workspace)
+            for workspace, amount in self._totals.items()
+        }
+        if follows:
+            self._rate.take_out(
+                {
+                    workspace: amount - self._taken_out.get(workspace, 0.0)
+                    for workspace, amount in others.items()
+                }
             )
-
-    def _settle(self) -> None:
-        # What the former counter hasn't confirmed is given to the next.
-        for workspace, amount in self._confirmed.items():
-            before = self._settled.get(workspace, 0.0)
-            self._settled[workspace] = before + amount
-        self._given = recent_sums.RecentSums()
-        self._counted = {}
-        self._confirmed = {}
+        self._taken_out = others
 
 
 __all__ = [
     "RateAccounts",
-    "Statement",
 ]
--- a/src/boragefold/policy/shared_rate.py
+++ b/src/boragefold/policy/shared_rate.py
@@ -71,9 +71,6 @@
         self.tolerance = tolerance or Tolerance()
         self._buckets: dict[str, Bucket] = {}
         self._admitted: dict[str, float] = {}
-        self._heard: dict[str, dict[str, float]] = {}
-        self._heard_fresh: set[str] = set()
-        self._heard_at_seconds: dict[str, float] = {}
 
     @property
     def admitted(self) -> Mapping[str, float]:
@@ -91,37 +88,6 @@
         """
         return self._buckets[workspace].level
 
-    def hear(
-        self,
-        source: str,
-        used: Mapping[str, float],
-        *,
-        fresh: bool,
-        now_seconds: float,
-    ) -> dict[str, float]:
-        """Take out what was admitted elsewhere.
-
-        :param source: whose count it is, for example one incarnation
-        :param used: what was admitted since the count began, by workspace
-        :param fresh: whether the count began only lately
-        :param now_seconds: reading of the process clock
-        :return: what was taken out
-        """
-        before = self._heard.setdefault(source, {})
-        if source not in self._heard_at_seconds and fresh:
-            self._heard_fresh.add(source)
-        # Only what a new count holds is recent.
-        known = {} if source in self._heard_fresh else used
-        added = {
-            workspace: amount
-            - before.get(workspace, known.get(workspace, 0.0))
-            for workspace, amount in used.items()
-        }
-        before.update(used)
-        self._heard_at_seconds[source] = now_seconds
-        self.take_out(added)
-        return added
-
     def take_out(self, amounts: Mapping[str, float]) -> None:
         """Take out what was admitted elsewhere.
 
@@ -172,20 +138,6 @@
             bucket.level += amount
             self._count(workspace, -amount)
 
-    def forget(self, *, now_seconds: float) -> None:
-        """Drop the counts that were not heard of for long.
-
-        :param now_seconds: reading of the process clock
-        """
-        gone = [
-            source
-            for source, heard_at_seconds in self._heard_at_seconds.items()
-            if now_seconds - heard_at_seconds > FORGET_SECONDS
-        ]
-        for source in gone:
-            del self._heard[source], self._heard_at_seconds[source]
-            self._heard_fresh.discard(source)
-
     def _count(self, workspace: str, amount: float) -> None:
         before = self._admitted.get(workspace, 0.0)
         self._admitted[workspace] = before + amount
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from boragefold.protocol import ids
+from boragefold.protocol import rate_ledger_messages
 
 
 class EngineStatus(NamedTuple):
@@ -127,35 +128,21 @@
     silent: tuple[int, ...]
 
 
-class Account(NamedTuple):
-    """What the sender admitted and one hub has to count.
-
-    ``counter`` is that hub's incarnation; ``amounts`` are sums since this
-    account began, by workspace that sent lately. ``serial`` tells the sender's
-    accounts apart.
-    """
-
-    counter: str
-    serial: int
-    amounts: dict[str, float]
-
-
 class Heartbeat(NamedTuple):
     """A heartbeat; from a hub with what it hears.
 
     ``lacks`` are the addresses of the hubs whose reports the sender missed.
-    A hub tells other hubs the ``sums`` of what it counts, and the instances
-    that speak to it the ``totals`` of what all hubs do, since it started and
-    by workspace that sent lately. ``to_hub`` tells that the sender takes the
-    receiver for its hub, and wants to be told what that one hears.
+    A hub tells other hubs its ``entry`` of what it counts of rates, and the
+    instances that speak to it the ``totals``. ``to_hub`` tells that the sender
+    takes the receiver for its hub, and wants to be told what that one hears.
     """
 
     beat: Beat
     report: Report | None = None
     lacks: tuple[str, ...] = ()
-    account: Account | None = None
-    sums: dict[str, float] | None = None
-    totals: dict[str, float] | None = None
+    account: rate_ledger_messages.Account | None = None
+    entry: rate_ledger_messages.ToldEntry | None = None
+    totals: rate_ledger_messages.Totals | None = None
     to_hub: bool = False
 
 
@@ -284,11 +271,11 @@
     Pull,
     RunEnded,
     RunStarted,
+    *rate_ledger_messages.KINDS,
 )
 
 
 __all__ = [
-    "Account",
     "Beat",
     "EngineAsk",
     "EngineChange",
