Tell lives of an engine apart by the millisecond in fencing numbers

An unload that was sent for the former life of an engine meets the next one, which doesn't hold the adapter, answers "done" and counts nothing. The next order relies on a count of 0 and has a lower number.

Cause: a number holds the engine's start, but only its second. Lives of one second share it, and in the walk, whose engines told no start at all, all do.

It takes two lives that begin in one second.

Now the start in milliseconds and the count are added up. An engine takes fewer orders than one a millisecond, so no number of a life reaches the next one's, and a number is ten bits shorter. The new test of two starts 100 ms apart failed before.

Tried and dropped: numbers lifted above what may be left in the next life, with and without telling the voters of the lease.

Numbers of the former code are higher: an update while engines run would give them lower ones.

--- a/src/boragefold/coordination/fleet/fencing_numbers.py
+++ b/src/boragefold/coordination/fleet/fencing_numbers.py
@@ -11,10 +11,8 @@
 from typing import NamedTuple
 
 # Lives of an engine that starts again under its name are told apart by the
-# second of their start, counted from here: the start of 2024, UTC.
-EPOCH_SECONDS = 1_704_067_200
-# Orders in one life of an engine: 40 a second for seven hours.
-COUNT_BITS = 20
+# millisecond of their start, counted from here: the start of 2024, UTC.
+EPOCH_MILLISECONDS = 1_704_067_200_000
 # One part in so many for each giver, see giver_number.
 GIVER_BITS = 15
 # The giver's number: which data centre, and the low bits of its address there.
@@ -51,13 +49,16 @@
     :param counted: the count that the order relies on; None before the first
         report
     :param giver: its giver's own number, below two to GIVER_BITS
-    :return: a number that rises with the engine's count
+    :return: a number that rises with the engine's count, and from one life of
+        the engine to the next
     """
     if counted is None:
         return giver
-    life = max(0, counted.born_milliseconds // 1000 - EPOCH_SECONDS)
-    numbered = (life << COUNT_BITS) | counted.orders
-    return (numbered << GIVER_BITS) | giver
+    born_milliseconds = counted.born_milliseconds - EPOCH_MILLISECONDS
+    # An engine takes fewer orders than one a millisecond, so no number of this
+    # life reaches those of the next.
+    place = max(0, born_milliseconds) + counted.orders
+    return (place << GIVER_BITS) | giver
 
 
 __all__ = [
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -482,6 +482,17 @@
     assert max(seen) < 2**63
 
 
+def test_a_life_of_a_moment_later_has_higher_numbers() -> None:
+    # An unload for the former life may reach the next one, uncounted: where
+    # both began in one second, the numbers of the next one were below it.
+    born = 1_790_000_000_000
+    orders_in_100_milliseconds = 20
+    last = fencing_numbers.Counted(born, orders_in_100_milliseconds)
+    first = fencing_numbers.Counted(born + 100, 0)
+    former = fencing_numbers.fence(last, giver=7)
+    assert former < fencing_numbers.fence(first, giver=1)
+
+
 def test_each_instance_has_a_number_of_its_own() -> None:
     centres = [f"dc-{number:02}" for number in range(29)]
     numbers = {
--- a/tests/entry/test_order_walk.py
+++ b/tests/entry/test_order_walk.py
@@ -205,3 +205,27 @@
         if found := order_walk.OrderWalk(seed=seed, steps=steps).run():
             broken[seed] = found
     assert not broken
+
+
+@pytest.mark.parametrize("profile", ["restart", "all"])
+def test_no_schedule_has_two_givers_where_engines_tell_their_start(
+    profile,
+) -> None:
+    # An unload that meets the next life of an engine lowers no number there.
+    broken = {}
+    for seed in (50026, 51194, *SEEDS):
+        steps = order_plans.draw(seed=seed, profile=profile)
+        walk = order_walk.OrderWalk(seed=seed, steps=steps, tells_start=True)
+        if found := walk.run():
+            broken[seed] = found
+    assert not broken
+
+
+def test_an_unload_that_meets_the_next_life_lowers_no_number() -> None:
+    # The engine had started again, tells no start, and didn't count it.
+    broken = {}
+    for seed in (50026, 51194):
+        steps = order_plans.draw(seed=seed, profile="restart")
+        if found := order_walk.OrderWalk(seed=seed, steps=steps).run():
+            broken[seed] = found
+    assert not broken
--- a/tests/fakes/model_engine.py
+++ b/tests/fakes/model_engine.py
@@ -66,6 +66,7 @@
         load_seconds: float = LOAD_SECONDS,
         report_lag_seconds: tuple[float, float] = REPORT_LAG_SECONDS,
         newest: dict[deployment.AdapterKey, int] | None = None,
+        tells_start: bool = False,
     ) -> None:
         """Begin with models and without adapters.
 
@@ -76,6 +77,7 @@
         :param load_seconds: how long an adapter is on its way
         :param report_lag_seconds: how old reports are, from and to
         :param newest: the newest version where there are several
+        :param tells_start: whether its reports tell when it started
         """
         self._clock = clock
         self._random = random.Random(seed)
@@ -83,6 +85,7 @@
         self._load_seconds = load_seconds
         self._report_lag_seconds = report_lag_seconds
         self.newest = {} if newest is None else newest
+        self._tells_start = tells_start
         self.orders: list[GivenOrder] = []
         self.overfull: list[GivenOrder] = []
         self.life = 0
@@ -190,6 +193,12 @@
     def _begin(self, models: tuple[str, ...]) -> None:
         self.down = False
         self.count = 0
+        self._born_milliseconds = (
+            fencing_numbers.EPOCH_MILLISECONDS
+            + int(self._clock.now_seconds() * 1000)
+            if self._tells_start
+            else 0
+        )
         self._models = set(models)
         self._models_coming: dict[str, float] = {}
         self._held: dict[deployment.AdapterKey, int] = {}
@@ -307,7 +316,9 @@
         for key, version in self._held.items():
             held.setdefault(key.model, {})[key.adapter] = version
         report = dialects.EngineReport(
-            counted=fencing_numbers.Counted(0, self.count),
+            counted=fencing_numbers.Counted(
+                self._born_milliseconds, self.count
+            ),
             held=held,
             coming={key: one[1] for key, one in self._coming.items()},
             busy=self._busy(),
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -111,7 +111,12 @@
     """Plays one schedule; all chances come from one seed."""
 
     def __init__(
-        self, *, seed: int, steps: list[Step], instances: int = 3
+        self,
+        *,
+        seed: int,
+        steps: list[Step],
+        instances: int = 3,
+        tells_start: bool = False,
     ) -> None:
         super().__init__(seed=seed, start_seconds=START_SECONDS)
         self.dialect = plain_dialect.Dialect()
@@ -119,6 +124,7 @@
             clock=self.network.clock,
             seed=seed,
             models=(engine_loads.MODEL,),
+            tells_start=tells_start,
         )
         self.record = gateways.ENGINES[0]
         self._cut_until_seconds: dict[str, float] = {}
