Pay for what a cut-off side admitted from the part withheld for it

What callers saw: after a cut had healed, workspaces that send well within their rate were refused.

Cause: in a cut each side fills its buckets with the part of the rate that its instances stand for. Once they hear each other again, each takes out all that the other side admitted, which that one had taken from its own part. So the part of the others is missing twice.

Now a bucket keeps what wasn't filled for instances out of reach. A hub tells which part of its totals it learned after it hadn't heard who counted it, and that is paid from what was withheld; only what goes beyond is taken out. Where hubs counted apart for so long that each side took the whole rate, a new era begins, also where a third hub tells of it.

--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -43,6 +43,7 @@
         # What was told last, and what of it others had admitted.
         self._totals: dict[str, float] = {}
         self._taken_out: dict[str, float] = {}
+        self._late: dict[str, float] = {}
         self._totals_era = messages.Era()
         self._totals_at_seconds = -math.inf
         self._lacks_totals = False
@@ -133,6 +134,7 @@
         self._take_out(
             self._ledger.totals,
             self._ledger.era,
+            late=self._ledger.late(now_seconds=now_seconds),
             whole=True,
             now_seconds=now_seconds,
         )
@@ -269,6 +271,7 @@
                 for giver, former in self._former.items()
                 if former
             },
+            late=self._ledger.late(now_seconds=now_seconds),
         )
 
     def hear_totals(
@@ -296,6 +299,7 @@
         self._take_out(
             totals.amounts,
             totals.era,
+            late=totals.late,
             whole=totals.whole,
             now_seconds=now_seconds,
         )
@@ -327,6 +331,7 @@
         amounts: Mapping[str, float],
         era: messages.Era,
         *,
+        late: Mapping[str, float],
         whole: bool,
         now_seconds: float,
     ) -> None:
@@ -348,13 +353,40 @@
             for workspace, amount in self._totals.items()
         }
         if follows:
-            self._rate.take_out(
-                {
-                    workspace: amount - self._taken_out.get(workspace, 0.0)
-                    for workspace, amount in others.items()
-                }
+            added = {
+                workspace: amount - self._taken_out.get(workspace, 0.0)
+                for workspace, amount in others.items()
+            }
+            is_late = silent_seconds > rate_ledger.LOST_SECONDS
+            self._take_out_added(
+                added, added if is_late else self._new_late(late), now_seconds
             )
         self._taken_out = others
+        self._late.update(late)
+
+    def _new_late(self, late: Mapping[str, float]) -> dict[str, float]:
+        return {
+            workspace: amount - self._late.get(workspace, 0.0)
+            for workspace, amount in late.items()
+        }
+
+    def _take_out_added(
+        self,
+        added: Mapping[str, float],
+        late: Mapping[str, float],
+        now_seconds: float,
+    ) -> None:
+        # Of a former hub it isn't known how much was late before.
+        late = {
+            workspace: max(0.0, min(amount, added.get(workspace, 0.0)))
+            for workspace, amount in late.items()
+        }
+        in_time = {
+            workspace: amount - late.get(workspace, 0.0)
+            for workspace, amount in added.items()
+        }
+        self._rate.take_out(in_time)
+        self._rate.take_out_late(late, now_seconds=now_seconds)
 
 
 __all__ = [
--- a/src/boragefold/policy/rate_ledger.py
+++ b/src/boragefold/policy/rate_ledger.py
@@ -44,6 +44,7 @@
         self._held: dict[str, HeldEntry] = {}
         self._folded = messages.Folded(0, {})
         self._totals = recent_sums.RecentSums()
+        self._late = recent_sums.RecentSums()
 
     @property
     def era(self) -> messages.Era:
@@ -69,6 +70,14 @@
         """
         return self._totals.amounts
 
+    def late(self, *, now_seconds: float) -> dict[str, float]:
+        """Tell which part of the totals was learned late.
+
+        :param now_seconds: reading of the process clock
+        :return: sums by workspace that changed lately
+        """
+        return self._late.recent(now_seconds=now_seconds)
+
     def begin(self, era: messages.Era, *, now_seconds: float) -> None:
         """Begin an era: nobody is there to learn from.
 
@@ -118,8 +127,7 @@
         if held is not None and entry.version < held.entry.version:
             self._held[name] = held._replace(told_at_seconds=now_seconds)
             return True
-        if self._counted_apart(held, entry, now_seconds):
-            self._reunite(now_seconds)
+        self._note_gap(held, entry, now_seconds)
         self._replace(name, HeldEntry(entry, now_seconds, now_seconds))
         return len(entry.places) >= entry.places_count
 
@@ -189,7 +197,8 @@
         :param theirs: its ledger
         :param now_seconds: reading of the process clock
         """
-        if not self.complete:
+        is_new = not self.complete
+        if is_new:
             self._change_era(theirs.era, now_seconds)
         if theirs.era.founding != self._era.founding:
             return
@@ -202,6 +211,8 @@
                 continue
             if held is not None:
                 told_at_seconds = max(told_at_seconds, held.told_at_seconds)
+            if not is_new:
+                self._note_gap(held, entry, now_seconds)
             self._replace(name, HeldEntry(entry, told_at_seconds, now_seconds))
 
     def note_reunions(self, era: messages.Era, *, now_seconds: float) -> None:
@@ -244,27 +255,26 @@
         is_known = len(held.entry.places) >= held.entry.places_count
         return 0 if is_known else None
 
-    def _counted_apart(
+    def _note_gap(
         self,
         held: HeldEntry | None,
         entry: messages.Entry,
         now_seconds: float,
-    ) -> bool:
-        changed_at_seconds = (
-            -math.inf
-            if held is None
-            else max(held.told_at_seconds, held.changed_at_seconds)
-        )
-        apart_seconds = now_seconds - changed_at_seconds
-        return (
-            min(apart_seconds, entry.age_seconds) > shared_rate.FORGET_SECONDS
-        )
-
-    def _reunite(self, now_seconds: float) -> None:
-        # Each side went on with the whole rate: what the other one admitted
-        # meanwhile is no debt.
-        reunions = self._era.reunions + 1
-        self._change_era(self._era._replace(reunions=reunions), now_seconds)
+    ) -> None:
+        apart_seconds = _apart_seconds(held, entry, now_seconds)
+        if apart_seconds > shared_rate.FORGET_SECONDS:
+            # Each side went on with the whole rate: what the other one
+            # admitted meanwhile is no debt.
+            reunions = self._era.reunions + 1
+            era = self._era._replace(reunions=reunions)
+            self._change_era(era, now_seconds)
+        elif apart_seconds > LOST_SECONDS:
+            before = {} if held is None else held.entry.sums
+            late = {
+                workspace: amount - before.get(workspace, 0.0)
+                for workspace, amount in entry.sums.items()
+            }
+            self._late.add_all(late, now_seconds=now_seconds)
 
     def _change_era(self, era: messages.Era, now_seconds: float) -> None:
         self._era = era
@@ -313,6 +323,16 @@
     return messages.Era(heard_count, xxhash.xxh32_intdigest(founder.encode()))
 
 
+def _apart_seconds(
+    held: HeldEntry | None, entry: messages.Entry, now_seconds: float
+) -> float:
+    # For how long somebody counted what we weren't told.
+    if held is None:
+        return entry.age_seconds
+    told_at_seconds = max(held.told_at_seconds, held.changed_at_seconds)
+    return min(now_seconds - told_at_seconds, entry.age_seconds)
+
+
 def _is_news(held: messages.Entry, other: messages.Entry) -> bool:
     if other.version == held.version:
         return len(other.places) > len(held.places)
--- a/src/boragefold/policy/shared_rate.py
+++ b/src/boragefold/policy/shared_rate.py
@@ -58,10 +58,16 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Bucket:
-    """What a workspace may still be given."""
+    """What a workspace may still be given.
+
+    ``withheld`` is the part of its rate that instances out of reach stood for,
+    until ``withheld_until_seconds``.
+    """
 
     level: float
     filled_at_seconds: float
+    withheld: float = 0.0
+    withheld_until_seconds: float = -math.inf
 
 
 class SharedRate:
@@ -97,6 +103,27 @@
             if (bucket := self._buckets.get(workspace)) is not None:
                 bucket.level -= amount
 
+    def take_out_late(
+        self, amounts: Mapping[str, float], *, now_seconds: float
+    ) -> None:
+        """Take out what was admitted by instances that were out of reach.
+
+        They admitted it from their part of the rate, which didn't fill our
+        buckets meanwhile: only what goes beyond that is taken out.
+
+        :param amounts: tokens or requests, by workspace
+        :param now_seconds: reading of the process clock
+        """
+        for workspace, amount in amounts.items():
+            bucket = self._buckets.get(workspace)
+            if bucket is None:
+                continue
+            paid = 0.0
+            if now_seconds <= bucket.withheld_until_seconds + FORGET_SECONDS:
+                paid = min(amount, bucket.withheld)
+            bucket.withheld -= paid
+            bucket.level -= amount - paid
+
     def admit(
         self,
         workspace: deployment.Workspace,
@@ -160,6 +187,11 @@
             bucket.level + rate * elapsed_seconds, workspace.burst
         )
         bucket.filled_at_seconds = now_seconds
+        if share < 1:
+            whole = workspace.rate_per_second
+            withheld = bucket.withheld + (whole - rate) * elapsed_seconds
+            bucket.withheld = min(withheld, whole * FORGET_SECONDS)
+            bucket.withheld_until_seconds = now_seconds
         return bucket
 
 
--- a/src/boragefold/protocol/rate_ledger_messages.py
+++ b/src/boragefold/protocol/rate_ledger_messages.py
@@ -89,7 +89,8 @@
     ``whole`` tells that a workspace which isn't named has a sum of 0.
     ``counted`` and ``places`` are those of the hub's own entry, named by
     ``serial``. ``settled`` are the numbers of the accounts that other entries
-    hold, for the givers that asked.
+    hold, for the givers that asked. ``late`` is the part of the amounts that
+    the hub learned after it hadn't heard who counted it for a while.
     """
 
     serial: int
@@ -99,6 +100,7 @@
     counted: dict[int, int]
     places: dict[int, int]
     settled: dict[int, dict[str, int]]
+    late: dict[str, float]
 
 
 class Folded(NamedTuple):
--- a/tests/policy/test_rate_accounts.py
+++ b/tests/policy/test_rate_accounts.py
@@ -447,6 +447,34 @@
     assert fleet.all_believe(15.0)
 
 
+def test_only_what_was_learned_late_is_paid_from_what_was_withheld() -> None:
+    # Guards against a part of the rate that is given twice: what this side
+    # admitted in the cut isn't what the other one's part was withheld for.
+    fleet = Fleet()
+    fleet.chosen["two"] = HUBS[1]
+    fleet.level_out()
+    paid = {name: [] for name in fleet.instances}
+    for name, instance in fleet.instances.items():
+        instance.rate.take_out_late = lambda late, name=name, **_: paid[
+            name
+        ].append(late.get(WORKSPACE.name, 0.0))
+    fleet.cut_off = {HUBS[1], "two"}
+    fleet.admit("one", 10.0)
+    fleet.level_out()
+    assert not any(map(sum, paid.values()))
+    fleet.admit("two", 5.0)
+    fleet.level_out()
+    fleet.cut_off = set()
+    fleet.level_out()
+    assert {name: sum(late) for name, late in paid.items()} == {
+        HUBS[0]: 5.0,
+        "one": 5.0,
+        "three": 5.0,
+        HUBS[1]: 10.0,
+        "two": 10.0,
+    }
+
+
 def test_who_went_on_alone_for_long_owes_nothing() -> None:
     # Guards against a debt of all that the other side of a long cut admitted
     # with the whole rate: its callers would be refused for as long again.
--- a/tests/policy/test_shared_rate.py
+++ b/tests/policy/test_shared_rate.py
@@ -144,6 +144,30 @@
     assert fleet.rates[0].admitted == {"press": 1_000.0}
 
 
+def cut_for(rate, seconds):
+    # Half of the rate fills the bucket meanwhile.
+    rate.admit(workspace(), 1_000.0, share=1.0, now_seconds=0.0)
+    rate.admit(workspace(), 0.0, share=0.5, now_seconds=seconds)
+
+
+def test_what_was_withheld_pays_for_what_others_admitted() -> None:
+    rate = shared_rate.SharedRate()
+    cut_for(rate, 1.0)
+    rate.take_out_late({"press": 500.0}, now_seconds=1.5)
+    assert rate.level("press") == 500.0
+    rate.take_out_late({"press": 30.0}, now_seconds=1.5)
+    assert rate.level("press") == 470.0
+
+
+def test_what_was_withheld_long_ago_pays_for_nothing() -> None:
+    # The silent ones had ended, and others were cut off later.
+    rate = shared_rate.SharedRate()
+    cut_for(rate, 1.0)
+    late_seconds = 1.5 + shared_rate.FORGET_SECONDS
+    rate.take_out_late({"press": 500.0}, now_seconds=late_seconds)
+    assert rate.level("press") == 0.0
+
+
 def test_silent_instances_keep_their_part_for_a_while() -> None:
     assert shared_rate.share_of([0.1, 0.1], 1.0) == 1.0
     assert shared_rate.share_of([0.1, 5.0, 5.0], 1.0) == 0.5
