Bound what an instance keeps of its accounts of rates

What was given to an entry is kept for six seconds instead of twenty: no living hub holds older versions of an entry, and a busy instance kept some eighty copies of its sums. Places that entries gave are bounded as well. Our own entry is put into the ledger as it is: after a pause it passed for one that was learned late, which would have been paid from the part withheld for others.

--- a/src/boragefold/policy/given_amounts.py
+++ b/src/boragefold/policy/given_amounts.py
@@ -16,6 +16,8 @@
 
 # For so long it may still turn out what the entry of a former hub holds.
 SETTLE_SECONDS = 20.0
+# No living hub holds older versions of an entry.
+KEPT_SECONDS = 6.0
 # Entries that are given something again go on where they were left.
 KEPT_ENTRIES = 64
 
@@ -103,7 +105,7 @@
         if not account.given or account.given[-1].amounts != amounts:
             self._number += 1
             account.given.append(Given(self._number, now_seconds, amounts))
-        account.drop_older(now_seconds - SETTLE_SECONDS)
+        account.drop_older(now_seconds - KEPT_SECONDS)
         unconfirmed = {
             workspace: amount
             for workspace, amount in amounts.items()
--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -18,6 +18,10 @@
 from boragefold.protocol import rate_ledger_messages as messages
 
 
+# Of so many entries it is known which place they gave us.
+KEPT_PLACES = 64
+
+
 class RateAccounts:
     """What this instance gives others to count, and counts for them."""
 
@@ -126,7 +130,7 @@
         if statement.amounts:
             self._count(self._giver, statement, now_seconds)
         entry = self._entry.entry(whole=True, now_seconds=now_seconds)
-        self._ledger.put(self._entry.name, entry, now_seconds=now_seconds)
+        self._ledger.put_own(self._entry.name, entry, now_seconds=now_seconds)
         numbers = self._ledger.settled(
             self._giver, (*statement.former, self._entry.name)
         )
@@ -310,6 +314,8 @@
         :param now_seconds: reading of the process clock
         """
         self._given.forget()
+        for counter in list(self._places)[:-KEPT_PLACES]:
+            del self._places[counter]
         self._ledger.fold(now_seconds=now_seconds)
 
     def _count(
--- a/src/boragefold/policy/rate_ledger.py
+++ b/src/boragefold/policy/rate_ledger.py
@@ -110,6 +110,17 @@
         new_seconds = now_seconds - self._era_began_at_seconds
         return whole or new_seconds <= recent_sums.TELL_SECONDS
 
+    def put_own(
+        self, name: str, entry: messages.Entry, *, now_seconds: float
+    ) -> None:
+        """Take over the entry that we write ourselves.
+
+        :param name: its name
+        :param entry: what we count
+        :param now_seconds: reading of the process clock
+        """
+        self._replace(name, HeldEntry(entry, now_seconds, now_seconds))
+
     def put(
         self, name: str, entry: messages.Entry, *, now_seconds: float
     ) -> bool:
