Take heard totals out in a module of their own

rate_accounts.py had grown to 400 lines with two jobs: what is given and counted, and what is taken out of buckets. An index in an entry was called a place, which is room for one adapter everywhere else. No behaviour changes.

--- /dev/null
+++ b/src/boragefold/policy/heard_totals.py
@@ -0,0 +1,118 @@
+"""Taking what others admitted out of buckets, as hubs tell it in totals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import math
+
+from boragefold.policy import rate_ledger
+from boragefold.policy import shared_rate
+from boragefold.protocol import rate_ledger_messages as messages
+
+
+class HeardTotals:
+    """What was told last, and what of it others had admitted."""
+
+    def __init__(
+        self, *, rate: shared_rate.SharedRate, held: Callable[[str], float]
+    ) -> None:
+        """Begin with nothing heard.
+
+        :param rate: the buckets
+        :param held: tells how much of what was admitted here the totals hold,
+            by workspace
+        """
+        self._rate = rate
+        self._held = held
+        self._totals: dict[str, float] = {}
+        self._of_others: dict[str, float] = {}
+        self._late: dict[str, float] = {}
+        self._era = messages.Era()
+        self._at_seconds = -math.inf
+        self._lacks_whole = False
+
+    @property
+    def lacks_whole(self) -> bool:
+        """Tell whether totals must be told whole to be of use.
+
+        :return: whether those told last weren't and had to be
+        """
+        return self._lacks_whole
+
+    def take(
+        self,
+        amounts: Mapping[str, float],
+        era: messages.Era,
+        *,
+        late: Mapping[str, float],
+        whole: bool,
+        now_seconds: float,
+    ) -> None:
+        """Take out what others admitted since the totals before.
+
+        After a change of era, or a long time without any, totals are where
+        that begins anew.
+
+        :param amounts: the totals that changed, by workspace
+        :param era: the era that they are of
+        :param late: the part of them that was learned late
+        :param whole: whether those that aren't named are 0
+        :param now_seconds: reading of the process clock
+        """
+        silent_seconds = now_seconds - self._at_seconds
+        follows = (
+            era == self._era and silent_seconds <= shared_rate.FORGET_SECONDS
+        )
+        self._lacks_whole = not follows and not whole
+        if self._lacks_whole:
+            return
+        if not follows:
+            self._totals.clear()
+        self._totals.update(amounts)
+        self._era = era
+        self._at_seconds = now_seconds
+        of_others = {
+            workspace: amount - self._held(workspace)
+            for workspace, amount in self._totals.items()
+        }
+        if follows:
+            added = {
+                workspace: amount - self._of_others.get(workspace, 0.0)
+                for workspace, amount in of_others.items()
+            }
+            is_late = silent_seconds > rate_ledger.LOST_SECONDS
+            self._take_out(
+                added, added if is_late else self._new_late(late), now_seconds
+            )
+        self._of_others = of_others
+        self._late.update(late)
+
+    def _new_late(self, late: Mapping[str, float]) -> dict[str, float]:
+        return {
+            workspace: amount - self._late.get(workspace, 0.0)
+            for workspace, amount in late.items()
+        }
+
+    def _take_out(
+        self,
+        added: Mapping[str, float],
+        late: Mapping[str, float],
+        now_seconds: float,
+    ) -> None:
+        # Of a former hub it isn't known how much was late before.
+        late = {
+            workspace: max(0.0, min(amount, added.get(workspace, 0.0)))
+            for workspace, amount in late.items()
+        }
+        in_time = {
+            workspace: amount - late.get(workspace, 0.0)
+            for workspace, amount in added.items()
+        }
+        self._rate.take_out(in_time)
+        self._rate.take_out_late(late, now_seconds=now_seconds)
+
+
+__all__ = [
+    "HeardTotals",
+]
--- a/src/boragefold/policy/own_rate_entry.py
+++ b/src/boragefold/policy/own_rate_entry.py
@@ -31,8 +31,8 @@
         self._counted: dict[int, int] = {}
         self._given: dict[int, dict[str, float]] = {}
         # Shorter than the givers' own numbers; none is ever used again.
-        self._places: dict[int, int] = {}
-        self._placed_at_seconds: dict[int, float] = {}
+        self._indexes: dict[int, int] = {}
+        self._indexed_at_seconds: dict[int, float] = {}
 
     def count(
         self,
@@ -50,18 +50,18 @@
             changed
         :param now_seconds: reading of the process clock
         """
-        if giver not in self._places:
-            self._places[giver] = len(self._places)
-            self._placed_at_seconds[giver] = now_seconds
-        place = self._places[giver]
-        if number <= self._counted.get(place, 0):
+        if giver not in self._indexes:
+            self._indexes[giver] = len(self._indexes)
+            self._indexed_at_seconds[giver] = now_seconds
+        index = self._indexes[giver]
+        if number <= self._counted.get(index, 0):
             return
         before = self._given.setdefault(giver, {})
         for workspace, amount in amounts.items():
             added = amount - before.get(workspace, 0.0)
             self._sums[workspace] = self._sums.get(workspace, 0.0) + added
         before.update(amounts)
-        self._counted[place] = number
+        self._counted[index] = number
         self._version += 1
         self._changed_at_seconds = now_seconds
 
@@ -86,23 +86,23 @@
     ) -> messages.Entry:
         """Tell the newest version.
 
-        :param whole: whether the places of all givers are told
+        :param whole: whether the indexes of all givers are told
         :param now_seconds: reading of the process clock
         :return: a copy
         """
         oldest_seconds = now_seconds - recent_sums.TELL_SECONDS
-        places = {
-            giver: place
-            for giver, place in self._places.items()
-            if whole or self._placed_at_seconds[giver] >= oldest_seconds
+        indexes = {
+            giver: index
+            for giver, index in self._indexes.items()
+            if whole or self._indexed_at_seconds[giver] >= oldest_seconds
         }
         return messages.Entry(
             version=self._version,
             age_seconds=int(now_seconds - self._began_at_seconds),
             sums=dict(self._sums),
             counted=dict(self._counted),
-            places=places,
-            places_count=len(self._places),
+            indexes=indexes,
+            givers_count=len(self._indexes),
         )
 
 
--- a/src/boragefold/policy/rate_accounts.py
+++ b/src/boragefold/policy/rate_accounts.py
@@ -8,18 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-import math
-
 from boragefold.policy import given_amounts
+from boragefold.policy import heard_totals
 from boragefold.policy import own_rate_entry
 from boragefold.policy import rate_ledger
 from boragefold.policy import shared_rate
 from boragefold.protocol import rate_ledger_messages as messages
 
-
-# Of so many entries it is known which place they gave us.
-KEPT_PLACES = 64
+# Of so many entries it is known which index they gave us.
+KEPT_INDEXES = 64
 
 
 class RateAccounts:
@@ -42,15 +39,11 @@
         self._entry: own_rate_entry.OwnEntry | None = None
         self._entries_begun = 0
         self._former: dict[int, tuple[str, ...]] = {}
-        # Which place each entry gave us.
-        self._places: dict[str, int] = {}
-        # What was told last, and what of it others had admitted.
-        self._totals: dict[str, float] = {}
-        self._taken_out: dict[str, float] = {}
-        self._late: dict[str, float] = {}
-        self._totals_era = messages.Era()
-        self._totals_at_seconds = -math.inf
-        self._lacks_totals = False
+        # Which index each entry gave us.
+        self._indexes: dict[str, int] = {}
+        self._heard = heard_totals.HeardTotals(
+            rate=rate, held=self._given.held
+        )
 
     @property
     def counter(self) -> str:
@@ -66,7 +59,7 @@
 
         :return: whether what it told last can't be used
         """
-        return self._lacks_totals
+        return self._heard.lacks_whole
 
     @property
     def complete(self) -> bool:
@@ -135,7 +128,7 @@
             self._giver, (*statement.former, self._entry.name)
         )
         self._given.note_held(numbers)
-        self._take_out(
+        self._heard.take(
             self._ledger.totals,
             self._ledger.era,
             late=self._ledger.late(now_seconds=now_seconds),
@@ -269,7 +262,7 @@
                 whole=whole, now_seconds=now_seconds
             ),
             counted=entry.counted if lately else {},
-            places=entry.places,
+            indexes=entry.indexes,
             settled={
                 giver: self._ledger.settled(giver, former)
                 for giver, former in self._former.items()
@@ -291,16 +284,16 @@
         counter = messages.entry_name(hub, totals.serial)
         # Whoever has just started takes the first that it hears.
         self._counter = self._counter or counter
-        if self._giver in totals.places:
-            self._places[counter] = totals.places[self._giver]
+        if self._giver in totals.indexes:
+            self._indexes[counter] = totals.indexes[self._giver]
         if counter != self._counter:
             return
         numbers = dict(totals.settled.get(self._giver, {}))
-        number = totals.counted.get(self._places.get(counter, -1))
+        number = totals.counted.get(self._indexes.get(counter, -1))
         if number is not None:
             numbers[counter] = number
         self._given.note_held(numbers)
-        self._take_out(
+        self._heard.take(
             totals.amounts,
             totals.era,
             late=totals.late,
@@ -314,8 +307,8 @@
         :param now_seconds: reading of the process clock
         """
         self._given.forget()
-        for counter in list(self._places)[:-KEPT_PLACES]:
-            del self._places[counter]
+        for counter in list(self._indexes)[:-KEPT_INDEXES]:
+            del self._indexes[counter]
         self._ledger.fold(now_seconds=now_seconds)
 
     def _count(
@@ -332,68 +325,6 @@
             now_seconds=now_seconds,
         )
 
-    def _take_out(
-        self,
-        amounts: Mapping[str, float],
-        era: messages.Era,
-        *,
-        late: Mapping[str, float],
-        whole: bool,
-        now_seconds: float,
-    ) -> None:
-        silent_seconds = now_seconds - self._totals_at_seconds
-        follows = (
-            era == self._totals_era
-            and silent_seconds <= shared_rate.FORGET_SECONDS
-        )
-        self._lacks_totals = not follows and not whole
-        if self._lacks_totals:
-            return
-        if not follows:
-            self._totals.clear()
-        self._totals.update(amounts)
-        self._totals_era = era
-        self._totals_at_seconds = now_seconds
-        others = {
-            workspace: amount - self._given.held(workspace)
-            for workspace, amount in self._totals.items()
-        }
-        if follows:
-            added = {
-                workspace: amount - self._taken_out.get(workspace, 0.0)
-                for workspace, amount in others.items()
-            }
-            is_late = silent_seconds > rate_ledger.LOST_SECONDS
-            self._take_out_added(
-                added, added if is_late else self._new_late(late), now_seconds
-            )
-        self._taken_out = others
-        self._late.update(late)
-
-    def _new_late(self, late: Mapping[str, float]) -> dict[str, float]:
-        return {
-            workspace: amount - self._late.get(workspace, 0.0)
-            for workspace, amount in late.items()
-        }
-
-    def _take_out_added(
-        self,
-        added: Mapping[str, float],
-        late: Mapping[str, float],
-        now_seconds: float,
-    ) -> None:
-        # Of a former hub it isn't known how much was late before.
-        late = {
-            workspace: max(0.0, min(amount, added.get(workspace, 0.0)))
-            for workspace, amount in late.items()
-        }
-        in_time = {
-            workspace: amount - late.get(workspace, 0.0)
-            for workspace, amount in added.items()
-        }
-        self._rate.take_out(in_time)
-        self._rate.take_out_late(late, now_seconds=now_seconds)
-
 
 __all__ = [
     "RateAccounts",
--- a/src/boragefold/policy/rate_ledger.py
+++ b/src/boragefold/policy/rate_ledger.py
@@ -129,18 +129,18 @@
         :param name: whose
         :param entry: what it counts
         :param now_seconds: reading of the process clock
-        :return: whether the places of all its givers are known
+        :return: whether the indexes of all its givers are known
         """
         held = self._held.get(name)
         if held is not None:
-            places = {**held.entry.places, **entry.places}
-            entry = entry._replace(places=places)
+            indexes = {**held.entry.indexes, **entry.indexes}
+            entry = entry._replace(indexes=indexes)
         if held is not None and entry.version < held.entry.version:
             self._held[name] = held._replace(told_at_seconds=now_seconds)
             return True
         self._note_gap(held, entry, now_seconds)
         self._replace(name, HeldEntry(entry, now_seconds, now_seconds))
-        return len(entry.places) >= entry.places_count
+        return len(entry.indexes) >= entry.givers_count
 
     def note_unchanged(
         self, name: str, version: int, *, now_seconds: float
@@ -260,10 +260,10 @@
         held = self._held.get(name)
         if held is None:
             return 0
-        place = held.entry.places.get(giver)
-        if place is not None:
-            return held.entry.counted.get(place, 0)
-        is_known = len(held.entry.places) >= held.entry.places_count
+        index = held.entry.indexes.get(giver)
+        if index is not None:
+            return held.entry.counted.get(index, 0)
+        is_known = len(held.entry.indexes) >= held.entry.givers_count
         return 0 if is_known else None
 
     def _note_gap(
@@ -346,7 +346,7 @@
 
 def _is_news(held: messages.Entry, other: messages.Entry) -> bool:
     if other.version == held.version:
-        return len(other.places) > len(held.places)
+        return len(other.indexes) > len(held.indexes)
     return other.version > held.version
 
 
--- a/src/boragefold/protocol/rate_ledger_messages.py
+++ b/src/boragefold/protocol/rate_ledger_messages.py
@@ -40,8 +40,8 @@
 
     ``version`` rises with each change. ``sums`` are by workspace since the
     entry began, ``counted`` has the number of the last account that they hold
-    of each giver, by the place that the entry gave it. ``places`` are those of
-    new givers, or all ``places_count`` of them. ``age_seconds`` is how long
+    of each giver, by the index that the entry gave it. ``indexes`` are those of
+    new givers, or all ``givers_count`` of them. ``age_seconds`` is how long
     ago the entry began.
     """
 
@@ -49,8 +49,8 @@
     age_seconds: int
     sums: dict[str, float]
     counted: dict[int, int]
-    places: dict[int, int]
-    places_count: int
+    indexes: dict[int, int]
+    givers_count: int
 
 
 class ToldEntry(NamedTuple):
@@ -87,7 +87,7 @@
     """What a hub tells instances that all hubs count.
 
     ``whole`` tells that a workspace which isn't named has a sum of 0.
-    ``counted`` and ``places`` are those of the hub's own entry, named by
+    ``counted`` and ``indexes`` are those of the hub's own entry, named by
     ``serial``. ``settled`` are the numbers of the accounts that other entries
     hold, for the givers that asked. ``late`` is the part of the amounts that
     the hub learned after it hadn't heard who counted it for a while.
@@ -98,7 +98,7 @@
     whole: bool
     amounts: dict[str, float]
     counted: dict[int, int]
-    places: dict[int, int]
+    indexes: dict[int, int]
     settled: dict[int, dict[str, int]]
     late: dict[str, float]
 
