Guard the entries of rates against nine mutations more

Of 29 mutations of the modules that count rates nine passed their unit tests: givers unknown by index, reunions told by another hub, a lesser era's entry, an account for a former entry, a version or the first whole totals missed, and what is late and how much of it. Each fails a test now.

--- /dev/null
+++ b/tests/policy/test_heard_totals.py
@@ -0,0 +1,62 @@
+"""What is taken out of buckets when totals are heard."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragefold.policy import heard_totals
+from boragefold.policy import rate_ledger
+from boragefold.protocol import rate_ledger_messages as messages
+
+ERA = messages.Era(3, 7, 0)
+NAME = "press"
+
+
+class Rate:
+    """Notes what is taken out, in time and late."""
+
+    def __init__(self):
+        self.in_time = 0.0
+        self.late = 0.0
+
+    def take_out(self, amounts):
+        self.in_time += amounts.get(NAME, 0.0)
+
+    def take_out_late(self, amounts, *, now_seconds):
+        self.late += amounts.get(NAME, 0.0)
+
+
+@pytest.fixture
+def rate():
+    return Rate()
+
+
+@pytest.fixture
+def heard(rate):
+    heard = heard_totals.HeardTotals(rate=rate, held=lambda workspace: 0.0)
+    heard.take({NAME: 100.0}, ERA, late={}, whole=True, now_seconds=0.0)
+    return heard
+
+
+def take(heard, amount, *, late=None, now_seconds=0.5):
+    late = {} if late is None else {NAME: late}
+    heard.take(
+        {NAME: amount}, ERA, late=late, whole=False, now_seconds=now_seconds
+    )
+
+
+def test_what_a_hub_learned_late_is_late(heard, rate) -> None:
+    take(heard, 130.0, late=20.0)
+    assert (rate.in_time, rate.late) == (10.0, 20.0)
+
+
+def test_what_another_hub_once_learned_late_isnt_late_now(heard, rate) -> None:
+    # A new counter tells all that it ever learned late.
+    take(heard, 130.0, late=5_000.0)
+    assert (rate.in_time, rate.late) == (0.0, 30.0)
+
+
+def test_all_is_late_for_who_heard_nothing(heard, rate) -> None:
+    # An instance that was cut off alone had a part of the rate withheld, too.
+    take(heard, 130.0, now_seconds=rate_ledger.LOST_SECONDS + 0.1)
+    assert (rate.in_time, rate.late) == (0.0, 30.0)
--- a/tests/policy/test_rate_accounts.py
+++ b/tests/policy/test_rate_accounts.py
@@ -557,6 +557,114 @@
     assert told.era == messages.Era()
 
 
+def test_a_lesser_era_adds_nothing_to_the_greater() -> None:
+    # Guards against the entry of whoever tells before it hears of the other.
+    fleet = Fleet()
+    fleet.start("lone")
+    fleet.begin_counting("lone")
+    fleet.instances["lone"].accounts.begin_era(
+        heard_count=0, now_seconds=fleet.now_seconds
+    )
+    fleet.admit("lone", 500.0)
+    fleet.tell_hubs("lone")
+    ledger = fleet.instances[HUBS[0]].accounts.ledger(
+        now_seconds=fleet.now_seconds
+    )
+    assert not any(name.startswith("lone") for name in ledger.entries)
+
+
+def test_all_hubs_are_in_the_era_of_those_that_met_again() -> None:
+    # Guards against totals that are told as following others though they
+    # don't, by a hub that had heard both sides all the time.
+    fleet = Fleet()
+    told = fleet.instances[HUBS[0]].accounts.told_entry(
+        now_seconds=fleet.now_seconds
+    )
+    era = told.era._replace(reunions=told.era.reunions + 1)
+    fleet.instances[HUBS[1]].accounts.hear_entry(
+        HUBS[0], told._replace(era=era), now_seconds=fleet.now_seconds
+    )
+    assert fleet.totals(HUBS[1]).era == era
+
+
+def test_an_account_for_a_former_entry_isnt_counted() -> None:
+    # Guards against what a hub is given for an entry that it writes no more.
+    fleet = Fleet()
+    fleet.admit("one", 10.0)
+    late = fleet.give("one")
+    fleet.step_down(HUBS[0])
+    fleet.begin_counting(HUBS[0])
+    fleet.level_out()
+    before = fleet.totals(HUBS[0], whole=True).amounts
+    amounts = {WORKSPACE.name: 25.0}
+    fleet.take("one", late._replace(number=1_000, amounts=amounts))
+    fleet.tell_hubs(HUBS[0])
+    assert fleet.totals(HUBS[0], whole=True).amounts == before
+
+
+def test_a_hub_that_missed_a_version_asks_for_it() -> None:
+    # Guards against an entry that stands still since one was lost.
+    fleet = Fleet()
+    accounts = fleet.instances[HUBS[0]].accounts
+    told = accounts.told_entry(now_seconds=fleet.now_seconds)
+    newer = told._replace(version=told.version + 1, entry=None)
+    for version in (told._replace(entry=None), newer):
+        asks = fleet.instances[HUBS[1]].accounts.hear_entry(
+            HUBS[0], version, now_seconds=fleet.now_seconds
+        )
+        assert asks == (version is newer)
+
+
+def test_a_hub_that_missed_givers_asks_who_they_are() -> None:
+    # Guards against accounts that pass for lost because their giver isn't
+    # known by its index.
+    fleet = Fleet()
+    fleet.admit("one", 10.0)
+    fleet.tell_account("one")
+    fleet.add_hub("late")
+    accounts = fleet.instances[HUBS[0]].accounts
+    accounts.count_own(now_seconds=fleet.now_seconds)
+    ledger = accounts.ledger(now_seconds=fleet.now_seconds)
+    name = messages.entry_name(HUBS[0], 0)
+    age_seconds, entry = ledger.entries[name]
+    late = fleet.instances["late"].accounts
+    without = ledger._replace(
+        entries={name: (age_seconds, entry._replace(indexes={}))}
+    )
+    late.merge(without, now_seconds=fleet.now_seconds)
+    account = fleet.give("one")._replace(former=(name,), number=1_000)
+    own_name = messages.entry_name("late", 0)
+    late.count(
+        "one",
+        account._replace(counter=own_name),
+        now_seconds=fleet.now_seconds,
+    )
+    totals = late.told_totals(whole=True, now_seconds=fleet.now_seconds)
+    assert [*totals.settled.values()] == [{}]
+    told = accounts.told_entry(now_seconds=fleet.now_seconds)
+    entry = told.entry._replace(indexes={})
+    assert late.hear_entry(
+        HUBS[0], told._replace(entry=entry), now_seconds=fleet.now_seconds
+    )
+    late.merge(ledger, now_seconds=fleet.now_seconds)
+    totals = late.told_totals(whole=True, now_seconds=fleet.now_seconds)
+    (numbers,) = totals.settled.values()
+    assert numbers[name] > 0
+
+
+def test_who_missed_the_first_whole_totals_says_so() -> None:
+    # Guards against an instance that never takes out what others admit.
+    fleet = Fleet()
+    fleet.start("late")
+    fleet.hear_totals("late", HUBS[0], fleet.totals(HUBS[0]))
+    changes = fleet.totals(HUBS[0])._replace(whole=False)
+    fleet.start("later")
+    fleet.hear_totals("later", HUBS[0], changes)
+    assert fleet.instances["later"].accounts.lacks_totals
+    fleet.hear_totals("later", HUBS[0], fleet.totals(HUBS[0], whole=True))
+    assert not fleet.instances["later"].accounts.lacks_totals
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_any_course_of_events_counts_all_once(seed) -> None:
     # Guards against whatever order of losses, changes and messages.
