Let a soak lose answers of requests that ran, with time to send them again

The soak's check that nothing runs twice was never seen to fail: where answers were lost, the connection stayed silent until the deadline, and where it was reset, the request hadn't arrived. So no request that had run could be repeated in time, whatever the code did.

Now a proxy can pass a request on and reset the connection when the answer comes. The kind is played where it is named; drawn among the others it would change the plans of all seeds.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,7 +19,11 @@
 @click.option("--gateways", default=4, help="How many instances.")
 @click.option("--callers", default=8, help="How many callers at once.")
 @click.option("--length-seconds", default=plan.LENGTH_SECONDS)
-@click.option("--kind", multiple=True, type=click.Choice(list(plan.KINDS)))
+@click.option(
+    "--kind",
+    multiple=True,
+    type=click.Choice([*plan.KINDS, *plan.NAMED_KINDS]),
+)
 @click.option("--logs", default=None, type=click.Path(path_type=pathlib.Path))
 def main(seeds, first, gateways, callers, length_seconds, kind, logs) -> None:
     """Play runs, print what was broken, and keep the logs of such runs."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -45,6 +45,10 @@
     "deployment_changes": 3,
 }
 
+# Played where they are named: drawn among the others, they would change the
+# plans of all seeds.
+NAMED_KINDS = {"endpoint_resets_answers": 1}
+
 
 def make(
     seed: int, *, kinds: tuple[str, ...] = (), length_seconds: float
@@ -58,7 +62,7 @@
     """
     rng = random.Random(seed)
     names = list(kinds or KINDS)
-    weights = [KINDS[name] for name in names]
+    weights = [{**KINDS, **NAMED_KINDS}[name] for name in names]
     last_seconds = length_seconds - CALM_SECONDS
     count = rng.randint(4, max(4, int(last_seconds / 2)))
     return sorted(
@@ -77,5 +81,6 @@
     "Fault",
     "KINDS",
     "LENGTH_SECONDS",
+    "NAMED_KINDS",
     "make",
 ]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -17,6 +17,7 @@
     RESET = "reset"
     SILENT = "silent"
     NO_ANSWERS = "no_answers"
+    RESET_ANSWERS = "reset_answers"
 
 
 # Longer than the way between data centres, shorter than any timeout.
@@ -79,6 +80,9 @@
     ) -> None:
         try:
             while data := await reader.read(READ_BYTES):
+                if self.mode is Mode.RESET_ANSWERS and answers:
+                    writer.transport.abort()
+                    return
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
                 lost = self.mode is Mode.SILENT
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -256,6 +256,9 @@
     def _endpoint_answers_lost(self, fault: plan.Fault) -> None:
         self._endpoint(fault, proxy.Mode.NO_ANSWERS)
 
+    def _endpoint_resets_answers(self, fault: plan.Fault) -> None:
+        self._endpoint(fault, proxy.Mode.RESET_ANSWERS)
+
     def _faulty(self, fault: plan.Fault, **faults: object) -> None:
         self._note(None, fault.for_seconds)
         name = self._name(fault)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,8 @@
 # Short, and with few callers: a busy machine must not decide the verdict.
 LENGTH_SECONDS = 16.0
 CALLERS = 4
+# The first of the endpoints by name: a plain one.
+DESK = 0
 SEEDS = (
     # An owner was paused; its successor gave its first order with a count that
     # was seconds old, and a fencing number below one used since.
@@ -35,6 +37,28 @@
     assert sum(len(caller.seen) for caller in one.callers) > 100
 
 
+def test_what_ran_and_lost_its_answer_doesnt_run_again(tmp_path) -> None:
+    # No other fault makes a request run whose answer is lost while there is
+    # time to send it once more.
+    faults = [plan.Fault(3.0, "endpoint_resets_answers", DESK, 5.0)]
+    one = run.Run(
+        tmp_path,
+        seed=1,
+        gateways=3,
+        callers_count=CALLERS,
+        faults=faults,
+        length_seconds=LENGTH_SECONDS,
+    )
+    assert one.play() == []
+    ended = [
+        line
+        for number in range(3)
+        for line in one.machines.lines(number)
+        if line["event"] == "request_ended" and line["route"] == "reads"
+    ]
+    assert any(len(line["endpoints"]) > 1 for line in ended)
+
+
 def test_a_seed_repeats_its_plan() -> None:
     first = plan.make(5, length_seconds=24.0)
     assert first == plan.make(5, length_seconds=24.0)
