--- a/src/boragefold/protocol/rate_ledger_messages.py
+++ b/src/boragefold/protocol/rate_ledger_messages.py
@@ -40,8 +40,8 @@
 
     ``version`` rises with each change. ``sums`` are by workspace since the
     entry began, ``counted`` has the number of the last account that they hold
-    of each giver, by the index that the entry gave it. ``indexes`` are those of
-    new givers, or all ``givers_count`` of them. ``age_seconds`` is how long
+    of each giver, by the index that the entry gave it. ``indexes`` are those
+    of new givers, or all ``givers_count`` of them. ``age_seconds`` is how long
     ago the entry began.
     """
 
