Count no late account of an instance that has ended

What callers could see: a workspace refused everywhere, for up to all that one instance ever admitted of it. An account states what was given to an entry in all. A hub drops what it knows of an instance whose address has a newer incarnation; an account of the former one that comes after that, held up by a cut it was killed in, was then counted whole once more.

Found by reading the change; not seen in a run. The hub remembers who ended. The new test failed before.

--- a/src/boragefold/policy/own_rate_entry.py
+++ b/src/boragefold/policy/own_rate_entry.py
@@ -30,6 +30,7 @@
         self._sums: dict[str, float] = {}
         self._counted: dict[int, int] = {}
         self._given: dict[int, dict[str, float]] = {}
+        self._ended: set[int] = set()
         # Shorter than the givers' own numbers; none is ever used again.
         self._indexes: dict[int, int] = {}
         self._indexed_at_seconds: dict[int, float] = {}
@@ -50,6 +51,9 @@
             changed
         :param now_seconds: reading of the process clock
         """
+        if giver in self._ended:
+            # Its last words may come late; what it gave isn't known any more.
+            return
         if giver not in self._indexes:
             self._indexes[giver] = len(self._indexes)
             self._indexed_at_seconds[giver] = now_seconds
@@ -70,7 +74,8 @@
 
         :param giver: the instance
         """
-        self._given.pop(giver, None)
+        if self._given.pop(giver, None) is not None:
+            self._ended.add(giver)
 
     def changed_lately(self, *, now_seconds: float) -> bool:
         """Tell whether others may not know the newest version.
--- a/tests/policy/test_rate_accounts.py
+++ b/tests/policy/test_rate_accounts.py
@@ -423,6 +423,22 @@
     assert fleet.instances[HUBS[1]].believed() == 15.0
 
 
+def test_the_last_word_of_an_instance_that_ended_counts_nothing_twice() -> (
+    None
+):
+    # Guards against an account that was held up by a cut: all that its giver
+    # ever gave would be taken out of everybody's buckets once more.
+    fleet = Fleet()
+    fleet.admit("one", 10.0)
+    fleet.level_out()
+    fleet.admit("one", 5.0)
+    late = fleet.give("one")
+    fleet.instances[HUBS[0]].accounts.forget_instance("one")
+    fleet.take("one", late)
+    del fleet.instances["one"]
+    assert fleet.all_believe(10.0)
+
+
 def test_what_is_given_back_is_given_back_everywhere() -> None:
     # Guards against sums that can only rise, over a change of hubs, too.
     fleet = Fleet()
