Decide in one place whether told totals are whole

The ledger worked out twice, word for word, whether the totals that it tells are all. No behaviour changes.

--- a/src/boragefold/coordination/fleet/rate_messages.py
+++ b/src/boragefold/coordination/fleet/rate_messages.py
@@ -77,7 +77,7 @@
         account = self._accounts.state(counter, now_seconds=now_seconds)
         if not account.amounts and not account.former:
             return None
-        return account._replace(amounts=plain(account.amounts))
+        return account._replace(amounts=_plain(account.amounts))
 
     def entry(self) -> messages.ToldEntry | None:
         """State what we count, for other hubs.
@@ -89,7 +89,7 @@
         )
         if told is None or told.entry is None:
             return told
-        entry = told.entry._replace(sums=plain(told.entry.sums))
+        entry = told.entry._replace(sums=_plain(told.entry.sums))
         return told._replace(entry=entry)
 
     def totals(self, *, whole: bool) -> messages.Totals | None:
@@ -101,7 +101,7 @@
         totals = self._accounts.told_totals(
             whole=whole, now_seconds=self._timers.now_seconds()
         )
-        return totals and totals._replace(amounts=plain(totals.amounts))
+        return totals and totals._replace(amounts=_plain(totals.amounts))
 
     def lacks(self) -> Iterator[str]:
         """List the hubs that have to tell us their totals whole.
@@ -226,12 +226,8 @@
         return heard_at_seconds is not None and heard_at_seconds >= oldest
 
 
-def plain(amounts: dict[str, float]) -> dict[str, float]:
-    """Write whole numbers as such: they take a third of the bytes.
-
-    :param amounts: tokens or requests, by workspace
-    :return: the same amounts
-    """
+def _plain(amounts: dict[str, float]) -> dict[str, float]:
+    # A whole number takes a third of the bytes of a float.
     return {
         workspace: int(amount) if float(amount).is_integer() else amount
         for workspace, amount in amounts.items()
--- a/src/boragefold/policy/rate_ledger.py
+++ b/src/boragefold/policy/rate_ledger.py
@@ -95,8 +95,7 @@
         :param now_seconds: reading of the process clock
         :return: sums by workspace
         """
-        new_seconds = now_seconds - self._era_began_at_seconds
-        if whole or new_seconds <= recent_sums.TELL_SECONDS:
+        if self.is_whole(whole=whole, now_seconds=now_seconds):
             return dict(self._totals.amounts)
         return self._totals.recent(now_seconds=now_seconds)
 
