Log why an endpoint's connections broke, and which requests ran there

The record of the incident shows streams that broke off, but neither whether the engine had crashed nor whether two broken requests were the same one, so that the hypotheses couldn't be told apart.

When the connection of a request that may have run ends with eof or reset, the endpoint is asked by a new connection, closed again without a byte: after a crash nothing listens at the address. One line an endpoint and break tells the verdict, its inputs, how long it took, and the fingerprints of the requests cut off here; attempt_failed bears the request's own. A fingerprint is a hash of workspace, method, host, path and query, and body, computed for failures only. Connects that fail with another error than a refusal are called unreachable, as only a refusal tells that no process is there. No decision depends on it yet.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -135,6 +135,8 @@
         """
         if not self._result_recorded:
             self._record_result(failed=True)
+        if failure.may_have_arrived and not self.rejected:
+            self._record_broken(failure.reason)
         if self._forwarding.finished:
             return
         if self.rejected and self._facts is not None:
@@ -164,6 +166,11 @@
             return not facts.signed
         return facts.status in NOT_RUN_STATUSES
 
+    def _record_broken(self, reason: str) -> None:
+        self._forwarding.context.crashes.record_broken(
+            self._record, self._forwarding.admitted.fingerprint, reason
+        )
+
     def _record_result(self, *, failed: bool) -> None:
         context = self._forwarding.context
         now_seconds = context.timers.now_seconds()
--- /dev/null
+++ b/src/boragefold/entry/crash_detector.py
@@ -0,0 +1,218 @@
+"""Finds out whether an endpoint crashed when its connections broke.
+
+A connection that breaks during a response has many causes: the endpoint
+crashed or left, the network reset the connection, or the endpoint closed it.
+After a crash nothing listens at the address, so a new connection is refused.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from boragefold.entry import fingerprints
+from boragefold.state import deployment
+from boragefold.state import fleet as fleets
+from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import decision_log
+from boragefold.timing import timers as timing
+from boragefold.transport import connect_probe
+from boragefold.transport import http_client
+
+# How connections of a process that has ended break. Others fail a request for
+# reasons of its own, such as its deadline.
+BREAK_REASONS = frozenset({"eof", "reset"})
+# A lost packet delays the answer to a probe beyond its timeout.
+MAX_PROBES = 4
+# All connections of a crashed process break within this time.
+CASE_SECONDS = 2.0
+# Limits the length of a log line.
+MAX_LOGGED_FINGERPRINTS = 16
+
+
+class Verdict(enum.Enum):
+    """Why the connections to an endpoint broke."""
+
+    PENDING = "pending"
+    CRASHED = "crashed"
+    LEFT = "left"
+    ALIVE = "alive"
+    UNKNOWN = "unknown"
+
+
+class EndpointLife(NamedTuple):
+    """One run of an endpoint's process."""
+
+    name: str
+    born_milliseconds: int
+
+
+class Crash(NamedTuple):
+    """A crash, and the requests that ran there for this instance."""
+
+    life: EndpointLife
+    fingerprints: frozenset[int]
+
+
+@dataclasses.dataclass(kw_only=True)
+class BreakCase:
+    """The connections that broke at one endpoint at about the same time."""
+
+    record: deployment.EndpointRecord
+    began_at_seconds: float
+    reasons: set[str] = dataclasses.field(default_factory=set)
+    fingerprints: set[int] = dataclasses.field(default_factory=set)
+    broken: int = 0
+    probes: int = 0
+    verdict: Verdict = Verdict.PENDING
+
+
+class CrashDetector:
+    """Judges broken connections, and reports the crashes among them."""
+
+    def __init__(
+        self,
+        *,
+        client: http_client.HttpClient,
+        fleet: fleets.Fleet,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        log: decision_log.DecisionLog,
+        on_crash: Callable[[Crash], None] = lambda crash: None,
+    ) -> None:
+        """Begin without any broken connection.
+
+        :param client: opens the connections that probe an endpoint
+        :param fleet: the published endpoints
+        :param timers: the process clock
+        :param counters: counts the verdicts
+        :param log: gets a line for each verdict
+        :param on_crash: called with each crash, again when more of the
+            requests that ran there become known
+        """
+        self._client = client
+        self._fleet = fleet
+        self._timers = timers
+        self._counters = counters
+        self._log = log
+        self._on_crash = on_crash
+        self._cases: dict[EndpointLife, BreakCase] = {}
+
+    def record_broken(
+        self, record: deployment.EndpointRecord, fingerprint: int, reason: str
+    ) -> None:
+        """Record that the connection of a running request broke.
+
+        :param record: the endpoint, as it was when the request was sent
+        :param fingerprint: of the request
+        :param reason: how the connection broke
+        """
+        if reason not in BREAK_REASONS:
+            return
+        life = EndpointLife(record.name, record.born_milliseconds)
+        case = self._cases.get(life)
+        if case is None:
+            case = self._open(life, record)
+        case.broken += 1
+        case.reasons.add(reason)
+        case.fingerprints.add(fingerprint)
+        if case.verdict is Verdict.CRASHED:
+            self._on_crash(Crash(life, frozenset({fingerprint})))
+
+    def _open(
+        self, life: EndpointLife, record: deployment.EndpointRecord
+    ) -> BreakCase:
+        case = BreakCase(
+            record=record, began_at_seconds=self._timers.now_seconds()
+        )
+        self._cases[life] = case
+        self._probe(life, case)
+        return case
+
+    def _probe(self, life: EndpointLife, case: BreakCase) -> None:
+        case.probes += 1
+        self._client.probe(
+            case.record.address,
+            lambda result: self._judge(life, case, result),
+        )
+
+    def _judge(
+        self,
+        life: EndpointLife,
+        case: BreakCase,
+        result: connect_probe.ProbeResult,
+    ) -> None:
+        no_answer = result is connect_probe.ProbeResult.NO_ANSWER
+        if no_answer and case.probes < MAX_PROBES:
+            self._probe(life, case)
+            return
+        listed = self._fleet.endpoint(life.name)
+        case.verdict = judge(result, listed)
+        self._write(life, case, result, listed)
+        if case.verdict is Verdict.CRASHED:
+            self._on_crash(Crash(life, frozenset(case.fingerprints)))
+            self._timers.once(
+                delay_seconds=CASE_SECONDS,
+                callback=lambda: self._close(life),
+            )
+        else:
+            # The next break may have another cause.
+            self._close(life)
+
+    def _close(self, life: EndpointLife) -> None:
+        del self._cases[life]
+
+    def _write(
+        self,
+        life: EndpointLife,
+        case: BreakCase,
+        result: connect_probe.ProbeResult,
+        listed: deployment.EndpointRecord | None,
+    ) -> None:
+        self._counters.add("endpoint_breaks", case.verdict.value)
+        logged = sorted(case.fingerprints)[:MAX_LOGGED_FINGERPRINTS]
+        took_seconds = self._timers.now_seconds() - case.began_at_seconds
+        self._log.write(
+            "endpoint_broke",
+            endpoint=life.name,
+            born_milliseconds=life.born_milliseconds,
+            verdict=case.verdict.value,
+            reasons=sorted(case.reasons),
+            broken=case.broken,
+            fingerprints=list(map(fingerprints.describe, logged)),
+            probe=result.value,
+            probes=case.probes,
+            took_seconds=round(took_seconds, 4),
+            listed=listed is not None,
+            leaving=listed is not None and listed.leaving,
+        )
+
+
+def judge(
+    result: connect_probe.ProbeResult,
+    listed: deployment.EndpointRecord | None,
+) -> Verdict:
+    """Judge why the connections to an endpoint broke.
+
+    :param result: how its address reacts to a new connection
+    :param listed: the endpoint as published now, None if it isn't any more
+    :return: the verdict
+    """
+    if listed is None or listed.leaving:
+        return Verdict.LEFT
+    return {
+        connect_probe.ProbeResult.REFUSED: Verdict.CRASHED,
+        connect_probe.ProbeResult.ACCEPTED: Verdict.ALIVE,
+        connect_probe.ProbeResult.NO_ANSWER: Verdict.UNKNOWN,
+    }[result]
+
+
+__all__ = [
+    "Crash",
+    "CrashDetector",
+    "EndpointLife",
+    "Verdict",
+    "judge",
+]
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -9,6 +9,7 @@
 from boragefold.entry import attempt as attempts
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
+from boragefold.entry import fingerprints
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
@@ -218,6 +219,11 @@
             reason=reason,
             may_have_run=may_have_run,
             answer_begun=self._answer.started,
+            fingerprint=(
+                fingerprints.describe(self.admitted.fingerprint)
+                if may_have_run
+                else ""
+            ),
         )
         if not may_have_run:
             self._record_unreachable(endpoint)
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -17,6 +17,7 @@
 from boragefold.coordination.fleet import removal_grace
 from boragefold.coordination.fleet import self_link
 from boragefold.coordination.fleet import voter_sets
+from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
@@ -374,6 +375,13 @@
                 counters=self.counters, allowance=self._retry_allowance
             ),
             rate=self._rate,
+            crashes=crash_detector.CrashDetector(
+                client=self._client,
+                fleet=self._fleet,
+                timers=self.timers,
+                counters=self.counters,
+                log=self.log,
+            ),
             data_centre=self.settings.data_centre,
         )
         return gateway.Gateway(
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import NamedTuple
 
+from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
+from boragefold.entry import fingerprints
 from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -29,6 +32,7 @@
     choice: service_choice.ServiceChoice
     retries: retry_budgets.ServiceBudgets
     rate: shared_rate.SharedRate
+    crashes: crash_detector.CrashDetector
     data_centre: str
 
 
@@ -43,6 +47,14 @@
     arrived_at_seconds: float
     charged: float
 
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """Compute what identifies the request when it is sent again.
+
+        :return: a 64-bit hash
+        """
+        return fingerprints.compute(self.request, self.workspace)
+
 
 __all__ = [
     "AdmittedRequest",
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 from typing import Any
 
 import msgspec
@@ -20,6 +21,8 @@
 WARM_SHARE = 0.1
 SIGNATURE = "Boragefold-Response-Signature"
 NOT_EXECUTED = "Boragefold-Not-Executed"
+# A request that crashes the endpoint runs this long before.
+CRASH_SECONDS = 0.05
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -30,6 +33,7 @@
     ``cut_after`` breaks a stream off after so many events, ``unsigned``
     leaves the signature out, ``silent`` never answers, ``delay_seconds``
     answers later, ``resumed_status`` is the answer to the rest of a stream.
+    ``crash_body`` ends the process under each request with this body.
     """
 
     status: int = machines_http.STATUS_OK
@@ -39,6 +43,7 @@
     silent: bool = False
     delay_seconds: float = 0.0
     resumed_status: int = machines_http.STATUS_OK
+    crash_body: str = ""
 
 
 class Endpoint:
@@ -178,6 +183,10 @@
                 "at_seconds": self._timers.now_seconds(),
             }
         )
+        if faults.crash_body and request.body == faults.crash_body.encode():
+            self._timers.once(
+                delay_seconds=CRASH_SECONDS, callback=lambda: os._exit(1)
+            )
         if not faults.silent:
             self._timers.once(
                 delay_seconds=faults.delay_seconds,
--- /dev/null
+++ b/src/boragefold/transport/connect_probe.py
@@ -0,0 +1,80 @@
+"""A check whether anything listens at an address."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+
+from boragefold.timing import timers as timing
+from boragefold.transport import sockets
+from boragefold.transport import streams
+
+
+class ProbeResult(enum.Enum):
+    """How an address reacts to a new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
+class ConnectProbe(streams.StreamHandler):
+    """Opens one connection and closes it without sending anything."""
+
+    def __init__(
+        self,
+        *,
+        sockets_: sockets.SocketSet,
+        timers: timing.TimerService,
+        address: str,
+        timeout_seconds: float,
+        on_result: Callable[[ProbeResult], None],
+    ) -> None:
+        """Begin to connect.
+
+        :param sockets_: holds the connection
+        :param timers: the process clock
+        :param address: IP number and port
+        :param timeout_seconds: how long the connection may take to open
+        :param on_result: called once, never inside this call
+        """
+        self._on_result = on_result
+        host, _, port = address.rpartition(":")
+        self._stream = sockets_.connect(
+            host=host, port=int(port), handler=self
+        )
+        self._timeout = timers.once(
+            delay_seconds=timeout_seconds,
+            callback=lambda: self._stream.abort("timeout"),
+        )
+
+    def connected(self) -> None:
+        """Report that the address accepts connections."""
+        self._stream.abort("accepted")
+
+    def received(self, data: bytes) -> None:
+        """Ignore what arrives.
+
+        :param data: bytes
+        """
+
+    def drained(self) -> None:
+        """Do nothing: nothing is written."""
+
+    def closed(self, reason: str) -> None:
+        """Report the result.
+
+        :param reason: why the connection is gone
+        """
+        self._timeout.cancel()
+        results = {
+            "accepted": ProbeResult.ACCEPTED,
+            "refused": ProbeResult.REFUSED,
+        }
+        self._on_result(results.get(reason, ProbeResult.NO_ANSWER))
+
+
+__all__ = [
+    "ConnectProbe",
+    "ProbeResult",
+]
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 
 from boragefold.timing import timers as timing
 from boragefold.transport import answer_parser
 from boragefold.transport import client_connection
+from boragefold.transport import connect_probe
 from boragefold.transport import sockets
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -65,6 +67,24 @@
         self._dispatch(pending, fresh=call.fresh)
         return pending
 
+    def probe(
+        self,
+        address: str,
+        on_result: Callable[[connect_probe.ProbeResult], None],
+    ) -> None:
+        """Check whether anything listens at an address.
+
+        :param address: IP number and port
+        :param on_result: called once, never inside this call
+        """
+        connect_probe.ConnectProbe(
+            sockets_=self._sockets,
+            timers=self._timers,
+            address=address,
+            timeout_seconds=self._connect_seconds,
+            on_result=on_result,
+        )
+
     def fail_later(self, connection: ClientConnection, reason: str) -> None:
         """Fail a connection's call from the loop.
 
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -152,7 +152,7 @@
     )
     def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
         if (stream := self._streams.get(sock)) is not None:
-            stream.abort("refused" if stream.connecting else "reset")
+            stream.on_error()
 
     def _accepted(
         self,
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import errno
 import socket
 import struct
 from typing import Protocol
@@ -37,8 +38,9 @@
     def closed(self, reason: str) -> None:
         """Learn that the connection is gone; called once, also on failure.
 
-        :param reason: ``eof``, ``refused``, ``timeout``, ``reset`` or
-            ``closed_here``
+        :param reason: ``eof``, ``refused``, ``unreachable``, ``timeout``,
+            ``reset`` or ``closed_here``; only ``refused`` tells that nothing
+            listens at the address
         """
 
 
@@ -137,6 +139,13 @@
             )
         self.abort(reason)
 
+    def on_error(self) -> None:
+        """Close after an error of the socket; called by the socket set."""
+        if not self.connecting:
+            self.abort("reset")
+        elif self._finish_connecting():
+            self.abort("unreachable")
+
     def on_readable(self) -> None:
         """Read what there is; called by the socket set."""
         while self.open and self._reading:
@@ -178,7 +187,8 @@
     def _finish_connecting(self) -> bool:
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self.abort("refused")
+            refused = code == errno.ECONNREFUSED
+            self.abort("refused" if refused else "unreachable")
             return False
         self.connecting = False
         self._set_reading(True)
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -248,7 +248,8 @@
             "Boragefold-Token-Usage": f"100,{events}",
             **options.pop("headers", {}),
         }
-        return self.ask(path, headers=headers, body=b"prompt", **options)
+        body = options.pop("body", b"prompt")
+        return self.ask(path, headers=headers, body=body, **options)
 
     def lines(self, number):
         path = self.folder / f"gateway-{number}.log"
