--- /dev/null
+++ b/tests/entry/test_crashing_requests.py
@@ -0,0 +1,182 @@
+"""Requests that crash the engines that run them, on loopback."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import os
+import threading
+import time
+
+import pytest
+
+from tests.fakes import machines as machines_module
+
+CRASH_BODY = "crashes its engine"
+RESTART_SECONDS = 0.5
+ENGINES = 4
+# What is known of a crash must be known everywhere by then.
+CONTACT_SECONDS = 3.0
+CRASHES_UNTIL_KNOWN = 3
+# Sends that may still follow a request known to crash its engines.
+MAX_LATE_SENDS = 3
+PLAY_SECONDS = 10.0
+PAUSE_SECONDS = 0.2
+
+
+class Engines(threading.Thread):
+    """Starts a new engine some time after one has ended."""
+
+    def __init__(self, machines) -> None:
+        super().__init__(daemon=True)
+        self._machines = machines
+        self.over = threading.Event()
+        self.ended_at_seconds: list[float] = []
+
+    def run(self) -> None:
+        while not self.over.wait(0.01):
+            self.replace_ended()
+
+    def replace_ended(self) -> None:
+        for name in list(self._machines.endpoints):
+            if self._machines.processes[name].poll() is not None:
+                self._replace(name)
+
+    def add(self) -> None:
+        name = f"engine-{len(self._machines.processes)}"
+        self._machines.start_endpoint(name, "--model", "base", "--places", "2")
+        machines_module.eventually(lambda: self._machines.seen(name))
+        self._machines.faults(name, crash_body=CRASH_BODY)
+        self._machines.publish(name)
+
+    def _replace(self, name: str) -> None:
+        self.ended_at_seconds.append(time.time())
+        del self._machines.endpoints[name]
+        time.sleep(RESTART_SECONDS)
+        self._machines.remove(f"servers/{name}")
+        self.add()
+
+
+class Caller(threading.Thread):
+    """Sends one body again and again, at each gateway in turn."""
+
+    def __init__(self, *, machines, body, events, over) -> None:
+        super().__init__(daemon=True)
+        self._machines = machines
+        self._body = body
+        self._events = events
+        self._over = over
+        self.statuses: list[tuple[str, int]] = []
+
+    def run(self) -> None:
+        gateways = itertools.cycle(range(len(self._machines.gateways)))
+        while not self._over.wait(PAUSE_SECONDS):
+            request_id = os.urandom(8).hex()
+            status = self._ask(request_id, next(gateways))
+            self.statuses.append((request_id, status))
+
+    def _ask(self, request_id: str, gateway: int) -> int:
+        headers = {
+            "Boragefold-Attempt-Id": request_id,
+            "Boragefold-Model": "base",
+            "Boragefold-Token-Usage": f"100,{self._events}",
+        }
+        try:
+            return self._machines.ask(
+                "/notes/x",
+                number=gateway,
+                headers=headers,
+                body=self._body.encode(),
+            ).status
+        except (OSError, http.client.HTTPException):
+            return 0
+
+
+@pytest.fixture
+def engines(machines):
+    engines = Engines(machines)
+    engines.replace_ended()
+    running = [name for name in machines.endpoints if "engine" in name]
+    for name in running:
+        machines.faults(name, crash_body=CRASH_BODY)
+    for _ in range(ENGINES - len(running)):
+        engines.add()
+    engines.start()
+    try:
+        yield engines
+    finally:
+        engines.over.set()
+        engines.join()
+
+
+def _play(machines, over) -> list[Caller]:
+    bodies = (CRASH_BODY, "one", "two", "three")
+    callers = [
+        Caller(
+            machines=machines,
+            body=body,
+            events=5 if body == CRASH_BODY else 60,
+            over=over,
+        )
+        for body in bodies
+    ]
+    for caller in callers:
+        caller.start()
+    over.wait(PLAY_SECONDS)
+    over.set()
+    for caller in callers:
+        caller.join()
+    return callers
+
+
+def _sent(machines, request_ids) -> list[float]:
+    return sorted(
+        line["time_seconds"]
+        for number in range(len(machines.gateways))
+        for line in machines.lines(number)
+        if line["event"] == "request_sent"
+        and line["request_id"] in request_ids
+    )
+
+
+def _verdicts(machines) -> list[str]:
+    return [
+        line["verdict"]
+        for number in range(len(machines.gateways))
+        for line in machines.lines(number)
+        if line["event"] == "endpoint_broke"
+    ]
+
+
+def test_a_crash_is_told_from_a_connection_that_an_endpoint_closes(
+    machines, engines
+) -> None:
+    # Whoever was cut off by an endpoint that lives must not be suspected of
+    # having crashed it.
+    for name in machines.endpoints:
+        machines.faults(name, cut_after=2)
+    with pytest.raises((ConnectionError, http.client.IncompleteRead)):
+        machines.generate("", events=6)
+    machines_module.eventually(lambda: _verdicts(machines))
+    assert set(_verdicts(machines)) == {"alive"}
+    for name in machines.endpoints:
+        machines.faults(name, crash_body=CRASH_BODY)
+    with pytest.raises((ConnectionError, http.client.IncompleteRead)):
+        machines.generate("", events=60, body=CRASH_BODY.encode())
+    machines_module.eventually(lambda: "crashed" in _verdicts(machines))
+
+
+def test_a_request_that_crashes_its_engines_isnt_sent_on_for_ever(
+    machines, engines
+) -> None:
+    # A caller's repeats of one request crash engine after engine, at any
+    # instance.
+    culprit, *others = _play(machines, threading.Event())
+    sent = _sent(machines, {request_id for request_id, _ in culprit.statuses})
+    crashes = sorted(engines.ended_at_seconds)
+    assert len(crashes) >= CRASHES_UNTIL_KNOWN
+    known_at_seconds = crashes[CRASHES_UNTIL_KNOWN - 1] + CONTACT_SECONDS
+    late = [at for at in sent if at > known_at_seconds]
+    assert len(late) <= MAX_LATE_SENDS, (len(crashes), sent)
+    served = [status for caller in others for _, status in caller.statuses]
+    assert served.count(200) > len(served) / 2
