Let a stand-in's request that crashes it end without an answer

The stand-in let such a request be answered meanwhile: one of few events was whole before the process ended, so the caller was served and the request looked innocent, which no request does that crashes its engine.

--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -187,7 +187,7 @@
             self._timers.once(
                 delay_seconds=CRASH_SECONDS, callback=lambda: os._exit(1)
             )
-        if not faults.silent:
+        elif not faults.silent:
             self._timers.once(
                 delay_seconds=faults.delay_seconds,
                 callback=lambda: self._answer(request, exchange),
