Stop sending a request under which three endpoints crashed

Callers saw streams that broke off on engine after engine: a request that crashes each engine that begins it came again, at any instance, and nothing remembered it after its end.

Cause: who caused a crash was asked only of endpoints, never of requests. The retry budget bounds load, an endpoint's failure rate speaks of the endpoint, and a request's attempts are counted within itself, at one instance.

Now the requests that ran on a crashed endpoint are its suspects, by their fingerprints and with the time that they had run. What completes anywhere is cleared. Under three crashes that nothing else explains, a request is quarantined: refused at arrival, while it waits, and right before it is sent, with a 503 that says so and when it may be tried again. Its crashes then count against no other request, so that those beside it go on being served; if the wrong one was taken, the next crash happens without it and names another. A request that was cut off is sent on by this system only if no earlier crash speaks against it.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -34,6 +34,7 @@
         self._facts: dialects.AnswerFacts | None = None
         self._sent_at_seconds = 0.0
         self._result_recorded = False
+        self._ended = False
         self._retry_at_end = False
         self._forwarded = False
 
@@ -45,6 +46,14 @@
         """
         return self._facts is not None and self._facts.not_run
 
+    @property
+    def running(self) -> bool:
+        """Tell whether the endpoint's response may still come.
+
+        :return: whether the attempt has neither ended nor been cancelled
+        """
+        return not self._ended
+
     def begin(self, call: http_client.Call) -> None:
         """Send the request.
 
@@ -61,6 +70,7 @@
         :param failed: whether this counts as a failure of the endpoint,
             because it did not respond before the deadline
         """
+        self._ended = True
         if self._pending is not None:
             self._pending.cancel()
         if not self._result_recorded:
@@ -112,6 +122,7 @@
 
     def end(self) -> None:
         """Finish the request, or try another endpoint."""
+        self._ended = True
         facts = self._facts
         if facts is None or self._forwarding.finished:
             return
@@ -133,6 +144,7 @@
 
         :param failure: the cause
         """
+        self._ended = True
         if not self._result_recorded:
             self._record_result(failed=True)
         if failure.may_have_arrived and not self.rejected:
@@ -167,8 +179,12 @@
         return facts.status in NOT_RUN_STATUSES
 
     def _record_broken(self, reason: str) -> None:
-        self._forwarding.context.crashes.record_broken(
-            self._record, self._forwarding.admitted.fingerprint, reason
+        context = self._forwarding.context
+        context.crashes.detector.record_broken(
+            self._record,
+            reason,
+            fingerprint=self._forwarding.admitted.fingerprint,
+            ran_seconds=context.timers.now_seconds() - self._sent_at_seconds,
         )
 
     def _record_result(self, *, failed: bool) -> None:
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from boragefold.entry import fingerprints
+from boragefold.protocol import crash_messages
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
@@ -29,7 +30,8 @@
 # All connections of a crashed process break within this time.
 CASE_SECONDS = 2.0
 # Limits the length of a log line.
-MAX_LOGGED_FINGERPRINTS = 16
+MAX_LOGGED_SUSPECTS = 64
+MILLISECONDS = 1000.0
 
 
 class Verdict(enum.Enum):
@@ -53,7 +55,7 @@
     """A crash, and the requests that ran there for this instance."""
 
     life: EndpointLife
-    fingerprints: frozenset[int]
+    suspects: tuple[crash_messages.Suspect, ...]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -63,8 +65,9 @@
     record: deployment.EndpointRecord
     began_at_seconds: float
     reasons: set[str] = dataclasses.field(default_factory=set)
-    fingerprints: set[int] = dataclasses.field(default_factory=set)
-    broken: int = 0
+    suspects: list[crash_messages.Suspect] = dataclasses.field(
+        default_factory=list
+    )
     probes: int = 0
     verdict: Verdict = Verdict.PENDING
 
@@ -80,7 +83,7 @@
         timers: timing.TimerService,
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
-        on_crash: Callable[[Crash], None] = lambda crash: None,
+        on_crash: Callable[[Crash], None],
     ) -> None:
         """Begin without any broken connection.
 
@@ -101,13 +104,19 @@
         self._cases: dict[EndpointLife, BreakCase] = {}
 
     def record_broken(
-        self, record: deployment.EndpointRecord, fingerprint: int, reason: str
+        self,
+        record: deployment.EndpointRecord,
+        reason: str,
+        *,
+        fingerprint: int,
+        ran_seconds: float,
     ) -> None:
         """Record that the connection of a running request broke.
 
         :param record: the endpoint, as it was when the request was sent
-        :param fingerprint: of the request
         :param reason: how the connection broke
+        :param fingerprint: of the request
+        :param ran_seconds: how long ago the request was sent there
         """
         if reason not in BREAK_REASONS:
             return
@@ -115,11 +124,13 @@
         case = self._cases.get(life)
         if case is None:
             case = self._open(life, record)
-        case.broken += 1
+        suspect = crash_messages.Suspect(
+            fingerprint, round(ran_seconds * MILLISECONDS)
+        )
         case.reasons.add(reason)
-        case.fingerprints.add(fingerprint)
+        case.suspects.append(suspect)
         if case.verdict is Verdict.CRASHED:
-            self._on_crash(Crash(life, frozenset({fingerprint})))
+            self._on_crash(Crash(life, (suspect,)))
 
     def _open(
         self, life: EndpointLife, record: deployment.EndpointRecord
@@ -152,7 +163,7 @@
         case.verdict = judge(result, listed)
         self._write(life, case, result, listed)
         if case.verdict is Verdict.CRASHED:
-            self._on_crash(Crash(life, frozenset(case.fingerprints)))
+            self._on_crash(Crash(life, tuple(case.suspects)))
             self._timers.once(
                 delay_seconds=CASE_SECONDS,
                 callback=lambda: self._close(life),
@@ -172,7 +183,7 @@
         listed: deployment.EndpointRecord | None,
     ) -> None:
         self._counters.add("endpoint_breaks", case.verdict.value)
-        logged = sorted(case.fingerprints)[:MAX_LOGGED_FINGERPRINTS]
+        logged = case.suspects[:MAX_LOGGED_SUSPECTS]
         took_seconds = self._timers.now_seconds() - case.began_at_seconds
         self._log.write(
             "endpoint_broke",
@@ -180,8 +191,11 @@
             born_milliseconds=life.born_milliseconds,
             verdict=case.verdict.value,
             reasons=sorted(case.reasons),
-            broken=case.broken,
-            fingerprints=list(map(fingerprints.describe, logged)),
+            broken=len(case.suspects),
+            suspects={
+                fingerprints.describe(each.fingerprint): each.ran_milliseconds
+                for each in logged
+            },
             probe=result.value,
             probes=case.probes,
             took_seconds=round(took_seconds, 4),
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -10,9 +10,11 @@
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
 from boragefold.entry import fingerprints
+from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
+from boragefold.policy import crash_suspects
 from boragefold.state import deployment
 from boragefold.transport import http_client
 from boragefold.transport import http_server
@@ -23,7 +25,7 @@
 PROGRESS_SLACK_SECONDS = 1.0
 
 
-class Forwarding(abc.ABC):
+class Forwarding(quarantines.WaitingRequest):
     """Forwards one request and sends exactly one final response for it."""
 
     def __init__(
@@ -46,6 +48,7 @@
         self.deadline_at_seconds = answer_deadline.compute_deadline_at_seconds(
             admitted
         )
+        context.crashes.quarantine.watch(self)
         exchange.on_closed = self._on_caller_disconnected
         exchange.on_drained = self._on_drained
         self._timeout = context.timers.once(
@@ -124,12 +127,20 @@
         return holder is not None and holder.name == workspace.name
 
     def send(self, record: deployment.EndpointRecord, version: int) -> None:
-        """Send the request to an endpoint.
+        """Send the request to an endpoint, unless it is quarantined.
 
         :param record: the endpoint
         :param version: version of the adapter, 0 for any
         """
         admitted, context = self.admitted, self.context
+        verdict = self._judge()
+        if verdict.quarantined:
+            self._refuse_quarantined(verdict)
+            return
+        if verdict.is_trial:
+            context.crashes.quarantine.begin_trial(
+                admitted.fingerprint, verdict
+            )
         if self._sent_to:
             context.counters.add(
                 "requests_repeated", admitted.route.kind.value
@@ -160,6 +171,14 @@
         )
         attempt.begin(self._call(target))
 
+    def on_quarantine(self) -> None:
+        """Refuse the request if it waits and is quarantined now."""
+        if self._attempt is not None and self._attempt.running:
+            return
+        verdict = self._judge()
+        if verdict.quarantined:
+            self._refuse_quarantined(verdict)
+
     def try_retry(self, endpoint: str, *, may_have_run: bool) -> bool:
         """Check whether the request may be sent again, and consume a retry.
 
@@ -201,6 +220,8 @@
         :param status: status of the response
         """
         self._answer.forward_end()
+        if status in attempts.SUCCESSES:
+            self.context.crashes.quarantine.record_success(self._fingerprint)
         self._finish("answered", status)
 
     def on_attempt_failed(
@@ -233,7 +254,7 @@
         ):
             # Nothing was sent, so this doesn't use the retry budget.
             self.begin()
-        elif self._answer.resumable and self.try_retry(
+        elif self._may_resend() and self.try_retry(
             endpoint, may_have_run=may_have_run
         ):
             self._answer.discard_partial_event()
@@ -271,6 +292,29 @@
         """
         return {}
 
+    def _fingerprint(self) -> int:
+        return self.admitted.fingerprint
+
+    def _judge(self) -> crash_suspects.Verdict:
+        return self.context.crashes.quarantine.judge(self._fingerprint)
+
+    def _may_resend(self) -> bool:
+        # A request that was cut off by a crash before is the likely cause of
+        # both; whether this was one is known only after the next attempt.
+        return self._answer.resumable and not self._judge().crashes
+
+    def _refuse_quarantined(self, verdict: crash_suspects.Verdict) -> None:
+        self.context.crashes.quarantine.log_refusal(
+            self.admitted.request.request_id,
+            self.admitted.fingerprint,
+            verdict,
+        )
+        self.refuse(
+            refusals.QUARANTINED,
+            quarantines.REASON,
+            verdict.retry_after_seconds,
+        )
+
     def _attempt_timeout_seconds(self) -> float:
         return max(self.remaining_seconds(), answer_deadline.MARGIN_SECONDS)
 
@@ -332,6 +376,7 @@
             return
         self._finished = True
         self._timeout.cancel()
+        self.context.crashes.quarantine.unwatch(self)
         self._on_finished()
         self._refund_unused()
         end = request_end.RequestEnd(
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -17,7 +17,7 @@
 from boragefold.coordination.fleet import removal_grace
 from boragefold.coordination.fleet import self_link
 from boragefold.coordination.fleet import voter_sets
-from boragefold.entry import crash_detector
+from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
@@ -375,12 +375,16 @@
                 counters=self.counters, allowance=self._retry_allowance
             ),
             rate=self._rate,
-            crashes=crash_detector.CrashDetector(
+            crashes=crash_protection.connect(
                 client=self._client,
                 fleet=self._fleet,
+                link=self._link,
+                members=self._members,
                 timers=self.timers,
                 counters=self.counters,
                 log=self.log,
+                rng=self._rng,
+                is_hub=lambda: self._heartbeats.is_hub,
             ),
             data_centre=self.settings.data_centre,
         )
--- /dev/null
+++ b/src/boragefold/entry/quarantine.py
@@ -0,0 +1,185 @@
+"""Keeps requests that crash their endpoints away from further endpoints."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+import xxhash
+
+from boragefold.entry import crash_detector
+from boragefold.entry import fingerprints
+from boragefold.policy import crash_suspects
+from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import decision_log
+from boragefold.timing import timers as timing
+
+REASON = "crash_suspect"
+
+
+class WaitingRequest(abc.ABC):
+    """A request that may become quarantined before it is sent."""
+
+    @abc.abstractmethod
+    def on_quarantine(self) -> None:
+        """Refuse the request if it waits and is quarantined now."""
+
+
+class Quarantine:
+    """Decides whether a request may be sent, and keeps the evidence."""
+
+    def __init__(
+        self,
+        *,
+        suspects: crash_suspects.CrashSuspects,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        log: decision_log.DecisionLog,
+        publish: Callable[[], None],
+    ) -> None:
+        """Start without any request.
+
+        :param suspects: the known crashes
+        :param timers: the process clock
+        :param counters: counts requests that are quarantined or released
+        :param log: gets a line for each of them
+        :param publish: sends changes of the known crashes to other instances
+        """
+        self._suspects = suspects
+        self._timers = timers
+        self._counters = counters
+        self._log = log
+        self._publish = publish
+        self._logged: frozenset[int] = frozenset()
+        # Ordered, so that requests are refused in the order of their arrival.
+        self._waiting: dict[WaitingRequest, None] = {}
+
+    def watch(self, request: WaitingRequest) -> None:
+        """Tell a request when a request becomes quarantined.
+
+        :param request: the request
+        """
+        self._waiting[request] = None
+
+    def unwatch(self, request: WaitingRequest) -> None:
+        """Stop telling a request.
+
+        :param request: the request
+        """
+        self._waiting.pop(request, None)
+
+    def judge(self, fingerprint: Callable[[], int]) -> crash_suspects.Verdict:
+        """Judge whether a request may be sent now.
+
+        :param fingerprint: computes the request's fingerprint, called only
+            while there are suspects
+        :return: the verdict
+        """
+        if not self._suspects.has_suspects:
+            return crash_suspects.NOT_SUSPECTED
+        return self._suspects.judge(
+            fingerprint(), now_seconds=self._timers.now_seconds()
+        )
+
+    def log_refusal(
+        self,
+        request_id: str,
+        fingerprint: int,
+        verdict: crash_suspects.Verdict,
+    ) -> None:
+        """Log why a request isn't sent.
+
+        :param request_id: of the request
+        :param fingerprint: of the request
+        :param verdict: the verdict on it
+        """
+        self._log.write(
+            "request_quarantined",
+            request_id=request_id,
+            fingerprint=fingerprints.describe(fingerprint),
+            crashes=verdict.crashes,
+            newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
+            retry_after_seconds=round(verdict.retry_after_seconds, 3),
+        )
+
+    def begin_trial(
+        self, fingerprint: int, verdict: crash_suspects.Verdict
+    ) -> None:
+        """Record that a request of many crashes is sent once more.
+
+        :param fingerprint: of the request
+        :param verdict: the verdict on it
+        """
+        self._suspects.begin_trial(
+            fingerprint, now_seconds=self._timers.now_seconds()
+        )
+        self._counters.add("quarantine_trials")
+        self._log.write(
+            "quarantine_trial",
+            fingerprint=fingerprints.describe(fingerprint),
+            crashes=verdict.crashes,
+            newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
+        )
+        self._publish()
+
+    def record_success(self, fingerprint: Callable[[], int]) -> None:
+        """Record that a request ran to its end.
+
+        :param fingerprint: computes the request's fingerprint, called only
+            while there are suspects
+        """
+        if self._suspects.has_suspects and self._suspects.clear(fingerprint()):
+            self._publish()
+            self.update()
+
+    def record_crash(self, crash: crash_detector.Crash) -> None:
+        """Record a crash.
+
+        :param crash: the endpoint and the requests that ran there
+        """
+        self._suspects.record_crash(
+            _identify(crash.life),
+            crash.suspects,
+            now_seconds=self._timers.now_seconds(),
+        )
+        self._publish()
+        self.update()
+
+    def update(self) -> None:
+        """Refuse the waiting requests that have become quarantined."""
+        before, self._logged = self._logged, self._suspects.quarantined
+        for fingerprint in sorted(before ^ self._logged):
+            self._write_change(fingerprint)
+        if self._logged - before:
+            for request in list(self._waiting):
+                request.on_quarantine()
+
+    def _write_change(self, fingerprint: int) -> None:
+        added = fingerprint in self._logged
+        now_seconds = self._timers.now_seconds()
+        verdict = self._suspects.judge(fingerprint, now_seconds=now_seconds)
+        self._counters.add("quarantine", "added" if added else "released")
+        self._log.write(
+            "quarantine_changed",
+            fingerprint=fingerprints.describe(fingerprint),
+            quarantined=added,
+            crashes=verdict.crashes,
+            newest_crash_seconds=(
+                round(verdict.newest_crash_seconds, 3)
+                if verdict.crashes
+                else None
+            ),
+            retry_after_seconds=round(verdict.retry_after_seconds, 3),
+        )
+
+
+def _identify(life: crash_detector.EndpointLife) -> int:
+    text = f"{life.name}\0{life.born_milliseconds}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+__all__ = [
+    "Quarantine",
+    "REASON",
+    "WaitingRequest",
+]
--- a/src/boragefold/entry/refusals.py
+++ b/src/boragefold/entry/refusals.py
@@ -29,6 +29,12 @@
 NO_ROUTE = ErrorKind(404, "not_run", "use a published route", False)
 OVER_RATE = ErrorKind(429, "not_run", "come back later, or ask for more", True)
 NOT_RUN = ErrorKind(503, "not_run", "come back later", True)
+QUARANTINED = ErrorKind(
+    503,
+    "not_run",
+    "don't repeat the request: endpoints crashed while they ran it",
+    True,
+)
 UNKNOWN = ErrorKind(502, "unknown", "ask the service whether it ran", False)
 TIMED_OUT = ErrorKind(504, "unknown", "allow more time", False)
 
@@ -69,6 +75,7 @@
     "NO_KEY",
     "NO_ROUTE",
     "OVER_RATE",
+    "QUARANTINED",
     "TIMED_OUT",
     "UNKNOWN",
     "send_error",
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -6,7 +6,7 @@
 import functools
 from typing import NamedTuple
 
-from boragefold.entry import crash_detector
+from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import fingerprints
 from boragefold.policy import retry_budget as retry_budgets
@@ -32,7 +32,7 @@
     choice: service_choice.ServiceChoice
     retries: retry_budgets.ServiceBudgets
     rate: shared_rate.SharedRate
-    crashes: crash_detector.CrashDetector
+    crashes: crash_protection.CrashProtection
     data_centre: str
 
 
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from boragefold.protocol import crash_messages
 from boragefold.protocol import ids
 from boragefold.protocol import rate_ledger_messages
 
@@ -271,6 +272,7 @@
     Pull,
     RunEnded,
     RunStarted,
+    *crash_messages.KINDS,
     *rate_ledger_messages.KINDS,
 )
 
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -28,8 +28,10 @@
         "store_regained",
     }
 )
-
-
+# Events on crashes and on the requests that ran on the crashed endpoints.
+CRASH_EVENTS = frozenset(
+    {"endpoint_broke", "quarantine_changed", "quarantine_trial"}
+)
 REPORT = "engine_report"
 
 
@@ -69,6 +71,9 @@
 def story(request_id: str, lines: Iterable[Line]) -> list[Line]:
     """Select the lines of a request and the state changes around them.
 
+    For a request that may have crashed endpoints, this includes what is known
+    of its earlier attempts, from all processes.
+
     :param request_id: the request
     :param lines: log lines of all processes
     :return: ordered by time; empty for an unknown request
@@ -81,6 +86,7 @@
     ]
     if not own:
         return []
+    fingerprints = {line.fields.get("fingerprint") for line in own}
     sources = {line.source for line in own}
     begin = own[0].time_seconds - STATE_EVENT_SECONDS
     end = own[-1].time_seconds
@@ -88,6 +94,10 @@
         line
         for line in everything
         if line in own
+        or (
+            line.time_seconds <= end
+            and _is_of_suspect(line, fingerprints - {None, ""})
+        )
         or (
             line.event in STATE_EVENTS
             and line.source in sources
@@ -96,6 +106,15 @@
     ]
 
 
+def _is_of_suspect(line: Line, fingerprints: set[Any]) -> bool:
+    if line.event not in CRASH_EVENTS:
+        return False
+    suspects = line.fields.get("suspects", ())
+    return line.fields.get("fingerprint") in fingerprints or any(
+        fingerprint in suspects for fingerprint in fingerprints
+    )
+
+
 def engine_story(engine: str, lines: Iterable[Line]) -> list[Line]:
     """Select the state changes and orders of an engine.
 
--- /dev/null
+++ b/tests/entry/test_crash_walk.py
@@ -0,0 +1,54 @@
+"""Endpoints that crash under requests or by themselves, in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes import crash_walk
+
+SEEDS = 2
+# Sends that may follow once all in touch have to know.
+MAX_LATE_SENDS = 3
+CULPRITS = {
+    "alone": crash_walk.Schedule(culprits=1),
+    "among crashes of other causes": crash_walk.Schedule(
+        culprits=1, kill_gap_seconds=3.0
+    ),
+    "across a cut": crash_walk.Schedule(culprits=1, cut=True),
+    "while instances restart": crash_walk.Schedule(
+        culprits=1, restart_gap_seconds=2.0
+    ),
+    "two at a time": crash_walk.Schedule(
+        culprits=2, cut=True, restart_gap_seconds=4.0
+    ),
+}
+INNOCENT = {
+    "crashes now and then": crash_walk.Schedule(kill_gap_seconds=6.0),
+    "crashes in quick succession": crash_walk.Schedule(kill_gap_seconds=3.0),
+}
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("name", CULPRITS)
+def test_what_crashed_three_endpoints_reaches_few_more(name, seed) -> None:
+    # A caller's repeats go to any instance, which must know of the crashes.
+    walk = crash_walk.CrashWalk(seed=seed, schedule=CULPRITS[name])
+    walk.play()
+    assert walk.sent
+    for body in walk.sent:
+        assert len(walk.late_sends(body)) <= MAX_LATE_SENDS
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("schedule", ["alone", *INNOCENT])
+def test_whoever_ran_on_a_crashed_endpoint_isnt_refused(
+    schedule, seed
+) -> None:
+    # Refusing all that ran beside a culprit costs more than the culprit did.
+    walk = crash_walk.CrashWalk(
+        seed=seed, schedule={**CULPRITS, **INNOCENT}[schedule]
+    )
+    walk.play()
+    assert walk.crashes
+    assert walk.statuses[200] > 0.9 * walk.statuses.total()
+    assert walk.innocents_refused == 0
--- a/tests/telemetry/test_decision_log.py
+++ b/tests/telemetry/test_decision_log.py
@@ -118,5 +118,27 @@
     assert events[1:3] == ["request_sent", "engine_turned_away"]
 
 
+def test_a_refused_suspects_story_has_the_crashes_at_other_processes() -> None:
+    # A refusal must be explained by the crashes that other instances saw.
+    there = [
+        '{"time_seconds":1.0,"event":"endpoint_broke","endpoint":"e1",'
+        '"suspects":{"f1":50,"f2":900}}',
+        '{"time_seconds":2.0,"event":"endpoint_broke","endpoint":"e2",'
+        '"suspects":{"f2":20}}',
+        '{"time_seconds":40.0,"event":"quarantine_trial","fingerprint":"f1"}',
+    ]
+    here = [
+        '{"time_seconds":30.0,"event":"request_quarantined",'
+        '"request_id":"r3","fingerprint":"f1","crashes":3}',
+    ]
+    lines = [*log_story.read("there", there), *log_story.read("here", here)]
+    found = log_story.story("r3", lines)
+    assert [line.event for line in found] == [
+        "endpoint_broke",
+        "request_quarantined",
+    ]
+    assert found[0].fields["endpoint"] == "e1"
+
+
 def test_an_unknown_request_has_no_story() -> None:
     assert not log_story.story("other", log_story.read("one", LINES))
