Don't say that a request didn't run after it began

A lookup or a resumable stream whose endpoint crashed or failed was tried at another; when none was left, or that one refused it, the caller got a 503 that promises "not run", and the request wasn't charged to the workspace's rate, though it had run. The refusal looked only at the last attempt.

A request that may have run at one endpoint is now refused with 502, outcome unknown, and Retry-After, and stays charged. Found while looking for what a caller of a crashing request is told.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -41,6 +41,7 @@
         self._sent_to: list[str] = []
         self._unreachable: set[str] = set()
         self._finished = False
+        self._may_have_run = False
         self._sent_at_seconds = admitted.arrived_at_seconds
         self._answer = caller_answer.CallerAnswer(
             admitted=admitted, exchange=exchange, context=context
@@ -186,6 +187,8 @@
         :param may_have_run: whether it may have run there
         :return: whether idempotence, retry budget and deadline allow it
         """
+        if may_have_run:
+            self._may_have_run = True
         if self.remaining_seconds() <= answer_deadline.MARGIN_SECONDS:
             return False
         budget = self.context.retries.get(self.admitted.service.name)
@@ -246,7 +249,9 @@
                 else ""
             ),
         )
-        if not may_have_run:
+        if may_have_run:
+            self._may_have_run = True
+        else:
             self._record_unreachable(endpoint)
         if (
             not may_have_run
@@ -281,6 +286,8 @@
         """
         if self._finished:
             return
+        if self._may_have_run and kind.outcome == refusals.NOT_RUN.outcome:
+            kind = refusals.MAY_HAVE_RUN
         self._answer.refuse(kind, reason, retry_after_seconds)
         self.context.counters.add("requests_refused", reason)
         self._finish(reason, kind.status, retry_after_seconds)
@@ -394,7 +401,9 @@
         # A request that didn't run isn't charged to the rate limit.
         workspace = self.admitted.workspace
         attempt = self._attempt
-        unused = attempt is None or attempt.rejected
+        unused = not self._may_have_run and (
+            attempt is None or attempt.rejected
+        )
         if workspace is not None and unused:
             self.context.rate.refund(workspace.name, self.admitted.charged)
 
--- a/src/boragefold/entry/refusals.py
+++ b/src/boragefold/entry/refusals.py
@@ -35,6 +35,8 @@
     "don't repeat the request: endpoints crashed while they ran it",
     True,
 )
+# For a request that may run twice.
+MAY_HAVE_RUN = ErrorKind(502, "unknown", "send it again later", True)
 UNKNOWN = ErrorKind(502, "unknown", "ask the service whether it ran", False)
 TIMED_OUT = ErrorKind(504, "unknown", "allow more time", False)
 
@@ -71,6 +73,7 @@
 __all__ = [
     "ErrorKind",
     "MALFORMED",
+    "MAY_HAVE_RUN",
     "NOT_RUN",
     "NO_KEY",
     "NO_ROUTE",
--- a/tests/entry/test_crash_walk.py
+++ b/tests/entry/test_crash_walk.py
@@ -52,3 +52,22 @@
     assert walk.crashes
     assert walk.statuses[200] > 0.9 * walk.statuses.total()
     assert walk.innocents_refused == 0
+
+
+def test_what_began_to_run_isnt_refused_as_not_run() -> None:
+    # "Not run" must be true also when the only endpoint crashed and no other
+    # one is there for the retry.
+    walk = crash_walk.CrashWalk(
+        seed=1, schedule=crash_walk.Schedule(endpoints=1)
+    )
+    walk.run(crash_walk.WARM_UP_SECONDS)
+    answers = []
+    walk.ask("/reads/1", b"x", lambda *answer: answers.append(answer))
+    walk.run(2 * crash_walk.TRAVEL_SECONDS[1])
+    (endpoint,) = walk.endpoints.values()
+    assert endpoint.runs
+    walk.crash(endpoint, b"")
+    walk.run(0.5)
+    ((status, text),) = answers
+    assert status == 502
+    assert '"outcome":"unknown"' in text
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -105,6 +105,23 @@
     assert [reply.status for reply in replies] == [200, 200, 200]
 
 
+def test_a_lookup_that_ran_isnt_refused_as_not_run(machines) -> None:
+    # The endpoint of the retry says that it ran nothing; the first one ran.
+    machines.faults("desk-0", status=500)
+    machines.faults("desk-1", not_executed=True)
+    refused = set()
+    for number in range(10):
+        headers = {"Boragefold-Attempt-Id": f"ran-{number}"}
+        reply = machines.ask("/reads/1", method="GET", headers=headers)
+        if reply.status == 503:
+            refused.add(headers["Boragefold-Attempt-Id"])
+    ran = {
+        run["headers"]["boragefold-attempt-id"]
+        for run in machines.runs("desk")
+    }
+    assert not refused & ran
+
+
 def test_a_payout_that_fails_is_never_repeated(machines) -> None:
     # A non-idempotent request that failed must not be retried.
     for name in ("desk-0", "desk-1"):
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -293,7 +293,7 @@
                 self.sent[run.body].append(Sent(self.now(), instance))
             self.later(
                 self.rng.uniform(*CRASH_SECONDS),
-                lambda: self._crash(endpoint, run.body),
+                lambda: self.crash(endpoint, run.body),
             )
             return
         is_long = self.rng.random() < LONG_SHARE
@@ -335,7 +335,7 @@
         for instance in self.instances.values():
             instance.published.set_endpoint(record)
 
-    def _crash(self, endpoint: Endpoint, body: bytes) -> None:
+    def crash(self, endpoint: Endpoint, body: bytes) -> None:
         if not endpoint.up:
             return
         self.crashes[body].append(self.now())
@@ -355,7 +355,7 @@
     def _kill_endpoint(self) -> None:
         running = [each for each in self.endpoints.values() if each.up]
         if len(running) > 2:
-            self._crash(self.rng.choice(running), b"")
+            self.crash(self.rng.choice(running), b"")
 
     def _restart_instance(self) -> None:
         address = self.rng.choice(sorted(self.instances))
@@ -403,7 +403,7 @@
 
     def _send_culprit(self, body: bytes, *, first: bool = False) -> None:
         if not first:
-            self._ask("/orders/1", body, lambda status, text: None)
+            self.ask("/orders/1", body, lambda status, text: None)
         self.later(
             self.rng.uniform(*CULPRIT_GAP_SECONDS),
             lambda: self._send_culprit(body),
@@ -414,7 +414,7 @@
         if self.rng.random() < REPEATED_SHARE:
             number %= REPEATED_BODIES
         path = self.rng.choice(["/orders/1", "/reads/1"])
-        self._ask(path, b"innocent %d" % number, self._note)
+        self.ask(path, b"innocent %d" % number, self._note)
         self.later(INNOCENT_GAP_SECONDS, self._send_innocent)
 
     def _note(self, status: int, text: str) -> None:
@@ -422,7 +422,7 @@
         self.innocents_cut += status in (0, 502)
         self.innocents_refused += quarantine.REASON in text
 
-    def _ask(
+    def ask(
         self, path: str, body: bytes, on_end: Callable[[int, str], None]
     ) -> None:
         instance = self.instances[self.rng.choice(sorted(self.instances))]
