Send a request that broke at three endpoints to no fourth

The budget bounds load; it says nothing of one request.

Attempts that fail after a byte of the request may have arrived are counted with the request, and the third is the last. What a caller sends again is a new request here; suspects aren't exchanged between instances of the own interface yet.

--- a/src/boragefold/entry/service_call.py
+++ b/src/boragefold/entry/service_call.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from boragefold.policy import retry_budget
 from boragefold.telemetry import counters as telemetry
 from boragefold.transport import http_client
 from boragefold.transport import http_server
@@ -68,6 +69,7 @@
         self._idempotent = idempotent
         self._progress_seconds = progress_seconds
         self._on_result = on_result
+        self._broken_attempts = 0
 
     def begin(self) -> None:
         """Send the call to the first address."""
@@ -98,11 +100,18 @@
         self._counters.add("service_attempts_broken", answer.reason)
         if not answer.may_have_arrived:
             self._try_next(NotSent(reason=answer.reason))
-        elif self._idempotent:
+        elif self._may_repeat():
             self._try_next(AnswerLost(reason=answer.reason))
         else:
             self._on_result(AnswerLost(reason=answer.reason))
 
+    def _may_repeat(self) -> bool:
+        self._broken_attempts += 1
+        return (
+            self._idempotent
+            and self._broken_attempts < retry_budget.MAX_BROKEN_ATTEMPTS
+        )
+
 
 def create_request(
     request: http_server.Request, path: str, serial: str = ""
--- a/src/boragefold/policy/attempts.py
+++ b/src/boragefold/policy/attempts.py
@@ -102,9 +102,10 @@
         """
         endpoint = request.endpoint
         request.may_have_run |= bytes_sent
+        request.broken_attempts += bytes_sent
         self._endpoints.failed(endpoint)
         self.end(request, used_tokens=used_tokens, now_seconds=now_seconds)
-        if self._retry_budget.try_retry(
+        if self._may_retry(request) and self._retry_budget.try_retry(
             endpoint,
             idempotent=request.idempotent,
             bytes_sent=bytes_sent,
@@ -150,6 +151,12 @@
             ),
         )
 
+    def _may_retry(self, request: requests_module.OpenRequest) -> bool:
+        if request.broken_attempts < retry_budgets.MAX_BROKEN_ATTEMPTS:
+            return True
+        self._counters.add("retries_denied", "broken_attempts")
+        return False
+
     def _stop_using_if_failed_twice(
         self,
         request: requests_module.OpenRequest,
--- a/src/boragefold/policy/open_requests.py
+++ b/src/boragefold/policy/open_requests.py
@@ -14,7 +14,8 @@
 
     ``may_have_run`` stays true once a byte of an attempt may have reached an
     endpoint: from then on the answer "not run" could be false, whatever
-    happens to later attempts.
+    happens to later attempts. ``broken_attempts`` counts the attempts that
+    failed after that.
     """
 
     work: works.Work
@@ -23,6 +24,7 @@
     endpoint: str = ""
     attempts: int = 0
     may_have_run: bool = False
+    broken_attempts: int = 0
     answered: bool = False
 
 
--- a/src/boragefold/policy/retry_budget.py
+++ b/src/boragefold/policy/retry_budget.py
@@ -21,6 +21,8 @@
 TOTAL_BURST_RETRIES = 100.0
 # With little traffic the ratio alone would allow no retry.
 RETRIES_PER_SECOND = 0.1
+# The request itself is the likely cause if it breaks at so many endpoints.
+MAX_BROKEN_ATTEMPTS = 3
 # A broken stream may need two retries: at its only holder, and elsewhere.
 INITIAL_RETRIES = 2.0
 
@@ -221,6 +223,7 @@
 
 
 __all__ = [
+    "MAX_BROKEN_ATTEMPTS",
     "RETRY_RATIO",
     "Allowance",
     "FleetLimit",
--- a/tests/policy/test_dispatcher.py
+++ b/tests/policy/test_dispatcher.py
@@ -311,6 +311,30 @@
     assert [endpoint for _, endpoint, _ in placed] == ["idle"]
 
 
+def test_a_request_that_breaks_at_each_endpoint_reaches_three() -> None:
+    # A request may crash each endpoint that runs it; with much traffic the
+    # retry budget would let it crash ten of them.
+    names = [f"e{number}" for number in range(8)]
+    system = build(held={name: ["x"] for name in names})
+    for number in range(200):
+        request = workloads.work(needs="x", at=float(number))
+        offer(system, request, at=float(number))
+        system.finished(
+            request.request_id, used_tokens=1.0, now_seconds=float(number)
+        )
+    request = workloads.work(needs="x", at=200.0)
+    done = offer(system, request, at=200.0)
+    reached = sends(done)
+    for _ in names:
+        system.failed(request.request_id, bytes_sent=True, now_seconds=200.0)
+        done = system.next_actions(now_seconds=200.0)
+        reached += sends(done)
+        if not sends(done):
+            break
+    assert len(reached) == 3
+    assert done == [actions.Fail(request, "attempt_failed", True)]
+
+
 def test_the_only_holder_that_fails_a_request_twice_is_avoided() -> None:
     # The only endpoint that holds an adapter breaks off every answer with it.
     # Sent there repeatedly within milliseconds, the request would use up all
