Don't learn an endpoint's speed from failures that come quickly

Callers got a 500 of a failing endpoint though a sound one was there: three lookups in a row began at the failing one, whose retries were used up. How long an endpoint takes was learned from its failures too, so one that fails in 4 ms made the one that takes 20 ms for its work look slow.

A failure counts as a duration only above the median of what is known, so that a silent endpoint goes on counting as slow.

--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -105,12 +105,13 @@
             float(failed) - failure_rate
         )
         record.updated_at_seconds = now_seconds
-        before = record.took_seconds
-        record.took_seconds = (
-            took_seconds
-            if before is None
-            else before + SMOOTHING * (took_seconds - before)
-        )
+        if not failed or self._is_slow(took_seconds):
+            before = record.took_seconds
+            record.took_seconds = (
+                took_seconds
+                if before is None
+                else before + SMOOTHING * (took_seconds - before)
+            )
 
     def unreachable(self, endpoint: str, *, now_seconds: float) -> None:
         """Record that no connection to an endpoint could be opened.
@@ -162,15 +163,24 @@
         return load + (0.0 if near else FAR_PENALTY) + jitter
 
     def _slowness(self, record: EndpointStats) -> float:
+        median_seconds = self._median_seconds()
+        if record.took_seconds is None or median_seconds is None:
+            return 0.0
+        return max(0.0, record.took_seconds / max(median_seconds, 0.001) - 2.0)
+
+    def _is_slow(self, took_seconds: float) -> bool:
+        # A failure that comes quickly says nothing about the time that the
+        # endpoint's work takes, and would make sound endpoints look slow.
+        median_seconds = self._median_seconds()
+        return median_seconds is not None and took_seconds > median_seconds
+
+    def _median_seconds(self) -> float | None:
         known = sorted(
             each.took_seconds
             for each in self._records.values()
             if each.took_seconds is not None
         )
-        if record.took_seconds is None or len(known) < 2:
-            return 0.0
-        median = known[(len(known) - 1) // 2]
-        return max(0.0, record.took_seconds / max(median, 0.001) - 2.0)
+        return known[(len(known) - 1) // 2] if known else None
 
     def _failure_rate(
         self, record: EndpointStats, now_seconds: float
--- a/tests/policy/test_service_choice.py
+++ b/tests/policy/test_service_choice.py
@@ -49,6 +49,37 @@
     assert after["two"] > 0.2 * sum(after.values())
 
 
+def test_an_endpoint_that_fails_fast_makes_no_other_look_slow() -> None:
+    # Of three lookups, a sound endpoint of another data centre must get the
+    # last one at the latest: retries are few at the start.
+    failing, sound = ("near", 8, True), ("far", 8, False)
+    for seed in range(500):
+        choice = service_choice.ServiceChoice(rng=random.Random(seed))
+        first = []
+        for number in range(3):
+            name = choice.choose([failing, sound], now_seconds=number / 10)
+            first.append(name)
+            for each in dict.fromkeys([name, "far"]):
+                choice.sent(each)
+                choice.ended(
+                    each,
+                    failed=each == "near",
+                    took_seconds=0.004 if each == "near" else 0.02,
+                    now_seconds=number / 10,
+                )
+        assert first.count("near") <= 2, seed
+
+
+def test_an_endpoint_that_fails_slowly_counts_as_slow() -> None:
+    choice = service_choice.ServiceChoice(rng=random.Random(3))
+    for at in (0.0, 0.1):
+        choice.ended("one", failed=False, took_seconds=0.09, now_seconds=at)
+    choice.ended("two", failed=True, took_seconds=4.0, now_seconds=0.1)
+    assert {
+        choice.choose(ENDPOINTS[:2], now_seconds=9.0) for _ in range(50)
+    } == {"one"}
+
+
 def test_a_slow_endpoint_gets_less() -> None:
     choice = service_choice.ServiceChoice(rng=random.Random(3))
     counts = send_requests(choice, slow={"three"})
