Give each request a guard, and keep files of crashes and gateways small

Gateway and forwarding each asked the quarantine, logged and refused in their own words, and a request's fingerprint could be computed twice. One guard a request now decides, with one fingerprint. Attribution of crashes, and the link of a gateway, stand in modules of their own; the request's fingerprint has a name that tells it from the tree's.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -183,7 +183,7 @@
         context.crashes.detector.record_broken(
             self._record,
             reason,
-            fingerprint=self._forwarding.admitted.fingerprint,
+            fingerprint=self._forwarding.admitted.guard.fingerprint,
             ran_seconds=context.timers.now_seconds() - self._sent_at_seconds,
         )
 
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -12,7 +12,7 @@
 import enum
 from typing import NamedTuple
 
-from boragefold.entry import fingerprints
+from boragefold.entry import request_fingerprint
 from boragefold.protocol import crash_messages
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
@@ -193,7 +193,9 @@
             reasons=sorted(case.reasons),
             broken=len(case.suspects),
             suspects={
-                fingerprints.describe(each.fingerprint): each.ran_milliseconds
+                request_fingerprint.describe(
+                    each.fingerprint
+                ): each.ran_milliseconds
                 for each in logged
             },
             probe=result.value,
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -9,11 +9,11 @@
 from boragefold.entry import attempt as attempts
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
-from boragefold.entry import fingerprints
 from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
+from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
 from boragefold.state import deployment
 from boragefold.transport import http_client
@@ -134,14 +134,10 @@
         :param version: version of the adapter, 0 for any
         """
         admitted, context = self.admitted, self.context
-        verdict = self._judge()
-        if verdict.quarantined:
+        verdict = admitted.guard.begin_sending()
+        if verdict is not None:
             self._refuse_quarantined(verdict)
             return
-        if verdict.is_trial:
-            context.crashes.quarantine.begin_trial(
-                admitted.fingerprint, verdict
-            )
         if self._sent_to:
             context.counters.add(
                 "requests_repeated", admitted.route.kind.value
@@ -176,8 +172,8 @@
         """Refuse the request if it waits and is quarantined now."""
         if self._attempt is not None and self._attempt.running:
             return
-        verdict = self._judge()
-        if verdict.quarantined:
+        verdict = self.admitted.guard.refusal()
+        if verdict is not None:
             self._refuse_quarantined(verdict)
 
     def try_retry(self, endpoint: str, *, may_have_run: bool) -> bool:
@@ -224,7 +220,7 @@
         """
         self._answer.forward_end()
         if status in attempts.SUCCESSES:
-            self.context.crashes.quarantine.record_success(self._fingerprint)
+            self.admitted.guard.record_success()
         self._finish("answered", status)
 
     def on_attempt_failed(
@@ -244,7 +240,7 @@
             may_have_run=may_have_run,
             answer_begun=self._answer.started,
             fingerprint=(
-                fingerprints.describe(self.admitted.fingerprint)
+                request_fingerprint.describe(self.admitted.guard.fingerprint)
                 if may_have_run
                 else ""
             ),
@@ -259,8 +255,10 @@
         ):
             # Nothing was sent, so this doesn't use the retry budget.
             self.begin()
-        elif self._may_resend() and self.try_retry(
-            endpoint, may_have_run=may_have_run
+        elif (
+            self._answer.resumable
+            and self.admitted.guard.may_resend()
+            and self.try_retry(endpoint, may_have_run=may_have_run)
         ):
             self._answer.discard_partial_event()
             self.begin()
@@ -299,23 +297,7 @@
         """
         return {}
 
-    def _fingerprint(self) -> int:
-        return self.admitted.fingerprint
-
-    def _judge(self) -> crash_suspects.Verdict:
-        return self.context.crashes.quarantine.judge(self._fingerprint)
-
-    def _may_resend(self) -> bool:
-        # A request that was cut off by a crash before is the likely cause of
-        # both; whether this was one is known only after the next attempt.
-        return self._answer.resumable and not self._judge().crashes
-
     def _refuse_quarantined(self, verdict: crash_suspects.Verdict) -> None:
-        self.context.crashes.quarantine.log_refusal(
-            self.admitted.request.request_id,
-            self.admitted.fingerprint,
-            verdict,
-        )
         self.refuse(
             refusals.QUARANTINED,
             quarantines.REASON,
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import random
 
 import xxhash
@@ -11,12 +10,12 @@
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_forwarding
 from boragefold.entry import engine_owner
-from boragefold.entry import fingerprints
 from boragefold.entry import forwarding
 from boragefold.entry import owner_client
 from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
 from boragefold.entry import request_context
+from boragefold.entry import request_fingerprint
 from boragefold.entry import service_forwarding
 from boragefold.policy import shared_rate
 from boragefold.protocol import ids
@@ -102,7 +101,19 @@
                 exchange, request, refusals.NOT_RUN, "service_unknown"
             )
             return
-        if self._refuse_quarantined(request, exchange, workspace):
+        guard = self._context.crashes.quarantine.guard(
+            request.request_id,
+            lambda: request_fingerprint.compute(request, workspace),
+        )
+        verdict = guard.refusal()
+        if verdict is not None:
+            self._refuse(
+                exchange,
+                request,
+                refusals.QUARANTINED,
+                quarantines.REASON,
+                verdict.retry_after_seconds,
+            )
             return
         now_seconds = self._context.timers.now_seconds()
         charged = _charge(workspace, request)
@@ -129,6 +140,7 @@
             workspace=workspace,
             arrived_at_seconds=now_seconds,
             charged=charged,
+            guard=guard,
         )
         self._forward(admitted, exchange)
 
@@ -153,29 +165,6 @@
             self_id=self._self_id,
         ).begin()
 
-    def _refuse_quarantined(
-        self,
-        request: dialects.CallerRequest,
-        exchange: http_server.Exchange,
-        workspace: deployment.Workspace | None,
-    ) -> bool:
-        quarantine = self._context.crashes.quarantine
-        fingerprint = functools.cache(
-            lambda: fingerprints.compute(request, workspace)
-        )
-        verdict = quarantine.judge(fingerprint)
-        if not verdict.quarantined:
-            return False
-        quarantine.log_refusal(request.request_id, fingerprint(), verdict)
-        self._refuse(
-            exchange,
-            request,
-            refusals.QUARANTINED,
-            quarantines.REASON,
-            verdict.retry_after_seconds,
-        )
-        return True
-
     def _share(self) -> float:
         return shared_rate.reachable_share(
             self._members.silences_seconds(),
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -23,6 +23,7 @@
 from boragefold.entry import engine_owner
 from boragefold.entry import fleet_log
 from boragefold.entry import gateway
+from boragefold.entry import gateway_link
 from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
 from boragefold.entry import request_context
@@ -34,9 +35,6 @@
 from boragefold.policy import retry_budget
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
-from boragefold.protocol import envelope
-from boragefold.protocol import ids
-from boragefold.protocol import order_lease_messages
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
 from boragefold.state import deployment
@@ -48,7 +46,6 @@
 from boragefold.timing import timers as timing
 from boragefold.transport import http_client
 from boragefold.transport import loop as loops
-from boragefold.transport import peer_link
 from boragefold.transport import sockets
 
 # Ownership of engines and pending engine requests are refreshed this often.
@@ -137,7 +134,10 @@
             grace=self._grace,
         )
         self._link = self_link.SelfLink(
-            link=self._make_link(), timers=self.timers
+            link=gateway_link.open_link(
+                settings=settings, loop=self.loop, counters=self.counters
+            ),
+            timers=self.timers,
         )
         self._members = members_module.Members(
             timers=self.timers, self_id=self._link.self_id
@@ -291,27 +291,6 @@
             endpoint, now_seconds=self.timers.now_seconds()
         )
 
-    def _make_link(self) -> peer_link.ZmqPeerLink:
-        link = peer_link.ZmqPeerLink(
-            poller=self.loop.poller,
-            timers=self.timers,
-            self_id=ids.InstanceId(
-                self.settings.data_centre,
-                self.settings.peer_listen,
-                ids.new_incarnation(),
-            ),
-            codec=envelope.Codec(
-                kinds=(
-                    *messages.KINDS,
-                    *order_lease_messages.KINDS,
-                )
-            ),
-            counters=self.counters,
-            heartbeats=False,
-        )
-        link.register(self.loop)
-        return link
-
     def _make_owner(
         self, dialect: engine_dialect.EngineDialect
     ) -> engine_owner.EngineOwner:
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -4,11 +4,12 @@
 
 import abc
 from collections.abc import Callable
+import functools
 
 import xxhash
 
 from boragefold.entry import crash_detector
-from boragefold.entry import fingerprints
+from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import decision_log
@@ -17,6 +18,80 @@
 REASON = "crash_suspect"
 
 
+class RequestGuard:
+    """Decides for one request whether it may be sent."""
+
+    def __init__(
+        self,
+        *,
+        quarantine: Quarantine,
+        request_id: str,
+        compute_fingerprint: Callable[[], int],
+    ) -> None:
+        """Compute nothing yet.
+
+        :param quarantine: decides about fingerprints
+        :param request_id: of the request, for the log
+        :param compute_fingerprint: called once, and only while there are
+            suspects or after the request was cut off
+        """
+        self._quarantine = quarantine
+        self._request_id = request_id
+        self._compute_fingerprint = compute_fingerprint
+
+    @functools.cached_property
+    def fingerprint(self) -> int:
+        """Compute what identifies the request when it is sent again.
+
+        :return: a 64-bit hash
+        """
+        return self._compute_fingerprint()
+
+    def refusal(self) -> crash_suspects.Verdict | None:
+        """Decide whether the request must be refused.
+
+        :return: the verdict to refuse it with, or None
+        """
+        verdict = self._judge()
+        if not verdict.quarantined:
+            return None
+        self._quarantine.log_refusal(
+            self._request_id, self.fingerprint, verdict
+        )
+        return verdict
+
+    def begin_sending(self) -> crash_suspects.Verdict | None:
+        """Decide whether the request may be sent now, perhaps as a trial.
+
+        :return: the verdict to refuse it with, or None
+        """
+        refusal = self.refusal()
+        verdict = self._judge()
+        if refusal is None and verdict.is_trial:
+            self._quarantine.begin_trial(self.fingerprint, verdict)
+        return refusal
+
+    def may_resend(self) -> bool:
+        """Decide whether the request may be sent on after it was cut off.
+
+        If it was cut off by a crash before, it is the likely cause of both;
+        whether this was a crash is known only after the next attempt.
+
+        :return: whether no earlier crash speaks against it
+        """
+        return not self._judge().crashes
+
+    def record_success(self) -> None:
+        """Record that the request ran to its end."""
+        self._quarantine.record_success(self._read_fingerprint)
+
+    def _judge(self) -> crash_suspects.Verdict:
+        return self._quarantine.judge(self._read_fingerprint)
+
+    def _read_fingerprint(self) -> int:
+        return self.fingerprint
+
+
 class WaitingRequest(abc.ABC):
     """A request that may become quarantined before it is sent."""
 
@@ -68,6 +143,21 @@
         """
         self._waiting.pop(request, None)
 
+    def guard(
+        self, request_id: str, compute_fingerprint: Callable[[], int]
+    ) -> RequestGuard:
+        """Create what decides about one request.
+
+        :param request_id: of the request
+        :param compute_fingerprint: computes its fingerprint, if needed
+        :return: the guard of the request
+        """
+        return RequestGuard(
+            quarantine=self,
+            request_id=request_id,
+            compute_fingerprint=compute_fingerprint,
+        )
+
     def judge(self, fingerprint: Callable[[], int]) -> crash_suspects.Verdict:
         """Judge whether a request may be sent now.
 
@@ -96,7 +186,7 @@
         self._log.write(
             "request_quarantined",
             request_id=request_id,
-            fingerprint=fingerprints.describe(fingerprint),
+            fingerprint=request_fingerprint.describe(fingerprint),
             crashes=verdict.crashes,
             newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
             retry_after_seconds=round(verdict.retry_after_seconds, 3),
@@ -116,7 +206,7 @@
         self._counters.add("quarantine_trials")
         self._log.write(
             "quarantine_trial",
-            fingerprint=fingerprints.describe(fingerprint),
+            fingerprint=request_fingerprint.describe(fingerprint),
             crashes=verdict.crashes,
             newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
         )
@@ -161,7 +251,7 @@
         self._counters.add("quarantine", "added" if added else "released")
         self._log.write(
             "quarantine_changed",
-            fingerprint=fingerprints.describe(fingerprint),
+            fingerprint=request_fingerprint.describe(fingerprint),
             quarantined=added,
             crashes=verdict.crashes,
             newest_crash_seconds=(
@@ -181,5 +271,6 @@
 __all__ = [
     "Quarantine",
     "REASON",
+    "RequestGuard",
     "WaitingRequest",
 ]
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 from typing import NamedTuple
 
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
-from boragefold.entry import fingerprints
+from boragefold.entry import quarantine
 from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -46,14 +45,7 @@
     workspace: deployment.Workspace | None
     arrived_at_seconds: float
     charged: float
-
-    @functools.cached_property
-    def fingerprint(self) -> int:
-        """Compute what identifies the request when it is sent again.
-
-        :return: a 64-bit hash
-        """
-        return fingerprints.compute(self.request, self.workspace)
+    guard: quarantine.RequestGuard
 
 
 __all__ = [
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -11,19 +11,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-import dataclasses
 import itertools
 import math
 from typing import NamedTuple
 
 import xxhash
 
+from boragefold.policy import crash_attribution
 from boragefold.protocol import crash_messages as messages
 
-# Two crashes under one request happen by chance where many endpoints fail.
-QUARANTINE_CRASHES = 3
-# Endpoints that end at the same moment have a cause outside their requests.
-SAME_CAUSE_SECONDS = 0.1
 # Time from the last crash until one more request is let through, by the number
 # of trials that crashed an endpoint. A wrong suspicion ends with the first.
 TRIAL_SECONDS = (8.0, 60.0)
@@ -37,7 +33,6 @@
 # Also the time from the last trial until the next.
 QUARANTINE_LIFETIME_SECONDS = 86_400.0
 MAX_CRASHES = 64
-MAX_SUSPECTS = 128
 MILLISECONDS = 1000.0
 
 
@@ -68,22 +63,15 @@
         :return: whether it may be sent once, although it is a suspect of so
             many crashes
         """
-        return self.crashes >= QUARANTINE_CRASHES and not self.quarantined
+        return (
+            self.crashes >= crash_attribution.QUARANTINE_CRASHES
+            and not self.quarantined
+        )
 
 
 NOT_SUSPECTED = Verdict(0, math.inf, 0.0)
 
 
-@dataclasses.dataclass(kw_only=True)
-class Crash:
-    """A crash, the requests that may have caused it, and those that didn't."""
-
-    at_seconds: float
-    # How long each ran there, in milliseconds.
-    suspects: dict[int, int] = dataclasses.field(default_factory=dict)
-    cleared: set[int] = dataclasses.field(default_factory=set)
-
-
 class CrashSuspects:
     """The known crashes and their suspects, merged from all instances."""
 
@@ -93,9 +81,9 @@
         :param trial_jitter: from 0 to 1, different at each instance
         """
         self._delay_factor = 1.0 + TRIAL_JITTER * trial_jitter
-        self._crashes: dict[int, Crash] = {}
+        self._crashes: dict[int, crash_attribution.Crash] = {}
         self._trials: dict[int, float] = {}
-        self._by_suspect: dict[int, list[Crash]] = {}
+        self._by_suspect: dict[int, list[crash_attribution.Crash]] = {}
         self._changed_crashes: set[int] = set()
         self._changed_trials: set[int] = set()
         self.quarantined: frozenset[int] = frozenset()
@@ -251,11 +239,11 @@
         at_seconds = now_seconds - report.age_milliseconds / MILLISECONDS
         crash = self._crashes.get(report.crash)
         if crash is None:
-            crash = Crash(at_seconds=at_seconds)
+            crash = crash_attribution.Crash(at_seconds=at_seconds)
             if now_seconds - at_seconds > self._lifetime_seconds(crash):
                 return False
             self._crashes[report.crash] = crash
-        return _merge(crash, report)
+        return crash_attribution.merge(crash, report)
 
     def _add_trial(
         self, report: messages.TrialReport, now_seconds: float
@@ -267,8 +255,11 @@
         self._trials[report.fingerprint] = at_seconds
         return True
 
-    def _trial_seconds(self, crashes: list[Crash]) -> float:
-        failed_trials = _count_causes(crashes) - QUARANTINE_CRASHES
+    def _trial_seconds(self, crashes: list[crash_attribution.Crash]) -> float:
+        failed_trials = (
+            crash_attribution.count_causes(crashes)
+            - crash_attribution.QUARANTINE_CRASHES
+        )
         if failed_trials >= len(TRIAL_SECONDS):
             return QUARANTINE_LIFETIME_SECONDS
         wait_seconds = TRIAL_SECONDS[failed_trials]
@@ -276,7 +267,9 @@
             wait_seconds = DOUBTED_TRIAL_SECONDS
         return self._delay_factor * wait_seconds
 
-    def _has_other_causes(self, crashes: list[Crash]) -> bool:
+    def _has_other_causes(
+        self, crashes: list[crash_attribution.Crash]
+    ) -> bool:
         since_seconds = min(crash.at_seconds for crash in crashes)
         return any(
             crash.at_seconds > since_seconds
@@ -284,15 +277,15 @@
             for crash in self._crashes.values()
         )
 
-    def _lifetime_seconds(self, crash: Crash) -> float:
+    def _lifetime_seconds(self, crash: crash_attribution.Crash) -> float:
         if self.quarantined.isdisjoint(crash.suspects):
             return CRASH_LIFETIME_SECONDS
         return QUARANTINE_LIFETIME_SECONDS
 
     def _refresh(self) -> None:
         self._drop_surplus()
-        self._by_suspect, self.quarantined = _attribute(
-            list(self._crashes.values())
+        self._by_suspect, self.quarantined = crash_attribution.attribute(
+            self._crashes.values()
         )
         self._trials = {
             fingerprint: at_seconds
@@ -346,63 +339,8 @@
         )
 
 
-def _merge(crash: Crash, report: messages.CrashReport) -> bool:
-    before = len(crash.cleared), dict(crash.suspects)
-    crash.cleared.update(report.cleared)
-    for suspect in report.suspects:
-        known = crash.suspects.get(suspect.fingerprint)
-        if known is not None or len(crash.suspects) < MAX_SUSPECTS:
-            crash.suspects[suspect.fingerprint] = max(
-                known or 0, suspect.ran_milliseconds
-            )
-    crash.suspects = {
-        fingerprint: ran_milliseconds
-        for fingerprint, ran_milliseconds in crash.suspects.items()
-        if fingerprint not in crash.cleared
-    }
-    return (len(crash.cleared), crash.suspects) != before
-
-
-def _attribute(
-    crashes: list[Crash],
-) -> tuple[dict[int, list[Crash]], frozenset[int]]:
-    by_suspect: dict[int, list[Crash]] = {}
-    for crash in crashes:
-        for fingerprint in crash.suspects:
-            by_suspect.setdefault(fingerprint, []).append(crash)
-    quarantined: set[int] = set()
-    explained: set[int] = set()
-    # The likeliest cause first: under most crashes, and soon after its start.
-    for fingerprint in sorted(
-        by_suspect, key=lambda each: _innocence(each, by_suspect[each])
-    ):
-        own = [
-            crash
-            for crash in by_suspect[fingerprint]
-            if id(crash) not in explained
-        ]
-        if _count_causes(own) >= QUARANTINE_CRASHES:
-            quarantined.add(fingerprint)
-            explained.update(map(id, own))
-        by_suspect[fingerprint] = own
-    return by_suspect, frozenset(quarantined)
-
-
-def _innocence(fingerprint: int, crashes: list[Crash]) -> tuple[int, int, int]:
-    ran_milliseconds = max(crash.suspects[fingerprint] for crash in crashes)
-    return -len(crashes), ran_milliseconds, fingerprint
-
-
-def _count_causes(crashes: list[Crash]) -> int:
-    times = sorted(crash.at_seconds for crash in crashes)
-    return sum(
-        one is None or other - one > SAME_CAUSE_SECONDS
-        for one, other in zip([None, *times], times, strict=False)
-    )
-
-
 def _report(
-    number: int, crash: Crash, now_seconds: float
+    number: int, crash: crash_attribution.Crash, now_seconds: float
 ) -> messages.CrashReport:
     return messages.CrashReport(
         number,
@@ -419,6 +357,5 @@
 __all__ = [
     "CrashSuspects",
     "NOT_SUSPECTED",
-    "QUARANTINE_CRASHES",
     "Verdict",
 ]
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from boragefold.policy import crash_attribution
 from boragefold.policy import crash_suspects
 from boragefold.protocol import crash_messages as messages
 
@@ -171,7 +172,7 @@
     assert len(news.crashes) <= crash_suspects.MAX_CRASHES
     assert (
         max(len(crash.suspects) for crash in news.crashes)
-        <= crash_suspects.MAX_SUSPECTS
+        <= crash_attribution.MAX_SUSPECTS
     )
     assert CULPRIT in suspects.known.quarantined
 
