Keep what converts messages on engines in one place

Conversions of asks and statuses, and descriptions of orders for the log, stand in modules of their own. No change of behaviour.

--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -4,16 +4,15 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 
 from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import order_turns
 from boragefold.coordination.fleet import owner_changes
 import boragefold.coordination.link as links
 from boragefold.entry import engine_dialect as dialects
+from boragefold.entry import engine_messages
 from boragefold.entry import owned_engine
 from boragefold.entry import owner_client
-from boragefold.policy import adapter_digests
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
 from boragefold.policy import engine_slots
@@ -31,8 +30,6 @@
 GIVE_UP_SECONDS = 2.0
 # An instance that gave up an engine leaves it to others for this time.
 RELEASE_SECONDS = 8.0
-# Smaller differences change no choice but would be sent with each message.
-STATUS_STEP_SECONDS = 0.02
 
 
 class EngineOwner:
@@ -156,9 +153,9 @@
         """
         now_seconds = self._timers.now_seconds()
         return tuple(
-            _status(name, engine.schedule, now_seconds)._replace(
-                answers=engine.is_responsive
-            )
+            engine_messages.write_status(
+                name, engine.schedule, now_seconds=now_seconds
+            )._replace(answers=engine.is_responsive)
             for name, engine in self._owned.items()
         )
 
@@ -271,7 +268,9 @@
     def _on_ask(
         self, sender: ids.InstanceId, body: messages.EngineAsk
     ) -> None:
-        ask = self._parse_ask(sender, body)
+        ask = engine_messages.read_ask(
+            sender, body, now_seconds=self._timers.now_seconds()
+        )
         if body.unanswered == owner_client.RECONNECT_AFTER_RETRIES:
             # The reply didn't arrive: the connection only looks open.
             self._link.reconnect(sender)
@@ -361,24 +360,6 @@
             **state,
         )
 
-    def _parse_ask(
-        self, sender: ids.InstanceId, body: messages.EngineAsk
-    ) -> engine_decisions.EngineRequest:
-        now_seconds = self._timers.now_seconds()
-        return engine_decisions.EngineRequest(
-            request_id=body.request_id,
-            sender=sender,
-            adapter=deployment.AdapterKey(body.model, body.adapter),
-            prompt_tokens=body.prompt_tokens,
-            output_tokens=body.output_tokens,
-            priority=body.priority,
-            start_deadline_at_seconds=now_seconds + body.on_time_in_seconds,
-            queue_deadline_at_seconds=now_seconds + body.give_up_in_seconds,
-            end_deadline_at_seconds=now_seconds + body.ends_in_seconds,
-            eager=body.eager,
-            event_gap_seconds=body.event_gap_seconds,
-        )
-
     def _schedule_run(self) -> None:
         now_seconds = self._timers.now_seconds()
         due_times = (
@@ -400,27 +381,6 @@
         )
 
 
-def _round_up(seconds: float) -> float:
-    steps = math.ceil(round(seconds / STATUS_STEP_SECONDS, 6))
-    return round(steps * STATUS_STEP_SECONDS, 3)
-
-
-def _status(
-    name: str, schedule: engine_schedule.EngineSchedule, now_seconds: float
-) -> messages.EngineStatus:
-    slots = schedule.slots
-    return messages.EngineStatus(
-        name=name,
-        models=slots.models(),
-        adapters=tuple((key.model, key.adapter) for key in slots.held()),
-        backlog_seconds=_round_up(schedule.backlog_seconds()),
-        place_wait_seconds=_round_up(schedule.slot_wait_seconds()),
-        loading=slots.loading(now_seconds=now_seconds),
-        orders_in_seconds=_round_up(slots.orders_in_seconds),
-        copies=adapter_digests.digests(slots.host_memory_copies()),
-    )
-
-
 __all__ = [
     "EngineOwner",
 ]
--- /dev/null
+++ b/src/boragefold/entry/order_descriptions.py
@@ -0,0 +1,56 @@
+"""Descriptions of orders to engines for the log."""
+
+from __future__ import annotations
+
+from boragefold.coordination.fleet import unanswered_orders
+from boragefold.policy import engine_decisions
+from boragefold.transport import http_client
+from boragefold.transport import whole_answer
+
+# Unresolved orders named in one log line.
+MAX_LOGGED_ORDERS = 3
+
+
+def describe_order(order: engine_decisions.Order) -> str:
+    """Describe an order.
+
+    :param order: the order
+    :return: its kind and the adapter, or the model where it has none
+    """
+    kind = type(order).__name__.lower()
+    return f"{kind} {order.key.adapter or order.key.model}"
+
+
+def describe_unanswered(
+    orders: tuple[unanswered_orders.UnansweredOrder, ...], now_seconds: float
+) -> list[str]:
+    """Describe orders that got no answer.
+
+    :param orders: the orders
+    :param now_seconds: reading of the process clock
+    :return: some of them, with their age
+    """
+    return [
+        f"{order.order}, sent {now_seconds - order.sent_at_seconds:.3f} s ago"
+        for order in orders[:MAX_LOGGED_ORDERS]
+    ]
+
+
+def status_of(
+    answer: whole_answer.WholeAnswer | http_client.Failure,
+) -> int | str:
+    """Describe the answer to an order.
+
+    :param answer: the answer, or why there is none
+    :return: its status, or the reason
+    """
+    if isinstance(answer, http_client.Failure):
+        return answer.reason
+    return answer.status
+
+
+__all__ = [
+    "describe_order",
+    "describe_unanswered",
+    "status_of",
+]
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -8,8 +8,8 @@
 
 from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import order_turns
-from boragefold.coordination.fleet import unanswered_orders
 from boragefold.entry import engine_dialect as dialects
+from boragefold.entry import order_descriptions
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
 from boragefold.state import deployment
@@ -24,8 +24,6 @@
 # A report is about this old when it arrives, so asking sooner yields nothing
 # new. Without a limit, an overdue load would request one on each event.
 MIN_REPORT_INTERVAL_SECONDS = 0.1
-# Unresolved orders named in one log line.
-MAX_LOGGED_ORDERS = 3
 # Orders without the lease need this time of ownership first.
 MIN_OWNED_SECONDS = 2.0
 # Outcome of an order without a response, which may have arrived.
@@ -233,7 +231,7 @@
             other_giver=other_giver_seen,
             certain=self._turns.count_known,
             in_doubt=in_doubt,
-            explained_by=_describe_unanswered(
+            explained_by=order_descriptions.describe_unanswered(
                 self._turns.settled_orders, now_seconds
             ),
         )
@@ -346,7 +344,7 @@
             leased=sent.leased,
             took_seconds=round(now_seconds - sent.order_sent_at_seconds, 3),
             places=self.schedule.slots.summary(),
-            status=_status_of(answer),
+            status=order_descriptions.status_of(answer),
             outcome=outcome,
         )
         done = outcome == dialects.OrderOutcome.DONE.value
@@ -376,7 +374,7 @@
     ) -> None:
         if outcome == UNKNOWN:
             self._turns.record_unanswered(
-                order=_describe_order(sent.order),
+                order=order_descriptions.describe_order(sent.order),
                 age_seconds=now_seconds - sent.order_sent_at_seconds,
                 now_seconds=now_seconds,
             )
@@ -397,28 +395,6 @@
         return self._dialect.read_order_answer(order, answer.status).value
 
 
-def _describe_order(order: engine_decisions.Order) -> str:
-    kind = type(order).__name__.lower()
-    return f"{kind} {order.key.adapter or order.key.model}"
-
-
-def _describe_unanswered(
-    orders: tuple[unanswered_orders.UnansweredOrder, ...], now_seconds: float
-) -> list[str]:
-    return [
-        f"{order.order}, sent {now_seconds - order.sent_at_seconds:.3f} s ago"
-        for order in orders[:MAX_LOGGED_ORDERS]
-    ]
-
-
-def _status_of(
-    answer: whole_answer.WholeAnswer | http_client.Failure,
-) -> int | str:
-    if isinstance(answer, http_client.Failure):
-        return answer.reason
-    return answer.status
-
-
 __all__ = [
     "OwnedEngine",
 ]
--- a/src/boragefold/entry/owner_client.py
+++ b/src/boragefold/entry/owner_client.py
@@ -15,6 +15,7 @@
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import ownership as ownerships
 import boragefold.coordination.link as links
+from boragefold.entry import engine_messages
 from boragefold.entry import engine_views
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_ranking
@@ -229,21 +230,11 @@
 
     def _send(self, pending: PendingRequest) -> None:
         now_seconds = self._timers.now_seconds()
-        request = pending.request
-        body = messages.EngineAsk(
-            request_id=request.request_id,
-            engine=pending.engine,
-            model=request.adapter.model,
-            adapter=request.adapter.adapter,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            priority=request.priority,
-            on_time_in_seconds=request.start_deadline_at_seconds - now_seconds,
-            give_up_in_seconds=request.queue_deadline_at_seconds - now_seconds,
-            ends_in_seconds=request.end_deadline_at_seconds - now_seconds,
+        body = engine_messages.write_ask(
+            pending.request,
+            pending.engine,
             unanswered=pending.unanswered,
-            eager=request.eager,
-            event_gap_seconds=request.event_gap_seconds,
+            now_seconds=now_seconds,
         )
         self._link.send(to=pending.owner, body=body)
 
