Try a quarantined request again later, and say what the incident taught

The first trial now comes after 60 to 90 s, where endpoints crash without the request as before after half a second, and two trials are 4 s apart at least.

--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -21,14 +21,14 @@
 from boragefold.protocol import crash_messages as messages
 
 # Time from the last crash until one more request is let through, by the number
-# of trials that crashed an endpoint. A wrong suspicion ends with the first.
-TRIAL_SECONDS = (8.0, 60.0)
+# of trials that crashed an endpoint, with all that ran there.
+TRIAL_SECONDS = (60.0, 600.0)
 # The same for the first trial, where endpoints crash without the request too.
 DOUBTED_TRIAL_SECONDS = 0.5
 # Instances that know the same don't all begin a trial at the same time.
 TRIAL_JITTER = 0.5
-# Reports of one trial differ by the time that they travelled.
-SAME_TRIAL_SECONDS = 4.0
+# A trial may wait at its endpoint before it begins.
+MIN_TRIAL_GAP_SECONDS = 4.0
 CRASH_LIFETIME_SECONDS = 3600.0
 # Also the time from the last trial until the next.
 QUARANTINE_LIFETIME_SECONDS = 86_400.0
@@ -162,10 +162,12 @@
         newest_at_seconds = max(crash.at_seconds for crash in crashes)
         wait_seconds = 0.0
         if fingerprint in self.quarantined:
-            last_at_seconds = max(
-                newest_at_seconds, self._trials.get(fingerprint, -math.inf)
+            trial_seconds = self._trial_seconds(crashes)
+            due_at_seconds = max(
+                newest_at_seconds + trial_seconds,
+                self._trials.get(fingerprint, -math.inf)
+                + max(trial_seconds, MIN_TRIAL_GAP_SECONDS),
             )
-            due_at_seconds = last_at_seconds + self._trial_seconds(crashes)
             wait_seconds = max(0.0, due_at_seconds - now_seconds)
         age_seconds = now_seconds - newest_at_seconds
         return Verdict(len(crashes), age_seconds, wait_seconds)
@@ -250,7 +252,8 @@
     ) -> bool:
         at_seconds = now_seconds - report.age_milliseconds / MILLISECONDS
         before = self._trials.get(report.fingerprint, -math.inf)
-        if at_seconds <= before + SAME_TRIAL_SECONDS:
+        # Reports of one trial differ by the time that they travelled.
+        if at_seconds <= before + MIN_TRIAL_GAP_SECONDS / 2:
             return False
         self._trials[report.fingerprint] = at_seconds
         return True
