Draw a request that crashes its endpoints in the soak

The soak's run has one now: a caller whose body ends each endpoint that runs it, at all instances in turn, while endpoints are started anew and instances are killed and stopped.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -15,6 +15,10 @@
 KEY_SECONDS = 3.0
 # The same for an endpoint that was announced to leave.
 LEAVING_SECONDS = 3.0
+# What crashed three endpoints is known everywhere by then, and may be sent so
+# often after that.
+CONTACT_SECONDS = 3.0
+MAX_LATE_SENDS = 3
 # In the calm seconds at the end so much is served.
 CALM_SERVED_SHARE = 0.9
 
@@ -36,6 +40,7 @@
         *_withdrawn(run, seen),
         *_leaving(run),
         *_planned_stops(run, seen),
+        *_culprit(run),
         *_served(run, seen),
     ]
 
@@ -143,6 +148,22 @@
                     yield f"LOST at a planned stop: {each}"
 
 
+def _culprit(run) -> Iterator[str]:
+    if len(run.crashed_at_seconds) < 3:
+        return
+    known_at = sorted(run.crashed_at_seconds)[2] + CONTACT_SECONDS
+    late = [
+        line["at_seconds"]
+        for number in range(len(run.machines.gateways))
+        for line in run.machines.lines(number)
+        if line["event"] == "request_sent"
+        and line["request_id"] in run.culprit_ids
+        and line["at_seconds"] > known_at
+    ]
+    if len(late) > MAX_LATE_SENDS:
+        yield f"BUDGET: {len(late)} sends after {known_at}: {late}"
+
+
 def _served(run, seen) -> Iterator[str]:
     calm = [
         each
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -47,7 +47,7 @@
 
 # Played where they are named: drawn among the others, they would change the
 # plans of all seeds.
-NAMED_KINDS = {"endpoint_resets_answers": 1}
+NAMED_KINDS = {"endpoint_resets_answers": 1, "crashing_request": 1}
 
 
 def make(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import http.client
+import itertools
+import os
 import pathlib
 import signal
 import threading
@@ -18,16 +21,27 @@
 # An endpoint that was announced to leave is back after this.
 AWAY_SECONDS = 6.0
 SPARE_KEY = "spare-key-{}"
+CRASH_BODY = "crashes its endpoint"
+CULPRIT_PAUSE_SECONDS = 0.2
+ENDPOINT_AWAY_SECONDS = 0.5
 
 
 class SoakMachines(machines_module.Machines):
-    """The fleet, with a proxy before each endpoint and store."""
+    """The fleet, with a proxy before each endpoint and store.
 
-    def __init__(self, folder, *, gateways, proxies) -> None:
+    A proxy accepts connections for an endpoint that is gone; ``direct`` leaves
+    the endpoints' own addresses published.
+    """
+
+    def __init__(self, folder, *, gateways, proxies, direct=False) -> None:
         super().__init__(folder, gateways=gateways)
         self.proxies = proxies
+        self.direct = direct
 
     def publish(self, name, **changes):
+        if self.direct:
+            super().publish(name, **changes)
+            return
         if name not in self.proxies.by_name:
             self.proxies.open(name, self.endpoints[name])
         address = self.proxies.by_name[name].address
@@ -57,8 +71,13 @@
     ) -> None:
         self.proxies = proxy.Proxies()
         self.machines = SoakMachines(
-            folder, gateways=gateways, proxies=self.proxies
+            folder,
+            gateways=gateways,
+            proxies=self.proxies,
+            direct=any(fault.kind == "crashing_request" for fault in faults),
         )
+        self.culprit_ids: set[str] = set()
+        self.crashed_at_seconds: list[float] = []
         self.over = threading.Event()
         self.keys = [
             machines_module.KEY,
@@ -283,6 +302,63 @@
         self.machines.publish(name)
         self._busy.discard("leaving")
 
+    def _crashing_request(self, fault: plan.Fault) -> None:
+        if not self._claim("culprit"):
+            return
+        seconds = fault.for_seconds + ENDPOINT_AWAY_SECONDS
+        self._note(None, seconds)
+        for name in list(self.machines.endpoints):
+            self.machines.faults(name, crash_body=CRASH_BODY)
+        end = callers.clock() + fault.for_seconds
+        culprit = threading.Thread(target=self._repeat_culprit, args=(end,))
+        culprit.start()
+        while culprit.is_alive():
+            self._replace_crashed()
+            time.sleep(CULPRIT_PAUSE_SECONDS / 2)
+        culprit.join()
+        self._replace_crashed()
+        self._busy.discard("culprit")
+
+    def _repeat_culprit(self, end: float) -> None:
+        gateways = itertools.cycle(range(len(self.machines.gateways)))
+        while callers.clock() < end:
+            self._send_culprit(next(gateways))
+            time.sleep(CULPRIT_PAUSE_SECONDS)
+
+    def _send_culprit(self, gateway: int) -> None:
+        request_id = os.urandom(8).hex()
+        self.culprit_ids.add(request_id)
+        headers = {"Boragefold-Attempt-Id": request_id}
+        try:
+            self.machines.ask(
+                "/reads/culprit",
+                number=gateway,
+                headers=headers,
+                body=CRASH_BODY.encode(),
+            )
+        except (OSError, http.client.HTTPException):
+            # The gateway is down, or was cut off by another fault.
+            return
+
+    def _replace_crashed(self) -> None:
+        for name in list(self.machines.endpoints):
+            if self.machines.processes[name].poll() is None:
+                continue
+            self.crashed_at_seconds.append(callers.clock())
+            del self.machines.endpoints[name]
+            del self.machines.processes[name]
+            time.sleep(ENDPOINT_AWAY_SECONDS)
+            self.machines.remove(f"servers/{name}")
+            self._start_endpoint(f"{name}-again")
+
+    def _start_endpoint(self, name: str) -> None:
+        is_engine = name.startswith("engine")
+        options = ("--model", "base", "--places", "2") if is_engine else ()
+        self.machines.start_endpoint(name, *options)
+        machines_module.eventually(lambda: self.machines.seen(name))
+        self.machines.faults(name, crash_body=CRASH_BODY)
+        self.machines.publish(name)
+
     def _key_withdrawn(self, fault: plan.Fault) -> None:
         key = self.keys[1 + fault.what % (len(self.keys) - 1)]
         if key not in self.withdrawn:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -59,6 +59,25 @@
     assert any(len(line["endpoints"]) > 1 for line in ended)
 
 
+def test_few_endpoints_crash_under_one_request(tmp_path) -> None:
+    # Instances that are killed and started meanwhile must not forget it.
+    faults = [
+        plan.Fault(3.0, "crashing_request", 0, 7.0),
+        plan.Fault(5.0, "kill", 1, 1.0),
+        plan.Fault(6.5, "stop", 2, 1.0),
+    ]
+    one = run.Run(
+        tmp_path,
+        seed=1,
+        gateways=3,
+        callers_count=CALLERS,
+        faults=faults,
+        length_seconds=LENGTH_SECONDS + 4.0,
+    )
+    assert one.play() == []
+    assert len(one.crashed_at_seconds) >= 3
+
+
 def test_a_seed_repeats_its_plan() -> None:
     first = plan.make(5, length_seconds=24.0)
     assert first == plan.make(5, length_seconds=24.0)
