Keep instances from telling each other the same crashes for ever

What has to go at once is no news any more, the same suspects stay at each instance, and two that don't agree repeat themselves later and later. A suspect of crashes at the same moment was sent as a trial though it wasn't quarantined; a verdict now says itself whether it is one. The cause of broken connections is called that, since a verdict is the one on a request.

--- a/src/boragefold/coordination/fleet/crash_exchange.py
+++ b/src/boragefold/coordination/fleet/crash_exchange.py
@@ -22,8 +22,8 @@
 
 # Changes within this time share one message.
 BATCH_SECONDS = 0.02
-# An unanswered message is repeated later and later: the peer may run a
-# release that doesn't know this kind.
+# A message after which the two still don't agree is repeated later and later:
+# the peer may run a release that doesn't know this kind.
 RESEND_SECONDS = 1.0
 MAX_RESEND_SECONDS = 64.0
 EXPIRE_SECONDS = 10.0
@@ -35,7 +35,7 @@
 
     digest: int | None = None
     sent_at_seconds: float = -math.inf
-    unanswered: int = 0
+    resends: int = 0
 
 
 class CrashExchange:
@@ -101,7 +101,6 @@
         )
         state = self._state_of(sender)
         state.digest = news.digest
-        state.unanswered = 0
         if changed:
             self._on_news()
             self._forward()
@@ -123,14 +122,15 @@
             return
         state = self._state_of(sender)
         if state.digest == self._suspects.digest:
+            state.resends = 0
             return
         now_seconds = self._timers.now_seconds()
-        pause_seconds = RESEND_SECONDS * 2.0**state.unanswered
+        pause_seconds = RESEND_SECONDS * 2.0**state.resends
         if now_seconds - state.sent_at_seconds < pause_seconds:
             return
         state.sent_at_seconds = now_seconds
         if pause_seconds < MAX_RESEND_SECONDS:
-            state.unanswered += 1
+            state.resends += 1
         everything = self._suspects.everything(now_seconds=now_seconds)
         self._link.send(to=sender, body=everything)
 
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -34,7 +34,7 @@
 MILLISECONDS = 1000.0
 
 
-class Verdict(enum.Enum):
+class BreakCause(enum.Enum):
     """Why the connections to an endpoint broke."""
 
     PENDING = "pending"
@@ -51,7 +51,7 @@
     born_milliseconds: int
 
 
-class Crash(NamedTuple):
+class DetectedCrash(NamedTuple):
     """A crash, and the requests that ran there for this instance."""
 
     life: EndpointLife
@@ -69,7 +69,7 @@
         default_factory=list
     )
     probes: int = 0
-    verdict: Verdict = Verdict.PENDING
+    cause: BreakCause = BreakCause.PENDING
 
 
 class CrashDetector:
@@ -83,7 +83,7 @@
         timers: timing.TimerService,
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
-        on_crash: Callable[[Crash], None],
+        on_crash: Callable[[DetectedCrash], None],
     ) -> None:
         """Begin without any broken connection.
 
@@ -129,8 +129,8 @@
         )
         case.reasons.add(reason)
         case.suspects.append(suspect)
-        if case.verdict is Verdict.CRASHED:
-            self._on_crash(Crash(life, (suspect,)))
+        if case.cause is BreakCause.CRASHED:
+            self._on_crash(DetectedCrash(life, (suspect,)))
 
     def _open(
         self, life: EndpointLife, record: deployment.EndpointRecord
@@ -160,10 +160,10 @@
             self._probe(life, case)
             return
         listed = self._fleet.endpoint(life.name)
-        case.verdict = judge(result, listed)
+        case.cause = find_cause(result, listed)
         self._write(life, case, result, listed)
-        if case.verdict is Verdict.CRASHED:
-            self._on_crash(Crash(life, tuple(case.suspects)))
+        if case.cause is BreakCause.CRASHED:
+            self._on_crash(DetectedCrash(life, tuple(case.suspects)))
             self._timers.once(
                 delay_seconds=CASE_SECONDS,
                 callback=lambda: self._close(life),
@@ -182,14 +182,14 @@
         result: connect_probe.ProbeResult,
         listed: deployment.EndpointRecord | None,
     ) -> None:
-        self._counters.add("endpoint_breaks", case.verdict.value)
+        self._counters.add("endpoint_breaks", case.cause.value)
         logged = case.suspects[:MAX_LOGGED_SUSPECTS]
         took_seconds = self._timers.now_seconds() - case.began_at_seconds
         self._log.write(
             "endpoint_broke",
             endpoint=life.name,
             born_milliseconds=life.born_milliseconds,
-            verdict=case.verdict.value,
+            verdict=case.cause.value,
             reasons=sorted(case.reasons),
             broken=len(case.suspects),
             suspects={
@@ -206,29 +206,29 @@
         )
 
 
-def judge(
+def find_cause(
     result: connect_probe.ProbeResult,
     listed: deployment.EndpointRecord | None,
-) -> Verdict:
+) -> BreakCause:
     """Judge why the connections to an endpoint broke.
 
     :param result: how its address reacts to a new connection
     :param listed: the endpoint as published now, None if it isn't any more
-    :return: the verdict
+    :return: the cause
     """
     if listed is None or listed.leaving:
-        return Verdict.LEFT
+        return BreakCause.LEFT
     return {
-        connect_probe.ProbeResult.REFUSED: Verdict.CRASHED,
-        connect_probe.ProbeResult.ACCEPTED: Verdict.ALIVE,
-        connect_probe.ProbeResult.NO_ANSWER: Verdict.UNKNOWN,
+        connect_probe.ProbeResult.REFUSED: BreakCause.CRASHED,
+        connect_probe.ProbeResult.ACCEPTED: BreakCause.ALIVE,
+        connect_probe.ProbeResult.NO_ANSWER: BreakCause.UNKNOWN,
     }[result]
 
 
 __all__ = [
-    "Crash",
+    "BreakCause",
     "CrashDetector",
+    "DetectedCrash",
     "EndpointLife",
-    "Verdict",
-    "judge",
+    "find_cause",
 ]
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -52,24 +52,17 @@
 
         :return: the verdict to refuse it with, or None
         """
-        verdict = self._judge()
-        if not verdict.quarantined:
-            return None
-        self._quarantine.log_refusal(
-            self._request_id, self.fingerprint, verdict
-        )
-        return verdict
+        return self._log_refusal(self._judge())
 
     def begin_sending(self) -> crash_suspects.Verdict | None:
         """Decide whether the request may be sent now, perhaps as a trial.
 
         :return: the verdict to refuse it with, or None
         """
-        refusal = self.refusal()
         verdict = self._judge()
-        if refusal is None and verdict.is_trial:
+        if verdict.is_trial:
             self._quarantine.begin_trial(self.fingerprint, verdict)
-        return refusal
+        return self._log_refusal(verdict)
 
     def may_resend(self) -> bool:
         """Decide whether the request may be sent on after it was cut off.
@@ -85,6 +78,16 @@
         """Record that the request ran to its end."""
         self._quarantine.record_success(self._read_fingerprint)
 
+    def _log_refusal(
+        self, verdict: crash_suspects.Verdict
+    ) -> crash_suspects.Verdict | None:
+        if not verdict.quarantined:
+            return None
+        self._quarantine.log_refusal(
+            self._request_id, self.fingerprint, verdict
+        )
+        return verdict
+
     def _judge(self) -> crash_suspects.Verdict:
         return self._quarantine.judge(self._read_fingerprint)
 
@@ -222,7 +225,7 @@
             self._publish()
             self.update()
 
-    def record_crash(self, crash: crash_detector.Crash) -> None:
+    def record_crash(self, crash: crash_detector.DetectedCrash) -> None:
         """Record a crash.
 
         :param crash: the endpoint and the requests that ran there
--- a/src/boragefold/policy/crash_attribution.py
+++ b/src/boragefold/policy/crash_attribution.py
@@ -44,17 +44,18 @@
     """
     before = len(crash.cleared), dict(crash.suspects)
     crash.cleared.update(report.cleared)
-    for suspect in report.suspects:
-        known = crash.suspects.get(suspect.fingerprint)
-        if known is not None or len(crash.suspects) < MAX_SUSPECTS:
-            crash.suspects[suspect.fingerprint] = max(
-                known or 0, suspect.ran_milliseconds
-            )
-    crash.suspects = {
-        fingerprint: ran_milliseconds
-        for fingerprint, ran_milliseconds in crash.suspects.items()
-        if fingerprint not in crash.cleared
-    }
+    for fingerprint, ran_milliseconds in report.suspects:
+        known = crash.suspects.get(fingerprint, 0)
+        crash.suspects[fingerprint] = max(known, ran_milliseconds)
+    for fingerprint in crash.cleared & crash.suspects.keys():
+        del crash.suspects[fingerprint]
+    if len(crash.suspects) > MAX_SUSPECTS:
+        # The same ones at each instance, so that all come to agree.
+        likeliest = sorted(
+            crash.suspects, key=lambda each: (crash.suspects[each], each)
+        )
+        for fingerprint in likeliest[MAX_SUSPECTS:]:
+            del crash.suspects[fingerprint]
     return (len(crash.cleared), crash.suspects) != before
 
 
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -41,12 +41,14 @@
 
     ``crashes`` counts the crashes that only this request may have caused, and
     ``newest_crash_seconds`` is how long ago the last of them was.
-    ``retry_after_seconds`` is 0 if the request may be sent.
+    ``retry_after_seconds`` is 0 if the request may be sent; ``is_trial`` tells
+    that it may be sent once, although it is quarantined.
     """
 
     crashes: int
     newest_crash_seconds: float
     retry_after_seconds: float
+    is_trial: bool = False
 
     @property
     def quarantined(self) -> bool:
@@ -56,18 +58,6 @@
         """
         return self.retry_after_seconds > 0
 
-    @property
-    def is_trial(self) -> bool:
-        """Tell whether sending the request is a trial.
-
-        :return: whether it may be sent once, although it is a suspect of so
-            many crashes
-        """
-        return (
-            self.crashes >= crash_attribution.QUARANTINE_CRASHES
-            and not self.quarantined
-        )
-
 
 NOT_SUSPECTED = Verdict(0, math.inf, 0.0)
 
@@ -160,17 +150,19 @@
         if not crashes:
             return NOT_SUSPECTED
         newest_at_seconds = max(crash.at_seconds for crash in crashes)
-        wait_seconds = 0.0
-        if fingerprint in self.quarantined:
-            trial_seconds = self._trial_seconds(crashes)
-            due_at_seconds = max(
-                newest_at_seconds + trial_seconds,
-                self._trials.get(fingerprint, -math.inf)
-                + max(trial_seconds, MIN_TRIAL_GAP_SECONDS),
-            )
-            wait_seconds = max(0.0, due_at_seconds - now_seconds)
         age_seconds = now_seconds - newest_at_seconds
-        return Verdict(len(crashes), age_seconds, wait_seconds)
+        if fingerprint not in self.quarantined:
+            return Verdict(len(crashes), age_seconds, 0.0)
+        trial_seconds = self._trial_seconds(crashes)
+        due_at_seconds = max(
+            newest_at_seconds + trial_seconds,
+            self._trials.get(fingerprint, -math.inf)
+            + max(trial_seconds, MIN_TRIAL_GAP_SECONDS),
+        )
+        wait_seconds = max(0.0, due_at_seconds - now_seconds)
+        return Verdict(
+            len(crashes), age_seconds, wait_seconds, not wait_seconds
+        )
 
     def merge(
         self,
@@ -186,11 +178,15 @@
         :param now_seconds: reading of the process clock
         :return: whether anything was new
         """
-        new_crashes = [
+        new_crashes = {
             report.crash
             for report in crashes
             if self._add_crash(report, now_seconds)
-        ]
+        }
+        if new_crashes:
+            self._refresh()
+            # Those that had to go at once are no news for others.
+            new_crashes &= self._crashes.keys()
         new_trials = [
             report.fingerprint
             for report in trials
@@ -198,8 +194,6 @@
         ]
         self._changed_crashes.update(new_crashes)
         self._changed_trials.update(new_trials)
-        if new_crashes:
-            self._refresh()
         return bool(new_crashes or new_trials)
 
     def expire(self, *, now_seconds: float) -> None:
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -121,7 +121,8 @@
     suspects.crash(CULPRIT)
     for _ in range(4):
         suspects.crash(CULPRIT, after_seconds=0.01)
-    assert not suspects.judge(CULPRIT).quarantined
+    verdict = suspects.judge(CULPRIT)
+    assert not verdict.quarantined and not verdict.is_trial
 
 
 def test_one_trial_follows_a_quarantine_and_a_second_one_late(
@@ -177,6 +178,21 @@
     assert CULPRIT in suspects.known.quarantined
 
 
+def test_more_than_fit_are_no_news_again_and_again() -> None:
+    # Two that each dropped another crash would tell each other for ever.
+    one, other = (
+        crash_suspects.CrashSuspects(trial_jitter=0.0) for _ in range(2)
+    )
+    for number in range(2 * crash_suspects.MAX_CRASHES):
+        suspect = messages.Suspect(number, 5)
+        now = float(number)
+        one.record_crash(number, [suspect], now_seconds=now)
+        other.record_crash(number, [suspect], now_seconds=now)
+    old = messages.CrashReport(7_000, 200_000, (messages.Suspect(1, 1),), ())
+    assert not one.merge([old], now_seconds=now)
+    assert one.digest == other.digest
+
+
 def test_any_order_of_reports_gives_the_same_evidence() -> None:
     # Two instances that judge differently would send what the other refuses.
     rng = random.Random(5)
