--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 import errno
-import os
 import socket
 from typing import TYPE_CHECKING
 
@@ -93,7 +92,7 @@
         if code in (0, errno.EINPROGRESS):
             self.want_write(stream, True)
         else:
-            self.fail_later(stream, os.strerror(code))
+            self.fail_later(stream, streams.connect_failure(code))
         return stream
 
     def want_read(self, stream: streams.Stream, wanted: bool) -> None:
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -141,10 +141,10 @@
 
     def on_error(self) -> None:
         """Close after an error of the socket; called by the socket set."""
-        if not self.connecting:
+        if self.connecting:
+            self.abort(self._connect_failure() or "unreachable")
+        else:
             self.abort("reset")
-        elif self._finish_connecting():
-            self.abort("unreachable")
 
     def on_readable(self) -> None:
         """Read what there is; called by the socket set."""
@@ -185,16 +185,18 @@
         return self.open and len(self._unsent) < HIGH_WATER_BYTES // 2
 
     def _finish_connecting(self) -> bool:
-        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            refused = code == errno.ECONNREFUSED
-            self.abort("refused" if refused else "unreachable")
+        if reason := self._connect_failure():
+            self.abort(reason)
             return False
         self.connecting = False
         self._set_reading(True)
         self.handler.connected()
         return self.open
 
+    def _connect_failure(self) -> str:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return connect_failure(code) if code else ""
+
     def _send(self, data: bytes) -> int:
         try:
             return self.sock.send(data)
@@ -215,6 +217,16 @@
             self._owner.want_read(self, reading)
 
 
+def connect_failure(code: int) -> str:
+    """Tell why a connection couldn't be opened.
+
+    :param code: the error number
+    :return: ``refused`` if nothing listens at the address, else
+        ``unreachable``
+    """
+    return "refused" if code == errno.ECONNREFUSED else "unreachable"
+
+
 class StreamOwner(Protocol):
     """What a stream needs of the component that holds its socket."""
 
@@ -251,4 +263,5 @@
     "Stream",
     "StreamHandler",
     "StreamOwner",
+    "connect_failure",
 ]
