--- /dev/null
+++ b/tests/entry/test_quarantine.py
@@ -0,0 +1,123 @@
+"""What happens to one request when it is known to crash its endpoints."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragefold.entry import crash_detector
+from boragefold.entry import request_context
+from boragefold.entry import service_forwarding
+from boragefold.protocol import crash_messages
+from boragefold.transport import exchange as exchanges
+from tests.fakes import crash_walk
+
+FINGERPRINT = 77
+
+
+class Case:
+    """A request at one instance of a fleet, with crashes on demand."""
+
+    def __init__(self):
+        self.walk = crash_walk.CrashWalk(
+            seed=1, schedule=crash_walk.Schedule(endpoints=3)
+        )
+        self.walk.run(crash_walk.WARM_UP_SECONDS)
+        self.instance = next(iter(self.walk.instances.values()))
+        self.crashes = self.instance.context.crashes
+        self.answers = []
+        self._lives = 0
+
+    def forwarding(self, prefix="/reads/"):
+        guard = self.crashes.quarantine.guard("r1", lambda: FINGERPRINT)
+        connection = crash_walk.Connection(
+            on_end=lambda *answer: self.answers.append(answer)
+        )
+        admitted = request_context.AdmittedRequest(
+            request=crash_walk.caller_request(prefix),
+            route=crash_walk.DEPLOYMENT.route_of(crash_walk.HOST, prefix),
+            service=crash_walk.DEPLOYMENT.services["desk"],
+            workspace=None,
+            arrived_at_seconds=self.walk.now(),
+            charged=0.0,
+            guard=guard,
+        )
+        return service_forwarding.ServiceForwarding(
+            admitted=admitted,
+            exchange=exchanges.Exchange(connection=connection),
+            context=self.instance.context,
+        )
+
+    def crash(self, times):
+        for _ in range(times):
+            self._lives += 1
+            self.walk.run(1.0)
+            self.crashes.quarantine.record_crash(
+                crash_detector.DetectedCrash(
+                    crash_detector.EndpointLife("gone", self._lives),
+                    (crash_messages.Suspect(FINGERPRINT, 50),),
+                )
+            )
+
+    def runs(self):
+        return sum(len(each.runs) for each in self.walk.endpoints.values())
+
+
+@pytest.fixture
+def case():
+    return Case()
+
+
+def test_a_waiting_request_is_refused_as_soon_as_it_is_known(case) -> None:
+    # Whoever waits for an engine must not be sent to it, nor wait in vain.
+    case.forwarding()
+    case.crash(2)
+    assert not case.answers
+    case.crash(1)
+    ((status, text),) = case.answers
+    assert status == 503
+    assert '"reason":"crash_suspect"' in text
+
+
+def test_a_request_is_checked_again_right_before_it_is_sent(case) -> None:
+    # It was admitted before the third crash, and granted an engine after it.
+    forwarding = case.forwarding()
+    case.crashes.quarantine.unwatch(forwarding)
+    case.crash(3)
+    forwarding.begin()
+    case.walk.run(0.1)
+    ((status, _),) = case.answers
+    assert status == 503
+    assert not case.runs()
+
+
+def test_a_request_that_runs_already_may_show_that_it_is_innocent(
+    case, monkeypatch
+) -> None:
+    # A copy that runs on while others are refused clears them.
+    monkeypatch.setattr(crash_walk, "SHORT_RUN_SECONDS", (4.0, 4.0))
+    monkeypatch.setattr(crash_walk, "LONG_RUN_SECONDS", (4.0, 4.0))
+    case.forwarding().begin()
+    case.walk.run(0.004)
+    assert case.runs() == 1
+    case.crash(3)
+    case.forwarding().begin()
+    case.walk.run(1.1)
+    assert [status for status, _ in case.answers] == [503, 200]
+    case.forwarding().begin()
+    case.walk.run(0.004)
+    assert len(case.answers) == 2
+
+
+@pytest.mark.parametrize(("crashes", "runs"), [(0, 2), (1, 1)])
+def test_what_two_crashes_speak_against_isnt_sent_on(
+    case, crashes, runs
+) -> None:
+    # A request that is cut off after an earlier crash is the likely cause of
+    # both.
+    case.crash(crashes)
+    case.forwarding().begin()
+    case.walk.run(0.004)
+    (endpoint,) = (each for each in case.walk.endpoints.values() if each.runs)
+    case.walk.crash(endpoint, b"")
+    case.walk.run(0.01)
+    assert case.runs() == runs
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -15,6 +15,7 @@
 import dialect as platform_dialect
 
 from boragefold.entry import crash_protection
+from boragefold.entry import dialect as dialects
 from boragefold.entry import gateway
 from boragefold.entry import quarantine
 from boragefold.entry import request_context
@@ -178,7 +179,7 @@
         counters = telemetry.Counters()
         client = Calls(walk=walk, address=address)
         log = Log(walk=walk, address=address)
-        context = request_context.RequestContext(
+        self.context = request_context.RequestContext(
             fleet=self.published,
             dialect=platform_dialect.PlatformDialect(),
             client=client,
@@ -204,7 +205,7 @@
             data_centre=centre,
         )
         self.gateway = gateway.Gateway(
-            context=context,
+            context=self.context,
             members=self.members,
             client=None,
             owner=None,
@@ -426,16 +427,30 @@
         self, path: str, body: bytes, on_end: Callable[[int, str], None]
     ) -> None:
         instance = self.instances[self.rng.choice(sorted(self.instances))]
-        headers = {
-            "host": HOST,
-            "boragefold-attempt-id": f"{self.rng.getrandbits(64):016x}",
-            "boragefold-deadline-ms": "8000",
-        }
-        request = http_server.Request(
-            "POST", path, "", headers, body, path, tuple(headers.items())
-        )
+        request_id = f"{self.rng.getrandbits(64):016x}"
         exchange = exchanges.Exchange(connection=Connection(on_end=on_end))
-        instance.gateway.handle(request, exchange)
+        instance.gateway.handle(_http(path, body, request_id), exchange)
+
+
+def caller_request(path: str) -> dialects.CallerRequest:
+    """Parse a request as a gateway does.
+
+    :param path: its path
+    :return: the parsed request
+    """
+    dialect = platform_dialect.PlatformDialect()
+    return dialect.read_request(_http(path, b"x", "r1"))
+
+
+def _http(path: str, body: bytes, request_id: str) -> http_server.Request:
+    headers = {
+        "host": HOST,
+        "boragefold-attempt-id": request_id,
+        "boragefold-deadline-ms": "8000",
+    }
+    return http_server.Request(
+        "POST", path, "", headers, body, path, tuple(headers.items())
+    )
 
 
 def _route(prefix: str, kind: deployment.RouteKind) -> deployment.Route:
@@ -470,4 +485,5 @@
 __all__ = [
     "CrashWalk",
     "Schedule",
+    "caller_request",
 ]
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -10,7 +10,7 @@
 from boragefold.policy import crash_suspects
 from boragefold.protocol import crash_messages as messages
 
-CULPRIT = 1
+CULPRIT = 9
 BYSTANDER = 2
 OTHER = 3
 SHORT_MILLISECONDS = 50
