Reproduce instances that are cut off from all endpoints, failing

Real gateways behind a proxy for each endpoint that knows them by their address; new connections are refused or hang, open ones live on, are reset or fall silent. Two of three gateways are cut off. From 3 s after the cut 24 to 48 of 48 first tries fail there, calls that run once all of them; both engines are called crashed although they are sound.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,16 +32,20 @@
         self.address = ""
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._sources: dict[asyncio.StreamWriter, str] = {}
+        # Connections of these hosts pass nothing any more.
+        self.silenced: set[str] = set()
 
     async def open(self) -> None:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
-    def reset(self) -> None:
-        """Reset every connection that is open now."""
+    def reset(self, source: str = "") -> None:
+        """Reset every connection that is open now, or those of one host."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            if not source or self._sources.get(writer) == source:
+                writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -66,10 +70,14 @@
             return
         ends = {writer, far_writer}
         self._writers |= ends
+        source = writer.get_extra_info("peername")[0]
+        self._sources |= dict.fromkeys(ends, source)
         there = self._pump(reader, far_writer, answers=False)
         back = self._pump(far_reader, writer, answers=True)
         await asyncio.gather(there, back)
         self._writers -= ends
+        for end in ends:
+            del self._sources[end]
 
     async def _pump(
         self,
@@ -87,6 +95,7 @@
                     await asyncio.sleep(DELAY_SECONDS)
                 lost = self.mode is Mode.SILENT
                 lost |= self.mode is Mode.NO_ANSWERS and answers
+                lost |= self._sources[writer] in self.silenced
                 if lost:
                     # What was lost once is lost for good: the connection
                     # stays silent also when the fault has passed.
@@ -121,6 +130,16 @@
         if mode is Mode.RESET:
             self._loop.call_soon_threadsafe(proxy.reset)
 
+    def silence(self, name: str, source: str) -> None:
+        self.by_name[name].silenced.add(source)
+
+    def reset(self, name: str, source: str) -> None:
+        proxy = self.by_name[name]
+        self._loop.call_soon_threadsafe(proxy.reset, source)
+
+    def heal(self, name: str, source: str) -> None:
+        self.by_name[name].silenced.discard(source)
+
     def close(self) -> None:
         asyncio.run_coroutine_threadsafe(_cancel_all(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
