--- a/tests/fakes/cuttable_gateway.py
+++ b/tests/fakes/cuttable_gateway.py
@@ -1,7 +1,7 @@
 """Runs a gateway whose new connections to endpoints can fail.
 
-The file named in ``CUT_FILE`` lists the ``addresses`` that are cut off, and the
-one that new connections go to ``instead``.
+The file named in ``CUT_FILE`` lists the ``addresses`` that are cut off, and
+where new connections go ``instead``.
 """
 
 from __future__ import annotations
