Open connections to endpoints through a peer that reaches them

An instance judged endpoints alone, had one way to each, and took the failure of its own path for that of the endpoint. Now a connection that can't be opened is a question to the peers. Nobody reaches the endpoint: it is down, and nothing is sent there until a probe finds it again. A peer reaches it: the connection goes through that peer, by CONNECT with the endpoint's name and a token that the peer issued. The request, its rights, deadline and checks stay here; a refusal of the peer says that nothing was sent. Probes find the end of the cut. Calls that wait in silence on a lost path are given up if they may be repeated, and failures of the path are taken off the endpoint's record. Orders and reports never go this way: ownership moves as soon as a direct connection has failed after a peer's word.

While endpoints are reached, no message, byte or connection is added. A peer of an older release doesn't answer and counts as reaching nothing.

The virtual walks with crashes pass over the new paths, too.

--- a/src/boragefold/coordination/fleet/order_leases.py
+++ b/src/boragefold/coordination/fleet/order_leases.py
@@ -16,6 +16,7 @@
 import random
 
 from boragefold.coordination.fleet import lease_voter
+from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import voted_lease
 from boragefold.coordination.fleet import voter_sets
@@ -269,6 +270,37 @@
         )
 
 
+def connect(
+    *,
+    link: links.PeerLink,
+    members: members_module.Members,
+    timers: timing.TimerService,
+    rng: random.Random,
+    log: decision_log.DecisionLog,
+) -> OrderLeases:
+    """Create the leases of an instance whose voters are its peers.
+
+    :param link: to the peers
+    :param members: the other instances
+    :param timers: the process clock
+    :param rng: randomizes the delay of retries
+    :param log: decision log of this process
+    :return: the leases, of which none is held
+    """
+    voters = voter_sets.Voters(self_id=link.self_id, members=members)
+    return OrderLeases(
+        link=link,
+        timers=timers,
+        voters=voters.for_data_centre,
+        majority_lost_seconds=voters.majority_lost_seconds,
+        rng=rng,
+        log=log,
+        started_at_seconds=timers.now_seconds(),
+        is_reachable=voters.is_reachable,
+    )
+
+
 __all__ = [
     "OrderLeases",
+    "connect",
 ]
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -54,6 +54,14 @@
         """
         return not self._ended
 
+    @property
+    def unsent(self) -> bool:
+        """Tell whether nothing was sent to the endpoint.
+
+        :return: whether no connection to it was opened for the request
+        """
+        return self._pending is not None and not self._pending.may_have_arrived
+
     def begin(self, call: http_client.Call) -> None:
         """Send the request.
 
@@ -74,7 +82,7 @@
         if self._pending is not None:
             self._pending.cancel()
         if not self._result_recorded:
-            self._record_result(failed=failed)
+            self._record_end(failed=failed)
 
     def pause(self) -> None:
         """Stop reading the response until ``resume`` is called."""
@@ -86,6 +94,19 @@
         if self._pending is not None:
             self._pending.resume()
 
+    def sent_through(self, peer: str) -> None:
+        """Log that a peer opens the connection.
+
+        :param peer: address of the peer
+        """
+        forwarding = self._forwarding
+        forwarding.context.log.write_ordinary(
+            "request_tunnelled",
+            request_id=forwarding.admitted.request.request_id,
+            endpoint=self._record.name,
+            peer=peer,
+        )
+
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Process the status and the headers of the response.
 
@@ -146,7 +167,7 @@
         """
         self._ended = True
         if not self._result_recorded:
-            self._record_result(failed=True)
+            self._record_end(failed=True)
         if failure.may_have_arrived and not self.rejected:
             self._record_broken(failure.reason)
         if self._forwarding.finished:
@@ -187,6 +208,15 @@
             ran_seconds=context.timers.now_seconds() - self._sent_at_seconds,
         )
 
+    def _record_end(self, *, failed: bool) -> None:
+        context = self._forwarding.context
+        if self.unsent or context.reach.is_cut_off(self._record.name):
+            # The fault is that of a path, not of the endpoint.
+            self._result_recorded = True
+            context.choice.withdrawn(self._record.name)
+        else:
+            self._record_result(failed=failed)
+
     def _record_result(self, *, failed: bool) -> None:
         context = self._forwarding.context
         now_seconds = context.timers.now_seconds()
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -52,6 +52,7 @@
         owner_change: Callable[
             [deployment.EndpointRecord], owner_changes.OwnerChange
         ],
+        is_cut_off: Callable[[str], bool] = lambda engine: False,
     ) -> None:
         """Subscribe to the messages of instances that use owned engines.
 
@@ -69,6 +70,8 @@
             owners
         :param owner_change: explains why this instance started or stopped
             owning an engine
+        :param is_cut_off: whether peers reach an engine and this instance
+            doesn't
         """
         self._link = link
         self._fleet = fleet
@@ -83,6 +86,7 @@
         self._started_at_seconds = timers.now_seconds()
         self._count_other_loads = count_other_loads
         self._owner_change = owner_change
+        self._is_cut_off = is_cut_off
         # Both are updated once per call of set_owned: computing them for each
         # decision costs more than the decision if there are many engines.
         self._other_loads = 0
@@ -129,10 +133,11 @@
         """
         now_seconds = self._timers.now_seconds()
         owned = self._owned.get(engine)
-        if (
+        silent = (
             owned is not None
             and owned.seconds_without_report() > GIVE_UP_SECONDS
-        ):
+        )
+        if silent or self._is_cut_off(engine):
             until_seconds = now_seconds + RELEASE_SECONDS
             self._released_until_seconds[engine] = until_seconds
         return self._released_until_seconds.get(engine, 0.0) > now_seconds
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -109,6 +109,8 @@
         """
         if endpoint in self._unreachable:
             return False
+        if self.context.reach.is_down(endpoint):
+            return False
         if endpoint in self._sent_to:
             return True
         return len(set(self._sent_to)) < self.admitted.route.max_attempts
@@ -334,6 +336,8 @@
             may_send=lambda: not self._finished,
             accepts=lambda found: self.context.dialect.answers(request, found),
             whole_at_close=True,
+            endpoint=target.record.name,
+            repeatable=self.admitted.route.repeatable,
         )
 
     def _on_caller_disconnected(self) -> None:
@@ -353,7 +357,7 @@
         attempt = self._attempt
         if attempt is not None:
             attempt.cancel(failed=True)
-        if attempt is None or attempt.rejected:
+        if attempt is None or attempt.rejected or attempt.unsent:
             self.refuse(refusals.NOT_RUN, "not_started_in_time")
         else:
             self.refuse(refusals.TIMED_OUT, "timeout")
@@ -384,7 +388,7 @@
         workspace = self.admitted.workspace
         attempt = self._attempt
         unused = not self._may_have_run and (
-            attempt is None or attempt.rejected
+            attempt is None or attempt.rejected or attempt.unsent
         )
         if workspace is not None and unused:
             self.context.rate.refund(workspace.name, self.admitted.charged)
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -16,7 +16,6 @@
 from boragefold.coordination.fleet import relay
 from boragefold.coordination.fleet import removal_grace
 from boragefold.coordination.fleet import self_link
-from boragefold.coordination.fleet import voter_sets
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
@@ -26,6 +25,7 @@
 from boragefold.entry import gateway_link
 from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
+from boragefold.entry import peer_paths
 from boragefold.entry import request_context
 from boragefold.entry import settings_reload
 from boragefold.entry import shutdown
@@ -37,7 +37,6 @@
 from boragefold.policy import shared_rate
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
-from boragefold.state import deployment
 from boragefold.state import fleet as fleets
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
@@ -161,6 +160,20 @@
             ),
         )
         self._choice = service_choice.ServiceChoice(rng=self._rng)
+        self._paths = peer_paths.PeerPaths(
+            client=self._client,
+            sockets_=self._sockets,
+            fleet=self._fleet,
+            link=self._link,
+            members=self._members,
+            timers=self.timers,
+            counters=self.counters,
+            log=self.log,
+            rng=self._rng,
+            choice=self._choice,
+            is_leaving=lambda: self.shutdown.has_begun,
+            connect_seconds=CONNECT_SECONDS,
+        )
         self._ownership = ownerships.Ownership(
             self_id=self._link.self_id,
             members=self._members,
@@ -188,14 +201,14 @@
             application=self._make_gateway(dialect).handle,
             counters=self.counters,
             timers=self.timers,
-            limits=self._limits,
+            limits=self._fleet.caller_limits,
             ready=self.ready,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
             notice_seconds=STOP_NOTICE_SECONDS,
             hand_over=self._stop_accepting,
-            is_finished=lambda: self._listeners.callers.close_idle() == 0,
+            is_finished=self._is_idle,
             stop=self._stop,
             log_step=lambda step: self.log.write("stopping", step=step),
             limit_seconds=settings.stop_seconds - STOP_MARGIN_SECONDS,
@@ -216,6 +229,7 @@
         """
         settings = self.settings
         self._listeners.listen(settings)
+        self._paths.listen(settings)
         self.shutdown.register(self.loop)
         self._settings_reloader.register(self.loop)
         self._settings_reloader.start()
@@ -282,10 +296,6 @@
         self._heartbeats.refresh()
         self._owner_client.retry_pending()
 
-    def _limits(self) -> deployment.CallerLimits | None:
-        current = self._fleet.deployment
-        return None if current is None else current.limits
-
     def _health(self, endpoint: str) -> float:
         return self._choice.health(
             endpoint, now_seconds=self.timers.now_seconds()
@@ -309,24 +319,16 @@
                 data_centre=settings.data_centre,
                 address=settings.peer_listen,
             ),
-            leases=self._make_leases(),
+            leases=order_leases.connect(
+                link=self._link,
+                members=self._members,
+                timers=self.timers,
+                rng=self._rng,
+                log=self.log,
+            ),
             count_other_loads=self._count_other_loads,
             owner_change=self._ownership.change,
-        )
-
-    def _make_leases(self) -> order_leases.OrderLeases:
-        voters = voter_sets.Voters(
-            self_id=self._link.self_id, members=self._members
-        )
-        return order_leases.OrderLeases(
-            link=self._link,
-            timers=self.timers,
-            voters=voters.for_data_centre,
-            majority_lost_seconds=voters.majority_lost_seconds,
-            rng=self._rng,
-            log=self.log,
-            started_at_seconds=self.timers.now_seconds(),
-            is_reachable=voters.is_reachable,
+            is_cut_off=self._paths.reach.is_cut_off,
         )
 
     def _retry_allowance(self) -> retry_budget.Allowance:
@@ -365,6 +367,7 @@
                 rng=self._rng,
                 is_hub=lambda: self._heartbeats.is_hub,
             ),
+            reach=self._paths.reach,
             data_centre=self.settings.data_centre,
         )
         return gateway.Gateway(
@@ -376,6 +379,10 @@
             rng=self._rng,
         )
 
+    def _is_idle(self) -> bool:
+        callers = self._listeners.callers.close_idle()
+        return callers + self._paths.server.open_count == 0
+
     def _stop_accepting(self) -> None:
         self.log.write("stopping", step="no_new_callers")
         self._listeners.callers.stop_listening()
--- /dev/null
+++ b/src/boragefold/entry/peer_paths.py
@@ -0,0 +1,145 @@
+"""Connects the parts through which instances lend each other connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+import secrets
+
+from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import path_inquiries
+import boragefold.coordination.link as links
+from boragefold.entry import endpoint_reach
+from boragefold.policy import endpoint_paths
+from boragefold.policy import service_choice
+from boragefold.settings import gateway as gateway_settings
+from boragefold.settings import serve as serve_settings
+from boragefold.state import fleet as fleets
+from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import decision_log
+from boragefold.timing import timers as timing
+from boragefold.transport import http_client
+from boragefold.transport import sockets
+from boragefold.transport import tunnel_server
+
+TOKEN_BYTES = 16
+
+
+class PeerPaths:
+    """The paths of this instance to endpoints, and those that it lends."""
+
+    def __init__(
+        self,
+        *,
+        client: http_client.HttpClient,
+        sockets_: sockets.SocketSet,
+        fleet: fleets.Fleet,
+        link: links.PeerLink,
+        members: members_module.Members,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+        choice: service_choice.ServiceChoice,
+        is_leaving: Callable[[], bool],
+        connect_seconds: float,
+    ) -> None:
+        """Connect the parts, without binding an address.
+
+        :param client: opens connections to endpoints
+        :param sockets_: holds the tunnels
+        :param fleet: the published endpoints
+        :param link: to the peers
+        :param members: the other instances
+        :param timers: the process clock
+        :param counters: counts tunnels and changes of paths
+        :param log: gets a line for each change of a path
+        :param rng: chooses whom to ask
+        :param choice: forgets failures whose cause was a path
+        :param is_leaving: whether this instance is stopping
+        :param connect_seconds: how long a connection may take to open
+        """
+        self._is_leaving = is_leaving
+        self._token = secrets.token_hex(TOKEN_BYTES)
+        self.port = 0
+        self._fleet = fleet
+        self._log = log
+        self._members = members
+        self._data_centre = link.self_id.data_centre
+        self.reach = endpoint_reach.EndpointReach(
+            client=client,
+            fleet=fleet,
+            timers=timers,
+            counters=counters,
+            log=log,
+            choice=endpoint_paths.PathChoice(
+                self_address=link.self_id.address,
+                is_near=self._is_near,
+                staying_peers=self._staying_peers,
+            ),
+            on_changed=choice.forgive,
+        )
+        inquiries = path_inquiries.PathInquiries(
+            link=link,
+            members=members,
+            timers=timers,
+            rng=rng,
+            check=self.reach.check,
+            tunnel=self._tunnel,
+        )
+        self.reach.connect(inquiries)
+        self.server = tunnel_server.TunnelServer(
+            sockets_=sockets_,
+            timers=timers,
+            counters=counters,
+            token=self._token,
+            resolve=self._resolve,
+            connect_seconds=connect_seconds,
+        )
+
+    def listen(self, settings: gateway_settings.GatewaySettings) -> None:
+        """Bind the address at which peers ask for connections.
+
+        :param settings: validated settings
+        """
+        wanted = settings.tunnel_listen
+        host, port = serve_settings.split_address(
+            wanted or settings.peer_listen
+        )
+        try:
+            self.port = self.server.listen(
+                host=host, port=port if wanted else 0
+            )
+        except OSError as error:
+            # Peers are told the port, so any will do.
+            self.port = self.server.listen(host=host, port=0)
+            self._log.write(
+                "tunnel_address_taken",
+                wanted=wanted,
+                reason=str(error),
+                port=self.port,
+            )
+
+    def _tunnel(self) -> path_inquiries.Tunnel:
+        if self._is_leaving():
+            return path_inquiries.Tunnel(0, "")
+        return path_inquiries.Tunnel(self.port, self._token)
+
+    def _resolve(self, endpoint: str) -> str | None:
+        record = self._fleet.endpoint(endpoint)
+        return None if record is None else record.address
+
+    def _is_near(self, peer: str) -> bool:
+        return self._members.identity(peer).data_centre == self._data_centre
+
+    def _staying_peers(self) -> frozenset[str]:
+        return frozenset(
+            member.instance.address
+            for member in self._members.reachable()
+            if member.beat is not None and not member.beat.leaving
+        )
+
+
+__all__ = [
+    "PeerPaths",
+]
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -7,6 +7,7 @@
 
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
+from boragefold.entry import endpoint_reach
 from boragefold.entry import quarantine
 from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import service_choice
@@ -32,6 +33,7 @@
     retries: retry_budgets.ServiceBudgets
     rate: shared_rate.SharedRate
     crashes: crash_protection.CrashProtection
+    reach: endpoint_reach.EndpointReach
     data_centre: str
 
 
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -113,6 +113,14 @@
                 else before + SMOOTHING * (took_seconds - before)
             )
 
+    def withdrawn(self, endpoint: str) -> None:
+        """Record that a request ended without telling about the endpoint.
+
+        :param endpoint: its name
+        """
+        record = self._record(endpoint)
+        record.in_flight = max(0, record.in_flight - 1)
+
     def unreachable(self, endpoint: str, *, now_seconds: float) -> None:
         """Record that no connection to an endpoint could be opened.
 
@@ -126,6 +134,16 @@
         record.failure_rate = 1.0
         record.updated_at_seconds = now_seconds
 
+    def forgive(self, endpoint: str) -> None:
+        """Forget failures whose cause was the path to an endpoint.
+
+        :param endpoint: its name
+        """
+        record = self._records.get(endpoint)
+        if record is not None:
+            record.failure_rate = 0.0
+            record.took_seconds = None
+
     def health(self, endpoint: str, *, now_seconds: float) -> float:
         """Return an endpoint's health.
 
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -10,6 +10,7 @@
 
 from boragefold.protocol import crash_messages
 from boragefold.protocol import ids
+from boragefold.protocol import path_messages
 from boragefold.protocol import rate_ledger_messages
 
 
@@ -273,6 +274,7 @@
     RunEnded,
     RunStarted,
     *crash_messages.KINDS,
+    *path_messages.KINDS,
     *rate_ledger_messages.KINDS,
 )
 
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -19,6 +19,8 @@
     ``order_lease_seconds`` is the minimum time between the orders of two
     instances to one engine. ``stop_seconds`` is the time limit of a planned
     stop. If ``metrics_listen`` is empty, no metrics are served.
+    ``tunnel_listen`` is where peers ask for connections to endpoints; any
+    port of the address in ``peer_listen`` if it is empty or taken.
     ``link_megabits`` is the speed of the network link per second; instances
     with fast links relay the heartbeats of the others.
     """
@@ -37,6 +39,7 @@
     metrics_listen: str = ""
     rate_tolerance: shared_rate.Tolerance = shared_rate.Tolerance()
     link_megabits: float = 0.0
+    tunnel_listen: str = ""
 
 
 def check(settings: GatewaySettings) -> None:
@@ -55,8 +58,11 @@
             for index, seed in enumerate(settings.seeds)
         },
     }
-    if settings.metrics_listen:
-        addresses["metrics_listen"] = settings.metrics_listen
+    optional = {
+        "metrics_listen": settings.metrics_listen,
+        "tunnel_listen": settings.tunnel_listen,
+    }
+    addresses |= {name: given for name, given in optional.items() if given}
     for name, address in addresses.items():
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -123,6 +123,13 @@
         service = self.deployment.services.get(record.service)
         return None if service is None else service.engine
 
+    def caller_limits(self) -> deployments.CallerLimits | None:
+        """Return the limits for callers.
+
+        :return: those in force, None before the first deployment
+        """
+        return None if self.deployment is None else self.deployment.limits
+
     def _changed(self) -> None:
         for callback in self._subscribers:
             callback()
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -31,6 +31,13 @@
 class AnswerSink(abc.ABC):
     """Receives one answer; ends with exactly one ``end`` or ``failed``."""
 
+    def sent_through(self, peer: str) -> None:
+        """Learn that the call goes through the tunnel of a peer.
+
+        :param peer: address of the peer
+        """
+        return
+
     @abc.abstractmethod
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Take the head.
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from boragefold.protocol import paths
 from boragefold.transport import answer_parser
 from boragefold.transport import streams
 
@@ -26,7 +27,9 @@
     an answer without a length for whole when its connection was closed in good
     order; without it such an answer always counts as cut. ``expires`` lets
     nothing arrive any more once the call is given up. A ``Host`` among the
-    headers goes before the address.
+    headers goes before the address. ``endpoint`` is the name by which peers
+    know the address; without it, connections are only opened directly. A
+    ``repeatable`` call may be given up and sent again at any time.
     """
 
     address: str
@@ -40,18 +43,27 @@
     accepts: answer_parser.Accepts = lambda headers: True
     whole_at_close: bool = False
     expires: bool = False
+    endpoint: str = ""
+    repeatable: bool = False
 
 
 class Pending:
-    """A call whose answer has not ended."""
+    """A call whose answer has not ended.
+
+    ``tried`` are the peers of the paths that couldn't be opened for it.
+    """
 
     def __init__(self, *, call: Call, sink: answer_parser.AnswerSink) -> None:
         self.call = call
         self.sink = sink
         self.connection: ClientConnection | None = None
+        self.tried: tuple[str, ...] = ()
+        self.may_have_arrived = False
+        self.cancelled = False
 
     def cancel(self) -> None:
         """Give the call up; its sink hears nothing more."""
+        self.cancelled = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.cancel()
@@ -72,15 +84,25 @@
 
     stream: streams.Stream
 
-    def __init__(self, *, client: ConnectionOwner, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        client: ConnectionOwner,
+        address: str,
+        endpoint: str = "",
+        path: paths.Path = paths.DIRECT,
+    ) -> None:
         self._client = client
         self.address = address
+        self.endpoint = endpoint
+        self.path = path
+        self.opened = False
         self.pending: Pending | None = None
         self.paused = False
         self.used_before = False
-        self.sent_any = False
         self.answer_began = False
         self.progressed_at_seconds = 0.0
+        self.received_at_seconds = 0.0
         self._parser: answer_parser.AnswerParser | None = None
 
     def begin(self, pending: Pending) -> None:
@@ -90,15 +112,17 @@
         """
         self.pending = pending
         pending.connection = self
-        self.sent_any = False
         self.answer_began = False
         self.progressed_at_seconds = self._client.now_seconds()
-        if not self.stream.connecting:
+        if self.opened:
             self._send_call()
 
     def connected(self) -> None:
         """Send the call that waited for the connection."""
+        self.opened = True
         self.progressed_at_seconds = self._client.now_seconds()
+        self.received_at_seconds = self.progressed_at_seconds
+        self._client.connection_opened(self)
         self._send_call()
 
     def received(self, data: bytes) -> None:
@@ -107,6 +131,7 @@
         :param data: bytes
         """
         self.progressed_at_seconds = self._client.now_seconds()
+        self.received_at_seconds = self.progressed_at_seconds
         self.answer_began = True
         if self._parser is None:
             self.stream.abort("unasked_answer")
@@ -140,6 +165,14 @@
         else:
             self._fail(reason)
 
+    @property
+    def stale(self) -> bool:
+        """Tell whether a reused connection died before any answer.
+
+        :return: whether its call may be repeated for that
+        """
+        return self.used_before and not self.answer_began
+
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self.pending = None
@@ -172,10 +205,9 @@
             return
         pending.connection = None
         failure = answer_parser.Failure(
-            reason=reason, may_have_arrived=self.sent_any
+            reason=reason, may_have_arrived=pending.may_have_arrived
         )
-        stale = self.used_before and not self.answer_began
-        self._client.call_failed(pending, failure, stale=stale)
+        self._client.call_failed(self, pending, failure)
 
     def _send_call(self) -> None:
         if self.pending is None:
@@ -186,7 +218,7 @@
             # slept.
             self._client.fail_later(self, "right_ended")
             return
-        self.sent_any = True
+        self.pending.may_have_arrived = True
         self._parser = answer_parser.AnswerParser(
             sink=self.pending.sink, accepts=self.pending.call.accepts
         )
@@ -240,14 +272,23 @@
         :param reason: passed on to the sink
         """
 
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Learn that a new connection is open.
+
+        :param connection: which
+        """
+
     def call_failed(
-        self, pending: Pending, failure: answer_parser.Failure, *, stale: bool
+        self,
+        connection: ClientConnection,
+        pending: Pending,
+        failure: answer_parser.Failure,
     ) -> None:
         """Repeat a call on a new connection, or tell its sink.
 
+        :param connection: the one that is gone
         :param pending: the call
         :param failure: what went wrong
-        :param stale: whether a reused connection died before any answer
         """
 
 
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -4,14 +4,25 @@
 
 import collections
 from collections.abc import Callable
+import itertools
 
+from boragefold.protocol import paths
 from boragefold.timing import timers as timing
 from boragefold.transport import answer_parser
 from boragefold.transport import client_connection
 from boragefold.transport import connect_probe
+from boragefold.transport import path_finder
 from boragefold.transport import sockets
+from boragefold.transport import tunnel_client
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Through a tunnel, two connections open one after the other.
+TUNNEL_CONNECTIONS = 2
+# Sound endpoints fall silent for a second; before that is over, a new
+# connection shows whether the path is at fault.
+SILENT_SECONDS = 0.75
+# Why a call fails that waited in silence on a path that is cut.
+PATH_LOST = "path_lost"
 SWEEP_SECONDS = 0.1
 # The longer a connection idled, the likelier it is dead without a sign.
 MAX_IDLE_SECONDS = 15.0
@@ -43,9 +54,10 @@
         self._connect_seconds = connect_seconds
         self._sockets = sockets_
         self._timers = timers
-        self._idle: dict[str, collections.deque[ClientConnection]] = (
-            collections.defaultdict(collections.deque)
-        )
+        self.path_finder: path_finder.PathFinder = path_finder.DirectPaths()
+        self._idle: dict[
+            tuple[str, paths.Path], collections.deque[ClientConnection]
+        ] = collections.defaultdict(collections.deque)
         self._busy: set[ClientConnection] = set()
         timers.every(period_seconds=SWEEP_SECONDS, callback=self._sweep)
 
@@ -95,29 +107,76 @@
             delay_seconds=0.0, callback=lambda: connection.stream.abort(reason)
         )
 
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Tell the path finder that a path works.
+
+        :param connection: a new connection
+        """
+        if connection.endpoint:
+            self.path_finder.record_opened(
+                connection.endpoint, connection.path
+            )
+
     def call_failed(
-        self, pending: Pending, failure: Failure, *, stale: bool
+        self,
+        connection: ClientConnection,
+        pending: Pending,
+        failure: Failure,
     ) -> None:
         """Repeat a call on a new connection, or tell its sink.
 
+        :param connection: the one that is gone
         :param pending: the call
         :param failure: what went wrong
-        :param stale: whether a reused connection died before any answer
         """
+        if connection.endpoint and not connection.opened:
+            pending.tried += (connection.path.peer,)
+            self.path_finder.record_failed(
+                connection.endpoint, connection.path, failure.reason
+            )
+            self._dispatch(pending, fresh=True, reason=failure.reason)
         # An idle connection may be dead without a sign, which says nothing of
         # the endpoint: it is tried once more on a new one.
-        if stale:
+        elif connection.stale:
             self._dispatch(pending, fresh=True)
         else:
             pending.sink.failed(failure)
 
+    def drop_idle(
+        self, is_unusable: Callable[[str, paths.Path], bool]
+    ) -> None:
+        """Close idle connections over paths that aren't to be used any more.
+
+        :param is_unusable: tells so of an endpoint's name and a path
+        """
+        for idle in list(self._idle.values()):
+            for connection in list(idle):
+                if is_unusable(connection.endpoint, connection.path):
+                    connection.stream.abort()
+
+    def abandon_silent(self, endpoint: str) -> None:
+        """Give up the repeatable calls that wait on a path that is cut.
+
+        :param endpoint: name of the endpoint
+        """
+        for connection in list(self._busy):
+            pending = connection.pending
+            if (
+                connection.endpoint == endpoint
+                and pending is not None
+                and pending.call.repeatable
+                and self._is_silent(connection)
+            ):
+                # Otherwise the call could still arrive after the cut.
+                connection.stream.reset(PATH_LOST)
+
     def release(self, connection: ClientConnection) -> None:
         """Keep a connection for a later call.
 
         :param connection: one whose call is over
         """
         self._busy.discard(connection)
-        idle = self._idle[connection.address]
+        idle = self._idle[connection.address, connection.path]
         if len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.stream.close()
         else:
@@ -129,36 +188,106 @@
         :param connection: which
         """
         self._busy.discard(connection)
-        idle = self._idle.get(connection.address)
+        key = (connection.address, connection.path)
+        idle = self._idle.get(key)
         if idle is not None and connection in idle:
             idle.remove(connection)
         if idle is not None and not idle:
-            del self._idle[connection.address]
+            del self._idle[key]
+
+    def _dispatch(
+        self, pending: Pending, *, fresh: bool, reason: str = ""
+    ) -> None:
+        if not pending.call.endpoint:
+            self._begin(pending, paths.DIRECT, fresh=fresh)
+            return
+        self.path_finder.find(
+            pending.call.endpoint,
+            tried=pending.tried,
+            on_path=lambda path: self._take_path(
+                pending, path, fresh=fresh, reason=reason
+            ),
+        )
 
-    def _dispatch(self, pending: Pending, *, fresh: bool) -> None:
-        address = pending.call.address
-        connection = None if fresh else self._take_idle(address)
+    def _take_path(
+        self,
+        pending: Pending,
+        path: paths.Path | None,
+        *,
+        fresh: bool,
+        reason: str,
+    ) -> None:
+        if pending.cancelled:
+            return
+        if path is not None:
+            self._begin(pending, path, fresh=fresh)
+            return
+        failure = Failure(
+            reason=reason or "unreachable",
+            may_have_arrived=pending.may_have_arrived,
+        )
+        # A sink isn't called inside the call that sends.
+        self._timers.once(
+            delay_seconds=0.0,
+            callback=lambda: self._tell_failed(pending, failure),
+        )
+
+    def _tell_failed(self, pending: Pending, failure: Failure) -> None:
+        if not pending.cancelled:
+            pending.sink.failed(failure)
+
+    def _begin(
+        self, pending: Pending, path: paths.Path, *, fresh: bool
+    ) -> None:
+        call = pending.call
+        connection = None if fresh else self._take_idle(call.address, path)
         if connection is None:
-            connection = self._open(address)
+            connection = self._open(call, path)
         self._busy.add(connection)
+        if path.peer:
+            pending.sink.sent_through(path.peer)
         connection.begin(pending)
 
-    def _take_idle(self, address: str) -> ClientConnection | None:
-        idle = self._idle.get(address)
+    def _take_idle(
+        self, address: str, path: paths.Path
+    ) -> ClientConnection | None:
+        idle = self._idle.get((address, path))
         while idle:
             connection = idle.pop()
             if connection.stream.open:
                 return connection
         return None
 
-    def _open(self, address: str) -> ClientConnection:
-        host, _, port = address.rpartition(":")
-        connection = ClientConnection(client=self, address=address)
-        connection.stream = self._sockets.connect(
-            host=host, port=int(port), handler=connection
+    def _open(self, call: Call, path: paths.Path) -> ClientConnection:
+        connection = ClientConnection(
+            client=self,
+            address=call.address,
+            endpoint=call.endpoint,
+            path=path,
         )
+        if path.peer:
+            self._open_tunnel(connection, path)
+        else:
+            host, _, port = call.address.rpartition(":")
+            connection.stream = self._sockets.connect(
+                host=host, port=int(port), handler=connection
+            )
         return connection
 
+    def _open_tunnel(
+        self, connection: ClientConnection, path: paths.Path
+    ) -> None:
+        port = connection.address.rpartition(":")[2]
+        handshake = tunnel_client.TunnelHandshake(
+            path=path,
+            target=f"{connection.endpoint}:{port}",
+            handler=connection,
+        )
+        tunnel_host, _, tunnel_port = path.tunnel.rpartition(":")
+        handshake.stream = connection.stream = self._sockets.connect(
+            host=tunnel_host, port=int(tunnel_port), handler=handshake
+        )
+
     def _sweep(self) -> None:
         now_seconds = self.now_seconds()
         for connection in list(self._busy):
@@ -166,6 +295,7 @@
             allowed = self._allowed_seconds(connection)
             if silent > allowed and not connection.paused:
                 connection.give_up("timeout")
+        self._report_silence()
         for idle in list(self._idle.values()):
             while idle and (
                 now_seconds - idle[0].progressed_at_seconds > MAX_IDLE_SECONDS
@@ -173,10 +303,43 @@
                 idle[0].stream.abort()
 
     def _allowed_seconds(self, connection: ClientConnection) -> float:
-        if connection.stream.connecting or connection.pending is None:
+        if not connection.opened and connection.path.peer:
+            return TUNNEL_CONNECTIONS * self._connect_seconds
+        if not connection.opened or connection.pending is None:
             return self._connect_seconds
         return connection.pending.call.progress_seconds
 
+    def _report_silence(self) -> None:
+        # What comes over one connection shows that the path works.
+        silent = {
+            connection.endpoint
+            for connection in self._busy
+            if connection.endpoint
+            and connection.pending is not None
+            and self._is_silent(connection)
+        }
+        if not silent:
+            return
+        oldest_seconds = self.now_seconds() - SILENT_SECONDS
+        connections = itertools.chain(self._busy, *self._idle.values())
+        heard = {
+            connection.endpoint
+            for connection in connections
+            if not connection.path.peer
+            and connection.received_at_seconds > oldest_seconds
+        }
+        for endpoint in silent - heard:
+            self.path_finder.record_silent(endpoint)
+
+    def _is_silent(self, connection: ClientConnection) -> bool:
+        silent_seconds = self.now_seconds() - connection.progressed_at_seconds
+        return (
+            connection.opened
+            and not connection.path.peer
+            and not connection.paused
+            and silent_seconds > SILENT_SECONDS
+        )
+
 
 __all__ = [
     "AnswerSink",
--- /dev/null
+++ b/src/boragefold/transport/tunnel_server.py
@@ -0,0 +1,289 @@
+"""Opens connections to endpoints for peers that can't reach them.
+
+A peer sends ``CONNECT`` with the name of a published endpoint, and the token
+that this instance issued. Once the connection is open, bytes pass both ways
+unchanged: the peer keeps the request, its checks and its deadline.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import hmac
+
+import h11
+
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import sockets
+from boragefold.transport import streams
+
+# Bounds the descriptors that peers may take.
+MAX_TUNNELS = 512
+# A peer asks as soon as its connection is open.
+REQUEST_SECONDS = 2.0
+STATUS_OPENED = 200
+STATUS_MALFORMED = 400
+STATUS_DENIED = 403
+STATUS_UNKNOWN = 404
+STATUS_UNREACHABLE = 502
+STATUS_FULL = 503
+# An answer without a length that ends so may be whole.
+ORDERLY_END = "eof"
+
+
+class TunnelServer:
+    """Accepts the tunnels of peers."""
+
+    def __init__(
+        self,
+        *,
+        sockets_: sockets.SocketSet,
+        timers: timing.TimerService,
+        counters: telemetry.Counters,
+        token: str,
+        resolve: Callable[[str], str | None],
+        connect_seconds: float,
+    ) -> None:
+        """Begin without tunnels.
+
+        :param sockets_: holds the connections
+        :param timers: the process clock
+        :param counters: counts the tunnels by outcome
+        :param token: what peers must present
+        :param resolve: returns the address of a published endpoint, None if
+            there is none of that name or no tunnels are opened any more
+        :param connect_seconds: how long a connection may take to open
+        """
+        self._sockets = sockets_
+        self._timers = timers
+        self._counters = counters
+        self._token = token
+        self._resolve = resolve
+        self._connect_seconds = connect_seconds
+        self._tunnels: set[TunnelEntrance] = set()
+
+    @property
+    def open_count(self) -> int:
+        """Tell how many peers' connections are open.
+
+        :return: the count, with those that still ask
+        """
+        return len(self._tunnels)
+
+    def listen(self, *, host: str, port: int) -> int:
+        """Accept connections of peers.
+
+        :param host: the IP number to bind
+        :param port: the port, or 0 for any
+        :return: the port that was bound
+        :raises OSError: when the address can't be bound
+        """
+        return self._sockets.listen(
+            host=host, port=port, make_handler=self._accept
+        )
+
+    def check(self, head: h11.Request) -> int:
+        """Decide whether a connection may be opened.
+
+        :param head: the peer's request
+        :return: ``STATUS_OPENED`` if so, otherwise the status to refuse with
+        """
+        presented = dict(head.headers).get(b"proxy-authorization", b"")
+        if head.method != b"CONNECT":
+            return STATUS_MALFORMED
+        if not hmac.compare_digest(
+            presented, f"Bearer {self._token}".encode()
+        ):
+            return STATUS_DENIED
+        if self.resolve(head) is None:
+            return STATUS_UNKNOWN
+        return STATUS_FULL if self.open_count > MAX_TUNNELS else STATUS_OPENED
+
+    def resolve(self, head: h11.Request) -> str | None:
+        """Look up the endpoint that a request names.
+
+        :param head: the peer's request
+        :return: its address, None if there is none
+        """
+        name = head.target.decode("latin-1").rpartition(":")[0]
+        return self._resolve(name)
+
+    def open(self, address: str, entrance: TunnelEntrance) -> TunnelExit:
+        """Open the connection to an endpoint.
+
+        :param address: IP number and port
+        :param entrance: the peer's side
+        :return: the endpoint's side, not yet connected
+        """
+        host, _, port = address.rpartition(":")
+        far = TunnelExit(entrance=entrance)
+        far.stream = self._sockets.connect(
+            host=host, port=int(port), handler=far
+        )
+        far.timeout = self._timers.once(
+            delay_seconds=self._connect_seconds,
+            callback=lambda: far.stream.abort("timeout"),
+        )
+        return far
+
+    def record(self, outcome: str) -> None:
+        """Count a tunnel.
+
+        :param outcome: how it was answered
+        """
+        self._counters.add("tunnels", outcome)
+
+    def forget(self, entrance: TunnelEntrance) -> None:
+        """Drop a tunnel that has ended.
+
+        :param entrance: the peer's side
+        """
+        self._tunnels.discard(entrance)
+
+    def _accept(self) -> TunnelEntrance:
+        entrance = TunnelEntrance(server=self)
+        self._tunnels.add(entrance)
+        self._timers.once(
+            delay_seconds=REQUEST_SECONDS, callback=entrance.end_if_silent
+        )
+        return entrance
+
+
+class TunnelEntrance(streams.StreamHandler):
+    """The connection of a peer."""
+
+    stream: streams.Stream
+
+    def __init__(self, *, server: TunnelServer) -> None:
+        self._server = server
+        self._parser = h11.Connection(h11.SERVER)
+        self._exit: TunnelExit | None = None
+
+    def connected(self) -> None:
+        """Do nothing: the peer speaks first."""
+
+    def received(self, data: bytes) -> None:
+        """Take the request of the peer, or bytes for the endpoint.
+
+        :param data: bytes
+        """
+        if self._exit is not None:
+            if not self._exit.stream.write(data):
+                self.stream.pause_reading()
+            return
+        try:
+            self._parser.receive_data(data)
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError:
+            self._refuse(STATUS_MALFORMED)
+            return
+        if isinstance(event, h11.Request):
+            self._connect(event)
+
+    def drained(self) -> None:
+        """Read from the endpoint again."""
+        if self._exit is not None:
+            self._exit.stream.resume_reading()
+
+    def closed(self, reason: str) -> None:
+        """Close the endpoint's side: the peer gave the request up.
+
+        :param reason: why the peer's side is gone
+        """
+        self._server.forget(self)
+        far, self._exit = self._exit, None
+        if far is None:
+            return
+        if reason == ORDERLY_END:
+            far.stream.abort()
+        else:
+            far.stream.reset()
+
+    def end_if_silent(self) -> None:
+        """Close a connection on which the peer asked for nothing."""
+        if self._exit is None:
+            self.stream.abort("timeout")
+
+    def opened(self) -> None:
+        """Tell the peer that bytes pass from now on."""
+        self._server.record("opened")
+        response = h11.Response(status_code=STATUS_OPENED, headers=[])
+        self.stream.write(self._parser.send(response) or b"")
+
+    def not_opened(self, reason: str) -> None:
+        """Tell the peer that the endpoint can't be reached.
+
+        :param reason: why
+        """
+        self._exit = None
+        self._refuse(STATUS_UNREACHABLE, reason)
+
+    def _connect(self, head: h11.Request) -> None:
+        status = self._server.check(head)
+        address = self._server.resolve(head)
+        if status != STATUS_OPENED or address is None:
+            self._refuse(status)
+            return
+        self._parser.next_event()
+        self._exit = self._server.open(address, self)
+
+    def _refuse(self, status: int, reason: str = "") -> None:
+        self._server.record(reason or str(status))
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = h11.Response(
+                status_code=status,
+                headers=[("Content-Length", "0"), ("Connection", "close")],
+            )
+            for event in (response, h11.EndOfMessage()):
+                self.stream.write(self._parser.send(event) or b"")
+        self.stream.close()
+
+
+class TunnelExit(streams.StreamHandler):
+    """The connection to an endpoint."""
+
+    stream: streams.Stream
+    timeout: timing.Subscription
+
+    def __init__(self, *, entrance: TunnelEntrance) -> None:
+        self._entrance = entrance
+        self._opened = False
+
+    def connected(self) -> None:
+        """Let bytes pass."""
+        self.timeout.cancel()
+        self._opened = True
+        self._entrance.opened()
+
+    def received(self, data: bytes) -> None:
+        """Pass on what the endpoint sent.
+
+        :param data: bytes
+        """
+        if not self._entrance.stream.write(data):
+            self.stream.pause_reading()
+
+    def drained(self) -> None:
+        """Read from the peer again."""
+        self._entrance.stream.resume_reading()
+
+    def closed(self, reason: str) -> None:
+        """End the peer's side in the same way.
+
+        An answer without a length ends with its connection: after a reset it
+        must not look whole.
+
+        :param reason: why the endpoint's side is gone
+        """
+        self.timeout.cancel()
+        if not self._opened:
+            self._entrance.not_opened(reason)
+        elif reason == ORDERLY_END:
+            self._entrance.stream.close()
+        else:
+            self._entrance.stream.reset()
+
+
+__all__ = [
+    "TunnelServer",
+]
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -17,11 +17,13 @@
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import gateway
+from boragefold.entry import peer_paths
 from boragefold.entry import quarantine
 from boragefold.entry import request_context
 from boragefold.policy import retry_budget
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
+from boragefold.protocol import paths
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
@@ -29,6 +31,7 @@
 from boragefold.transport import exchange as exchanges
 from boragefold.transport import http_client
 from boragefold.transport import http_server
+from boragefold.transport import path_finder
 from tests.fakes import gateways
 
 # What is known of a crash must be known to all in touch by then.
@@ -46,9 +49,19 @@
 REPEATED_BODIES = 4
 REPEATED_SHARE = 0.3
 WARM_UP_SECONDS = 4.0
+CUT_OFF_GAP_SECONDS = 10.0
+CUT_OFF_SECONDS = (4.0, 8.0)
+CONNECT_SECONDS = 0.25
 HOST = "press.example"
 SIGNED = {"boragefold-response-signature": "signed"}
-LOGGED = ("quarantine_changed", "quarantine_trial", "endpoint_broke")
+LOGGED = (
+    "quarantine_changed",
+    "quarantine_trial",
+    "endpoint_broke",
+    "path_lost",
+    "path_found",
+    "endpoint_unreached",
+)
 
 
 class Schedule(NamedTuple):
@@ -57,12 +70,15 @@
     ``kill_gap_seconds`` is the mean time between endpoints that are killed
     without a culprit, ``cut`` whether one data centre is cut off for a while,
     ``restart_gap_seconds`` the mean time between restarts of instances.
+    Every ``CUT_OFF_GAP_SECONDS``, ``cut_off`` instances are partitioned from
+    all endpoints.
     """
 
     culprits: int = 0
     kill_gap_seconds: float = 0.0
     cut: bool = False
     restart_gap_seconds: float = 0.0
+    cut_off: int = 0
     endpoints: int = 10
     seconds: float = 30.0
 
@@ -81,6 +97,8 @@
         self.sink = sink
         self.body = body
         self.over = False
+        self.may_have_arrived = False
+        self.opener = ""
 
     def cancel(self) -> None:
         self.over = True
@@ -107,15 +125,13 @@
     def __init__(self, *, walk: CrashWalk, address: str) -> None:
         self._walk = walk
         self._address = address
+        self.path_finder: path_finder.PathFinder = path_finder.DirectPaths()
 
     def send(
         self, call: http_client.Call, sink: http_client.AnswerSink
     ) -> Run:
         run = Run(sink=sink, body=call.body)
-        self._walk.later(
-            self._walk.travel_seconds(),
-            lambda: self._walk.arrive(call.address, run, self._address),
-        )
+        self._find_path(call, run, ())
         return run
 
     def probe(
@@ -125,9 +141,58 @@
     ) -> None:
         self._walk.later(
             2 * self._walk.travel_seconds(),
-            lambda: on_result(self._walk.connect(address)),
+            lambda: on_result(self._walk.connect(address, self._address)),
         )
 
+    def drop_idle(
+        self, is_unusable: Callable[[str, paths.Path], bool]
+    ) -> None:
+        pass
+
+    def abandon_silent(self, endpoint: str) -> None:
+        pass
+
+    def _find_path(
+        self, call: http_client.Call, run: Run, tried: tuple[str, ...]
+    ) -> None:
+        self.path_finder.find(
+            call.endpoint,
+            tried=tried,
+            on_path=lambda path: self._open(call, run, tried, path),
+        )
+
+    def _open(
+        self,
+        call: http_client.Call,
+        run: Run,
+        tried: tuple[str, ...],
+        path: paths.Path | None,
+    ) -> None:
+        if path is None:
+            self._walk.fail(run, "unreachable", may_have_arrived=False)
+            return
+        self._walk.later(
+            self._walk.travel_seconds(),
+            lambda: self._opened(call, run, tried, path),
+        )
+
+    def _opened(
+        self,
+        call: http_client.Call,
+        run: Run,
+        tried: tuple[str, ...],
+        path: paths.Path,
+    ) -> None:
+        run.opener = path.peer or self._address
+        result = self._walk.connect(call.address, run.opener)
+        if result is connect_probe.ProbeResult.ACCEPTED:
+            self.path_finder.record_opened(call.endpoint, path)
+            run.may_have_arrived = True
+            self._walk.arrive(call.address, run, self._address)
+        else:
+            self.path_finder.record_failed(call.endpoint, path, "refused")
+            self._find_path(call, run, (*tried, path.peer))
+
 
 class Connection:
     """A caller's connection, which keeps the status of the answer."""
@@ -179,6 +244,22 @@
         counters = telemetry.Counters()
         client = Calls(walk=walk, address=address)
         log = Log(walk=walk, address=address)
+        choice = service_choice.ServiceChoice(rng=rng)
+        lent = peer_paths.PeerPaths(
+            client=client,
+            sockets_=None,
+            fleet=self.published,
+            link=self.node.link,
+            members=self.members,
+            timers=self.node.timers,
+            counters=counters,
+            log=log,
+            rng=rng,
+            choice=choice,
+            is_leaving=lambda: False,
+            connect_seconds=CONNECT_SECONDS,
+        )
+        lent.port = 1
         self.context = request_context.RequestContext(
             fleet=self.published,
             dialect=platform_dialect.PlatformDialect(),
@@ -186,7 +267,7 @@
             timers=self.node.timers,
             counters=counters,
             log=log,
-            choice=service_choice.ServiceChoice(rng=rng),
+            choice=choice,
             retries=retry_budget.ServiceBudgets(
                 counters=counters, allowance=retry_budget.Allowance
             ),
@@ -202,6 +283,7 @@
                 rng=rng,
                 is_hub=lambda: self.heartbeats.is_hub,
             ),
+            reach=lent.reach,
             data_centre=centre,
         )
         self.gateway = gateway.Gateway(
@@ -233,6 +315,8 @@
         self._cut_centre = ""
         self._cut_seconds = (0.0, 0.0)
         self._lives = 0
+        self.cut_off: set[str] = set()
+        self.crashed_endpoints: set[str] = set()
         super().__init__(instances, seed=seed, engines=[])
         self._outside = self.network.start("", "10.0.1.1:1")
         for _ in range(schedule.endpoints):
@@ -267,6 +351,8 @@
             self._repeat(schedule.restart_gap_seconds, self._restart_instance)
         if schedule.cut:
             self.later(self.rng.uniform(0.0, 10.0), self._cut)
+        if schedule.cut_off:
+            self._cut_off_some()
         self.run(schedule.seconds)
 
     def late_sends(self, body: bytes) -> list[Sent]:
@@ -286,7 +372,7 @@
         if run.over:
             return
         if endpoint is None:
-            self._fail(run, "refused", may_have_arrived=False)
+            self.fail(run, "refused", may_have_arrived=False)
             return
         endpoint.runs.append(run)
         if run.body.startswith(b"culprit"):
@@ -301,8 +387,8 @@
         bounds = LONG_RUN_SECONDS if is_long else SHORT_RUN_SECONDS
         self.later(self.rng.uniform(*bounds), lambda: self._end(run))
 
-    def connect(self, address: str) -> connect_probe.ProbeResult:
-        if self._at(address) is None:
+    def connect(self, address: str, opener: str) -> connect_probe.ProbeResult:
+        if self._at(address) is None or opener in self.cut_off:
             return connect_probe.ProbeResult.REFUSED
         return connect_probe.ProbeResult.ACCEPTED
 
@@ -341,8 +427,9 @@
             return
         self.crashes[body].append(self.now())
         endpoint.up = False
+        self.crashed_endpoints.add(endpoint.record.name)
         for run in endpoint.runs:
-            self._fail(run, "eof", may_have_arrived=True)
+            self.fail(run, "eof", may_have_arrived=True)
         seconds = self.rng.uniform(*RESTART_SECONDS)
         self.later(seconds, lambda: self._replace(endpoint))
 
@@ -376,6 +463,17 @@
         self.cut(inside)
         self.later(seconds, self.heal)
 
+    def _cut_off_some(self) -> None:
+        chosen = self.rng.sample(self.addresses, self.schedule.cut_off)
+        self.cut_off = set(chosen)
+        for endpoint in self.endpoints.values():
+            for run in endpoint.runs:
+                if run.opener in self.cut_off:
+                    self.fail(run, "reset", may_have_arrived=True)
+        seconds = self.rng.uniform(*CUT_OFF_SECONDS)
+        self.later(seconds, self.cut_off.clear)
+        self.later(CUT_OFF_GAP_SECONDS, self._cut_off_some)
+
     def _in_touch(self, address: str) -> bool:
         instance = self.instances.get(address)
         if instance is None:
@@ -388,7 +486,7 @@
         age_seconds = self.now() - instance.started_at_seconds
         return age_seconds > CONTACT_SECONDS and not is_cut
 
-    def _fail(self, run: Run, reason: str, *, may_have_arrived: bool) -> None:
+    def fail(self, run: Run, reason: str, *, may_have_arrived: bool) -> None:
         if not run.over:
             run.over = True
             failure = http_client.Failure(
