Call no endpoint crashed because of a cut path

A refusal now has to be the endpoint's: no peer may reach it by a new connection, and this instance must reach another endpoint. If it reaches none it is cut off itself, and the cause is unknown.

In the virtual walks one, most and all but one of nine instances are cut off, beside crashes and beside a culprit: no sound endpoint is called crashed, and nothing innocent is refused.

--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -2,7 +2,8 @@
 
 A connection that breaks during a response has many causes: the endpoint
 crashed or left, the network reset the connection, or the endpoint closed it.
-After a crash nothing listens at the address, so a new connection is refused.
+After a crash nothing listens at the address, so a new connection is refused,
+to all instances alike.
 """
 
 from __future__ import annotations
@@ -33,6 +34,14 @@
 MAX_LOGGED_SUSPECTS = 64
 MILLISECONDS = 1000.0
 
+CheckRefusal = Callable[
+    [
+        deployment.EndpointRecord,
+        Callable[[connect_probe.ProbeResult], None],
+    ],
+    None,
+]
+
 
 class BreakCause(enum.Enum):
     """Why the connections to an endpoint broke."""
@@ -84,6 +93,9 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         on_crash: Callable[[DetectedCrash], None],
+        check_refusal: CheckRefusal = lambda record, on_result: on_result(
+            connect_probe.ProbeResult.REFUSED
+        ),
     ) -> None:
         """Begin without any broken connection.
 
@@ -94,7 +106,10 @@
         :param log: gets a line for each verdict
         :param on_crash: called with each crash, again when more of the
             requests that ran there become known
+        :param check_refusal: tells an endpoint that has ended from a path
+            that refuses connections
         """
+        self._check_refusal = check_refusal
         self._client = client
         self._fleet = fleet
         self._timers = timers
@@ -160,6 +175,24 @@
             self._probe(life, case)
             return
         listed = self._fleet.endpoint(life.name)
+        if (
+            result is connect_probe.ProbeResult.REFUSED
+            and listed is not None
+            and not listed.leaving
+        ):
+            self._check_refusal(
+                listed, lambda checked: self._conclude(life, case, checked)
+            )
+        else:
+            self._conclude(life, case, result)
+
+    def _conclude(
+        self,
+        life: EndpointLife,
+        case: BreakCase,
+        result: connect_probe.ProbeResult,
+    ) -> None:
+        listed = self._fleet.endpoint(life.name)
         case.cause = find_cause(result, listed)
         self._write(life, case, result, listed)
         if case.cause is BreakCause.CRASHED:
--- a/src/boragefold/entry/crash_protection.py
+++ b/src/boragefold/entry/crash_protection.py
@@ -37,6 +37,7 @@
     log: decision_log.DecisionLog,
     rng: random.Random,
     is_hub: Callable[[], bool],
+    check_refusal: crash_detector.CheckRefusal,
 ) -> CrashProtection:
     """Create the parts of one instance.
 
@@ -49,6 +50,8 @@
     :param log: gets a line for each decision
     :param rng: staggers trials over the instances
     :param is_hub: whether this instance forwards news of others
+    :param check_refusal: tells an endpoint that has ended from a path that
+        refuses connections
     :return: the parts that requests use
     """
     suspects = crash_suspects.CrashSuspects(trial_jitter=rng.random())
@@ -74,6 +77,7 @@
         counters=counters,
         log=log,
         on_crash=quarantine.record_crash,
+        check_refusal=check_refusal,
     )
     return CrashProtection(detector, quarantine)
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -366,6 +366,7 @@
                 log=self.log,
                 rng=self._rng,
                 is_hub=lambda: self._heartbeats.is_hub,
+                check_refusal=self._paths.refusals.begin,
             ),
             reach=self._paths.reach,
             data_centre=self.settings.data_centre,
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -10,6 +10,7 @@
 from boragefold.coordination.fleet import path_inquiries
 import boragefold.coordination.link as links
 from boragefold.entry import endpoint_reach
+from boragefold.entry import refusal_check
 from boragefold.policy import endpoint_paths
 from boragefold.policy import service_choice
 from boragefold.settings import gateway as gateway_settings
@@ -88,6 +89,9 @@
             tunnel=self._tunnel,
         )
         self.reach.connect(inquiries)
+        self.refusals = refusal_check.RefusalChecks(
+            client=client, fleet=fleet, inquiries=inquiries, rng=rng
+        )
         self.server = tunnel_server.TunnelServer(
             sockets_=sockets_,
             timers=timers,
--- a/tests/entry/test_crash_walk.py
+++ b/tests/entry/test_crash_walk.py
@@ -26,6 +26,14 @@
     "crashes now and then": crash_walk.Schedule(kill_gap_seconds=6.0),
     "crashes in quick succession": crash_walk.Schedule(kill_gap_seconds=3.0),
 }
+CUT_OFF = {
+    "one of nine": crash_walk.Schedule(cut_off=1),
+    "most of nine": crash_walk.Schedule(cut_off=8),
+    "most, beside crashes": crash_walk.Schedule(
+        cut_off=6, kill_gap_seconds=6.0
+    ),
+    "some, beside a culprit": crash_walk.Schedule(cut_off=4, culprits=1),
+}
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
@@ -54,6 +62,22 @@
     assert walk.innocents_refused == 0
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("name", CUT_OFF)
+def test_a_cut_path_is_no_crash_and_no_reason_to_refuse(name, seed) -> None:
+    # Endpoints that only some instances can't reach are sound.
+    walk = crash_walk.CrashWalk(seed=seed, schedule=CUT_OFF[name])
+    walk.play()
+    called_crashed = {
+        fields["endpoint"]
+        for _, _, event, fields in walk.log
+        if event == "endpoint_broke" and fields["verdict"] == "crashed"
+    }
+    assert called_crashed <= walk.crashed_endpoints
+    assert walk.statuses[200] > 0.9 * walk.statuses.total()
+    assert walk.innocents_refused == 0
+
+
 def test_what_began_to_run_isnt_refused_as_not_run() -> None:
     # "Not run" must be true also when the only endpoint crashed and no other
     # one is there for the retry.
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -282,6 +282,7 @@
                 log=log,
                 rng=rng,
                 is_hub=lambda: self.heartbeats.is_hub,
+                check_refusal=lent.refusals.begin,
             ),
             reach=lent.reach,
             data_centre=centre,
