Keep brittle endpoints from falling over in turn

Rejections are counted over all instances, so each gets a part of every endpoint's slots, and uses more only where a fresh report shows half of them free. After a rejection it leaves that endpoint alone until all instances together stay below the limit, with each its one. Requests wait for room here, in order, at most half of their time; the pace at which others left the queue tells what can't be served, which is refused at once with that time. Without the header nothing is bounded or queued.

--- a/src/boragefold/coordination/fleet/members.py
+++ b/src/boragefold/coordination/fleet/members.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 import math
 
 import xxhash
@@ -122,6 +123,14 @@
             self._update_reachable()
         return list(self._reachable.values())
 
+    def reachable_addresses(self) -> Collection[str]:
+        """List the addresses of the instances that are alive.
+
+        :return: the same set as :meth:`reachable`
+        """
+        self.reachable()
+        return self._reachable.keys()
+
     def age_seconds(self, member: member_module.Member) -> float:
         """Tell how long ago an instance started.
 
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -123,6 +123,7 @@
                 slots=facts.slots,
                 now_seconds=context.timers.now_seconds(),
             )
+        self._record_limit(facts)
         self._record_result(
             failed=status in SERVER_ERRORS and not facts.not_held
         )
@@ -199,6 +200,18 @@
             return not facts.signed
         return facts.status in NOT_RUN_STATUSES
 
+    def _record_limit(self, facts: dialects.AnswerFacts) -> None:
+        context = self._forwarding.context
+        now_seconds = context.timers.now_seconds()
+        limits = context.choice.limits
+        limits.record_answer(
+            self._forwarding.admitted.service.name,
+            facts.bearable_rejections,
+            now_seconds=now_seconds,
+        )
+        if facts.no_room:
+            limits.record_rejection(self._record.name, now_seconds=now_seconds)
+
     def _record_broken(self, reason: str) -> None:
         context = self._forwarding.context
         context.crashes.detector.record_broken(
--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -53,7 +53,8 @@
     ``not_run`` is the endpoint's confirmation that it did not run the request
     and never will. ``signed`` tells whether the response carries the
     endpoint's signature. ``busy`` and ``slots`` are the load of the endpoint,
-    None if the response doesn't report it.
+    None if the response doesn't report it. ``bearable_rejections`` are those
+    that an endpoint of the service bears in a second, None for any number.
     """
 
     status: int
@@ -63,6 +64,15 @@
     leaving: bool
     busy: int | None
     slots: int | None
+    bearable_rejections: int | None = None
+
+    @property
+    def no_room(self) -> bool:
+        """Tell whether the endpoint rejected the request for want of room.
+
+        :return: whether another request would be rejected now, too
+        """
+        return self.not_run and not self.not_held and not self.leaving
 
 
 class EndpointTarget(NamedTuple):
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -210,10 +210,18 @@
                 for engine in ranked
                 if engine.name not in self._tried
                 and self.may_send_to(engine.name)
+                and not self._is_resting(engine.name)
             ),
             None,
         )
 
+    def _is_resting(self, engine: str) -> bool:
+        return self.context.choice.limits.is_resting(
+            self.admitted.service.name,
+            engine,
+            now_seconds=self.context.timers.now_seconds(),
+        )
+
     def _request_engine(self, engine: str, *, eager: bool) -> None:
         self._engine = engine
         self._tried.append(engine)
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -27,11 +27,13 @@
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
 from boragefold.entry import request_context
+from boragefold.entry import room_queue
 from boragefold.entry import settings_reload
 from boragefold.entry import shutdown
 from boragefold.entry import store_follower
 from boragefold.entry import store_followers
 from boragefold.policy import admission_counts
+from boragefold.policy import rejection_limits
 from boragefold.policy import retry_budget
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -159,7 +161,13 @@
                 timers=self.timers,
             ),
         )
-        self._choice = service_choice.ServiceChoice(rng=self._rng)
+        self._choice = service_choice.ServiceChoice(
+            rng=self._rng,
+            limits=rejection_limits.RejectionLimits(
+                self_address=self._link.self_id.address,
+                peers=self._members.reachable_addresses,
+            ),
+        )
         self._paths = peer_paths.PeerPaths(
             client=self._client,
             sockets_=self._sockets,
@@ -369,6 +377,9 @@
                 check_refusal=self._paths.refusals.begin,
             ),
             reach=self._paths.reach,
+            rooms=room_queue.RoomQueue(
+                timers=self.timers, counters=self.counters
+            ),
             data_centre=self.settings.data_centre,
         )
         return gateway.Gateway(
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -9,6 +9,7 @@
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
 from boragefold.entry import quarantine
+from boragefold.entry import room_queue
 from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -34,6 +35,7 @@
     rate: shared_rate.SharedRate
     crashes: crash_protection.CrashProtection
     reach: endpoint_reach.EndpointReach
+    rooms: room_queue.RoomQueue
     data_centre: str
 
 
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -1,33 +1,62 @@
-"""Forwards a request to the least loaded endpoint of a plain service."""
+"""Forwards a request to the least loaded endpoint of a plain service.
+
+A request waits for room only where the endpoints can't bear its rejection.
+"""
 
 from __future__ import annotations
 
 from boragefold.entry import dialect as dialects
 from boragefold.entry import forwarding
 from boragefold.entry import refusals
+from boragefold.entry import room_queue
 from boragefold.state import deployment
 
+# Share of the time for an answer that may pass in waiting for room.
+MAX_WAIT_SHARE = 0.5
+
 
-class ServiceForwarding(forwarding.Forwarding):
-    """Forwards a request to an endpoint of a plain service, never queued."""
+class ServiceForwarding(forwarding.Forwarding, room_queue.RoomWaiter):
+    """Forwards a request to an endpoint of a plain service."""
 
     def begin(self) -> None:
-        """Choose an endpoint and send the request, or refuse the request."""
+        """Send the request, let it wait for room, or refuse it."""
+        rooms = self.context.rooms
+        service = self.admitted.service.name
+        if rooms.is_empty(service) and self.try_room():
+            return
+        wait_seconds = rooms.estimate_seconds(service)
+        if wait_seconds > self._allowed_wait_seconds():
+            self.refuse(refusals.NOT_RUN, "no_room", wait_seconds)
+        else:
+            rooms.add(service, self)
+
+    def try_room(self) -> bool:
+        """Send the request if an endpoint has room, or refuse it.
+
+        :return: whether either was done
+        """
         if not self.is_key_valid():
             self.refuse(refusals.NO_KEY, "key_withdrawn")
-            return
-        record = self._choose()
-        if record is None:
+            return True
+        candidates = self._candidates()
+        if not candidates:
             self.refuse(refusals.NOT_RUN, "no_endpoint")
-            return
-        self.send(record, version=0)
+            return True
+        record = self._choose(candidates)
+        if record is not None:
+            self.send(record, version=0)
+        elif self._allowed_wait_seconds() <= 0:
+            self.refuse(refusals.NOT_RUN, "no_room")
+        else:
+            return False
+        return True
 
     def can_try_another(self) -> bool:
         """Tell whether the request could be sent to another endpoint.
 
         :return: whether one is available and the route allows another attempt
         """
-        return self._choose() is not None
+        return self._choose(self._candidates()) is not None
 
     def on_answer_started(self) -> None:
         """Do nothing: no schedule tracks the request."""
@@ -48,16 +77,29 @@
         else:
             self.refuse(refusals.NOT_RUN, reason)
 
-    def _choose(self) -> deployment.EndpointRecord | None:
-        context = self.context
-        candidates = {
+    def _allowed_wait_seconds(self) -> float:
+        waited_seconds = (
+            self.context.timers.now_seconds()
+            - self.admitted.arrived_at_seconds
+        )
+        total_seconds = waited_seconds + self.remaining_seconds()
+        return MAX_WAIT_SHARE * total_seconds - waited_seconds
+
+    def _candidates(self) -> dict[str, deployment.EndpointRecord]:
+        return {
             record.name: record
-            for record in context.fleet.endpoints_of(
+            for record in self.context.fleet.endpoints_of(
                 self.admitted.service.name
             )
             if record.name not in self._sent_to
             and self.may_send_to(record.name)
         }
+
+    def _choose(
+        self, candidates: dict[str, deployment.EndpointRecord]
+    ) -> deployment.EndpointRecord | None:
+        context = self.context
+        now_seconds = context.timers.now_seconds()
         name = context.choice.choose(
             (
                 (
@@ -66,8 +108,14 @@
                     record.data_centre == context.data_centre,
                 )
                 for record in candidates.values()
+                if context.choice.has_room(
+                    record.service,
+                    record.name,
+                    slots=record.slots,
+                    now_seconds=now_seconds,
+                )
             ),
-            now_seconds=context.timers.now_seconds(),
+            now_seconds=now_seconds,
         )
         return None if name is None else candidates[name]
 
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -13,6 +13,8 @@
 import dataclasses
 import random
 
+from boragefold.policy import rejection_limits
+
 SMOOTHING = 0.2
 # The half-life of failures, after which a failing endpoint is tried again.
 FAILURE_HALF_LIFE_SECONDS = 3.0
@@ -30,7 +32,7 @@
 class EndpointStats:
     """Load, failures and latency observed at one endpoint."""
 
-    slots: int = 1
+    reported_slots: int | None = None
     in_flight: int = 0
     failure_rate: float = 0.0
     took_seconds: float | None = None
@@ -42,8 +44,21 @@
 class ServiceChoice:
     """Chooses among endpoints by the load and failures observed at each."""
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        limits: rejection_limits.RejectionLimits | None = None,
+    ) -> None:
+        """Begin without observations.
+
+        :param rng: spreads instances over equal endpoints
+        :param limits: knows what brittle endpoints bear
+        """
         self._rng = rng
+        self.limits = limits or rejection_limits.RejectionLimits(
+            self_address="", peers=frozenset
+        )
         self._records: dict[str, EndpointStats] = {}
 
     def choose(
@@ -62,6 +77,31 @@
         ]
         return min(costs, default=(0.0, None))[1]
 
+    def has_room(
+        self, service: str, endpoint: str, *, slots: int, now_seconds: float
+    ) -> bool:
+        """Tell whether a request may be sent to an endpoint.
+
+        :param service: name of its service
+        :param endpoint: its name
+        :param slots: number of requests that it runs at once, unless its
+            answers tell otherwise
+        :param now_seconds: reading of the process clock
+        :return: whether it bears rejections, or hardly rejects the request
+        """
+        record = self._record(endpoint)
+        if record.reported_slots is not None:
+            slots = record.reported_slots
+        load = rejection_limits.EndpointLoad(
+            slots=slots,
+            in_flight=record.in_flight,
+            others=record.reported_load * slots,
+            report_age_seconds=now_seconds - record.reported_at_seconds,
+        )
+        return self.limits.has_room(
+            service, endpoint, load, now_seconds=now_seconds
+        )
+
     def sent(self, endpoint: str) -> None:
         """Record that a request was sent.
 
@@ -80,6 +120,7 @@
         :param now_seconds: reading of the process clock
         """
         record = self._record(endpoint)
+        record.reported_slots = slots
         record.reported_load = max(0, busy - record.in_flight) / max(1, slots)
         record.reported_at_seconds = now_seconds
 
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from boragefold.standins import machines_http
+from boragefold.standins import run_slots
 from boragefold.timing import timers as timing
 from boragefold.transport import http_server
 
@@ -21,6 +22,10 @@
 WARM_SHARE = 0.1
 SIGNATURE = "Boragefold-Response-Signature"
 NOT_EXECUTED = "Boragefold-Not-Executed"
+LOAD = "Boragefold-Instance-Load"
+BRITTLE = "Server-Brittle"
+# Reported as long as it has no limits.
+DEFAULT_SLOTS = 6
 # A request that crashes the endpoint runs this long before.
 CRASH_SECONDS = 0.05
 
@@ -34,6 +39,8 @@
     leaves the signature out, ``silent`` never answers, ``delay_seconds``
     answers later, ``resumed_status`` is the answer to the rest of a stream.
     ``crash_body`` ends the process under each request with this body.
+    ``limits`` are slots, waiting requests, rejections that it bears in a
+    second, and seconds until it is back from more.
     """
 
     status: int = machines_http.STATUS_OK
@@ -44,6 +51,7 @@
     delay_seconds: float = 0.0
     resumed_status: int = machines_http.STATUS_OK
     crash_body: str = ""
+    limits: tuple[int, int, int, float] = (0, 0, 0, 0.0)
 
 
 class Endpoint:
@@ -78,6 +86,7 @@
         self._had: set[str] = set()
         self._count = 0
         self._faults = Faults()
+        self._slots = run_slots.RunSlots(timers=timers)
         self._runs: list[dict[str, Any]] = []
         self._orders: list[dict[str, Any]] = []
 
@@ -91,10 +100,17 @@
         """
         if request.path == "/control/faults":
             self._faults = Faults(**msgspec.json.decode(request.body))
+            self._slots.limits = run_slots.SlotLimits(*self._faults.limits)
             machines_http.reply_json(exchange, machines_http.STATUS_OK, {})
         elif request.path == "/control/seen":
-            seen = {"runs": self._runs, "orders": self._orders}
+            seen = {
+                "runs": self._runs,
+                "orders": self._orders,
+                "falls": self._slots.falls,
+            }
             machines_http.reply_json(exchange, machines_http.STATUS_OK, seen)
+        elif self._slots.fallen:
+            exchange.abort()
         elif not self._is_meant(request):
             machines_http.reply_json(exchange, STATUS_MISDIRECTED, {})
         elif request.path == "/v1/report":
@@ -170,10 +186,26 @@
             machines_http.reply_json(exchange, STATUS_MISDIRECTED, {})
             return
         faults = self._faults
-        if faults.not_executed:
+        if faults.not_executed or not self._slots.submit(
+            lambda: self._begin(request, exchange)
+        ):
             headers = [*machines_http.JSON, (NOT_EXECUTED, "1")]
-            exchange.reply(STATUS_UNAVAILABLE, headers, b"{}")
-            return
+            exchange.reply(
+                STATUS_UNAVAILABLE, [*headers, *self._load_headers()], b"{}"
+            )
+
+    def _load_headers(self) -> list[tuple[str, str]]:
+        slots, limits = self._slots, self._slots.limits
+        load = (slots.running, slots.waiting, limits.slots or DEFAULT_SLOTS)
+        headers = [(LOAD, ",".join(map(str, load)))]
+        if limits.brittle:
+            headers.append((BRITTLE, str(limits.brittle)))
+        return headers
+
+    def _begin(
+        self, request: http_server.Request, exchange: http_server.Exchange
+    ) -> None:
+        faults = self._faults
         self._runs.append(
             {
                 "headers": dict(request.fields),
@@ -196,10 +228,14 @@
     def _answer(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
+        if self._slots.fallen:
+            exchange.abort()
+            return
+        self._slots.end()
         attempt = request.headers.get("boragefold-attempt-id", "")
         headers = [
             ("Boragefold-Attempt-Id", attempt),
-            ("Boragefold-Instance-Load", "1,0,6"),
+            *self._load_headers(),
         ]
         if not self._faults.unsigned:
             headers.append((SIGNATURE, f"signed-by-{self._name}"))
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -20,6 +20,7 @@
 from boragefold.entry import peer_paths
 from boragefold.entry import quarantine
 from boragefold.entry import request_context
+from boragefold.entry import room_queue
 from boragefold.policy import retry_budget
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -285,6 +286,9 @@
                 check_refusal=lent.refusals.begin,
             ),
             reach=lent.reach,
+            rooms=room_queue.RoomQueue(
+                timers=self.node.timers, counters=counters
+            ),
             data_centre=centre,
         )
         self.gateway = gateway.Gateway(
