Ask peers by a new connection, and tell of rejections

A peer that had reached an endpoint half a second ago could still say so while the endpoint was silent, and the asker would have taken its own path for cut, sent calls again and let an engine's owner change: peers now always open a connection to answer, and ownership moves only after two direct connections failed behind a peer's word. A call waits 0.05 s for the peers at most, then goes to another endpoint as before.

Instances that share a brittle endpoint could each cause one rejection in the same second, more together than it bears. A rejection is now told to all; each leaves the endpoint alone for a time of its own.

--- a/src/boragefold/coordination/fleet/path_inquiries.py
+++ b/src/boragefold/coordination/fleet/path_inquiries.py
@@ -21,8 +21,10 @@
 
 # Most failures are an endpoint's or a single path's: few are asked at first.
 ROUND_SIZES = (2, 6)
-# Peers take as long as a connection may take to open.
-ROUND_SECONDS = 0.35
+# Peers that know, or that reach the endpoint, answer much sooner.
+NEXT_ROUND_SECONDS = 0.05
+# Others take as long as a connection may take to open.
+ANSWER_SECONDS = 0.35
 
 
 class Tunnel(NamedTuple):
@@ -43,7 +45,7 @@
     waiting_for: set[str] = dataclasses.field(default_factory=set)
     asked: int = 0
     reached: bool = False
-    timeout: timing.Subscription | None = None
+    next_step: timing.Subscription | None = None
 
 
 class PathInquiries:
@@ -56,7 +58,7 @@
         members: members_module.Members,
         timers: timing.TimerService,
         rng: random.Random,
-        check: Callable[[str, bool, Callable[[bool], None]], None],
+        check: Callable[[str, Callable[[bool], None]], None],
         tunnel: Callable[[], Tunnel],
     ) -> None:
         """Subscribe to the messages.
@@ -66,7 +68,7 @@
         :param timers: the process clock
         :param rng: chooses whom to ask
         :param check: finds out whether this instance can connect to an
-            endpoint, by a new connection if so asked
+            endpoint
         :param tunnel: returns where this instance opens connections for peers
         """
         self._link = link
@@ -84,14 +86,12 @@
         self,
         endpoint: str,
         *,
-        fresh: bool,
         on_reached: Callable[[paths.Path | None], None],
         on_end: Callable[[bool, int], None],
     ) -> None:
         """Ask peers whether they can connect to an endpoint.
 
         :param endpoint: its name
-        :param fresh: whether they must open a connection to find out
         :param on_reached: called for each peer that can, with the path over
             its tunnel; None if it opens none
         :param on_end: called at the end, with whether any peer can and how
@@ -99,7 +99,7 @@
         """
         number = next(self._numbers)
         inquiry = Inquiry(
-            question=messages.PathQuestion(number, endpoint, fresh),
+            question=messages.PathQuestion(number, endpoint),
             rounds=self._choose_peers(),
             on_reached=on_reached,
             on_end=on_end,
@@ -124,18 +124,31 @@
 
     def _begin_round(self, inquiry: Inquiry) -> None:
         peers = inquiry.rounds.pop(0) if inquiry.rounds else []
-        if not peers or inquiry.reached:
+        if peers and not inquiry.reached:
+            inquiry.asked += len(peers)
+            inquiry.waiting_for.update(peer.address for peer in peers)
+            self._link.send_all(to=peers, body=inquiry.question)
+            self._schedule(inquiry, NEXT_ROUND_SECONDS, self._begin_round)
+        elif inquiry.waiting_for:
+            self._schedule(inquiry, ANSWER_SECONDS, self._end)
+        else:
             self._end(inquiry)
-            return
-        inquiry.asked += len(peers)
-        inquiry.waiting_for = {peer.address for peer in peers}
-        inquiry.timeout = self._timers.once(
-            delay_seconds=ROUND_SECONDS,
-            callback=lambda: self._begin_round(inquiry),
+
+    def _schedule(
+        self,
+        inquiry: Inquiry,
+        delay_seconds: float,
+        step: Callable[[Inquiry], None],
+    ) -> None:
+        if inquiry.next_step is not None:
+            inquiry.next_step.cancel()
+        inquiry.next_step = self._timers.once(
+            delay_seconds=delay_seconds, callback=lambda: step(inquiry)
         )
-        self._link.send_all(to=peers, body=inquiry.question)
 
     def _end(self, inquiry: Inquiry) -> None:
+        if inquiry.next_step is not None:
+            inquiry.next_step.cancel()
         del self._inquiries[inquiry.question.number]
         inquiry.on_end(inquiry.reached, inquiry.asked)
 
@@ -144,7 +157,6 @@
     ) -> None:
         self._check(
             question.endpoint,
-            question.fresh,
             lambda reached: self._answer(sender, question, reached),
         )
 
@@ -171,8 +183,7 @@
         if answer.reached:
             inquiry.reached = True
             inquiry.on_reached(_path(sender, answer))
-        if not inquiry.waiting_for and inquiry.timeout is not None:
-            inquiry.timeout.cancel()
+        if not inquiry.waiting_for:
             self._begin_round(inquiry)
 
 
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -202,15 +202,14 @@
 
     def _record_limit(self, facts: dialects.AnswerFacts) -> None:
         context = self._forwarding.context
-        now_seconds = context.timers.now_seconds()
-        limits = context.choice.limits
-        limits.record_answer(
-            self._forwarding.admitted.service.name,
+        service = self._forwarding.admitted.service.name
+        context.choice.limits.record_answer(
+            service,
             facts.bearable_rejections,
-            now_seconds=now_seconds,
+            now_seconds=context.timers.now_seconds(),
         )
         if facts.no_room:
-            limits.record_rejection(self._record.name, now_seconds=now_seconds)
+            context.rejections.record(service, self._record.name)
 
     def _record_broken(self, reason: str) -> None:
         context = self._forwarding.context
--- a/src/boragefold/entry/endpoint_reach.py
+++ b/src/boragefold/entry/endpoint_reach.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Callable
 import math
+from typing import NamedTuple
 
 from boragefold.coordination.fleet import path_inquiries
 from boragefold.policy import endpoint_paths
@@ -19,16 +20,21 @@
 
 # The end of a partition is noticed this soon, at a connection each.
 PROBE_SECONDS = 0.5
-# A connection that was opened so recently answers a peer's question.
-RECENT_SECONDS = 0.5
 # Whoever is cut off from one endpoint may be cut off from all.
 SCAN_SECONDS = 2.0
+# A call that waits longer for the peers' word is better sent elsewhere.
+WAIT_SECONDS = 0.05
 REACHED = endpoint_paths.Reach.REACHED
 SUSPECTED = endpoint_paths.Reach.SUSPECTED
 CUT_OFF = endpoint_paths.Reach.CUT_OFF
 DOWN = endpoint_paths.Reach.DOWN
 
-Waiting = tuple[tuple[str, ...], path_finder.OnPath]
+
+class WaitingCall(NamedTuple):
+    """A call that waits for the peers' word on its endpoint."""
+
+    tried: tuple[str, ...]
+    on_path: path_finder.OnPath
 
 
 class EndpointReach(path_finder.PathFinder):
@@ -64,7 +70,9 @@
         self._choice = choice
         self._on_changed = on_changed
         self._inquiries: path_inquiries.PathInquiries | None = None
-        self._waiting: dict[str, list[Waiting]] = collections.defaultdict(list)
+        self._waiting: dict[str, list[WaitingCall]] = collections.defaultdict(
+            list
+        )
         self._probing: set[str] = set()
         self._opened_at_seconds: dict[str, float] = {}
         self._scanned_at_seconds = -math.inf
@@ -108,7 +116,12 @@
         :param on_path: called once; None if no path is known to work
         """
         if self._choice.reach(endpoint) is SUSPECTED:
-            self._waiting[endpoint].append((tried, on_path))
+            call = WaitingCall(tried, on_path)
+            self._waiting[endpoint].append(call)
+            self._timers.once(
+                delay_seconds=WAIT_SECONDS,
+                callback=lambda: self._give_up(endpoint, call),
+            )
         else:
             on_path(self._choose(endpoint, tried))
 
@@ -166,22 +179,15 @@
         ):
             self._probe(endpoint)
 
-    def check(
-        self, endpoint: str, fresh: bool, on_result: Callable[[bool], None]
-    ) -> None:
-        """Find out whether this instance can connect to an endpoint.
+    def check(self, endpoint: str, on_result: Callable[[bool], None]) -> None:
+        """Find out whether this instance can connect to an endpoint now.
 
         :param endpoint: its name
-        :param fresh: whether only a new connection tells
         :param on_result: called once, with whether it can
         """
         record = self._fleet.endpoint(endpoint)
-        now_seconds = self._timers.now_seconds()
-        opened_at_seconds = self._opened_at_seconds.get(endpoint, -math.inf)
         if record is None or self._choice.reach(endpoint) in (CUT_OFF, DOWN):
             on_result(False)
-        elif not fresh and now_seconds - opened_at_seconds < RECENT_SECONDS:
-            on_result(True)
         else:
             self._client.probe(
                 record.address,
@@ -221,9 +227,7 @@
         if self._inquiries is None:
             on_end(False, 0)
             return
-        self._inquiries.ask(
-            endpoint, fresh=False, on_reached=on_reached, on_end=on_end
-        )
+        self._inquiries.ask(endpoint, on_reached=on_reached, on_end=on_end)
 
     def _record_reaching(
         self, endpoint: str, path: paths.Path, reason: str
@@ -239,12 +243,17 @@
             self._scan()
         self._settle(endpoint)
 
+    def _give_up(self, endpoint: str, call: WaitingCall) -> None:
+        if call in self._waiting.get(endpoint, ()):
+            self._waiting[endpoint].remove(call)
+            call.on_path(None)
+
     def _settle(self, endpoint: str) -> None:
         # The calls that waited for the peers' word.
         if self._choice.reach(endpoint) is SUSPECTED:
             return
-        for tried, on_path in self._waiting.pop(endpoint, ()):
-            on_path(self._choose(endpoint, tried))
+        for call in self._waiting.pop(endpoint, ()):
+            call.on_path(self._choose(endpoint, call.tried))
 
     def _probe(self, endpoint: str) -> None:
         record = self._fleet.endpoint(endpoint)
@@ -264,7 +273,7 @@
             self.record_opened(endpoint, paths.DIRECT)
             return
         self.record_failed(endpoint, paths.DIRECT, result.value)
-        if self.is_cut_off(endpoint):
+        if self._choice.reach(endpoint) is CUT_OFF:
             self._client.abandon_silent(endpoint)
 
     def _scan(self) -> None:
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -27,15 +27,13 @@
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
 from boragefold.entry import request_context
-from boragefold.entry import room_queue
+from boragefold.entry import service_loads
 from boragefold.entry import settings_reload
 from boragefold.entry import shutdown
 from boragefold.entry import store_follower
 from boragefold.entry import store_followers
 from boragefold.policy import admission_counts
-from boragefold.policy import rejection_limits
 from boragefold.policy import retry_budget
-from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
@@ -161,12 +159,12 @@
                 timers=self.timers,
             ),
         )
-        self._choice = service_choice.ServiceChoice(
+        self._loads = service_loads.connect(
+            link=self._link,
+            members=self._members,
+            timers=self.timers,
+            counters=self.counters,
             rng=self._rng,
-            limits=rejection_limits.RejectionLimits(
-                self_address=self._link.self_id.address,
-                peers=self._members.reachable_addresses,
-            ),
         )
         self._paths = peer_paths.PeerPaths(
             client=self._client,
@@ -178,7 +176,7 @@
             counters=self.counters,
             log=self.log,
             rng=self._rng,
-            choice=self._choice,
+            choice=self._loads.choice,
             is_leaving=lambda: self.shutdown.has_begun,
             connect_seconds=CONNECT_SECONDS,
         )
@@ -195,7 +193,9 @@
             ownership=self._ownership,
             fleet=self._fleet,
             timers=self.timers,
-            health=self._health,
+            health=lambda endpoint: self._loads.choice.health(
+                endpoint, now_seconds=self.timers.now_seconds()
+            ),
         )
         self._relay = relay.Relay(
             link=self._link,
@@ -304,11 +304,6 @@
         self._heartbeats.refresh()
         self._owner_client.retry_pending()
 
-    def _health(self, endpoint: str) -> float:
-        return self._choice.health(
-            endpoint, now_seconds=self.timers.now_seconds()
-        )
-
     def _make_owner(
         self, dialect: engine_dialect.EngineDialect
     ) -> engine_owner.EngineOwner:
@@ -359,7 +354,7 @@
             timers=self.timers,
             counters=self.counters,
             log=self.log,
-            choice=self._choice,
+            choice=self._loads.choice,
             retries=retry_budget.ServiceBudgets(
                 counters=self.counters, allowance=self._retry_allowance
             ),
@@ -377,9 +372,8 @@
                 check_refusal=self._paths.refusals.begin,
             ),
             reach=self._paths.reach,
-            rooms=room_queue.RoomQueue(
-                timers=self.timers, counters=self.counters
-            ),
+            rooms=self._loads.rooms,
+            rejections=self._loads.rejections,
             data_centre=self.settings.data_centre,
         )
         return gateway.Gateway(
--- a/src/boragefold/entry/refusal_check.py
+++ b/src/boragefold/entry/refusal_check.py
@@ -69,7 +69,6 @@
             self._client.probe(control.address, check.record_control)
         self._inquiries.ask(
             record.name,
-            fresh=True,
             on_reached=check.record_reaching,
             on_end=check.record_inquiry_end,
         )
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from boragefold.coordination.fleet import rejection_news
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
@@ -36,6 +37,7 @@
     crashes: crash_protection.CrashProtection
     reach: endpoint_reach.EndpointReach
     rooms: room_queue.RoomQueue
+    rejections: rejection_news.RejectionNews
     data_centre: str
 
 
--- /dev/null
+++ b/src/boragefold/entry/service_loads.py
@@ -0,0 +1,58 @@
+"""Connects the parts that spread requests over endpoints by their load."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import rejection_news
+import boragefold.coordination.link as links
+from boragefold.entry import room_queue
+from boragefold.policy import rejection_limits
+from boragefold.policy import service_choice
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+
+
+class ServiceLoads(NamedTuple):
+    """Chooses endpoints, queues requests, and tells peers of rejections."""
+
+    choice: service_choice.ServiceChoice
+    rooms: room_queue.RoomQueue
+    rejections: rejection_news.RejectionNews
+
+
+def connect(
+    *,
+    link: links.PeerLink,
+    members: members_module.Members,
+    timers: timing.TimerService,
+    counters: telemetry.Counters,
+    rng: random.Random,
+) -> ServiceLoads:
+    """Create the parts of one instance.
+
+    :param link: to the peers
+    :param members: the other instances
+    :param timers: the process clock
+    :param counters: counts the requests that wait
+    :param rng: spreads instances over equal endpoints
+    :return: the parts that requests use
+    """
+    limits = rejection_limits.RejectionLimits(
+        self_address=link.self_id.address, peers=members.reachable_addresses
+    )
+    return ServiceLoads(
+        choice=service_choice.ServiceChoice(rng=rng, limits=limits),
+        rooms=room_queue.RoomQueue(timers=timers, counters=counters),
+        rejections=rejection_news.RejectionNews(
+            link=link, members=members, timers=timers, limits=limits
+        ),
+    )
+
+
+__all__ = [
+    "ServiceLoads",
+    "connect",
+]
--- a/src/boragefold/policy/endpoint_paths.py
+++ b/src/boragefold/policy/endpoint_paths.py
@@ -24,6 +24,8 @@
 MAX_DIRECT_TRIES = 2
 # Each costs the time that a connection takes to open, or fail.
 MAX_TRIES = 5
+# Two packets in a row are seldom lost.
+CERTAIN_FAILURES = 2
 # A peer whose tunnel failed lately is used when no other is there.
 PEER_FAILURE_SECONDS = 3.0
 # The pause between two inquiries about an endpoint that nobody reaches.
@@ -47,14 +49,14 @@
 class EndpointPaths:
     """The paths to one endpoint whose direct path failed.
 
-    ``tunnels`` are by peer, for the peers that reach the endpoint. The
-    endpoint is ``confirmed`` as cut off when a direct connection failed also
-    after a peer reached it.
+    ``tunnels`` are by peer, for the peers that reach the endpoint.
+    ``failures`` counts the direct connections that failed after a peer had
+    reached the endpoint.
     """
 
     reach: Reach
     since_seconds: float
-    confirmed: bool = False
+    failures: int = 0
     tunnels: dict[str, paths.Path] = dataclasses.field(default_factory=dict)
     inquired_at_seconds: float = -math.inf
     inquiry_pause_seconds: float = MIN_INQUIRY_SECONDS
@@ -96,16 +98,17 @@
     def is_cut_off(self, endpoint: str) -> bool:
         """Tell whether only peers reach an endpoint, for certain.
 
-        A single lost packet or a pause of the endpoint isn't a partition.
+        Lost packets and a pause of the endpoint are no partition.
 
         :param endpoint: its name
-        :return: whether a direct connection failed after a peer reached it
+        :return: whether direct connections went on failing after a peer had
+            reached it
         """
         known = self._endpoints.get(endpoint)
         return (
             known is not None
             and known.reach is Reach.CUT_OFF
-            and known.confirmed
+            and known.failures >= CERTAIN_FAILURES
         )
 
     def not_reached(self) -> list[str]:
@@ -174,7 +177,7 @@
             known.reach = Reach.SUSPECTED
             return True
         if known is not None:
-            known.confirmed = known.reach is Reach.CUT_OFF
+            known.failures += known.reach is Reach.CUT_OFF
             return False
         self._endpoints[endpoint] = EndpointPaths(
             reach=Reach.SUSPECTED, since_seconds=now_seconds
--- a/src/boragefold/policy/rejection_limits.py
+++ b/src/boragefold/policy/rejection_limits.py
@@ -5,9 +5,9 @@
 instances see the same free slot and send to it together; when one endpoint
 falls, its load goes to the next. The rejections are counted over all
 instances, which can't ask each other before each request. Therefore each gets
-a part of every endpoint's slots, uses more only where a fresh report shows
-plenty of room, and leaves an endpoint alone after a rejection for so long
-that all instances together stay below the limit.
+a part of every endpoint's slots, and uses more only where a fresh report shows
+plenty of room. After a rejection all leave the endpoint alone for a while, and
+come back one after the other, so that together they stay below the limit.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 BORROWED_SHARE = 0.5
 # A rejection shows that others send more than their parts.
 CAREFUL_SECONDS = 1.0
+MAX_HASH = 2.0**64
 
 
 class EndpointLoad(NamedTuple):
@@ -64,6 +65,7 @@
         self._peers = peers
         self._limits: dict[str, Limit] = {}
         self._rejected_at_seconds: dict[str, float] = {}
+        self._rest_until_seconds: dict[str, float] = {}
 
     def record_answer(
         self, service: str, rejections: int | None, *, now_seconds: float
@@ -80,13 +82,31 @@
         else:
             self._limits[service] = Limit(rejections, now_seconds)
 
-    def record_rejection(self, endpoint: str, *, now_seconds: float) -> None:
+    def record_rejection(
+        self, service: str, endpoint: str, *, own: bool, now_seconds: float
+    ) -> None:
         """Record that an endpoint rejected a request for want of room.
 
+        :param service: name of its service
         :param endpoint: its name
+        :param own: whether the request was this instance's
         :param now_seconds: reading of the process clock
         """
         self._rejected_at_seconds[endpoint] = now_seconds
+        limit = self._limits.get(service)
+        if limit is None:
+            return
+        seconds_each = 1.0 / max(1, limit.rejections)
+        all_seconds = (1 + len(self._peers())) * seconds_each
+        rest_seconds = all_seconds
+        if not own:
+            text = f"{endpoint}\0{self._self_address}\0{now_seconds}"
+            phase = xxhash.xxh3_64_intdigest(text.encode()) / MAX_HASH
+            rest_seconds = seconds_each + phase * all_seconds
+        until_seconds = self._rest_until_seconds.get(endpoint, -math.inf)
+        self._rest_until_seconds[endpoint] = max(
+            until_seconds, now_seconds + rest_seconds
+        )
 
     def is_limited(self, service: str, *, now_seconds: float) -> bool:
         """Tell whether a service's endpoints are brittle.
@@ -105,19 +125,15 @@
     ) -> bool:
         """Tell whether an endpoint is to be left alone after a rejection.
 
-        If each instance causes at most one rejection in this time, all
-        together cause no more in a second than the endpoint bears.
-
         :param service: name of its service
         :param endpoint: its name
         :param now_seconds: reading of the process clock
         :return: whether nothing may be sent there now
         """
-        if not self.is_limited(service, now_seconds=now_seconds):
-            return False
-        bearable = max(1, self._limits[service].rejections)
-        rest_seconds = (1 + len(self._peers())) / bearable
-        return self._since_rejection(endpoint, now_seconds) < rest_seconds
+        until_seconds = self._rest_until_seconds.get(endpoint, -math.inf)
+        return now_seconds < until_seconds and self.is_limited(
+            service, now_seconds=now_seconds
+        )
 
     def has_room(
         self,
--- a/src/boragefold/protocol/path_messages.py
+++ b/src/boragefold/protocol/path_messages.py
@@ -6,15 +6,13 @@
 
 
 class PathQuestion(NamedTuple):
-    """Asks whether the receiver can connect to an endpoint.
+    """Asks whether the receiver can connect to an endpoint now.
 
-    ``number`` identifies the question at its sender. A ``fresh`` one asks for
-    a connection that is opened now; otherwise a recent one will do.
+    ``number`` identifies the question at its sender.
     """
 
     number: int
     endpoint: str
-    fresh: bool
 
 
 class PathAnswer(NamedTuple):
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -10,6 +10,7 @@
 
 from boragefold.protocol import crash_messages
 from boragefold.protocol import ids
+from boragefold.protocol import load_messages
 from boragefold.protocol import path_messages
 from boragefold.protocol import rate_ledger_messages
 
@@ -274,6 +275,7 @@
     RunEnded,
     RunStarted,
     *crash_messages.KINDS,
+    *load_messages.KINDS,
     *path_messages.KINDS,
     *rate_ledger_messages.KINDS,
 )
--- a/tests/entry/test_cut_off_instances.py
+++ b/tests/entry/test_cut_off_instances.py
@@ -7,6 +7,7 @@
 import contextlib
 import http.client
 import os
+import signal
 import threading
 import time
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 import pytest
 
 from tests.fakes import cut_machines
+from tests.fakes import machines as machines_module
 
 GATEWAYS = 3
 # What a cut changed must be known by then.
@@ -21,6 +23,11 @@
 ROUNDS = 6
 PAUSE_SECONDS = 0.15
 LONG_STREAM_EVENTS = 300
+SILENT_SECONDS = 1.1
+# Far more than it takes on a busy machine, far less than any deadline.
+AT_ONCE_SECONDS = 0.8
+# Longer than the balancer needs to notice, shorter than a planned stop.
+STOP_SECONDS = 7.0
 # Of the share of first tries that the other instances serve.
 MIN_SHARE = 2 / 3
 MAX_FAILED = 10
@@ -165,3 +172,74 @@
         )
     ]
     assert not found, "\n".join(found)
+
+
+def test_what_nobody_reaches_is_refused_at_once(machines) -> None:
+    # A request that can't be served must not wait for its deadline.
+    for number in range(GATEWAYS):
+        machines.cut(number, HANG, SILENT)
+    try:
+        _play(machines, rounds=int(CONTACT_SECONDS / PAUSE_SECONDS))
+        tries = [
+            each
+            for each in _play(machines, rounds=ROUNDS)
+            if each.route in ("orders", "reads")
+        ]
+    finally:
+        for number in range(GATEWAYS):
+            machines.heal(number)
+    assert {each.status for each in tries} == {503}
+    assert max(each.seconds for each in tries) < AT_ONCE_SECONDS
+    machines_module.eventually(
+        lambda: _share(_play(machines, rounds=1)) == 1.0
+    )
+
+
+def test_a_planned_stop_of_a_lender_cuts_nothing(machines) -> None:
+    # A stopping instance must pass on what it carries for its peers.
+    machines.cut(0, REFUSED, LIVE)
+    machines.cut(1, REFUSED, LIVE)
+    try:
+        _play(machines, rounds=int(CONTACT_SECONDS / PAUSE_SECONDS))
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            begun = [
+                pool.submit(
+                    machines.generate, "", number=n, events=LONG_STREAM_EVENTS
+                )
+                for n in (0, 1)
+                for _ in range(3)
+            ]
+            time.sleep(PAUSE_SECONDS)
+            machines.signal(2, signal.SIGTERM)
+            replies = [each.result() for each in begun]
+        assert {reply.status for reply in replies} == {200}
+        counts = {reply.body.count(b"id: ") for reply in replies}
+        assert counts == {LONG_STREAM_EVENTS}
+        assert machines.wait(2, STOP_SECONDS) == 0
+    finally:
+        for number in (0, 1):
+            machines.heal(number)
+        machines.start_gateway(2)
+        machines_module.eventually(lambda: machines.is_ready(2))
+
+
+def test_a_silent_second_of_an_endpoint_is_no_fault(machines) -> None:
+    # Nothing may be cut, sent twice or called crashed for it.
+    machines_module.eventually(
+        lambda: _share(_play(machines, rounds=1)) == 1.0
+    )
+    begun_at = time.time()
+    before = len(_ran_twice(machines))
+    machines.faults("desk-0", delay_seconds=SILENT_SECONDS)
+    tries = _play(machines, rounds=2 * ROUNDS)
+    machines.faults("desk-0")
+    assert _share(tries) == 1.0
+    assert len(_ran_twice(machines)) == before
+    changes = [
+        line["event"]
+        for number in range(GATEWAYS)
+        for line in machines.lines(number)
+        if line["time_seconds"] > begun_at
+        and line["event"] in ("path_lost", "endpoint_unreached")
+    ]
+    assert not changes
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -20,9 +20,8 @@
 from boragefold.entry import peer_paths
 from boragefold.entry import quarantine
 from boragefold.entry import request_context
-from boragefold.entry import room_queue
+from boragefold.entry import service_loads
 from boragefold.policy import retry_budget
-from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
 from boragefold.protocol import paths
 from boragefold.state import deployment
@@ -245,7 +244,13 @@
         counters = telemetry.Counters()
         client = Calls(walk=walk, address=address)
         log = Log(walk=walk, address=address)
-        choice = service_choice.ServiceChoice(rng=rng)
+        loads = service_loads.connect(
+            link=self.node.link,
+            members=self.members,
+            timers=self.node.timers,
+            counters=counters,
+            rng=rng,
+        )
         lent = peer_paths.PeerPaths(
             client=client,
             sockets_=None,
@@ -256,7 +261,7 @@
             counters=counters,
             log=log,
             rng=rng,
-            choice=choice,
+            choice=loads.choice,
             is_leaving=lambda: False,
             connect_seconds=CONNECT_SECONDS,
         )
@@ -268,7 +273,7 @@
             timers=self.node.timers,
             counters=counters,
             log=log,
-            choice=choice,
+            choice=loads.choice,
             retries=retry_budget.ServiceBudgets(
                 counters=counters, allowance=retry_budget.Allowance
             ),
@@ -286,9 +291,8 @@
                 check_refusal=lent.refusals.begin,
             ),
             reach=lent.reach,
-            rooms=room_queue.RoomQueue(
-                timers=self.node.timers, counters=counters
-            ),
+            rooms=loads.rooms,
+            rejections=loads.rejections,
             data_centre=centre,
         )
         self.gateway = gateway.Gateway(
