Draw cut paths, brittle endpoints and silent seconds in the soak

RECOVER and LIMIT are checked by the bounds of the users' rules. Faults of endpoints have a file of their own.

--- a/tests/fakes/cut_machines.py
+++ b/tests/fakes/cut_machines.py
@@ -52,11 +52,13 @@
 
 
 class CutMachines(machines_module.Machines):
-    """The fleet, with a proxy before each endpoint."""
+    """The fleet, with a proxy before each endpoint unless ``direct``."""
 
-    def __init__(self, folder, *, gateways) -> None:
+    def __init__(self, folder, *, gateways, direct=False) -> None:
         super().__init__(folder, gateways=gateways)
         self.proxies = proxy.Proxies()
+        self._direct = direct
+        self._published: dict[str, str] = {}
         self.black_hole = BlackHole()
         self._instead = {
             NewConnections.REFUSED: ports.free_address(),
@@ -64,9 +66,11 @@
         }
 
     def publish(self, name, **changes):
-        if name not in self.proxies.by_name:
+        if name not in self.proxies.by_name and not self._direct:
             self.proxies.open(name, self.endpoints[name])
-        address = self.proxies.by_name[name].address
+        behind = self.proxies.by_name.get(name)
+        address = self.endpoints[name] if behind is None else behind.address
+        self._published[name] = address
         super().publish(name, **{"address": address, **changes})
 
     def start_gateway(self, number):
@@ -94,7 +98,7 @@
         """Cut a gateway off from the endpoints whose names begin so."""
         names = [n for n in self.endpoints if n.startswith(prefix)]
         cut = {
-            "addresses": [self.proxies.by_name[n].address for n in names],
+            "addresses": [self._published[name] for name in names],
             "instead": self._instead[new],
         }
         # Replaced at once: the gateway may be reading it.
@@ -102,7 +106,7 @@
         draft.write_text(json.dumps(cut))
         draft.replace(self._cut_file(number))
         host = self.gateways[number]["front"].rpartition(":")[0]
-        for name in names:
+        for name in self.proxies.by_name.keys() & names:
             if opened is OpenConnections.SILENT:
                 self.proxies.silence(name, host)
             elif opened is OpenConnections.RESET:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,11 @@
 # often after that.
 CONTACT_SECONDS = 3.0
 MAX_LATE_SENDS = 3
+# Callers of instances that are cut off from all endpoints, beside others.
+MIN_CUT_OFF_SHARE = 2 / 3
+MAX_CUT_OFF_FAILED = 10
+# Two, and a tenth of the number of endpoints.
+MAX_FALLS = 2
 # In the calm seconds at the end so much is served.
 CALM_SERVED_SHARE = 0.9
 
@@ -41,6 +46,8 @@
         *_leaving(run),
         *_planned_stops(run, seen),
         *_culprit(run),
+        *_cut_off(run, seen),
+        *_falls(run),
         *_served(run, seen),
     ]
 
@@ -164,6 +171,36 @@
         yield f"BUDGET: {len(late)} sends after {known_at}: {late}"
 
 
+def _cut_off(run, seen) -> Iterator[str]:
+    for cut in run.cuts:
+        during = [
+            each
+            for each in seen
+            if cut.begin_seconds + CONTACT_SECONDS < each.sent_at_seconds
+            and each.ended_at_seconds < cut.end_seconds
+            and not run.touched(each.gateway, each.sent_at_seconds)
+            and each.key not in run.withdrawn
+        ]
+        here = [each for each in during if each.gateway in cut.gateways]
+        others = [each for each in during if each.gateway not in cut.gateways]
+        failed = sum(each.status != 200 for each in here)
+        if (
+            _share(here) < MIN_CUT_OFF_SHARE * _share(others)
+            and failed > MAX_CUT_OFF_FAILED + len(here) / 50
+        ):
+            yield f"RECOVER: {failed} of {len(here)} failed in {cut}"
+
+
+def _share(seen: list[callers.Seen]) -> float:
+    return sum(each.status == 200 for each in seen) / max(1, len(seen))
+
+
+def _falls(run) -> Iterator[str]:
+    for falls in run.falls:
+        if falls > MAX_FALLS:
+            yield f"LIMIT: brittle endpoints fell over {falls} times"
+
+
 def _served(run, seen) -> Iterator[str]:
     calm = [
         each
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -47,7 +47,13 @@
 
 # Played where they are named: drawn among the others, they would change the
 # plans of all seeds.
-NAMED_KINDS = {"endpoint_resets_answers": 1, "crashing_request": 1}
+NAMED_KINDS = {
+    "endpoint_resets_answers": 1,
+    "crashing_request": 1,
+    "cut_off": 2,
+    "brittle": 1,
+    "silent_second": 1,
+}
 
 
 def make(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets, silences or cuts one way."""
+"""A loopback proxy that delays, holds, resets, silences or cuts one way."""
 
 from __future__ import annotations
 
@@ -18,10 +18,12 @@
     SILENT = "silent"
     NO_ANSWERS = "no_answers"
     RESET_ANSWERS = "reset_answers"
+    HOLD = "hold"
 
 
 # Longer than the way between data centres, shorter than any timeout.
 DELAY_SECONDS = 0.08
+HOLD_CHECK_SECONDS = 0.02
 
 
 class Proxy:
@@ -93,6 +95,8 @@
                     return
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
+                while self.mode is Mode.HOLD:
+                    await asyncio.sleep(HOLD_CHECK_SECONDS)
                 lost = self.mode is Mode.SILENT
                 lost |= self.mode is Mode.NO_ANSWERS and answers
                 lost |= self._sources[writer] in self.silenced
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,9 +10,11 @@
 import threading
 import time
 
+from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
 from tests.soak import callers
 from tests.soak import checks
+from tests.soak import endpoint_faults
 from tests.soak import plan
 from tests.soak import proxy
 
@@ -26,27 +28,13 @@
 ENDPOINT_AWAY_SECONDS = 0.5
 
 
-class SoakMachines(machines_module.Machines):
-    """The fleet, with a proxy before each endpoint and store.
+class SoakMachines(cut_machines.CutMachines):
+    """The fleet, with a proxy before each store as well.
 
     A proxy accepts connections for an endpoint that is gone; ``direct`` leaves
     the endpoints' own addresses published.
     """
 
-    def __init__(self, folder, *, gateways, proxies, direct=False) -> None:
-        super().__init__(folder, gateways=gateways)
-        self.proxies = proxies
-        self.direct = direct
-
-    def publish(self, name, **changes):
-        if self.direct:
-            super().publish(name, **changes)
-            return
-        if name not in self.proxies.by_name:
-            self.proxies.open(name, self.endpoints[name])
-        address = self.proxies.by_name[name].address
-        super().publish(name, **{"address": address, **changes})
-
     def _settings(self, number):
         name = f"store-{number}"
         if name not in self.proxies.by_name:
@@ -56,7 +44,7 @@
         return {**settings, "platform": {"address": address}}
 
 
-class Run:
+class Run(endpoint_faults.EndpointFaults):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
     def __init__(
@@ -69,11 +57,9 @@
         faults: list[plan.Fault],
         length_seconds: float = plan.LENGTH_SECONDS,
     ) -> None:
-        self.proxies = proxy.Proxies()
         self.machines = SoakMachines(
             folder,
             gateways=gateways,
-            proxies=self.proxies,
             direct=any(fault.kind == "crashing_request" for fault in faults),
         )
         self.culprit_ids: set[str] = set()
@@ -86,6 +72,8 @@
         self.holder = dict.fromkeys(self.keys, "press")
         self.withdrawn: dict[str, float] = {}
         self.left: dict[str, tuple[float, float]] = {}
+        self.cuts: list[endpoint_faults.Cut] = []
+        self.falls: list[int] = []
         self.planned_stops: list[tuple[int, float]] = []
         self.calm_from_seconds = 0.0
         self.callers = [
@@ -111,7 +99,6 @@
         finally:
             self.over.set()
             self.machines.stop()
-            self.proxies.close()
 
     def taking(self) -> list[int]:
         """List the gateways that a balancer would send callers to."""
@@ -236,11 +223,6 @@
     def _store_forgets(self, fault: plan.Fault) -> None:
         machines_module.call(self.machines.store, "PUT", "/control/forget")
 
-    def _through(self, name: str, mode: proxy.Mode, seconds: float) -> None:
-        self.proxies.set(name, mode)
-        time.sleep(seconds)
-        self.proxies.set(name, proxy.Mode.PASS)
-
     def _store(self, fault: plan.Fault, mode: proxy.Mode) -> None:
         number = fault.what % len(self.machines.gateways)
         self._note(number, fault.for_seconds)
@@ -255,42 +237,6 @@
     def _store_resets_one(self, fault: plan.Fault) -> None:
         self._store(fault, proxy.Mode.RESET)
 
-    def _name(self, fault: plan.Fault) -> str:
-        names = sorted(self.machines.endpoints)
-        return names[fault.what % len(names)]
-
-    def _endpoint(self, fault: plan.Fault, mode: proxy.Mode) -> None:
-        self._note(None, fault.for_seconds)
-        self._through(self._name(fault), mode, fault.for_seconds)
-
-    def _endpoint_silent(self, fault: plan.Fault) -> None:
-        self._endpoint(fault, proxy.Mode.SILENT)
-
-    def _endpoint_resets(self, fault: plan.Fault) -> None:
-        self._endpoint(fault, proxy.Mode.RESET)
-
-    def _endpoint_slow(self, fault: plan.Fault) -> None:
-        self._endpoint(fault, proxy.Mode.DELAY)
-
-    def _endpoint_answers_lost(self, fault: plan.Fault) -> None:
-        self._endpoint(fault, proxy.Mode.NO_ANSWERS)
-
-    def _endpoint_resets_answers(self, fault: plan.Fault) -> None:
-        self._endpoint(fault, proxy.Mode.RESET_ANSWERS)
-
-    def _faulty(self, fault: plan.Fault, **faults: object) -> None:
-        self._note(None, fault.for_seconds)
-        name = self._name(fault)
-        self.machines.faults(name, **faults)
-        time.sleep(fault.for_seconds)
-        self.machines.faults(name)
-
-    def _endpoint_fails(self, fault: plan.Fault) -> None:
-        self._faulty(fault, status=500)
-
-    def _endpoint_cuts(self, fault: plan.Fault) -> None:
-        self._faulty(fault, cut_after=2)
-
     def _endpoint_leaves(self, fault: plan.Fault) -> None:
         name = self._name(fault)
         if not self._claim("leaving"):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -78,6 +78,26 @@
     assert len(one.crashed_at_seconds) >= 3
 
 
+def test_cut_paths_and_brittle_endpoints_break_no_promise(tmp_path) -> None:
+    # Lenders that are stopped and killed meanwhile must cost nothing more.
+    faults = [
+        plan.Fault(2.0, "brittle", 0, 3.0),
+        plan.Fault(3.0, "cut_off", 4, 3.0),
+        plan.Fault(5.0, "stop", 2, 1.0),
+        plan.Fault(9.0, "silent_second", 1, 1.0),
+    ]
+    one = run.Run(
+        tmp_path,
+        seed=1,
+        gateways=4,
+        callers_count=CALLERS,
+        faults=faults,
+        length_seconds=LENGTH_SECONDS + 4.0,
+    )
+    assert one.play() == []
+    assert one.cuts and one.falls
+
+
 def test_a_seed_repeats_its_plan() -> None:
     first = plan.make(5, length_seconds=24.0)
     assert first == plan.make(5, length_seconds=24.0)
