Answer questions on paths to instances of the fleet only

An outsider's question had a connection opened to an endpoint before it was dropped; now nothing is done for it.

--- a/src/boragefold/coordination/fleet/path_inquiries.py
+++ b/src/boragefold/coordination/fleet/path_inquiries.py
@@ -155,6 +155,10 @@
     def _handle_question(
         self, sender: ids.InstanceId, question: messages.PathQuestion
     ) -> None:
+        known = self._members.identity(sender.address)
+        if known.incarnation != sender.incarnation:
+            # Tunnels are for the instances of the fleet only.
+            return
         self._check(
             question.endpoint,
             lambda reached: self._answer(sender, question, reached),
@@ -166,10 +170,6 @@
         question: messages.PathQuestion,
         reached: bool,
     ) -> None:
-        known = self._members.identity(sender.address)
-        if known.incarnation != sender.incarnation:
-            # Tunnels are for the instances of the fleet only.
-            return
         answer = messages.PathAnswer(question.number, reached, *self._tunnel())
         self._link.send(to=sender, body=answer)
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -15,7 +15,6 @@
 from boragefold.coordination.fleet import readers
 from boragefold.coordination.fleet import relay
 from boragefold.coordination.fleet import removal_grace
-from boragefold.coordination.fleet import self_link
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
@@ -132,11 +131,8 @@
             must_read=self._must_read,
             grace=self._grace,
         )
-        self._link = self_link.SelfLink(
-            link=gateway_link.open_link(
-                settings=settings, loop=self.loop, counters=self.counters
-            ),
-            timers=self.timers,
+        self._link = gateway_link.open_link(
+            settings=settings, loop=self.loop, counters=self.counters
         )
         self._members = members_module.Members(
             timers=self.timers, self_id=self._link.self_id
--- a/src/boragefold/entry/gateway_link.py
+++ b/src/boragefold/entry/gateway_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from boragefold.coordination.fleet import self_link
 from boragefold.protocol import envelope
 from boragefold.protocol import ids
 from boragefold.protocol import order_lease_messages
@@ -17,13 +18,14 @@
     settings: gateway_settings.GatewaySettings,
     loop: loops.Loop,
     counters: telemetry.Counters,
-) -> peer_link.ZmqPeerLink:
+) -> self_link.SelfLink:
     """Create the link and run it on a loop.
 
     :param settings: address and data centre of this instance
     :param loop: the event loop of the process
     :param counters: counts messages and bytes
-    :return: the link, as a new incarnation of this instance
+    :return: the link, as a new incarnation of this instance, which reaches
+        the instance itself, too
     """
     link = peer_link.ZmqPeerLink(
         poller=loop.poller,
@@ -40,7 +42,7 @@
         heartbeats=False,
     )
     link.register(loop)
-    return link
+    return self_link.SelfLink(link=link, timers=loop.timers)
 
 
 __all__ = [
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -14,10 +14,13 @@
 # Events that change the state of a process, apart from those of requests.
 STATE_EVENTS = frozenset(
     {
+        "endpoint_unreached",
         "engine_given_up",
         "engine_taken_up",
         "fleet_changed",
         "log_lines_lost",
+        "path_found",
+        "path_lost",
         "peer_heard",
         "peer_silent",
         "settings_refused",
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -160,6 +160,23 @@
     assert (facts.busy, facts.slots) == (None, None)
 
 
+@pytest.mark.parametrize(
+    ("headers", "bearable"),
+    [
+        ({"server-brittle": "4"}, 4),
+        ({"boragefold-instance-brittle": " 6 "}, 6),
+        ({"server-brittle": "some"}, None),
+        ({}, None),
+    ],
+)
+def test_what_brittle_endpoints_bear_is_parsed(
+    translator, headers, bearable
+) -> None:
+    # Endpoints that can't be read bear any number, as those that say nothing.
+    facts = translator.read_answer(200, headers)
+    assert facts.bearable_rejections == bearable
+
+
 def test_an_answer_to_another_request_is_detected(translator) -> None:
     request = translator.read_request(http())
     assert translator.answers(request, {"boragefold-attempt-id": "9c41"})
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,6 +50,15 @@
     assert found.retry_limit.slack == 54
 
 
+def test_tunnels_use_the_first_port_that_is_free_for_instances(
+    tmp_path,
+) -> None:
+    assert read(tmp_path, SETTINGS).tunnel_listen == ""
+    ports = {"internal_port_range": [7600, 7615]}
+    found = read(tmp_path, {**SETTINGS, **ports})
+    assert found.tunnel_listen == "10.1.0.25:7600"
+
+
 @pytest.mark.parametrize("missing", ["node_name", "listen", "platform"])
 def test_a_missing_field_is_named(tmp_path, missing) -> None:
     given = {key: value for key, value in SETTINGS.items() if key != missing}
