--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -1,4 +1,4 @@
-"""Connects the parts through which instances lend each other connections."""
+"""Connects the parts by which instances open connections for each other."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class PeerPaths:
-    """The paths of this instance to endpoints, and those that it lends."""
+    """The paths of this instance to endpoints, and its tunnels for peers."""
 
     def __init__(
         self,
--- a/tests/entry/test_cut_off_instances.py
+++ b/tests/entry/test_cut_off_instances.py
@@ -195,7 +195,7 @@
     )
 
 
-def test_a_planned_stop_of_a_lender_cuts_nothing(machines) -> None:
+def test_a_planned_stop_of_a_peer_with_tunnels_cuts_nothing(machines) -> None:
     # A stopping instance must pass on what it carries for its peers.
     machines.cut(0, REFUSED, LIVE)
     machines.cut(1, REFUSED, LIVE)
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -251,7 +251,7 @@
             counters=counters,
             rng=rng,
         )
-        lent = peer_paths.PeerPaths(
+        own_paths = peer_paths.PeerPaths(
             client=client,
             sockets_=None,
             fleet=self.published,
@@ -265,7 +265,7 @@
             is_leaving=lambda: False,
             connect_seconds=CONNECT_SECONDS,
         )
-        lent.port = 1
+        own_paths.port = 1
         self.context = request_context.RequestContext(
             fleet=self.published,
             dialect=platform_dialect.PlatformDialect(),
@@ -288,9 +288,9 @@
                 log=log,
                 rng=rng,
                 is_hub=lambda: self.heartbeats.is_hub,
-                check_refusal=lent.refusals.begin,
+                check_refusal=own_paths.refusals.begin,
             ),
-            reach=lent.reach,
+            reach=own_paths.reach,
             rooms=loads.rooms,
             rejections=loads.rejections,
             data_centre=centre,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,18 +33,30 @@
 )
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_under_faults(seed, tmp_path) -> None:
-    faults = plan.make(seed, length_seconds=LENGTH_SECONDS)
+def _play(
+    folder,
+    *,
+    faults: list[plan.Fault],
+    seed: int = 1,
+    gateways: int = 3,
+    length_seconds: float = LENGTH_SECONDS,
+) -> run.Run:
     one = run.Run(
-        tmp_path,
+        folder,
         seed=seed,
-        gateways=3,
+        gateways=gateways,
         callers_count=CALLERS,
         faults=faults,
-        length_seconds=LENGTH_SECONDS,
+        length_seconds=length_seconds,
     )
     assert one.play() == []
+    return one
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path) -> None:
+    faults = plan.make(seed, length_seconds=LENGTH_SECONDS)
+    one = _play(tmp_path, seed=seed, faults=faults)
     assert sum(len(caller.seen) for caller in one.callers) > 100
 
 
@@ -52,15 +64,7 @@
     # No other fault makes a request run whose answer is lost while there is
     # time to send it once more.
     faults = [plan.Fault(3.0, "endpoint_resets_answers", DESK, 5.0)]
-    one = run.Run(
-        tmp_path,
-        seed=1,
-        gateways=3,
-        callers_count=CALLERS,
-        faults=faults,
-        length_seconds=LENGTH_SECONDS,
-    )
-    assert one.play() == []
+    one = _play(tmp_path, faults=faults)
     ended = [
         line
         for number in range(3)
@@ -77,35 +81,23 @@
         plan.Fault(5.0, "kill", 1, 1.0),
         plan.Fault(6.5, "stop", 2, 1.0),
     ]
-    one = run.Run(
-        tmp_path,
-        seed=1,
-        gateways=3,
-        callers_count=CALLERS,
-        faults=faults,
-        length_seconds=LENGTH_SECONDS + 4.0,
-    )
-    assert one.play() == []
+    length_seconds = LENGTH_SECONDS + 4.0
+    one = _play(tmp_path, faults=faults, length_seconds=length_seconds)
     assert len(one.crashed_at_seconds) >= 3
 
 
 def test_cut_paths_and_brittle_endpoints_break_no_promise(tmp_path) -> None:
-    # Lenders that are stopped and killed meanwhile must cost nothing more.
+    # A peer whose tunnels are in use is stopped meanwhile.
     faults = [
         plan.Fault(2.0, "brittle", 0, 3.0),
         plan.Fault(3.0, "cut_off", 4, 3.0),
         plan.Fault(5.0, "stop", 2, 1.0),
         plan.Fault(9.0, "silent_second", 1, 1.0),
     ]
-    one = run.Run(
-        tmp_path,
-        seed=1,
-        gateways=4,
-        callers_count=CALLERS,
-        faults=faults,
-        length_seconds=LENGTH_SECONDS + 4.0,
+    length_seconds = LENGTH_SECONDS + 4.0
+    one = _play(
+        tmp_path, gateways=4, faults=faults, length_seconds=length_seconds
     )
-    assert one.play() == []
     assert one.cuts and one.falls
 
 
@@ -114,17 +106,15 @@
 ) -> None:
     # It must learn that endpoints are no longer brittle.
     seed = 390010
-    one = run.Run(
+    length_seconds = plan.LENGTH_SECONDS
+    faults = plan.make(seed, kinds=PATH_KINDS, length_seconds=length_seconds)
+    _play(
         tmp_path,
         seed=seed,
         gateways=4,
-        callers_count=CALLERS,
-        faults=plan.make(
-            seed, kinds=PATH_KINDS, length_seconds=plan.LENGTH_SECONDS
-        ),
-        length_seconds=plan.LENGTH_SECONDS,
+        faults=faults,
+        length_seconds=length_seconds,
     )
-    assert one.play() == []
 
 
 def test_a_seed_repeats_its_plan() -> None:
