Say once who stays, what wasn't run and when a refusal is checked

Reading the change again: two places filtered the peers that stay by the same condition, two asked whether an attempt was rejected or unsent, and the crash detector repeated its own judgement to decide whether a refusal is checked. Each is said in one place now. The reach of endpoints gets its inquiries when it is created, so the state without them and the branch for it are gone. Behaviour is unchanged.

--- a/src/boragefold/coordination/fleet/member.py
+++ b/src/boragefold/coordination/fleet/member.py
@@ -49,6 +49,14 @@
             self.state_uptime_milliseconds, self.engines_uptime_milliseconds
         )
 
+    @property
+    def staying(self) -> bool:
+        """Tell whether the instance can be relied on for a while.
+
+        :return: whether it told its state, and isn't leaving by that
+        """
+        return self.beat is not None and not self.beat.leaving
+
     def record_report(self, at_seconds: float, *, first_hand: bool) -> None:
         """Record that a hub reported this instance as alive.
 
--- a/src/boragefold/coordination/fleet/path_inquiries.py
+++ b/src/boragefold/coordination/fleet/path_inquiries.py
@@ -111,7 +111,7 @@
         peers = [
             member.instance
             for member in self._members.reachable()
-            if member.beat is not None and not member.beat.leaving
+            if member.staying
         ]
         self._rng.shuffle(peers)
         own = self._link.self_id.data_centre
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -54,6 +54,14 @@
         """
         return not self._ended
 
+    @property
+    def not_run(self) -> bool:
+        """Tell whether the endpoint certainly didn't run the request.
+
+        :return: whether it was rejected, or never sent
+        """
+        return self.rejected or self.unsent
+
     @property
     def unsent(self) -> bool:
         """Tell whether nothing was sent to the endpoint.
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -109,13 +109,13 @@
         :param check_refusal: tells an endpoint that has ended from a path
             that refuses connections
         """
-        self._check_refusal = check_refusal
         self._client = client
         self._fleet = fleet
         self._timers = timers
         self._counters = counters
         self._log = log
         self._on_crash = on_crash
+        self._check_refusal = check_refusal
         self._cases: dict[EndpointLife, BreakCase] = {}
 
     def record_broken(
@@ -175,13 +175,10 @@
             self._probe(life, case)
             return
         listed = self._fleet.endpoint(life.name)
-        if (
-            result is connect_probe.ProbeResult.REFUSED
-            and listed is not None
-            and not listed.leaving
-        ):
+        if find_cause(result, listed) is BreakCause.CRASHED:
             self._check_refusal(
-                listed, lambda checked: self._conclude(life, case, checked)
+                case.record,
+                lambda checked: self._conclude(life, case, checked),
             )
         else:
             self._conclude(life, case, result)
--- a/src/boragefold/entry/endpoint_reach.py
+++ b/src/boragefold/entry/endpoint_reach.py
@@ -51,6 +51,7 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         choice: endpoint_paths.PathChoice,
+        inquiries: path_inquiries.PathInquiries,
         on_changed: Callable[[str], None],
     ) -> None:
         """Begin with all endpoints reached.
@@ -61,6 +62,7 @@
         :param counters: counts the changes
         :param log: gets a line for each change
         :param choice: knows the paths
+        :param inquiries: asks the peers
         :param on_changed: called with an endpoint's name when it turns out
             that this instance is cut off from it, and when it is reached again
         """
@@ -71,7 +73,7 @@
         self._log = log
         self._choice = choice
         self._on_changed = on_changed
-        self._inquiries: path_inquiries.PathInquiries | None = None
+        self._inquiries = inquiries
         self._waiting: dict[str, list[WaitingCall]] = collections.defaultdict(
             list
         )
@@ -81,13 +83,6 @@
         client.path_finder = self
         timers.every(period_seconds=PROBE_SECONDS, callback=self._review)
 
-    def connect(self, inquiries: path_inquiries.PathInquiries) -> None:
-        """Set through what peers are asked.
-
-        :param inquiries: asks them; answers theirs with ``check``
-        """
-        self._inquiries = inquiries
-
     def is_cut_off(self, endpoint: str) -> bool:
         """Tell whether only peers reach an endpoint.
 
@@ -135,10 +130,10 @@
         """
         if path.peer:
             return
-        now_seconds = self._timers.now_seconds()
-        if self._choice.reach(endpoint) is REACHED:
-            return
         before = self._choice.reach(endpoint)
+        if before is REACHED:
+            return
+        now_seconds = self._timers.now_seconds()
         lost_seconds = now_seconds - self._choice.since_seconds(endpoint)
         self._choice.record_opened(endpoint)
         if before is not SUSPECTED:
@@ -225,9 +220,6 @@
                 )
             self._settle(endpoint)
 
-        if self._inquiries is None:
-            on_end(False, 0)
-            return
         self._inquiries.ask(endpoint, on_reached=on_reached, on_end=on_end)
 
     def _record_reaching(
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -357,7 +357,7 @@
         attempt = self._attempt
         if attempt is not None:
             attempt.cancel(failed=True)
-        if attempt is None or attempt.rejected or attempt.unsent:
+        if attempt is None or attempt.not_run:
             self.refuse(refusals.NOT_RUN, "not_started_in_time")
         else:
             self.refuse(refusals.TIMED_OUT, "timeout")
@@ -388,7 +388,7 @@
         workspace = self.admitted.workspace
         attempt = self._attempt
         unused = not self._may_have_run and (
-            attempt is None or attempt.rejected or attempt.unsent
+            attempt is None or attempt.not_run
         )
         if workspace is not None and unused:
             self.context.rate.refund(workspace.name, self.admitted.charged)
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -67,6 +67,16 @@
         self._log = log
         self._members = members
         self._data_centre = link.self_id.data_centre
+        inquiries = path_inquiries.PathInquiries(
+            link=link,
+            members=members,
+            timers=timers,
+            rng=rng,
+            check=lambda endpoint, on_result: self.reach.check(
+                endpoint, on_result
+            ),
+            tunnel=self._tunnel,
+        )
         self.reach = endpoint_reach.EndpointReach(
             client=client,
             fleet=fleet,
@@ -78,17 +88,9 @@
                 is_near=self._is_near,
                 staying_peers=self._staying_peers,
             ),
+            inquiries=inquiries,
             on_changed=choice.forgive,
         )
-        inquiries = path_inquiries.PathInquiries(
-            link=link,
-            members=members,
-            timers=timers,
-            rng=rng,
-            check=self.reach.check,
-            tunnel=self._tunnel,
-        )
-        self.reach.connect(inquiries)
         self.refusals = refusal_check.RefusalChecks(
             client=client, fleet=fleet, inquiries=inquiries, rng=rng
         )
@@ -140,7 +142,7 @@
         return frozenset(
             member.instance.address
             for member in self._members.reachable()
-            if member.beat is not None and not member.beat.leaving
+            if member.staying
         )
 
 
