Reproduce broken answers that look complete, failing

Real processes; endpoints frame their answers with a length, in chunks or with neither, and break them off inside an event, between two events or within a body, by closing, a reset or the end of the process. Callers speak HTTP/1.0 and 1.1.

What looks complete: streams and bodies without a framing that are closed in good order, those of a process that ends, and nearly all that breaks for an HTTP/1.0 caller. Where reports and answers to orders have no framing, no generation is served.

The logs show the answers of the first kind with framing "close" and inside_event true: the first hypothesis.

--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
 import os
 from typing import Any
 
 import msgspec
 
+from boragefold.standins import endpoint_connection
 from boragefold.standins import machines_http
 from boragefold.standins import run_slots
 from boragefold.timing import timers as timing
@@ -35,8 +37,13 @@
     """What an endpoint does wrong; set by ``PUT /control/faults``.
 
     ``status`` replaces the answer's, ``not_executed`` marks it as not run,
-    ``cut_after`` breaks a stream off after so many events, ``unsigned``
-    leaves the signature out, ``silent`` never answers, ``delay_seconds``
+    ``framing`` is how answers are framed, ``line_end`` ends the lines of
+    events. ``cut_after`` breaks a stream off after so many events, inside the
+    next one unless ``cut_between``, and other answers in their midst, all by
+    ``ending``; with ``cut_body``, only those to requests with this body.
+    ``exit_when_done`` ends the process after its next whole answer,
+    ``unframed_calls`` sends reports and answers to orders without a framing.
+    ``unsigned`` leaves the signature out, ``silent`` never answers, ``delay_seconds``
     answers later, ``resumed_status`` is the answer to the rest of a stream.
     ``crash_body`` ends the process under each request with this body.
     ``limits`` are slots, waiting requests, rejections that it bears in a
@@ -45,7 +52,14 @@
 
     status: int = machines_http.STATUS_OK
     not_executed: bool = False
+    framing: endpoint_connection.Framing | None = None
+    line_end: str = "\n"
     cut_after: int | None = None
+    cut_between: bool = False
+    cut_body: str = ""
+    ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
+    exit_when_done: bool = False
+    unframed_calls: bool = False
     unsigned: bool = False
     silent: bool = False
     delay_seconds: float = 0.0
@@ -99,7 +113,7 @@
         :param exchange: where the answer goes
         """
         if request.path == "/control/faults":
-            self._faults = Faults(**msgspec.json.decode(request.body))
+            self._faults = msgspec.json.decode(request.body, type=Faults)
             self._slots.limits = run_slots.SlotLimits(*self._faults.limits)
             machines_http.reply_json(exchange, machines_http.STATUS_OK, {})
         elif request.path == "/control/seen":
@@ -141,7 +155,7 @@
             "born": 1,
             "coming": coming,
         }
-        machines_http.reply_json(exchange, machines_http.STATUS_OK, body)
+        self._reply_json(exchange, machines_http.STATUS_OK, body)
 
     def _order(
         self, request: http_server.Request, exchange: http_server.Exchange
@@ -152,7 +166,20 @@
         self._orders.append(
             {**order, "status": status, "at_seconds": now_seconds}
         )
-        machines_http.reply_json(exchange, status, {})
+        self._reply_json(exchange, status, {})
+
+    def _reply_json(
+        self, exchange: http_server.Exchange, status: int, body: Any
+    ) -> None:
+        if not self._faults.unframed_calls:
+            machines_http.reply_json(exchange, status, body)
+            return
+        headers = endpoint_connection.framing_headers(
+            endpoint_connection.Framing.CLOSE, 0
+        )
+        exchange.start(status, [*machines_http.JSON, *headers])
+        exchange.send(msgspec.json.encode(body))
+        exchange.finish()
 
     def _carry_out(self, order: dict[str, Any]) -> int:
         if "holder" not in order or "fence_token" not in order:
@@ -242,40 +269,93 @@
         resumed = request.headers.get("last-event-id", "")
         faults = self._faults
         status = faults.resumed_status if resumed else faults.status
+        is_cut = faults.cut_after is not None and (
+            not faults.cut_body or request.body == faults.cut_body.encode()
+        )
         if not self._model or status != machines_http.STATUS_OK:
-            body = f"answer to {attempt}".encode()
-            exchange.reply(status, headers, body)
+            self._send_body(
+                exchange, status, headers, f"answer to {attempt}", is_cut
+            )
             return
+        usage = request.headers.get("boragefold-token-usage", "0,3")
+        events = int(usage.partition(",")[2])
+        first = int(resumed) + 1 if resumed else 1
+        pieces = [self._event(number) for number in range(first, events + 1)]
+        headers += endpoint_connection.framing_headers(
+            faults.framing or endpoint_connection.Framing.CHUNKS,
+            sum(map(len, pieces)),
+        )
         exchange.start(
             machines_http.STATUS_OK,
             [*headers, ("Content-Type", "text/event-stream")],
         )
-        usage = request.headers.get("boragefold-token-usage", "0,3")
-        events = int(usage.partition(",")[2])
-        first = int(resumed) + 1 if resumed else 1
-        self._stream(exchange, iter(range(first, events + 1)), first)
+        whole = faults.cut_after if is_cut else None
+        self._stream(exchange, iter(pieces), whole)
 
-    def _stream(
-        self, exchange: http_server.Exchange, numbers: Any, first: int
+    def _event(self, number: int) -> bytes:
+        lines = (f"id: {number}", f"data: t{number}", "", "")
+        return self._faults.line_end.join(lines).encode()
+
+    def _send_body(
+        self,
+        exchange: http_server.Exchange,
+        status: int,
+        headers: list[tuple[str, str]],
+        text: str,
+        is_cut: bool,
     ) -> None:
-        number = next(numbers, None)
-        if exchange.finished:
-            return
-        if number is None:
-            exchange.finish()
-            return
-        cut_after = self._faults.cut_after
-        if cut_after is not None and number - first >= cut_after:
-            # In the middle of an event, as a crash would.
-            exchange.send(f"id: {number}\nda".encode())
-            exchange.abort()
-            return
-        exchange.send(f"id: {number}\ndata: t{number}\n\n".encode())
+        faults, body = self._faults, text.encode()
+        framing = faults.framing or endpoint_connection.Framing.LENGTH
+        headers += endpoint_connection.framing_headers(framing, len(body))
+        exchange.start(status, headers)
+        exchange.send(body[: len(body) // 2])
+        if is_cut:
+            self._break_off(exchange)
+        else:
+            exchange.send(body[len(body) // 2 :])
+            self._finish(exchange)
+
+    def _finish(self, exchange: http_server.Exchange) -> None:
+        exchange.finish()
+        if self._faults.exit_when_done:
+            self._timers.once(
+                delay_seconds=self._event_seconds,
+                callback=lambda: os._exit(0),
+            )
+
+    def _break_off(self, exchange: http_server.Exchange) -> None:
+        # What was sent must arrive before the connection breaks.
         self._timers.once(
             delay_seconds=self._event_seconds,
-            callback=lambda: self._stream(exchange, numbers, first),
+            callback=lambda: endpoint_connection.break_off(
+                exchange, self._faults.ending
+            ),
         )
 
+    def _stream(
+        self,
+        exchange: http_server.Exchange,
+        pieces: Iterator[bytes],
+        whole: int | None,
+    ) -> None:
+        piece = next(pieces, None)
+        if exchange.finished:
+            return
+        if piece is None:
+            self._finish(exchange)
+        elif whole == 0:
+            if not self._faults.cut_between:
+                exchange.send(piece[: len(piece) // 2])
+            self._break_off(exchange)
+        else:
+            exchange.send(piece)
+            self._timers.once(
+                delay_seconds=self._event_seconds,
+                callback=lambda: self._stream(
+                    exchange, pieces, None if whole is None else whole - 1
+                ),
+            )
+
 
 __all__ = [
     "Endpoint",
--- a/src/boragefold/standins/process.py
+++ b/src/boragefold/standins/process.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from boragefold.standins import endpoint_connection
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers as timing
 from boragefold.transport import http_server
@@ -28,7 +29,7 @@
     sockets_.listen(
         host=host,
         port=int(port),
-        make_handler=lambda: http_server.ServerConnection(
+        make_handler=lambda: endpoint_connection.EndpointConnection(
             application=face, on_bad_request=lambda reason: None
         ),
     )
--- /dev/null
+++ b/tests/fakes/raw_caller.py
@@ -0,0 +1,93 @@
+"""A caller that sees how its answer was framed and how it ended."""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+from typing import NamedTuple
+
+import h11
+
+from tests.fakes import machines as machines_module
+
+TIMEOUT_SECONDS = 10.0
+
+
+class Seen(NamedTuple):
+    """An answer as its caller saw it; status 0 if none began."""
+
+    request_id: str
+    status: int
+    complete: bool
+    body: bytes
+    headers: dict[str, str]
+    seconds: float
+
+
+def ask(
+    machines,
+    path,
+    *,
+    number=0,
+    version="1.1",
+    body=b"",
+    events=4,
+    model="base",
+    headers=None,
+    request_id="",
+) -> Seen:
+    request_id = request_id or os.urandom(8).hex()
+    # Requests that are alike would share the blame for crashes.
+    body = body or request_id.encode()
+    sent = {
+        "Host": machines_module.HOST,
+        "Boragefold-Attempt-Id": request_id,
+        "Boragefold-Deadline-Ms": "4000",
+        "Boragefold-Key": machines_module.KEY,
+        "Boragefold-Model": model,
+        "Boragefold-Token-Usage": f"100,{events}",
+        "Content-Length": str(len(body)),
+        **(headers or {}),
+    }
+    if path.startswith(("/orders", "/reads")):
+        del sent["Boragefold-Model"], sent["Boragefold-Token-Usage"]
+    lines = [f"POST {path} HTTP/{version}"]
+    lines += [f"{name}: {value}" for name, value in sent.items()]
+    host, _, port = machines.gateways[number]["front"].rpartition(":")
+    began = time.monotonic()
+    with socket.create_connection((host, int(port)), TIMEOUT_SECONDS) as sock:
+        sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        status, complete, got, fields = _read(sock)
+    seconds = time.monotonic() - began
+    return Seen(request_id, status, complete, got, fields, seconds)
+
+
+def _read(sock):
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="POST", target="/", headers=[("Host", "")]))
+    parser.send(h11.EndOfMessage())
+    status, body, fields = 0, b"", {}
+    while True:
+        try:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(sock.recv(65536))
+                continue
+        except (OSError, h11.RemoteProtocolError):
+            return status, False, body, fields
+        if isinstance(event, h11.Response):
+            status = event.status_code
+            fields = {k.decode(): v.decode() for k, v in event.headers}
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return status, True, body, fields
+        elif isinstance(event, h11.ConnectionClosed):
+            return status, False, body, fields
+
+
+__all__ = [
+    "Seen",
+    "ask",
+]
