Reset broken answers towards callers of HTTP/1.0

Such a caller gets neither chunks nor, mostly, a length: the closing of the connection is the end of its body. All that breaks was closed in good order, so that it looked complete in nearly all cases; reverse proxies use HTTP/1.0 by default.

The socket of such an answer is set to reset from its first byte until it is finished. So the end of this process resets it, too, and aborting needs no second way. What the caller's kernel has received stays readable; what was on its way is lost, of an answer that is broken.

--- a/src/boragefold/standins/endpoint_connection.py
+++ b/src/boragefold/standins/endpoint_connection.py
@@ -40,11 +40,15 @@
         :param event: head or data
         :return: whether the other end keeps up
         """
-        if isinstance(event, h11.Response) and _ends_at_close(event):
+        if isinstance(event, h11.Response) and _is_unframed(event):
             # Answers to HTTP/1.0 have no chunks.
             self._parser.their_http_version = HTTP_1_0
         return super().send(event)
 
+    def _ends_at_close(self, head: h11.Response) -> bool:
+        # When the process ends, the kernel closes in good order.
+        return False
+
     def break_off(self, ending: Ending) -> None:
         """Break off the answer that is being sent.
 
@@ -84,7 +88,7 @@
     return []
 
 
-def _ends_at_close(head: h11.Response) -> bool:
+def _is_unframed(head: h11.Response) -> bool:
     names = {name for name, _ in head.headers}
     return CLOSE in head.headers and LENGTH not in names
 
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -17,6 +17,7 @@
 STATUS_BAD_REQUEST = 400
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
+HTTP_1_1 = b"1.1"
 
 Exchange = exchange.Exchange
 Headers = exchange.Headers
@@ -159,6 +160,8 @@
                 status_code=event.status_code, headers=headers
             )
         data = self._parser.send(event)
+        if isinstance(event, h11.Response) and self._ends_at_close(event):
+            self.stream.reset_unless_closed()
         return self.stream.write(data) if data else True
 
     def finish(self) -> None:
@@ -179,10 +182,16 @@
             self._parse()
 
     def abort(self) -> None:
-        """Cut the connection."""
+        """Cut the connection, so that the answer doesn't look whole."""
         self._exchange = None
         self.stream.abort()
 
+    def _ends_at_close(self, head: h11.Response) -> bool:
+        # A caller of HTTP/1.0 knows no chunks.
+        return self._parser.their_http_version != HTTP_1_1 and not any(
+            name == b"content-length" for name, _ in head.headers
+        )
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -14,6 +14,8 @@
 HIGH_WATER_BYTES = 262_144
 # Linger for no time: closing sends a reset and drops what is unacknowledged.
 NO_LINGER = struct.pack("ii", 1, 0)
+# Closing goes on in the background with what is unsent.
+DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
 
 class StreamHandler(abc.ABC):
@@ -68,6 +70,7 @@
         self.connecting = connecting
         self.open = True
         self._closing = False
+        self._resets_unless_closed = False
         self._reading = False
         self._above_high_water = False
         self._unsent = bytearray()
@@ -107,11 +110,20 @@
         """Take bytes from the other end again."""
         self._set_reading(True)
 
+    def reset_unless_closed(self) -> None:
+        """Let any end but that by ``close`` reset the connection.
+
+        The kernel closes the connections of a process that ends: the other
+        end must not take that for the end of what is sent here.
+        """
+        self._resets_unless_closed = True
+        self._set_linger(NO_LINGER)
+
     def close(self) -> None:
         """Close once everything written has been sent."""
         self._closing = True
         if not self._unsent:
-            self.abort("closed_here")
+            self._close_in_good_order()
 
     def abort(self, reason: str = "closed_here") -> None:
         """Close now and drop what is unsent.
@@ -134,9 +146,7 @@
         :param reason: passed on to the handler
         """
         if self.open:
-            self.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-            )
+            self._set_linger(NO_LINGER)
         self.abort(reason)
 
     def on_error(self) -> None:
@@ -176,11 +186,19 @@
         if self.open and not self._unsent:
             self._owner.want_write(self, False)
             if self._closing:
-                self.abort("closed_here")
+                self._close_in_good_order()
         if self._above_high_water and self._below_half():
             self._above_high_water = False
             self.handler.drained()
 
+    def _close_in_good_order(self) -> None:
+        if self.open and self._resets_unless_closed:
+            self._set_linger(DEFAULT_LINGER)
+        self.abort("closed_here")
+
+    def _set_linger(self, linger: bytes) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _below_half(self) -> bool:
         return self.open and len(self._unsent) < HIGH_WATER_BYTES // 2
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -156,6 +156,31 @@
     assert not answer.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize(
+    ("finishes", "is_reset"), [(True, False), (False, True)]
+)
+def test_an_answer_without_chunks_is_reset_unless_it_is_whole(
+    finishes, is_reset
+):
+    # To a caller of HTTP/1.0, closing in good order is the end of the body.
+    face = Face()
+    face.application = face.hold
+    sock = face.net.connect(face.port)
+    sock.sendall(GOOD.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    face.net.turn(lambda: bool(face.exchanges))
+    (exchange,) = face.exchanges
+    exchange.start(200, [])
+    exchange.send(b"a part")
+    (exchange.finish if finishes else exchange.abort)()
+    face.net.turn()
+    assert sock.recv(65536).endswith(b"a part")
+    if is_reset:
+        with pytest.raises(ConnectionResetError):
+            sock.recv(1)
+    else:
+        assert sock.recv(1) == b""
+
+
 def slow_side():
     net = loopback.Loopback()
     connections = []
