Take JSON documents that end with their connection for whole

Where engines send reports and answers to orders with neither a length nor chunks, no generation was served: such an answer always counted as cut, with the exception of those to callers, which always counted as whole. Each caller of the client chose between the two by a flag.

The client now tells what showed the end of an answer, and whoever takes the answer judges it. A document proves itself: an object or array that parses wasn't cut. For an order the status is enough where the body is empty; where a part of a body came, the order stays doubtful.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -335,7 +335,6 @@
             + PROGRESS_SLACK_SECONDS,
             may_send=lambda: not self._finished,
             accepts=lambda found: self.context.dialect.answers(request, found),
-            whole_at_close=True,
             endpoint=target.record.name,
             repeatable=self.admitted.route.repeatable,
         )
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -309,7 +309,8 @@
         self._turns.record_sent()
         self._order_pending = True
         sink = whole_answer.WholeAnswerSink(
-            done=lambda answer: self._on_order_response(sent, answer)
+            done=lambda answer: self._on_order_response(sent, answer),
+            may_be_empty=True,
         )
         self._client.send(call, sink)
 
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -126,7 +126,7 @@
         An answer without a length ends with its connection. One that was
         reset on the way is not whole, so this is not to be called then.
 
-        :return: whether the answer is whole now
+        :return: whether the answer has ended now
         """
         if self.framing is Framing.CLOSE and not self._skipping:
             self.complete = True
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -23,10 +23,8 @@
     other end may be silent, not how long the whole answer may take.
     ``may_send`` is asked right before the first byte is written, after any
     connecting; when it says no, nothing is sent. ``accepts`` tells whether an
-    answer with these headers is the one to this call. ``whole_at_close`` takes
-    an answer without a length for whole when its connection was closed in good
-    order; without it such an answer always counts as cut. ``expires`` lets
-    nothing arrive any more once the call is given up. A ``Host`` among the
+    answer with these headers is the one to this call. ``expires`` lets nothing
+    arrive any more once the call is given up. A ``Host`` among the
     headers goes before the address. ``endpoint`` is the name by which peers
     know the address; without it, connections are only opened directly. A
     ``repeatable`` call may be given up and sent again at any time.
@@ -41,7 +39,6 @@
     progress_seconds: float
     may_send: Callable[[], bool] = lambda: True
     accepts: answer_parser.Accepts = lambda headers: True
-    whole_at_close: bool = False
     expires: bool = False
     endpoint: str = ""
     repeatable: bool = False
@@ -149,18 +146,13 @@
     def closed(self, reason: str) -> None:
         """End or fail the running call.
 
-        An answer that only the closing of its connection ends can't be told
-        from one that was cut, unless the other end is known to close in good
-        order only after whole answers.
-
         :param reason: why the connection is gone
         """
         self._client.forget(self)
         if self.pending is None:
             return
         parser = self._parser
-        may_end = reason == "eof" and self.pending.call.whole_at_close
-        if may_end and parser is not None and parser.end_of_input():
+        if reason == "eof" and parser is not None and parser.end_of_input():
             self._end(self.pending, parser, clean=False)
         else:
             self._fail(reason)
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -5,9 +5,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from boragefold.transport import http_client
 
 MAX_ANSWER_BYTES = 4_194_304
+# A cut number is a number, too; a cut object isn't JSON.
+DOCUMENT_BEGINNINGS = (b"{", b"[")
+# Why an answer fails that the closing of its connection may have cut.
+CLOSED_EARLY = "eof"
 
 
 class WholeAnswer(NamedTuple):
@@ -26,9 +32,17 @@
         *,
         done: Callable[[WholeAnswer | http_client.Failure], None],
         max_bytes: int = MAX_ANSWER_BYTES,
+        may_be_empty: bool = False,
     ) -> None:
+        """Collect nothing yet.
+
+        :param done: called once with the answer, or why there is none
+        :param max_bytes: a longer answer is a failure
+        :param may_be_empty: whether the status is enough
+        """
         self._done = done
         self._max_bytes = max_bytes
+        self._may_be_empty = may_be_empty
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body = bytearray()
@@ -64,6 +78,12 @@
             )
             self._done(failure)
             return
+        if framing is http_client.Framing.CLOSE and not self._is_proven():
+            failure = http_client.Failure(
+                reason=CLOSED_EARLY, may_have_arrived=True
+            )
+            self._done(failure)
+            return
         self._done(WholeAnswer(self._status, self._headers, bytes(self._body)))
 
     def failed(self, failure: http_client.Failure) -> None:
@@ -73,8 +93,29 @@
         """
         self._done(failure)
 
+    def _is_proven(self) -> bool:
+        if not self._body:
+            return self._may_be_empty
+        return is_document(bytes(self._body))
+
+
+def is_document(body: bytes) -> bool:
+    """Tell whether a body is a JSON document that can't have been cut.
+
+    :param body: all that arrived
+    :return: whether it is a whole object or array
+    """
+    if not body.lstrip().startswith(DOCUMENT_BEGINNINGS):
+        return False
+    try:
+        msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return False
+    return True
+
 
 __all__ = [
     "WholeAnswer",
     "WholeAnswerSink",
+    "is_document",
 ]
