Don't take an interim answer for the final one

An endpoint that sends 103 before its answer had its call end with 103; the answer behind it was taken for that of another call. The test failed before: the call ended with a malformed answer. Interim answers are skipped now, as answers to other calls are.

--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -13,6 +13,7 @@
 MAX_HEADER_BYTES = 32_768
 # Statuses whose answers have no body, whatever their headers say.
 BODILESS_STATUSES = frozenset({204, 304})
+INTERIM_STATUSES = range(100, 200)
 
 Accepts = Callable[[Mapping[str, str]], bool]
 
@@ -154,9 +155,12 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on; called by the parser."""
-        # A late second answer to an earlier call would reach another caller.
-        self._skipping = not self._accepts(self._headers)
         status = self._parser.get_status_code()
+        # The final answer follows an interim one, and a late second answer to
+        # an earlier call would reach another caller.
+        self._skipping = status in INTERIM_STATUSES or not self._accepts(
+            self._headers
+        )
         self.framing = find_framing(status, self._headers)
         if not self._skipping:
             self._sink.head(status, self._headers)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -305,3 +305,20 @@
     assert head.count(b"host:") == 1
     assert b"press.example" in head
     assert b"content-length" not in head
+
+
+def test_an_interim_answer_isnt_the_final_one(side):
+    # The final answer behind it was taken for that to another call.
+    sock = call_of(side)
+    sock.sendall(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + WHOLE)
+    side.net.turn(lambda: bool(side.ended))
+    assert side.ended[0].status == 200
+    assert "link" not in side.ended[0].headers
+
+
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_an_answer_without_a_body_needs_no_length(side, status):
+    sock = call_of(side)
+    sock.sendall(b"HTTP/1.1 %s\r\nX-Id: mine\r\n\r\n" % status)
+    side.net.turn(lambda: bool(side.ended))
+    assert str(side.ended[0].status).encode() == status[:3]
