Judge the end of an answer in one place, and by its endpoint

Callers got streams that were broken off as if they were complete. An answer with neither a length nor chunks was whole as soon as its connection closed in good order; the kernel closes the connections of a process that crashes so, too. The break was a success for all that learns from it: no resumption, no suspect, no crash.

Now an answer is broken that ends inside an event, whatever framed it. What else only its close has ended is judged by its endpoint: one that accepts a connection has finished it, one that crashed has not, one that was leaving has, unless other answers broke there at the same moment. The crash detector's probe answers that for all that end there at once, within 0.25 s.

Walks in virtual time with answers without a framing pass, with none that looked complete; they weren't run on the code before.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from boragefold.entry import answer_end
+from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
 from boragefold.entry import refusals
 from boragefold.state import deployment
@@ -16,6 +18,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERRORS = range(500, 600)
 SUCCESSES = range(200, 300)
+# How answers are broken off that seem to end in good order.
+INSIDE_EVENT = "inside_event"
+CLOSED_BY_CRASH = "closed_by_crash"
 
 
 class Attempt(http_client.AnswerSink):
@@ -38,6 +43,7 @@
         self._ended = False
         self._retry_at_end = False
         self._forwarded = False
+        self._awaits_evidence = False
 
     @property
     def rejected(self) -> bool:
@@ -158,8 +164,66 @@
 
         :param framing: what showed the end of the response
         """
-        self._ended = True
         self.framing = framing
+        if not self._forwarded:
+            self._finish()
+            return
+        verdict = answer_end.judge_end(
+            framing,
+            inside_event=self._forwarding.inside_event,
+            confirmed=self._pending is not None and bool(self._pending.peer),
+        )
+        if verdict is answer_end.Verdict.BROKEN:
+            self.failed(
+                http_client.Failure(reason=INSIDE_EVENT, may_have_arrived=True)
+            )
+        elif verdict is answer_end.Verdict.UNPROVEN:
+            self._awaits_evidence = True
+            guard = self._forwarding.admitted.guard
+            self._forwarding.context.crashes.detector.check_closing(
+                self._record,
+                fingerprint=lambda: guard.fingerprint,
+                ran_seconds=self._ran_seconds(),
+                on_evidence=self._judge_closing,
+            )
+        else:
+            self._finish()
+
+    def end_without_evidence(self) -> bool:
+        """Finish the request if only the end of its response is in question.
+
+        :return: whether the response has come and was judged
+        """
+        if self._awaits_evidence and not self._ended:
+            self._judge_closing(crash_detector.NO_EVIDENCE)
+        return self._awaits_evidence
+
+    def _judge_closing(self, evidence: crash_detector.ClosingEvidence) -> None:
+        if self._ended:
+            return
+        verdict = answer_end.judge_closing(evidence)
+        forwarding = self._forwarding
+        forwarding.context.counters.add("closed_answers", verdict.value)
+        forwarding.context.log.write_ordinary(
+            "answer_closed",
+            request_id=forwarding.admitted.request.request_id,
+            endpoint=self._record.name,
+            verdict=verdict.value,
+            cause=evidence.cause.value,
+            listens=evidence.listens,
+            others_broke=evidence.others_broke,
+        )
+        if verdict is answer_end.Verdict.BROKEN:
+            self._ended = True
+            if not forwarding.finished:
+                forwarding.on_attempt_failed(
+                    self._record.name, CLOSED_BY_CRASH, may_have_run=True
+                )
+        else:
+            self._finish()
+
+    def _finish(self) -> None:
+        self._ended = True
         facts = self._facts
         if facts is None or self._forwarding.finished:
             return
@@ -232,9 +296,13 @@
             self._record,
             reason,
             fingerprint=self._forwarding.admitted.guard.fingerprint,
-            ran_seconds=context.timers.now_seconds() - self._sent_at_seconds,
+            ran_seconds=self._ran_seconds(),
         )
 
+    def _ran_seconds(self) -> float:
+        now_seconds = self._forwarding.context.timers.now_seconds()
+        return now_seconds - self._sent_at_seconds
+
     def _record_end(self, *, failed: bool) -> None:
         context = self._forwarding.context
         if self.unsent or context.reach.is_cut_off(self._record.name):
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -25,14 +25,25 @@
 
 # How connections of a process that has ended break. Others fail a request for
 # reasons of its own, such as its deadline.
-BREAK_REASONS = frozenset({"eof", "reset"})
-# A lost packet delays the answer to a probe beyond its timeout.
+BREAK_REASONS = frozenset({"eof", "reset", "inside_event"})
+# A lost packet delays the answer to a probe beyond its timeout, and a process
+# that ends accepts connections for a moment.
 MAX_PROBES = 4
+# A process that ends closes its connections before it stops listening.
+SETTLE_SECONDS = 0.02
+# A caller has all of its answer but the end while the endpoint is probed.
+MAX_EVIDENCE_SECONDS = 0.25
 # All connections of a crashed process break within this time.
 CASE_SECONDS = 2.0
 # Limits the length of a log line.
 MAX_LOGGED_SUSPECTS = 64
 MILLISECONDS = 1000.0
+UNDECIDED = frozenset(
+    {
+        connect_probe.ProbeResult.DROPPED,
+        connect_probe.ProbeResult.NO_ANSWER,
+    }
+)
 
 CheckRefusal = Callable[
     [
@@ -60,6 +71,31 @@
     born_milliseconds: int
 
 
+class ClosingEvidence(NamedTuple):
+    """What is known of an endpoint that closed a connection in good order.
+
+    ``listens`` tells that its address accepts connections, ``others_broke``
+    that other answers broke there at the same moment. ``cause`` is pending
+    while it doesn't answer.
+    """
+
+    cause: BreakCause
+    listens: bool
+    others_broke: bool
+
+
+# Where nothing is known in time.
+NO_EVIDENCE = ClosingEvidence(BreakCause.PENDING, False, False)
+
+
+class Closing(NamedTuple):
+    """A request whose answer ended as its connection was closed."""
+
+    fingerprint: Callable[[], int]
+    ran_seconds: float
+    on_evidence: Callable[[ClosingEvidence], None]
+
+
 class DetectedCrash(NamedTuple):
     """A crash, and the requests that ran there for this instance."""
 
@@ -69,7 +105,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class BreakCase:
-    """The connections that broke at one endpoint at about the same time."""
+    """The connections that broke at one endpoint at about the same time.
+
+    ``closings`` are those that may have been closed behind whole answers.
+    """
 
     record: deployment.EndpointRecord
     began_at_seconds: float
@@ -77,6 +116,7 @@
     suspects: list[crash_messages.Suspect] = dataclasses.field(
         default_factory=list
     )
+    closings: list[Closing] = dataclasses.field(default_factory=list)
     probes: int = 0
     cause: BreakCause = BreakCause.PENDING
 
@@ -135,33 +175,63 @@
         """
         if reason not in BREAK_REASONS:
             return
-        life = EndpointLife(record.name, record.born_milliseconds)
-        case = self._cases.get(life)
-        if case is None:
-            case = self._open(life, record)
-        suspect = crash_messages.Suspect(
-            fingerprint, round(ran_seconds * MILLISECONDS)
-        )
+        case = self._find_case(record)
+        suspect = _describe_suspect(fingerprint, ran_seconds)
         case.reasons.add(reason)
         case.suspects.append(suspect)
         if case.cause is BreakCause.CRASHED:
-            self._on_crash(DetectedCrash(life, (suspect,)))
+            self._on_crash(DetectedCrash(_life_of(record), (suspect,)))
+
+    def check_closing(
+        self,
+        record: deployment.EndpointRecord,
+        *,
+        fingerprint: Callable[[], int],
+        ran_seconds: float,
+        on_evidence: Callable[[ClosingEvidence], None],
+    ) -> None:
+        """Find out why an endpoint closed a connection behind an answer.
 
-    def _open(
-        self, life: EndpointLife, record: deployment.EndpointRecord
-    ) -> BreakCase:
-        case = BreakCase(
-            record=record, began_at_seconds=self._timers.now_seconds()
+        :param record: the endpoint, as it was when the request was sent
+        :param fingerprint: computes that of the request, if it is a suspect
+        :param ran_seconds: how long ago the request was sent there
+        :param on_evidence: called once, within ``MAX_EVIDENCE_SECONDS``
+        """
+        case = self._find_case(record)
+        closing = Closing(fingerprint, ran_seconds, on_evidence)
+        if case.cause is BreakCause.CRASHED:
+            suspect = _describe_suspect(fingerprint(), ran_seconds)
+            self._on_crash(DetectedCrash(_life_of(record), (suspect,)))
+            on_evidence(_describe_evidence(case, listens=False))
+            return
+        case.closings.append(closing)
+        self._timers.once(
+            delay_seconds=MAX_EVIDENCE_SECONDS,
+            callback=lambda: self._stop_waiting(case, closing),
         )
-        self._cases[life] = case
-        self._probe(life, case)
+
+    def _find_case(self, record: deployment.EndpointRecord) -> BreakCase:
+        life = _life_of(record)
+        case = self._cases.get(life)
+        if case is None:
+            case = BreakCase(
+                record=record, began_at_seconds=self._timers.now_seconds()
+            )
+            self._cases[life] = case
+            self._probe(life, case)
         return case
 
+    def _stop_waiting(self, case: BreakCase, closing: Closing) -> None:
+        if closing in case.closings:
+            case.closings.remove(closing)
+            closing.on_evidence(_describe_evidence(case, listens=False))
+
     def _probe(self, life: EndpointLife, case: BreakCase) -> None:
         case.probes += 1
         self._client.probe(
             case.record.address,
             lambda result: self._judge(life, case, result),
+            settle_seconds=SETTLE_SECONDS,
         )
 
     def _judge(
@@ -170,8 +240,7 @@
         case: BreakCase,
         result: connect_probe.ProbeResult,
     ) -> None:
-        no_answer = result is connect_probe.ProbeResult.NO_ANSWER
-        if no_answer and case.probes < MAX_PROBES:
+        if result in UNDECIDED and case.probes < MAX_PROBES:
             self._probe(life, case)
             return
         listed = self._fleet.endpoint(life.name)
@@ -191,7 +260,15 @@
     ) -> None:
         listed = self._fleet.endpoint(life.name)
         case.cause = find_cause(result, listed)
-        self._write(life, case, result, listed)
+        others_broke = bool(case.suspects)
+        closings, case.closings = case.closings, []
+        if case.cause is BreakCause.CRASHED:
+            case.suspects += [
+                _describe_suspect(closing.fingerprint(), closing.ran_seconds)
+                for closing in closings
+            ]
+        if case.suspects:
+            self._write(life, case, result, listed)
         if case.cause is BreakCause.CRASHED:
             self._on_crash(DetectedCrash(life, tuple(case.suspects)))
             self._timers.once(
@@ -201,6 +278,13 @@
         else:
             # The next break may have another cause.
             self._close(life)
+        evidence = ClosingEvidence(
+            cause=case.cause,
+            listens=result is connect_probe.ProbeResult.ACCEPTED,
+            others_broke=others_broke,
+        )
+        for closing in closings:
+            closing.on_evidence(evidence)
 
     def _close(self, life: EndpointLife) -> None:
         del self._cases[life]
@@ -251,14 +335,33 @@
     return {
         connect_probe.ProbeResult.REFUSED: BreakCause.CRASHED,
         connect_probe.ProbeResult.ACCEPTED: BreakCause.ALIVE,
+        connect_probe.ProbeResult.DROPPED: BreakCause.UNKNOWN,
         connect_probe.ProbeResult.NO_ANSWER: BreakCause.UNKNOWN,
     }[result]
 
 
+def _life_of(record: deployment.EndpointRecord) -> EndpointLife:
+    return EndpointLife(record.name, record.born_milliseconds)
+
+
+def _describe_suspect(
+    fingerprint: int, ran_seconds: float
+) -> crash_messages.Suspect:
+    return crash_messages.Suspect(
+        fingerprint, round(ran_seconds * MILLISECONDS)
+    )
+
+
+def _describe_evidence(case: BreakCase, *, listens: bool) -> ClosingEvidence:
+    return ClosingEvidence(case.cause, listens, bool(case.suspects))
+
+
 __all__ = [
     "BreakCause",
+    "ClosingEvidence",
     "CrashDetector",
     "DetectedCrash",
     "EndpointLife",
+    "NO_EVIDENCE",
     "find_cause",
 ]
--- /dev/null
+++ b/src/boragefold/entry/endpoint_call.py
@@ -0,0 +1,50 @@
+"""Creates the call that sends a request to an endpoint."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from boragefold.entry import dialect as dialects
+from boragefold.entry import request_context
+from boragefold.transport import http_client
+
+# Makes the deadline of a request expire before the timeout of its connection.
+PROGRESS_SLACK_SECONDS = 1.0
+
+
+def create(
+    target: dialects.EndpointTarget,
+    *,
+    admitted: request_context.AdmittedRequest,
+    dialect: dialects.Dialect,
+    may_send: Callable[[], bool],
+) -> http_client.Call:
+    """Create the call of one attempt.
+
+    :param target: the endpoint and what it is told
+    :param admitted: the request
+    :param dialect: writes the headers and recognises the answer
+    :param may_send: checked right before the first byte is written
+    :return: the call
+    """
+    request = admitted.request
+    return http_client.Call(
+        address=target.record.address,
+        method=request.http.method,
+        target=request.http.target,
+        headers=dialect.endpoint_headers(request, target),
+        body=request.http.body,
+        # If a reused idle connection turned out to be dead, the outcome of a
+        # non-idempotent request would be unknown.
+        fresh=not admitted.route.repeatable,
+        progress_seconds=target.deadline_seconds + PROGRESS_SLACK_SECONDS,
+        may_send=may_send,
+        accepts=lambda found: dialect.answers(request, found),
+        endpoint=target.record.name,
+        repeatable=admitted.route.repeatable,
+    )
+
+
+__all__ = [
+    "create",
+]
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -9,6 +9,7 @@
 from boragefold.entry import attempt as attempts
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
+from boragefold.entry import endpoint_call
 from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
 from boragefold.entry import request_context
@@ -16,13 +17,10 @@
 from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
 from boragefold.state import deployment
-from boragefold.transport import http_client
 from boragefold.transport import http_server
 
 # The default where no better estimate exists.
 RETRY_AFTER_SECONDS = 0.3
-# Makes the deadline of a request expire before the timeout of its connection.
-PROGRESS_SLACK_SECONDS = 1.0
 
 
 class Forwarding(quarantines.WaitingRequest):
@@ -64,6 +62,14 @@
         """
         return self._finished
 
+    @property
+    def inside_event(self) -> bool:
+        """Tell whether the response so far ends inside an event.
+
+        :return: whether it has been broken off if it ends here
+        """
+        return self._answer.inside_event
+
     def remaining_seconds(self) -> float:
         """Return the time until the deadline of the response.
 
@@ -168,7 +174,13 @@
             adapter_version=version,
             waited_seconds=round(self._waited_seconds(), 4),
         )
-        attempt.begin(self._call(target))
+        call = endpoint_call.create(
+            target,
+            admitted=admitted,
+            dialect=context.dialect,
+            may_send=lambda: not self._finished,
+        )
+        attempt.begin(call)
 
     def on_quarantine(self) -> None:
         """Refuse the request if it waits and is quarantined now."""
@@ -319,26 +331,6 @@
             endpoint, now_seconds=self.context.timers.now_seconds()
         )
 
-    def _call(self, target: dialects.EndpointTarget) -> http_client.Call:
-        request = self.admitted.request
-        headers = self.context.dialect.endpoint_headers(request, target)
-        return http_client.Call(
-            address=target.record.address,
-            method=request.http.method,
-            target=request.http.target,
-            headers=headers,
-            body=request.http.body,
-            # If a reused idle connection turned out to be dead, the outcome
-            # of a non-idempotent request would be unknown.
-            fresh=not self.admitted.route.repeatable,
-            progress_seconds=self._attempt_timeout_seconds()
-            + PROGRESS_SLACK_SECONDS,
-            may_send=lambda: not self._finished,
-            accepts=lambda found: self.context.dialect.answers(request, found),
-            endpoint=target.record.name,
-            repeatable=self.admitted.route.repeatable,
-        )
-
     def _on_caller_disconnected(self) -> None:
         route = self.admitted.route
         once = route.kind is deployment.RouteKind.NON_IDEMPOTENT
@@ -354,6 +346,8 @@
         if self._finished:
             return
         attempt = self._attempt
+        if attempt is not None and attempt.end_without_evidence():
+            return
         if attempt is not None:
             attempt.cancel(failed=True)
         if attempt is None or attempt.not_run:
@@ -380,7 +374,7 @@
             queue_time_fields=self.queue_time_fields(),
             times=self._answer.times,
             framing=None if self._attempt is None else self._attempt.framing,
-            inside_event=self._answer.inside_event,
+            inside_event=self.inside_event,
         )
         request_end.record(end, admitted=self.admitted, context=self.context)
 
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -43,9 +43,9 @@
     ``ending``; with ``cut_body``, only those to requests with this body.
     ``exit_when_done`` ends the process after its next whole answer,
     ``unframed_calls`` sends reports and answers to orders without a framing.
-    ``unsigned`` leaves the signature out, ``silent`` never answers, ``delay_seconds``
-    answers later, ``resumed_status`` is the answer to the rest of a stream.
-    ``crash_body`` ends the process under each request with this body.
+    ``unsigned`` leaves the signature out, ``silent`` never answers,
+    ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
+    rest of a stream. ``crash_body`` ends the process under each request with this body.
     ``limits`` are slots, waiting requests, rejections that it bears in a
     second, and seconds until it is back from more.
     """
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -47,7 +47,8 @@
 class Pending:
     """A call whose answer has not ended.
 
-    ``tried`` are the peers of the paths that couldn't be opened for it.
+    ``tried`` are the peers of the paths that couldn't be opened for it, and
+    ``peer`` is that of the path in use, empty for a direct one.
     """
 
     def __init__(self, *, call: Call, sink: answer_parser.AnswerSink) -> None:
@@ -55,6 +56,7 @@
         self.sink = sink
         self.connection: ClientConnection | None = None
         self.tried: tuple[str, ...] = ()
+        self.peer = ""
         self.may_have_arrived = False
         self.cancelled = False
 
--- a/src/boragefold/transport/connect_probe.py
+++ b/src/boragefold/transport/connect_probe.py
@@ -9,12 +9,16 @@
 from boragefold.transport import sockets
 from boragefold.transport import streams
 
+ACCEPTED_REASON = "accepted"
+
 
 class ProbeResult(enum.Enum):
     """How an address reacts to a new connection."""
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    # Accepted, and closed again at once.
+    DROPPED = "dropped"
     NO_ANSWER = "no_answer"
 
 
@@ -29,6 +33,7 @@
         address: str,
         timeout_seconds: float,
         on_result: Callable[[ProbeResult], None],
+        settle_seconds: float = 0.0,
     ) -> None:
         """Begin to connect.
 
@@ -37,8 +42,13 @@
         :param address: IP number and port
         :param timeout_seconds: how long the connection may take to open
         :param on_result: called once, never inside this call
+        :param settle_seconds: how long the connection has to last; a process
+            that ends accepts connections until it stops listening
         """
         self._on_result = on_result
+        self._timers = timers
+        self._settle_seconds = settle_seconds
+        self._accepted = False
         host, _, port = address.rpartition(":")
         self._stream = sockets_.connect(
             host=host, port=int(port), handler=self
@@ -49,8 +59,16 @@
         )
 
     def connected(self) -> None:
-        """Report that the address accepts connections."""
-        self._stream.abort("accepted")
+        """Report that the address accepts connections, if this one lasts."""
+        self._accepted = True
+        self._timeout.cancel()
+        if not self._settle_seconds:
+            self._stream.abort(ACCEPTED_REASON)
+            return
+        self._timeout = self._timers.once(
+            delay_seconds=self._settle_seconds,
+            callback=lambda: self._stream.abort(ACCEPTED_REASON),
+        )
 
     def received(self, data: bytes) -> None:
         """Ignore what arrives.
@@ -67,11 +85,16 @@
         :param reason: why the connection is gone
         """
         self._timeout.cancel()
-        results = {
-            "accepted": ProbeResult.ACCEPTED,
-            "refused": ProbeResult.REFUSED,
-        }
-        self._on_result(results.get(reason, ProbeResult.NO_ANSWER))
+        self._on_result(self._result(reason))
+
+    def _result(self, reason: str) -> ProbeResult:
+        if reason == ACCEPTED_REASON:
+            return ProbeResult.ACCEPTED
+        if self._accepted:
+            return ProbeResult.DROPPED
+        if reason == "refused":
+            return ProbeResult.REFUSED
+        return ProbeResult.NO_ANSWER
 
 
 __all__ = [
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -84,11 +84,14 @@
         self,
         address: str,
         on_result: Callable[[connect_probe.ProbeResult], None],
+        *,
+        settle_seconds: float = 0.0,
     ) -> None:
         """Check whether anything listens at an address.
 
         :param address: IP number and port
         :param on_result: called once, never inside this call
+        :param settle_seconds: how long the connection has to last
         """
         connect_probe.ConnectProbe(
             sockets_=self._sockets,
@@ -96,6 +99,7 @@
             address=address,
             timeout_seconds=self._connect_seconds,
             on_result=on_result,
+            settle_seconds=settle_seconds,
         )
 
     def fail_later(self, connection: ClientConnection, reason: str) -> None:
@@ -247,6 +251,7 @@
         if connection is None:
             connection = self._open(call, path)
         self._busy.add(connection)
+        pending.peer = path.peer
         if path.peer:
             pending.sink.sent_through(path.peer)
         connection.begin(pending)
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import types
+
 import pytest
 
 from boragefold.entry import crash_detector
+from boragefold.state import fleet as fleets
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import clock as clocks
+from boragefold.timing import timers as timing
 from boragefold.transport import connect_probe
 from tests.fakes import gateways
 
@@ -30,3 +36,117 @@
 ) -> None:
     # Whoever ran on an endpoint that was taken away caused nothing.
     assert crash_detector.find_cause(result, listed) is cause
+
+
+class Client:
+    """Answers probes when the test says so."""
+
+    def __init__(self) -> None:
+        self.probes = []
+
+    def probe(self, address, on_result, *, settle_seconds) -> None:
+        self.probes.append(on_result)
+
+    def answer(self, result) -> None:
+        self.probes.pop(0)(result)
+
+
+class Side:
+    def __init__(self, listed=ENDPOINT) -> None:
+        self.clock = clocks.VirtualClock()
+        self.timers = timing.TimerService(clock=self.clock)
+        self.client = Client()
+        self.crashes = []
+        self.evidence = []
+        fleet = fleets.Fleet()
+        if listed is not None:
+            fleet.set_endpoint(listed)
+        self.detector = crash_detector.CrashDetector(
+            client=self.client,
+            fleet=fleet,
+            timers=self.timers,
+            counters=telemetry.Counters(),
+            log=types.SimpleNamespace(write=lambda event, **fields: None),
+            on_crash=self.crashes.append,
+        )
+
+    def check_closing(self, fingerprint=7) -> None:
+        self.detector.check_closing(
+            ENDPOINT,
+            fingerprint=lambda: fingerprint,
+            ran_seconds=0.5,
+            on_evidence=self.evidence.append,
+        )
+
+    def break_off(self, reason="inside_event") -> None:
+        self.detector.record_broken(
+            ENDPOINT, reason, fingerprint=8, ran_seconds=0.5
+        )
+
+    def pass_time(self, duration_seconds) -> None:
+        self.clock.move_to(self.clock.now_seconds() + duration_seconds)
+        self.timers.run_due()
+
+
+def _suspects(crashes) -> set[int]:
+    return {each.fingerprint for crash in crashes for each in crash.suspects}
+
+
+def test_a_close_behind_which_nothing_listens_makes_a_suspect() -> None:
+    # A request that crashes its engines between two events was never known.
+    side = Side()
+    side.check_closing()
+    side.client.answer(REFUSED)
+    (evidence,) = side.evidence
+    assert evidence.cause is crash_detector.BreakCause.CRASHED
+    assert not evidence.listens
+    assert _suspects(side.crashes) == {7}
+
+
+def test_a_close_of_an_endpoint_that_listens_makes_none() -> None:
+    side = Side()
+    side.check_closing()
+    side.client.answer(ACCEPTED)
+    assert side.evidence[0].listens
+    assert not side.crashes
+
+
+def test_a_process_that_ends_is_asked_again() -> None:
+    # It may accept a connection before it stops listening.
+    side = Side()
+    side.check_closing()
+    side.client.answer(connect_probe.ProbeResult.DROPPED)
+    assert not side.evidence
+    side.client.answer(REFUSED)
+    assert side.evidence[0].cause is crash_detector.BreakCause.CRASHED
+
+
+def test_breaks_at_the_same_moment_are_told() -> None:
+    # An engine that leaves cuts off no other answer, unless it crashes.
+    side = Side(LEAVING)
+    side.check_closing()
+    side.break_off()
+    side.client.answer(REFUSED)
+    (evidence,) = side.evidence
+    assert evidence.cause is crash_detector.BreakCause.LEFT
+    assert evidence.others_broke
+
+
+def test_the_evidence_comes_in_time() -> None:
+    # A caller must not wait for the end of its answer behind a silent probe.
+    side = Side()
+    side.check_closing()
+    side.pass_time(crash_detector.MAX_EVIDENCE_SECONDS)
+    assert side.evidence == [crash_detector.NO_EVIDENCE]
+    side.client.answer(REFUSED)
+    assert len(side.evidence) == 1
+    assert not _suspects(side.crashes)
+
+
+def test_a_close_after_the_verdict_is_judged_by_it() -> None:
+    side = Side()
+    side.break_off()
+    side.client.answer(REFUSED)
+    side.check_closing()
+    assert side.evidence[0].cause is crash_detector.BreakCause.CRASHED
+    assert _suspects(side.crashes) == {7, 8}
--- a/tests/entry/test_crash_walk.py
+++ b/tests/entry/test_crash_walk.py
@@ -22,6 +22,13 @@
         culprits=2, cut=True, restart_gap_seconds=4.0
     ),
 }
+UNFRAMED = {
+    "a culprit": crash_walk.Schedule(culprits=1, unframed_share=1.0),
+    "crashes": crash_walk.Schedule(kill_gap_seconds=3.0, unframed_share=1.0),
+    "both, and framed ones": crash_walk.Schedule(
+        culprits=1, kill_gap_seconds=3.0, unframed_share=0.5
+    ),
+}
 INNOCENT = {
     "crashes now and then": crash_walk.Schedule(kill_gap_seconds=6.0),
     "crashes in quick succession": crash_walk.Schedule(kill_gap_seconds=3.0),
@@ -47,6 +54,20 @@
         assert len(walk.late_sends(body)) <= MAX_LATE_SENDS
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("name", UNFRAMED)
+def test_a_crash_behind_answers_without_a_framing_is_known(name, seed) -> None:
+    # The kernel closes the connections of a crashed process in good order.
+    walk = crash_walk.CrashWalk(seed=seed, schedule=UNFRAMED[name])
+    walk.play()
+    assert walk.crashes
+    assert walk.looked_complete == 0
+    for body in walk.sent:
+        assert len(walk.late_sends(body)) <= MAX_LATE_SENDS
+    assert walk.statuses[200] > 0.9 * walk.statuses.total()
+    assert walk.innocents_refused == 0
+
+
 @pytest.mark.parametrize("seed", range(SEEDS))
 @pytest.mark.parametrize("schedule", ["alone", *INNOCENT])
 def test_whoever_ran_on_a_crashed_endpoint_isnt_refused(
--- a/tests/transport/test_connect_probe.py
+++ b/tests/transport/test_connect_probe.py
@@ -38,6 +38,22 @@
     assert _probe(net, listener.address) == [connect_probe.ProbeResult.REFUSED]
 
 
+def test_a_connection_has_to_last_where_that_is_asked(net) -> None:
+    # A process that ends accepts connections until it stops listening.
+    listener = loopback.Listener()
+    results = []
+    net.client.probe(listener.address, results.append, settle_seconds=0.02)
+    net.turn()
+    assert not results
+    net.pass_time(0.02)
+    assert results == [connect_probe.ProbeResult.ACCEPTED]
+    net.client.probe(listener.address, results.append, settle_seconds=0.02)
+    net.turn()
+    listener.close()
+    net.turn(lambda: len(results) > 1)
+    assert results[1] is connect_probe.ProbeResult.DROPPED
+
+
 @pytest.mark.parametrize(
     ("code", "reason"),
     [
