Let a peer tell why an endpoint closed a tunnelled connection

An instance that is cut off can't look at the endpoint. The kernel closes the tunnels of a peer that is killed in good order, and a crash behind the tunnel arrived as a close: both looked like the end of an answer without a framing.

The peer looks at the endpoint before it passes a close on, and resets the tunnel after a crash. Tunnels are set to reset until they are closed. Both tests failed without this: an endpoint that ends between two events behind a peer, and a peer that is killed.

The soak draws answers without a framing, sound and broken, and crashes within answers, and lets every other caller speak HTTP/1.0 there. Its proxy closed in good order where it was to reset; it resets now.

--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -9,6 +9,7 @@
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import path_inquiries
 import boragefold.coordination.link as links
+from boragefold.entry import crash_detector
 from boragefold.entry import endpoint_reach
 from boragefold.entry import refusal_check
 from boragefold.policy import endpoint_paths
@@ -63,6 +64,7 @@
         self._is_leaving = is_leaving
         self._token = secrets.token_hex(TOKEN_BYTES)
         self.port = 0
+        self._client = client
         self._fleet = fleet
         self._log = log
         self._members = members
@@ -101,6 +103,7 @@
             token=self._token,
             resolve=self._resolve,
             connect_seconds=connect_seconds,
+            check_crash=self._check_crash,
         )
 
     def listen(self, settings: gateway_settings.GatewaySettings) -> None:
@@ -135,6 +138,24 @@
         record = self._fleet.endpoint(endpoint)
         return None if record is None else record.address
 
+    def _check_crash(
+        self, endpoint: str, on_result: Callable[[bool], None]
+    ) -> None:
+        record = self._fleet.endpoint(endpoint)
+        if record is None or record.leaving:
+            on_result(False)
+            return
+        self._client.probe(
+            record.address,
+            lambda result: on_result(
+                crash_detector.find_cause(
+                    result, self._fleet.endpoint(endpoint)
+                )
+                is crash_detector.BreakCause.CRASHED
+            ),
+            settle_seconds=crash_detector.SETTLE_SECONDS,
+        )
+
     def _is_near(self, peer: str) -> bool:
         return self._members.identity(peer).data_centre == self._data_centre
 
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import hmac
 
 import h11
@@ -30,6 +31,8 @@
 # An answer without a length that ends so may be whole.
 ORDERLY_END = "eof"
 
+CheckCrash = Callable[[str, Callable[[bool], None]], None]
+
 
 class TunnelServer:
     """Accepts the tunnels of peers."""
@@ -43,6 +46,7 @@
         token: str,
         resolve: Callable[[str], str | None],
         connect_seconds: float,
+        check_crash: CheckCrash = lambda endpoint, on_result: on_result(False),
     ) -> None:
         """Begin without tunnels.
 
@@ -53,6 +57,8 @@
         :param resolve: returns the address of a published endpoint, None if
             there is none of that name or no tunnels are opened any more
         :param connect_seconds: how long a connection may take to open
+        :param check_crash: finds out whether an endpoint that closed a
+            connection in good order has crashed
         """
         self._sockets = sockets_
         self._timers = timers
@@ -60,6 +66,7 @@
         self._token = token
         self._resolve = resolve
         self._connect_seconds = connect_seconds
+        self._check_crash = check_crash
         self._tunnels: set[TunnelEntrance] = set()
 
     @property
@@ -105,18 +112,23 @@
         :param head: the peer's request
         :return: its address, None if there is none
         """
-        name = head.target.decode("latin-1").rpartition(":")[0]
-        return self._resolve(name)
+        return self._resolve(endpoint_name(head))
 
-    def open(self, address: str, entrance: TunnelEntrance) -> TunnelExit:
+    def open(
+        self, address: str, endpoint: str, entrance: TunnelEntrance
+    ) -> TunnelExit:
         """Open the connection to an endpoint.
 
         :param address: IP number and port
+        :param endpoint: name of the endpoint
         :param entrance: the peer's side
         :return: the endpoint's side, not yet connected
         """
         host, _, port = address.rpartition(":")
-        far = TunnelExit(entrance=entrance)
+        far = TunnelExit(
+            entrance=entrance,
+            check_crash=functools.partial(self._check_crash, endpoint),
+        )
         far.stream = self._sockets.connect(
             host=host, port=int(port), handler=far
         )
@@ -207,6 +219,8 @@
     def opened(self) -> None:
         """Tell the peer that bytes pass from now on."""
         self._server.record("opened")
+        # The end of this process says nothing of the endpoint's answer.
+        self.stream.reset_unless_closed()
         response = h11.Response(status_code=STATUS_OPENED, headers=[])
         self.stream.write(self._parser.send(response) or b"")
 
@@ -225,7 +239,7 @@
             self._refuse(status)
             return
         self._parser.next_event()
-        self._exit = self._server.open(address, self)
+        self._exit = self._server.open(address, endpoint_name(head), self)
 
     def _refuse(self, status: int, reason: str = "") -> None:
         self._server.record(reason or str(status))
@@ -245,8 +259,14 @@
     stream: streams.Stream
     timeout: timing.Subscription
 
-    def __init__(self, *, entrance: TunnelEntrance) -> None:
+    def __init__(
+        self,
+        *,
+        entrance: TunnelEntrance,
+        check_crash: Callable[[Callable[[bool], None]], None],
+    ) -> None:
         self._entrance = entrance
+        self._check_crash = check_crash
         self._opened = False
 
     def connected(self) -> None:
@@ -270,8 +290,8 @@
     def closed(self, reason: str) -> None:
         """End the peer's side in the same way.
 
-        An answer without a length ends with its connection: after a reset it
-        must not look whole.
+        An answer without a length ends with its connection: after a reset or
+        a crash it must not look whole. The peer can't look at the endpoint.
 
         :param reason: why the endpoint's side is gone
         """
@@ -279,10 +299,25 @@
         if not self._opened:
             self._entrance.not_opened(reason)
         elif reason == ORDERLY_END:
-            self._entrance.stream.close()
+            self._check_crash(self._end)
         else:
             self._entrance.stream.reset()
 
+    def _end(self, crashed: bool) -> None:
+        if crashed:
+            self._entrance.stream.reset()
+        else:
+            self._entrance.stream.close()
+
+
+def endpoint_name(head: h11.Request) -> str:
+    """Read the name of the endpoint that a request asks for.
+
+    :param head: the peer's request
+    :return: the name
+    """
+    return head.target.decode("latin-1").rpartition(":")[0]
+
 
 __all__ = [
     "TunnelServer",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -40,8 +40,11 @@
 class Caller(threading.Thread):
     """Sends one request after the other, over connections that it keeps."""
 
-    def __init__(self, *, run, number: int, seed: int) -> None:
+    def __init__(
+        self, *, run, number: int, seed: int, http_1_0: bool = False
+    ) -> None:
         super().__init__(daemon=True)
+        self._http_1_0 = http_1_0
         self._run = run
         self._number = number
         self._rng = random.Random(f"{seed}/{number}")
@@ -91,6 +94,9 @@
             connection = http.client.HTTPConnection(
                 address, timeout=DEADLINE_SECONDS + 1
             )
+            if self._http_1_0:
+                connection._http_vsn = 10
+                connection._http_vsn_str = "HTTP/1.0"
             self._connections[gateway] = connection
         response = None
         try:
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -81,6 +81,20 @@
     def _endpoint_cuts(self, fault: plan.Fault) -> None:
         self._faulty(fault, cut_after=2)
 
+    def _unframed_answers(self, fault: plan.Fault) -> None:
+        self._faulty(fault, framing="close", unframed_calls=True)
+
+    def _unframed_breaks(self, fault: plan.Fault) -> None:
+        rng = random.Random(fault.what)
+        # Nothing tells the end of a body from a close by a living endpoint.
+        plain = self._name(fault).startswith("desk")
+        self._faulty(
+            fault,
+            framing=rng.choice(["length", "chunks", "close"]),
+            ending="reset" if plain else rng.choice(["close", "reset"]),
+            cut_after=rng.randrange(3),
+        )
+
     def _silent_second(self, fault: plan.Fault) -> None:
         self._note(None, SILENT_SECONDS)
         self._through(self._name(fault), proxy.Mode.HOLD, SILENT_SECONDS)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -50,6 +50,9 @@
 NAMED_KINDS = {
     "endpoint_resets_answers": 1,
     "crashing_request": 1,
+    "crashing_answer": 1,
+    "unframed_answers": 1,
+    "unframed_breaks": 2,
     "cut_off": 2,
     "brittle": 1,
     "silent_second": 1,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
+import socket
 import threading
 
+from boragefold.transport import streams
+
 READ_BYTES = 65536
 
 
@@ -47,7 +51,7 @@
         """Reset every connection that is open now, or those of one host."""
         for writer in list(self._writers):
             if not source or self._sources.get(writer) == source:
-                writer.transport.abort()
+                _reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -56,19 +60,19 @@
             await self._relay(reader, writer)
         except asyncio.CancelledError:
             # The run is over; asyncio would print each that was cancelled.
-            writer.transport.abort()
+            _reset(writer)
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.mode is Mode.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         host, _, port = self._target.rpartition(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, port)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         ends = {writer, far_writer}
         self._writers |= ends
@@ -91,7 +95,7 @@
         try:
             while data := await reader.read(READ_BYTES):
                 if self.mode is Mode.RESET_ANSWERS and answers:
-                    writer.transport.abort()
+                    _reset(writer)
                     return
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
@@ -108,7 +112,15 @@
                 await writer.drain()
             writer.close()
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    # Without this, the connection would be closed in good order.
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, streams.NO_LINGER)
+    writer.transport.abort()
 
 
 class Proxies:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,16 @@
 AWAY_SECONDS = 6.0
 SPARE_KEY = "spare-key-{}"
 CRASH_BODY = "crashes its endpoint"
+CRASHES = {
+    "crashing_request": {"crash_body": CRASH_BODY},
+    # The kernel closes the connections of the process in good order.
+    "crashing_answer": {
+        "cut_body": CRASH_BODY,
+        "cut_after": 1,
+        "framing": "close",
+        "ending": "exit",
+    },
+}
 CULPRIT_PAUSE_SECONDS = 0.2
 ENDPOINT_AWAY_SECONDS = 0.5
 
@@ -60,8 +70,9 @@
         self.machines = SoakMachines(
             folder,
             gateways=gateways,
-            direct=any(fault.kind == "crashing_request" for fault in faults),
+            direct=any(fault.kind in CRASHES for fault in faults),
         )
+        self._crash_faults: dict[str, object] = {}
         self.culprit_ids: set[str] = set()
         self.crashed_at_seconds: list[float] = []
         self.over = threading.Event()
@@ -76,8 +87,14 @@
         self.falls: list[int] = []
         self.planned_stops: list[tuple[int, float]] = []
         self.calm_from_seconds = 0.0
+        has_unframed = any("unframed" in fault.kind for fault in faults)
         self.callers = [
-            callers.Caller(run=self, number=number, seed=seed)
+            callers.Caller(
+                run=self,
+                number=number,
+                seed=seed,
+                http_1_0=number % 2 == 1 and has_unframed,
+            )
             for number in range(callers_count)
         ]
         self._faults = faults
@@ -248,13 +265,17 @@
         self.machines.publish(name)
         self._busy.discard("leaving")
 
+    def _crashing_answer(self, fault: plan.Fault) -> None:
+        self._crashing_request(fault)
+
     def _crashing_request(self, fault: plan.Fault) -> None:
         if not self._claim("culprit"):
             return
         seconds = fault.for_seconds + ENDPOINT_AWAY_SECONDS
         self._note(None, seconds)
+        self._crash_faults = CRASHES[fault.kind]
         for name in list(self.machines.endpoints):
-            self.machines.faults(name, crash_body=CRASH_BODY)
+            self.machines.faults(name, **self._crash_faults)
         end = callers.clock() + fault.for_seconds
         culprit = threading.Thread(target=self._repeat_culprit, args=(end,))
         culprit.start()
@@ -302,7 +323,7 @@
         options = ("--model", "base", "--places", "2") if is_engine else ()
         self.machines.start_endpoint(name, *options)
         machines_module.eventually(lambda: self.machines.seen(name))
-        self.machines.faults(name, crash_body=CRASH_BODY)
+        self.machines.faults(name, **self._crash_faults)
         self.machines.publish(name)
 
     def _key_withdrawn(self, fault: plan.Fault) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -86,6 +86,37 @@
     assert len(one.crashed_at_seconds) >= 3
 
 
+def test_broken_answers_without_a_framing_break_no_promise(tmp_path) -> None:
+    # The end of a connection, of an endpoint or of an instance was taken for
+    # that of an answer.
+    faults = [
+        plan.Fault(2.0, "unframed_answers", 0, 3.0),
+        plan.Fault(2.5, "unframed_answers", 2, 3.0),
+        plan.Fault(3.0, "unframed_breaks", 3, 3.0),
+        plan.Fault(4.0, "kill", 1, 1.0),
+        plan.Fault(5.0, "unframed_breaks", 1, 2.0),
+        plan.Fault(6.0, "unframed_breaks", 42, 2.0),
+    ]
+    one = _play(tmp_path, faults=faults)
+    ended = [
+        line
+        for number in range(3)
+        for line in one.machines.lines(number)
+        if line["event"] == "request_ended"
+    ]
+    assert any(line["framing"] == "close" for line in ended)
+
+
+def test_a_request_that_crashes_within_its_answer_is_refused(tmp_path) -> None:
+    faults = [
+        plan.Fault(3.0, "crashing_answer", 0, 7.0),
+        plan.Fault(5.0, "kill", 1, 1.0),
+    ]
+    length_seconds = LENGTH_SECONDS + 4.0
+    one = _play(tmp_path, faults=faults, length_seconds=length_seconds)
+    assert len(one.crashed_at_seconds) >= 3
+
+
 def test_cut_paths_and_brittle_endpoints_break_no_promise(tmp_path) -> None:
     # A peer whose tunnels are in use is stopped meanwhile.
     faults = [
