--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 import math
-from typing import NamedTuple
 
 from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import order_descriptions
+from boragefold.entry import sent_order
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
 from boragefold.state import deployment
@@ -30,19 +30,6 @@
 UNKNOWN = "unknown"
 
 
-class SentOrder(NamedTuple):
-    """An order in flight, and the state that it was based on."""
-
-    order: engine_decisions.Order
-    expected: int
-    fence: int
-    count_age_seconds: float
-    report_age_seconds: float
-    in_doubt: int
-    leased: bool
-    order_sent_at_seconds: float
-
-
 class OwnedEngine:
     """Gives orders to one engine, and updates its schedule from reports."""
 
@@ -288,7 +275,7 @@
 
     def _send_order(self, order: engine_decisions.Order) -> None:
         now_seconds = self._timers.now_seconds()
-        sent = SentOrder(
+        sent = sent_order.SentOrder(
             order=order,
             expected=self._turns.expected,
             fence=self._turns.fence(),
@@ -323,7 +310,7 @@
 
     def _on_order_response(
         self,
-        sent: SentOrder,
+        sent: sent_order.SentOrder,
         answer: whole_answer.WholeAnswer | http_client.Failure,
     ) -> None:
         self._order_pending = False
@@ -371,7 +358,7 @@
         self._on_changed()
 
     def _order_failed(
-        self, sent: SentOrder, outcome: str, now_seconds: float
+        self, sent: sent_order.SentOrder, outcome: str, now_seconds: float
     ) -> None:
         if outcome == UNKNOWN:
             self._turns.record_unanswered(
