Let a request that was broken off reach its deadline

Reading the change again: an attempt whose end was judged broken still counted as awaiting evidence, so that the deadline of a request that waited for another engine would have been ignored, and its caller left without an answer. An evidence that came after a cancellation was judged. A break that was seconds old counted as one of the same moment while its probe was open. A stream whose length fits, but which ends inside an event, kept the length and looked complete.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -96,6 +96,7 @@
             because it did not respond before the deadline
         """
         self._ended = True
+        self._awaits_evidence = False
         if self._pending is not None:
             self._pending.cancel()
         if not self._result_recorded:
@@ -192,15 +193,17 @@
     def end_without_evidence(self) -> bool:
         """Finish the request if only the end of its response is in question.
 
-        :return: whether the response has come and was judged
+        :return: whether the response has come and was judged now
         """
-        if self._awaits_evidence and not self._ended:
-            self._judge_closing(crash_detector.NO_EVIDENCE)
-        return self._awaits_evidence
+        if not self._awaits_evidence:
+            return False
+        self._judge_closing(crash_detector.NO_EVIDENCE)
+        return True
 
     def _judge_closing(self, evidence: crash_detector.ClosingEvidence) -> None:
-        if self._ended:
+        if not self._awaits_evidence:
             return
+        self._awaits_evidence = False
         verdict = answer_end.judge_closing(evidence)
         forwarding = self._forwarding
         forwarding.context.counters.add("closed_answers", verdict.value)
--- a/src/boragefold/entry/caller_answer.py
+++ b/src/boragefold/entry/caller_answer.py
@@ -88,8 +88,9 @@
             self._events = event_stream.EventStream(
                 resumable=self._admitted.route.resumable
             )
-        if self._events is not None and self._events.resumable:
-            # The rest may come from an endpoint that states another length.
+        if self._events is not None:
+            # The rest may come from an endpoint that states another length,
+            # and one that ends inside an event must not look complete.
             forwarded = [
                 (name, value)
                 for name, value in forwarded
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 from typing import NamedTuple
 
 from boragefold.entry import request_fingerprint
@@ -31,6 +32,8 @@
 MAX_PROBES = 4
 # A process that ends closes its connections before it stops listening.
 SETTLE_SECONDS = 0.02
+# Connections of a process that ends close within this time.
+SAME_MOMENT_SECONDS = 0.1
 # A caller has all of its answer but the end while the endpoint is probed.
 MAX_EVIDENCE_SECONDS = 0.25
 # All connections of a crashed process break within this time.
@@ -93,6 +96,7 @@
 
     fingerprint: Callable[[], int]
     ran_seconds: float
+    closed_at_seconds: float
     on_evidence: Callable[[ClosingEvidence], None]
 
 
@@ -112,6 +116,7 @@
 
     record: deployment.EndpointRecord
     began_at_seconds: float
+    broke_at_seconds: float = -math.inf
     reasons: set[str] = dataclasses.field(default_factory=set)
     suspects: list[crash_messages.Suspect] = dataclasses.field(
         default_factory=list
@@ -177,6 +182,7 @@
             return
         case = self._find_case(record)
         suspect = _describe_suspect(fingerprint, ran_seconds)
+        case.broke_at_seconds = self._timers.now_seconds()
         case.reasons.add(reason)
         case.suspects.append(suspect)
         if case.cause is BreakCause.CRASHED:
@@ -198,11 +204,12 @@
         :param on_evidence: called once, within ``MAX_EVIDENCE_SECONDS``
         """
         case = self._find_case(record)
-        closing = Closing(fingerprint, ran_seconds, on_evidence)
+        now_seconds = self._timers.now_seconds()
+        closing = Closing(fingerprint, ran_seconds, now_seconds, on_evidence)
         if case.cause is BreakCause.CRASHED:
             suspect = _describe_suspect(fingerprint(), ran_seconds)
             self._on_crash(DetectedCrash(_life_of(record), (suspect,)))
-            on_evidence(_describe_evidence(case, listens=False))
+            on_evidence(_describe_evidence(case, closing, listens=False))
             return
         case.closings.append(closing)
         self._timers.once(
@@ -224,7 +231,8 @@
     def _stop_waiting(self, case: BreakCase, closing: Closing) -> None:
         if closing in case.closings:
             case.closings.remove(closing)
-            closing.on_evidence(_describe_evidence(case, listens=False))
+            evidence = _describe_evidence(case, closing, listens=False)
+            closing.on_evidence(evidence)
 
     def _probe(self, life: EndpointLife, case: BreakCase) -> None:
         case.probes += 1
@@ -260,7 +268,6 @@
     ) -> None:
         listed = self._fleet.endpoint(life.name)
         case.cause = find_cause(result, listed)
-        others_broke = bool(case.suspects)
         closings, case.closings = case.closings, []
         if case.cause is BreakCause.CRASHED:
             case.suspects += [
@@ -278,12 +285,9 @@
         else:
             # The next break may have another cause.
             self._close(life)
-        evidence = ClosingEvidence(
-            cause=case.cause,
-            listens=result is connect_probe.ProbeResult.ACCEPTED,
-            others_broke=others_broke,
-        )
+        listens = result is connect_probe.ProbeResult.ACCEPTED
         for closing in closings:
+            evidence = _describe_evidence(case, closing, listens=listens)
             closing.on_evidence(evidence)
 
     def _close(self, life: EndpointLife) -> None:
@@ -352,8 +356,15 @@
     )
 
 
-def _describe_evidence(case: BreakCase, *, listens: bool) -> ClosingEvidence:
-    return ClosingEvidence(case.cause, listens, bool(case.suspects))
+def _describe_evidence(
+    case: BreakCase, closing: Closing, *, listens: bool
+) -> ClosingEvidence:
+    apart_seconds = abs(case.broke_at_seconds - closing.closed_at_seconds)
+    return ClosingEvidence(
+        cause=case.cause,
+        listens=listens,
+        others_broke=apart_seconds <= SAME_MOMENT_SECONDS,
+    )
 
 
 __all__ = [
--- /dev/null
+++ b/tests/entry/test_attempt.py
@@ -0,0 +1,126 @@
+"""The end of one attempt, where only its endpoint can show it."""
+
+from __future__ import annotations
+
+import types
+from typing import Any
+
+import pytest
+
+from boragefold.entry import attempt as attempts
+from boragefold.entry import crash_detector
+from boragefold.entry import dialect as dialects
+from boragefold.transport import http_client
+from tests.fakes import gateways
+
+CRASHED = crash_detector.ClosingEvidence(
+    crash_detector.BreakCause.CRASHED, False, False
+)
+ALIVE = crash_detector.ClosingEvidence(
+    crash_detector.BreakCause.ALIVE, True, False
+)
+FACTS = dialects.AnswerFacts(
+    status=200,
+    not_run=False,
+    not_held=False,
+    signed=True,
+    leaving=False,
+    busy=None,
+    slots=None,
+)
+
+
+class Forwarding:
+    """A request whose answer is forwarded."""
+
+    def __init__(self) -> None:
+        self.finished = self.inside_event = False
+        self.ends: list[str] = []
+        self.waiting: list[Any] = []
+        nothing = types.SimpleNamespace()
+        self.admitted = types.SimpleNamespace(
+            guard=types.SimpleNamespace(fingerprint=1),
+            request=types.SimpleNamespace(request_id="r"),
+            route=types.SimpleNamespace(repeatable=False),
+            service=types.SimpleNamespace(name="desk"),
+        )
+        self.context = types.SimpleNamespace(
+            timers=types.SimpleNamespace(now_seconds=lambda: 1.0),
+            dialect=types.SimpleNamespace(read_answer=lambda *_: FACTS),
+            choice=types.SimpleNamespace(
+                ended=lambda *_, **fields: None,
+                limits=types.SimpleNamespace(
+                    record_answer=lambda *_, **fields: None
+                ),
+            ),
+            counters=types.SimpleNamespace(add=lambda *_: None),
+            log=types.SimpleNamespace(write_ordinary=lambda *_, **f: None),
+            crashes=types.SimpleNamespace(detector=self),
+            reach=nothing,
+        )
+
+    def check_closing(self, record, *, on_evidence, **fields) -> None:
+        self.waiting.append(on_evidence)
+
+    def forward_headers(self, status, headers) -> bool:
+        return True
+
+    def on_answer_started(self) -> None:
+        pass
+
+    def forward_end(self, status) -> None:
+        self.ends.append("whole")
+
+    def on_attempt_failed(self, endpoint, reason, *, may_have_run) -> None:
+        self.ends.append(reason)
+
+
+@pytest.fixture
+def forwarding():
+    return Forwarding()
+
+
+@pytest.fixture
+def attempt(forwarding):
+    attempt = attempts.Attempt(
+        forwarding=forwarding, record=gateways.engine("e1")
+    )
+    attempt.head(200, {})
+    attempt.end(http_client.Framing.CLOSE)
+    return attempt
+
+
+@pytest.mark.parametrize(
+    ("evidence", "end"), [(ALIVE, "whole"), (CRASHED, "closed_by_crash")]
+)
+def test_the_evidence_ends_the_answer(
+    attempt, forwarding, evidence, end
+) -> None:
+    assert attempt.running and not forwarding.ends
+    forwarding.waiting[0](evidence)
+    assert forwarding.ends == [end]
+    assert not attempt.running
+
+
+def test_an_answer_is_whole_at_its_deadline(attempt, forwarding) -> None:
+    # All of it has come, and nothing speaks against it.
+    assert attempt.end_without_evidence()
+    forwarding.waiting[0](CRASHED)
+    assert forwarding.ends == ["whole"]
+
+
+def test_a_request_that_was_broken_off_still_times_out(
+    attempt, forwarding
+) -> None:
+    # It waited for another engine, and its deadline passed unnoticed.
+    forwarding.waiting[0](CRASHED)
+    assert not attempt.end_without_evidence()
+
+
+def test_evidence_for_an_attempt_that_was_cancelled_is_ignored(
+    attempt, forwarding
+) -> None:
+    attempt.cancel()
+    forwarding.waiting[0](CRASHED)
+    assert not forwarding.ends
+    assert not attempt.end_without_evidence()
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -132,6 +132,16 @@
     assert evidence.others_broke
 
 
+def test_an_earlier_break_says_nothing_of_a_later_close() -> None:
+    # A probe may stay open for seconds after the break.
+    side = Side(LEAVING)
+    side.break_off()
+    side.pass_time(2 * crash_detector.SAME_MOMENT_SECONDS)
+    side.check_closing()
+    side.client.answer(REFUSED)
+    assert not side.evidence[0].others_broke
+
+
 def test_the_evidence_comes_in_time() -> None:
     # A caller must not wait for the end of its answer behind a silent probe.
     side = Side()
