--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -18,8 +18,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERRORS = range(500, 600)
 SUCCESSES = range(200, 300)
-# How answers are broken off that seem to end in good order.
-INSIDE_EVENT = "inside_event"
+# Why an answer without a framing failed whose endpoint has crashed.
 CLOSED_BY_CRASH = "closed_by_crash"
 
 
@@ -176,7 +175,9 @@
         )
         if verdict is answer_end.Verdict.BROKEN:
             self.failed(
-                http_client.Failure(reason=INSIDE_EVENT, may_have_arrived=True)
+                http_client.Failure(
+                    reason=crash_detector.INSIDE_EVENT, may_have_arrived=True
+                )
             )
         elif verdict is answer_end.Verdict.UNPROVEN:
             self._awaits_evidence = True
@@ -207,7 +208,13 @@
         verdict = answer_end.judge_closing(evidence)
         forwarding = self._forwarding
         forwarding.context.counters.add("closed_answers", verdict.value)
-        forwarding.context.log.write_ordinary(
+        log = forwarding.context.log
+        write = (
+            log.write_ordinary
+            if verdict is answer_end.Verdict.WHOLE
+            else log.write
+        )
+        write(
             "answer_closed",
             request_id=forwarding.admitted.request.request_id,
             endpoint=self._record.name,
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -24,9 +24,13 @@
 from boragefold.transport import connect_probe
 from boragefold.transport import http_client
 
-# How connections of a process that has ended break. Others fail a request for
+# How a stream is broken off that seems to end in good order.
+INSIDE_EVENT = "inside_event"
+# How a connection ended that may have been closed behind a whole answer.
+CLOSED = "closed"
+# How answers of a process that has ended break. Others fail a request for
 # reasons of its own, such as its deadline.
-BREAK_REASONS = frozenset({"eof", "reset", "inside_event"})
+BREAK_REASONS = frozenset({"eof", "reset", INSIDE_EVENT})
 # A lost packet delays the answer to a probe beyond its timeout, and a process
 # that ends accepts connections for a moment.
 MAX_PROBES = 4
@@ -205,6 +209,7 @@
         """
         case = self._find_case(record)
         now_seconds = self._timers.now_seconds()
+        case.reasons.add(CLOSED)
         closing = Closing(fingerprint, ran_seconds, now_seconds, on_evidence)
         if case.cause is BreakCause.CRASHED:
             suspect = _describe_suspect(fingerprint(), ran_seconds)
@@ -373,6 +378,7 @@
     "CrashDetector",
     "DetectedCrash",
     "EndpointLife",
+    "INSIDE_EVENT",
     "NO_EVIDENCE",
     "find_cause",
 ]
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -45,7 +45,8 @@
     ``unframed_calls`` sends reports and answers to orders without a framing.
     ``unsigned`` leaves the signature out, ``silent`` never answers,
     ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
-    rest of a stream. ``crash_body`` ends the process under each request with this body.
+    rest of a stream. ``crash_body`` ends the process under each request with
+    this body.
     ``limits`` are slots, waiting requests, rejections that it bears in a
     second, and seconds until it is back from more.
     """
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -54,7 +54,10 @@
                 ),
             ),
             counters=types.SimpleNamespace(add=lambda *_: None),
-            log=types.SimpleNamespace(write_ordinary=lambda *_, **f: None),
+            log=types.SimpleNamespace(
+                write=lambda *_, **fields: None,
+                write_ordinary=lambda *_, **fields: None,
+            ),
             crashes=types.SimpleNamespace(detector=self),
             reach=nothing,
         )
