--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -253,7 +253,9 @@
 
     def lines(self, number):
         path = self.folder / f"gateway-{number}.log"
-        return [json.loads(line) for line in path.read_text().splitlines()]
+        # The last line may be being written.
+        whole = path.read_text().rpartition("\n")[0]
+        return [json.loads(line) for line in whole.splitlines()]
 
     def signal(self, number, signal_number):
         self.processes[f"gateway-{number}"].send_signal(signal_number)
