Log each sending of a request when it is written

On real processes, 669 sends of callers' requests arrived at endpoints and 493 were logged: the line was written when an endpoint was chosen, and the transport repeats some calls by itself. The line is now written with the bytes, for each of them, and tells whether the connection was used before, how long it took to get one, and how much time is left; a counter tells first sendings from others. Repeats are never thinned.

The stand-in endpoint lists what arrives, also what it rejects, loses answers of a share of its runs, and breaks all running requests off on command.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -30,9 +30,11 @@
         *,
         forwarding: forwardings.Forwarding,
         record: deployment.EndpointRecord,
+        version: int,
     ) -> None:
         self._forwarding = forwarding
         self._record = record
+        self._version = version
         self._pending: http_client.Pending | None = None
         self._status = 0
         self._facts: dialects.AnswerFacts | None = None
@@ -124,6 +126,19 @@
             peer=peer,
         )
 
+    def written(self, *, reused: bool) -> None:
+        """Log and count the sending of the request.
+
+        :param reused: whether the connection was used before
+        """
+        now_seconds = self._forwarding.context.timers.now_seconds()
+        self._forwarding.record_sent(
+            self._record.name,
+            version=self._version,
+            reused=reused,
+            connecting_seconds=now_seconds - self._sent_at_seconds,
+        )
+
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Process the status and the headers of the response.
 
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -37,6 +37,7 @@
         self.context = context
         self._attempt: attempts.Attempt | None = None
         self._sent_to: list[str] = []
+        self._sends = 0
         self._unreachable: set[str] = set()
         self._finished = False
         self._may_have_run = False
@@ -156,7 +157,9 @@
             )
         self._sent_to.append(record.name)
         self._sent_at_seconds = context.timers.now_seconds()
-        attempt = attempts.Attempt(forwarding=self, record=record)
+        attempt = attempts.Attempt(
+            forwarding=self, record=record, version=version
+        )
         self._attempt = attempt
         workspace = admitted.workspace
         target = dialects.EndpointTarget(
@@ -166,14 +169,6 @@
             version=version,
             resume_after=self._answer.last_event_id,
         )
-        context.log.write_ordinary(
-            "request_sent",
-            request_id=admitted.request.request_id,
-            endpoint=record.name,
-            attempt=len(self._sent_to),
-            adapter_version=version,
-            waited_seconds=round(self._waited_seconds(), 4),
-        )
         call = endpoint_call.create(
             target,
             admitted=admitted,
@@ -182,6 +177,41 @@
         )
         attempt.begin(call)
 
+    def record_sent(
+        self,
+        endpoint: str,
+        *,
+        version: int,
+        reused: bool,
+        connecting_seconds: float,
+    ) -> None:
+        """Log and count that the request was written to a connection.
+
+        :param endpoint: name of the endpoint
+        :param version: version of the adapter, 0 for any
+        :param reused: whether the connection was used before
+        :param connecting_seconds: how long it took to get the connection
+        """
+        self._sends += 1
+        is_first = self._sends == 1
+        log = self.context.log
+        self.context.counters.add(
+            "requests_sent", "first" if is_first else "again"
+        )
+        # Repeats are few, since they have a budget.
+        write = log.write_ordinary if is_first else log.write
+        write(
+            "request_sent",
+            request_id=self.admitted.request.request_id,
+            endpoint=endpoint,
+            attempt=self._sends,
+            adapter_version=version,
+            waited_seconds=round(self._waited_seconds(), 4),
+            connecting_seconds=round(connecting_seconds, 4),
+            reused_connection=reused,
+            remaining_seconds=round(self.remaining_seconds(), 4),
+        )
+
     def on_quarantine(self) -> None:
         """Refuse the request if it waits and is quarantined now."""
         if self._attempt is not None and self._attempt.running:
--- /dev/null
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -0,0 +1,73 @@
+"""What a stand-in endpoint does wrong."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from boragefold.standins import endpoint_connection
+from boragefold.standins import machines_http
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What an endpoint does wrong; set by ``PUT /control/faults``.
+
+    ``status`` replaces the answer's, ``not_executed`` marks it as not run,
+    ``framing`` is how answers are framed, ``line_end`` ends the lines of
+    events. ``cut_after`` breaks a stream off after so many events, inside the
+    next one unless ``cut_between``, and other answers in their midst, all by
+    ``ending``; with ``cut_body``, only those to requests with this body.
+    ``exit_when_done`` ends the process after its next whole answer,
+    ``unframed_calls`` sends reports and answers to orders without a framing.
+    ``unsigned`` leaves the signature out, ``silent`` never answers,
+    ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
+    rest of a stream. ``crash_body`` ends the process under each request with
+    this body. ``lose_answers`` closes the connection behind the run instead of
+    answering; ``share`` is the part of the runs that this, ``status`` and
+    ``not_executed`` apply to.
+    ``limits`` are slots, waiting requests, rejections that it bears in a
+    second, and seconds until it is back from more.
+    """
+
+    status: int = machines_http.STATUS_OK
+    not_executed: bool = False
+    framing: endpoint_connection.Framing | None = None
+    line_end: str = "\n"
+    cut_after: int | None = None
+    cut_between: bool = False
+    cut_body: str = ""
+    ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
+    exit_when_done: bool = False
+    unframed_calls: bool = False
+    unsigned: bool = False
+    silent: bool = False
+    delay_seconds: float = 0.0
+    resumed_status: int = machines_http.STATUS_OK
+    crash_body: str = ""
+    lose_answers: bool = False
+    share: float = 1.0
+    limits: tuple[int, int, int, float] = (0, 0, 0, 0.0)
+
+
+class FaultShare:
+    """Chooses the runs that a fault applies to, evenly spread."""
+
+    def __init__(self) -> None:
+        self._due = 0.0
+
+    def draw(self, share: float) -> bool:
+        """Choose for one run.
+
+        :param share: part of the runs, from 0 to 1
+        :return: whether the fault applies to it
+        """
+        self._due += share
+        drawn = self._due >= 1
+        self._due -= drawn
+        return drawn
+
+
+__all__ = [
+    "FaultShare",
+    "Faults",
+]
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import dataclasses
 import os
 from typing import Any
 
 import msgspec
 
 from boragefold.standins import endpoint_connection
+from boragefold.standins import endpoint_faults
 from boragefold.standins import machines_http
 from boragefold.standins import run_slots
 from boragefold.timing import timers as timing
@@ -32,43 +32,6 @@
 CRASH_SECONDS = 0.05
 
 
-@dataclasses.dataclass(kw_only=True)
-class Faults:
-    """What an endpoint does wrong; set by ``PUT /control/faults``.
-
-    ``status`` replaces the answer's, ``not_executed`` marks it as not run,
-    ``framing`` is how answers are framed, ``line_end`` ends the lines of
-    events. ``cut_after`` breaks a stream off after so many events, inside the
-    next one unless ``cut_between``, and other answers in their midst, all by
-    ``ending``; with ``cut_body``, only those to requests with this body.
-    ``exit_when_done`` ends the process after its next whole answer,
-    ``unframed_calls`` sends reports and answers to orders without a framing.
-    ``unsigned`` leaves the signature out, ``silent`` never answers,
-    ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
-    rest of a stream. ``crash_body`` ends the process under each request with
-    this body.
-    ``limits`` are slots, waiting requests, rejections that it bears in a
-    second, and seconds until it is back from more.
-    """
-
-    status: int = machines_http.STATUS_OK
-    not_executed: bool = False
-    framing: endpoint_connection.Framing | None = None
-    line_end: str = "\n"
-    cut_after: int | None = None
-    cut_between: bool = False
-    cut_body: str = ""
-    ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
-    exit_when_done: bool = False
-    unframed_calls: bool = False
-    unsigned: bool = False
-    silent: bool = False
-    delay_seconds: float = 0.0
-    resumed_status: int = machines_http.STATUS_OK
-    crash_body: str = ""
-    limits: tuple[int, int, int, float] = (0, 0, 0, 0.0)
-
-
 class Endpoint:
     """An endpoint: a plain service, or an engine with adapters."""
 
@@ -100,8 +63,11 @@
         self._held: dict[str, float] = {}
         self._had: set[str] = set()
         self._count = 0
-        self._faults = Faults()
+        self._faults = endpoint_faults.Faults()
         self._slots = run_slots.RunSlots(timers=timers)
+        self._share = endpoint_faults.FaultShare()
+        self._running: list[http_server.Exchange] = []
+        self._arrivals: list[dict[str, Any]] = []
         self._runs: list[dict[str, Any]] = []
         self._orders: list[dict[str, Any]] = []
 
@@ -114,17 +80,32 @@
         :param exchange: where the answer goes
         """
         if request.path == "/control/faults":
-            self._faults = msgspec.json.decode(request.body, type=Faults)
+            self._faults = msgspec.json.decode(
+                request.body, type=endpoint_faults.Faults
+            )
             self._slots.limits = run_slots.SlotLimits(*self._faults.limits)
             machines_http.reply_json(exchange, machines_http.STATUS_OK, {})
         elif request.path == "/control/seen":
             seen = {
+                "arrivals": self._arrivals,
                 "runs": self._runs,
                 "orders": self._orders,
                 "falls": self._slots.falls,
             }
             machines_http.reply_json(exchange, machines_http.STATUS_OK, seen)
-        elif self._slots.fallen:
+        elif request.path == "/control/break":
+            ending = endpoint_connection.Ending(request.body.decode())
+            self._break_running(ending)
+            machines_http.reply_json(exchange, machines_http.STATUS_OK, {})
+        else:
+            self._handle_call(request, exchange)
+
+    def _handle_call(
+        self, request: http_server.Request, exchange: http_server.Exchange
+    ) -> None:
+        if not request.path.startswith("/v1/"):
+            self._arrivals.append(self._describe(request))
+        if self._slots.fallen:
             exchange.abort()
         elif not self._is_meant(request):
             machines_http.reply_json(exchange, STATUS_MISDIRECTED, {})
@@ -213,8 +194,10 @@
         ):
             machines_http.reply_json(exchange, STATUS_MISDIRECTED, {})
             return
-        faults = self._faults
-        if faults.not_executed or not self._slots.submit(
+        rejects = self._faults.not_executed and self._share.draw(
+            self._faults.share
+        )
+        if rejects or not self._slots.submit(
             lambda: self._begin(request, exchange)
         ):
             headers = [*machines_http.JSON, (NOT_EXECUTED, "1")]
@@ -234,15 +217,8 @@
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
         faults = self._faults
-        self._runs.append(
-            {
-                "headers": dict(request.fields),
-                "method": request.method,
-                "target": request.target,
-                "body": request.body.decode("latin-1"),
-                "at_seconds": self._timers.now_seconds(),
-            }
-        )
+        self._runs.append(self._describe(request))
+        self._running.append(exchange)
         if faults.crash_body and request.body == faults.crash_body.encode():
             self._timers.once(
                 delay_seconds=CRASH_SECONDS, callback=lambda: os._exit(1)
@@ -253,6 +229,21 @@
                 callback=lambda: self._answer(request, exchange),
             )
 
+    def _describe(self, request: http_server.Request) -> dict[str, Any]:
+        return {
+            "headers": dict(request.fields),
+            "method": request.method,
+            "target": request.target,
+            "body": request.body.decode("latin-1"),
+            "at_seconds": self._timers.now_seconds(),
+        }
+
+    def _break_running(self, ending: endpoint_connection.Ending) -> None:
+        running, self._running = self._running, []
+        for exchange in running:
+            if not exchange.finished:
+                endpoint_connection.break_off(exchange, ending)
+
     def _answer(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
@@ -260,6 +251,14 @@
             exchange.abort()
             return
         self._slots.end()
+        if exchange.finished:
+            return
+        self._running = [each for each in self._running if not each.finished]
+        faults = self._faults
+        fails = self._share.draw(self._faults.share)
+        if fails and faults.lose_answers:
+            endpoint_connection.break_off(exchange, faults.ending)
+            return
         attempt = request.headers.get("boragefold-attempt-id", "")
         headers = [
             ("Boragefold-Attempt-Id", attempt),
@@ -268,8 +267,8 @@
         if not self._faults.unsigned:
             headers.append((SIGNATURE, f"signed-by-{self._name}"))
         resumed = request.headers.get("last-event-id", "")
-        faults = self._faults
         status = faults.resumed_status if resumed else faults.status
+        status = status if fails else machines_http.STATUS_OK
         is_cut = faults.cut_after is not None and (
             not faults.cut_body or request.body == faults.cut_body.encode()
         )
@@ -360,5 +359,4 @@
 
 __all__ = [
     "Endpoint",
-    "Faults",
 ]
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -49,6 +49,13 @@
         """
         return
 
+    def written(self, *, reused: bool) -> None:
+        """Learn that the call was written to an open connection.
+
+        :param reused: whether an earlier call was sent on the connection
+        """
+        return
+
     @abc.abstractmethod
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Take the head.
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -218,6 +218,7 @@
             sink=self.pending.sink, accepts=self.pending.call.accepts
         )
         self.stream.write(_write_call(self.pending.call))
+        self.pending.sink.written(reused=self.used_before)
 
     def _end(
         self,
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -86,7 +86,7 @@
 @pytest.fixture
 def attempt(forwarding):
     attempt = attempts.Attempt(
-        forwarding=forwarding, record=gateways.engine("e1")
+        forwarding=forwarding, record=gateways.engine("e1"), version=0
     )
     attempt.head(200, {})
     attempt.end(http_client.Framing.CLOSE)
