Reproduce repeats beyond their budget, failing

Requests at a steady rate at real processes whose connections are reset or closed each second, whose answers are lost, or that run long; arrivals are counted at the endpoints, as the rule counts them: beyond the first, in each window, summed over all instances. Seven instances that know nobody each take the whole part; a request that crashes its engines before any byte of its answer, on connections that others used, is never suspected.

The engines of the crash test come back side by side now, so that all crash again, and the crashes themselves are counted besides the sends.

--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -22,7 +22,7 @@
 CRASHES_UNTIL_KNOWN = 3
 # Sends that may still follow a request known to crash its engines.
 MAX_LATE_SENDS = 3
-PLAY_SECONDS = 10.0
+PLAY_SECONDS = 12.0
 PAUSE_SECONDS = 0.2
 
 
@@ -33,28 +33,46 @@
         super().__init__(daemon=True)
         self._machines = machines
         self.over = threading.Event()
+        self.restart_seconds = RESTART_SECONDS
         self.ended_at_seconds: list[float] = []
+        self._timers: list[threading.Timer] = []
+        self._names = itertools.count()
 
     def run(self) -> None:
         while not self.over.wait(0.01):
-            self.replace_ended()
+            for name in self._take_ended():
+                timer = threading.Timer(
+                    self.restart_seconds, self._replace, args=[name]
+                )
+                self._timers.append(timer)
+                timer.start()
+        for timer in self._timers:
+            timer.join()
 
     def replace_ended(self) -> None:
-        for name in list(self._machines.endpoints):
-            if self._machines.processes[name].poll() is not None:
-                self._replace(name)
+        for name in self._take_ended():
+            self._replace(name)
+
+    def _take_ended(self) -> list[str]:
+        ended = [
+            name
+            for name in self._machines.endpoints
+            if self._machines.processes[name].poll() is not None
+        ]
+        for name in ended:
+            self.ended_at_seconds.append(time.time())
+            del self._machines.endpoints[name]
+        return ended
 
     def add(self) -> None:
-        name = f"engine-{len(self._machines.processes)}"
+        # Unique among the processes, also where several start at once.
+        name = f"engine-r{next(self._names)}-{len(self._machines.processes)}"
         self._machines.start_endpoint(name, "--model", "base", "--places", "2")
         machines_module.eventually(lambda: self._machines.seen(name))
         self._machines.faults(name, crash_body=CRASH_BODY)
         self._machines.publish(name)
 
     def _replace(self, name: str) -> None:
-        self.ended_at_seconds.append(time.time())
-        del self._machines.endpoints[name]
-        time.sleep(RESTART_SECONDS)
         self._machines.remove(f"servers/{name}")
         self.add()
 
@@ -62,9 +80,10 @@
 class Caller(threading.Thread):
     """Sends one body again and again, at each gateway in turn."""
 
-    def __init__(self, *, machines, body, events, over) -> None:
+    def __init__(self, *, machines, path, body, events, over) -> None:
         super().__init__(daemon=True)
         self._machines = machines
+        self._path = path
         self._body = body
         self._events = events
         self._over = over
@@ -85,7 +104,7 @@
         }
         try:
             return self._machines.ask(
-                "/notes/x",
+                self._path,
                 number=gateway,
                 headers=headers,
                 body=self._body.encode(),
@@ -111,13 +130,14 @@
         engines.join()
 
 
-def _play(machines, over) -> list[Caller]:
+def _play(machines, path, other_events, over) -> list[Caller]:
     bodies = (CRASH_BODY, "one", "two", "three")
     callers = [
         Caller(
             machines=machines,
+            path=path,
             body=body,
-            events=5 if body == CRASH_BODY else 60,
+            events=5 if body == CRASH_BODY else other_events,
             over=over,
         )
         for body in bodies
@@ -168,17 +188,25 @@
     machines_module.eventually(lambda: "crashed" in _verdicts(machines))
 
 
+@pytest.mark.parametrize(
+    ("path", "other_events", "restart_seconds"),
+    [("/notes/x", 60, RESTART_SECONDS), ("/drafts/x", 3, 3.0)],
+)
 def test_a_request_that_crashes_its_engines_isnt_sent_on_for_ever(
-    machines, engines
+    machines, engines, path, other_events, restart_seconds
 ) -> None:
     # A caller's repeats of one request crash engine after engine, at any
-    # instance.
-    culprit, *others = _play(machines, threading.Event())
+    # instance, also where they meet connections that others used.
+    engines.restart_seconds = restart_seconds
+    over = threading.Event()
+    culprit, *others = _play(machines, path, other_events, over)
     sent = _sent(machines, {request_id for request_id, _ in culprit.statuses})
     crashes = sorted(engines.ended_at_seconds)
     assert len(crashes) >= CRASHES_UNTIL_KNOWN
     known_at_seconds = crashes[CRASHES_UNTIL_KNOWN - 1] + CONTACT_SECONDS
     late = [at for at in sent if at > known_at_seconds]
     assert len(late) <= MAX_LATE_SENDS, (len(crashes), sent)
+    late_crashes = [at for at in crashes if at > known_at_seconds]
+    assert len(late_crashes) <= MAX_LATE_SENDS, crashes
     served = [status for caller in others for _, status in caller.statuses]
     assert served.count(200) > len(served) / 2
--- /dev/null
+++ b/tests/fakes/repeat_load.py
@@ -0,0 +1,206 @@
+"""Steady load on a fleet, and what its endpoints saw beyond first sends."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import concurrent.futures
+import http.client
+import itertools
+import os
+import time
+from typing import Any
+from typing import NamedTuple
+
+from boragefold.timing import clock as clocks
+
+# The clock on which the stand-ins note arrivals.
+clock = clocks.BootClock().now_seconds
+DEADLINE_SECONDS = 4.0
+# How much longer than the caller's an endpoint's deadline may be, and how long
+# after the first sending a repeat counts as late.
+DEADLINE_SLACK_SECONDS = 0.5
+ATTEMPT_ID = "boragefold-attempt-id"
+DEADLINE = "boragefold-deadline-ms"
+
+
+class Limit(NamedTuple):
+    """Arrivals beyond the first that a fleet is allowed in any window."""
+
+    ratio: float
+    slack: float
+    window_seconds: float
+
+
+# As the settings of the gateways state it.
+LIMIT = Limit(ratio=0.2, slack=50.0, window_seconds=10.0)
+
+
+class Sent(NamedTuple):
+    """One request of a caller and its final answer, 0 for none."""
+
+    request_id: str
+    at_seconds: float
+    status: int
+
+
+class Window(NamedTuple):
+    """The worst window of a run."""
+
+    beyond_first: int
+    allowed: float
+
+
+class Load:
+    """Requests of one path at a steady rate, at each gateway in turn."""
+
+    def __init__(self, machines, path: str, *, per_second: float) -> None:
+        self._machines = machines
+        self._path = path
+        self._pause_seconds = 1 / per_second
+        self.sent: list[Sent] = []
+
+    def play(self, seconds: float) -> list[Sent]:
+        """Send for some time, and wait for the answers."""
+        begin, running = clock(), []
+        gateways = itertools.cycle(range(len(self._machines.gateways)))
+        with concurrent.futures.ThreadPoolExecutor(200) as pool:
+            for number in itertools.count():
+                at = begin + number * self._pause_seconds
+                if at > begin + seconds:
+                    break
+                time.sleep(max(0.0, at - clock()))
+                running.append(pool.submit(self._ask, next(gateways)))
+        self.sent += [each.result() for each in running]
+        return self.sent
+
+    def served_share(self) -> float:
+        served = sum(each.status == 200 for each in self.sent)
+        return served / len(self.sent)
+
+    def _ask(self, gateway: int) -> Sent:
+        request_id, at = os.urandom(8).hex(), clock()
+        headers = {
+            "Boragefold-Attempt-Id": request_id,
+            "Boragefold-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        }
+        if self._path.startswith(("/drafts/", "/notes/")):
+            headers["Boragefold-Model"] = "base"
+            headers["Boragefold-Token-Usage"] = "100,3"
+        try:
+            status = self._machines.ask(
+                self._path, number=gateway, headers=headers, body=b"x"
+            ).status
+        except (OSError, http.client.HTTPException):
+            status = 0
+        return Sent(request_id, at, status)
+
+
+def arrivals_of(machines, sent: list[Sent]) -> dict[str, list[dict[str, Any]]]:
+    """List the arrivals of requests at all endpoints, in their order."""
+    found: dict[str, list[dict[str, Any]]] = {
+        each.request_id: [] for each in sent
+    }
+    for name in machines.endpoints:
+        for arrival in machines.seen(name)["arrivals"]:
+            request_id = arrival["headers"].get(ATTEMPT_ID)
+            if request_id in found:
+                found[request_id].append({**arrival, "endpoint": name})
+    for each in found.values():
+        each.sort(key=lambda arrival: arrival["at_seconds"])
+    return found
+
+
+def worst_window(
+    sent: list[Sent], arrivals: dict[str, list[dict[str, Any]]]
+) -> Window:
+    """Find the window with the most arrivals beyond what is allowed."""
+    asked = sorted(each.at_seconds for each in sent)
+    beyond = sorted(
+        each["at_seconds"] for found in arrivals.values() for each in found[1:]
+    )
+    windows = [
+        Window(
+            bisect.bisect_right(beyond, end)
+            - bisect.bisect_right(beyond, end - LIMIT.window_seconds),
+            LIMIT.ratio * _most_asked(asked, end) + LIMIT.slack,
+        )
+        for end in beyond
+    ]
+    return max(
+        windows,
+        key=lambda each: each.beyond_first - each.allowed,
+        default=Window(0, LIMIT.slack),
+    )
+
+
+def _most_asked(asked: list[float], end: float) -> int:
+    # In that window, the one half a window before or the one before.
+    ends = [end - part * LIMIT.window_seconds for part in (0.0, 0.5, 1.0)]
+    return max(
+        bisect.bisect_right(asked, each)
+        - bisect.bisect_right(asked, each - LIMIT.window_seconds)
+        for each in ends
+    )
+
+
+def late_repeats(
+    sent: list[Sent], arrivals: dict[str, list[dict[str, Any]]]
+) -> list[float]:
+    """Tell by how much repeats' deadlines end after those before them.
+
+    :return: seconds beyond the first sending's and the caller's deadline, of
+        each repeat that was sent late
+    """
+    asked = {each.request_id: each.at_seconds for each in sent}
+    return [
+        _ends_at(again)
+        - max(_ends_at(first), asked[request_id] + DEADLINE_SECONDS)
+        for request_id, found in arrivals.items()
+        for first, again in itertools.product(found[:1], found[1:])
+        if again["at_seconds"] - first["at_seconds"] > DEADLINE_SLACK_SECONDS
+    ]
+
+
+def _ends_at(arrival: dict[str, Any]) -> float:
+    return arrival["at_seconds"] + int(arrival["headers"][DEADLINE]) / 1000
+
+
+def endpoints_reached(arrivals: dict[str, list[dict[str, Any]]]) -> int:
+    """Count the most endpoints that one request arrived at."""
+    return max(
+        (
+            len({each["endpoint"] for each in found})
+            for found in arrivals.values()
+        ),
+        default=0,
+    )
+
+
+def most_arrivals(arrivals: dict[str, list[dict[str, Any]]]) -> int:
+    """Count the most arrivals of one request."""
+    return max(map(len, arrivals.values()), default=0)
+
+
+def logged_sends(machines, sent: list[Sent]) -> collections.Counter[str]:
+    """Count the sends of each request that the gateways logged."""
+    ids = {each.request_id for each in sent}
+    return collections.Counter(
+        line["request_id"]
+        for number in range(len(machines.gateways))
+        for line in machines.lines(number)
+        if line["event"] == "request_sent" and line["request_id"] in ids
+    )
+
+
+__all__ = [
+    "DEADLINE_SLACK_SECONDS",
+    "LIMIT",
+    "Load",
+    "arrivals_of",
+    "endpoints_reached",
+    "late_repeats",
+    "logged_sends",
+    "most_arrivals",
+    "worst_window",
+]
