Wait until a crashed stand-in has ended before the next case

test_answers_of_a_process_that_ends_arent_complete failed with a refused connection beside load: the stand-in's process may end a moment after its caller has the broken answer, the test then took it for living, and set the next case's faults at an address where nothing listened any more. The test now waits until the process has ended and is replaced; what it asserts is unchanged.

--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -165,7 +165,8 @@
         assert seen.status == 200
         if seen.complete:
             looked_complete.append(case)
-        endpoints.replace_ended(fleet)
+        # Its process may end a moment after its answer has.
+        machines_module.eventually(lambda: endpoints.replace_ended(fleet))
     assert not looked_complete
 
 
