Decide on every repeat of a request at one place

Callers' requests arrived at endpoints more often than the limit of all instances allows, up to four times for one request, with the deadline of the first sending, and a request that crashed its endpoints was sent on for ever.

Cause: the transport sent a call again by itself when a reused connection ended before any byte of its answer, whatever had happened there: below the budget, the limit of endpoints, the deadline, the quarantine, the log and the crash detector, which never saw such an end. Besides, each instance took its part of the slack among the instances that it had heard of, so that some that know nobody took the whole each.

The transport now reports how a connection ended and repeats nothing; it looks at an idle connection before using it. Rejections, failures and breaks ask one decision, which logs its inputs, and the last check before the bytes are written wants its permit. The deadline is written with the bytes. The budget of a window is what the instance's own requests earn and a part of the slack, divided by all that may use one and earned anew after a start.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import typing
-
 from boragefold.entry import answer_end
+from boragefold.entry import attempt_owner
 from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
 from boragefold.entry import refusals
+from boragefold.entry import repeats
+from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_client
 
-if typing.TYPE_CHECKING:
-    from boragefold.entry import forwarding as forwardings
-
 # Statuses which say that the endpoint did not and will not run the request.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERRORS = range(500, 600)
@@ -28,7 +26,7 @@
     def __init__(
         self,
         *,
-        forwarding: forwardings.Forwarding,
+        forwarding: attempt_owner.AttemptOwner,
         record: deployment.EndpointRecord,
         version: int,
     ) -> None:
@@ -131,12 +129,16 @@
 
         :param reused: whether the connection was used before
         """
-        now_seconds = self._forwarding.context.timers.now_seconds()
-        self._forwarding.record_sent(
-            self._record.name,
-            version=self._version,
-            reused=reused,
-            connecting_seconds=now_seconds - self._sent_at_seconds,
+        forwarding = self._forwarding
+        forwarding.sendings.record_written(
+            repeats.Written(
+                endpoint=self._record.name,
+                version=self._version,
+                reused_connection=reused,
+                connecting_seconds=self._ran_seconds(),
+                waited_seconds=forwarding.waited_seconds(),
+                remaining_seconds=forwarding.remaining_seconds(),
+            )
         )
 
     def head(self, status: int, headers: dict[str, str]) -> None:
@@ -159,7 +161,7 @@
         self._record_result(
             failed=status in SERVER_ERRORS and not facts.not_held
         )
-        if self._try_retry(facts):
+        if self._may_repeat(facts):
             self._retry_at_end = True
         elif not facts.not_run and not self._is_invalid(facts):
             self._forwarded = self._forwarding.forward_headers(status, headers)
@@ -288,15 +290,14 @@
                 may_have_run=failure.may_have_arrived,
             )
 
-    def _try_retry(self, facts: dialects.AnswerFacts) -> bool:
-        route = self._forwarding.admitted.route
-        if facts.not_run or not route.repeatable:
-            return False
-        if self._status not in SERVER_ERRORS:
-            return False
-        if not self._forwarding.can_try_another():
+    def _may_repeat(self, facts: dialects.AnswerFacts) -> bool:
+        if facts.not_run or self._status not in SERVER_ERRORS:
             return False
-        return self._forwarding.try_retry(self._record.name, may_have_run=True)
+        return self._forwarding.may_repeat(
+            self._record.name,
+            repeat_decision.Setback.FAILED,
+            may_have_run=True,
+        )
 
     def _is_invalid(self, facts: dialects.AnswerFacts) -> bool:
         # A success without a signature, or an unconfirmed "not run" status.
--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -83,7 +83,6 @@
     """
 
     record: deployment.EndpointRecord
-    deadline_seconds: float
     workspace: str
     version: int
     resume_after: str
@@ -121,6 +120,14 @@
         :return: names and values
         """
 
+    @abc.abstractmethod
+    def deadline_headers(self, remaining_seconds: float) -> Headers:
+        """Create the headers that tell an endpoint how much time is left.
+
+        :param remaining_seconds: time until the deadline of the request
+        :return: names and values
+        """
+
     @abc.abstractmethod
     def answers(
         self, request: CallerRequest, headers: Mapping[str, str]
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -13,6 +13,7 @@
 from boragefold.entry import request_context
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
+from boragefold.policy import repeat_decision
 from boragefold.protocol import ids
 from boragefold.state import deployment
 from boragefold.transport import http_server
@@ -88,13 +89,13 @@
                 delay_seconds=RETRY_SECONDS, callback=self.begin
             )
 
-    def can_try_another(self) -> bool:
+    def can_try_another(self, *, may_wait: bool) -> bool:
         """Check whether the request may be sent to a further engine.
 
-        :return: whether the route allows it
+        :param may_wait: ignored, since owners queue requests
+        :return: whether there is one that the route allows
         """
-        route = self.admitted.route
-        return len(set(self._sent_to)) < route.max_attempts
+        return bool(self._queue_seconds) or self._next_engine() is not None
 
     def on_granted(
         self, engine: str, version: int, waits: engine_decisions.QueueTimes
@@ -191,7 +192,9 @@
             self._not_loaded_count += 1
             if self._not_loaded_count < MAX_NOT_LOADED:
                 self._tried.remove(endpoint)
-        if self.try_retry(endpoint, may_have_run=False):
+        if self.may_repeat(
+            endpoint, repeat_decision.Setback.REJECTED, may_have_run=False
+        ):
             self.begin()
         else:
             reason = "adapter_missing" if facts.not_held else "engine_full"
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -7,6 +7,7 @@
 
 from boragefold.entry import answer_deadline
 from boragefold.entry import attempt as attempts
+from boragefold.entry import attempt_owner
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_call
@@ -16,6 +17,7 @@
 from boragefold.entry import request_end
 from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
+from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_server
 
@@ -23,7 +25,7 @@
 RETRY_AFTER_SECONDS = 0.3
 
 
-class Forwarding(quarantines.WaitingRequest):
+class Forwarding(attempt_owner.AttemptOwner, quarantines.WaitingRequest):
     """Forwards one request and sends exactly one final response for it."""
 
     def __init__(
@@ -37,10 +39,11 @@
         self.context = context
         self._attempt: attempts.Attempt | None = None
         self._sent_to: list[str] = []
-        self._sends = 0
         self._unreachable: set[str] = set()
         self._finished = False
-        self._may_have_run = False
+        self.sendings = context.repeats.begin(
+            admitted.request.request_id, admitted.service.name
+        )
         self._sent_at_seconds = admitted.arrived_at_seconds
         self._answer = caller_answer.CallerAnswer(
             admitted=admitted, exchange=exchange, context=context
@@ -78,14 +81,18 @@
         """
         return self.deadline_at_seconds - self.context.timers.now_seconds()
 
-    @abc.abstractmethod
-    def begin(self) -> None:
-        """Choose an endpoint and send the request, or refuse the request."""
+    def waited_seconds(self) -> float:
+        """Return the time from the caller's request to the last attempt.
+
+        :return: seconds
+        """
+        return self._sent_at_seconds - self.admitted.arrived_at_seconds
 
     @abc.abstractmethod
-    def can_try_another(self) -> bool:
+    def can_try_another(self, *, may_wait: bool) -> bool:
         """Tell whether the request could be sent to another endpoint.
 
+        :param may_wait: whether it may wait there for room
         :return: whether one is available and the route allows another attempt
         """
 
@@ -93,20 +100,6 @@
     def _on_finished(self) -> None:
         """Release the resources that other objects hold for the request."""
 
-    @abc.abstractmethod
-    def on_answer_started(self) -> None:
-        """Handle the start of an endpoint's response."""
-
-    @abc.abstractmethod
-    def on_attempt_rejected(
-        self, endpoint: str, facts: dialects.AnswerFacts
-    ) -> None:
-        """Handle an endpoint's confirmation that it didn't run the request.
-
-        :param endpoint: name of the endpoint
-        :param facts: information from its response headers
-        """
-
     def may_send_to(self, endpoint: str) -> bool:
         """Tell whether the request may be sent to an endpoint.
 
@@ -151,10 +144,6 @@
             context.counters.add(
                 "requests_repeated", admitted.route.kind.value
             )
-        else:
-            context.retries.get(admitted.service.name).record_first_attempt(
-                record.name, now_seconds=context.timers.now_seconds()
-            )
         self._sent_to.append(record.name)
         self._sent_at_seconds = context.timers.now_seconds()
         attempt = attempts.Attempt(
@@ -164,7 +153,6 @@
         workspace = admitted.workspace
         target = dialects.EndpointTarget(
             record=record,
-            deadline_seconds=self._attempt_timeout_seconds(),
             workspace="" if workspace is None else workspace.name,
             version=version,
             resume_after=self._answer.last_event_id,
@@ -173,45 +161,12 @@
             target,
             admitted=admitted,
             dialect=context.dialect,
-            may_send=lambda: not self._finished,
+            may_send=self._may_write,
+            remaining_seconds=self.remaining_seconds,
+            is_repeat=bool(self.sendings.sendings),
         )
         attempt.begin(call)
 
-    def record_sent(
-        self,
-        endpoint: str,
-        *,
-        version: int,
-        reused: bool,
-        connecting_seconds: float,
-    ) -> None:
-        """Log and count that the request was written to a connection.
-
-        :param endpoint: name of the endpoint
-        :param version: version of the adapter, 0 for any
-        :param reused: whether the connection was used before
-        :param connecting_seconds: how long it took to get the connection
-        """
-        self._sends += 1
-        is_first = self._sends == 1
-        log = self.context.log
-        self.context.counters.add(
-            "requests_sent", "first" if is_first else "again"
-        )
-        # Repeats are few, since they have a budget.
-        write = log.write_ordinary if is_first else log.write
-        write(
-            "request_sent",
-            request_id=self.admitted.request.request_id,
-            endpoint=endpoint,
-            attempt=self._sends,
-            adapter_version=version,
-            waited_seconds=round(self._waited_seconds(), 4),
-            connecting_seconds=round(connecting_seconds, 4),
-            reused_connection=reused,
-            remaining_seconds=round(self.remaining_seconds(), 4),
-        )
-
     def on_quarantine(self) -> None:
         """Refuse the request if it waits and is quarantined now."""
         if self._attempt is not None and self._attempt.running:
@@ -220,24 +175,31 @@
         if verdict is not None:
             self._refuse_quarantined(verdict)
 
-    def try_retry(self, endpoint: str, *, may_have_run: bool) -> bool:
-        """Check whether the request may be sent again, and consume a retry.
+    def may_repeat(
+        self,
+        endpoint: str,
+        setback: repeat_decision.Setback,
+        *,
+        may_have_run: bool,
+    ) -> bool:
+        """Decide whether the request is sent once more.
 
-        :param endpoint: name of the endpoint where it failed
+        :param endpoint: name of the endpoint that didn't serve it
+        :param setback: why it didn't
         :param may_have_run: whether it may have run there
-        :return: whether idempotence, retry budget and deadline allow it
+        :return: whether it is
         """
-        if may_have_run:
-            self._may_have_run = True
-        if self.remaining_seconds() <= answer_deadline.MARGIN_SECONDS:
-            return False
-        budget = self.context.retries.get(self.admitted.service.name)
-        return budget.try_retry(
-            endpoint,
-            idempotent=self.admitted.route.repeatable,
-            bytes_sent=may_have_run,
-            now_seconds=self.context.timers.now_seconds(),
+        is_broken = setback is repeat_decision.Setback.BROKEN
+        inputs = repeat_decision.RepeatInputs(
+            setback=setback,
+            may_have_run=may_have_run,
+            repeatable=self.admitted.route.repeatable,
+            resumable=self._answer.resumable,
+            earlier_crashes=self.admitted.guard.count_crashes(),
+            has_endpoint=self.can_try_another(may_wait=is_broken),
+            remaining_seconds=self.remaining_seconds(),
         )
+        return self.sendings.decide(inputs, endpoint)
 
     def forward_headers(self, status: int, headers: dict[str, str]) -> bool:
         """Forward the headers of an endpoint's response.
@@ -289,23 +251,17 @@
                 else ""
             ),
         )
-        if may_have_run:
-            self._may_have_run = True
-        else:
+        if not may_have_run:
             self._record_unreachable(endpoint)
-        if (
-            not may_have_run
-            and self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
-        ):
-            # Nothing was sent, so this doesn't use the retry budget.
+        if not may_have_run and self._has_time():
+            # Nothing was sent, so another attempt isn't a repeat.
+            self._answer.discard_partial_event()
             self.begin()
-        elif (
-            self._answer.resumable
-            and self.admitted.guard.may_resend()
-            and self.try_retry(endpoint, may_have_run=may_have_run)
+        elif may_have_run and self.may_repeat(
+            endpoint, repeat_decision.Setback.BROKEN, may_have_run=True
         ):
             self._answer.discard_partial_event()
-            self.begin()
+            self._begin_after_pause()
         elif self._answer.started:
             self._answer.abort()
             self._finish("broken_off", 0)
@@ -314,6 +270,17 @@
         else:
             self.refuse(refusals.NOT_RUN, reason)
 
+    def _has_time(self) -> bool:
+        return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
+
+    def _begin_after_pause(self) -> None:
+        self.context.timers.once(
+            delay_seconds=self.context.repeats.draw_pause_seconds(
+                self.remaining_seconds()
+            ),
+            callback=lambda: None if self._finished else self.begin(),
+        )
+
     def refuse(
         self,
         kind: refusals.ErrorKind,
@@ -328,7 +295,10 @@
         """
         if self._finished:
             return
-        if self._may_have_run and kind.outcome == refusals.NOT_RUN.outcome:
+        if (
+            self.sendings.may_have_run
+            and kind.outcome == refusals.NOT_RUN.outcome
+        ):
             kind = refusals.MAY_HAVE_RUN
         self._answer.refuse(kind, reason, retry_after_seconds)
         self.context.counters.add("requests_refused", reason)
@@ -348,11 +318,8 @@
             verdict.retry_after_seconds,
         )
 
-    def _attempt_timeout_seconds(self) -> float:
-        return max(self.remaining_seconds(), answer_deadline.MARGIN_SECONDS)
-
-    def _waited_seconds(self) -> float:
-        return self._sent_at_seconds - self.admitted.arrived_at_seconds
+    def _may_write(self) -> bool:
+        return not self._finished and self.sendings.may_write()
 
     def _record_unreachable(self, endpoint: str) -> None:
         self._sent_to.remove(endpoint)
@@ -392,6 +359,7 @@
             return
         self._finished = True
         self._timeout.cancel()
+        self.sendings.close()
         self.context.crashes.quarantine.unwatch(self)
         self._on_finished()
         self._refund_unused()
@@ -400,7 +368,7 @@
             status=status,
             retry_after_seconds=retry_after_seconds,
             sent_to=self._sent_to,
-            waited_seconds=self._waited_seconds(),
+            waited_seconds=self.waited_seconds(),
             queue_time_fields=self.queue_time_fields(),
             times=self._answer.times,
             framing=None if self._attempt is None else self._attempt.framing,
@@ -412,7 +380,7 @@
         # A request that didn't run isn't charged to the rate limit.
         workspace = self.admitted.workspace
         attempt = self._attempt
-        unused = not self._may_have_run and (
+        unused = not self.sendings.may_have_run and (
             attempt is None or attempt.not_run
         )
         if workspace is not None and unused:
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -25,6 +25,7 @@
 from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
+from boragefold.entry import repeats
 from boragefold.entry import request_context
 from boragefold.entry import service_loads
 from boragefold.entry import settings_reload
@@ -32,7 +33,6 @@
 from boragefold.entry import store_follower
 from boragefold.entry import store_followers
 from boragefold.policy import admission_counts
-from boragefold.policy import retry_budget
 from boragefold.policy import shared_rate
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
@@ -330,11 +330,6 @@
             is_cut_off=self._paths.reach.is_cut_off,
         )
 
-    def _retry_allowance(self) -> retry_budget.Allowance:
-        return retry_budget.instance_allowance(
-            self.settings.retry_limit, 1 + len(self._members.instances())
-        )
-
     def _count_other_loads(self) -> int:
         return sum(
             engine.loading
@@ -351,8 +346,13 @@
             counters=self.counters,
             log=self.log,
             choice=self._loads.choice,
-            retries=retry_budget.ServiceBudgets(
-                counters=self.counters, allowance=self._retry_allowance
+            repeats=repeats.connect(
+                settings=lambda: self.settings,
+                members=self._members,
+                timers=self.timers,
+                counters=self.counters,
+                log=self.log,
+                rng=self._rng,
             ),
             rate=self._rate,
             crashes=crash_protection.connect(
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -64,15 +64,12 @@
             self._quarantine.begin_trial(self.fingerprint, verdict)
         return self._log_refusal(verdict)
 
-    def may_resend(self) -> bool:
-        """Decide whether the request may be sent on after it was cut off.
+    def count_crashes(self) -> int:
+        """Count the crashes that only this request may have caused.
 
-        If it was cut off by a crash before, it is the likely cause of both;
-        whether this was a crash is known only after the next attempt.
-
-        :return: whether no earlier crash speaks against it
+        :return: those that are known by now
         """
-        return not self._judge().crashes
+        return self._judge().crashes
 
     def record_success(self) -> None:
         """Record that the request ran to its end."""
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -10,8 +10,8 @@
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
 from boragefold.entry import quarantine
+from boragefold.entry import repeats as repeat_decisions
 from boragefold.entry import room_queue
-from boragefold.policy import retry_budget as retry_budgets
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
 from boragefold.state import deployment
@@ -32,7 +32,7 @@
     counters: telemetry.Counters
     log: decision_log.DecisionLog
     choice: service_choice.ServiceChoice
-    retries: retry_budgets.ServiceBudgets
+    repeats: repeat_decisions.Repeats
     rate: shared_rate.SharedRate
     crashes: crash_protection.CrashProtection
     reach: endpoint_reach.EndpointReach
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -9,6 +9,7 @@
 from boragefold.entry import forwarding
 from boragefold.entry import refusals
 from boragefold.entry import room_queue
+from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 
 # Share of the time for an answer that may pass in waiting for room.
@@ -51,12 +52,16 @@
             return False
         return True
 
-    def can_try_another(self) -> bool:
+    def can_try_another(self, *, may_wait: bool) -> bool:
         """Tell whether the request could be sent to another endpoint.
 
+        :param may_wait: whether it may wait there for room
         :return: whether one is available and the route allows another attempt
         """
-        return self._choose(self._candidates()) is not None
+        candidates = self._candidates()
+        return bool(candidates) and (
+            may_wait or self._choose(candidates) is not None
+        )
 
     def on_answer_started(self) -> None:
         """Do nothing: no schedule tracks the request."""
@@ -70,8 +75,8 @@
         :param facts: information from its response headers
         """
         reason = "endpoint_leaving" if facts.leaving else "endpoint_full"
-        if self.can_try_another() and self.try_retry(
-            endpoint, may_have_run=False
+        if self.may_repeat(
+            endpoint, repeat_decision.Setback.REJECTED, may_have_run=False
         ):
             self.begin()
         else:
--- a/src/boragefold/policy/retry_budget.py
+++ b/src/boragefold/policy/retry_budget.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import dataclasses
-from typing import NamedTuple
 
 from boragefold.telemetry import counters as telemetry
 
@@ -27,53 +25,6 @@
 INITIAL_RETRIES = 2.0
 
 
-class Allowance(NamedTuple):
-    """How many retries one instance may send.
-
-    ``ratio`` is retries per first attempt, ``per_second`` the retries earned
-    by elapsed time, and ``burst_retries`` the number that can be saved up
-    for a failure of many endpoints.
-    """
-
-    ratio: float = RETRY_RATIO
-    per_second: float = RETRIES_PER_SECOND
-    burst_retries: float = TOTAL_BURST_RETRIES
-
-
-class FleetLimit(NamedTuple):
-    """How many retries all instances together may send in any time window.
-
-    At most ``ratio`` of the requests of the window, plus ``slack``.
-    """
-
-    ratio: float
-    slack: float
-    window_seconds: float
-
-
-# A margin, because each instance counts on its own and starts with a full
-# budget.
-SAFETY_SHARE = 0.75
-# Without this floor, each of hundreds of instances could save up less than
-# one whole retry, and nothing would ever be retried.
-MIN_BURST_RETRIES = 1.0
-
-
-def instance_allowance(limit: FleetLimit, instances: int) -> Allowance:
-    """Compute one instance's part of the fleet's retry limit.
-
-    :param limit: of all instances together
-    :param instances: the number of instances
-    :return: the part of one instance
-    """
-    slack = SAFETY_SHARE * limit.slack / max(1, instances)
-    return Allowance(
-        ratio=SAFETY_SHARE * limit.ratio,
-        per_second=slack / 2 / limit.window_seconds,
-        burst_retries=max(MIN_BURST_RETRIES, slack / 2),
-    )
-
-
 @dataclasses.dataclass(kw_only=True)
 class RetryBucket:
     """Retries earned by first attempts and by elapsed time."""
@@ -82,21 +33,14 @@
     at_seconds: float
     retries: float = INITIAL_RETRIES
 
-    def add(
-        self,
-        amount: float,
-        *,
-        now_seconds: float,
-        per_second: float = RETRIES_PER_SECOND,
-    ) -> None:
+    def add(self, amount: float, *, now_seconds: float) -> None:
         """Add an amount, and what the elapsed time has earned.
 
         :param amount: number of retries
         :param now_seconds: reading of the process clock
-        :param per_second: retries earned per second
         """
         elapsed_seconds = max(now_seconds - self.at_seconds, 0.0)
-        earned = amount + per_second * elapsed_seconds
+        earned = amount + RETRIES_PER_SECOND * elapsed_seconds
         self.retries = min(self.retries + earned, self.limit)
         self.at_seconds = now_seconds
 
@@ -104,14 +48,8 @@
 class RetryBudget:
     """Limits retries to a part of the first attempts, per endpoint and all."""
 
-    def __init__(
-        self,
-        *,
-        counters: telemetry.Counters,
-        allowance: Callable[[], Allowance] = Allowance,
-    ) -> None:
+    def __init__(self, *, counters: telemetry.Counters) -> None:
         self._counters = counters
-        self._allowance = allowance
         self._total: RetryBucket | None = None
         self._by_endpoint: dict[str, RetryBucket] = {}
 
@@ -123,7 +61,7 @@
         :param endpoint: the endpoint it was sent to
         :param now_seconds: reading of the process clock
         """
-        self._refill(endpoint, self._allowance().ratio, now_seconds)
+        self._refill(endpoint, RETRY_RATIO, now_seconds)
 
     def try_retry(
         self,
@@ -169,21 +107,17 @@
     def _refill(
         self, endpoint: str, amount: float, now_seconds: float
     ) -> tuple[RetryBucket, RetryBucket]:
-        allowance = self._allowance()
-        total, single = self._buckets(endpoint, now_seconds)
-        total.limit = allowance.burst_retries
-        total.add(
-            amount, now_seconds=now_seconds, per_second=allowance.per_second
-        )
-        single.add(amount, now_seconds=now_seconds)
-        return total, single
+        buckets = self._buckets(endpoint, now_seconds)
+        for bucket in buckets:
+            bucket.add(amount, now_seconds=now_seconds)
+        return buckets
 
     def _buckets(
         self, endpoint: str, now_seconds: float
     ) -> tuple[RetryBucket, RetryBucket]:
         if self._total is None:
             self._total = RetryBucket(
-                limit=self._allowance().burst_retries, at_seconds=now_seconds
+                limit=TOTAL_BURST_RETRIES, at_seconds=now_seconds
             )
         bucket = self._by_endpoint.get(endpoint)
         if bucket is None:
@@ -194,40 +128,7 @@
         return self._total, bucket
 
 
-class ServiceBudgets:
-    """One retry budget per service; failures of one affect no other."""
-
-    def __init__(
-        self,
-        *,
-        counters: telemetry.Counters,
-        allowance: Callable[[], Allowance],
-    ) -> None:
-        self._counters = counters
-        self._allowance = allowance
-        self._budgets: dict[str, RetryBudget] = {}
-
-    def get(self, service: str) -> RetryBudget:
-        """Return the budget of a service.
-
-        :param service: its name
-        :return: its budget
-        """
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(
-                counters=self._counters, allowance=self._allowance
-            )
-            self._budgets[service] = budget
-        return budget
-
-
 __all__ = [
     "MAX_BROKEN_ATTEMPTS",
-    "RETRY_RATIO",
-    "Allowance",
-    "FleetLimit",
     "RetryBudget",
-    "ServiceBudgets",
-    "instance_allowance",
 ]
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from boragefold.policy import retry_budget
+from boragefold.policy import repeat_budget
 from boragefold.policy import shared_rate
 
 
@@ -35,7 +35,7 @@
     seeds: tuple[str, ...]
     order_lease_seconds: float
     stop_seconds: float
-    retry_limit: retry_budget.FleetLimit
+    retry_limit: repeat_budget.FleetLimit
     metrics_listen: str = ""
     rate_tolerance: shared_rate.Tolerance = shared_rate.Tolerance()
     link_megabits: float = 0.0
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -33,10 +33,13 @@
 
     ``may_have_arrived`` is False only when no byte of the request was given
     to a connection that was open; only then is a repeat always lawful.
+    ``reused_connection`` tells that an earlier call was sent on the one that
+    ended: it may have been dead before, which nothing shows for certain.
     """
 
     reason: str
     may_have_arrived: bool
+    reused_connection: bool = False
 
 
 class AnswerSink(abc.ABC):
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -28,6 +28,8 @@
     headers goes before the address. ``endpoint`` is the name by which peers
     know the address; without it, connections are only opened directly. A
     ``repeatable`` call may be given up and sent again at any time.
+    ``make_late_headers`` makes the headers that depend on when the call is
+    written.
     """
 
     address: str
@@ -42,6 +44,7 @@
     expires: bool = False
     endpoint: str = ""
     repeatable: bool = False
+    make_late_headers: Callable[[], list[tuple[str, str]]] = list
 
 
 class Pending:
@@ -99,7 +102,6 @@
         self.pending: Pending | None = None
         self.paused = False
         self.used_before = False
-        self.answer_began = False
         self.progressed_at_seconds = 0.0
         self.received_at_seconds = 0.0
         self._parser: answer_parser.AnswerParser | None = None
@@ -111,7 +113,6 @@
         """
         self.pending = pending
         pending.connection = self
-        self.answer_began = False
         self.progressed_at_seconds = self._client.now_seconds()
         if self.opened:
             self._send_call()
@@ -131,7 +132,6 @@
         """
         self.progressed_at_seconds = self._client.now_seconds()
         self.received_at_seconds = self.progressed_at_seconds
-        self.answer_began = True
         if self._parser is None:
             self.stream.abort("unasked_answer")
             return
@@ -159,14 +159,6 @@
         else:
             self._fail(reason)
 
-    @property
-    def stale(self) -> bool:
-        """Tell whether a reused connection died before any answer.
-
-        :return: whether its call may be repeated for that
-        """
-        return self.used_before and not self.answer_began
-
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self._client.call_given_up(self)
@@ -200,7 +192,9 @@
             return
         pending.connection = None
         failure = answer_parser.Failure(
-            reason=reason, may_have_arrived=pending.may_have_arrived
+            reason=reason,
+            may_have_arrived=pending.may_have_arrived,
+            reused_connection=self.used_before,
         )
         self._client.call_failed(self, pending, failure)
 
@@ -286,7 +280,7 @@
         pending: Pending,
         failure: answer_parser.Failure,
     ) -> None:
-        """Repeat a call on a new connection, or tell its sink.
+        """Try another path if the connection didn't open, or tell the sink.
 
         :param connection: the one that is gone
         :param pending: the call
@@ -296,7 +290,7 @@
 
 def _write_call(call: Call) -> bytes:
     writer = h11.Connection(h11.CLIENT)
-    headers = list(call.headers)
+    headers = [*call.headers, *call.make_late_headers()]
     if not any(name.lower() == "host" for name, _ in headers):
         headers.insert(0, ("Host", call.address))
     if call.body or call.method not in BODILESS_METHODS:
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -128,7 +128,7 @@
         pending: Pending,
         failure: Failure,
     ) -> None:
-        """Repeat a call on a new connection, or tell its sink.
+        """Try another path if the connection didn't open, or tell the sink.
 
         :param connection: the one that is gone
         :param pending: the call
@@ -140,10 +140,6 @@
                 connection.endpoint, connection.path, failure.reason
             )
             self._dispatch(pending, fresh=True, reason=failure.reason)
-        # An idle connection may be dead without a sign, which says nothing of
-        # the endpoint: it is tried once more on a new one.
-        elif connection.stale:
-            self._dispatch(pending, fresh=True)
         else:
             pending.sink.failed(failure)
 
@@ -262,8 +258,10 @@
         idle = self._idle.get((address, path))
         while idle:
             connection = idle.pop()
-            if connection.stream.open:
+            if connection.stream.open and not connection.stream.is_readable():
                 return connection
+            # The other end has closed it, or sent what nobody asked for.
+            connection.stream.abort()
         return None
 
     def _open(self, call: Call, path: paths.Path) -> ClientConnection:
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -102,6 +102,19 @@
             self._above_high_water = True
         return not self._above_high_water
 
+    def is_readable(self) -> bool:
+        """Tell whether bytes or the end of the connection wait to be read.
+
+        :return: whether reading wouldn't have to wait
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except self.wants_read:
+            return False
+        except OSError:
+            return True
+        return True
+
     def pause_reading(self) -> None:
         """Stop taking bytes from the other end."""
         self._set_reading(False)
