Let repeated calls of plain services draw on a budget

A failing plain service got each repeatable call of the own interface three times, however many callers there were: such calls had a limit each but none together. Each service now has a retry budget, as chats have.

--- a/src/boragefold/entry/service_call.py
+++ b/src/boragefold/entry/service_call.py
@@ -56,6 +56,7 @@
         *,
         client: http_client.HttpClient,
         counters: telemetry.Counters,
+        budget: retry_budget.RetryBudget,
         request: ServiceRequest,
         addresses: list[str],
         idempotent: bool,
@@ -64,28 +65,35 @@
     ) -> None:
         self._client = client
         self._counters = counters
+        self._budget = budget
         self._request = request
         self._addresses = list(addresses)
         self._idempotent = idempotent
         self._progress_seconds = progress_seconds
         self._on_result = on_result
+        self._address = ""
         self._broken_attempts = 0
 
     def begin(self) -> None:
         """Send the call to the first address."""
+        if self._addresses:
+            self._budget.record_first_attempt(
+                self._addresses[0], now_seconds=self._client.now_seconds()
+            )
         self._try_next(NotSent(reason="no_address"))
 
     def _try_next(self, fallback: Result) -> None:
         if not self._addresses:
             self._on_result(fallback)
             return
+        self._address = self._addresses.pop(0)
         call = http_client.Call(
-            address=self._addresses.pop(0),
+            address=self._address,
             method=self._request.method,
             target=self._request.target,
             headers=self._request.headers,
             body=self._request.body,
-            fresh=not self._idempotent,
+            fresh=not self._idempotent or self._broken_attempts > 0,
             progress_seconds=self._progress_seconds,
         )
         sink = whole_answer.WholeAnswerSink(done=self._on_response)
@@ -101,6 +109,9 @@
         if not answer.may_have_arrived:
             self._try_next(NotSent(reason=answer.reason))
         elif self._may_repeat():
+            if answer.reused_connection:
+                # The connection may have been at fault, not the endpoint.
+                self._addresses.append(self._address)
             self._try_next(AnswerLost(reason=answer.reason))
         else:
             self._on_result(AnswerLost(reason=answer.reason))
@@ -108,8 +119,13 @@
     def _may_repeat(self) -> bool:
         self._broken_attempts += 1
         return (
-            self._idempotent
-            and self._broken_attempts < retry_budget.MAX_BROKEN_ATTEMPTS
+            self._broken_attempts < retry_budget.MAX_BROKEN_ATTEMPTS
+            and self._budget.try_retry(
+                self._address,
+                idempotent=self._idempotent,
+                bytes_sent=True,
+                now_seconds=self._client.now_seconds(),
+            )
         )
 
 
--- a/src/boragefold/entry/service_handler.py
+++ b/src/boragefold/entry/service_handler.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Callable
 import hashlib
+from typing import NamedTuple
 
 from boragefold.entry import answers
 from boragefold.entry import chat_handler
 from boragefold.entry import identity
 from boragefold.entry import service_call
 from boragefold.entry import ticket_handler
+from boragefold.policy import retry_budget
 from boragefold.protocol import outcome as outcomes
 from boragefold.state import catalogue as catalogues
 from boragefold.state import documents
@@ -25,6 +27,13 @@
 PROGRESS_SECONDS = 10.0
 
 
+class Target(NamedTuple):
+    """A service that the caller may use, and its published document."""
+
+    name: str
+    document: documents.Service
+
+
 class ServiceHandler:
     """Handles ``/services/...``."""
 
@@ -42,6 +51,7 @@
         self._catalogue = catalogue
         self._counters = counters
         self._client = client
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._tickets = tickets
         self._new_request_id = new_request_id
 
@@ -62,11 +72,11 @@
         :param path: the path at the service
         """
         request_id = self._new_request_id()
-        service = self._allowed_service(service_name, caller)
+        target = self._allowed_target(service_name, caller)
         route = self._catalogue.route(
             service=service_name, method=request.method, path=path
         )
-        if service is None or route is None:
+        if target is None or route is None:
             refusal = outcomes.NotRun(
                 status=STATUS_NOT_FOUND,
                 reason="service_unknown",
@@ -75,10 +85,10 @@
             )
             self._refuse(exchange, refusal, request_id)
         elif route["idempotent"]:
-            self._call_idempotent(request, exchange, request_id, service, path)
+            self._call_idempotent(request, exchange, request_id, target, path)
         else:
             self._call_non_idempotent(
-                request, exchange, request_id, caller, service, path
+                request, exchange, request_id, caller, target, path
             )
 
     def _call_idempotent(
@@ -86,7 +96,7 @@
         request: http_server.Request,
         exchange: http_server.Exchange,
         request_id: str,
-        service: documents.Service,
+        target: Target,
         path: str,
     ) -> None:
         def done(result: service_call.Result) -> None:
@@ -96,7 +106,7 @@
                 self._refuse(exchange, _idempotent_refusal(result), request_id)
 
         prepared = service_call.create_request(request, path)
-        self._start(prepared, service, True, done)
+        self._start(prepared, target, True, done)
 
     def _call_non_idempotent(
         self,
@@ -104,7 +114,7 @@
         exchange: http_server.Exchange,
         request_id: str,
         caller: identity.Caller,
-        service: documents.Service,
+        target: Target,
         path: str,
     ) -> None:
         text = request.headers.get("idempotency-key", "")
@@ -127,26 +137,32 @@
             ticket,
             _digest(prepared, caller),
             deadline,
-            lambda done: self._start(prepared, service, False, done),
+            lambda done: self._start(prepared, target, False, done),
         )
 
     def _start(
         self,
         prepared: service_call.ServiceRequest,
-        service: documents.Service,
+        target: Target,
         idempotent: bool,
         done: Callable[[service_call.Result], None],
     ) -> None:
         service_call.ServiceCall(
             client=self._client,
             counters=self._counters,
+            budget=self._budget(target.name),
             request=prepared,
-            addresses=self._addresses(service),
+            addresses=self._addresses(target.document),
             idempotent=idempotent,
             progress_seconds=PROGRESS_SECONDS,
             on_result=done,
         ).begin()
 
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        return self._budgets.setdefault(
+            service, retry_budget.RetryBudget(counters=self._counters)
+        )
+
     def _addresses(self, service: documents.Service) -> list[str]:
         local = service["addresses"].get(self._data_centre, [])
         remote = (
@@ -157,15 +173,15 @@
         )
         return [*local, *remote]
 
-    def _allowed_service(
+    def _allowed_target(
         self, name: str, caller: identity.Caller
-    ) -> documents.Service | None:
+    ) -> Target | None:
         service = self._catalogue.service(name)
         allowed = service is not None and any(
             paths.qualify("", workspace) == caller.settings.workspace
             for workspace in service["workspaces"]
         )
-        return service if allowed else None
+        return Target(name, service) if service and allowed else None
 
     def _forward(
         self,
