Check in the soak what endpoints saw of repeats

No test, walk or soak counted arrivals beyond the first. The soak now checks the sum in each window, the endpoints that a request reached and the time that late repeats were told, from the arrivals that the endpoints list. Two kinds of faults draw them where they are named: running requests that break in series, and answers that are lost behind their run.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator
 import itertools
 
+from tests.fakes import repeat_load
+from tests.fakes import repeat_rule
 from tests.soak import callers
 
 NOT_RUN = (408, 421, 429, 503)
@@ -19,6 +21,11 @@
 # often after that.
 CONTACT_SECONDS = 3.0
 MAX_LATE_SENDS = 3
+# Of any route, and repeats with more time than is left, unless these are less
+# than a fifth of those sent late.
+MAX_ATTEMPTS = 2
+MAX_LONGER = 20
+SERVICES = (("orders", "reads"), ("notes", "drafts"))
 # Callers of instances that are cut off from all endpoints, beside others.
 MIN_CUT_OFF_SHARE = 2 / 3
 MAX_CUT_OFF_FAILED = 10
@@ -45,6 +52,7 @@
         *_withdrawn(run, seen),
         *_leaving(run),
         *_planned_stops(run, seen),
+        *_repeats(run, seen),
         *_culprit(run),
         *_cut_off(run, seen),
         *_falls(run),
@@ -171,6 +179,46 @@
         yield f"BUDGET: {len(late)} sends after {known_at}: {late}"
 
 
+def _repeats(run, seen) -> Iterator[str]:
+    arrivals = collections.defaultdict(list)
+    for name in run.machines.endpoints:
+        for each in run.machines.seen(name)["arrivals"]:
+            arrivals[_attempt(each)].append({**each, "endpoint": name})
+    for found in arrivals.values():
+        found.sort(key=lambda each: each["at_seconds"])
+    yield from _beyond_first(seen, arrivals)
+    sent = [
+        repeat_load.Sent(x.request_id, x.sent_at_seconds, x.status)
+        for x in seen
+    ]
+    yield from (
+        f"BUDGET: {request_id} reached {[x['endpoint'] for x in found]}"
+        for request_id, found in arrivals.items()
+        if len({x["endpoint"] for x in found}) > MAX_ATTEMPTS
+    )
+    late = repeat_load.late_repeats(sent, arrivals)
+    longer = [x for x in late if x > repeat_load.DEADLINE_SLACK_SECONDS]
+    if len(longer) > max(MAX_LONGER, len(late) / 5):
+        yield f"BUDGET: {len(longer)} of {len(late)} repeats had more time"
+
+
+def _beyond_first(seen, arrivals) -> Iterator[str]:
+    kind_of = {each.request_id: each.kind for each in seen}
+    for kinds in SERVICES:
+        worst = repeat_rule.worst_window(
+            repeat_load.LIMIT,
+            asked=[x.sent_at_seconds for x in seen if x.kind in kinds],
+            beyond=[
+                x["at_seconds"]
+                for request_id, found in arrivals.items()
+                for x in found[1:]
+                if kind_of.get(request_id) in kinds
+            ],
+        )
+        if worst.beyond_first > worst.allowed:
+            yield f"BUDGET: arrivals beyond the first of {kinds}: {worst}"
+
+
 def _cut_off(run, seen) -> Iterator[str]:
     for cut in run.cuts:
         during = [
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import random
 import time
 from typing import NamedTuple
 
 from tests.fakes import cut_machines
+from tests.fakes import machines as machines_module
 from tests.soak import callers
 from tests.soak import plan
 from tests.soak import proxy
@@ -19,6 +21,11 @@
 PATHS = 1_000_000
 SILENT_SECONDS = 1.0
 WORK_SECONDS = 0.1
+# Connections of running requests break so often, one soon after the other.
+BREAKS = 12
+BREAK_GAP_SECONDS = 0.4
+BREAK_ENDINGS = ("reset", "close")
+LOST_SHARE = 0.5
 # Slots, waiting requests, bearable rejections, seconds until it is back.
 BRITTLE_SOON = (2, 8, 4, 2.0)
 BRITTLE = (2, 1, 4, 2.0)
@@ -99,6 +106,27 @@
         self._note(None, SILENT_SECONDS)
         self._through(self._name(fault), proxy.Mode.HOLD, SILENT_SECONDS)
 
+    def _break_series(self, fault: plan.Fault) -> None:
+        seconds = BREAKS * BREAK_GAP_SECONDS
+        self._note(None, seconds)
+        ending = BREAK_ENDINGS[fault.what % len(BREAK_ENDINGS)]
+        for _ in range(BREAKS):
+            time.sleep(BREAK_GAP_SECONDS)
+            for address in list(self.machines.endpoints.values()):
+                with contextlib.suppress(OSError):
+                    machines_module.call(
+                        address, "PUT", "/control/break", body=ending
+                    )
+
+    def _lost_share(self, fault: plan.Fault) -> None:
+        self._faulty(
+            fault,
+            lose_answers=True,
+            ending="reset",
+            share=LOST_SHARE,
+            delay_seconds=WORK_SECONDS,
+        )
+
     def _cut_off(self, fault: plan.Fault) -> None:
         if not self._claim("cut"):
             return
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -56,6 +56,8 @@
     "cut_off": 2,
     "brittle": 1,
     "silent_second": 1,
+    "break_series": 2,
+    "lost_share": 1,
 }
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -74,6 +74,24 @@
     assert any(len(line["endpoints"]) > 1 for line in ended)
 
 
+def test_repeats_stay_within_their_budget(tmp_path) -> None:
+    # Requests whose connections broke were sent again outside of the budget.
+    faults = [
+        plan.Fault(2.0, "break_series", 0, 1.0),
+        plan.Fault(3.0, "lost_share", 1, 3.0),
+        plan.Fault(4.0, "kill", 1, 1.0),
+        plan.Fault(5.0, "break_series", 1, 1.0),
+    ]
+    one = _play(tmp_path, faults=faults)
+    repeated = [
+        line
+        for number in range(3)
+        for line in one.machines.lines(number)
+        if line["event"] == "request_sent" and line["attempt"] > 1
+    ]
+    assert repeated
+
+
 def test_few_endpoints_crash_under_one_request(tmp_path) -> None:
     # Instances that are killed and started meanwhile must not forget it.
     faults = [
