Let the soak's faults exceed the limit of repeats

With the ordinary limit, a mutant whose transport repeats broken calls by itself passed the soak's check: its few callers can't exceed a slack of 50. Runs with breaks in series or lost answers have a limit of two in a hundred and a slack of four.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -186,7 +186,7 @@
             arrivals[_attempt(each)].append({**each, "endpoint": name})
     for found in arrivals.values():
         found.sort(key=lambda each: each["at_seconds"])
-    yield from _beyond_first(seen, arrivals)
+    yield from _beyond_first(run.machines.limit, seen, arrivals)
     sent = [
         repeat_load.Sent(x.request_id, x.sent_at_seconds, x.status)
         for x in seen
@@ -202,11 +202,11 @@
         yield f"BUDGET: {len(longer)} of {len(late)} repeats had more time"
 
 
-def _beyond_first(seen, arrivals) -> Iterator[str]:
+def _beyond_first(limit, seen, arrivals) -> Iterator[str]:
     kind_of = {each.request_id: each.kind for each in seen}
     for kinds in SERVICES:
         worst = repeat_rule.worst_window(
-            repeat_load.LIMIT,
+            limit,
             asked=[x.sent_at_seconds for x in seen if x.kind in kinds],
             beyond=[
                 x["at_seconds"]
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -22,8 +22,8 @@
 SILENT_SECONDS = 1.0
 WORK_SECONDS = 0.1
 # Connections of running requests break so often, one soon after the other.
-BREAKS = 12
-BREAK_GAP_SECONDS = 0.4
+BREAKS = 20
+BREAK_GAP_SECONDS = 0.25
 BREAK_ENDINGS = ("reset", "close")
 LOST_SHARE = 0.5
 # Slots, waiting requests, bearable rejections, seconds until it is back.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 
 from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
+from tests.fakes import repeat_load
 from tests.soak import callers
 from tests.soak import checks
 from tests.soak import endpoint_faults
@@ -38,20 +39,34 @@
 ENDPOINT_AWAY_SECONDS = 0.5
 
 
+# What the callers of a run can exceed, where faults draw many repeats.
+TIGHT_LIMIT = repeat_load.LIMIT._replace(ratio=0.02, slack=4.0)
+REPEAT_FAULTS = {"break_series", "lost_share"}
+
+
 class SoakMachines(cut_machines.CutMachines):
     """The fleet, with a proxy before each store as well.
 
     A proxy accepts connections for an endpoint that is gone; ``direct`` leaves
-    the endpoints' own addresses published.
+    the endpoints' own addresses published. ``limit`` is that of repeats.
     """
 
+    def __init__(self, folder, *, gateways, direct, limit) -> None:
+        super().__init__(folder, gateways=gateways, direct=direct)
+        self.limit = limit
+
     def _settings(self, number):
         name = f"store-{number}"
         if name not in self.proxies.by_name:
             self.proxies.open(name, self.store)
         address = self.proxies.by_name[name].address
         settings = super()._settings(number)
-        return {**settings, "platform": {"address": address}}
+        bounds = {
+            **settings["bounds"],
+            "budget_ratio": self.limit.ratio,
+            "retry_slack": self.limit.slack,
+        }
+        return {**settings, "platform": {"address": address}, "bounds": bounds}
 
 
 class Run(endpoint_faults.EndpointFaults):
@@ -71,6 +86,11 @@
             folder,
             gateways=gateways,
             direct=any(fault.kind in CRASHES for fault in faults),
+            limit=(
+                TIGHT_LIMIT
+                if any(fault.kind in REPEAT_FAULTS for fault in faults)
+                else repeat_load.LIMIT
+            ),
         )
         self._crash_faults: dict[str, object] = {}
         self.culprit_ids: set[str] = set()
