Split the decision on repeats from one request's sendings

A newcomer had to read what decides for an instance and what counts one request's sendings in one module. The latter has its own. What earlier work left on the way: the types of broken connections leave the crash detector, the end and the reset of a connection have one name each, the statuses of success are written once. No behaviour changes; two tests of the transport hold that it leaves a broken call to its sender, and makes the headers that depend on the time when it writes.

--- a/src/boragefold/entry/answer_end.py
+++ b/src/boragefold/entry/answer_end.py
@@ -9,7 +9,7 @@
 
 import enum
 
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
 from boragefold.transport import http_client
 
 
@@ -38,7 +38,7 @@
     return Verdict.WHOLE
 
 
-def judge_closing(evidence: crash_detector.ClosingEvidence) -> Verdict:
+def judge_closing(evidence: break_evidence.ClosingEvidence) -> Verdict:
     """Judge an answer whose end was shown by the closing of its connection.
 
     :param evidence: what is known of the endpoint
@@ -47,12 +47,12 @@
     """
     if evidence.listens:
         return Verdict.WHOLE
-    if evidence.cause is crash_detector.BreakCause.CRASHED:
+    if evidence.cause is break_evidence.BreakCause.CRASHED:
         return Verdict.BROKEN
     if evidence.others_broke:
         # A process that ends by plan cuts off no other answer.
         return Verdict.BROKEN
-    if evidence.cause is crash_detector.BreakCause.LEFT:
+    if evidence.cause is break_evidence.BreakCause.LEFT:
         return Verdict.WHOLE
     return Verdict.UNPROVEN
 
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -4,10 +4,11 @@
 
 from boragefold.entry import answer_end
 from boragefold.entry import attempt_owner
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
+from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
 from boragefold.entry import refusals
-from boragefold.entry import repeats
+from boragefold.entry import request_sendings
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_client
@@ -15,7 +16,6 @@
 # Statuses which say that the endpoint did not and will not run the request.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SERVER_ERRORS = range(500, 600)
-SUCCESSES = range(200, 300)
 # Why an answer without a framing failed whose endpoint has crashed.
 CLOSED_BY_CRASH = "closed_by_crash"
 
@@ -131,7 +131,7 @@
         """
         forwarding = self._forwarding
         forwarding.sendings.record_written(
-            repeats.Written(
+            request_sendings.Written(
                 endpoint=self._record.name,
                 version=self._version,
                 reused_connection=reused,
@@ -193,7 +193,7 @@
         if verdict is answer_end.Verdict.BROKEN:
             self.failed(
                 http_client.Failure(
-                    reason=crash_detector.INSIDE_EVENT, may_have_arrived=True
+                    reason=break_evidence.INSIDE_EVENT, may_have_arrived=True
                 )
             )
         elif verdict is answer_end.Verdict.UNPROVEN:
@@ -215,10 +215,10 @@
         """
         if not self._awaits_evidence:
             return False
-        self._judge_closing(crash_detector.NO_EVIDENCE)
+        self._judge_closing(break_evidence.NO_EVIDENCE)
         return True
 
-    def _judge_closing(self, evidence: crash_detector.ClosingEvidence) -> None:
+    def _judge_closing(self, evidence: break_evidence.ClosingEvidence) -> None:
         if not self._awaits_evidence:
             return
         self._awaits_evidence = False
@@ -301,7 +301,7 @@
 
     def _is_invalid(self, facts: dialects.AnswerFacts) -> bool:
         # A success without a signature, or an unconfirmed "not run" status.
-        if facts.status in SUCCESSES:
+        if facts.status in caller_answer.SUCCESSES:
             return not facts.signed
         return facts.status in NOT_RUN_STATUSES
 
--- a/src/boragefold/entry/attempt_owner.py
+++ b/src/boragefold/entry/attempt_owner.py
@@ -6,8 +6,8 @@
 
 from boragefold.entry import dialect as dialects
 from boragefold.entry import refusals
-from boragefold.entry import repeats
 from boragefold.entry import request_context
+from boragefold.entry import request_sendings
 from boragefold.policy import repeat_decision
 
 
@@ -16,7 +16,7 @@
 
     admitted: request_context.AdmittedRequest
     context: request_context.RequestContext
-    sendings: repeats.RequestRepeats
+    sendings: request_sendings.RequestSendings
 
     @property
     @abc.abstractmethod
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -10,10 +10,10 @@
 
 from collections.abc import Callable
 import dataclasses
-import enum
 import math
 from typing import NamedTuple
 
+from boragefold.entry import break_evidence
 from boragefold.entry import request_fingerprint
 from boragefold.protocol import crash_messages
 from boragefold.state import deployment
@@ -23,14 +23,15 @@
 from boragefold.timing import timers as timing
 from boragefold.transport import connect_probe
 from boragefold.transport import http_client
+from boragefold.transport import streams
 
-# How a stream is broken off that seems to end in good order.
-INSIDE_EVENT = "inside_event"
 # How a connection ended that may have been closed behind a whole answer.
 CLOSED = "closed"
 # How answers of a process that has ended break. Others fail a request for
 # reasons of its own, such as its deadline.
-BREAK_REASONS = frozenset({"eof", "reset", INSIDE_EVENT})
+BREAK_REASONS = frozenset(
+    {streams.END_OF_INPUT, streams.RESET, break_evidence.INSIDE_EVENT}
+)
 # A lost packet delays the answer to a probe beyond its timeout, and a process
 # that ends accepts connections for a moment.
 MAX_PROBES = 4
@@ -61,54 +62,13 @@
 ]
 
 
-class BreakCause(enum.Enum):
-    """Why the connections to an endpoint broke."""
-
-    PENDING = "pending"
-    CRASHED = "crashed"
-    LEFT = "left"
-    ALIVE = "alive"
-    UNKNOWN = "unknown"
-
-
-class EndpointLife(NamedTuple):
-    """One run of an endpoint's process."""
-
-    name: str
-    born_milliseconds: int
-
-
-class ClosingEvidence(NamedTuple):
-    """What is known of an endpoint that closed a connection in good order.
-
-    ``listens`` tells that its address accepts connections, ``others_broke``
-    that other answers broke there at the same moment. ``cause`` is pending
-    while it doesn't answer.
-    """
-
-    cause: BreakCause
-    listens: bool
-    others_broke: bool
-
-
-# Where nothing is known in time.
-NO_EVIDENCE = ClosingEvidence(BreakCause.PENDING, False, False)
-
-
 class Closing(NamedTuple):
     """A request whose answer ended as its connection was closed."""
 
     fingerprint: Callable[[], int]
     ran_seconds: float
     closed_at_seconds: float
-    on_evidence: Callable[[ClosingEvidence], None]
-
-
-class DetectedCrash(NamedTuple):
-    """A crash, and the requests that ran there for this instance."""
-
-    life: EndpointLife
-    suspects: tuple[crash_messages.Suspect, ...]
+    on_evidence: Callable[[break_evidence.ClosingEvidence], None]
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -127,7 +87,7 @@
     )
     closings: list[Closing] = dataclasses.field(default_factory=list)
     probes: int = 0
-    cause: BreakCause = BreakCause.PENDING
+    cause: break_evidence.BreakCause = break_evidence.BreakCause.PENDING
 
 
 class CrashDetector:
@@ -141,7 +101,7 @@
         timers: timing.TimerService,
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
-        on_crash: Callable[[DetectedCrash], None],
+        on_crash: Callable[[break_evidence.DetectedCrash], None],
         check_refusal: CheckRefusal = lambda record, on_result: on_result(
             connect_probe.ProbeResult.REFUSED
         ),
@@ -165,7 +125,7 @@
         self._log = log
         self._on_crash = on_crash
         self._check_refusal = check_refusal
-        self._cases: dict[EndpointLife, BreakCase] = {}
+        self._cases: dict[break_evidence.EndpointLife, BreakCase] = {}
 
     def record_broken(
         self,
@@ -189,8 +149,10 @@
         case.broke_at_seconds = self._timers.now_seconds()
         case.reasons.add(reason)
         case.suspects.append(suspect)
-        if case.cause is BreakCause.CRASHED:
-            self._on_crash(DetectedCrash(_life_of(record), (suspect,)))
+        if case.cause is break_evidence.BreakCause.CRASHED:
+            self._on_crash(
+                break_evidence.DetectedCrash(_life_of(record), (suspect,))
+            )
 
     def check_closing(
         self,
@@ -198,7 +160,7 @@
         *,
         fingerprint: Callable[[], int],
         ran_seconds: float,
-        on_evidence: Callable[[ClosingEvidence], None],
+        on_evidence: Callable[[break_evidence.ClosingEvidence], None],
     ) -> None:
         """Find out why an endpoint closed a connection behind an answer.
 
@@ -211,9 +173,11 @@
         now_seconds = self._timers.now_seconds()
         case.reasons.add(CLOSED)
         closing = Closing(fingerprint, ran_seconds, now_seconds, on_evidence)
-        if case.cause is BreakCause.CRASHED:
+        if case.cause is break_evidence.BreakCause.CRASHED:
             suspect = _describe_suspect(fingerprint(), ran_seconds)
-            self._on_crash(DetectedCrash(_life_of(record), (suspect,)))
+            self._on_crash(
+                break_evidence.DetectedCrash(_life_of(record), (suspect,))
+            )
             on_evidence(_describe_evidence(case, closing, listens=False))
             return
         case.closings.append(closing)
@@ -239,7 +203,9 @@
             evidence = _describe_evidence(case, closing, listens=False)
             closing.on_evidence(evidence)
 
-    def _probe(self, life: EndpointLife, case: BreakCase) -> None:
+    def _probe(
+        self, life: break_evidence.EndpointLife, case: BreakCase
+    ) -> None:
         case.probes += 1
         self._client.probe(
             case.record.address,
@@ -249,7 +215,7 @@
 
     def _judge(
         self,
-        life: EndpointLife,
+        life: break_evidence.EndpointLife,
         case: BreakCase,
         result: connect_probe.ProbeResult,
     ) -> None:
@@ -257,7 +223,10 @@
             self._probe(life, case)
             return
         listed = self._fleet.endpoint(life.name)
-        if find_cause(result, listed) is BreakCause.CRASHED:
+        if (
+            break_evidence.find_cause(result, listed)
+            is break_evidence.BreakCause.CRASHED
+        ):
             self._check_refusal(
                 case.record,
                 lambda checked: self._conclude(life, case, checked),
@@ -267,22 +236,24 @@
 
     def _conclude(
         self,
-        life: EndpointLife,
+        life: break_evidence.EndpointLife,
         case: BreakCase,
         result: connect_probe.ProbeResult,
     ) -> None:
         listed = self._fleet.endpoint(life.name)
-        case.cause = find_cause(result, listed)
+        case.cause = break_evidence.find_cause(result, listed)
         closings, case.closings = case.closings, []
-        if case.cause is BreakCause.CRASHED:
+        if case.cause is break_evidence.BreakCause.CRASHED:
             case.suspects += [
                 _describe_suspect(closing.fingerprint(), closing.ran_seconds)
                 for closing in closings
             ]
         if case.suspects:
             self._write(life, case, result, listed)
-        if case.cause is BreakCause.CRASHED:
-            self._on_crash(DetectedCrash(life, tuple(case.suspects)))
+        if case.cause is break_evidence.BreakCause.CRASHED:
+            self._on_crash(
+                break_evidence.DetectedCrash(life, tuple(case.suspects))
+            )
             self._timers.once(
                 delay_seconds=CASE_SECONDS,
                 callback=lambda: self._close(life),
@@ -295,12 +266,12 @@
             evidence = _describe_evidence(case, closing, listens=listens)
             closing.on_evidence(evidence)
 
-    def _close(self, life: EndpointLife) -> None:
+    def _close(self, life: break_evidence.EndpointLife) -> None:
         del self._cases[life]
 
     def _write(
         self,
-        life: EndpointLife,
+        life: break_evidence.EndpointLife,
         case: BreakCase,
         result: connect_probe.ProbeResult,
         listed: deployment.EndpointRecord | None,
@@ -329,28 +300,8 @@
         )
 
 
-def find_cause(
-    result: connect_probe.ProbeResult,
-    listed: deployment.EndpointRecord | None,
-) -> BreakCause:
-    """Judge why the connections to an endpoint broke.
-
-    :param result: how its address reacts to a new connection
-    :param listed: the endpoint as published now, None if it isn't any more
-    :return: the cause
-    """
-    if listed is None or listed.leaving:
-        return BreakCause.LEFT
-    return {
-        connect_probe.ProbeResult.REFUSED: BreakCause.CRASHED,
-        connect_probe.ProbeResult.ACCEPTED: BreakCause.ALIVE,
-        connect_probe.ProbeResult.DROPPED: BreakCause.UNKNOWN,
-        connect_probe.ProbeResult.NO_ANSWER: BreakCause.UNKNOWN,
-    }[result]
-
-
-def _life_of(record: deployment.EndpointRecord) -> EndpointLife:
-    return EndpointLife(record.name, record.born_milliseconds)
+def _life_of(record: deployment.EndpointRecord) -> break_evidence.EndpointLife:
+    return break_evidence.EndpointLife(record.name, record.born_milliseconds)
 
 
 def _describe_suspect(
@@ -363,9 +314,9 @@
 
 def _describe_evidence(
     case: BreakCase, closing: Closing, *, listens: bool
-) -> ClosingEvidence:
+) -> break_evidence.ClosingEvidence:
     apart_seconds = abs(case.broke_at_seconds - closing.closed_at_seconds)
-    return ClosingEvidence(
+    return break_evidence.ClosingEvidence(
         cause=case.cause,
         listens=listens,
         others_broke=apart_seconds <= SAME_MOMENT_SECONDS,
@@ -373,12 +324,5 @@
 
 
 __all__ = [
-    "BreakCause",
-    "ClosingEvidence",
     "CrashDetector",
-    "DetectedCrash",
-    "EndpointLife",
-    "INSIDE_EVENT",
-    "NO_EVIDENCE",
-    "find_cause",
 ]
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -16,6 +16,7 @@
 from boragefold.entry import request_context
 from boragefold.entry import request_end
 from boragefold.entry import request_fingerprint
+from boragefold.entry import request_sendings
 from boragefold.policy import crash_suspects
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
@@ -41,8 +42,12 @@
         self._sent_to: list[str] = []
         self._unreachable: set[str] = set()
         self._finished = False
-        self.sendings = context.repeats.begin(
-            admitted.request.request_id, admitted.service.name
+        self.sendings = request_sendings.RequestSendings(
+            repeats=context.repeats,
+            request_id=admitted.request.request_id,
+            service=admitted.service.name,
+            counters=context.counters,
+            log=context.log,
         )
         self._sent_at_seconds = admitted.arrived_at_seconds
         self._answer = caller_answer.CallerAnswer(
@@ -163,7 +168,7 @@
             dialect=context.dialect,
             may_send=self._may_write,
             remaining_seconds=self.remaining_seconds,
-            is_repeat=bool(self.sendings.sendings),
+            is_repeat=self.sendings.count > 0,
         )
         attempt.begin(call)
 
@@ -199,7 +204,7 @@
             has_endpoint=self.can_try_another(may_wait=is_broken),
             remaining_seconds=self.remaining_seconds(),
         )
-        return self.sendings.decide(inputs, endpoint)
+        return self.sendings.may_repeat(inputs, endpoint)
 
     def forward_headers(self, status: int, headers: dict[str, str]) -> bool:
         """Forward the headers of an endpoint's response.
@@ -225,7 +230,7 @@
         :param status: status of the response
         """
         self._answer.forward_end()
-        if status in attempts.SUCCESSES:
+        if status in caller_answer.SUCCESSES:
             self.admitted.guard.record_success()
         self._finish("answered", status)
 
@@ -270,17 +275,6 @@
         else:
             self.refuse(refusals.NOT_RUN, reason)
 
-    def _has_time(self) -> bool:
-        return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
-
-    def _begin_after_pause(self) -> None:
-        self.context.timers.once(
-            delay_seconds=self.context.repeats.draw_pause_seconds(
-                self.remaining_seconds()
-            ),
-            callback=lambda: None if self._finished else self.begin(),
-        )
-
     def refuse(
         self,
         kind: refusals.ErrorKind,
@@ -318,6 +312,17 @@
             verdict.retry_after_seconds,
         )
 
+    def _has_time(self) -> bool:
+        return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
+
+    def _begin_after_pause(self) -> None:
+        self.context.timers.once(
+            delay_seconds=self.context.repeats.draw_pause_seconds(
+                self.remaining_seconds()
+            ),
+            callback=lambda: None if self._finished else self.begin(),
+        )
+
     def _may_write(self) -> bool:
         return not self._finished and self.sendings.may_write()
 
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -9,6 +9,7 @@
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import path_inquiries
 import boragefold.coordination.link as links
+from boragefold.entry import break_evidence
 from boragefold.entry import crash_detector
 from boragefold.entry import endpoint_reach
 from boragefold.entry import refusal_check
@@ -148,10 +149,10 @@
         self._client.probe(
             record.address,
             lambda result: on_result(
-                crash_detector.find_cause(
+                break_evidence.find_cause(
                     result, self._fleet.endpoint(endpoint)
                 )
-                is crash_detector.BreakCause.CRASHED
+                is break_evidence.BreakCause.CRASHED
             ),
             settle_seconds=crash_detector.SETTLE_SECONDS,
         )
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
 from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
 from boragefold.telemetry import counters as telemetry
@@ -222,7 +222,7 @@
             self._publish()
             self.update()
 
-    def record_crash(self, crash: crash_detector.DetectedCrash) -> None:
+    def record_crash(self, crash: break_evidence.DetectedCrash) -> None:
         """Record a crash.
 
         :param crash: the endpoint and the requests that ran there
@@ -263,7 +263,7 @@
         )
 
 
-def _identify(life: crash_detector.EndpointLife) -> int:
+def _identify(life: break_evidence.EndpointLife) -> int:
     text = f"{life.name}\0{life.born_milliseconds}"
     return xxhash.xxh3_64_intdigest(text.encode())
 
--- a/src/boragefold/entry/repeats.py
+++ b/src/boragefold/entry/repeats.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 import random
-from typing import NamedTuple
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.entry import answer_deadline
@@ -26,21 +25,6 @@
 MAX_PAUSE_SHARE = 0.1
 
 
-class Written(NamedTuple):
-    """A request as it was written to a connection.
-
-    ``version`` is that of the adapter, 0 for any. ``connecting_seconds`` is
-    how long it took to get the connection.
-    """
-
-    endpoint: str
-    version: int
-    reused_connection: bool
-    connecting_seconds: float
-    waited_seconds: float
-    remaining_seconds: float
-
-
 class Repeats:
     """Decides for all requests of an instance, within its budgets."""
 
@@ -72,19 +56,14 @@
         self._log = log
         self._budgets: dict[str, repeat_budget.RepeatBudget] = {}
 
-    def begin(self, request_id: str, service: str) -> RequestRepeats:
+    def record_request(self, service: str) -> None:
         """Record that a caller sent a request.
 
-        :param request_id: of the request
         :param service: name of the service that is to serve it
-        :return: what decides on its sendings
         """
         self._budget(service).record_request(
             self._limit(), now_seconds=self._timers.now_seconds()
         )
-        return RequestRepeats(
-            repeats=self, request_id=request_id, service=service
-        )
 
     def decide(
         self,
@@ -170,31 +149,6 @@
             permit, self._limit(), now_seconds=self._timers.now_seconds()
         )
 
-    def log_written(
-        self, written: Written, *, request_id: str, number: int
-    ) -> None:
-        """Log and count that a request was written to a connection.
-
-        :param written: the sending
-        :param request_id: of the request
-        :param number: how often it has been written by now
-        """
-        is_first = number == 1
-        self._counters.add("requests_sent", "first" if is_first else "again")
-        # Repeats are few, since they have a budget.
-        write = self._log.write_ordinary if is_first else self._log.write
-        write(
-            "request_sent",
-            request_id=request_id,
-            endpoint=written.endpoint,
-            attempt=number,
-            adapter_version=written.version,
-            waited_seconds=round(written.waited_seconds, 4),
-            connecting_seconds=round(written.connecting_seconds, 4),
-            reused_connection=written.reused_connection,
-            remaining_seconds=round(written.remaining_seconds, 4),
-        )
-
     def _budget(self, service: str) -> repeat_budget.RepeatBudget:
         return self._budgets.setdefault(
             service,
@@ -217,65 +171,6 @@
             )
 
 
-class RequestRepeats:
-    """Counts the sendings of one request, and decides on further ones."""
-
-    def __init__(
-        self, *, repeats: Repeats, request_id: str, service: str
-    ) -> None:
-        self._repeats = repeats
-        self._request_id = request_id
-        self._service = service
-        self._permit: repeat_budget.Permit | None = None
-        self.may_have_run = False
-        self.sendings = 0
-
-    def decide(
-        self, inputs: repeat_decision.RepeatInputs, endpoint: str
-    ) -> bool:
-        """Decide whether the request is sent once more.
-
-        :param inputs: what is known of it
-        :param endpoint: name of the endpoint that didn't serve it
-        :return: whether it is
-        """
-        self.may_have_run |= inputs.may_have_run
-        self.close()
-        self._permit = self._repeats.decide(
-            inputs,
-            request_id=self._request_id,
-            service=self._service,
-            endpoint=endpoint,
-        )
-        return self._permit is not None
-
-    def may_write(self) -> bool:
-        """Tell whether the request may be written to a connection now.
-
-        :return: whether it never was, or has a permit for once more
-        """
-        return not self.sendings or self._permit is not None
-
-    def record_written(self, written: Written) -> None:
-        """Record that the request was written to a connection.
-
-        :param written: the sending
-        """
-        self.sendings += 1
-        permit, self._permit = self._permit, None
-        if permit is not None:
-            self._repeats.use(self._service, permit)
-        self._repeats.log_written(
-            written, request_id=self._request_id, number=self.sendings
-        )
-
-    def close(self) -> None:
-        """Give back a permit that isn't used."""
-        if self._permit is not None:
-            self._repeats.give_back(self._service, self._permit)
-            self._permit = None
-
-
 def connect(
     *,
     settings: Callable[[], gateway_settings.GatewaySettings],
@@ -332,7 +227,5 @@
 
 __all__ = [
     "Repeats",
-    "RequestRepeats",
-    "Written",
     "connect",
 ]
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -154,7 +154,11 @@
         if self.pending is None:
             return
         parser = self._parser
-        if reason == "eof" and parser is not None and parser.end_of_input():
+        if (
+            reason == streams.END_OF_INPUT
+            and parser is not None
+            and parser.end_of_input()
+        ):
             self._end(self.pending, parser, clean=False)
         else:
             self._fail(reason)
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -9,6 +9,9 @@
 from typing import Protocol
 
 READ_BYTES = 65536
+# How a connection ends that the other end closed in good order, or reset.
+END_OF_INPUT = "eof"
+RESET = "reset"
 # Backpressure: above this, reading from the endpoint pauses until half has
 # drained.
 HIGH_WATER_BYTES = 262_144
@@ -167,7 +170,7 @@
         if self.connecting:
             self.abort(self._connect_failure() or "unreachable")
         else:
-            self.abort("reset")
+            self.abort(RESET)
 
     def on_readable(self) -> None:
         """Read what there is; called by the socket set."""
@@ -180,10 +183,10 @@
                 self._owner.want_write(self, True)
                 return
             except OSError:
-                self.abort("reset")
+                self.abort(RESET)
                 return
             if not data:
-                self.abort("eof")
+                self.abort(END_OF_INPUT)
                 return
             self.handler.received(data)
             if len(data) < READ_BYTES and not self._decrypted_bytes():
@@ -236,7 +239,7 @@
         except OSError:
             # The writer may be in the middle of something, so it is told
             # later.
-            self._owner.fail_later(self, "reset")
+            self._owner.fail_later(self, RESET)
             return 0
 
     def _decrypted_bytes(self) -> int:
@@ -290,7 +293,9 @@
 
 
 __all__ = [
+    "END_OF_INPUT",
     "HIGH_WATER_BYTES",
+    "RESET",
     "Stream",
     "StreamHandler",
     "StreamOwner",
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -28,8 +28,6 @@
 STATUS_UNKNOWN = 404
 STATUS_UNREACHABLE = 502
 STATUS_FULL = 503
-# An answer without a length that ends so may be whole.
-ORDERLY_END = "eof"
 
 CheckCrash = Callable[[str, Callable[[bool], None]], None]
 
@@ -206,7 +204,7 @@
         far, self._exit = self._exit, None
         if far is None:
             return
-        if reason == ORDERLY_END:
+        if reason == streams.END_OF_INPUT:
             far.stream.abort()
         else:
             far.stream.reset()
@@ -298,7 +296,7 @@
         self.timeout.cancel()
         if not self._opened:
             self._entrance.not_opened(reason)
-        elif reason == ORDERLY_END:
+        elif reason == streams.END_OF_INPUT:
             self._check_crash(self._end)
         else:
             self._entrance.stream.reset()
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -8,12 +8,11 @@
 import msgspec
 
 from boragefold.transport import http_client
+from boragefold.transport import streams
 
 MAX_ANSWER_BYTES = 4_194_304
 # A cut number is a number, too; a cut object isn't JSON.
 DOCUMENT_BEGINNINGS = (b"{", b"[")
-# Why an answer fails that the closing of its connection may have cut.
-CLOSED_EARLY = "eof"
 
 
 class WholeAnswer(NamedTuple):
@@ -80,7 +79,7 @@
             return
         if framing is http_client.Framing.CLOSE and not self._is_proven():
             failure = http_client.Failure(
-                reason=CLOSED_EARLY, may_have_arrived=True
+                reason=streams.END_OF_INPUT, may_have_arrived=True
             )
             self._done(failure)
             return
--- a/tests/entry/test_answer_end.py
+++ b/tests/entry/test_answer_end.py
@@ -5,11 +5,11 @@
 import pytest
 
 from boragefold.entry import answer_end
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
 from boragefold.transport import http_client
 
 FRAMING = http_client.Framing
-CAUSE = crash_detector.BreakCause
+CAUSE = break_evidence.BreakCause
 VERDICT = answer_end.Verdict
 
 
@@ -58,5 +58,5 @@
     cause, listens, others_broke, verdict
 ) -> None:
     # An engine that leaves after its last answer must not break it.
-    evidence = crash_detector.ClosingEvidence(cause, listens, others_broke)
+    evidence = break_evidence.ClosingEvidence(cause, listens, others_broke)
     assert answer_end.judge_closing(evidence) is verdict
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -8,16 +8,16 @@
 import pytest
 
 from boragefold.entry import attempt as attempts
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
 from boragefold.entry import dialect as dialects
 from boragefold.transport import http_client
 from tests.fakes import gateways
 
-CRASHED = crash_detector.ClosingEvidence(
-    crash_detector.BreakCause.CRASHED, False, False
+CRASHED = break_evidence.ClosingEvidence(
+    break_evidence.BreakCause.CRASHED, False, False
 )
-ALIVE = crash_detector.ClosingEvidence(
-    crash_detector.BreakCause.ALIVE, True, False
+ALIVE = break_evidence.ClosingEvidence(
+    break_evidence.BreakCause.ALIVE, True, False
 )
 FACTS = dialects.AnswerFacts(
     status=200,
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from boragefold.entry import break_evidence
 from boragefold.entry import crash_detector
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
@@ -24,18 +25,18 @@
 @pytest.mark.parametrize(
     ("result", "listed", "cause"),
     [
-        (REFUSED, ENDPOINT, crash_detector.BreakCause.CRASHED),
-        (ACCEPTED, ENDPOINT, crash_detector.BreakCause.ALIVE),
-        (NO_ANSWER, ENDPOINT, crash_detector.BreakCause.UNKNOWN),
-        (REFUSED, LEAVING, crash_detector.BreakCause.LEFT),
-        (REFUSED, None, crash_detector.BreakCause.LEFT),
+        (REFUSED, ENDPOINT, break_evidence.BreakCause.CRASHED),
+        (ACCEPTED, ENDPOINT, break_evidence.BreakCause.ALIVE),
+        (NO_ANSWER, ENDPOINT, break_evidence.BreakCause.UNKNOWN),
+        (REFUSED, LEAVING, break_evidence.BreakCause.LEFT),
+        (REFUSED, None, break_evidence.BreakCause.LEFT),
     ],
 )
 def test_only_a_listed_endpoint_that_refuses_has_crashed(
     result, listed, cause
 ) -> None:
     # Whoever ran on an endpoint that was taken away caused nothing.
-    assert crash_detector.find_cause(result, listed) is cause
+    assert break_evidence.find_cause(result, listed) is cause
 
 
 class Client:
@@ -98,7 +99,7 @@
     side.check_closing()
     side.client.answer(REFUSED)
     (evidence,) = side.evidence
-    assert evidence.cause is crash_detector.BreakCause.CRASHED
+    assert evidence.cause is break_evidence.BreakCause.CRASHED
     assert not evidence.listens
     assert _suspects(side.crashes) == {7}
 
@@ -118,7 +119,7 @@
     side.client.answer(connect_probe.ProbeResult.DROPPED)
     assert not side.evidence
     side.client.answer(REFUSED)
-    assert side.evidence[0].cause is crash_detector.BreakCause.CRASHED
+    assert side.evidence[0].cause is break_evidence.BreakCause.CRASHED
 
 
 def test_breaks_at_the_same_moment_are_told() -> None:
@@ -128,7 +129,7 @@
     side.break_off()
     side.client.answer(REFUSED)
     (evidence,) = side.evidence
-    assert evidence.cause is crash_detector.BreakCause.LEFT
+    assert evidence.cause is break_evidence.BreakCause.LEFT
     assert evidence.others_broke
 
 
@@ -147,7 +148,7 @@
     side = Side()
     side.check_closing()
     side.pass_time(crash_detector.MAX_EVIDENCE_SECONDS)
-    assert side.evidence == [crash_detector.NO_EVIDENCE]
+    assert side.evidence == [break_evidence.NO_EVIDENCE]
     side.client.answer(REFUSED)
     assert len(side.evidence) == 1
     assert not _suspects(side.crashes)
@@ -158,5 +159,5 @@
     side.break_off()
     side.client.answer(REFUSED)
     side.check_closing()
-    assert side.evidence[0].cause is crash_detector.BreakCause.CRASHED
+    assert side.evidence[0].cause is break_evidence.BreakCause.CRASHED
     assert _suspects(side.crashes) == {7, 8}
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragefold.entry import crash_detector
+from boragefold.entry import break_evidence
 from boragefold.entry import request_context
 from boragefold.entry import service_forwarding
 from boragefold.protocol import crash_messages
@@ -56,8 +56,8 @@
             self._lives += 1
             self.walk.run(1.0)
             self.crashes.quarantine.record_crash(
-                crash_detector.DetectedCrash(
-                    crash_detector.EndpointLife("gone", self._lives),
+                break_evidence.DetectedCrash(
+                    break_evidence.EndpointLife("gone", self._lives),
                     (crash_messages.Suspect(FINGERPRINT, 50),),
                 )
             )
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -307,6 +307,46 @@
     assert b"content-length" not in head
 
 
+def test_headers_that_depend_on_the_time_are_made_when_written(side):
+    # Endpoints were told the time that was left before connecting.
+    sink = whole_answer.WholeAnswerSink(done=side.ended.append)
+    call = http_client.Call(
+        address=side.listener.address,
+        method="GET",
+        target="/x",
+        headers=[],
+        body=b"",
+        fresh=True,
+        progress_seconds=5.0,
+        make_late_headers=lambda: [
+            ("x-at", str(side.net.client.now_seconds()))
+        ],
+    )
+    side.net.client.send(call, sink)
+    chosen_at_seconds = side.net.client.now_seconds()
+    side.net.clock.move_to(chosen_at_seconds + 0.5)
+    sock = side.accept()
+    side.net.turn(lambda: False)
+    head = sock.recv(65536).decode().lower()
+    at_seconds = float(head.partition("x-at: ")[2].split()[0])
+    assert at_seconds >= chosen_at_seconds + 0.5
+
+
+def test_a_broken_call_is_left_to_its_sender(side):
+    # The transport sent it again, below all that decides on repeats.
+    sock = pooled(side)
+    side.call()
+    side.net.turn(lambda: False)
+    sock.recv(65536)
+    sock.close()
+    side.net.turn(lambda: bool(side.ended))
+    assert side.ended == [
+        http_client.Failure(
+            reason="eof", may_have_arrived=True, reused_connection=True
+        )
+    ]
+
+
 def test_an_interim_answer_isnt_the_final_one(side):
     # The final answer behind it was taken for that to another call.
     sock = call_of(side)
