Take a permit from the state that was decided on

The state of the budget was computed twice for each decision. It is computed once, and logged as it was decided on. After a reload of the settings with a longer window, the slices of the shorter one stayed in the window until its numbers, which are lower, had caught up: they are dropped. A test holds that; the code before counted 500 requests where 390 to 400 are in the window.

--- a/src/boragefold/entry/repeats.py
+++ b/src/boragefold/entry/repeats.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import random
+from typing import Any
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.entry import answer_deadline
@@ -93,9 +94,7 @@
         )
         permit = None
         if obstacle is None:
-            permit = budget.take(
-                limit, slack_part=slack_part, now_seconds=now_seconds
-            )
+            permit = budget.take(state, limit, now_seconds=now_seconds)
             if permit is None:
                 obstacle = repeat_decision.Obstacle.BUDGET
         self._count(inputs, obstacle)
@@ -103,14 +102,8 @@
             "repeat_decided",
             request_id=request_id,
             endpoint=endpoint,
-            setback=inputs.setback.value,
             obstacle="" if obstacle is None else obstacle.value,
-            may_have_run=inputs.may_have_run,
-            repeatable=inputs.repeatable,
-            resumable=inputs.resumable,
-            earlier_crashes=inputs.earlier_crashes,
-            has_endpoint=inputs.has_endpoint,
-            remaining_seconds=round(inputs.remaining_seconds, 4),
+            **_describe_inputs(inputs),
             window_seconds=limit.window_seconds,
             window_requests=state.requests,
             left_by_requests=round(state.left_by_requests, 2),
@@ -225,6 +218,14 @@
     )
 
 
+def _describe_inputs(inputs: repeat_decision.RepeatInputs) -> dict[str, Any]:
+    return {
+        **inputs._asdict(),
+        "setback": inputs.setback.value,
+        "remaining_seconds": round(inputs.remaining_seconds, 4),
+    }
+
+
 __all__ = [
     "Repeats",
     "connect",
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -10,7 +10,7 @@
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
 from boragefold.entry import quarantine
-from boragefold.entry import repeats as repeat_decisions
+from boragefold.entry import repeats as repeats_module
 from boragefold.entry import room_queue
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
@@ -32,7 +32,7 @@
     counters: telemetry.Counters
     log: decision_log.DecisionLog
     choice: service_choice.ServiceChoice
-    repeats: repeat_decisions.Repeats
+    repeats: repeats_module.Repeats
     rate: shared_rate.SharedRate
     crashes: crash_protection.CrashProtection
     reach: endpoint_reach.EndpointReach
--- a/src/boragefold/policy/repeat_budget.py
+++ b/src/boragefold/policy/repeat_budget.py
@@ -93,18 +93,15 @@
         self._current(limit, now_seconds).requests += 1
 
     def take(
-        self, limit: FleetLimit, *, slack_part: float, now_seconds: float
+        self, state: BudgetState, limit: FleetLimit, *, now_seconds: float
     ) -> Permit | None:
         """Take the right to one repeat, if there is one.
 
+        :param state: what is left now
         :param limit: of all instances together
-        :param slack_part: this instance's part of the slack, from 0 to 1
         :param now_seconds: reading of the process clock
         :return: the right, None if there is none
         """
-        state = self.state(
-            limit, slack_part=slack_part, now_seconds=now_seconds
-        )
         if state.left_by_requests + state.left_of_slack < 1:
             return None
         by_requests = min(1.0, state.left_by_requests)
@@ -161,6 +158,9 @@
 
     def _current(self, limit: FleetLimit, now_seconds: float) -> Slice:
         number = int(now_seconds * SLICES / limit.window_seconds)
+        if self._slices and self._slices[-1].number > number:
+            # The settings were reloaded with a longer window.
+            self._slices.clear()
         while self._slices and self._slices[0].number < number - SLICES:
             self._slices.popleft()
         if not self._slices or self._slices[-1].number < number:
--- a/tests/policy/test_repeat_budget.py
+++ b/tests/policy/test_repeat_budget.py
@@ -12,7 +12,8 @@
 
 
 def take(budget, *, part=0.25, at, limit=LIMIT):
-    return budget.take(limit, slack_part=part, now_seconds=at)
+    state = budget.state(limit, slack_part=part, now_seconds=at)
+    return budget.take(state, limit, now_seconds=at)
 
 
 def fleet_repeats(*, instances, failing):
@@ -121,6 +122,18 @@
     assert take(budget, part=0.0, at=32.0) is None
 
 
+def test_a_longer_window_is_counted_anew() -> None:
+    # Slices of a shorter window have higher numbers, and would never end.
+    budget = repeat_budget.RepeatBudget(started_at_seconds=0.0)
+    longer = LIMIT._replace(window_seconds=40.0)
+    for step in range(100):
+        budget.record_request(LIMIT, now_seconds=1000.0 + step / 10)
+    for step in range(400):
+        budget.record_request(longer, now_seconds=1010.0 + step / 10)
+    state = budget.state(longer, slack_part=0.0, now_seconds=1050.0)
+    assert 390 <= state.requests <= 400
+
+
 @pytest.mark.parametrize("count", [1, 7, 100])
 def test_memory_is_bounded(count) -> None:
     budget = repeat_budget.RepeatBudget(started_at_seconds=0.0)
--- a/tests/policy/test_repeat_walk.py
+++ b/tests/policy/test_repeat_walk.py
@@ -157,10 +157,10 @@
         instance.budget.record_request(LIMIT, now_seconds=now)
         part = fleet_part.compute_part(instance.part.inputs(now_seconds=now))
         while self._rng.random() < self._schedule.failing:
-            permit = instance.budget.take(
+            state = instance.budget.state(
                 LIMIT, slack_part=part, now_seconds=now
             )
-            if permit is None:
+            if instance.budget.take(state, LIMIT, now_seconds=now) is None:
                 return
             self.repeated.append(now)
 
