--- a/tests/entry/test_repeats.py
+++ b/tests/entry/test_repeats.py
@@ -11,7 +11,9 @@
 from tests.fakes import repeat_load
 
 GATEWAYS = 4
+# Of each kind; the fleet starts with the first two.
 ENDPOINTS = 3
+STARTED_ENDPOINTS = 2
 RESET = endpoint_connection.Ending.RESET.value
 GOOD_ORDER = endpoint_connection.Ending.CLOSE.value
 MAX_ATTEMPTS = 2
@@ -56,7 +58,7 @@
     machines = machines_module.Machines(tmp_path, gateways=GATEWAYS)
     try:
         machines.start()
-        for number in range(len(machines.endpoints) // 2, ENDPOINTS):
+        for number in range(STARTED_ENDPOINTS, ENDPOINTS):
             _add(machines, f"desk-{number}")
             _add(
                 machines,
@@ -74,15 +76,17 @@
         machines.stop()
 
 
-class Strangers(machines_module.Machines):
+class IsolatedMachines(machines_module.Machines):
+    """Gateways that have no address of each other."""
+
     def _settings(self, number):
         return {**super()._settings(number), "seeds": []}
 
 
 @pytest.fixture
-def strangers(tmp_path):
+def isolated(tmp_path):
     """Start gateways that never hear of each other."""
-    machines = Strangers(tmp_path, gateways=7)
+    machines = IsolatedMachines(tmp_path, gateways=7)
     try:
         yield machines.start()
     finally:
@@ -165,15 +169,15 @@
 
 
 def test_instances_that_know_nobody_keep_to_the_budget_of_all(
-    strangers,
+    isolated,
 ) -> None:
     # Each took the part of the whole fleet for its own.
-    for number in range(2, ENDPOINTS):
-        _add(strangers, f"desk-{number}")
+    for number in range(STARTED_ENDPOINTS, ENDPOINTS):
+        _add(isolated, f"desk-{number}")
     load = repeat_load.Load(
-        strangers, "/reads/x", per_second=REQUESTS_PER_SECOND
+        isolated, "/reads/x", per_second=REQUESTS_PER_SECOND
     )
     load.play(CALM_SECONDS)
-    _set(strangers, status=500, share=0.7)
+    _set(isolated, status=500, share=0.7)
     load.play(PLAY_SECONDS)
-    _check(strangers, load, repeat_load.arrivals_of(strangers, load.sent))
+    _check(isolated, load, repeat_load.arrivals_of(isolated, load.sent))
