Collect arrivals and build the window of repeats in one place

The soak listed arrivals, sorted them and built the window a second time beside the load tests, and five files defined the same limit. Both call repeat_load now, and repeat_rule holds the limit. Two reasons stand beside their code again: why the soak passes over an endpoint that doesn't listen, and why the tunnel asks about an end in good order.

No check, bound or expectation changes: arrivals without an id now fail where they were passed over.

--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -297,6 +297,7 @@
         if not self._opened:
             self._entrance.not_opened(reason)
         elif reason == streams.END_OF_INPUT:
+            # An answer without a length that ends so may be whole.
             self._check_crash(self._end)
         else:
             self._entrance.stream.reset()
--- a/tests/entry/test_request_sendings.py
+++ b/tests/entry/test_request_sendings.py
@@ -10,11 +10,11 @@
 from boragefold.entry import repeats
 from boragefold.entry import request_sendings
 from boragefold.policy import fleet_part
-from boragefold.policy import repeat_budget
 from boragefold.policy import repeat_decision
 from boragefold.telemetry import counters as telemetry
+from tests.fakes import repeat_rule
 
-LIMIT = repeat_budget.FleetLimit(ratio=0.2, slack=50.0, window_seconds=10.0)
+LIMIT = repeat_rule.LIMIT
 BROKEN = repeat_decision.RepeatInputs(
     setback=repeat_decision.Setback.BROKEN,
     may_have_run=True,
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -23,7 +23,6 @@
 from boragefold.entry import repeats
 from boragefold.entry import request_context
 from boragefold.entry import service_loads
-from boragefold.policy import repeat_budget
 from boragefold.policy import shared_rate
 from boragefold.protocol import paths
 from boragefold.state import deployment
@@ -35,6 +34,7 @@
 from boragefold.transport import http_server
 from boragefold.transport import path_finder
 from tests.fakes import gateways
+from tests.fakes import repeat_rule
 
 # What is known of a crash must be known to all in touch by then.
 CONTACT_SECONDS = 3.0
@@ -55,9 +55,6 @@
 CUT_OFF_SECONDS = (4.0, 8.0)
 CONNECT_SECONDS = 0.25
 HOST = "press.example"
-REPEAT_LIMIT = repeat_budget.FleetLimit(
-    ratio=0.2, slack=50.0, window_seconds=10.0
-)
 SIGNED = {"boragefold-response-signature": "signed"}
 LOGGED = (
     "quarantine_changed",
@@ -260,7 +257,7 @@
         for endpoint in walk.endpoints.values():
             self.published.set_endpoint(endpoint.record)
         settings = types.SimpleNamespace(
-            retry_limit=REPEAT_LIMIT,
+            retry_limit=repeat_rule.LIMIT,
             seeds=walk.seeds,
             peer_listen=self.node.self_id.address,
         )
--- a/tests/fakes/repeat_load.py
+++ b/tests/fakes/repeat_load.py
@@ -25,10 +25,6 @@
 DEADLINE = "boragefold-deadline-ms"
 
 
-# As the settings of the gateways state it.
-LIMIT = repeat_budget.FleetLimit(ratio=0.2, slack=50.0, window_seconds=10.0)
-
-
 class Sent(NamedTuple):
     """One request of a caller and its final answer, 0 for none."""
 
@@ -82,32 +78,38 @@
         return Sent(request_id, at, status)
 
 
-def arrivals_of(machines, sent: list[Sent]) -> dict[str, list[dict[str, Any]]]:
-    """List the arrivals of requests at all endpoints, in their order."""
-    found: dict[str, list[dict[str, Any]]] = {
-        each.request_id: [] for each in sent
-    }
+def all_arrivals(machines) -> dict[str, list[dict[str, Any]]]:
+    """List what arrived at the endpoints in order, by the request's id."""
+    found = collections.defaultdict(list)
     for name in machines.endpoints:
         for arrival in machines.seen(name)["arrivals"]:
-            request_id = arrival["headers"].get(ATTEMPT_ID)
-            if request_id in found:
-                found[request_id].append({**arrival, "endpoint": name})
+            request_id = arrival["headers"][ATTEMPT_ID]
+            found[request_id].append({**arrival, "endpoint": name})
     for each in found.values():
         each.sort(key=lambda arrival: arrival["at_seconds"])
     return found
 
 
+def arrivals_of(machines, sent: list[Sent]) -> dict[str, list[dict[str, Any]]]:
+    """List the arrivals of some requests, also of those without any."""
+    found = all_arrivals(machines)
+    return {each.request_id: found[each.request_id] for each in sent}
+
+
 def worst_window(
-    sent: list[Sent], arrivals: dict[str, list[dict[str, Any]]]
+    sent: list[Sent],
+    arrivals: dict[str, list[dict[str, Any]]],
+    *,
+    limit: repeat_budget.FleetLimit = repeat_rule.LIMIT,
 ) -> repeat_rule.Window:
-    """Find the window with the most arrivals beyond what is allowed."""
+    """Find the window with the most arrivals of requests beyond the limit."""
     return repeat_rule.worst_window(
-        LIMIT,
+        limit,
         asked=[each.at_seconds for each in sent],
         beyond=[
             each["at_seconds"]
-            for found in arrivals.values()
-            for each in found[1:]
+            for request in sent
+            for each in arrivals.get(request.request_id, [])[1:]
         ],
     )
 
@@ -164,9 +166,9 @@
 
 __all__ = [
     "DEADLINE_SLACK_SECONDS",
-    "LIMIT",
     "Load",
     "Sent",
+    "all_arrivals",
     "arrivals_of",
     "endpoints_reached",
     "late_repeats",
--- a/tests/fakes/repeat_rule.py
+++ b/tests/fakes/repeat_rule.py
@@ -8,6 +8,9 @@
 
 from boragefold.policy import repeat_budget
 
+# As the settings of the gateways state it.
+LIMIT = repeat_budget.FleetLimit(ratio=0.2, slack=50.0, window_seconds=10.0)
+
 
 class Window(NamedTuple):
     """The worst window of a run."""
@@ -58,6 +61,7 @@
 
 
 __all__ = [
+    "LIMIT",
     "Window",
     "worst_window",
 ]
--- a/tests/policy/test_repeat_budget.py
+++ b/tests/policy/test_repeat_budget.py
@@ -7,7 +7,7 @@
 from boragefold.policy import repeat_budget
 from tests.fakes import repeat_rule
 
-LIMIT = repeat_budget.FleetLimit(ratio=0.2, slack=50.0, window_seconds=10.0)
+LIMIT = repeat_rule.LIMIT
 LARGE = repeat_budget.FleetLimit(ratio=0.2, slack=430.0, window_seconds=10.0)
 
 
--- a/tests/policy/test_repeat_walk.py
+++ b/tests/policy/test_repeat_walk.py
@@ -12,7 +12,7 @@
 from boragefold.policy import repeat_budget
 from tests.fakes import repeat_rule
 
-LIMIT = repeat_budget.FleetLimit(ratio=0.2, slack=50.0, window_seconds=10.0)
+LIMIT = repeat_rule.LIMIT
 STEP_SECONDS = 0.05
 WALK_SECONDS = 60.0
 UPDATE_STEPS = 20
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,7 +8,6 @@
 import itertools
 
 from tests.fakes import repeat_load
-from tests.fakes import repeat_rule
 from tests.soak import callers
 
 NOT_RUN = (408, 421, 429, 503)
@@ -180,43 +179,31 @@
 
 
 def _repeats(run, seen) -> Iterator[str]:
-    arrivals = collections.defaultdict(list)
-    for name in run.machines.endpoints:
-        for each in run.machines.seen(name)["arrivals"]:
-            arrivals[_attempt(each)].append({**each, "endpoint": name})
-    for found in arrivals.values():
-        found.sort(key=lambda each: each["at_seconds"])
-    yield from _beyond_first(run.machines.limit, seen, arrivals)
-    sent = [
-        repeat_load.Sent(x.request_id, x.sent_at_seconds, x.status)
-        for x in seen
-    ]
+    arrivals = repeat_load.all_arrivals(run.machines)
+    for kinds in SERVICES:
+        worst = repeat_load.worst_window(
+            _sent(each for each in seen if each.kind in kinds),
+            arrivals,
+            limit=run.machines.limit,
+        )
+        if worst.beyond_first > worst.allowed:
+            yield f"BUDGET: arrivals beyond the first of {kinds}: {worst}"
     yield from (
         f"BUDGET: {request_id} reached {[x['endpoint'] for x in found]}"
         for request_id, found in arrivals.items()
         if len({x["endpoint"] for x in found}) > MAX_ATTEMPTS
     )
-    late = repeat_load.late_repeats(sent, arrivals)
+    late = repeat_load.late_repeats(_sent(seen), arrivals)
     longer = [x for x in late if x > repeat_load.DEADLINE_SLACK_SECONDS]
     if len(longer) > max(MAX_LONGER, len(late) / 5):
         yield f"BUDGET: {len(longer)} of {len(late)} repeats had more time"
 
 
-def _beyond_first(limit, seen, arrivals) -> Iterator[str]:
-    kind_of = {each.request_id: each.kind for each in seen}
-    for kinds in SERVICES:
-        worst = repeat_rule.worst_window(
-            limit,
-            asked=[x.sent_at_seconds for x in seen if x.kind in kinds],
-            beyond=[
-                x["at_seconds"]
-                for request_id, found in arrivals.items()
-                for x in found[1:]
-                if kind_of.get(request_id) in kinds
-            ],
-        )
-        if worst.beyond_first > worst.allowed:
-            yield f"BUDGET: arrivals beyond the first of {kinds}: {worst}"
+def _sent(seen: Iterable[callers.Seen]) -> list[repeat_load.Sent]:
+    return [
+        repeat_load.Sent(each.request_id, each.sent_at_seconds, each.status)
+        for each in seen
+    ]
 
 
 def _cut_off(run, seen) -> Iterator[str]:
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -113,6 +113,7 @@
         for _ in range(BREAKS):
             time.sleep(BREAK_GAP_SECONDS)
             for address in list(self.machines.endpoints.values()):
+                # An endpoint that a request has crashed doesn't listen.
                 with contextlib.suppress(OSError):
                     machines_module.call(
                         address, "PUT", "/control/break", body=ending
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,7 +12,7 @@
 
 from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
-from tests.fakes import repeat_load
+from tests.fakes import repeat_rule
 from tests.soak import callers
 from tests.soak import checks
 from tests.soak import endpoint_faults
@@ -40,7 +40,7 @@
 
 
 # What the callers of a run can exceed, where faults draw many repeats.
-TIGHT_LIMIT = repeat_load.LIMIT._replace(ratio=0.02, slack=4.0)
+TIGHT_LIMIT = repeat_rule.LIMIT._replace(ratio=0.02, slack=4.0)
 REPEAT_FAULTS = {"break_series", "lost_share"}
 
 
@@ -89,7 +89,7 @@
             limit=(
                 TIGHT_LIMIT
                 if any(fault.kind in REPEAT_FAULTS for fault in faults)
-                else repeat_load.LIMIT
+                else repeat_rule.LIMIT
             ),
         )
         self._crash_faults: dict[str, object] = {}
