Log the evidence of a quarantine, and checks of refusals without a verdict

The logs told that a request was quarantined or released, not by which crashes. quarantine_changed has each crash under the request, its age, whether it was counted and which quarantined requests ran beside it, and what changed; endpoint_broke has the crash's number. refusal_unexplained lists how the other endpoints reacted that were tried when one refused a connection.

--- a/src/boragefold/entry/break_evidence.py
+++ b/src/boragefold/entry/break_evidence.py
@@ -5,6 +5,8 @@
 import enum
 from typing import NamedTuple
 
+import xxhash
+
 from boragefold.protocol import crash_messages
 from boragefold.state import deployment
 from boragefold.transport import connect_probe
@@ -29,6 +31,15 @@
     name: str
     born_milliseconds: int
 
+    @property
+    def crash(self) -> int:
+        """Identify the crash that ends this life.
+
+        :return: a 64-bit hash, the same at all instances
+        """
+        text = f"{self.name}\0{self.born_milliseconds}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
 
 class ClosingEvidence(NamedTuple):
     """What is known of an endpoint that closed a connection in good order.
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -282,6 +282,7 @@
         self._log.write(
             "endpoint_broke",
             endpoint=life.name,
+            crash=request_fingerprint.describe(life.crash),
             born_milliseconds=life.born_milliseconds,
             verdict=case.cause.value,
             reasons=sorted(case.reasons),
--- a/src/boragefold/entry/crash_protection.py
+++ b/src/boragefold/entry/crash_protection.py
@@ -61,7 +61,7 @@
         timers=timers,
         suspects=suspects,
         is_hub=is_hub,
-        on_news=lambda: quarantine.update(),
+        on_news=lambda: quarantine.update("peer"),
     )
     quarantine = quarantines.Quarantine(
         suspects=suspects,
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -95,7 +95,11 @@
             on_changed=choice.forgive,
         )
         self.refusals = refusal_check.RefusalChecks(
-            client=client, fleet=fleet, inquiries=inquiries, rng=rng
+            client=client,
+            fleet=fleet,
+            inquiries=inquiries,
+            rng=rng,
+            log=log,
         )
         self.server = tunnel_server.TunnelServer(
             sockets_=sockets_,
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 import functools
 
-import xxhash
-
 from boragefold.entry import break_evidence
 from boragefold.entry import request_fingerprint
 from boragefold.policy import crash_suspects
@@ -220,7 +218,7 @@
         """
         if self._suspects.has_suspects and self._suspects.clear(fingerprint()):
             self._publish()
-            self.update()
+            self.update("completed")
 
     def record_crash(self, crash: break_evidence.DetectedCrash) -> None:
         """Record a crash.
@@ -228,23 +226,26 @@
         :param crash: the endpoint and the requests that ran there
         """
         self._suspects.record_crash(
-            _identify(crash.life),
+            crash.life.crash,
             crash.suspects,
             now_seconds=self._timers.now_seconds(),
         )
         self._publish()
-        self.update()
+        self.update("crash")
+
+    def update(self, cause: str) -> None:
+        """Refuse the waiting requests that have become quarantined.
 
-    def update(self) -> None:
-        """Refuse the waiting requests that have become quarantined."""
+        :param cause: what has changed the known crashes, for the log
+        """
         before, self._logged = self._logged, self._suspects.quarantined
         for fingerprint in sorted(before ^ self._logged):
-            self._write_change(fingerprint)
+            self._write_change(fingerprint, cause)
         if self._logged - before:
             for request in list(self._waiting):
                 request.on_quarantine()
 
-    def _write_change(self, fingerprint: int) -> None:
+    def _write_change(self, fingerprint: int, cause: str) -> None:
         added = fingerprint in self._logged
         now_seconds = self._timers.now_seconds()
         verdict = self._suspects.judge(fingerprint, now_seconds=now_seconds)
@@ -253,6 +254,20 @@
             "quarantine_changed",
             fingerprint=request_fingerprint.describe(fingerprint),
             quarantined=added,
+            cause=cause,
+            evidence={
+                request_fingerprint.describe(each.crash): {
+                    "age_seconds": round(each.age_seconds, 3),
+                    "counted": each.counted,
+                    "beside": [
+                        request_fingerprint.describe(other)
+                        for other in each.beside
+                    ],
+                }
+                for each in self._suspects.list_evidence(
+                    fingerprint, now_seconds=now_seconds
+                )
+            },
             crashes=verdict.crashes,
             newest_crash_seconds=(
                 round(verdict.newest_crash_seconds, 3)
@@ -263,11 +278,6 @@
         )
 
 
-def _identify(life: break_evidence.EndpointLife) -> int:
-    text = f"{life.name}\0{life.born_milliseconds}"
-    return xxhash.xxh3_64_intdigest(text.encode())
-
-
 __all__ = [
     "Quarantine",
     "REASON",
--- a/src/boragefold/entry/refusal_check.py
+++ b/src/boragefold/entry/refusal_check.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import random
 
 from boragefold.coordination.fleet import path_inquiries
 from boragefold.protocol import paths
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
+from boragefold.telemetry import decision_log
 from boragefold.transport import connect_probe
 from boragefold.transport import http_client
 
@@ -35,6 +37,7 @@
         fleet: fleets.Fleet,
         inquiries: path_inquiries.PathInquiries,
         rng: random.Random,
+        log: decision_log.DecisionLog,
     ) -> None:
         """Begin without checks.
 
@@ -42,11 +45,13 @@
         :param fleet: the published endpoints
         :param inquiries: asks the peers
         :param rng: chooses the other endpoints
+        :param log: gets a line for each check without a verdict
         """
         self._client = client
         self._fleet = fleet
         self._inquiries = inquiries
         self._rng = rng
+        self._log = log
 
     def begin(
         self, record: deployment.EndpointRecord, on_result: OnResult
@@ -64,9 +69,28 @@
             and (found := self._fleet.endpoint(name)) is not None
         ]
         controls = self._rng.sample(others, min(MAX_CONTROLS, len(others)))
-        check = RefusalCheck(controls=len(controls), on_result=on_result)
+        results: dict[str, str] = {}
+
+        def conclude(result: connect_probe.ProbeResult) -> None:
+            if result is NO_ANSWER:
+                self._log.write(
+                    "refusal_unexplained", endpoint=record.name, probes=results
+                )
+            on_result(result)
+
+        check = RefusalCheck(controls=len(controls), on_result=conclude)
+
+        def record_control(
+            name: str, result: connect_probe.ProbeResult
+        ) -> None:
+            results[name] = result.value
+            check.record_control(result)
+
         for control in controls:
-            self._client.probe(control.address, check.record_control)
+            self._client.probe(
+                control.address,
+                functools.partial(record_control, control.name),
+            )
         self._inquiries.ask(
             record.name,
             on_reached=check.record_reaching,
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -59,6 +59,19 @@
         return self.retry_after_seconds > 0
 
 
+class Evidence(NamedTuple):
+    """A crash under a suspect.
+
+    ``counted`` tells whether it speaks against the suspect, ``beside`` which
+    quarantined requests ran there, too.
+    """
+
+    crash: int
+    age_seconds: float
+    counted: bool
+    beside: tuple[int, ...]
+
+
 NOT_SUSPECTED = Verdict(0, math.inf, 0.0)
 
 
@@ -164,6 +177,35 @@
             len(crashes), age_seconds, wait_seconds, not wait_seconds
         )
 
+    def list_evidence(
+        self, fingerprint: int, *, now_seconds: float
+    ) -> list[Evidence]:
+        """List the crashes under a request that hasn't completed since.
+
+        :param fingerprint: the request
+        :param now_seconds: reading of the process clock
+        :return: the oldest first
+        """
+        counted = {
+            id(crash) for crash in self._by_suspect.get(fingerprint, ())
+        }
+        found = [
+            Evidence(
+                crash=number,
+                age_seconds=now_seconds - crash.at_seconds,
+                counted=id(crash) in counted,
+                beside=tuple(
+                    sorted(
+                        (self.quarantined & crash.suspects.keys())
+                        - {fingerprint}
+                    )
+                ),
+            )
+            for number, crash in self._crashes.items()
+            if fingerprint in crash.suspects
+        ]
+        return sorted(found, key=lambda each: -each.age_seconds)
+
     def merge(
         self,
         crashes: Iterable[messages.CrashReport],
@@ -353,6 +395,7 @@
 
 __all__ = [
     "CrashSuspects",
+    "Evidence",
     "NOT_SUSPECTED",
     "Verdict",
 ]
--- a/src/boragefold/standins/endpoint_faults.py
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -16,13 +16,13 @@
     ``framing`` is how answers are framed, ``line_end`` ends the lines of
     events. ``cut_after`` breaks a stream off after so many events, inside the
     next one unless ``cut_between``, and other answers in their midst, all by
-    ``ending``; with ``cut_body``, only those to requests with this body.
+    ``ending``; with ``cut_body``, only those to requests whose body begins so.
     ``exit_when_done`` ends the process after its next whole answer,
     ``unframed_calls`` sends reports and answers to orders without a framing.
     ``unsigned`` leaves the signature out, ``silent`` never answers,
     ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
-    rest of a stream. ``crash_body`` ends the process under each request with
-    this body. ``lose_answers`` closes the connection behind the run instead of
+    rest of a stream. ``crash_body`` ends the process under each request whose
+    body begins so. ``lose_answers`` closes the connection behind the run instead of
     answering; ``share`` is the part of the runs that this, ``status`` and
     ``not_executed`` apply to.
     ``limits`` are slots, waiting requests, rejections that it bears in a
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -219,7 +219,7 @@
         faults = self._faults
         self._runs.append(self._describe(request))
         self._running.append(exchange)
-        if faults.crash_body and request.body == faults.crash_body.encode():
+        if _begins(request.body, faults.crash_body):
             self._timers.once(
                 delay_seconds=CRASH_SECONDS, callback=lambda: os._exit(1)
             )
@@ -270,7 +270,7 @@
         status = faults.resumed_status if resumed else faults.status
         status = status if fails else machines_http.STATUS_OK
         is_cut = faults.cut_after is not None and (
-            not faults.cut_body or request.body == faults.cut_body.encode()
+            not faults.cut_body or _begins(request.body, faults.cut_body)
         )
         if not self._model or status != machines_http.STATUS_OK:
             self._send_body(
@@ -357,6 +357,10 @@
             )
 
 
+def _begins(body: bytes, beginning: str) -> bool:
+    return bool(beginning) and body.startswith(beginning.encode())
+
+
 __all__ = [
     "Endpoint",
 ]
