--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -59,6 +59,7 @@
 LOGGED = (
     "quarantine_changed",
     "quarantine_trial",
+    "refusal_unexplained",
     "endpoint_broke",
     "path_lost",
     "path_found",
