Try further endpoints before a crash counts as unexplained

Callers got answers that ended in the middle as if they were complete, and culprits' crashes didn't count: to tell an endpoint that ended from a path that is cut, an instance tried three other endpoints, and where all three had ended themselves it reached no verdict. The single witness of a crash then lost it.

If none of the three accepts, twelve more are tried before the instance takes itself for cut off. The test fails without it.

--- a/src/boragefold/entry/refusal_check.py
+++ b/src/boragefold/entry/refusal_check.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import functools
+import itertools
 import random
 
 from boragefold.coordination.fleet import path_inquiries
@@ -18,8 +20,10 @@
 from boragefold.transport import connect_probe
 from boragefold.transport import http_client
 
-# Others may have ended at the same time.
-MAX_CONTROLS = 3
+# How many others are tried at first, and then if none of them accepts: they
+# may have ended at the same time.
+CONTROLS = 3
+FURTHER_CONTROLS = 12
 ACCEPTED = connect_probe.ProbeResult.ACCEPTED
 REFUSED = connect_probe.ProbeResult.REFUSED
 NO_ANSWER = connect_probe.ProbeResult.NO_ANSWER
@@ -62,47 +66,102 @@
         :param on_result: called once: ``ACCEPTED`` if a peer reaches it,
             ``REFUSED`` if it has ended, otherwise ``NO_ANSWER``
         """
-        others = [
-            found
-            for name in self._fleet.names()
-            if name != record.name
-            and (found := self._fleet.endpoint(name)) is not None
-        ]
-        controls = self._rng.sample(others, min(MAX_CONTROLS, len(others)))
-        results: dict[str, str] = {}
+        controls = Controls(
+            client=self._client, others=self._list_others(record.name)
+        )
 
         def conclude(result: connect_probe.ProbeResult) -> None:
             if result is NO_ANSWER:
                 self._log.write(
-                    "refusal_unexplained", endpoint=record.name, probes=results
+                    "refusal_unexplained",
+                    endpoint=record.name,
+                    probes=controls.results,
                 )
             on_result(result)
 
-        check = RefusalCheck(controls=len(controls), on_result=conclude)
-
-        def record_control(
-            name: str, result: connect_probe.ProbeResult
-        ) -> None:
-            results[name] = result.value
-            check.record_control(result)
-
-        for control in controls:
-            self._client.probe(
-                control.address,
-                functools.partial(record_control, control.name),
-            )
+        check = RefusalCheck(
+            controls=controls.probe(CONTROLS, lambda: check),
+            on_result=conclude,
+            probe_further=lambda: controls.probe(
+                FURTHER_CONTROLS, lambda: check
+            ),
+        )
         self._inquiries.ask(
             record.name,
             on_reached=check.record_reaching,
             on_end=check.record_inquiry_end,
         )
 
+    def _list_others(
+        self, endpoint: str
+    ) -> Iterator[deployment.EndpointRecord]:
+        names = [name for name in self._fleet.names() if name != endpoint]
+        self._rng.shuffle(names)
+        found = map(self._fleet.endpoint, names)
+        return (record for record in found if record is not None)
+
+
+class Controls:
+    """Other endpoints that are tried, and how each reacted."""
+
+    def __init__(
+        self,
+        *,
+        client: http_client.HttpClient,
+        others: Iterator[deployment.EndpointRecord],
+    ) -> None:
+        """Try none yet.
+
+        :param client: opens connections
+        :param others: the endpoints, in the order in which they are tried
+        """
+        self._client = client
+        self._others = others
+        self.results: dict[str, str] = {}
+
+    def probe(self, count: int, find_check: Callable[[], RefusalCheck]) -> int:
+        """Try the next ones.
+
+        :param count: how many at most
+        :param find_check: returns the check that gets the results
+        :return: how many there are
+        """
+        chosen = list(itertools.islice(self._others, count))
+        for control in chosen:
+            self._client.probe(
+                control.address,
+                functools.partial(self._record, control.name, find_check),
+            )
+        return len(chosen)
+
+    def _record(
+        self,
+        name: str,
+        find_check: Callable[[], RefusalCheck],
+        result: connect_probe.ProbeResult,
+    ) -> None:
+        self.results[name] = result.value
+        find_check().record_control(result)
+
 
 class RefusalCheck:
     """One check, until all results are there."""
 
-    def __init__(self, *, controls: int, on_result: OnResult) -> None:
+    def __init__(
+        self,
+        *,
+        controls: int,
+        on_result: OnResult,
+        probe_further: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Wait for the results.
+
+        :param controls: how many other endpoints are tried
+        :param on_result: called once
+        :param probe_further: tries more of them, and returns how many
+        """
         self._controls_left = controls
+        self._probe_further = probe_further
         self._control_accepted = not controls
         self._reached_by_peer = False
         self._asking = True
@@ -146,11 +205,18 @@
             result = REFUSED
         elif self._controls_left:
             return
+        elif further := self._take_further():
+            self._controls_left = further
+            return
         else:
             result = NO_ANSWER
         self._on_result = None
         on_result(result)
 
+    def _take_further(self) -> int:
+        probe_further, self._probe_further = self._probe_further, lambda: 0
+        return probe_further()
+
 
 __all__ = [
     "RefusalChecks",
--- a/tests/entry/test_refusal_check.py
+++ b/tests/entry/test_refusal_check.py
@@ -53,3 +53,19 @@
     assert not results
     one.record_reaching(paths.Path("peer"))
     assert results == [ACCEPTED]
+
+
+def test_others_that_ended_with_it_hide_no_crash() -> None:
+    # The few endpoints that were tried had ended at the same time.
+    results, rounds = [], [2]
+    one = refusal_check.RefusalCheck(
+        controls=1,
+        on_result=results.append,
+        probe_further=lambda: rounds.pop() if rounds else 0,
+    )
+    one.record_inquiry_end(False, 2)
+    one.record_control(REFUSED)
+    one.record_control(REFUSED)
+    assert not results
+    one.record_control(ACCEPTED)
+    assert results == [REFUSED]
