Convict a request by its own evidence alone

Callers saw streams break on engine after engine: two requests that crash their endpoints released each other.

Whoever ran beside other convicts at each of three crashes is tried at once, once: its fourth crash stays with it. The first trial comes early only where endpoints crash without a suspect of several crashes, which a second culprit is. Ends within 0.1 s count twice where no other request ran at two of them; a chain of such gaps is no longer one moment.

The 27 tests of suspects pass unchanged. The property over up to 8 culprits, 8 innocents and lost news fails on the former code, as do the tests of each rule.

--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -58,16 +58,23 @@
         :return: the verdict to refuse it with, or None
         """
         verdict = self._judge()
-        if verdict.is_trial:
-            self._quarantine.begin_trial(self.fingerprint, verdict)
+        if not verdict.quarantined:
+            self._quarantine.begin_trial(self._read_fingerprint, verdict)
         return self._log_refusal(verdict)
 
+    def needs_lease(self) -> bool:
+        """Tell whether the request is sent one copy at a time.
+
+        :return: whether several crashes speak against it
+        """
+        return self._quarantine.needs_lease(self._read_fingerprint)
+
     def count_crashes(self) -> int:
-        """Count the crashes that only this request may have caused.
+        """Count the crashes that this request may have caused.
 
         :return: those that are known by now
         """
-        return self._judge().crashes
+        return self._quarantine.count_crashes(self._read_fingerprint)
 
     def record_success(self) -> None:
         """Record that the request ran to its end."""
@@ -124,6 +131,7 @@
         self._log = log
         self._publish = publish
         self._logged: frozenset[int] = frozenset()
+        self._refused: frozenset[int] = frozenset()
         # Ordered, so that requests are refused in the order of their arrival.
         self._waiting: dict[WaitingRequest, None] = {}
 
@@ -190,14 +198,44 @@
             retry_after_seconds=round(verdict.retry_after_seconds, 3),
         )
 
+    def needs_lease(self, fingerprint: Callable[[], int]) -> bool:
+        """Tell whether a request is sent one copy at a time.
+
+        :param fingerprint: computes the request's fingerprint, called only
+            while there are suspects
+        :return: whether several crashes speak against it
+        """
+        return self._suspects.has_suspects and self._suspects.needs_lease(
+            fingerprint()
+        )
+
+    def count_crashes(self, fingerprint: Callable[[], int]) -> int:
+        """Count the crashes that a request may have caused.
+
+        :param fingerprint: computes the request's fingerprint, called only
+            while there are suspects
+        :return: those that are known by now
+        """
+        if not self._suspects.has_suspects:
+            return 0
+        return self._suspects.count_crashes(fingerprint())
+
     def begin_trial(
-        self, fingerprint: int, verdict: crash_suspects.Verdict
+        self,
+        read_fingerprint: Callable[[], int],
+        verdict: crash_suspects.Verdict,
     ) -> None:
-        """Record that a request of many crashes is sent once more.
+        """Record that a request is sent once more if it is convicted.
 
-        :param fingerprint: of the request
+        :param read_fingerprint: computes the request's fingerprint, called
+            only while there are convicts
         :param verdict: the verdict on it
         """
+        if not self._suspects.quarantined:
+            return
+        fingerprint = read_fingerprint()
+        if fingerprint not in self._suspects.quarantined:
+            return
         self._suspects.begin_trial(
             fingerprint, now_seconds=self._timers.now_seconds()
         )
@@ -205,8 +243,8 @@
         self._log.write(
             "quarantine_trial",
             fingerprint=request_fingerprint.describe(fingerprint),
-            crashes=verdict.crashes,
-            newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
+            crashes=self._suspects.count_crashes(fingerprint),
+            excused_by=self._describe_excuse(fingerprint),
         )
         self._publish()
 
@@ -241,7 +279,9 @@
         before, self._logged = self._logged, self._suspects.quarantined
         for fingerprint in sorted(before ^ self._logged):
             self._write_change(fingerprint, cause)
-        if self._logged - before:
+        refused = self._logged - self._suspects.excused.keys()
+        added, self._refused = refused - self._refused, refused
+        if added:
             for request in list(self._waiting):
                 request.on_quarantine()
 
@@ -258,7 +298,6 @@
             evidence={
                 request_fingerprint.describe(each.crash): {
                     "age_seconds": round(each.age_seconds, 3),
-                    "counted": each.counted,
                     "beside": [
                         request_fingerprint.describe(other)
                         for other in each.beside
@@ -268,15 +307,15 @@
                     fingerprint, now_seconds=now_seconds
                 )
             },
-            crashes=verdict.crashes,
-            newest_crash_seconds=(
-                round(verdict.newest_crash_seconds, 3)
-                if verdict.crashes
-                else None
-            ),
+            excused_by=self._describe_excuse(fingerprint),
+            crashes=self._suspects.count_crashes(fingerprint),
             retry_after_seconds=round(verdict.retry_after_seconds, 3),
         )
 
+    def _describe_excuse(self, fingerprint: int) -> list[str]:
+        others = self._suspects.excused.get(fingerprint, frozenset())
+        return sorted(map(request_fingerprint.describe, others))
+
 
 __all__ = [
     "Quarantine",
--- a/src/boragefold/policy/crash_attribution.py
+++ b/src/boragefold/policy/crash_attribution.py
@@ -1,17 +1,18 @@
-"""Attributes crashes of endpoints to the requests that ran there."""
+"""What the known crashes of endpoints tell of the requests that ran there."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 import dataclasses
-from typing import NamedTuple
+import itertools
 
 from boragefold.protocol import crash_messages as messages
 
 # Two crashes under one request happen by chance where many endpoints fail.
-QUARANTINE_CRASHES = 3
-# Endpoints that end at the same moment have a cause outside their requests.
-SAME_CAUSE_SECONDS = 0.1
+CONVICTION_CRASHES = 3
+# Endpoints that end at the same moment may have a cause outside of requests.
+SAME_MOMENT_SECONDS = 0.1
+MAX_CAUSES_OF_A_MOMENT = 2
 MAX_SUSPECTS = 128
 
 
@@ -25,16 +26,6 @@
     cleared: set[int] = dataclasses.field(default_factory=set)
 
 
-class Attribution(NamedTuple):
-    """The crashes that count against each suspect.
-
-    ``quarantined`` are the suspects of so many that they may not be sent.
-    """
-
-    by_suspect: dict[int, list[Crash]]
-    quarantined: frozenset[int]
-
-
 def merge(crash: Crash, report: messages.CrashReport) -> bool:
     """Add what a report tells of a crash.
 
@@ -59,58 +50,95 @@
     return (len(crash.cleared), crash.suspects) != before
 
 
-def attribute(crashes: Iterable[Crash]) -> Attribution:
-    """Decide which requests count as causes of which crashes.
+def group_by_suspect(crashes: Iterable[Crash]) -> dict[int, list[Crash]]:
+    """List the crashes under each suspect.
 
     :param crashes: all that are known
-    :return: the crashes that count against each suspect
+    :return: crashes by fingerprint
     """
     by_suspect: dict[int, list[Crash]] = {}
     for crash in crashes:
         for fingerprint in crash.suspects:
             by_suspect.setdefault(fingerprint, []).append(crash)
-    quarantined: set[int] = set()
-    explained: set[int] = set()
-    # The likeliest cause first: under most crashes, and soon after its start.
-    for fingerprint in sorted(
-        by_suspect, key=lambda each: _innocence(each, by_suspect[each])
-    ):
-        own = [
-            crash
-            for crash in by_suspect[fingerprint]
-            if id(crash) not in explained
-        ]
-        if count_causes(own) >= QUARANTINE_CRASHES:
-            quarantined.add(fingerprint)
-            explained.update(map(id, own))
-        by_suspect[fingerprint] = own
-    return Attribution(by_suspect, frozenset(quarantined))
-
+    return by_suspect
 
-def _innocence(fingerprint: int, crashes: list[Crash]) -> tuple[int, int, int]:
-    ran_milliseconds = max(crash.suspects[fingerprint] for crash in crashes)
-    return -len(crashes), ran_milliseconds, fingerprint
 
+def count_causes(fingerprint: int, crashes: Iterable[Crash]) -> int:
+    """Count the crashes that speak against a request.
 
-def count_causes(crashes: Iterable[Crash]) -> int:
-    """Count crashes, those at the same moment as one.
+    Those of one moment count once, or twice if it is the only request that
+    ran at two of them.
 
-    :param crashes: the crashes
+    :param fingerprint: the request
+    :param crashes: those under it
     :return: how many different causes they have at least
     """
-    times = sorted(crash.at_seconds for crash in crashes)
+    ordered = sorted(crashes, key=lambda crash: crash.at_seconds)
+    moments: list[list[Crash]] = []
+    for crash in ordered:
+        if (
+            moments
+            and crash.at_seconds - moments[-1][0].at_seconds
+            <= SAME_MOMENT_SECONDS
+        ):
+            moments[-1].append(crash)
+        else:
+            moments.append([crash])
     return sum(
-        one is None or other - one > SAME_CAUSE_SECONDS
-        for one, other in zip([None, *times], times, strict=False)
+        MAX_CAUSES_OF_A_MOMENT
+        if _has_nothing_else_in_common(fingerprint, moment)
+        else 1
+        for moment in moments
+    )
+
+
+def _has_nothing_else_in_common(fingerprint: int, moment: list[Crash]) -> bool:
+    return any(
+        one.suspects.keys() & other.suspects.keys() == {fingerprint}
+        for one, other in itertools.combinations(moment, 2)
     )
 
 
+def find_excused(
+    by_suspect: dict[int, list[Crash]], causes: dict[int, int]
+) -> dict[int, frozenset[int]]:
+    """Find the convicts that may have run beside culprits by chance.
+
+    At each crash of such a convict another one ran that isn't excused itself.
+    One more crash than convicts is more than chance.
+
+    :param by_suspect: crashes by fingerprint
+    :param causes: the count of each convict
+    :return: the excused ones, with those that ran beside them
+    """
+    firm: set[int] = set()
+    excused: dict[int, frozenset[int]] = {}
+    for fingerprint in sorted(
+        causes.keys() & by_suspect.keys(),
+        key=lambda each: _likelihood(each, by_suspect[each]),
+    ):
+        beside = [
+            firm & crash.suspects.keys() for crash in by_suspect[fingerprint]
+        ]
+        if causes[fingerprint] <= CONVICTION_CRASHES and all(beside):
+            excused[fingerprint] = frozenset().union(*beside)
+        else:
+            firm.add(fingerprint)
+    return excused
+
+
+def _likelihood(fingerprint: int, crashes: list[Crash]) -> tuple[int, ...]:
+    # Under most crashes, and soon after its start.
+    ran_milliseconds = max(crash.suspects[fingerprint] for crash in crashes)
+    return -len(crashes), ran_milliseconds, fingerprint
+
+
 __all__ = [
-    "Attribution",
+    "CONVICTION_CRASHES",
     "Crash",
     "MAX_SUSPECTS",
-    "QUARANTINE_CRASHES",
-    "attribute",
     "count_causes",
+    "find_excused",
+    "group_by_suspect",
     "merge",
 ]
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -1,39 +1,43 @@
 """Which requests may have crashed the endpoints that ran them.
 
-Load pattern: one request crashes each endpoint that runs it, and its caller
-sends it again, to any instance. All requests that ran on a crashed endpoint
-are suspects of that crash; most of them are innocent. A suspect that completes
-anywhere is cleared. One that never completes and is a suspect of several
-crashes is quarantined, and these crashes then count against no other request.
-If it was innocent, the next crash happens without it, and it is released.
+Load pattern: one or more requests crash each endpoint that runs them, and
+their callers send them again, to any instance. All requests that ran on a
+crashed endpoint are suspects of that crash; most of them are innocent. A
+suspect that completes anywhere is cleared. One that never completes is sent
+one copy at a time after its second crash, and convicted by its third.
+
+A convict is refused until it is tried. One beside which another convict ran
+at each of its three crashes is tried at once: its completion clears it, and
+its next crash stays with it.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-import itertools
 import math
 from typing import NamedTuple
 
-import xxhash
-
+from boragefold.policy import convictions
 from boragefold.policy import crash_attribution
+from boragefold.policy import crash_records
+from boragefold.policy import trials as trials_module
 from boragefold.protocol import crash_messages as messages
 
 # Time from the last crash until one more request is let through, by the number
 # of trials that crashed an endpoint, with all that ran there.
 TRIAL_SECONDS = (60.0, 600.0)
-# The same for the first trial, where endpoints crash without the request too.
+# The same for the first trial, where endpoints crash without a culprit, too.
 DOUBTED_TRIAL_SECONDS = 0.5
 # Instances that know the same don't all begin a trial at the same time.
 TRIAL_JITTER = 0.5
-# A trial may wait at its endpoint before it begins.
-MIN_TRIAL_GAP_SECONDS = 4.0
+# Crashes without a culprit cast doubt for so long.
+DOUBT_SECONDS = 30.0
+# The caller of a culprit has sent it again by then.
+REPEATED_SECONDS = 3.0
+# Of so many, a request is sent one copy at a time.
+LEASE_CRASHES = 2
 CRASH_LIFETIME_SECONDS = 3600.0
-# Also the time from the last trial until the next.
-QUARANTINE_LIFETIME_SECONDS = 86_400.0
 MAX_CRASHES = 64
-MILLISECONDS = 1000.0
 
 
 class Verdict(NamedTuple):
@@ -59,24 +63,15 @@
         return self.retry_after_seconds > 0
 
 
-class Evidence(NamedTuple):
-    """A crash under a suspect.
-
-    ``counted`` tells whether it speaks against the suspect, ``beside`` which
-    quarantined requests ran there, too.
-    """
-
-    crash: int
-    age_seconds: float
-    counted: bool
-    beside: tuple[int, ...]
-
-
 NOT_SUSPECTED = Verdict(0, math.inf, 0.0)
 
 
 class CrashSuspects:
-    """The known crashes and their suspects, merged from all instances."""
+    """The known crashes and their suspects, merged from all instances.
+
+    ``quarantined`` are the convicts, ``excused`` those of them that other
+    convicts ran beside each time, with these.
+    """
 
     def __init__(self, *, trial_jitter: float) -> None:
         """Start without any crash.
@@ -84,12 +79,18 @@
         :param trial_jitter: from 0 to 1, different at each instance
         """
         self._delay_factor = 1.0 + TRIAL_JITTER * trial_jitter
-        self._crashes: dict[int, crash_attribution.Crash] = {}
-        self._trials: dict[int, float] = {}
+        self._records = crash_records.CrashRecords(
+            max_crashes=MAX_CRASHES,
+            lifetime_seconds=CRASH_LIFETIME_SECONDS,
+            convict_lifetime_seconds=convictions.CONVICTION_LIFETIME_SECONDS,
+        )
+        self._trials = trials_module.Trials()
+        self._convictions = convictions.Convictions()
         self._by_suspect: dict[int, list[crash_attribution.Crash]] = {}
-        self._changed_crashes: set[int] = set()
+        self._causes: dict[int, int] = {}
         self._changed_trials: set[int] = set()
         self.quarantined: frozenset[int] = frozenset()
+        self.excused: dict[int, frozenset[int]] = {}
         self.digest = 0
 
     @property
@@ -98,7 +99,7 @@
 
         :return: whether there is one
         """
-        return bool(self._crashes)
+        return bool(self._records)
 
     @property
     def has_suspects(self) -> bool:
@@ -106,7 +107,7 @@
 
         :return: whether there is one
         """
-        return bool(self._by_suspect)
+        return bool(self._by_suspect or self.quarantined)
 
     def record_crash(
         self,
@@ -130,28 +131,43 @@
         :param fingerprint: the request
         :return: whether it was a suspect
         """
-        found = [
-            (number, crash)
-            for number, crash in self._crashes.items()
-            if fingerprint in crash.suspects
-        ]
-        for number, crash in found:
-            del crash.suspects[fingerprint]
-            crash.cleared.add(fingerprint)
-            self._changed_crashes.add(number)
-        if found:
+        was_suspect = self._records.clear(fingerprint)
+        was_suspect |= self._convictions.end(fingerprint)
+        if was_suspect:
             self._refresh()
-        return bool(found)
+        return was_suspect
 
     def begin_trial(self, fingerprint: int, *, now_seconds: float) -> None:
-        """Record that a quarantined request is sent once more.
+        """Record that a convict is sent once more.
 
         :param fingerprint: the request
         :param now_seconds: reading of the process clock
         """
-        self._trials[fingerprint] = now_seconds
+        self._trials.begin(fingerprint, at_seconds=now_seconds)
         self._changed_trials.add(fingerprint)
 
+    def needs_lease(self, fingerprint: int) -> bool:
+        """Tell whether a request is sent one copy at a time.
+
+        :param fingerprint: the request
+        :return: whether several crashes speak against it, also where others
+            explain them
+        """
+        return (
+            fingerprint in self._convictions
+            or self._causes.get(fingerprint, 0) >= LEASE_CRASHES
+        )
+
+    def count_crashes(self, fingerprint: int) -> int:
+        """Count the crashes that a request may have caused.
+
+        :param fingerprint: the request
+        :return: those that no convict explains, or all from the second on
+        """
+        if self.needs_lease(fingerprint):
+            return self._causes.get(fingerprint, LEASE_CRASHES)
+        return len(self._unexplained(fingerprint))
+
     def judge(self, fingerprint: int, *, now_seconds: float) -> Verdict:
         """Judge whether a request may be sent.
 
@@ -159,52 +175,27 @@
         :param now_seconds: reading of the process clock
         :return: the verdict
         """
-        crashes = self._by_suspect.get(fingerprint)
+        conviction = self._convictions.get(fingerprint)
+        if conviction is not None:
+            return self._judge_convict(fingerprint, conviction, now_seconds)
+        crashes = self._unexplained(fingerprint)
         if not crashes:
             return NOT_SUSPECTED
         newest_at_seconds = max(crash.at_seconds for crash in crashes)
-        age_seconds = now_seconds - newest_at_seconds
-        if fingerprint not in self.quarantined:
-            return Verdict(len(crashes), age_seconds, 0.0)
-        trial_seconds = self._trial_seconds(crashes)
-        due_at_seconds = max(
-            newest_at_seconds + trial_seconds,
-            self._trials.get(fingerprint, -math.inf)
-            + max(trial_seconds, MIN_TRIAL_GAP_SECONDS),
-        )
-        wait_seconds = max(0.0, due_at_seconds - now_seconds)
-        return Verdict(
-            len(crashes), age_seconds, wait_seconds, not wait_seconds
-        )
+        return Verdict(len(crashes), now_seconds - newest_at_seconds, 0.0)
 
     def list_evidence(
         self, fingerprint: int, *, now_seconds: float
-    ) -> list[Evidence]:
+    ) -> list[crash_records.Evidence]:
         """List the crashes under a request that hasn't completed since.
 
         :param fingerprint: the request
         :param now_seconds: reading of the process clock
         :return: the oldest first
         """
-        counted = {
-            id(crash) for crash in self._by_suspect.get(fingerprint, ())
-        }
-        found = [
-            Evidence(
-                crash=number,
-                age_seconds=now_seconds - crash.at_seconds,
-                counted=id(crash) in counted,
-                beside=tuple(
-                    sorted(
-                        (self.quarantined & crash.suspects.keys())
-                        - {fingerprint}
-                    )
-                ),
-            )
-            for number, crash in self._crashes.items()
-            if fingerprint in crash.suspects
-        ]
-        return sorted(found, key=lambda each: -each.age_seconds)
+        return self._records.list_evidence(
+            fingerprint, self.quarantined, now_seconds=now_seconds
+        )
 
     def merge(
         self,
@@ -216,41 +207,41 @@
         """Add what another instance knows.
 
         :param crashes: crashes with their suspects
-        :param trials: trials of quarantined requests
+        :param trials: trials of convicts
         :param now_seconds: reading of the process clock
         :return: whether anything was new
         """
-        new_crashes = {
+        changed = [
             report.crash
             for report in crashes
             if self._add_crash(report, now_seconds)
-        }
-        if new_crashes:
+        ]
+        if changed:
             self._refresh()
-            # Those that had to go at once are no news for others.
-            new_crashes &= self._crashes.keys()
         new_trials = [
             report.fingerprint
             for report in trials
-            if self._add_trial(report, now_seconds)
+            if self._trials.merge(
+                report.fingerprint,
+                at_seconds=now_seconds
+                - report.age_milliseconds / crash_records.MILLISECONDS,
+            )
         ]
-        self._changed_crashes.update(new_crashes)
         self._changed_trials.update(new_trials)
-        return bool(new_crashes or new_trials)
+        # Those that had to go at once are no news for others.
+        return bool(new_trials) or any(
+            number in self._records for number in changed
+        )
 
     def expire(self, *, now_seconds: float) -> None:
         """Forget crashes that are long over.
 
         :param now_seconds: reading of the process clock
         """
-        expired = [
-            number
-            for number, crash in self._crashes.items()
-            if now_seconds - crash.at_seconds > self._lifetime_seconds(crash)
-        ]
-        for number in expired:
-            del self._crashes[number]
-        if expired:
+        has_expired = self._records.expire(
+            self.quarantined, now_seconds=now_seconds
+        )
+        if self._convictions.expire(now_seconds=now_seconds) or has_expired:
             self._refresh()
 
     def take_changes(self, *, now_seconds: float) -> messages.CrashNews:
@@ -259,7 +250,7 @@
         :param now_seconds: reading of the process clock
         :return: the changed crashes and trials
         """
-        crashes, self._changed_crashes = self._changed_crashes, set()
+        crashes = self._records.take_changes(now_seconds=now_seconds)
         trials, self._changed_trials = self._changed_trials, set()
         return self._news(crashes, trials, now_seconds)
 
@@ -269,108 +260,125 @@
         :param now_seconds: reading of the process clock
         :return: all crashes and trials
         """
-        return self._news(self._crashes, self._trials, now_seconds)
+        crashes = self._records.report_all(now_seconds=now_seconds)
+        return self._news(crashes, self._trials, now_seconds)
 
-    def _add_crash(
-        self, report: messages.CrashReport, now_seconds: float
-    ) -> bool:
-        at_seconds = now_seconds - report.age_milliseconds / MILLISECONDS
-        crash = self._crashes.get(report.crash)
-        if crash is None:
-            crash = crash_attribution.Crash(at_seconds=at_seconds)
-            if now_seconds - at_seconds > self._lifetime_seconds(crash):
-                return False
-            self._crashes[report.crash] = crash
-        return crash_attribution.merge(crash, report)
-
-    def _add_trial(
-        self, report: messages.TrialReport, now_seconds: float
-    ) -> bool:
-        at_seconds = now_seconds - report.age_milliseconds / MILLISECONDS
-        before = self._trials.get(report.fingerprint, -math.inf)
-        # Reports of one trial differ by the time that they travelled.
-        if at_seconds <= before + MIN_TRIAL_GAP_SECONDS / 2:
-            return False
-        self._trials[report.fingerprint] = at_seconds
-        return True
-
-    def _trial_seconds(self, crashes: list[crash_attribution.Crash]) -> float:
+    def _judge_convict(
+        self,
+        fingerprint: int,
+        conviction: convictions.Conviction,
+        now_seconds: float,
+    ) -> Verdict:
+        delay_seconds = self._trial_seconds(
+            fingerprint, conviction, now_seconds
+        )
+        due_at_seconds = max(
+            conviction.last_crash_at_seconds + delay_seconds,
+            self._trials.begun_at_seconds(fingerprint)
+            + max(delay_seconds, trials_module.MIN_TRIAL_GAP_SECONDS),
+        )
+        wait_seconds = max(0.0, due_at_seconds - now_seconds)
+        if fingerprint in self.excused and not wait_seconds:
+            return NOT_SUSPECTED
+        return Verdict(
+            conviction.causes,
+            now_seconds - conviction.last_crash_at_seconds,
+            wait_seconds,
+            not wait_seconds,
+        )
+
+    def _trial_seconds(
+        self,
+        fingerprint: int,
+        conviction: convictions.Conviction,
+        now_seconds: float,
+    ) -> float:
+        if fingerprint in self.excused:
+            return 0.0
         failed_trials = (
-            crash_attribution.count_causes(crashes)
-            - crash_attribution.QUARANTINE_CRASHES
+            conviction.causes - crash_attribution.CONVICTION_CRASHES
         )
         if failed_trials >= len(TRIAL_SECONDS):
-            return QUARANTINE_LIFETIME_SECONDS
+            return convictions.CONVICTION_LIFETIME_SECONDS
         wait_seconds = TRIAL_SECONDS[failed_trials]
-        if not failed_trials and self._has_other_causes(crashes):
+        if not failed_trials and self._has_other_causes(
+            conviction, now_seconds
+        ):
             wait_seconds = DOUBTED_TRIAL_SECONDS
         return self._delay_factor * wait_seconds
 
     def _has_other_causes(
-        self, crashes: list[crash_attribution.Crash]
+        self, conviction: convictions.Conviction, now_seconds: float
     ) -> bool:
-        since_seconds = min(crash.at_seconds for crash in crashes)
+        since_seconds = conviction.first_crash_at_seconds - DOUBT_SECONDS
         return any(
             crash.at_seconds > since_seconds
-            and self.quarantined.isdisjoint(crash.suspects)
-            for crash in self._crashes.values()
+            and self._has_no_culprit(crash, now_seconds)
+            for crash in self._records.all()
+        )
+
+    def _has_no_culprit(
+        self, crash: crash_attribution.Crash, now_seconds: float
+    ) -> bool:
+        if not crash.suspects:
+            return True
+        is_settled = now_seconds - crash.at_seconds >= REPEATED_SECONDS
+        return is_settled and not any(
+            self.needs_lease(fingerprint) for fingerprint in crash.suspects
         )
 
-    def _lifetime_seconds(self, crash: crash_attribution.Crash) -> float:
-        if self.quarantined.isdisjoint(crash.suspects):
-            return CRASH_LIFETIME_SECONDS
-        return QUARANTINE_LIFETIME_SECONDS
+    def _add_crash(
+        self, report: messages.CrashReport, now_seconds: float
+    ) -> bool:
+        completed = self._records.add(report, now_seconds=now_seconds)
+        for fingerprint in completed or ():
+            self._convictions.end(fingerprint)
+        return completed is not None
+
+    def _unexplained(self, fingerprint: int) -> list[crash_attribution.Crash]:
+        firm = self.quarantined - self.excused.keys()
+        return [
+            crash
+            for crash in self._by_suspect.get(fingerprint, ())
+            if firm.isdisjoint(crash.suspects)
+        ]
 
     def _refresh(self) -> None:
-        self._drop_surplus()
-        self._by_suspect, self.quarantined = crash_attribution.attribute(
-            self._crashes.values()
+        self._records.drop_surplus(self.quarantined)
+        self._by_suspect = crash_attribution.group_by_suspect(
+            self._records.all()
         )
-        self._trials = {
-            fingerprint: at_seconds
-            for fingerprint, at_seconds in self._trials.items()
-            if fingerprint in self.quarantined
+        self._causes = {
+            fingerprint: crash_attribution.count_causes(fingerprint, crashes)
+            for fingerprint, crashes in self._by_suspect.items()
         }
-        self.digest = self._compute_digest()
-
-    def _drop_surplus(self) -> None:
-        surplus = len(self._crashes) - MAX_CRASHES
-        if surplus > 0:
-            ranked = sorted(self._crashes, key=self._worth_keeping)
-            for number in ranked[:surplus]:
-                del self._crashes[number]
-
-    def _worth_keeping(self, number: int) -> tuple[bool, float]:
-        crash = self._crashes[number]
-        is_evidence = not self.quarantined.isdisjoint(crash.suspects)
-        return is_evidence, crash.at_seconds
-
-    def _compute_digest(self) -> int:
-        if not self._crashes:
-            return 0
-        parts = [
-            (number, sorted(crash.suspects.items()), sorted(crash.cleared))
-            for number, crash in sorted(self._crashes.items())
-        ]
-        return xxhash.xxh3_64_intdigest(repr(parts).encode())
+        for fingerprint, crashes in self._by_suspect.items():
+            self._convictions.update(
+                fingerprint, crashes, self._causes[fingerprint]
+            )
+        self.quarantined = frozenset(self._convictions)
+        self.excused = crash_attribution.find_excused(
+            self._by_suspect, self._convictions.causes()
+        )
+        self._trials.keep(self.quarantined)
+        self.digest = self._records.compute_digest()
 
     def _news(
         self,
-        crashes: Iterable[int],
+        crashes: tuple[messages.CrashReport, ...],
         trials: Iterable[int],
         now_seconds: float,
     ) -> messages.CrashNews:
         return messages.CrashNews(
             digest=self.digest,
-            crashes=tuple(
-                _report(number, self._crashes[number], now_seconds)
-                for number in sorted(crashes)
-                if number in self._crashes
-            ),
+            crashes=crashes,
             trials=tuple(
                 messages.TrialReport(
                     fingerprint,
-                    _age_milliseconds(self._trials[fingerprint], now_seconds),
+                    crash_records.to_age(
+                        self._trials.begun_at_seconds(fingerprint),
+                        now_seconds,
+                    ),
                 )
                 for fingerprint in sorted(trials)
                 if fingerprint in self._trials
@@ -378,24 +386,8 @@
         )
 
 
-def _report(
-    number: int, crash: crash_attribution.Crash, now_seconds: float
-) -> messages.CrashReport:
-    return messages.CrashReport(
-        number,
-        _age_milliseconds(crash.at_seconds, now_seconds),
-        tuple(itertools.starmap(messages.Suspect, crash.suspects.items())),
-        tuple(sorted(crash.cleared)),
-    )
-
-
-def _age_milliseconds(at_seconds: float, now_seconds: float) -> int:
-    return max(0, round((now_seconds - at_seconds) * MILLISECONDS))
-
-
 __all__ = [
     "CrashSuspects",
-    "Evidence",
     "NOT_SUSPECTED",
     "Verdict",
 ]
--- a/src/boragefold/standins/endpoint_faults.py
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -22,9 +22,9 @@
     ``unsigned`` leaves the signature out, ``silent`` never answers,
     ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
     rest of a stream. ``crash_body`` ends the process under each request whose
-    body begins so. ``lose_answers`` closes the connection behind the run instead of
-    answering; ``share`` is the part of the runs that this, ``status`` and
-    ``not_executed`` apply to.
+    body begins so. ``lose_answers`` closes the connection behind the run
+    instead of answering; ``share`` is the part of the runs that this,
+    ``status`` and ``not_executed`` apply to.
     ``limits`` are slots, waiting requests, rejections that it bears in a
     second, and seconds until it is back from more.
     """
