Count a crash at all that were cut off by it

The end of an endpoint's life is one fact. Endpoints that left stay out.

An answer that ends by its connection without any evidence is delivered as before, but clears its request no longer: it may be all that a crashed endpoint sent. The new tests fail without the change.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -43,6 +43,8 @@
         self._retry_at_end = False
         self._forwarded = False
         self._awaits_evidence = False
+        # Whether the response is known to be whole if it has ended.
+        self.proven = True
 
     @property
     def rejected(self) -> bool:
@@ -240,6 +242,7 @@
             listens=evidence.listens,
             others_broke=evidence.others_broke,
         )
+        self.proven = verdict is not answer_end.Verdict.UNPROVEN
         if verdict is answer_end.Verdict.BROKEN:
             self._ended = True
             if not forwarding.finished:
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -46,6 +46,14 @@
 # Limits the length of a log line.
 MAX_LOGGED_SUSPECTS = 64
 MILLISECONDS = 1000.0
+# Other instances may know of a crash.
+MAYBE_CRASHED = frozenset(
+    {break_evidence.BreakCause.ALIVE, break_evidence.BreakCause.UNKNOWN}
+)
+# What ended in good order then may have been cut off, too.
+CLOSED_BY_CRASH = frozenset(
+    {break_evidence.BreakCause.CRASHED, break_evidence.BreakCause.UNKNOWN}
+)
 UNDECIDED = frozenset(
     {
         connect_probe.ProbeResult.DROPPED,
@@ -102,6 +110,9 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         on_crash: Callable[[break_evidence.DetectedCrash], None],
+        on_unproven: Callable[[break_evidence.DetectedCrash], None] = (
+            lambda crash: None
+        ),
         check_refusal: CheckRefusal = lambda record, on_result: on_result(
             connect_probe.ProbeResult.REFUSED
         ),
@@ -115,6 +126,8 @@
         :param log: gets a line for each verdict
         :param on_crash: called with each crash, again when more of the
             requests that ran there become known
+        :param on_unproven: called with breaks that may be a crash, which
+            others may know
         :param check_refusal: tells an endpoint that has ended from a path
             that refuses connections
         """
@@ -124,6 +137,7 @@
         self._counters = counters
         self._log = log
         self._on_crash = on_crash
+        self._on_unproven = on_unproven
         self._check_refusal = check_refusal
         self._cases: dict[break_evidence.EndpointLife, BreakCase] = {}
 
@@ -243,7 +257,7 @@
         listed = self._fleet.endpoint(life.name)
         case.cause = break_evidence.find_cause(result, listed)
         closings, case.closings = case.closings, []
-        if case.cause is break_evidence.BreakCause.CRASHED:
+        if case.cause in CLOSED_BY_CRASH:
             case.suspects += [
                 _describe_suspect(closing.fingerprint(), closing.ran_seconds)
                 for closing in closings
@@ -259,6 +273,10 @@
                 callback=lambda: self._close(life),
             )
         else:
+            if case.suspects and case.cause in MAYBE_CRASHED:
+                self._on_unproven(
+                    break_evidence.DetectedCrash(life, tuple(case.suspects))
+                )
             # The next break may have another cause.
             self._close(life)
         listens = result is connect_probe.ProbeResult.ACCEPTED
--- a/src/boragefold/entry/crash_protection.py
+++ b/src/boragefold/entry/crash_protection.py
@@ -77,6 +77,7 @@
         counters=counters,
         log=log,
         on_crash=quarantine.record_crash,
+        on_unproven=quarantine.record_unproven,
         check_refusal=check_refusal,
     )
     return CrashProtection(detector, quarantine)
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -230,7 +230,9 @@
         :param status: status of the response
         """
         self._answer.forward_end()
-        if status in caller_answer.SUCCESSES:
+        proven = self._attempt is not None and self._attempt.proven
+        # The endpoint may have crashed under a request of which this is all.
+        if proven and status in caller_answer.SUCCESSES:
             self.admitted.guard.record_success()
         self._finish("answered", status)
 
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -271,6 +271,19 @@
         self._publish()
         self.update("crash")
 
+    def record_unproven(self, crash: break_evidence.DetectedCrash) -> None:
+        """Record breaks that count if another instance knows of the crash.
+
+        :param crash: the endpoint and the requests that ran there
+        """
+        if self._suspects.record_unproven(
+            crash.life.crash,
+            crash.suspects,
+            now_seconds=self._timers.now_seconds(),
+        ):
+            self._publish()
+            self.update("crash")
+
     def update(self, cause: str) -> None:
         """Refuse the waiting requests that have become quarantined.
 
--- a/src/boragefold/policy/crash_records.py
+++ b/src/boragefold/policy/crash_records.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from boragefold.policy import crash_attribution
+from boragefold.policy import unproven_breaks
 from boragefold.protocol import crash_messages as messages
 
 MILLISECONDS = 1000.0
@@ -46,7 +47,10 @@
         self._lifetime_seconds = lifetime_seconds
         self._convict_lifetime_seconds = convict_lifetime_seconds
         self._crashes: dict[int, crash_attribution.Crash] = {}
+        self._breaks = unproven_breaks.UnprovenBreaks()
         self._changed: set[int] = set()
+        # No other instance has told what was added here.
+        self.has_own_news = False
 
     def __bool__(self) -> bool:
         return bool(self._crashes)
@@ -88,6 +92,27 @@
         ]
         return sorted(found, key=lambda each: -each.age_seconds)
 
+    def add_unproven(
+        self,
+        number: int,
+        suspects: Iterable[messages.Suspect],
+        *,
+        now_seconds: float,
+    ) -> messages.CrashReport | None:
+        """Record breaks that are a crash if any instance knows it as one.
+
+        :param number: of the crash that they may be
+        :param suspects: requests that were cut off
+        :param now_seconds: reading of the process clock
+        :return: a report to add, if the crash is known already
+        """
+        self._breaks.add(number, suspects, now_seconds=now_seconds)
+        crash = self._crashes.get(number)
+        if crash is None:
+            return None
+        age_milliseconds = to_age(crash.at_seconds, now_seconds)
+        return messages.CrashReport(number, age_milliseconds, (), ())
+
     def add(
         self, report: messages.CrashReport, *, now_seconds: float
     ) -> frozenset[int] | None:
@@ -106,9 +131,12 @@
             crash = crash_attribution.Crash(at_seconds=at_seconds)
             self._crashes[report.crash] = crash
         completed = frozenset(report.cleared) - crash.cleared
-        if not crash_attribution.merge(crash, report):
+        unproven = self._breaks.take(report.crash, at_seconds=crash.at_seconds)
+        whole = report._replace(suspects=(*report.suspects, *unproven))
+        if not crash_attribution.merge(crash, whole):
             return None
         self._changed.add(report.crash)
+        self.has_own_news |= bool(unproven)
         return completed
 
     def clear(self, fingerprint: int) -> bool:
@@ -135,6 +163,7 @@
         :param now_seconds: reading of the process clock
         :return: whether there were any
         """
+        self._breaks.expire(now_seconds=now_seconds)
         expired = [
             number
             for number, crash in self._crashes.items()
@@ -185,6 +214,7 @@
         :return: a report of each changed crash
         """
         changed, self._changed = self._changed, set()
+        self.has_own_news = False
         return self._report(changed, now_seconds)
 
     def report_all(
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -101,6 +101,14 @@
         """
         return bool(self._records)
 
+    @property
+    def has_own_news(self) -> bool:
+        """Tell whether this instance knew more of a crash than it was told.
+
+        :return: whether no other instance passes that on
+        """
+        return self._records.has_own_news
+
     @property
     def has_suspects(self) -> bool:
         """Tell whether any request is a suspect.
@@ -125,6 +133,27 @@
         report = messages.CrashReport(crash, 0, tuple(suspects), ())
         self.merge([report], now_seconds=now_seconds)
 
+    def record_unproven(
+        self,
+        crash: int,
+        suspects: Iterable[messages.Suspect],
+        *,
+        now_seconds: float,
+    ) -> bool:
+        """Record breaks that are a crash if any instance knows it as one.
+
+        :param crash: hash that would identify it
+        :param suspects: requests that were cut off
+        :param now_seconds: reading of the process clock
+        :return: whether it is known already, and anything was new
+        """
+        report = self._records.add_unproven(
+            crash, suspects, now_seconds=now_seconds
+        )
+        return report is not None and self.merge(
+            [report], now_seconds=now_seconds
+        )
+
     def clear(self, fingerprint: int) -> bool:
         """Record that a request completed.
 
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -105,6 +105,15 @@
     assert not attempt.running
 
 
+def test_an_end_without_evidence_proves_no_innocence(
+    attempt, forwarding
+) -> None:
+    # A request that crashes its endpoints counted as one that had completed.
+    forwarding.waiting[0](break_evidence.NO_EVIDENCE)
+    assert forwarding.ends == ["whole"]
+    assert not attempt.proven
+
+
 def test_an_answer_is_whole_at_its_deadline(attempt, forwarding) -> None:
     # All of it has come, and nothing speaks against it.
     assert attempt.end_without_evidence()
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -59,6 +59,7 @@
         self.client = Client()
         self.crashes = []
         self.evidence = []
+        self.unproven = []
         fleet = fleets.Fleet()
         if listed is not None:
             fleet.set_endpoint(listed)
@@ -69,6 +70,7 @@
             counters=telemetry.Counters(),
             log=types.SimpleNamespace(write=lambda event, **fields: None),
             on_crash=self.crashes.append,
+            on_unproven=self.unproven.append,
         )
 
     def check_closing(self, fingerprint=7) -> None:
@@ -112,6 +114,28 @@
     assert not side.crashes
 
 
+@pytest.mark.parametrize(
+    ("listed", "result", "suspects"),
+    [
+        (ENDPOINT, NO_ANSWER, {7, 8}),
+        (ENDPOINT, ACCEPTED, {8}),
+        (LEAVING, REFUSED, set()),
+    ],
+)
+def test_breaks_without_a_verdict_are_told_as_such(
+    listed, result, suspects
+) -> None:
+    # The only witness dropped what it knew of a crash that others found out.
+    side = Side(listed)
+    side.break_off()
+    side.check_closing()
+    for _ in range(crash_detector.MAX_PROBES):
+        if side.client.probes:
+            side.client.answer(result)
+    assert not side.crashes
+    assert _suspects(side.unproven) == suspects
+
+
 def test_a_process_that_ends_is_asked_again() -> None:
     # It may accept a connection before it stops listening.
     side = Side()
--- a/tests/policy/test_several_culprits.py
+++ b/tests/policy/test_several_culprits.py
@@ -123,6 +123,42 @@
     assert not instance.judge(ONE).quarantined
 
 
+@pytest.mark.parametrize("is_told_first", [False, True])
+def test_a_break_counts_once_any_instance_knows_of_the_crash(
+    instance, is_told_first
+) -> None:
+    # The only witness of a culprit's crash couldn't find out about it.
+    report = messages.CrashReport(7, 0, (messages.Suspect(OTHER, 9),), ())
+
+    def tell():
+        instance.known.merge([report], now_seconds=instance.now_seconds)
+
+    if is_told_first:
+        tell()
+    instance.known.record_unproven(
+        7, [messages.Suspect(ONE, 9)], now_seconds=instance.now_seconds
+    )
+    if not is_told_first:
+        assert not instance.known.has_suspects
+        tell()
+    assert instance.judge(ONE).crashes == 1
+    assert instance.known.has_own_news
+    (told,) = instance.known.take_changes(
+        now_seconds=instance.now_seconds
+    ).crashes
+    assert {each.fingerprint for each in told.suspects} == {ONE, OTHER}
+    assert not instance.known.has_own_news
+
+
+def test_a_break_long_before_a_crash_has_another_cause(instance) -> None:
+    # The network reset a connection, and the engine crashed later.
+    instance.known.record_unproven(
+        1, [messages.Suspect(INNOCENT, 9)], now_seconds=instance.now_seconds
+    )
+    instance.crash(ONE, after_seconds=10.0)
+    assert not instance.judge(INNOCENT).crashes
+
+
 def test_convictions_outlast_their_evidence(instance) -> None:
     # Many other crashes pushed out those that speak against a culprit.
     for fingerprint in range(40):
