Send a suspect of two crashes one copy at a time over all instances

A request under which two endpoints crashed, and each trial, needs a lease. Who issues it is a hash of the fingerprint over the members that an instance knows, so that nothing is stored. Copies that wait go at once when one completes, and are refused with half of their time left. Without suspects nothing is sent.

RETRY_AFTER_SECONDS moved to refusals, as four modules use it.

--- a/src/boragefold/entry/attempt_owner.py
+++ b/src/boragefold/entry/attempt_owner.py
@@ -92,11 +92,17 @@
         """
 
     @abc.abstractmethod
-    def refuse(self, kind: refusals.ErrorKind, reason: str) -> None:
+    def refuse(
+        self,
+        kind: refusals.ErrorKind,
+        reason: str,
+        retry_after_seconds: float = refusals.RETRY_AFTER_SECONDS,
+    ) -> None:
         """Send an error as the final response to the caller.
 
         :param kind: the kind of error
         :param reason: one of a small fixed set
+        :param retry_after_seconds: when to retry, where a retry helps
         """
 
     @abc.abstractmethod
--- a/src/boragefold/entry/crash_protection.py
+++ b/src/boragefold/entry/crash_protection.py
@@ -8,6 +8,7 @@
 
 from boragefold.coordination.fleet import crash_exchange
 from boragefold.coordination.fleet import members as members_module
+from boragefold.coordination.fleet import suspect_leases
 import boragefold.coordination.link as links
 from boragefold.entry import crash_detector
 from boragefold.entry import quarantine as quarantines
@@ -24,6 +25,7 @@
 
     detector: crash_detector.CrashDetector
     quarantine: quarantines.Quarantine
+    leases: suspect_leases.SuspectLeases
 
 
 def connect(
@@ -80,7 +82,13 @@
         on_unproven=quarantine.record_unproven,
         check_refusal=check_refusal,
     )
-    return CrashProtection(detector, quarantine)
+    leases = suspect_leases.SuspectLeases(
+        link=link,
+        members=members,
+        timers=timers,
+        needs_lease=suspects.needs_lease,
+    )
+    return CrashProtection(detector, quarantine, leases)
 
 
 __all__ = [
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -58,7 +58,7 @@
         self._not_loaded_count = 0
         self._engine = ""
         self._queue_times = engine_decisions.QueueTimes()
-        self._retry_after_seconds = forwarding.RETRY_AFTER_SECONDS
+        self._retry_after_seconds = refusals.RETRY_AFTER_SECONDS
         self._refusal_reason = "no_engine"
 
     def begin(self) -> None:
@@ -291,6 +291,10 @@
             self.admitted.request.request_id, engine, not_held=not_held
         )
 
+    def _withdraw(self) -> None:
+        self._tried.remove(self._engine)
+        self._release_engine()
+
     def _on_finished(self) -> None:
         self._release_engine()
 
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -7,26 +7,21 @@
 
 from boragefold.entry import answer_deadline
 from boragefold.entry import attempt as attempts
-from boragefold.entry import attempt_owner
 from boragefold.entry import caller_answer
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_call
-from boragefold.entry import quarantine as quarantines
+from boragefold.entry import guarded_request
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
 from boragefold.entry import request_fingerprint
 from boragefold.entry import request_sendings
-from boragefold.policy import crash_suspects
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_server
 
-# The default where no better estimate exists.
-RETRY_AFTER_SECONDS = 0.3
 
-
-class Forwarding(attempt_owner.AttemptOwner, quarantines.WaitingRequest):
+class Forwarding(guarded_request.GuardedRequest):
     """Forwards one request and sends exactly one final response for it."""
 
     def __init__(
@@ -36,8 +31,7 @@
         exchange: http_server.Exchange,
         context: request_context.RequestContext,
     ) -> None:
-        self.admitted = admitted
-        self.context = context
+        super().__init__(admitted=admitted, context=context)
         self._attempt: attempts.Attempt | None = None
         self._sent_to: list[str] = []
         self._unreachable: set[str] = set()
@@ -56,7 +50,6 @@
         self.deadline_at_seconds = answer_deadline.compute_deadline_at_seconds(
             admitted
         )
-        context.crashes.quarantine.watch(self)
         exchange.on_closed = self._on_caller_disconnected
         exchange.on_drained = self._on_drained
         self._timeout = context.timers.once(
@@ -141,9 +134,7 @@
         :param version: version of the adapter, 0 for any
         """
         admitted, context = self.admitted, self.context
-        verdict = admitted.guard.begin_sending()
-        if verdict is not None:
-            self._refuse_quarantined(verdict)
+        if not self._may_send():
             return
         if self._sent_to:
             context.counters.add(
@@ -172,14 +163,6 @@
         )
         attempt.begin(call)
 
-    def on_quarantine(self) -> None:
-        """Refuse the request if it waits and is quarantined now."""
-        if self._attempt is not None and self._attempt.running:
-            return
-        verdict = self.admitted.guard.refusal()
-        if verdict is not None:
-            self._refuse_quarantined(verdict)
-
     def may_repeat(
         self,
         endpoint: str,
@@ -281,7 +264,7 @@
         self,
         kind: refusals.ErrorKind,
         reason: str,
-        retry_after_seconds: float = RETRY_AFTER_SECONDS,
+        retry_after_seconds: float = refusals.RETRY_AFTER_SECONDS,
     ) -> None:
         """Send an error as the final response to the caller.
 
@@ -307,12 +290,8 @@
         """
         return {}
 
-    def _refuse_quarantined(self, verdict: crash_suspects.Verdict) -> None:
-        self.refuse(
-            refusals.QUARANTINED,
-            quarantines.REASON,
-            verdict.retry_after_seconds,
-        )
+    def _is_running(self) -> bool:
+        return self._attempt is not None and self._attempt.running
 
     def _has_time(self) -> bool:
         return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
@@ -367,7 +346,7 @@
         self._finished = True
         self._timeout.cancel()
         self.sendings.close()
-        self.context.crashes.quarantine.unwatch(self)
+        self._end_guard(settles=outcome != "answered")
         self._on_finished()
         self._refund_unused()
         end = request_end.RequestEnd(
@@ -396,5 +375,4 @@
 
 __all__ = [
     "Forwarding",
-    "RETRY_AFTER_SECONDS",
 ]
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -10,7 +10,6 @@
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_forwarding
 from boragefold.entry import engine_owner
-from boragefold.entry import forwarding
 from boragefold.entry import owner_client
 from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
@@ -153,7 +152,7 @@
         if admitted.service.engine is None or adapter is None:
             service_forwarding.ServiceForwarding(
                 admitted=admitted, exchange=exchange, context=self._context
-            ).begin()
+            ).start()
             return
         engine_forwarding.EngineForwarding(
             admitted=admitted,
@@ -163,7 +162,7 @@
             owner=self._owner,
             adapter=adapter,
             self_id=self._self_id,
-        ).begin()
+        ).start()
 
     def _share(self) -> float:
         return shared_rate.reachable_share(
@@ -183,7 +182,7 @@
         request: dialects.CallerRequest | None,
         kind: refusals.ErrorKind,
         reason: str,
-        retry_after_seconds: float = forwarding.RETRY_AFTER_SECONDS,
+        retry_after_seconds: float = refusals.RETRY_AFTER_SECONDS,
     ) -> None:
         context = self._context
         context.counters.add("requests_refused", reason)
--- a/src/boragefold/entry/refusals.py
+++ b/src/boragefold/entry/refusals.py
@@ -8,6 +8,8 @@
 
 from boragefold.transport import http_server
 
+# The default where no better estimate exists.
+RETRY_AFTER_SECONDS = 0.3
 JSON = ("Content-Type", "application/json")
 
 
@@ -79,6 +81,7 @@
     "NO_ROUTE",
     "OVER_RATE",
     "QUARANTINED",
+    "RETRY_AFTER_SECONDS",
     "TIMED_OUT",
     "UNKNOWN",
     "send_error",
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -124,6 +124,9 @@
         )
         return None if name is None else candidates[name]
 
+    def _withdraw(self) -> None:
+        """Do nothing: the endpoint doesn't know of the request."""
+
     def _on_finished(self) -> None:
         """Do nothing: no other object holds resources for the request."""
 
--- /dev/null
+++ b/src/boragefold/policy/suspect_leases.py
@@ -0,0 +1,114 @@
+"""Which instance may send the one copy of a suspected request.
+
+Load pattern: copies of one request wait at several instances while endpoints
+are away, and start together when one is back. If they crash endpoints, each
+takes one with it before the first crash is known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from boragefold.protocol import ids
+
+MAX_LEASES = 1024
+
+
+def choose_issuer(fingerprint: int, addresses: Iterable[str]) -> str:
+    """Choose who issues the lease of a request.
+
+    Instances that know the same members choose the same one, and a member
+    that joins or leaves changes it for few requests.
+
+    :param fingerprint: the request
+    :param addresses: those of the members, at least one
+    :return: the address of the issuer
+    """
+    return max(
+        addresses,
+        key=lambda address: (
+            xxhash.xxh3_64_intdigest(address.encode(), seed=fingerprint),
+            address,
+        ),
+    )
+
+
+class Lease(NamedTuple):
+    """The right to have a request sent, until a time.
+
+    ``number`` tells the leases of one holder apart.
+    """
+
+    holder: ids.InstanceId
+    number: int
+    ends_at_seconds: float
+
+
+class LeaseBook:
+    """The leases that this instance has issued, by fingerprint."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._leases: dict[int, Lease] = {}
+
+    def issue(
+        self,
+        fingerprint: int,
+        lease: Lease,
+        *,
+        now_seconds: float,
+        is_alive: Callable[[ids.InstanceId], bool],
+    ) -> bool:
+        """Issue a lease unless another instance holds it.
+
+        :param fingerprint: the request
+        :param lease: what is asked for
+        :param now_seconds: reading of the process clock
+        :param is_alive: whether an instance is a member of the fleet
+        :return: whether it is issued, also when it was before
+        """
+        known = self._leases.get(fingerprint)
+        if (
+            known is not None
+            and known.holder != lease.holder
+            and known.ends_at_seconds > now_seconds
+            and is_alive(known.holder)
+        ):
+            return False
+        if known is None and len(self._leases) >= MAX_LEASES:
+            self._expire(now_seconds)
+            if len(self._leases) >= MAX_LEASES:
+                return False
+        self._leases[fingerprint] = lease
+        return True
+
+    def end(
+        self, fingerprint: int, holder: ids.InstanceId, number: int
+    ) -> None:
+        """End a lease whose holder doesn't need it any more.
+
+        :param fingerprint: the request
+        :param holder: the instance
+        :param number: of the lease
+        """
+        known = self._leases.get(fingerprint)
+        if known is not None and known[:2] == (holder, number):
+            del self._leases[fingerprint]
+
+    def _expire(self, now_seconds: float) -> None:
+        self._leases = {
+            fingerprint: lease
+            for fingerprint, lease in self._leases.items()
+            if lease.ends_at_seconds > now_seconds
+        }
+
+
+__all__ = [
+    "Lease",
+    "LeaseBook",
+    "choose_issuer",
+]
--- a/src/boragefold/protocol/crash_messages.py
+++ b/src/boragefold/protocol/crash_messages.py
@@ -43,7 +43,37 @@
     trials: tuple[TrialReport, ...] = ()
 
 
-KINDS = (CrashNews,)
+class SuspectLeaseAsked(NamedTuple):
+    """Asks for the right to have a suspected request sent, or renews it.
+
+    ``number`` tells the leases of the sender apart.
+    """
+
+    fingerprint: int
+    number: int
+
+
+class SuspectLeaseAnswer(NamedTuple):
+    """Tells whether a lease is issued."""
+
+    fingerprint: int
+    number: int
+    issued: bool
+
+
+class SuspectLeaseEnded(NamedTuple):
+    """Ends a lease that its holder doesn't need any more."""
+
+    fingerprint: int
+    number: int
+
+
+KINDS = (
+    CrashNews,
+    SuspectLeaseAnswer,
+    SuspectLeaseAsked,
+    SuspectLeaseEnded,
+)
 
 
 __all__ = [
@@ -51,5 +81,8 @@
     "CrashReport",
     "KINDS",
     "Suspect",
+    "SuspectLeaseAnswer",
+    "SuspectLeaseAsked",
+    "SuspectLeaseEnded",
     "TrialReport",
 ]
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -26,13 +26,14 @@
             seed=1, schedule=crash_walk.Schedule(endpoints=3)
         )
         self.walk.run(crash_walk.WARM_UP_SECONDS + EARN_SECONDS)
-        self.instance = next(iter(self.walk.instances.values()))
+        self.instance, self.other, *_ = self.walk.instances.values()
         self.crashes = self.instance.context.crashes
         self.answers = []
         self._lives = 0
 
-    def forwarding(self, prefix="/reads/"):
-        guard = self.crashes.quarantine.guard("r1", lambda: FINGERPRINT)
+    def forwarding(self, prefix="/reads/", *, instance=None):
+        context = (instance or self.instance).context
+        guard = context.crashes.quarantine.guard("r1", lambda: FINGERPRINT)
         connection = crash_walk.Connection(
             on_end=lambda *answer: self.answers.append(answer)
         )
@@ -48,7 +49,7 @@
         return service_forwarding.ServiceForwarding(
             admitted=admitted,
             exchange=exchanges.Exchange(connection=connection),
-            context=self.instance.context,
+            context=context,
         )
 
     def crash(self, times):
@@ -125,3 +126,36 @@
     case.walk.crash(endpoint, b"")
     case.walk.run(PAUSE_SECONDS)
     assert case.runs() == runs
+
+
+def test_copies_of_a_suspect_run_one_after_the_other(
+    case, monkeypatch
+) -> None:
+    # Copies at several instances started together, and each crashed an
+    # endpoint.
+    monkeypatch.setattr(crash_walk, "SHORT_RUN_SECONDS", (0.5, 0.5))
+    monkeypatch.setattr(crash_walk, "LONG_RUN_SECONDS", (0.5, 0.5))
+    case.crash(2)
+    case.walk.run(0.1)
+    for instance in (case.instance, case.other, case.other):
+        case.forwarding(instance=instance).start()
+    case.walk.run(0.2)
+    assert case.runs() == 1
+    case.walk.run(1.5)
+    assert [status for status, _ in case.answers] == [200] * 3
+
+
+def test_a_copy_that_was_granted_an_endpoint_waits_for_another(
+    case, monkeypatch
+) -> None:
+    # It had waited there since before the second crash.
+    monkeypatch.setattr(crash_walk, "SHORT_RUN_SECONDS", (3.0, 3.0))
+    monkeypatch.setattr(crash_walk, "LONG_RUN_SECONDS", (3.0, 3.0))
+    case.crash(2)
+    case.forwarding().start()
+    case.forwarding().begin()
+    case.walk.run(0.5)
+    assert case.runs() == 1
+    case.crash(1)
+    case.walk.run(2.0)
+    assert sorted(status for status, _ in case.answers) == [200, 503]
