Play several culprits in the soak, and check the rule for each

The soak had one culprit at a time, so that the fault of several never showed. The kind several_culprits plays two to five that overlap, on six plain endpoints; the check counts for each culprit the ends of the endpoints that it was sent to. With one culprit every end counts, as before. What plays culprits moved to a module of its own.

--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -20,16 +20,16 @@
 
 
 class Ended(NamedTuple):
-    """The end of an engine's process."""
+    """The end of an endpoint's process."""
 
-    engine: str
+    endpoint: str
     at_seconds: float
 
 
 class Sent(NamedTuple):
-    """A request that a gateway wrote to an engine."""
+    """A request that a gateway wrote to an endpoint."""
 
-    engine: str
+    endpoint: str
     at_seconds: float
 
 
@@ -170,15 +170,22 @@
     return sorted(found, key=lambda sent: sent.at_seconds)
 
 
-def list_late(sent: list[Sent], ended: list[Ended]) -> list[Sent]:
+def list_late(
+    sent: list[Sent], ended: list[Ended], *, is_only: bool = False
+) -> list[Sent]:
     """List the sends that came when all gateways had to know a culprit.
 
     :param sent: of one request
-    :param ended: all ends of engines
+    :param ended: all ends of endpoints
+    :param is_only: whether no other request crashes any
     :return: those later than its third crash and the time of contact
     """
-    engines = {each.engine for each in sent}
-    crashes = sorted(e.at_seconds for e in ended if e.engine in engines)
+    endpoints = {each.endpoint for each in sent}
+    crashes = sorted(
+        each.at_seconds
+        for each in ended
+        if is_only or each.endpoint in endpoints
+    )
     if len(crashes) < CRASHES_UNTIL_KNOWN:
         return []
     known_at_seconds = crashes[CRASHES_UNTIL_KNOWN - 1] + CONTACT_SECONDS
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 import itertools
 
+from tests.fakes import crashing_engines
 from tests.fakes import repeat_load
 from tests.soak import callers
 
@@ -16,10 +17,6 @@
 KEY_SECONDS = 3.0
 # The same for an endpoint that was announced to leave.
 LEAVING_SECONDS = 3.0
-# What crashed three endpoints is known everywhere by then, and may be sent so
-# often after that.
-CONTACT_SECONDS = 3.0
-MAX_LATE_SENDS = 3
 # Of any route, and repeats with more time than is left, unless these are less
 # than a fifth of those sent late.
 MAX_ATTEMPTS = 2
@@ -52,7 +49,7 @@
         *_leaving(run),
         *_planned_stops(run, seen),
         *_repeats(run, seen),
-        *_culprit(run),
+        *_culprits(run),
         *_cut_off(run, seen),
         *_falls(run),
         *_served(run, seen),
@@ -162,20 +159,23 @@
                     yield f"LOST at a planned stop: {each}"
 
 
-def _culprit(run) -> Iterator[str]:
-    if len(run.crashed_at_seconds) < 3:
-        return
-    known_at = sorted(run.crashed_at_seconds)[2] + CONTACT_SECONDS
-    late = [
-        line["at_seconds"]
+def _culprits(run) -> Iterator[str]:
+    lines = [
+        line
         for number in range(len(run.machines.gateways))
         for line in run.machines.lines(number)
         if line["event"] == "request_sent"
-        and line["request_id"] in run.culprit_ids
-        and line["at_seconds"] > known_at
     ]
-    if len(late) > MAX_LATE_SENDS:
-        yield f"BUDGET: {len(late)} sends after {known_at}: {late}"
+    for body, request_ids in run.culprit_ids.items():
+        sent = [
+            crashing_engines.Sent(line["endpoint"], line["at_seconds"])
+            for line in lines
+            if line["request_id"] in request_ids
+        ]
+        is_only = len(run.culprit_ids) == 1
+        late = crashing_engines.list_late(sent, run.ended, is_only=is_only)
+        if len(late) > crashing_engines.MAX_LATE_SENDS:
+            yield f"BUDGET: {len(late)} late sends of {body}: {late}"
 
 
 def _repeats(run, seen) -> Iterator[str]:
@@ -211,7 +211,8 @@
         during = [
             each
             for each in seen
-            if cut.begin_seconds + CONTACT_SECONDS < each.sent_at_seconds
+            if cut.begin_seconds + crashing_engines.CONTACT_SECONDS
+            < each.sent_at_seconds
             and each.ended_at_seconds < cut.end_seconds
             and not run.touched(each.gateway, each.sent_at_seconds)
             and each.key not in run.withdrawn
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -51,6 +51,7 @@
     "endpoint_resets_answers": 1,
     "crashing_request": 1,
     "crashing_answer": 1,
+    "several_culprits": 1,
     "unframed_answers": 1,
     "unframed_breaks": 2,
     "cut_off": 2,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
-import itertools
-import os
 import pathlib
 import signal
 import threading
@@ -15,6 +12,7 @@
 from tests.fakes import repeat_rule
 from tests.soak import callers
 from tests.soak import checks
+from tests.soak import culprits
 from tests.soak import endpoint_faults
 from tests.soak import plan
 from tests.soak import proxy
@@ -24,21 +22,6 @@
 # An endpoint that was announced to leave is back after this.
 AWAY_SECONDS = 6.0
 SPARE_KEY = "spare-key-{}"
-CRASH_BODY = "crashes its endpoint"
-CRASHES = {
-    "crashing_request": {"crash_body": CRASH_BODY},
-    # The kernel closes the connections of the process in good order.
-    "crashing_answer": {
-        "cut_body": CRASH_BODY,
-        "cut_after": 1,
-        "framing": "close",
-        "ending": "exit",
-    },
-}
-CULPRIT_PAUSE_SECONDS = 0.2
-ENDPOINT_AWAY_SECONDS = 0.5
-
-
 # What the callers of a run can exceed, where faults draw many repeats.
 TIGHT_LIMIT = repeat_rule.LIMIT._replace(ratio=0.02, slack=4.0)
 REPEAT_FAULTS = {"break_series", "lost_share"}
@@ -69,7 +52,7 @@
         return {**settings, "platform": {"address": address}, "bounds": bounds}
 
 
-class Run(endpoint_faults.EndpointFaults):
+class Run(endpoint_faults.EndpointFaults, culprits.CulpritFaults):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
     def __init__(
@@ -85,16 +68,14 @@
         self.machines = SoakMachines(
             folder,
             gateways=gateways,
-            direct=any(fault.kind in CRASHES for fault in faults),
+            direct=any(fault.kind in culprits.CRASHES for fault in faults),
             limit=(
                 TIGHT_LIMIT
                 if any(fault.kind in REPEAT_FAULTS for fault in faults)
                 else repeat_rule.LIMIT
             ),
         )
-        self._crash_faults: dict[str, object] = {}
-        self.culprit_ids: set[str] = set()
-        self.crashed_at_seconds: list[float] = []
+        super().__init__()
         self.over = threading.Event()
         self.keys = [
             machines_module.KEY,
@@ -285,67 +266,6 @@
         self.machines.publish(name)
         self._busy.discard("leaving")
 
-    def _crashing_answer(self, fault: plan.Fault) -> None:
-        self._crashing_request(fault)
-
-    def _crashing_request(self, fault: plan.Fault) -> None:
-        if not self._claim("culprit"):
-            return
-        seconds = fault.for_seconds + ENDPOINT_AWAY_SECONDS
-        self._note(None, seconds)
-        self._crash_faults = CRASHES[fault.kind]
-        for name in list(self.machines.endpoints):
-            self.machines.faults(name, **self._crash_faults)
-        end = callers.clock() + fault.for_seconds
-        culprit = threading.Thread(target=self._repeat_culprit, args=(end,))
-        culprit.start()
-        while culprit.is_alive():
-            self._replace_crashed()
-            time.sleep(CULPRIT_PAUSE_SECONDS / 2)
-        culprit.join()
-        self._replace_crashed()
-        self._busy.discard("culprit")
-
-    def _repeat_culprit(self, end: float) -> None:
-        gateways = itertools.cycle(range(len(self.machines.gateways)))
-        while callers.clock() < end:
-            self._send_culprit(next(gateways))
-            time.sleep(CULPRIT_PAUSE_SECONDS)
-
-    def _send_culprit(self, gateway: int) -> None:
-        request_id = os.urandom(8).hex()
-        self.culprit_ids.add(request_id)
-        headers = {"Boragefold-Attempt-Id": request_id}
-        try:
-            self.machines.ask(
-                "/reads/culprit",
-                number=gateway,
-                headers=headers,
-                body=CRASH_BODY.encode(),
-            )
-        except (OSError, http.client.HTTPException):
-            # The gateway is down, or was cut off by another fault.
-            return
-
-    def _replace_crashed(self) -> None:
-        for name in list(self.machines.endpoints):
-            if self.machines.processes[name].poll() is None:
-                continue
-            self.crashed_at_seconds.append(callers.clock())
-            del self.machines.endpoints[name]
-            del self.machines.processes[name]
-            time.sleep(ENDPOINT_AWAY_SECONDS)
-            self.machines.remove(f"servers/{name}")
-            self._start_endpoint(f"{name}-again")
-
-    def _start_endpoint(self, name: str) -> None:
-        is_engine = name.startswith("engine")
-        options = ("--model", "base", "--places", "2") if is_engine else ()
-        self.machines.start_endpoint(name, *options)
-        machines_module.eventually(lambda: self.machines.seen(name))
-        self.machines.faults(name, **self._crash_faults)
-        self.machines.publish(name)
-
     def _key_withdrawn(self, fault: plan.Fault) -> None:
         key = self.keys[1 + fault.what % (len(self.keys) - 1)]
         if key not in self.withdrawn:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -104,6 +104,18 @@
     assert len(one.crashed_at_seconds) >= 3
 
 
+def test_few_endpoints_crash_under_each_of_several_requests(tmp_path) -> None:
+    # They ended each other's quarantine.
+    faults = [
+        plan.Fault(3.0, "several_culprits", 3, 4.0),
+        plan.Fault(5.0, "kill", 1, 1.0),
+    ]
+    length_seconds = LENGTH_SECONDS + 6.0
+    one = _play(tmp_path, faults=faults, length_seconds=length_seconds)
+    assert len(one.culprit_ids) == 5
+    assert len(one.ended) >= 3
+
+
 def test_broken_answers_without_a_framing_break_no_promise(tmp_path) -> None:
     # The end of a connection, of an endpoint or of an instance was taken for
     # that of an answer.
