--- a/tests/entry/test_crash_walk.py
+++ b/tests/entry/test_crash_walk.py
@@ -22,6 +22,21 @@
         culprits=2, cut=True, restart_gap_seconds=4.0
     ),
 }
+SEVERAL = {
+    "four": crash_walk.Schedule(culprits=4),
+    "eight": crash_walk.Schedule(culprits=8),
+    "three, among crashes of other causes": crash_walk.Schedule(
+        culprits=3, kill_gap_seconds=3.0
+    ),
+    "six, across a cut and restarts": crash_walk.Schedule(
+        culprits=6, cut=True, restart_gap_seconds=4.0
+    ),
+    "five, without a framing": crash_walk.Schedule(
+        culprits=5, unframed_share=1.0, endpoints=20
+    ),
+}
+# Of those that run beside several culprits.
+MAX_REFUSED_SHARE = 0.01
 UNFRAMED = {
     "a culprit": crash_walk.Schedule(culprits=1, unframed_share=1.0),
     "crashes": crash_walk.Schedule(kill_gap_seconds=3.0, unframed_share=1.0),
@@ -54,6 +69,20 @@
         assert len(walk.late_sends(body)) <= MAX_LATE_SENDS
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("name", SEVERAL)
+def test_each_of_several_culprits_reaches_few_more(name, seed) -> None:
+    # Culprits that ran on the same endpoints released each other.
+    walk = crash_walk.CrashWalk(seed=seed, schedule=SEVERAL[name])
+    walk.play()
+    assert len(walk.sent) == SEVERAL[name].culprits
+    for body in walk.sent:
+        assert len(walk.late_sends(body)) <= MAX_LATE_SENDS
+    assert walk.looked_complete == 0
+    asked = walk.statuses.total()
+    assert walk.innocents_refused <= MAX_REFUSED_SHARE * asked
+
+
 @pytest.mark.parametrize("seed", range(SEEDS))
 @pytest.mark.parametrize("name", UNFRAMED)
 def test_a_crash_behind_answers_without_a_framing_is_known(name, seed) -> None:
