Test that what one instance alone knew of a crash reaches all

A series of ends close to each other has a test, too. What a request's lease needs of it is passed in, without a class that repeats the methods of AttemptOwner.

--- a/src/boragefold/entry/guarded_request.py
+++ b/src/boragefold/entry/guarded_request.py
@@ -16,11 +16,7 @@
 COPY_RUNNING = "copy_running"
 
 
-class GuardedRequest(
-    attempt_owner.AttemptOwner,
-    quarantines.WaitingRequest,
-    request_lease.LeaseOwner,
-):
+class GuardedRequest(attempt_owner.AttemptOwner, quarantines.WaitingRequest):
     """Begins a request unless it is quarantined or a copy of it is sent."""
 
     def __init__(
@@ -37,7 +33,11 @@
         self.admitted = admitted
         self.context = context
         self._lease = request_lease.RequestLease(
-            owner=self, guard=admitted.guard, leases=context.crashes.leases
+            guard=admitted.guard,
+            leases=context.crashes.leases,
+            remaining_seconds=self.remaining_seconds,
+            begin=self.begin,
+            refuse=lambda: self.refuse(refusals.NOT_RUN, COPY_RUNNING),
         )
         context.crashes.quarantine.watch(self)
 
@@ -66,10 +66,6 @@
             )
             self._lease.request()
 
-    def refuse_without_lease(self) -> None:
-        """Refuse the request, as a copy of it runs for too long."""
-        self.refuse(refusals.NOT_RUN, COPY_RUNNING)
-
     def on_quarantine(self) -> None:
         """Refuse the request if it waits and is quarantined now."""
         if not self._is_running():
--- a/src/boragefold/entry/request_lease.py
+++ b/src/boragefold/entry/request_lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import abc
+from collections.abc import Callable
 
 from boragefold.coordination.fleet import suspect_leases
 from boragefold.entry import quarantine as quarantines
@@ -11,44 +11,32 @@
 MAX_WAIT_SHARE = 0.5
 
 
-class LeaseOwner(abc.ABC):
-    """A request that may need a lease."""
-
-    @abc.abstractmethod
-    def remaining_seconds(self) -> float:
-        """Return the time until the deadline of the response.
-
-        :return: seconds
-        """
-
-    @abc.abstractmethod
-    def begin(self) -> None:
-        """Choose an endpoint and send the request, or refuse the request."""
-
-    @abc.abstractmethod
-    def refuse_without_lease(self) -> None:
-        """Refuse the request, as a copy of it runs for too long."""
-
-
 class RequestLease(suspect_leases.LeaseWaiter):
     """Asks for the lease of a request, and gives it back."""
 
     def __init__(
         self,
         *,
-        owner: LeaseOwner,
         guard: quarantines.RequestGuard,
         leases: suspect_leases.SuspectLeases,
+        remaining_seconds: Callable[[], float],
+        begin: Callable[[], None],
+        refuse: Callable[[], None],
     ) -> None:
         """Ask for nothing yet.
 
-        :param owner: the request
         :param guard: tells whether a lease is needed
         :param leases: asks for it
+        :param remaining_seconds: returns the time until the deadline of the
+            response
+        :param begin: called when the request has its lease
+        :param refuse: called when it can't wait any longer
         """
-        self._owner = owner
         self._guard = guard
         self._leases = leases
+        self._remaining_seconds = remaining_seconds
+        self._begin = begin
+        self._refuse = refuse
         self._total_seconds = 0.0
         self._is_requested = False
         self._is_held = False
@@ -65,7 +53,7 @@
         """Begin the request once it has its lease."""
         if not self._is_requested:
             self._is_requested = True
-            self._total_seconds = self._owner.remaining_seconds()
+            self._total_seconds = self._remaining_seconds()
             self._leases.request(self._guard.fingerprint, self)
 
     def end(self, *, settles: bool) -> None:
@@ -85,19 +73,18 @@
         :return: whether it would have time to be answered
         """
         least_seconds = (1.0 - MAX_WAIT_SHARE) * self._total_seconds
-        return self._owner.remaining_seconds() >= least_seconds
+        return self._remaining_seconds() >= least_seconds
 
     def on_lease(self) -> None:
         """Begin the request."""
         self._is_held = True
-        self._owner.begin()
+        self._begin()
 
     def on_no_lease(self) -> None:
         """Refuse the request."""
-        self._owner.refuse_without_lease()
+        self._refuse()
 
 
 __all__ = [
-    "LeaseOwner",
     "RequestLease",
 ]
--- a/tests/coordination/fleet/test_crash_exchange.py
+++ b/tests/coordination/fleet/test_crash_exchange.py
@@ -19,6 +19,8 @@
 SUSPECTS = tuple(messages.Suspect((1 << 63) + n, 900) for n in range(40))
 # One message of a crash reaches each instance, and its answer comes back.
 MESSAGES_EACH = 12
+# Two messages follow each other well within a heartbeat.
+TOLD_SECONDS = 0.15
 # What an instance may send for control in a second.
 BYTES_PER_SECOND = 6_000
 
@@ -154,3 +156,23 @@
     before = fleet.sent.total()
     fleet.run(60.0)
     assert fleet.sent.total() - before <= 2 * len(fleet.addresses)
+
+
+def test_what_only_a_follower_knew_of_a_crash_is_told_at_once() -> None:
+    # An instance that isn't a hub passes on nothing of what it is told.
+    fleet = Fleet(40)
+    witness, other = [
+        address
+        for address, instance in fleet.instances.items()
+        if not instance.heartbeats.is_hub
+    ][:2]
+    fleet.suspects[witness].record_unproven(
+        1,
+        [messages.Suspect(1, 50)],
+        now_seconds=fleet.network.clock.now_seconds(),
+    )
+    fleet.crash(1, other)
+    fleet.run(TOLD_SECONDS)
+    assert all(
+        known.count_crashes(1) == 1 for known in fleet.suspects.values()
+    )
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -27,13 +27,16 @@
         )
         self.walk.run(crash_walk.WARM_UP_SECONDS + EARN_SECONDS)
         self.instance, self.other, *_ = self.walk.instances.values()
+        self.address = self.instance.node.self_id.address
         self.crashes = self.instance.context.crashes
         self.answers = []
         self._lives = 0
 
-    def forwarding(self, prefix="/reads/", *, instance=None):
+    def forwarding(
+        self, prefix="/reads/", *, instance=None, fingerprint=FINGERPRINT
+    ):
         context = (instance or self.instance).context
-        guard = context.crashes.quarantine.guard("r1", lambda: FINGERPRINT)
+        guard = context.crashes.quarantine.guard("r1", lambda: fingerprint)
         connection = crash_walk.Connection(
             on_end=lambda *answer: self.answers.append(answer)
         )
@@ -159,3 +162,25 @@
     case.crash(1)
     case.walk.run(2.0)
     assert sorted(status for status, _ in case.answers) == [200, 503]
+
+
+def test_a_crash_counts_at_an_instance_that_cant_find_out_about_it(
+    case, monkeypatch
+) -> None:
+    # It was the only witness of a culprit, and dropped what it knew.
+    monkeypatch.setattr(crash_walk, "SHORT_RUN_SECONDS", (4.0, 4.0))
+    case.forwarding().begin()
+    for number in range(12):
+        case.forwarding(instance=case.other, fingerprint=number).begin()
+    case.walk.run(0.1)
+    endpoint = next(
+        endpoint
+        for endpoint in case.walk.endpoints.values()
+        if any(run.opener == case.address for run in endpoint.runs)
+    )
+    case.walk.cut_off.add(case.address)
+    case.walk.crash(endpoint, b"")
+    case.walk.run(0.5)
+    for instance in (case.instance, case.other):
+        quarantine = instance.context.crashes.quarantine
+        assert quarantine.count_crashes(lambda: FINGERPRINT) == 1
--- a/tests/policy/test_several_culprits.py
+++ b/tests/policy/test_several_culprits.py
@@ -113,6 +113,14 @@
     assert instance.judge(ONE).quarantined == quarantined
 
 
+def test_a_series_of_ends_is_more_than_one_moment(instance) -> None:
+    # Each came soon after the one before, and all counted as one cause.
+    for _ in range(4):
+        instance.crash(ONE, INNOCENT, after_seconds=0.09)
+    instance.crash(ONE)
+    assert instance.judge(ONE).quarantined
+
+
 def test_two_crashes_leave_one_copy_at_a_time(instance) -> None:
     # Copies that waited for an engine started together and each crashed one.
     instance.crash(ONE)
