--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -59,7 +59,7 @@
         """
         verdict = self._judge()
         if not verdict.quarantined:
-            self._quarantine.begin_trial(self._read_fingerprint, verdict)
+            self._quarantine.record_sending(self._read_fingerprint)
         return self._log_refusal(verdict)
 
     def needs_lease(self) -> bool:
@@ -220,16 +220,11 @@
             return 0
         return self._suspects.count_crashes(fingerprint())
 
-    def begin_trial(
-        self,
-        read_fingerprint: Callable[[], int],
-        verdict: crash_suspects.Verdict,
-    ) -> None:
-        """Record that a request is sent once more if it is convicted.
+    def record_sending(self, read_fingerprint: Callable[[], int]) -> None:
+        """Record a trial if a request that is sent now is convicted.
 
         :param read_fingerprint: computes the request's fingerprint, called
             only while there are convicts
-        :param verdict: the verdict on it
         """
         if not self._suspects.quarantined:
             return
