--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -51,7 +51,7 @@
     {break_evidence.BreakCause.ALIVE, break_evidence.BreakCause.UNKNOWN}
 )
 # What ended in good order then may have been cut off, too.
-CLOSED_BY_CRASH = frozenset(
+MAY_CUT_CLOSINGS = frozenset(
     {break_evidence.BreakCause.CRASHED, break_evidence.BreakCause.UNKNOWN}
 )
 UNDECIDED = frozenset(
@@ -257,7 +257,7 @@
         listed = self._fleet.endpoint(life.name)
         case.cause = break_evidence.find_cause(result, listed)
         closings, case.closings = case.closings, []
-        if case.cause in CLOSED_BY_CRASH:
+        if case.cause in MAY_CUT_CLOSINGS:
             case.suspects += [
                 _describe_suspect(closing.fingerprint(), closing.ran_seconds)
                 for closing in closings
