Log the software version of a sending, and which stream a caller takes up

The record of the incident had to be read beside the operator's log to learn that a stream had gone on at another software version: no line of ours had a version, a life of an endpoint or the attempt that a caller named. An endpoint's entry and a caller's `Resumes` are read now, and logged where a request is written to a connection and where a stream is taken up. Nothing is decided by them yet.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -135,6 +135,9 @@
         forwarding.sendings.record_written(
             request_sendings.Written(
                 endpoint=self._record.name,
+                software_version=self._record.software_version,
+                born_milliseconds=self._record.born_milliseconds,
+                resume_after=forwarding.resume_after,
                 version=self._version,
                 reused_connection=reused,
                 connecting_seconds=self._ran_seconds(),
--- a/src/boragefold/entry/attempt_owner.py
+++ b/src/boragefold/entry/attempt_owner.py
@@ -34,6 +34,14 @@
         :return: whether it has been broken off if it ends here
         """
 
+    @property
+    @abc.abstractmethod
+    def resume_after(self) -> str:
+        """Return the event after which the stream is to go on.
+
+        :return: its ID, empty at the beginning
+        """
+
     @abc.abstractmethod
     def remaining_seconds(self) -> float:
         """Return the time until the deadline of the response.
--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -24,7 +24,8 @@
     ``adapter`` is the one that the request must run on, None for a plain
     service. ``usage_tokens`` is the amount charged to a rate limit in tokens,
     None if the request states no tokens. ``last_event_id`` is the event after
-    which the caller resumes a stream.
+    which the caller resumes a stream, ``resumes`` the caller's earlier request
+    that brought the first event of that stream.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     output_tokens: int
     usage_tokens: float | None
     last_event_id: str
+    resumes: str
     http: http_server.Request
 
 
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -72,6 +72,14 @@
         """
         return self._answer.inside_event
 
+    @property
+    def resume_after(self) -> str:
+        """Return the event after which the stream is to go on.
+
+        :return: its ID, empty at the beginning
+        """
+        return self._answer.last_event_id
+
     def remaining_seconds(self) -> float:
         """Return the time until the deadline of the response.
 
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -15,6 +15,7 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_fingerprint
+from boragefold.entry import request_sendings
 from boragefold.entry import service_forwarding
 from boragefold.policy import shared_rate
 from boragefold.protocol import ids
@@ -94,6 +95,15 @@
         route: deployment.Route,
         workspace: deployment.Workspace | None,
     ) -> None:
+        if request.last_event_id or request.resumes:
+            self._context.log.write(
+                "stream_taken_up",
+                request_id=request.request_id,
+                resumes=request.resumes[: request_sendings.MAX_LOGGED_ID],
+                resume_after=request.last_event_id[
+                    : request_sendings.MAX_LOGGED_ID
+                ],
+            )
         service = current.services.get(self._pick_service(route))
         if service is None:
             self._refuse(
--- a/src/boragefold/entry/request_sendings.py
+++ b/src/boragefold/entry/request_sendings.py
@@ -10,15 +10,23 @@
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import decision_log
 
+# Callers and endpoints choose the IDs of events.
+MAX_LOGGED_ID = 40
+
 
 class Written(NamedTuple):
     """A request as it was written to a connection.
 
     ``version`` is that of the adapter, 0 for any. ``connecting_seconds`` is
-    how long it took to get the connection.
+    how long it took to get the connection. ``software_version`` and
+    ``born_milliseconds`` are those of the endpoint by its entry,
+    ``resume_after`` is the event after which a stream is to go on.
     """
 
     endpoint: str
+    software_version: str
+    born_milliseconds: int
+    resume_after: str
     version: int
     reused_connection: bool
     connecting_seconds: float
@@ -103,6 +111,9 @@
             "request_sent",
             request_id=self._request_id,
             endpoint=written.endpoint,
+            software_version=written.software_version,
+            born_milliseconds=written.born_milliseconds,
+            resume_after=written.resume_after[:MAX_LOGGED_ID],
             attempt=self.count,
             adapter_version=written.version,
             waited_seconds=round(written.waited_seconds, 4),
@@ -119,6 +130,7 @@
 
 
 __all__ = [
+    "MAX_LOGGED_ID",
     "RequestSendings",
     "Written",
 ]
--- a/src/boragefold/state/deployment.py
+++ b/src/boragefold/state/deployment.py
@@ -153,6 +153,8 @@
     holds, with their versions. ``born_milliseconds`` tells apart the lives of
     an endpoint that starts again under its name; 0 where it says nothing.
     ``leaves_in_seconds`` is what was left of a short notice when it was given.
+    ``software_version`` is that of the endpoint's own program, empty where it
+    states none.
     """
 
     name: str
@@ -164,6 +166,7 @@
     leaves_in_seconds: float | None
     born_milliseconds: int
     held: dict[str, dict[str, int]]
+    software_version: str = ""
 
 
 class AdapterKey(NamedTuple):
--- a/tests/entry/test_request_sendings.py
+++ b/tests/entry/test_request_sendings.py
@@ -26,6 +26,9 @@
 )
 WRITTEN = request_sendings.Written(
     endpoint="desk-0",
+    software_version="v1.2",
+    born_milliseconds=7,
+    resume_after="3" * 100,
     version=0,
     reused_connection=False,
     connecting_seconds=0.0,
@@ -90,6 +93,14 @@
     assert attempts == [1, 2]
 
 
+def test_a_sending_tells_where_a_stream_goes_on(case) -> None:
+    case.sendings().record_written(WRITTEN)
+    ((_, fields),) = case.lines
+    assert fields["software_version"] == "v1.2"
+    assert fields["born_milliseconds"] == 7
+    assert fields["resume_after"] == "3" * request_sendings.MAX_LOGGED_ID
+
+
 def test_a_request_that_ends_gives_its_permit_to_others(case) -> None:
     first, second = case.sendings(), case.sendings()
     assert first.may_repeat(BROKEN, "desk-0")
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -80,6 +80,13 @@
     assert request.adapter is None
     assert request.deadline_seconds is None
     assert request.usage_tokens is None
+    assert (request.last_event_id, request.resumes) == ("", "")
+
+
+def test_the_stream_that_a_caller_takes_up_is_parsed(translator) -> None:
+    headers = {**REQUEST_HEADERS, "last-event-id": "3", "resumes": "7f1a"}
+    request = translator.read_request(http(headers))
+    assert (request.last_event_id, request.resumes) == ("3", "7f1a")
 
 
 def test_the_headers_of_a_request_to_an_endpoint(translator) -> None:
--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -171,6 +171,19 @@
     assert [each.name for each in fleet.endpoints_of("llm")] == ["i-1"]
 
 
+@pytest.mark.parametrize(
+    ("stated", "version"),
+    [({"version": "v1.2"}, "v1.2"), ({}, ""), ({"version": 3}, "")],
+    ids=["text", "none", "number"],
+)
+def test_the_software_version_of_an_endpoint(
+    fleet, apply, stated, version
+) -> None:
+    entry = {k: v for k, v in ENTRY.items() if k != "version"}
+    apply("servers/i-1", {**entry, **stated})
+    assert fleet.endpoint("i-1").software_version == version
+
+
 def test_a_leaving_endpoint_gets_nothing_new(fleet, apply) -> None:
     apply("servers/i-1", {**ENTRY, "state": "draining", "remaining_ms": 1800})
     record = fleet.endpoint("i-1")
