--- a/src/boragefold/standins/machines.py
+++ b/src/boragefold/standins/machines.py
@@ -60,6 +60,8 @@
 @click.option("--places", default=5)
 @click.option("--load-seconds", default=0.25)
 @click.option("--event-seconds", default=0.005)
+@click.option("--software-version", default="")
+@click.option("--born", default=1)
 def endpoint(listen: str, **settings: Any) -> None:
     """Run one endpoint."""
     process.run(listen, make_endpoint(**settings))
