Send a call on a chosen idle connection

A connection ends with the process that accepted it, so what an endpoint told on it holds for whatever is sent on it next. A call can name the idle connection that it has to be sent on, and isn't sent without it. Whoever sends learns which connection was used, and when it was opened.

--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -29,7 +30,8 @@
     know the address; without it, connections are only opened directly. A
     ``repeatable`` call may be given up and sent again at any time.
     ``make_late_headers`` makes the headers that depend on when the call is
-    written.
+    written. ``connection`` is the idle one to send it on; without it, nothing
+    is sent.
     """
 
     address: str
@@ -45,11 +47,13 @@
     endpoint: str = ""
     repeatable: bool = False
     make_late_headers: Callable[[], list[tuple[str, str]]] = list
+    connection: ClientConnection | None = None
 
 
 class Pending:
     """A call whose answer has not ended.
 
+    ``last_connection`` is the one it was last given to, also after its end.
     ``tried`` are the peers of the paths that couldn't be opened for it, and
     ``peer`` is that of the path in use, empty for a direct one.
     """
@@ -58,6 +62,7 @@
         self.call = call
         self.sink = sink
         self.connection: ClientConnection | None = None
+        self.last_connection: ClientConnection | None = None
         self.tried: tuple[str, ...] = ()
         self.peer = ""
         self.may_have_arrived = False
@@ -102,6 +107,7 @@
         self.pending: Pending | None = None
         self.paused = False
         self.used_before = False
+        self.opened_at_seconds = math.inf
         self.progressed_at_seconds = 0.0
         self.received_at_seconds = 0.0
         self._parser: answer_parser.AnswerParser | None = None
@@ -112,7 +118,7 @@
         :param pending: the call and who takes its answer
         """
         self.pending = pending
-        pending.connection = self
+        pending.connection = pending.last_connection = self
         self.progressed_at_seconds = self._client.now_seconds()
         if self.opened:
             self._send_call()
@@ -120,8 +126,9 @@
     def connected(self) -> None:
         """Send the call that waited for the connection."""
         self.opened = True
-        self.progressed_at_seconds = self._client.now_seconds()
-        self.received_at_seconds = self.progressed_at_seconds
+        self.opened_at_seconds = self._client.now_seconds()
+        self.progressed_at_seconds = self.opened_at_seconds
+        self.received_at_seconds = self.opened_at_seconds
         self._client.connection_opened(self)
         self._send_call()
 
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -23,6 +23,8 @@
 SILENT_SECONDS = 0.75
 # Why a call fails that waited in silence on a path that is cut.
 PATH_LOST = "path_lost"
+# Why a call fails that was to be sent on a connection that isn't idle.
+CONNECTION_GONE = "connection_gone"
 SWEEP_SECONDS = 0.1
 # The longer a connection idled, the likelier it is dead without a sign.
 MAX_IDLE_SECONDS = 15.0
@@ -173,6 +175,16 @@
                 # Otherwise the call could still arrive after the cut.
                 connection.stream.reset(PATH_LOST)
 
+    def is_idle(self, connection: ClientConnection) -> bool:
+        """Tell whether a call can be sent on a connection now.
+
+        :param connection: which
+        :return: whether it is open and no call runs on it
+        """
+        return connection in self._idle.get(
+            (connection.address, connection.path), ()
+        )
+
     def release(self, connection: ClientConnection) -> None:
         """Keep a connection for a later call.
 
@@ -201,6 +213,9 @@
     def _dispatch(
         self, pending: Pending, *, fresh: bool, reason: str = ""
     ) -> None:
+        if pending.call.connection is not None:
+            self._begin_on(pending, pending.call.connection)
+            return
         if not pending.call.endpoint:
             self._begin(pending, paths.DIRECT, fresh=fresh)
             return
@@ -225,9 +240,11 @@
         if path is not None:
             self._begin(pending, path, fresh=fresh)
             return
+        self._fail_later(pending, reason or "unreachable")
+
+    def _fail_later(self, pending: Pending, reason: str) -> None:
         failure = Failure(
-            reason=reason or "unreachable",
-            may_have_arrived=pending.may_have_arrived,
+            reason=reason, may_have_arrived=pending.may_have_arrived
         )
         # A sink isn't called inside the call that sends.
         self._timers.once(
@@ -246,10 +263,22 @@
         connection = None if fresh else self._take_idle(call.address, path)
         if connection is None:
             connection = self._open(call, path)
+        self._use(pending, connection)
+
+    def _begin_on(
+        self, pending: Pending, connection: ClientConnection
+    ) -> None:
+        if self.is_idle(connection) and not connection.stream.is_readable():
+            self._idle[connection.address, connection.path].remove(connection)
+            self._use(pending, connection)
+        else:
+            self._fail_later(pending, CONNECTION_GONE)
+
+    def _use(self, pending: Pending, connection: ClientConnection) -> None:
         self._busy.add(connection)
-        pending.peer = path.peer
-        if path.peer:
-            pending.sink.sent_through(path.peer)
+        pending.peer = connection.path.peer
+        if pending.peer:
+            pending.sink.sent_through(pending.peer)
         connection.begin(pending)
 
     def _take_idle(
@@ -353,7 +382,9 @@
 
 __all__ = [
     "AnswerSink",
+    "CONNECTION_GONE",
     "Call",
+    "ClientConnection",
     "Failure",
     "Framing",
     "HttpClient",
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -19,7 +19,9 @@
         self.listener = loopback.Listener()
         self.ended = []
 
-    def call(self, *, fresh=False, address=None, expires=False):
+    def call(
+        self, *, fresh=False, address=None, expires=False, connection=None
+    ):
         call = http_client.Call(
             address=address or self.listener.address,
             method="GET",
@@ -29,9 +31,10 @@
             fresh=fresh,
             progress_seconds=5.0,
             expires=expires,
+            connection=connection,
         )
         sink = whole_answer.WholeAnswerSink(done=self.ended.append)
-        self.net.client.send(call, sink)
+        return self.net.client.send(call, sink)
 
     def accept(self):
         found = []
@@ -55,14 +58,19 @@
 
 
 def pooled(side):
-    side.call()
+    sock, _ = pooled_call(side)
+    return sock
+
+
+def pooled_call(side, *, fresh=False):
+    pending = side.call(fresh=fresh)
     sock = side.accept()
     side.net.turn(lambda: False)
     sock.recv(65536)
     sock.sendall(WHOLE)
     side.net.turn(lambda: bool(side.ended))
     side.ended.clear()
-    return sock
+    return sock, pending
 
 
 def test_a_call_that_timed_out_cant_arrive_later(side):
@@ -106,6 +114,31 @@
     assert side.accept() is not None
 
 
+def test_a_call_for_one_connection_is_sent_on_it(side):
+    sock, pending = pooled_call(side)
+    pooled_call(side, fresh=True)
+    assert side.net.client.is_idle(pending.last_connection)
+    side.call(connection=pending.last_connection)
+    side.net.turn()
+    assert sock.recv(65536).startswith(b"GET /")
+    assert not side.net.client.is_idle(pending.last_connection)
+
+
+def test_a_call_for_a_connection_that_is_gone_isnt_sent(side):
+    # Behind a new connection there may be another life of the endpoint.
+    sock, pending = pooled_call(side)
+    sock.close()
+    side.call(connection=pending.last_connection)
+    side.net.turn(lambda: bool(side.ended))
+    assert side.ended == [
+        http_client.Failure(
+            reason=http_client.CONNECTION_GONE, may_have_arrived=False
+        )
+    ]
+    with pytest.raises(BlockingIOError):
+        side.listener.accept()
+
+
 def test_a_refused_connection_cannot_have_delivered(side):
     address = side.listener.address
     side.listener.close()
