Let a stream go on only at the software version that began it

A continuation was placed like a new request: nothing read an endpoint's software version or the attempt that a caller names. And an entry speaks only for the life that wrote it: an endpoint may have started again under its name since.

The invariant: from its first event on, a stream goes on only where the life that began it is known and the endpoint's present life is confirmed to fit. One binding a request holds that fact, set once by the first event, and `send` asks it before every sending. Lives are told by reports: one that was asked for after a connection was opened holds for that connection, and a continuation is sent on the very connection on which its endpoint has just told its life. An entry without a version, or of another life, fits only that same life.

The others know it before an instance ends: whoever passes on a first event tells three keepers, chosen by a hash over the members, one in its own data centre and others elsewhere. Who takes a stream up asks up to six. The key holds workspace and route, so naming somebody else's attempt finds nothing. What nobody knows is refused at once, not run, with a Retry-After only if keepers were silent. A version of which no endpoint is left breaks off, or is refused, at once.

What all requests use is created in one place for the instance and for the walk. `boragefold story` follows a stream over its caller's tries.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -89,6 +89,10 @@
             self._record.name, now_seconds=self._sent_at_seconds
         )
         self._pending = context.client.send(call, self)
+        if self._pending.may_have_arrived:
+            self._forwarding.continuity.record_sent(
+                self._record, self.connection
+            )
 
     def cancel(self, *, failed: bool = False) -> None:
         """Cancel the attempt by closing the connection to the endpoint.
@@ -103,6 +107,22 @@
         if not self._result_recorded:
             self._record_end(failed=failed)
 
+    @property
+    def record(self) -> deployment.EndpointRecord:
+        """Return the endpoint as it was when the request was sent.
+
+        :return: its record
+        """
+        return self._record
+
+    @property
+    def connection(self) -> http_client.ClientConnection | None:
+        """Return the connection on which the response comes.
+
+        :return: the connection, None before and after the call
+        """
+        return None if self._pending is None else self._pending.connection
+
     def pause(self) -> None:
         """Stop reading the response until ``resume`` is called."""
         if self._pending is not None:
@@ -145,6 +165,9 @@
                 remaining_seconds=forwarding.remaining_seconds(),
             )
         )
+        # Without a pending call, the call is being sent by ``begin``.
+        if self._pending is not None:
+            forwarding.continuity.record_sent(self._record, self.connection)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Process the status and the headers of the response.
--- a/src/boragefold/entry/attempt_owner.py
+++ b/src/boragefold/entry/attempt_owner.py
@@ -8,6 +8,7 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_sendings
+from boragefold.entry import stream_continuity
 from boragefold.policy import repeat_decision
 
 
@@ -17,6 +18,7 @@
     admitted: request_context.AdmittedRequest
     context: request_context.RequestContext
     sendings: request_sendings.RequestSendings
+    continuity: stream_continuity.StreamContinuity
 
     @property
     @abc.abstractmethod
--- a/src/boragefold/entry/caller_answer.py
+++ b/src/boragefold/entry/caller_answer.py
@@ -8,14 +8,16 @@
 from boragefold.entry import event_stream
 from boragefold.entry import refusals
 from boragefold.entry import request_context
-from boragefold.state import deployment
 from boragefold.transport import http_server
 
 SUCCESSES = range(200, 300)
 
 
 class CallerAnswer:
-    """Forwards one response, whose parts may come from several endpoints."""
+    """Forwards one response, whose parts may come from several endpoints.
+
+    ``has_events`` tells whether the caller was sent any part of a stream.
+    """
 
     def __init__(
         self,
@@ -30,6 +32,7 @@
         self._events: event_stream.EventStream | None = None
         self._status = 0
         self._accepted = True
+        self.has_events = False
         self.times = answer_times.AnswerTimes(
             arrived_at_seconds=admitted.arrived_at_seconds
         )
@@ -110,6 +113,7 @@
         if self._events is not None:
             data = self._events.feed(data)
         if data:
+            self.has_events = self._events is not None
             self.times.record_chunk(
                 now_seconds=self._context.timers.now_seconds()
             )
@@ -162,12 +166,9 @@
     def _is_event_stream(
         self, status: int, headers: Mapping[str, str]
     ) -> bool:
-        route = self._admitted.route
-        is_stream = (
-            route.resumable or route.kind is deployment.RouteKind.STREAM
-        )
         return event_stream.is_event_stream(
-            headers, expected=is_stream and status in SUCCESSES
+            headers,
+            expected=self._admitted.route.streams and status in SUCCESSES,
         )
 
 
--- a/src/boragefold/entry/endpoint_call.py
+++ b/src/boragefold/entry/endpoint_call.py
@@ -21,6 +21,7 @@
     may_send: Callable[[], bool],
     remaining_seconds: Callable[[], float],
     is_repeat: bool,
+    connection: http_client.ClientConnection | None = None,
 ) -> http_client.Call:
     """Create the call of one attempt.
 
@@ -30,6 +31,7 @@
     :param may_send: checked right before the first byte is written
     :param remaining_seconds: returns the time until the request's deadline
     :param is_repeat: whether the request was sent before
+    :param connection: the idle one to send it on, None for any
     :return: the call
     """
     request = admitted.request
@@ -50,6 +52,7 @@
         make_late_headers=lambda: dialect.deadline_headers(
             max(remaining_seconds(), answer_deadline.MARGIN_SECONDS)
         ),
+        connection=connection,
     )
 
 
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -69,6 +69,8 @@
         if not self.is_key_valid():
             self.refuse(refusals.NO_KEY, "key_withdrawn")
             return
+        if self.refuse_if_version_gone():
+            return
         engine = self._next_engine()
         if engine is not None:
             self._request_engine(engine, eager=self._can_be_on_time())
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -6,22 +6,21 @@
 from typing import Any
 
 from boragefold.entry import answer_deadline
-from boragefold.entry import attempt as attempts
 from boragefold.entry import caller_answer
-from boragefold.entry import dialect as dialects
-from boragefold.entry import endpoint_call
-from boragefold.entry import guarded_request
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
 from boragefold.entry import request_fingerprint
-from boragefold.entry import request_sendings
+from boragefold.entry import sent_request
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_server
 
+# An endpoint that ended is back by then, if it comes back.
+VERSION_RETRY_SECONDS = 1.0
 
-class Forwarding(guarded_request.GuardedRequest):
+
+class Forwarding(sent_request.SentRequest):
     """Forwards one request and sends exactly one final response for it."""
 
     def __init__(
@@ -32,18 +31,7 @@
         context: request_context.RequestContext,
     ) -> None:
         super().__init__(admitted=admitted, context=context)
-        self._attempt: attempts.Attempt | None = None
-        self._sent_to: list[str] = []
-        self._unreachable: set[str] = set()
         self._finished = False
-        self.sendings = request_sendings.RequestSendings(
-            repeats=context.repeats,
-            request_id=admitted.request.request_id,
-            service=admitted.service.name,
-            counters=context.counters,
-            log=context.log,
-        )
-        self._sent_at_seconds = admitted.arrived_at_seconds
         self._answer = caller_answer.CallerAnswer(
             admitted=admitted, exchange=exchange, context=context
         )
@@ -87,13 +75,6 @@
         """
         return self.deadline_at_seconds - self.context.timers.now_seconds()
 
-    def waited_seconds(self) -> float:
-        """Return the time from the caller's request to the last attempt.
-
-        :return: seconds
-        """
-        return self._sent_at_seconds - self.admitted.arrived_at_seconds
-
     @abc.abstractmethod
     def can_try_another(self, *, may_wait: bool) -> bool:
         """Tell whether the request could be sent to another endpoint.
@@ -106,71 +87,6 @@
     def _on_finished(self) -> None:
         """Release the resources that other objects hold for the request."""
 
-    def may_send_to(self, endpoint: str) -> bool:
-        """Tell whether the request may be sent to an endpoint.
-
-        :param endpoint: name of the endpoint
-        :return: whether it is reachable, and was tried before or the route's
-            limit on the number of endpoints allows one more
-        """
-        if endpoint in self._unreachable:
-            return False
-        if self.context.reach.is_down(endpoint):
-            return False
-        if endpoint in self._sent_to:
-            return True
-        return len(set(self._sent_to)) < self.admitted.route.max_attempts
-
-    def is_key_valid(self) -> bool:
-        """Tell whether the API key of the request is still valid.
-
-        It may have been revoked while the request was queued.
-
-        :return: whether it is valid, or no key was required
-        """
-        current = self.context.fleet.deployment
-        workspace = self.admitted.workspace
-        if workspace is None or current is None:
-            return True
-        holder = current.workspace_of(self.admitted.request.key)
-        return holder is not None and holder.name == workspace.name
-
-    def send(self, record: deployment.EndpointRecord, version: int) -> None:
-        """Send the request to an endpoint, unless it is quarantined.
-
-        :param record: the endpoint
-        :param version: version of the adapter, 0 for any
-        """
-        admitted, context = self.admitted, self.context
-        if not self._may_send():
-            return
-        if self._sent_to:
-            context.counters.add(
-                "requests_repeated", admitted.route.kind.value
-            )
-        self._sent_to.append(record.name)
-        self._sent_at_seconds = context.timers.now_seconds()
-        attempt = attempts.Attempt(
-            forwarding=self, record=record, version=version
-        )
-        self._attempt = attempt
-        workspace = admitted.workspace
-        target = dialects.EndpointTarget(
-            record=record,
-            workspace="" if workspace is None else workspace.name,
-            version=version,
-            resume_after=self._answer.last_event_id,
-        )
-        call = endpoint_call.create(
-            target,
-            admitted=admitted,
-            dialect=context.dialect,
-            may_send=self._may_write,
-            remaining_seconds=self.remaining_seconds,
-            is_repeat=self.sendings.count > 0,
-        )
-        attempt.begin(call)
-
     def may_repeat(
         self,
         endpoint: str,
@@ -212,7 +128,14 @@
         :param data: the chunk
         """
         keeps_up = self._answer.forward_data(data)
-        if not keeps_up and self._attempt is not None:
+        if self._attempt is None:
+            return
+        if self._answer.has_events:
+            self.continuity.record_events(
+                self._attempt.record, self._attempt.connection
+            )
+        if not keeps_up:
+            self.continuity.record_pause()
             self._attempt.pause()
 
     def forward_end(self, status: int) -> None:
@@ -291,6 +214,18 @@
         self.context.counters.add("requests_refused", reason)
         self._finish(reason, kind.status, retry_after_seconds)
 
+    def refuse_if_version_gone(self) -> bool:
+        """Refuse or break off a stream that can't go on anywhere.
+
+        :return: whether no endpoint of its software version serves
+        """
+        if not self.continuity.lacks_endpoint():
+            return False
+        self.refuse(
+            refusals.VERSION_GONE, "version_gone", VERSION_RETRY_SECONDS
+        )
+        return True
+
     def queue_time_fields(self) -> dict[str, Any]:
         """Return the time spent before the last attempt, as log fields.
 
@@ -298,9 +233,6 @@
         """
         return {}
 
-    def _is_running(self) -> bool:
-        return self._attempt is not None and self._attempt.running
-
     def _has_time(self) -> bool:
         return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
 
@@ -312,16 +244,6 @@
             callback=lambda: None if self._finished else self.start(),
         )
 
-    def _may_write(self) -> bool:
-        return not self._finished and self.sendings.may_write()
-
-    def _record_unreachable(self, endpoint: str) -> None:
-        self._sent_to.remove(endpoint)
-        self._unreachable.add(endpoint)
-        self.context.choice.unreachable(
-            endpoint, now_seconds=self.context.timers.now_seconds()
-        )
-
     def _on_caller_disconnected(self) -> None:
         route = self.admitted.route
         once = route.kind is deployment.RouteKind.NON_IDEMPOTENT
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -15,8 +15,8 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_fingerprint
-from boragefold.entry import request_sendings
 from boragefold.entry import service_forwarding
+from boragefold.entry import stream_take_up
 from boragefold.policy import shared_rate
 from boragefold.protocol import ids
 from boragefold.state import deployment
@@ -85,26 +85,55 @@
         if workspace is None and current.workspaces and not route.public:
             self._refuse(exchange, parsed, refusals.NO_KEY, "key_unknown")
             return
-        self._admit(parsed, exchange, current, route, workspace)
+        if not stream_take_up.is_take_up(parsed, route):
+            self._admit(parsed, exchange, current, route, workspace)
+            return
+        stream_take_up.begin(
+            parsed,
+            route,
+            workspace,
+            context=self._context,
+            on_decided=lambda take_up: self._take_up(
+                take_up, parsed, exchange, current, route, workspace
+            ),
+        )
 
-    def _admit(
+    def _take_up(
         self,
+        take_up: stream_take_up.TakeUp,
         request: dialects.CallerRequest,
         exchange: http_server.Exchange,
         current: deployment.Deployment,
         route: deployment.Route,
         workspace: deployment.Workspace | None,
     ) -> None:
-        if request.last_event_id or request.resumes:
-            self._context.log.write(
-                "stream_taken_up",
-                request_id=request.request_id,
-                resumes=request.resumes[: request_sendings.MAX_LOGGED_ID],
-                resume_after=request.last_event_id[
-                    : request_sendings.MAX_LOGGED_ID
-                ],
+        if exchange.finished:
+            # The caller left meanwhile.
+            return
+        if take_up.refusal is None:
+            self._admit(
+                request, exchange, current, route, workspace, take_up.origin
             )
-        service = current.services.get(self._pick_service(route))
+            return
+        self._refuse(
+            exchange,
+            request,
+            take_up.refusal,
+            take_up.reason,
+            take_up.retry_after_seconds,
+        )
+
+    def _admit(
+        self,
+        request: dialects.CallerRequest,
+        exchange: http_server.Exchange,
+        current: deployment.Deployment,
+        route: deployment.Route,
+        workspace: deployment.Workspace | None,
+        origin: deployment.EndpointLife | None = None,
+    ) -> None:
+        name = origin.service if origin else self._pick_service(route)
+        service = current.services.get(name)
         if service is None:
             self._refuse(
                 exchange, request, refusals.NOT_RUN, "service_unknown"
@@ -150,6 +179,7 @@
             arrived_at_seconds=now_seconds,
             charged=charged,
             guard=guard,
+            origin=origin,
         )
         self._forward(admitted, exchange)
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -15,7 +15,6 @@
 from boragefold.coordination.fleet import readers
 from boragefold.coordination.fleet import relay
 from boragefold.coordination.fleet import removal_grace
-from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
@@ -25,8 +24,7 @@
 from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
-from boragefold.entry import repeats
-from boragefold.entry import request_context
+from boragefold.entry import request_parts
 from boragefold.entry import service_loads
 from boragefold.entry import settings_reload
 from boragefold.entry import shutdown
@@ -202,7 +200,7 @@
         )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
-            application=self._make_gateway(dialect).handle,
+            application=self._make_gateway(dialect, engines).handle,
             counters=self.counters,
             timers=self.timers,
             limits=self._fleet.caller_limits,
@@ -337,39 +335,27 @@
             for engine in beat.engines
         )
 
-    def _make_gateway(self, dialect: dialects.Dialect) -> gateway.Gateway:
-        context = request_context.RequestContext(
+    def _make_gateway(
+        self,
+        dialect: dialects.Dialect,
+        engines: engine_dialect.EngineDialect,
+    ) -> gateway.Gateway:
+        context = request_parts.connect(
+            client=self._client,
             fleet=self._fleet,
             dialect=dialect,
-            client=self._client,
+            engines=engines,
+            link=self._link,
+            members=self._members,
             timers=self.timers,
             counters=self.counters,
             log=self.log,
-            choice=self._loads.choice,
-            repeats=repeats.connect(
-                settings=lambda: self.settings,
-                members=self._members,
-                timers=self.timers,
-                counters=self.counters,
-                log=self.log,
-                rng=self._rng,
-            ),
+            rng=self._rng,
+            loads=self._loads,
+            paths=self._paths,
             rate=self._rate,
-            crashes=crash_protection.connect(
-                client=self._client,
-                fleet=self._fleet,
-                link=self._link,
-                members=self._members,
-                timers=self.timers,
-                counters=self.counters,
-                log=self.log,
-                rng=self._rng,
-                is_hub=lambda: self._heartbeats.is_hub,
-                check_refusal=self._paths.refusals.begin,
-            ),
-            reach=self._paths.reach,
-            rooms=self._loads.rooms,
-            rejections=self._loads.rejections,
+            settings=lambda: self.settings,
+            is_hub=lambda: self._heartbeats.is_hub,
             data_centre=self.settings.data_centre,
         )
         return gateway.Gateway(
--- a/src/boragefold/entry/refusals.py
+++ b/src/boragefold/entry/refusals.py
@@ -37,6 +37,24 @@
     "don't repeat the request: endpoints crashed while they ran it",
     True,
 )
+STREAM_UNKNOWN = ErrorKind(
+    503,
+    "not_run",
+    "begin the stream anew: nobody knows which software version began it",
+    False,
+)
+STREAM_UNNAMED = ErrorKind(
+    503,
+    "not_run",
+    "name the request that brought the first event, or begin anew",
+    False,
+)
+VERSION_GONE = ErrorKind(
+    503,
+    "not_run",
+    "come back later, or begin anew: no endpoint of its software version",
+    True,
+)
 # For a request that may run twice.
 MAY_HAVE_RUN = ErrorKind(502, "unknown", "send it again later", True)
 UNKNOWN = ErrorKind(502, "unknown", "ask the service whether it ran", False)
@@ -82,7 +100,10 @@
     "OVER_RATE",
     "QUARANTINED",
     "RETRY_AFTER_SECONDS",
+    "STREAM_UNKNOWN",
+    "STREAM_UNNAMED",
     "TIMED_OUT",
     "UNKNOWN",
+    "VERSION_GONE",
     "send_error",
 ]
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -12,6 +12,7 @@
 from boragefold.entry import quarantine
 from boragefold.entry import repeats as repeats_module
 from boragefold.entry import room_queue
+from boragefold.entry import stream_context
 from boragefold.policy import service_choice
 from boragefold.policy import shared_rate
 from boragefold.state import deployment
@@ -38,12 +39,17 @@
     reach: endpoint_reach.EndpointReach
     rooms: room_queue.RoomQueue
     rejections: rejection_news.RejectionNews
+    streams: stream_context.StreamContext
     data_centre: str
 
 
 @dataclasses.dataclass(kw_only=True)
 class AdmittedRequest:
-    """An admitted request with its route, service, workspace and charge."""
+    """An admitted request with its route, service, workspace and charge.
+
+    ``origin`` is the life of an endpoint that sent the first event of the
+    stream that the request takes up, None if it takes up none.
+    """
 
     request: dialects.CallerRequest
     route: deployment.Route
@@ -52,6 +58,7 @@
     arrived_at_seconds: float
     charged: float
     guard: quarantine.RequestGuard
+    origin: deployment.EndpointLife | None = None
 
 
 __all__ = [
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -39,6 +39,8 @@
         if not self.is_key_valid():
             self.refuse(refusals.NO_KEY, "key_withdrawn")
             return True
+        if self.refuse_if_version_gone():
+            return True
         candidates = self._candidates()
         if not candidates:
             self.refuse(refusals.NOT_RUN, "no_endpoint")
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -11,6 +11,7 @@
 from boragefold.protocol import crash_messages
 from boragefold.protocol import ids
 from boragefold.protocol import load_messages
+from boragefold.protocol import origin_messages
 from boragefold.protocol import path_messages
 from boragefold.protocol import rate_ledger_messages
 
@@ -276,6 +277,7 @@
     RunStarted,
     *crash_messages.KINDS,
     *load_messages.KINDS,
+    *origin_messages.KINDS,
     *path_messages.KINDS,
     *rate_ledger_messages.KINDS,
 )
--- a/src/boragefold/state/deployment.py
+++ b/src/boragefold/state/deployment.py
@@ -50,6 +50,14 @@
         """
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
+    @property
+    def streams(self) -> bool:
+        """Tell whether responses are streams of events.
+
+        :return: whether a request may take one up after an event
+        """
+        return self.kind is RouteKind.STREAM or self.resumable
+
 
 class Model(NamedTuple):
     """A base model of a service's engines.
@@ -146,6 +154,18 @@
         return max(matches, key=lambda route: len(route.prefix), default=None)
 
 
+class EndpointLife(NamedTuple):
+    """One life of an endpoint: one run of its process.
+
+    ``software_version`` is empty where none is known for this very life.
+    """
+
+    service: str
+    endpoint: str
+    born_milliseconds: int
+    software_version: str
+
+
 class EndpointRecord(NamedTuple):
     """What an endpoint says of itself where all can read it.
 
@@ -168,6 +188,19 @@
     held: dict[str, dict[str, int]]
     software_version: str = ""
 
+    @property
+    def life(self) -> EndpointLife:
+        """Tell which life of the endpoint wrote this.
+
+        :return: its newest life, unless it has started again since
+        """
+        return EndpointLife(
+            service=self.service,
+            endpoint=self.name,
+            born_milliseconds=self.born_milliseconds,
+            software_version=self.software_version,
+        )
+
 
 class AdapterKey(NamedTuple):
     """An adapter of a model; the model itself where ``adapter`` is empty."""
@@ -180,6 +213,7 @@
     "AdapterKey",
     "CallerLimits",
     "Deployment",
+    "EndpointLife",
     "EndpointRecord",
     "Engine",
     "Model",
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -36,6 +36,7 @@
     {"endpoint_broke", "quarantine_changed", "quarantine_trial"}
 )
 REPORT = "engine_report"
+TAKEN_UP = "stream_taken_up"
 
 
 class Line(NamedTuple):
@@ -75,17 +76,17 @@
     """Select the lines of a request and the state changes around them.
 
     For a request that may have crashed endpoints, this includes what is known
-    of its earlier attempts, from all processes.
+    of its earlier attempts, from all processes. For one whose stream was taken
+    up, it includes the requests before and after that its caller named.
 
     :param request_id: the request
     :param lines: log lines of all processes
     :return: ordered by time; empty for an unknown request
     """
     everything = sorted(lines, key=lambda line: line.time_seconds)
+    named = _list_named(request_id, everything)
     own = [
-        line
-        for line in everything
-        if line.fields.get("request_id") == request_id
+        line for line in everything if line.fields.get("request_id") in named
     ]
     if not own:
         return []
@@ -109,6 +110,19 @@
     ]
 
 
+def _list_named(request_id: str, lines: list[Line]) -> set[str]:
+    # A take-up may name one that was a take-up itself.
+    pairs = [
+        {str(line.fields.get("request_id")), str(line.fields["resumes"])}
+        for line in lines
+        if line.event == TAKEN_UP and line.fields.get("resumes")
+    ]
+    named = {request_id}
+    while found := set().union(*(p for p in pairs if p & named)) - named:
+        named |= found
+    return named
+
+
 def _is_of_suspect(line: Line, fingerprints: set[Any]) -> bool:
     if line.event not in CRASH_EVENTS:
         return False
--- a/tests/cli/test_story.py
+++ b/tests/cli/test_story.py
@@ -62,6 +62,27 @@
     ]
 
 
+def test_a_story_has_all_tries_of_a_streams_caller() -> None:
+    lines = [
+        {"event": "request_sent", "request_id": "r1"},
+        {"event": "request_sent", "request_id": "r9"},
+        {"event": "stream_taken_up", "request_id": "r2", "resumes": "r1"},
+        {"event": "stream_taken_up", "request_id": "r3", "resumes": "r2"},
+        {"event": "stream_taken_up", "request_id": "r8", "resumes": "r7"},
+        {"event": "stream_taken_up", "request_id": "r6", "resumes": ""},
+    ]
+    log = "\n".join(
+        json.dumps({"time_seconds": at, **line})
+        for at, line in enumerate(lines)
+    )
+    for name in ("r1", "r2", "r3"):
+        result = testing.CliRunner().invoke(
+            main.main, ["story", name], input=log
+        )
+        told = [line.split()[0] for line in result.output.splitlines()]
+        assert told == ["0.000", "2.000", "3.000"]
+
+
 def test_a_log_that_processes_share_names_them() -> None:
     runner = testing.CliRunner()
     result = runner.invoke(
--- a/tests/entry/test_caller_answer.py
+++ b/tests/entry/test_caller_answer.py
@@ -31,7 +31,7 @@
     exchange = Exchange()
     answer = caller_answer.CallerAnswer(
         admitted=types.SimpleNamespace(
-            route=types.SimpleNamespace(resumable=True),
+            route=types.SimpleNamespace(resumable=True, streams=True),
             arrived_at_seconds=0.0,
         ),
         exchange=exchange,
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -14,14 +14,13 @@
 from typing import NamedTuple
 
 import dialect as platform_dialect
+import engines as platform_engines
 
-from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import gateway
 from boragefold.entry import peer_paths
 from boragefold.entry import quarantine
-from boragefold.entry import repeats
-from boragefold.entry import request_context
+from boragefold.entry import request_parts
 from boragefold.entry import service_loads
 from boragefold.policy import shared_rate
 from boragefold.protocol import paths
@@ -109,6 +108,7 @@
         self.may_have_arrived = False
         self.opener = ""
         self.peer = ""
+        self.connection = None
 
     def cancel(self) -> None:
         self.over = True
@@ -287,38 +287,22 @@
             connect_seconds=CONNECT_SECONDS,
         )
         own_paths.port = 1
-        self.context = request_context.RequestContext(
+        self.context = request_parts.connect(
+            client=client,
             fleet=self.published,
             dialect=platform_dialect.PlatformDialect(),
-            client=client,
+            engines=platform_engines.PlatformEngines(instance_name=address),
+            link=self.node.link,
+            members=self.members,
             timers=self.node.timers,
             counters=counters,
             log=log,
-            choice=loads.choice,
-            repeats=repeats.connect(
-                settings=lambda: settings,
-                members=self.members,
-                timers=self.node.timers,
-                counters=counters,
-                log=log,
-                rng=rng,
-            ),
+            rng=rng,
+            loads=loads,
+            paths=own_paths,
             rate=shared_rate.SharedRate(),
-            crashes=crash_protection.connect(
-                client=client,
-                fleet=self.published,
-                link=self.node.link,
-                members=self.members,
-                timers=self.node.timers,
-                counters=counters,
-                log=log,
-                rng=rng,
-                is_hub=lambda: self.heartbeats.is_hub,
-                check_refusal=own_paths.refusals.begin,
-            ),
-            reach=own_paths.reach,
-            rooms=loads.rooms,
-            rejections=loads.rejections,
+            settings=lambda: settings,
+            is_hub=lambda: self.heartbeats.is_hub,
             data_centre=centre,
         )
         self.gateway = gateway.Gateway(
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -196,6 +196,7 @@
             "state": "ready",
             "models": models if is_engine else [],
             "born": 1,
+            "version": "v1",
             **changes,
         }
         self.put(f"servers/{name}", entry)
--- a/tests/fakes/versioned_engines.py
+++ b/tests/fakes/versioned_engines.py
@@ -59,18 +59,20 @@
         return numbers == list(range(1, len(numbers) + 1))
 
 
-class VersionedMachines(machines_module.Machines):
-    """A fleet whose engines have software versions, in turn."""
+class VersionedEngines(machines_module.Machines):
+    """Gives engines software versions, in turn; none where there are none."""
 
     def __init__(
-        self, folder, *, gateways=3, versions=("v1", "v2"), engines=4
+        self, folder, *, versions=("v1", "v2"), engines=4, **options
     ) -> None:
-        super().__init__(folder, gateways=gateways)
+        super().__init__(folder, **options)
         names = [f"engine-{number}" for number in range(engines)]
-        self.versions = dict(zip(names, itertools.cycle(versions)))
+        self.versions = (
+            dict(zip(names, itertools.cycle(versions))) if versions else {}
+        )
         self.born = dict.fromkeys(names, 1)
 
-    def start(self) -> VersionedMachines:
+    def start(self) -> VersionedEngines:
         super().start()
         for name in list(self.versions)[2:]:
             self.start_endpoint(name, "--model", "base", "--places", "2")
@@ -117,6 +119,15 @@
             *("--software-version", version),
             *("--born", str(self.born[name])),
         )
+        machines_module.eventually(lambda: self.seen(name))
+        self.publish(name)
+
+
+class VersionedMachines(VersionedEngines):
+    """A fleet with engines of several versions, by default three gateways."""
+
+    def __init__(self, folder, *, gateways=3, **options) -> None:
+        super().__init__(folder, gateways=gateways, **options)
 
 
 class Caller(threading.Thread):
@@ -271,7 +282,9 @@
 
 
 __all__ = [
+    "Caller",
     "Stream",
+    "VersionedEngines",
     "VersionedMachines",
     "began_share",
     "list_mixed",
