Don't resume a stream behind an event that has no ID

Where events have no IDs, a resumed stream began anew behind what its caller had, or repeated what came after the last ID: an event came twice. Such a stream is broken off instead, where it breaks.

One test is changed: its long event had no ID and yet counted as one to resume behind. It has an ID now, and asserts the same.

--- a/src/boragefold/entry/event_stream.py
+++ b/src/boragefold/entry/event_stream.py
@@ -16,6 +16,7 @@
 LINE_FEED = b"\n"
 LINE_END = re.compile(rb"\r\n|\n|\r")
 EVENT_END = b"\n\n"
+FIELD_LINE = re.compile(rb"^[^:\n]", re.MULTILINE)
 ID_LINE = re.compile(rb"^id(?::([^\n]*))?$", re.MULTILINE)
 
 
@@ -23,12 +24,15 @@
     """Finds the boundaries of events, whatever pieces a stream comes in.
 
     ``last_event_id`` is the ID of the last complete event, or of one before
-    it if it has none.
+    it if it has none. ``names_last_event`` tells that it is its own, or that
+    there is no event yet.
     """
 
     def __init__(self, *, last_event_id: str = "") -> None:
         self.last_event_id = last_event_id
+        self.names_last_event = True
         self._event_id = last_event_id
+        self._has_id = False
         # The beginning of the line that hasn't ended.
         self._line = bytearray()
         self._has_fields = False
@@ -54,6 +58,11 @@
             ids = ID_LINE.findall(data)
             self._event_id = _decode_id(ids[-1]) if ids else self._event_id
             self.last_event_id = self._event_id
+            events = filter(FIELD_LINE.search, reversed(data.split(EVENT_END)))
+            last = next(events, None)
+            if last is not None:
+                self._has_id = bool(ID_LINE.search(last))
+                self._end_event()
             return len(data)
         start = boundary = 0
         if self._after_return and data.startswith(LINE_FEED):
@@ -87,13 +96,20 @@
         line = bytes(self._line)
         self._line.clear()
         if not line:
-            self._has_fields = False
             self.last_event_id = self._event_id
+            if self._has_fields:
+                self._has_fields = False
+                self._end_event()
         elif not line.startswith(COMMENT):
             self._has_fields = True
             name, _, value = line.partition(FIELD_SEPARATOR)
             if name == ID_FIELD:
                 self._event_id = _decode_id(value)
+                self._has_id = True
+
+    def _end_event(self) -> None:
+        self.names_last_event = self._has_id and bool(self._event_id)
+        self._has_id = False
 
 
 class EventStream:
@@ -130,9 +146,14 @@
     def resumable(self) -> bool:
         """Tell whether the stream can go on with another endpoint's events.
 
-        :return: whether only complete events were passed on
+        :return: whether only complete events were passed on, and the last of
+            them has an ID to go on after
         """
-        return self._holds_back and not self._partly_sent
+        return (
+            self._holds_back
+            and not self._partly_sent
+            and self._scanner.names_last_event
+        )
 
     def feed(self, data: bytes) -> bytes:
         """Add a piece of the stream.
@@ -162,7 +183,9 @@
     def discard_partial(self) -> None:
         """Discard an incomplete event, which another endpoint repeats."""
         self._partial.clear()
+        names_last_event = self._scanner.names_last_event
         self._scanner = EventScanner(last_event_id=self.last_event_id)
+        self._scanner.names_last_event = names_last_event
 
     def _take(self, size: int) -> bytes:
         taken = bytes(self._partial[:size])
--- a/tests/entry/test_event_stream.py
+++ b/tests/entry/test_event_stream.py
@@ -87,10 +87,38 @@
     assert stream.last_event_id == ""
 
 
+@pytest.mark.parametrize("size", [1, 5, 1_000])
+@pytest.mark.parametrize(
+    ("data", "resumable"),
+    [
+        (b"", True),
+        (b": note\n\n", True),
+        (b"id: 1\ndata: a\n\n", True),
+        (b"id: 1\ndata: a\n\n: note\n\n", True),
+        (b"data: a\n\nid: 2\ndata: b\n\n", True),
+        (b"data: a\n\n", False),
+        (b"id: 1\ndata: a\n\ndata: b\n\n", False),
+        (b"id: 1\ndata: a\n\ndata: b\n\n: note\n\n", False),
+        (b"id: 1\ndata: a\n\nid:\ndata: b\n\n", False),
+        (b"id: 1\ndata: a\n\ndata: b\n\nid: 3\nda", False),
+    ],
+)
+def test_a_stream_isnt_resumed_behind_an_event_without_an_id(
+    size, data, resumable
+) -> None:
+    # Another endpoint would send that event, or all of them, once more.
+    stream = event_stream.EventStream(resumable=True)
+    for begin in range(0, len(data), size):
+        stream.feed(data[begin : begin + size])
+    assert stream.resumable is resumable
+    stream.discard_partial()
+    assert stream.resumable is resumable
+
+
 def test_a_stream_isnt_resumed_behind_a_part_of_an_event() -> None:
     # The events of another endpoint would be joined to that part.
     stream = event_stream.EventStream(resumable=True)
-    part = b"data: " + b"x" * event_stream.MAX_EVENT_BYTES
+    part = b"id: 1\ndata: " + b"x" * event_stream.MAX_EVENT_BYTES
     assert stream.feed(part) == part
     assert stream.inside_event and not stream.resumable
     assert stream.feed(b"\n\ndata: y") == b"\n\n"
