Play engines of two software versions in the soak, and check both rules

Where a run has one of two new faults, it has four engines of two software versions, and four further callers take up what breaks, naming the attempt that began it. One fault breaks streams off, the other kills an engine and starts it again under its name and address, at either version. Checked from what callers got: no stream holds events of two versions or misses one, also within an answer, and where the endpoints are known, at least half as many of the streams taken up go on as new ones begin.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,7 +9,9 @@
 
 from tests.fakes import crashing_engines
 from tests.fakes import repeat_load
+from tests.fakes import versioned_engines
 from tests.soak import callers
+from tests.soak import versions
 
 NOT_RUN = (408, 421, 429, 503)
 # A withdrawn key works no longer than this after the store's answer, at
@@ -27,6 +29,9 @@
 MAX_CUT_OFF_FAILED = 10
 # Two, and a tenth of the number of endpoints.
 MAX_FALLS = 2
+# Of the streams taken up, compared with the share of new ones that begin.
+MIN_TAKEN_UP = 12
+MIN_WENT_ON = 0.5
 # In the calm seconds at the end so much is served.
 CALM_SERVED_SHARE = 0.9
 
@@ -52,6 +57,8 @@
         *_culprits(run),
         *_cut_off(run, seen),
         *_falls(run),
+        *_versions(run, seen),
+        *_taken_up(run),
         *_served(run, seen),
     ]
 
@@ -70,7 +77,8 @@
             continue
         plain = each.kind in ("orders", "reads")
         wanted = f"answer to {each.request_id}".encode() if plain else stream
-        if not each.signed or each.body != wanted:
+        body = each.body if plain else versions.strip(each.body)
+        if not each.signed or body != wanted:
             yield f"MIXED {each}"
 
 
@@ -237,6 +245,31 @@
             yield f"LIMIT: brittle endpoints fell over {falls} times"
 
 
+def _versions(run, seen) -> Iterator[str]:
+    streams = [each for taker in run.takers for each in taker.streams]
+    for stream in versioned_engines.list_mixed(streams):
+        yield f"ORDER: a stream of several versions: {stream}"
+    for stream in streams:
+        if not stream.joined_well:
+            yield f"ORDER: events are missing or come twice: {stream}"
+    for each in seen:
+        if len(versions.told_in(each.body)) > 1:
+            yield f"ORDER: an answer of several versions: {each}"
+
+
+def _taken_up(run) -> Iterator[str]:
+    kinds = {fault.kind for fault in run.faults}
+    if not kinds <= versions.ENDPOINTS_KNOWN:
+        return
+    streams = [each for taker in run.takers for each in taker.streams]
+    taken_up = versioned_engines.list_taken_up(streams)
+    went_on = versioned_engines.went_on_share(streams)
+    began = versioned_engines.began_share(streams)
+    if len(taken_up) >= MIN_TAKEN_UP and went_on < MIN_WENT_ON * began:
+        count = len(taken_up)
+        yield f"LOST: {went_on:.2f} of {count} went on, {began:.2f} began"
+
+
 def _served(run, seen) -> Iterator[str]:
     calm = [
         each
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -59,6 +59,8 @@
     "silent_second": 1,
     "break_series": 2,
     "lost_share": 1,
+    "streams_broken": 2,
+    "engine_reborn": 2,
 }
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,12 +10,14 @@
 from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
 from tests.fakes import repeat_rule
+from tests.fakes import versioned_engines
 from tests.soak import callers
 from tests.soak import checks
 from tests.soak import culprits
 from tests.soak import endpoint_faults
 from tests.soak import plan
 from tests.soak import proxy
+from tests.soak import versions
 
 # What a fault did to an instance is over so long after it ended.
 TOUCHED_SECONDS = 3.0
@@ -25,17 +27,21 @@
 # What the callers of a run can exceed, where faults draw many repeats.
 TIGHT_LIMIT = repeat_rule.LIMIT._replace(ratio=0.02, slack=4.0)
 REPEAT_FAULTS = {"break_series", "lost_share"}
+# Callers who take up streams, beside the others.
+TAKERS = 4
 
 
-class SoakMachines(cut_machines.CutMachines):
+class SoakMachines(
+    versioned_engines.VersionedEngines, cut_machines.CutMachines
+):
     """The fleet, with a proxy before each store as well.
 
     A proxy accepts connections for an endpoint that is gone; ``direct`` leaves
     the endpoints' own addresses published. ``limit`` is that of repeats.
     """
 
-    def __init__(self, folder, *, gateways, direct, limit) -> None:
-        super().__init__(folder, gateways=gateways, direct=direct)
+    def __init__(self, folder, *, limit, **options) -> None:
+        super().__init__(folder, **options)
         self.limit = limit
 
     def _settings(self, number):
@@ -52,7 +58,11 @@
         return {**settings, "platform": {"address": address}, "bounds": bounds}
 
 
-class Run(endpoint_faults.EndpointFaults, culprits.CulpritFaults):
+class Run(
+    endpoint_faults.EndpointFaults,
+    culprits.CulpritFaults,
+    versions.VersionFaults,
+):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
     def __init__(
@@ -65,10 +75,13 @@
         faults: list[plan.Fault],
         length_seconds: float = plan.LENGTH_SECONDS,
     ) -> None:
+        has_versions = any(fault.kind in versions.KINDS for fault in faults)
         self.machines = SoakMachines(
             folder,
             gateways=gateways,
-            direct=any(fault.kind in culprits.CRASHES for fault in faults),
+            versions=versions.VERSIONS if has_versions else (),
+            direct=has_versions
+            or any(fault.kind in culprits.CRASHES for fault in faults),
             limit=(
                 TIGHT_LIMIT
                 if any(fault.kind in REPEAT_FAULTS for fault in faults)
@@ -98,7 +111,16 @@
             )
             for number in range(callers_count)
         ]
-        self._faults = faults
+        self.takers = [
+            versioned_engines.Caller(
+                machines=self.machines,
+                over=self.over,
+                seed=seed,
+                number=number,
+            )
+            for number in range(TAKERS if has_versions else 0)
+        ]
+        self.faults = faults
         self._length_seconds = length_seconds
         self._version = 1
         self._touched: list[tuple[int | None, float, float]] = []
@@ -146,17 +168,17 @@
         self.calm_from_seconds = (
             begin + self._length_seconds - plan.CALM_SECONDS + 3.0
         )
-        for caller in self.callers:
+        for caller in (*self.callers, *self.takers):
             caller.start()
         threads = []
-        for fault in self._faults:
+        for fault in self.faults:
             time.sleep(max(0.0, begin + fault.at_seconds - callers.clock()))
             thread = threading.Thread(target=self._inject, args=(fault,))
             thread.start()
             threads.append(thread)
         time.sleep(max(0.0, begin + self._length_seconds - callers.clock()))
         self.over.set()
-        for thread in (*threads, *self.callers):
+        for thread in (*threads, *self.callers, *self.takers):
             thread.join()
         ended = [
             f"ENDED: {name} with {process.returncode}"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.fakes import versioned_engines
 from tests.soak import plan
 from tests.soak import run
 
@@ -147,6 +148,21 @@
     assert len(one.crashed_at_seconds) >= 3
 
 
+def test_streams_taken_up_go_on_at_one_software_version(tmp_path) -> None:
+    # Streams went on wherever there was room, also at engines that had started
+    # again under their names.
+    faults = [
+        plan.Fault(2.0, "streams_broken", 0, 4.0),
+        plan.Fault(3.0, "engine_reborn", 4, 1.0),
+        plan.Fault(4.0, "kill", 1, 1.0),
+        plan.Fault(5.0, "store_down", 0, 2.0),
+        plan.Fault(5.5, "engine_reborn", 1, 1.0),
+    ]
+    one = _play(tmp_path, faults=faults)
+    streams = [each for taker in one.takers for each in taker.streams]
+    assert versioned_engines.list_taken_up(streams)
+
+
 def test_cut_paths_and_brittle_endpoints_break_no_promise(tmp_path) -> None:
     # A peer whose tunnels are in use is stopped meanwhile.
     faults = [
