--- a/src/boragefold/coordination/fleet/path_inquiries.py
+++ b/src/boragefold/coordination/fleet/path_inquiries.py
@@ -108,11 +108,7 @@
         self._begin_round(inquiry)
 
     def _choose_peers(self) -> list[list[ids.InstanceId]]:
-        peers = [
-            member.instance
-            for member in self._members.reachable()
-            if member.staying
-        ]
+        peers = self._members.staying()
         self._rng.shuffle(peers)
         own = self._link.self_id.data_centre
         near = [peer for peer in peers if peer.data_centre == own]
--- a/src/boragefold/coordination/fleet/stream_origins.py
+++ b/src/boragefold/coordination/fleet/stream_origins.py
@@ -102,7 +102,7 @@
         """
         self._record(key, origin, keep_seconds)
         keepers = origin_keepers.choose_keepers(
-            key, self._list_staying(), own=self._link.self_id
+            key, self._members.staying(), own=self._link.self_id
         )
         began = messages.StreamBegan(
             key=key,
@@ -129,7 +129,7 @@
             search.waiting.append(on_found)
             return
         asked = origin_keepers.choose_asked(
-            key, self._list_staying(), own=self._link.self_id
+            key, self._members.staying(), own=self._link.self_id
         )
         search = OriginSearch(
             waiting=[on_found],
@@ -170,13 +170,6 @@
         for on_found in search.waiting:
             on_found(found)
 
-    def _list_staying(self) -> list[ids.InstanceId]:
-        return [
-            member.instance
-            for member in self._members.reachable()
-            if member.staying
-        ]
-
     def _record(
         self, key: int, origin: deployment.EndpointLife, keep_seconds: float
     ) -> None:
--- a/src/boragefold/coordination/fleet/suspect_leases.py
+++ b/src/boragefold/coordination/fleet/suspect_leases.py
@@ -182,9 +182,7 @@
 
     def _find_issuer(self, key: int) -> ids.InstanceId:
         staying = {
-            member.instance.address: member.instance
-            for member in self._members.reachable()
-            if member.staying
+            instance.address: instance for instance in self._members.staying()
         }
         own = self._link.self_id
         staying[own.address] = own
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -166,9 +166,7 @@
 
     def _staying_peers(self) -> frozenset[str]:
         return frozenset(
-            member.instance.address
-            for member in self._members.reachable()
-            if member.staying
+            instance.address for instance in self._members.staying()
         )
 
 
