Bundle what is known of an arriving request, and count its time from there

Looking up where a stream began takes up to 0.2 s when keepers are silent; a request's deadline is counted from its arrival, not from the end of that. Six arguments were passed on from step to step; they are one arrival now. An attempt's record is named once instead of twice.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -31,7 +31,7 @@
         version: int,
     ) -> None:
         self._forwarding = forwarding
-        self._record = record
+        self.record = record
         self._version = version
         self._pending: http_client.Pending | None = None
         self._status = 0
@@ -86,12 +86,12 @@
         context = self._forwarding.context
         self._sent_at_seconds = context.timers.now_seconds()
         context.choice.sent(
-            self._record.name, now_seconds=self._sent_at_seconds
+            self.record.name, now_seconds=self._sent_at_seconds
         )
         self._pending = context.client.send(call, self)
         if self._pending.may_have_arrived:
             self._forwarding.continuity.record_sent(
-                self._record, self.connection
+                self.record, self.connection
             )
 
     def cancel(self, *, failed: bool = False) -> None:
@@ -107,14 +107,6 @@
         if not self._result_recorded:
             self._record_end(failed=failed)
 
-    @property
-    def record(self) -> deployment.EndpointRecord:
-        """Return the endpoint as it was when the request was sent.
-
-        :return: its record
-        """
-        return self._record
-
     @property
     def connection(self) -> http_client.ClientConnection | None:
         """Return the connection on which the response comes.
@@ -142,7 +134,7 @@
         forwarding.context.log.write_ordinary(
             "request_tunnelled",
             request_id=forwarding.admitted.request.request_id,
-            endpoint=self._record.name,
+            endpoint=self.record.name,
             peer=peer,
         )
 
@@ -154,9 +146,9 @@
         forwarding = self._forwarding
         forwarding.sendings.record_written(
             request_sendings.Written(
-                endpoint=self._record.name,
-                software_version=self._record.software_version,
-                born_milliseconds=self._record.born_milliseconds,
+                endpoint=self.record.name,
+                software_version=self.record.software_version,
+                born_milliseconds=self.record.born_milliseconds,
                 resume_after=forwarding.resume_after,
                 version=self._version,
                 reused_connection=reused,
@@ -167,7 +159,7 @@
         )
         # Without a pending call, the call is being sent by ``begin``.
         if self._pending is not None:
-            forwarding.continuity.record_sent(self._record, self.connection)
+            forwarding.continuity.record_sent(self.record, self.connection)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Process the status and the headers of the response.
@@ -180,7 +172,7 @@
         self._status, self._facts = status, facts
         if facts.busy is not None and facts.slots is not None:
             context.choice.reported(
-                self._record.name,
+                self.record.name,
                 busy=facts.busy,
                 slots=facts.slots,
                 now_seconds=context.timers.now_seconds(),
@@ -228,7 +220,7 @@
             self._awaits_evidence = True
             guard = self._forwarding.admitted.guard
             self._forwarding.context.crashes.detector.check_closing(
-                self._record,
+                self.record,
                 fingerprint=lambda: guard.fingerprint,
                 ran_seconds=self._ran_seconds(),
                 on_evidence=self._judge_closing,
@@ -262,7 +254,7 @@
         write(
             "answer_closed",
             request_id=forwarding.admitted.request.request_id,
-            endpoint=self._record.name,
+            endpoint=self.record.name,
             verdict=verdict.value,
             cause=evidence.cause.value,
             listens=evidence.listens,
@@ -273,7 +265,7 @@
             self._ended = True
             if not forwarding.finished:
                 forwarding.on_attempt_failed(
-                    self._record.name, CLOSED_BY_CRASH, may_have_run=True
+                    self.record.name, CLOSED_BY_CRASH, may_have_run=True
                 )
         else:
             self._finish()
@@ -284,14 +276,14 @@
         if facts is None or self._forwarding.finished:
             return
         if facts.not_run:
-            self._forwarding.on_attempt_rejected(self._record.name, facts)
+            self._forwarding.on_attempt_rejected(self.record.name, facts)
         elif self._retry_at_end:
             self._forwarding.begin()
         elif self._is_invalid(facts):
             self._forwarding.refuse(refusals.UNKNOWN, "answer_unfit")
         elif not self._forwarded:
             self._forwarding.on_attempt_failed(
-                self._record.name, "resume_failed", may_have_run=True
+                self.record.name, "resume_failed", may_have_run=True
             )
         else:
             self._forwarding.forward_end(self._status)
@@ -309,12 +301,10 @@
         if self._forwarding.finished:
             return
         if self.rejected and self._facts is not None:
-            self._forwarding.on_attempt_rejected(
-                self._record.name, self._facts
-            )
+            self._forwarding.on_attempt_rejected(self.record.name, self._facts)
         else:
             self._forwarding.on_attempt_failed(
-                self._record.name,
+                self.record.name,
                 failure.reason,
                 may_have_run=failure.may_have_arrived,
             )
@@ -323,7 +313,7 @@
         if facts.not_run or self._status not in SERVER_ERRORS:
             return False
         return self._forwarding.may_repeat(
-            self._record.name,
+            self.record.name,
             repeat_decision.Setback.FAILED,
             may_have_run=True,
         )
@@ -343,12 +333,12 @@
             now_seconds=context.timers.now_seconds(),
         )
         if facts.no_room:
-            context.rejections.record(service, self._record.name)
+            context.rejections.record(service, self.record.name)
 
     def _record_broken(self, reason: str) -> None:
         context = self._forwarding.context
         context.crashes.detector.record_broken(
-            self._record,
+            self.record,
             reason,
             fingerprint=self._forwarding.admitted.guard.fingerprint,
             ran_seconds=self._ran_seconds(),
@@ -360,10 +350,10 @@
 
     def _record_end(self, *, failed: bool) -> None:
         context = self._forwarding.context
-        if self.unsent or context.reach.is_cut_off(self._record.name):
+        if self.unsent or context.reach.is_cut_off(self.record.name):
             # The fault is that of a path, not of the endpoint.
             self._result_recorded = True
-            context.choice.withdrawn(self._record.name)
+            context.choice.withdrawn(self.record.name)
         else:
             self._record_result(failed=failed)
 
@@ -372,7 +362,7 @@
         now_seconds = context.timers.now_seconds()
         self._result_recorded = True
         context.choice.ended(
-            self._record.name,
+            self.record.name,
             failed=failed,
             took_seconds=now_seconds - self._sent_at_seconds,
             now_seconds=now_seconds,
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import NamedTuple
 
 import xxhash
 
@@ -26,6 +27,17 @@
 STARTING_RETRY_SECONDS = 0.5
 
 
+class Arrival(NamedTuple):
+    """A caller's request with what its route and key say of it."""
+
+    request: dialects.CallerRequest
+    exchange: http_server.Exchange
+    current: deployment.Deployment
+    route: deployment.Route
+    workspace: deployment.Workspace | None
+    at_seconds: float
+
+
 class Gateway:
     """Decides which requests are admitted, and forwards those."""
 
@@ -85,39 +97,37 @@
         if workspace is None and current.workspaces and not route.public:
             self._refuse(exchange, parsed, refusals.NO_KEY, "key_unknown")
             return
+        arrival = Arrival(
+            request=parsed,
+            exchange=exchange,
+            current=current,
+            route=route,
+            workspace=workspace,
+            at_seconds=self._context.timers.now_seconds(),
+        )
         if not stream_take_up.is_take_up(parsed, route):
-            self._admit(parsed, exchange, current, route, workspace)
+            self._admit(arrival)
             return
         stream_take_up.begin(
             parsed,
             route,
             workspace,
             context=self._context,
-            on_decided=lambda take_up: self._take_up(
-                take_up, parsed, exchange, current, route, workspace
-            ),
+            on_decided=lambda take_up: self._take_up(arrival, take_up),
         )
 
     def _take_up(
-        self,
-        take_up: stream_take_up.TakeUp,
-        request: dialects.CallerRequest,
-        exchange: http_server.Exchange,
-        current: deployment.Deployment,
-        route: deployment.Route,
-        workspace: deployment.Workspace | None,
+        self, arrival: Arrival, take_up: stream_take_up.TakeUp
     ) -> None:
-        if exchange.finished:
+        if arrival.exchange.finished:
             # The caller left meanwhile.
             return
         if take_up.refusal is None:
-            self._admit(
-                request, exchange, current, route, workspace, take_up.origin
-            )
+            self._admit(arrival, take_up.origin)
             return
         self._refuse(
-            exchange,
-            request,
+            arrival.exchange,
+            arrival.request,
             take_up.refusal,
             take_up.reason,
             take_up.retry_after_seconds,
@@ -125,13 +135,10 @@
 
     def _admit(
         self,
-        request: dialects.CallerRequest,
-        exchange: http_server.Exchange,
-        current: deployment.Deployment,
-        route: deployment.Route,
-        workspace: deployment.Workspace | None,
+        arrival: Arrival,
         origin: deployment.EndpointLife | None = None,
     ) -> None:
+        request, exchange, current, route, workspace, at_seconds = arrival
         name = origin.service if origin else self._pick_service(route)
         service = current.services.get(name)
         if service is None:
@@ -176,7 +183,7 @@
             route=route,
             service=service,
             workspace=workspace,
-            arrived_at_seconds=now_seconds,
+            arrived_at_seconds=at_seconds,
             charged=charged,
             guard=guard,
             origin=origin,
--- a/src/boragefold/entry/stream_continuity.py
+++ b/src/boragefold/entry/stream_continuity.py
@@ -42,7 +42,7 @@
         self._binding = stream_origin.StreamBinding()
         self._unconfirmed: set[str] = set()
         self._published = False
-        self._lags = False
+        self._reads_late = False
         if admitted.origin is not None:
             self._binding.identify(admitted.origin)
 
@@ -123,14 +123,18 @@
         if self._published or not self._admitted.route.resumable:
             return
         self._binding.bind()
-        if self._awaits_origin and connection is not None and not self._lags:
+        if (
+            self._awaits_origin
+            and connection is not None
+            and not self._reads_late
+        ):
             self._identify(record, connection)
         if self._binding.origin is not None:
             self._publish(self._binding.origin)
 
     def record_pause(self) -> None:
         """Record that events may be read long after they came."""
-        self._lags = True
+        self._reads_late = True
 
     @property
     def _awaits_origin(self) -> bool:
