Ask keepers that an instance meets after it has started

A stream taken up at an instance that had just started was refused, as it asked the first that it had met, and those weren't keepers: 1 of 19 with six instances of which one is killed every 2 s. While it may not have met the others yet, an instance asks whom it has met since the last question, and doesn't take silence or ignorance of a few for knowledge.

--- a/src/boragefold/coordination/fleet/stream_origins.py
+++ b/src/boragefold/coordination/fleet/stream_origins.py
@@ -24,6 +24,9 @@
 # A keeper answers within milliseconds; a lost question is asked once more.
 ASK_SECONDS = 0.1
 MAX_QUESTIONS = 2
+# An instance has met the others by then; until then it may know no keeper.
+JOIN_SECONDS = 3.0
+MAX_QUESTIONS_JOINING = 8
 
 
 class Source(enum.Enum):
@@ -55,9 +58,9 @@
     """A search that keepers are being asked for."""
 
     waiting: list[OnFound]
-    silent: dict[str, ids.InstanceId]
-    asked: int
     began_at_seconds: float
+    asked: set[str] = dataclasses.field(default_factory=set)
+    silent: dict[str, ids.InstanceId] = dataclasses.field(default_factory=dict)
     questions: int = 0
     next_step: timing.Subscription | None = None
 
@@ -128,22 +131,19 @@
         if search is not None:
             search.waiting.append(on_found)
             return
-        asked = origin_keepers.choose_asked(
-            key, self._members.staying(), own=self._link.self_id
-        )
         search = OriginSearch(
-            waiting=[on_found],
-            silent={each.address: each for each in asked},
-            asked=len(asked),
-            began_at_seconds=self._timers.now_seconds(),
+            waiting=[on_found], began_at_seconds=self._timers.now_seconds()
         )
         self._searches[key] = search
         self._ask(key, search)
 
     def _ask(self, key: int, search: OriginSearch) -> None:
-        if not search.silent:
+        self._choose_asked(key, search)
+        if self._is_known_by_nobody(search):
             self._end(key, search, None, Source.NOBODY)
-        elif search.questions >= MAX_QUESTIONS:
+        elif search.questions >= (
+            MAX_QUESTIONS_JOINING if self._is_joining() else MAX_QUESTIONS
+        ):
             self._end(key, search, None, Source.SILENT)
         else:
             search.questions += 1
@@ -155,6 +155,22 @@
                 callback=lambda: self._ask(key, search),
             )
 
+    def _choose_asked(self, key: int, search: OriginSearch) -> None:
+        # More members may be known than at the last question.
+        asked = origin_keepers.choose_asked(
+            key, self._members.staying(), own=self._link.self_id
+        )
+        for each in asked:
+            if each.address not in search.asked:
+                search.asked.add(each.address)
+                search.silent[each.address] = each
+
+    def _is_known_by_nobody(self, search: OriginSearch) -> bool:
+        return not search.silent and not self._is_joining()
+
+    def _is_joining(self) -> bool:
+        return self._members.uptime_seconds < JOIN_SECONDS
+
     def _end(
         self,
         key: int,
@@ -166,7 +182,7 @@
             search.next_step.cancel()
         del self._searches[key]
         took_seconds = self._timers.now_seconds() - search.began_at_seconds
-        found = FoundOrigin(origin, source, search.asked, took_seconds)
+        found = FoundOrigin(origin, source, len(search.asked), took_seconds)
         for on_found in search.waiting:
             on_found(found)
 
@@ -215,7 +231,7 @@
         search.silent.pop(sender.address, None)
         if answer.known:
             self._end(answer.key, search, _read_life(answer), Source.KEEPER)
-        elif not search.silent:
+        elif self._is_known_by_nobody(search):
             self._end(answer.key, search, None, Source.NOBODY)
 
 
--- a/tests/coordination/fleet/test_stream_origins.py
+++ b/tests/coordination/fleet/test_stream_origins.py
@@ -103,6 +103,25 @@
         assert found.origin == make_life(key)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_instance_that_has_just_started_finds_origins(seed) -> None:
+    # It asked the first that it met, who weren't the keepers.
+    world = World(seed)
+    begun, taking, *_ = world.fleet.addresses
+    for key in range(40):
+        world.publish(begun, key, make_life(key))
+    world.fleet.run(0.01)
+    world.fleet.kill(begun)
+    world.restart(taking)
+    for key in range(40):
+        world.find(taking, key)
+    world.fleet.run(SETTLE_SECONDS)
+    sources = [found.source for _, found in world.found]
+    assert stream_origins.Source.NOBODY not in sources
+    known = [found.origin == make_life(key) for key, found in world.found]
+    assert sum(known) >= 0.9 * len(known)
+
+
 def test_a_lost_data_centre_knows_its_own_streams() -> None:
     world = World(1, count=9)
     near = [a for a in world.fleet.addresses if _centre(world, a) == "dc-a"]
