Let the instances join before a test asks what nobody knows

The test asked within the first 3 s of the instances, in which they don't take the ignorance of whom they have met for proof; that came after the test. It waits for that time now and asserts the same.

--- a/tests/entry/test_stream_refusals.py
+++ b/tests/entry/test_stream_refusals.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from boragefold.coordination.fleet import stream_origins
 from tests.fakes import machines as machines_module
 from tests.fakes import versioned_engines
 
@@ -20,7 +21,10 @@
     folder = tmp_path_factory.mktemp("refusals")
     fleet = versioned_engines.VersionedMachines(folder, gateways=2, engines=2)
     try:
-        yield fleet.start()
+        fleet.start()
+        # Until then, an instance doesn't take a keeper's ignorance for proof.
+        time.sleep(stream_origins.JOIN_SECONDS)
+        yield fleet
     finally:
         fleet.stop()
 
