Log the parts of prompts that ran on crashed endpoints, and what a refusal rests on

No line of any process named a part of a prompt, so the logs couldn't tell whether requests that crashed endpoints had something in common. The parts that other requests may hold are read in platform/ once; endpoint_broke counts them, request_quarantined names the cause and its crashes, and suspects_cleared tells which success ended which suspicion. The story of a refused request follows its cause. Nothing is decided by this yet. What decides for one request has a module of its own.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -221,7 +221,7 @@
             guard = self._forwarding.admitted.guard
             self._forwarding.context.crashes.detector.check_closing(
                 self.record,
-                fingerprint=lambda: guard.fingerprint,
+                causes=lambda: guard.causes,
                 ran_seconds=self._ran_seconds(),
                 on_evidence=self._judge_closing,
             )
@@ -340,7 +340,7 @@
         context.crashes.detector.record_broken(
             self.record,
             reason,
-            fingerprint=self._forwarding.admitted.guard.fingerprint,
+            causes=self._forwarding.admitted.guard.causes,
             ran_seconds=self._ran_seconds(),
         )
 
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import math
 from typing import NamedTuple
 
 from boragefold.entry import break_evidence
-from boragefold.entry import request_fingerprint
+from boragefold.policy import crash_causes
 from boragefold.protocol import crash_messages
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
@@ -73,7 +74,7 @@
 class Closing(NamedTuple):
     """A request whose answer ended as its connection was closed."""
 
-    fingerprint: Callable[[], int]
+    causes: Callable[[], crash_causes.RequestCauses]
     ran_seconds: float
     closed_at_seconds: float
     on_evidence: Callable[[break_evidence.ClosingEvidence], None]
@@ -83,7 +84,8 @@
 class BreakCase:
     """The connections that broke at one endpoint at about the same time.
 
-    ``closings`` are those that may have been closed behind whole answers.
+    ``closings`` are those that may have been closed behind whole answers,
+    ``parts`` tells of how many broken requests each part was in the prompt.
     """
 
     record: deployment.EndpointRecord
@@ -93,6 +95,9 @@
     suspects: list[crash_messages.Suspect] = dataclasses.field(
         default_factory=list
     )
+    parts: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     closings: list[Closing] = dataclasses.field(default_factory=list)
     probes: int = 0
     cause: break_evidence.BreakCause = break_evidence.BreakCause.PENDING
@@ -146,23 +151,24 @@
         record: deployment.EndpointRecord,
         reason: str,
         *,
-        fingerprint: int,
+        causes: crash_causes.RequestCauses,
         ran_seconds: float,
     ) -> None:
         """Record that the connection of a running request broke.
 
         :param record: the endpoint, as it was when the request was sent
         :param reason: how the connection broke
-        :param fingerprint: of the request
+        :param causes: those of the request
         :param ran_seconds: how long ago the request was sent there
         """
         if reason not in BREAK_REASONS:
             return
         case = self._find_case(record)
-        suspect = _describe_suspect(fingerprint, ran_seconds)
+        suspect = _describe_suspect(causes.fingerprint, ran_seconds)
         case.broke_at_seconds = self._timers.now_seconds()
         case.reasons.add(reason)
         case.suspects.append(suspect)
+        case.parts.update(causes.parts)
         if case.cause is break_evidence.BreakCause.CRASHED:
             self._on_crash(
                 break_evidence.DetectedCrash(_life_of(record), (suspect,))
@@ -172,23 +178,23 @@
         self,
         record: deployment.EndpointRecord,
         *,
-        fingerprint: Callable[[], int],
+        causes: Callable[[], crash_causes.RequestCauses],
         ran_seconds: float,
         on_evidence: Callable[[break_evidence.ClosingEvidence], None],
     ) -> None:
         """Find out why an endpoint closed a connection behind an answer.
 
         :param record: the endpoint, as it was when the request was sent
-        :param fingerprint: computes that of the request, if it is a suspect
+        :param causes: computes those of the request, if it is a suspect
         :param ran_seconds: how long ago the request was sent there
         :param on_evidence: called once, within ``MAX_EVIDENCE_SECONDS``
         """
         case = self._find_case(record)
         now_seconds = self._timers.now_seconds()
         case.reasons.add(CLOSED)
-        closing = Closing(fingerprint, ran_seconds, now_seconds, on_evidence)
+        closing = Closing(causes, ran_seconds, now_seconds, on_evidence)
         if case.cause is break_evidence.BreakCause.CRASHED:
-            suspect = _describe_suspect(fingerprint(), ran_seconds)
+            suspect = _describe_suspect(causes().fingerprint, ran_seconds)
             self._on_crash(
                 break_evidence.DetectedCrash(_life_of(record), (suspect,))
             )
@@ -258,10 +264,12 @@
         case.cause = break_evidence.find_cause(result, listed)
         closings, case.closings = case.closings, []
         if case.cause in MAY_CUT_CLOSINGS:
-            case.suspects += [
-                _describe_suspect(closing.fingerprint(), closing.ran_seconds)
-                for closing in closings
-            ]
+            for closing in closings:
+                causes = closing.causes()
+                case.parts.update(causes.parts)
+                case.suspects.append(
+                    _describe_suspect(causes.fingerprint, closing.ran_seconds)
+                )
         if case.suspects:
             self._write(life, case, result, listed)
         if case.cause is break_evidence.BreakCause.CRASHED:
@@ -300,17 +308,19 @@
         self._log.write(
             "endpoint_broke",
             endpoint=life.name,
-            crash=request_fingerprint.describe(life.crash),
+            crash=crash_causes.describe(life.crash),
             born_milliseconds=life.born_milliseconds,
             verdict=case.cause.value,
             reasons=sorted(case.reasons),
             broken=len(case.suspects),
             suspects={
-                request_fingerprint.describe(
-                    each.fingerprint
-                ): each.ran_milliseconds
+                crash_causes.describe(each.fingerprint): each.ran_milliseconds
                 for each in logged
             },
+            parts={
+                crash_causes.describe(part): count
+                for part, count in case.parts.most_common(MAX_LOGGED_SUSPECTS)
+            },
             probe=result.value,
             probes=case.probes,
             took_seconds=round(took_seconds, 4),
--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -25,7 +25,8 @@
     service. ``usage_tokens`` is the amount charged to a rate limit in tokens,
     None if the request states no tokens. ``last_event_id`` is the event after
     which the caller resumes a stream, ``resumes`` the caller's earlier request
-    that brought the first event of that stream.
+    that brought the first event of that stream. ``shared_parts`` identify the
+    parts of its prompt that other requests may hold, too, each once.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     last_event_id: str
     resumes: str
     http: http_server.Request
+    shared_parts: tuple[str, ...] = ()
 
 
 class Malformed(NamedTuple):
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -10,8 +10,8 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_end
-from boragefold.entry import request_fingerprint
 from boragefold.entry import sent_request
+from boragefold.policy import crash_causes
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_server
@@ -167,7 +167,7 @@
             may_have_run=may_have_run,
             answer_begun=self._answer.started,
             fingerprint=(
-                request_fingerprint.describe(self.admitted.guard.fingerprint)
+                crash_causes.describe(self.admitted.guard.fingerprint)
                 if may_have_run
                 else ""
             ),
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -16,6 +16,7 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.entry import request_fingerprint
+from boragefold.entry import request_guard
 from boragefold.entry import service_forwarding
 from boragefold.entry import stream_take_up
 from boragefold.policy import shared_rate
@@ -146,9 +147,12 @@
                 exchange, request, refusals.NOT_RUN, "service_unknown"
             )
             return
-        guard = self._context.crashes.quarantine.guard(
-            request.request_id,
-            lambda: request_fingerprint.compute(request, workspace),
+        guard = request_guard.RequestGuard(
+            quarantine=self._context.crashes.quarantine,
+            request_id=request.request_id,
+            compute_causes=lambda: request_fingerprint.compute_causes(
+                request, workspace
+            ),
         )
         verdict = guard.refusal()
         if verdict is not None:
--- a/src/boragefold/entry/guarded_request.py
+++ b/src/boragefold/entry/guarded_request.py
@@ -8,8 +8,8 @@
 from boragefold.entry import quarantine as quarantines
 from boragefold.entry import refusals
 from boragefold.entry import request_context
-from boragefold.entry import request_fingerprint
 from boragefold.entry import request_lease
+from boragefold.policy import crash_causes
 from boragefold.policy import crash_suspects
 
 # Another copy of the request runs for too long.
@@ -61,7 +61,7 @@
             self.context.log.write(
                 "suspect_waits",
                 request_id=self.admitted.request.request_id,
-                fingerprint=request_fingerprint.describe(guard.fingerprint),
+                fingerprint=crash_causes.describe(guard.fingerprint),
                 crashes=guard.count_crashes(),
             )
             self._lease.request()
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -4,104 +4,19 @@
 
 import abc
 from collections.abc import Callable
-import functools
+from typing import Any
 
 from boragefold.entry import break_evidence
-from boragefold.entry import request_fingerprint
+from boragefold.policy import crash_causes
 from boragefold.policy import crash_suspects
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import decision_log
 from boragefold.timing import timers as timing
 
 REASON = "crash_suspect"
-
-
-class RequestGuard:
-    """Decides for one request whether it may be sent."""
-
-    def __init__(
-        self,
-        *,
-        quarantine: Quarantine,
-        request_id: str,
-        compute_fingerprint: Callable[[], int],
-    ) -> None:
-        """Compute nothing yet.
-
-        :param quarantine: decides about fingerprints
-        :param request_id: of the request, for the log
-        :param compute_fingerprint: called once, and only while there are
-            suspects or after the request was cut off
-        """
-        self._quarantine = quarantine
-        self._request_id = request_id
-        self._compute_fingerprint = compute_fingerprint
-
-    @functools.cached_property
-    def fingerprint(self) -> int:
-        """Compute what identifies the request when it is sent again.
-
-        :return: a 64-bit hash
-        """
-        return self._compute_fingerprint()
-
-    def refusal(self) -> crash_suspects.Verdict | None:
-        """Decide whether the request must be refused.
-
-        :return: the verdict to refuse it with, or None
-        """
-        return self._log_refusal(self._judge())
-
-    def begin_sending(self) -> crash_suspects.Verdict | None:
-        """Decide whether the request may be sent now, perhaps as a trial.
-
-        :return: the verdict to refuse it with, or None
-        """
-        verdict = self._judge()
-        if not verdict.quarantined:
-            self._quarantine.record_sending(self._read_fingerprint)
-        return self._log_refusal(verdict)
-
-    def needs_lease(self) -> bool:
-        """Tell whether the request is sent one copy at a time.
-
-        :return: whether crashes cut off several copies of it
-        """
-        return self._quarantine.needs_lease(self._read_fingerprint)
-
-    def lease_key(self) -> int:
-        """Tell which requests aren't sent together with this one.
-
-        :return: what identifies their lease
-        """
-        return self._quarantine.lease_key(self.fingerprint)
-
-    def count_crashes(self) -> int:
-        """Count the crashes that this request may have caused.
-
-        :return: those that are known by now
-        """
-        return self._quarantine.count_crashes(self._read_fingerprint)
-
-    def record_success(self) -> None:
-        """Record that the request ran to its end."""
-        self._quarantine.record_success(self._read_fingerprint)
-
-    def _log_refusal(
-        self, verdict: crash_suspects.Verdict
-    ) -> crash_suspects.Verdict | None:
-        if not verdict.quarantined:
-            return None
-        self._quarantine.log_refusal(
-            self._request_id, self.fingerprint, verdict
-        )
-        return verdict
-
-    def _judge(self) -> crash_suspects.Verdict:
-        return self._quarantine.judge(self._read_fingerprint)
-
-    def _read_fingerprint(self) -> int:
-        return self.fingerprint
+# These limit the length of a log line.
+MAX_LOGGED_CRASHES = 8
+MAX_LOGGED_CAUSES = 8
 
 
 class WaitingRequest(abc.ABC):
@@ -156,21 +71,6 @@
         """
         self._waiting.pop(request, None)
 
-    def guard(
-        self, request_id: str, compute_fingerprint: Callable[[], int]
-    ) -> RequestGuard:
-        """Create what decides about one request.
-
-        :param request_id: of the request
-        :param compute_fingerprint: computes its fingerprint, if needed
-        :return: the guard of the request
-        """
-        return RequestGuard(
-            quarantine=self,
-            request_id=request_id,
-            compute_fingerprint=compute_fingerprint,
-        )
-
     def judge(self, fingerprint: Callable[[], int]) -> crash_suspects.Verdict:
         """Judge whether a request may be sent now.
 
@@ -199,7 +99,9 @@
         self._log.write(
             "request_quarantined",
             request_id=request_id,
-            fingerprint=request_fingerprint.describe(fingerprint),
+            fingerprint=crash_causes.describe(fingerprint),
+            cause=crash_causes.describe(verdict.cause),
+            evidence=self._describe_evidence(verdict.cause),
             crashes=verdict.crashes,
             newest_crash_seconds=round(verdict.newest_crash_seconds, 3),
             retry_after_seconds=round(verdict.retry_after_seconds, 3),
@@ -252,19 +154,27 @@
         self._counters.add("quarantine_trials")
         self._log.write(
             "quarantine_trial",
-            fingerprint=request_fingerprint.describe(fingerprint),
+            fingerprint=crash_causes.describe(fingerprint),
             crashes=self._suspects.count_crashes(fingerprint),
             excused_by=self._describe_excuse(fingerprint),
         )
         self._publish()
 
-    def record_success(self, fingerprint: Callable[[], int]) -> None:
+    def record_success(
+        self, request_id: str, fingerprint: Callable[[], int]
+    ) -> None:
         """Record that a request ran to its end.
 
+        :param request_id: of the request, for the log
         :param fingerprint: computes the request's fingerprint, called only
             while there are suspects
         """
         if self._suspects.has_suspects and self._suspects.clear(fingerprint()):
+            self._log.write_ordinary(
+                "suspects_cleared",
+                request_id=request_id,
+                causes=[crash_causes.describe(fingerprint())],
+            )
             self._publish()
             self.update("completed")
 
@@ -315,36 +225,39 @@
         self._counters.add("quarantine", "added" if added else "released")
         self._log.write(
             "quarantine_changed",
-            fingerprint=request_fingerprint.describe(fingerprint),
+            fingerprint=crash_causes.describe(fingerprint),
             quarantined=added,
             cause=cause,
-            evidence={
-                request_fingerprint.describe(each.crash): {
-                    "age_seconds": round(each.age_seconds, 3),
-                    "beside": [
-                        request_fingerprint.describe(other)
-                        for other in each.beside
-                    ],
-                }
-                for each in self._suspects.records.list_evidence(
-                    fingerprint,
-                    self._suspects.quarantined,
-                    now_seconds=now_seconds,
-                )
-            },
+            evidence=self._describe_evidence(fingerprint),
             excused_by=self._describe_excuse(fingerprint),
             crashes=self._suspects.count_crashes(fingerprint),
             retry_after_seconds=round(verdict.retry_after_seconds, 3),
         )
 
+    def _describe_evidence(self, cause: int) -> dict[str, dict[str, Any]]:
+        evidence = self._suspects.records.list_evidence(
+            cause,
+            self._suspects.quarantined,
+            now_seconds=self._timers.now_seconds(),
+        )
+        return {
+            crash_causes.describe(each.crash): {
+                "age_seconds": round(each.age_seconds, 3),
+                "beside": [
+                    crash_causes.describe(other)
+                    for other in each.beside[:MAX_LOGGED_CAUSES]
+                ],
+            }
+            for each in evidence[-MAX_LOGGED_CRASHES:]
+        }
+
     def _describe_excuse(self, fingerprint: int) -> list[str]:
         others = self._suspects.excused.get(fingerprint, frozenset())
-        return sorted(map(request_fingerprint.describe, others))
+        return sorted(map(crash_causes.describe, others))
 
 
 __all__ = [
     "Quarantine",
     "REASON",
-    "RequestGuard",
     "WaitingRequest",
 ]
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -9,8 +9,8 @@
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
-from boragefold.entry import quarantine
 from boragefold.entry import repeats as repeats_module
+from boragefold.entry import request_guard
 from boragefold.entry import room_queue
 from boragefold.entry import stream_context
 from boragefold.policy import service_choice
@@ -57,7 +57,7 @@
     workspace: deployment.Workspace | None
     arrived_at_seconds: float
     charged: float
-    guard: quarantine.RequestGuard
+    guard: request_guard.RequestGuard
     origin: deployment.EndpointLife | None = None
 
 
--- a/src/boragefold/entry/request_lease.py
+++ b/src/boragefold/entry/request_lease.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from boragefold.coordination.fleet import suspect_leases
-from boragefold.entry import quarantine as quarantines
+from boragefold.entry import request_guard
 
 # Part of the time for an answer that may pass in waiting for other copies.
 MAX_WAIT_SHARE = 0.5
@@ -17,7 +17,7 @@
     def __init__(
         self,
         *,
-        guard: quarantines.RequestGuard,
+        guard: request_guard.RequestGuard,
         leases: suspect_leases.SuspectLeases,
         remaining_seconds: Callable[[], float],
         begin: Callable[[], None],
--- a/src/boragefold/policy/crash_suspects.py
+++ b/src/boragefold/policy/crash_suspects.py
@@ -47,12 +47,14 @@
     ``crashes`` counts those that only this request may have caused, of which
     the last was ``newest_crash_seconds`` ago. ``retry_after_seconds`` is 0 if
     it may be sent, ``is_trial`` whether it may be although it is quarantined.
+    ``cause`` is what is held guilty.
     """
 
     crashes: int
     newest_crash_seconds: float
     retry_after_seconds: float
     is_trial: bool = False
+    cause: int = 0
 
     @property
     def quarantined(self) -> bool:
@@ -304,6 +306,7 @@
             now_seconds - conviction.last_crash_at_seconds,
             wait_seconds,
             not wait_seconds,
+            fingerprint,
         )
 
     def _trial_seconds(
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -33,8 +34,16 @@
 )
 # Events on crashes and on the requests that ran on the crashed endpoints.
 CRASH_EVENTS = frozenset(
-    {"endpoint_broke", "quarantine_changed", "quarantine_trial"}
+    {
+        "endpoint_broke",
+        "quarantine_changed",
+        "quarantine_trial",
+        "suspects_cleared",
+    }
 )
+# What a request was refused for, and what ran on crashed endpoints.
+CAUSE_FIELDS = ("fingerprint", "cause")
+SUSPECT_FIELDS = ("suspects", "parts", "causes")
 REPORT = "engine_report"
 TAKEN_UP = "stream_taken_up"
 
@@ -90,7 +99,9 @@
     ]
     if not own:
         return []
-    fingerprints = {line.fields.get("fingerprint") for line in own}
+    causes = {
+        line.fields.get(field) for line in own for field in CAUSE_FIELDS
+    } - {None, ""}
     sources = {line.source for line in own}
     begin = own[0].time_seconds - STATE_EVENT_SECONDS
     end = own[-1].time_seconds
@@ -98,10 +109,7 @@
         line
         for line in everything
         if line in own
-        or (
-            line.time_seconds <= end
-            and _is_of_suspect(line, fingerprints - {None, ""})
-        )
+        or (line.time_seconds <= end and _is_of_suspect(line, causes))
         or (
             line.event in STATE_EVENTS
             and line.source in sources
@@ -123,13 +131,14 @@
     return named
 
 
-def _is_of_suspect(line: Line, fingerprints: set[Any]) -> bool:
+def _is_of_suspect(line: Line, causes: set[Any]) -> bool:
     if line.event not in CRASH_EVENTS:
         return False
-    suspects = line.fields.get("suspects", ())
-    return line.fields.get("fingerprint") in fingerprints or any(
-        fingerprint in suspects for fingerprint in fingerprints
+    listed = itertools.chain(
+        (line.fields.get("fingerprint"),),
+        *(line.fields.get(field, ()) for field in SUSPECT_FIELDS),
     )
+    return not causes.isdisjoint(listed)
 
 
 def engine_story(engine: str, lines: Iterable[Line]) -> list[Line]:
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -10,6 +10,7 @@
 from boragefold.entry import attempt as attempts
 from boragefold.entry import break_evidence
 from boragefold.entry import dialect as dialects
+from boragefold.policy import crash_causes
 from boragefold.transport import http_client
 from tests.fakes import gateways
 
@@ -39,7 +40,7 @@
         self.waiting: list[Any] = []
         nothing = types.SimpleNamespace()
         self.admitted = types.SimpleNamespace(
-            guard=types.SimpleNamespace(fingerprint=1),
+            guard=types.SimpleNamespace(causes=crash_causes.RequestCauses(1)),
             request=types.SimpleNamespace(request_id="r"),
             route=types.SimpleNamespace(repeatable=False),
             service=types.SimpleNamespace(name="desk"),
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -8,6 +8,7 @@
 
 from boragefold.entry import break_evidence
 from boragefold.entry import crash_detector
+from boragefold.policy import crash_causes
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import clock as clocks
@@ -16,6 +17,7 @@
 from tests.fakes import gateways
 
 ENDPOINT = gateways.engine("e1")
+PART = crash_causes.hash_part("5c1e")
 LEAVING = ENDPOINT._replace(leaving=True)
 REFUSED = connect_probe.ProbeResult.REFUSED
 ACCEPTED = connect_probe.ProbeResult.ACCEPTED
@@ -60,6 +62,7 @@
         self.crashes = []
         self.evidence = []
         self.unproven = []
+        self.lines = []
         fleet = fleets.Fleet()
         if listed is not None:
             fleet.set_endpoint(listed)
@@ -68,7 +71,9 @@
             fleet=fleet,
             timers=self.timers,
             counters=telemetry.Counters(),
-            log=types.SimpleNamespace(write=lambda event, **fields: None),
+            log=types.SimpleNamespace(
+                write=lambda event, **fields: self.lines.append(fields)
+            ),
             on_crash=self.crashes.append,
             on_unproven=self.unproven.append,
         )
@@ -76,14 +81,17 @@
     def check_closing(self, fingerprint=7) -> None:
         self.detector.check_closing(
             ENDPOINT,
-            fingerprint=lambda: fingerprint,
+            causes=lambda: crash_causes.RequestCauses(fingerprint),
             ran_seconds=0.5,
             on_evidence=self.evidence.append,
         )
 
     def break_off(self, reason="inside_event") -> None:
         self.detector.record_broken(
-            ENDPOINT, reason, fingerprint=8, ran_seconds=0.5
+            ENDPOINT,
+            reason,
+            causes=crash_causes.RequestCauses(8, (PART,)),
+            ran_seconds=0.5,
         )
 
     def pass_time(self, duration_seconds) -> None:
@@ -185,3 +193,13 @@
     side.check_closing()
     assert side.evidence[0].cause is break_evidence.BreakCause.CRASHED
     assert _suspects(side.crashes) == {7, 8}
+
+
+def test_a_verdict_tells_which_parts_the_broken_requests_held() -> None:
+    # Nothing in the log was equal for requests that shared a part.
+    side = Side()
+    side.break_off()
+    side.break_off()
+    side.client.answer(REFUSED)
+    (line,) = side.lines
+    assert line["parts"] == {crash_causes.describe(PART): 2}
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -6,7 +6,9 @@
 
 from boragefold.entry import break_evidence
 from boragefold.entry import request_context
+from boragefold.entry import request_guard
 from boragefold.entry import service_forwarding
+from boragefold.policy import crash_causes
 from boragefold.protocol import crash_messages
 from boragefold.transport import exchange as exchanges
 from tests.fakes import crash_walk
@@ -33,10 +35,21 @@
         self._lives = 0
 
     def forwarding(
-        self, prefix="/reads/", *, instance=None, fingerprint=FINGERPRINT
+        self,
+        prefix="/reads/",
+        *,
+        instance=None,
+        fingerprint=FINGERPRINT,
+        parts=(),
     ):
         context = (instance or self.instance).context
-        guard = context.crashes.quarantine.guard("r1", lambda: fingerprint)
+        guard = request_guard.RequestGuard(
+            quarantine=context.crashes.quarantine,
+            request_id="r1",
+            compute_causes=lambda: crash_causes.RequestCauses(
+                fingerprint, parts
+            ),
+        )
         connection = crash_walk.Connection(
             on_end=lambda *answer: self.answers.append(answer)
         )
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -213,3 +213,42 @@
     assert translator.first_event_seconds(route) == 4.0
     plain = route._replace(kind=deployment.RouteKind.IDEMPOTENT)
     assert translator.first_event_seconds(plain) == 15.0
+
+
+@pytest.mark.parametrize(
+    ("listed", "shared"),
+    [
+        ("5c1e:800,91bd:660", ("5c1e",)),
+        ("5C1E:800, 05c1e : 7,91bd:1,e4:2", ("5c1e", "91bd")),
+        ("5c1e,,91bd:,e4:2,", ("5c1e", "91bd")),
+        ("0:1,00:1,e4:2", ("0",)),
+        ("not hexadecimal:1,:5,5c1e:1,e4:2", ("5c1e",)),
+        ("5c1e:800", ()),
+        (" , ", ()),
+        ("", ()),
+    ],
+)
+def test_the_parts_of_a_prompt_are_read_but_the_last(
+    translator, listed, shared
+) -> None:
+    headers = {**REQUEST_HEADERS, "boragefold-prompt-prefix": listed}
+    assert translator.read_request(http(headers)).shared_parts == shared
+
+
+def test_a_prompt_of_a_thousand_parts_is_read_up_to_a_limit(
+    translator,
+) -> None:
+    listed = ",".join(f"{number + 1:x}:1" for number in range(1000))
+    headers = {**REQUEST_HEADERS, "boragefold-prompt-prefix": listed}
+    shared = translator.read_request(http(headers)).shared_parts
+    assert len(shared) == dialect.MAX_SHARED_PARTS
+
+
+def test_parts_in_two_headers_are_one_list(translator) -> None:
+    request = http({})
+    fields = (
+        ("boragefold-prompt-prefix", "5c1e:800"),
+        ("boragefold-prompt-prefix", "91bd:660"),
+    )
+    request = request._replace(fields=fields)
+    assert translator.read_request(request).shared_parts == ("5c1e",)
--- a/tests/telemetry/test_decision_log.py
+++ b/tests/telemetry/test_decision_log.py
@@ -140,5 +140,26 @@
     assert found[0].fields["endpoint"] == "e1"
 
 
+def test_the_story_of_a_part_names_its_crashes_and_who_cleared_it() -> None:
+    # No two requests were alike, so no fingerprint led to the crashes.
+    lines = [
+        '{"time_seconds":1.0,"event":"endpoint_broke","endpoint":"e1",'
+        '"suspects":{"f1":50},"parts":{"part-9":1}}',
+        '{"time_seconds":2.0,"event":"endpoint_broke","endpoint":"e2",'
+        '"suspects":{"f2":50},"parts":{"part-8":1}}',
+        '{"time_seconds":3.0,"event":"suspects_cleared","request_id":"r1",'
+        '"causes":["f4","part-9"]}',
+        '{"time_seconds":4.0,"event":"request_quarantined",'
+        '"request_id":"r3","fingerprint":"f3","cause":"part-9"}',
+    ]
+    found = log_story.story("r3", log_story.read("one", lines))
+    assert [line.event for line in found] == [
+        "endpoint_broke",
+        "suspects_cleared",
+        "request_quarantined",
+    ]
+    assert found[0].fields["endpoint"] == "e1"
+
+
 def test_an_unknown_request_has_no_story() -> None:
     assert not log_story.story("other", log_story.read("one", LINES))
