Reproduce a part of prompts that crashes engines on real processes, failing

Three gateways, eight engines that are back after 3 s, eight sound callers of two first parts, and from the fourth second on requests of which no two are alike, but which share a part behind the first. The stand-in ends under parts of prompts; the test is listed until the fix.

--- a/src/boragefold/standins/endpoint_faults.py
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -6,6 +6,9 @@
 
 from boragefold.standins import endpoint_connection
 from boragefold.standins import machines_http
+from boragefold.transport import http_server
+
+PROMPT_PARTS = "boragefold-prompt-prefix"
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -22,9 +25,10 @@
     ``unsigned`` leaves the signature out, ``silent`` never answers,
     ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
     rest of a stream. ``crash_body`` ends the process under each request whose
-    body begins so. ``lose_answers`` closes the connection behind the run
-    instead of answering; ``share`` is the part of the runs that this,
-    ``status`` and ``not_executed`` apply to.
+    body begins so. ``crash_parts`` and ``cut_parts`` do the same for requests
+    whose prompts share one of these parts. ``lose_answers`` closes the
+    connection behind the run instead of answering; ``share`` is the part of
+    the runs that this, ``status`` and ``not_executed`` apply to.
     ``limits`` are slots, waiting requests, rejections that it bears in a
     second, and seconds until it is back from more.
     """
@@ -36,6 +40,7 @@
     cut_after: int | None = None
     cut_between: bool = False
     cut_body: str = ""
+    cut_parts: tuple[str, ...] = ()
     ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
     exit_when_done: bool = False
     unframed_calls: bool = False
@@ -44,10 +49,40 @@
     delay_seconds: float = 0.0
     resumed_status: int = machines_http.STATUS_OK
     crash_body: str = ""
+    crash_parts: tuple[str, ...] = ()
     lose_answers: bool = False
     share: float = 1.0
     limits: tuple[int, int, int, float] = (0, 0, 0, 0.0)
 
+    def crashes(self, request: http_server.Request) -> bool:
+        """Tell whether a request ends the process as soon as it runs.
+
+        :param request: the request
+        :return: whether it does
+        """
+        return _is_meant(request, self.crash_body, self.crash_parts)
+
+    def cuts(self, request: http_server.Request) -> bool:
+        """Tell whether the answer to a request breaks off.
+
+        :param request: the request
+        :return: whether it does
+        """
+        if self.cut_after is None:
+            return False
+        if not self.cut_body and not self.cut_parts:
+            return True
+        return _is_meant(request, self.cut_body, self.cut_parts)
+
+
+def _is_meant(
+    request: http_server.Request, beginning: str, parts: tuple[str, ...]
+) -> bool:
+    if beginning and request.body.startswith(beginning.encode()):
+        return True
+    listed = request.headers.get(PROMPT_PARTS, "").split(",")
+    return any(item.partition(":")[0] in parts for item in listed[:-1])
+
 
 class FaultShare:
     """Chooses the runs that a fault applies to, evenly spread."""
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -225,7 +225,7 @@
         faults = self._faults
         self._runs.append(self._describe(request))
         self._running.append(exchange)
-        if _begins(request.body, faults.crash_body):
+        if faults.crashes(request):
             self._timers.once(
                 delay_seconds=CRASH_SECONDS, callback=lambda: os._exit(1)
             )
@@ -275,9 +275,7 @@
         resumed = request.headers.get("last-event-id", "")
         status = faults.resumed_status if resumed else faults.status
         status = status if fails else machines_http.STATUS_OK
-        is_cut = faults.cut_after is not None and (
-            not faults.cut_body or _begins(request.body, faults.cut_body)
-        )
+        is_cut = faults.cuts(request)
         if not self._model or status != machines_http.STATUS_OK:
             self._send_body(
                 exchange, status, headers, f"answer to {attempt}", is_cut
@@ -364,10 +362,6 @@
             )
 
 
-def _begins(body: bytes, beginning: str) -> bool:
-    return bool(beginning) and body.startswith(beginning.encode())
-
-
 __all__ = [
     "Endpoint",
 ]
--- a/tests/fakes/crashing_engines.py
+++ b/tests/fakes/crashing_engines.py
@@ -171,14 +171,19 @@
 
 
 def list_late(
-    sent: list[Sent], ended: list[Ended], *, is_only: bool = False
+    sent: list[Sent],
+    ended: list[Ended],
+    *,
+    is_only: bool = False,
+    crashes_until_known: int = CRASHES_UNTIL_KNOWN,
 ) -> list[Sent]:
     """List the sends that came when all gateways had to know a culprit.
 
-    :param sent: of one request
+    :param sent: of one request, or with one part
     :param ended: all ends of endpoints
     :param is_only: whether no other request crashes any
-    :return: those later than its third crash and the time of contact
+    :param crashes_until_known: of the culprit
+    :return: those later than that crash and the time of contact
     """
     endpoints = {each.endpoint for each in sent}
     crashes = sorted(
@@ -186,9 +191,9 @@
         for each in ended
         if is_only or each.endpoint in endpoints
     )
-    if len(crashes) < CRASHES_UNTIL_KNOWN:
+    if len(crashes) < crashes_until_known:
         return []
-    known_at_seconds = crashes[CRASHES_UNTIL_KNOWN - 1] + CONTACT_SECONDS
+    known_at_seconds = crashes[crashes_until_known - 1] + CONTACT_SECONDS
     return [each for each in sent if each.at_seconds > known_at_seconds]
 
 
