Play bad parts of prompts and herds of new connections in the soak

Callers' prompts share a first part with the culprits, of which one to three parts crash endpoints, no two requests alike; nine tenths of the callers' requests and connections go to one instance for some seconds. Checked are the late sends of each part, the share served in a herd, and as before what is served at the end, when the convictions still stand.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,10 @@
 PAUSE_SECONDS = 0.04
 DEADLINE_SECONDS = 4.0
 EVENTS = 5
+FIRST_PART = "f1"
+# Without a herd, and within one.
+NEW_CONNECTION_SHARE = 0.3
+HERD_CONNECTION_SHARE = 0.9
 
 
 class Seen(NamedTuple):
@@ -60,6 +64,9 @@
     def _request(self) -> Seen:
         request_id = f"{self._number:04x}{next(self._ids):012x}"
         gateway = self._rng.choice(self._run.taking())
+        herd_on = self._run.herd_on
+        if herd_on is not None and self._rng.random() < HERD_CONNECTION_SHARE:
+            gateway = herd_on
         kind = self._rng.choice(["orders", "reads", "notes", "drafts"])
         key = self._rng.choice(self._run.keys)
         sent_at = clock()
@@ -80,6 +87,7 @@
     def _send(self, request_id, gateway, kind, key):
         headers = {
             "Host": machines_module.HOST,
+            "Boragefold-Prompt-Prefix": write_parts(request_id, "d1"),
             "Boragefold-Attempt-Id": request_id,
             "Boragefold-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
             "Boragefold-Key": key,
@@ -89,7 +97,12 @@
             headers["Boragefold-Model"] = f"base/{adapter}"
             headers["Boragefold-Token-Usage"] = f"100,{EVENTS}"
         connection = self._connections.get(gateway)
-        if connection is None or self._rng.random() < 0.3:
+        share = (
+            HERD_CONNECTION_SHARE
+            if self._run.herd_on is not None
+            else NEW_CONNECTION_SHARE
+        )
+        if connection is None or self._rng.random() < share:
             address = self._run.machines.gateways[gateway]["front"]
             connection = http.client.HTTPConnection(
                 address, timeout=DEADLINE_SECONDS + 1
@@ -113,10 +126,21 @@
         return response.status, bool(signed), body, False
 
 
+def write_parts(request_id: str, part: str) -> str:
+    """List the parts of a prompt.
+
+    :param request_id: names the request's own part
+    :param part: a part that requests share behind their first one
+    :return: the value of the header
+    """
+    return f"{FIRST_PART}:30,{part}:30,{request_id}:40"
+
+
 __all__ = [
     "Caller",
     "DEADLINE_SECONDS",
     "EVENTS",
     "Seen",
     "clock",
+    "write_parts",
 ]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,9 +8,11 @@
 import itertools
 
 from tests.fakes import crashing_engines
+from tests.fakes import crashing_parts
 from tests.fakes import repeat_load
 from tests.fakes import versioned_engines
 from tests.soak import callers
+from tests.soak import culprits
 from tests.soak import versions
 
 NOT_RUN = (408, 421, 429, 503)
@@ -27,6 +29,8 @@
 # Callers of instances that are cut off from all endpoints, beside others.
 MIN_CUT_OFF_SHARE = 2 / 3
 MAX_CUT_OFF_FAILED = 10
+# While most new connections go to one instance, of the share before.
+MIN_HERD_SHARE = 0.75
 # Two, and a tenth of the number of endpoints.
 MAX_FALLS = 2
 # Of the streams taken up, compared with the share of new ones that begin.
@@ -55,6 +59,7 @@
         *_planned_stops(run, seen),
         *_repeats(run, seen),
         *_culprits(run),
+        *_herds(run, seen),
         *_cut_off(run, seen),
         *_falls(run),
         *_versions(run, seen),
@@ -181,11 +186,38 @@
             if line["request_id"] in request_ids
         ]
         is_only = len(run.culprit_ids) == 1
-        late = crashing_engines.list_late(sent, run.ended, is_only=is_only)
+        late = crashing_engines.list_late(
+            sent,
+            run.ended,
+            is_only=is_only,
+            crashes_until_known=(
+                crashing_parts.CRASHES_UNTIL_KNOWN
+                if body in culprits.BAD_PARTS
+                else crashing_engines.CRASHES_UNTIL_KNOWN
+            ),
+        )
         if len(late) > crashing_engines.MAX_LATE_SENDS:
             yield f"BUDGET: {len(late)} late sends of {body}: {late}"
 
 
+def _herds(run, seen) -> Iterator[str]:
+    for herd in run.herds:
+        since = herd.begin_seconds + crashing_engines.CONTACT_SECONDS
+        if run.disturbed(herd.begin_seconds, herd.end_seconds):
+            continue
+        before = [
+            each for each in seen if each.sent_at_seconds < herd.begin_seconds
+        ]
+        during = [
+            each
+            for each in seen
+            if since < each.sent_at_seconds
+            and each.ended_at_seconds < herd.end_seconds
+        ]
+        if during and _share(during) < MIN_HERD_SHARE * _share(before):
+            yield f"RECOVER: {_share(during):.2f} served in {herd}"
+
+
 def _repeats(run, seen) -> Iterator[str]:
     arrivals = repeat_load.all_arrivals(run.machines)
     for kinds in SERVICES:
--- a/tests/soak/culprits.py
+++ b/tests/soak/culprits.py
@@ -15,10 +15,13 @@
 from tests.soak import plan
 
 CRASH_BODY = "crashes its endpoint"
+# Of prompts that share their first part with sound ones.
+BAD_PARTS = ("bad0", "bad1", "bad2")
 CRASHING_REQUEST = {"crash_body": CRASH_BODY}
 CRASHES = {
     "crashing_request": CRASHING_REQUEST,
     "several_culprits": CRASHING_REQUEST,
+    "bad_parts": {"crash_parts": BAD_PARTS},
     # The kernel closes the connections of the process in good order.
     "crashing_answer": {
         "cut_body": CRASH_BODY,
@@ -63,8 +66,21 @@
             seconds=SEVERAL_SECONDS + fault.for_seconds,
         )
 
+    def _bad_parts(self, fault: plan.Fault) -> None:
+        self._play_culprits(
+            fault,
+            count=1 + fault.what % len(BAD_PARTS),
+            seconds=SEVERAL_SECONDS + fault.for_seconds,
+            parts=BAD_PARTS,
+        )
+
     def _play_culprits(
-        self, fault: plan.Fault, *, count: int, seconds: float
+        self,
+        fault: plan.Fault,
+        *,
+        count: int,
+        seconds: float,
+        parts: tuple[str, ...] = (),
     ) -> None:
         if not self._claim("culprit"):
             return
@@ -72,13 +88,17 @@
         self._crash_faults = CRASHES[fault.kind]
         for name in list(self.machines.endpoints):
             self.machines.faults(name, **self._crash_faults)
-        if count > 1:
+        if count > 1 or parts:
             self._add_desks()
         end = callers.clock() + seconds
         culprits = [
             threading.Thread(
                 target=self._repeat_culprit,
-                args=(f"{CRASH_BODY} {fault.what} {number}", end),
+                args=(
+                    f"{CRASH_BODY} {fault.what} {number}",
+                    end,
+                    parts[number] if parts else "",
+                ),
             )
             for number in range(count)
         ]
@@ -95,16 +115,21 @@
         for number in range(len(desks), DESKS):
             self._start_endpoint(f"desk-{number}")
 
-    def _repeat_culprit(self, body: str, end: float) -> None:
+    def _repeat_culprit(self, body: str, end: float, part: str) -> None:
         gateways = itertools.cycle(range(len(self.machines.gateways)))
         while callers.clock() < end:
-            self._send_culprit(body, next(gateways))
+            self._send_culprit(body, next(gateways), part)
             time.sleep(CULPRIT_PAUSE_SECONDS)
 
-    def _send_culprit(self, body: str, gateway: int) -> None:
+    def _send_culprit(self, body: str, gateway: int, part: str) -> None:
         request_id = os.urandom(8).hex()
-        self.culprit_ids[body].add(request_id)
+        self.culprit_ids[part or body].add(request_id)
         headers = {"Boragefold-Attempt-Id": request_id}
+        if part:
+            body = request_id
+            headers["Boragefold-Prompt-Prefix"] = callers.write_parts(
+                request_id, part
+            )
         try:
             self.machines.ask(
                 "/reads/culprit",
@@ -142,6 +167,7 @@
 
 
 __all__ = [
+    "BAD_PARTS",
     "CRASHES",
     "CulpritFaults",
 ]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -52,6 +52,8 @@
     "crashing_request": 1,
     "crashing_answer": 1,
     "several_culprits": 1,
+    "bad_parts": 2,
+    "herd": 2,
     "unframed_answers": 1,
     "unframed_breaks": 2,
     "cut_off": 2,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import signal
 import threading
 import time
+from typing import NamedTuple
 
 from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
@@ -27,10 +28,19 @@
 # What the callers of a run can exceed, where faults draw many repeats.
 TIGHT_LIMIT = repeat_rule.LIMIT._replace(ratio=0.02, slack=4.0)
 REPEAT_FAULTS = {"break_series", "lost_share"}
+HERD_SECONDS = 6.0
 # Callers who take up streams, beside the others.
 TAKERS = 4
 
 
+class Herd(NamedTuple):
+    """A time in which most new connections went to one gateway."""
+
+    gateway: int
+    begin_seconds: float
+    end_seconds: float
+
+
 class SoakMachines(
     versioned_engines.VersionedEngines, cut_machines.CutMachines
 ):
@@ -100,6 +110,8 @@
         self.cuts: list[endpoint_faults.Cut] = []
         self.falls: list[int] = []
         self.planned_stops: list[tuple[int, float]] = []
+        self.herds: list[Herd] = []
+        self.herd_on: int | None = None
         self.calm_from_seconds = 0.0
         has_unframed = any("unframed" in fault.kind for fault in faults)
         self.callers = [
@@ -190,6 +202,17 @@
     def _inject(self, fault: plan.Fault) -> None:
         getattr(self, f"_{fault.kind}")(fault)
 
+    def _herd(self, fault: plan.Fault) -> None:
+        if not self._claim("herd"):
+            return
+        seconds = HERD_SECONDS + fault.for_seconds
+        begin = callers.clock()
+        self.herd_on = fault.what % len(self.machines.gateways)
+        time.sleep(seconds)
+        self.herds.append(Herd(self.herd_on, begin, callers.clock()))
+        self.herd_on = None
+        self._busy.discard("herd")
+
     def _claim(self, name: str) -> bool:
         # One fault at a time for each process; others may overlap.
         with self._lock:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -151,6 +151,19 @@
     assert len(one.crashed_at_seconds) >= 3
 
 
+def test_parts_of_prompts_that_crash_endpoints_are_refused(tmp_path) -> None:
+    # No two of the requests that held one were alike.
+    faults = [
+        plan.Fault(3.0, "bad_parts", 1, 2.0),
+        plan.Fault(5.0, "kill", 1, 1.0),
+        plan.Fault(7.0, "herd", 0, 1.0),
+    ]
+    length_seconds = LENGTH_SECONDS + 4.0
+    one = _play(tmp_path, faults=faults, length_seconds=length_seconds)
+    assert len(one.crashed_at_seconds) >= 3
+    assert one.herds
+
+
 def test_streams_taken_up_go_on_at_one_software_version(tmp_path) -> None:
     # Streams went on wherever there was room, also at engines that had started
     # again under their names.
