Test what waits, opens connections, completes and goes on with a convicted part

Mutants showed which lines no fast test guarded: the judgement when a connection is open, the waiting requests, the success and the progress that clear parts, and the cause in the log of a refusal.

--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -37,16 +37,21 @@
     def __init__(self) -> None:
         self.finished = self.inside_event = False
         self.ends: list[str] = []
+        self.now = 1.0
+        self.progress: list[float] = []
         self.waiting: list[Any] = []
         nothing = types.SimpleNamespace()
         self.admitted = types.SimpleNamespace(
-            guard=types.SimpleNamespace(causes=crash_causes.RequestCauses(1)),
+            guard=types.SimpleNamespace(
+                causes=crash_causes.RequestCauses(1),
+                record_progress=lambda: self.progress.append(self.now),
+            ),
             request=types.SimpleNamespace(request_id="r"),
             route=types.SimpleNamespace(repeatable=False),
             service=types.SimpleNamespace(name="desk"),
         )
         self.context = types.SimpleNamespace(
-            timers=types.SimpleNamespace(now_seconds=lambda: 1.0),
+            timers=types.SimpleNamespace(now_seconds=lambda: self.now),
             dialect=types.SimpleNamespace(read_answer=lambda *_: FACTS),
             choice=types.SimpleNamespace(
                 ended=lambda *_, **fields: None,
@@ -72,6 +77,9 @@
     def on_answer_started(self) -> None:
         pass
 
+    def forward_data(self, data) -> None:
+        pass
+
     def forward_end(self, status) -> None:
         self.ends.append("whole")
 
@@ -137,3 +145,18 @@
     forwarding.waiting[0](CRASHED)
     assert not forwarding.ends
     assert not attempt.end_without_evidence()
+
+
+def test_an_answer_that_goes_on_clears_the_parts_of_its_prompt(
+    forwarding,
+) -> None:
+    # Streams of minutes kept their first part convicted until their end.
+    attempt = attempts.Attempt(
+        forwarding=forwarding, record=gateways.engine("e1"), version=0
+    )
+    attempt.head(200, {})
+    for at_seconds in (5.0, 6.9, 7.0):
+        assert not forwarding.progress
+        forwarding.now = at_seconds
+        attempt.data(b"data: x")
+    assert forwarding.progress == [5.0 + attempts.PROGRESS_SECONDS]
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -14,6 +14,7 @@
 from tests.fakes import crash_walk
 
 FINGERPRINT = 77
+PART = "5c1e"
 # A new instance may send its first repeat after this.
 EARN_SECONDS = 10.0
 # A request that broke waits no longer than this before it is sent again.
@@ -67,6 +68,23 @@
             context=context,
         )
 
+    def crash_part(self, times, first_number=900):
+        """End endpoints under requests that differ, but share a part."""
+        for number in range(first_number, first_number + times):
+            self._lives += 1
+            self.walk.run(1.0)
+            self.crashes.quarantine.record_crash(
+                break_evidence.DetectedCrash(
+                    break_evidence.EndpointLife("gone", self._lives),
+                    (
+                        crash_messages.Suspect(number, 50),
+                        crash_messages.Suspect(
+                            crash_causes.hash_part(PART), 50
+                        ),
+                    ),
+                )
+            )
+
     def crash(self, times, *others):
         for _ in range(times):
             self._lives += 1
@@ -233,3 +251,63 @@
     assert case.runs() == 1
     case.walk.run(3.0)
     assert [status for status, _ in case.answers] == [200, 200]
+
+
+def test_a_waiting_request_is_refused_when_its_part_is_known(case) -> None:
+    # Requests that had queued since before went on to the next endpoints.
+    case.forwarding(parts=(PART,))
+    case.crash_part(2)
+    assert not case.answers
+    case.crash_part(1)
+    ((status, text),) = case.answers
+    assert status == 503
+    assert '"reason":"crash_suspect"' in text
+
+
+def test_a_request_is_checked_again_when_its_connection_is_open(
+    case, monkeypatch
+) -> None:
+    # Connections that took long were written to after the conviction.
+    monkeypatch.setattr(crash_walk, "TRAVEL_SECONDS", (3.5, 3.5))
+    forwarding = case.forwarding(parts=(PART,))
+    forwarding.begin()
+    case.crashes.quarantine.unwatch(forwarding)
+    case.crash_part(3)
+    case.walk.run(4.5)
+    ((status, text),) = case.answers
+    assert '"reason":"crash_suspect"' in text
+    assert status == 503
+    assert not case.runs()
+
+
+def test_a_success_clears_the_parts_of_its_prompt(case) -> None:
+    # The first part of all prompts of an adapter stayed convicted.
+    case.crash_part(2)
+    case.forwarding(parts=(PART,)).begin()
+    case.walk.run(5.0)
+    assert [status for status, _ in case.answers] == [200]
+    case.crash_part(2, first_number=950)
+    case.forwarding(parts=(PART,), fingerprint=5).begin()
+    case.walk.run(5.0)
+    assert [status for status, _ in case.answers] == [200, 200]
+
+
+def test_a_refused_request_clears_no_part(case) -> None:
+    # It has run nowhere.
+    case.crash_part(3)
+    case.forwarding(parts=(PART,)).begin()
+    causes = crash_causes.RequestCauses(5, (crash_causes.hash_part(PART),))
+    assert case.crashes.quarantine.judge(lambda: causes).quarantined
+
+
+def test_the_log_tells_which_part_a_refusal_rests_on(case) -> None:
+    # A refusal named a fingerprint that no crash had.
+    lines = []
+    quarantine = case.crashes.quarantine
+    quarantine._log.write = lambda event, **fields: lines.append(fields)
+    case.crash_part(3)
+    guard = case.forwarding(parts=(PART,)).admitted.guard
+    assert guard.refusal() is not None
+    (part,) = guard.causes.parts
+    assert lines[-1]["cause"] == crash_causes.describe(part)
+    assert len(lines[-1]["evidence"]) == 3
