--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from tests.fakes import crashing_engines
 from tests.fakes import machines as machines_module
 
 GATEWAYS = 2
+ENGINE_AWAY_SECONDS = 3.0
 
 
 @pytest.fixture(scope="module")
@@ -26,3 +28,22 @@
     yield
     for name in machines.endpoints:
         machines.faults(name)
+
+
+@pytest.fixture
+def start_engines(request, machines):
+    """Start as many engines as the module's ``ENGINES``, with faults."""
+    started = []
+
+    def start(**faults):
+        engines = crashing_engines.Engines(machines, **faults)
+        engines.restart_seconds = ENGINE_AWAY_SECONDS
+        engines.fill(request.module.ENGINES)
+        engines.start()
+        started.append(engines)
+        return engines
+
+    yield start
+    for engines in started:
+        engines.over.set()
+        engines.join()
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -23,24 +23,6 @@
 WITHIN_THE_ANSWER = {"cut_after": 2, "ending": "exit"}
 
 
-@pytest.fixture
-def start_engines(machines):
-    started = []
-
-    def start(**faults):
-        engines = crashing_engines.Engines(machines, **faults)
-        engines.restart_seconds = 3.0
-        engines.fill(ENGINES)
-        engines.start()
-        started.append(engines)
-        return engines
-
-    yield start
-    for engines in started:
-        engines.over.set()
-        engines.join()
-
-
 @pytest.mark.parametrize(
     ("bad_part", "faults"),
     [
--- a/tests/entry/test_several_culprits.py
+++ b/tests/entry/test_several_culprits.py
@@ -26,24 +26,6 @@
 }
 
 
-@pytest.fixture
-def start_engines(machines):
-    started = []
-
-    def start(**faults):
-        engines = crashing_engines.Engines(machines, **faults)
-        engines.restart_seconds = 3.0
-        engines.fill(ENGINES)
-        engines.start()
-        started.append(engines)
-        return engines
-
-    yield start
-    for engines in started:
-        engines.over.set()
-        engines.join()
-
-
 def _make_callers(machines, over, name) -> list[crashing_engines.Caller]:
     bodies = [f"{CRASH_BODY} {name} {n}" for n in range(CULPRITS)]
     bodies += [f"innocent {name} {n}" for n in range(INNOCENTS)]
