--- a/tests/policy/test_crashing_parts.py
+++ b/tests/policy/test_crashing_parts.py
@@ -186,7 +186,7 @@
 
 def test_a_part_goes_one_at_a_time_after_two_endpoints(instance) -> None:
     # Dozens of requests with it waited while endpoints were away.
-    instance.crash((FIRST, BAD), (FIRST, BAD))
+    instance.crash((FIRST, BAD), beside=(BAD,))
     assert instance.lease_key(BAD) is None
     instance.crash((FIRST, BAD))
     key = instance.lease_key(FIRST, BAD)
