Test that a success clears parts everywhere, and that trials of parts are told

Two mutants had passed the tests: a success that clears its request only, as the instance itself remembers the part, and a trial that nobody is told of.

--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -281,15 +281,18 @@
 
 
 def test_a_success_clears_the_parts_of_its_prompt(case) -> None:
-    # The first part of all prompts of an adapter stayed convicted.
+    # The first part of all prompts of an adapter stayed convicted at the
+    # instances that hadn't served it themselves.
     case.crash_part(2)
     case.forwarding(parts=(PART,)).begin()
     case.walk.run(5.0)
     assert [status for status, _ in case.answers] == [200]
     case.crash_part(2, first_number=950)
-    case.forwarding(parts=(PART,), fingerprint=5).begin()
-    case.walk.run(5.0)
-    assert [status for status, _ in case.answers] == [200, 200]
+    case.walk.run(1.0)
+    causes = crash_causes.RequestCauses(5, (crash_causes.hash_part(PART),))
+    for instance in (case.instance, case.other):
+        quarantine = instance.context.crashes.quarantine
+        assert not quarantine.judge(lambda: causes).quarantined
 
 
 def test_a_refused_request_clears_no_part(case) -> None:
--- a/tests/policy/test_crashing_parts.py
+++ b/tests/policy/test_crashing_parts.py
@@ -231,6 +231,22 @@
     assert received.body == news
 
 
+def test_a_trial_of_a_part_is_told_at_once(instance) -> None:
+    # Each instance tried it with a request of its own.
+    for _ in range(3):
+        instance.crash((BAD,))
+    other = Instance()
+    instance.now_seconds = other.now_seconds = 200.0
+    known = instance.known.take_changes(now_seconds=200.0)
+    other.known.merge(known.crashes, now_seconds=200.0)
+    assert not other.judge(BAD).quarantined
+    instance.known.begin_trial(BAD, now_seconds=200.0)
+    told = instance.known.take_changes(now_seconds=200.0)
+    assert not told.crashes
+    assert other.known.merge((), told.trials, now_seconds=200.0)
+    assert other.judge(BAD).retry_after_seconds > 50
+
+
 class Request(NamedTuple):
     """A request: its fingerprint, and the shared parts of its prompt."""
 
