--- a/src/boragefold/policy/crash_excuses.py
+++ b/src/boragefold/policy/crash_excuses.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import itertools
+import math
 from typing import NamedTuple
 
 from boragefold.policy import crash_attribution
@@ -25,17 +26,26 @@
 
     ``unexplained`` is how many crashes may have no other explanation,
     ``failed_trials`` how many there may be since it was first tried, and
-    ``failed_alone`` how many of these without another explanation.
+    ``failed_alone`` how many of these without another explanation. ``crashes``
+    limits them all, for a trial of which the news is late.
     """
 
+    crashes: float
     unexplained: int
     failed_trials: int
     failed_alone: int
 
 
-REQUEST_LIMITS = Limits(unexplained=0, failed_trials=0, failed_alone=0)
+REQUEST_LIMITS = Limits(
+    crashes=crash_attribution.CONVICTION_CRASHES,
+    unexplained=0,
+    failed_trials=0,
+    failed_alone=0,
+)
 # A part runs on many endpoints, of which some crash by themselves.
-PART_LIMITS = Limits(unexplained=2, failed_trials=2, failed_alone=1)
+PART_LIMITS = Limits(
+    crashes=math.inf, unexplained=2, failed_trials=2, failed_alone=1
+)
 # So many crashes without another explanation outweigh earlier successes.
 MAX_CRASHES_OF_SOUND = 5
 # Less likely ones explain little.
@@ -108,6 +118,7 @@
             len(unexplained) > limits.unexplained
             or failed_trials > limits.failed_trials
             or alone > limits.failed_alone
+            or len(crashes) > limits.crashes
         ):
             return frozenset()
         return frozenset().union(*explained)
--- a/tests/policy/test_several_culprits.py
+++ b/tests/policy/test_several_culprits.py
@@ -102,6 +102,17 @@
     assert instance.judge(OTHER).retry_after_seconds > 50
 
 
+def test_a_fourth_crash_has_no_excuse_before_its_trial_is_known(
+    instance,
+) -> None:
+    # News of the trial came later than the crash that it ended in.
+    for _ in range(4):
+        instance.crash(ONE, OTHER)
+    instance.now_seconds += 0.1
+    instance.known.begin_trial(OTHER, now_seconds=instance.now_seconds)
+    assert not instance.find_excuse(OTHER)
+
+
 def test_a_second_culprit_is_no_reason_for_an_early_trial(instance) -> None:
     # Its crashes looked like those of endpoints that end by themselves.
     for _ in range(3):
