Kill a peer only after the answer through its tunnel has begun

The test saw 502, "unknown", once in six plays beside load: its endpoint had begun to run the request, and the peer was killed before the head of the answer had come. That answer is right, and not the case of the test, which is an answer that has begun. It now waits for the head, and asks the same.

--- a/tests/entry/test_broken_tunnels.py
+++ b/tests/entry/test_broken_tunnels.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import itertools
+import threading
 
 import pytest
 
@@ -101,6 +102,7 @@
 def test_an_answer_whose_peer_is_killed_isnt_complete(cut_off) -> None:
     # The kernel closes the tunnels of a killed peer in good order.
     request_id = "00112233445566aa"
+    begun = threading.Event()
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         running = pool.submit(
             _ask,
@@ -108,16 +110,12 @@
             "notes",
             events=LONG_EVENTS,
             request_id=request_id,
+            begun=begun,
         )
         (peer,) = machines_module.eventually(
             lambda: _peers_of(cut_off, request_id)
         )
-        machines_module.eventually(
-            lambda: any(
-                run["headers"]["boragefold-attempt-id"] == request_id
-                for run in cut_off.runs("engine")
-            )
-        )
+        assert begun.wait(BEGIN_SECONDS)
         (number,) = [
             number
             for number, each in enumerate(cut_off.gateways)
--- a/tests/fakes/raw_caller.py
+++ b/tests/fakes/raw_caller.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import threading
 import time
 from typing import NamedTuple
 
@@ -36,7 +37,9 @@
     model="base",
     headers=None,
     request_id="",
+    begun: threading.Event | None = None,
 ) -> Seen:
+    # ``begun`` is set when the head of an answer has come.
     request_id = request_id or os.urandom(8).hex()
     # Requests that are alike would share the blame for crashes.
     body = body or request_id.encode()
@@ -58,12 +61,12 @@
     began = time.monotonic()
     with socket.create_connection((host, int(port)), TIMEOUT_SECONDS) as sock:
         sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
-        status, complete, got, fields = _read(sock)
+        status, complete, got, fields = _read(sock, begun)
     seconds = time.monotonic() - began
     return Seen(request_id, status, complete, got, fields, seconds)
 
 
-def _read(sock):
+def _read(sock, begun):
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method="POST", target="/", headers=[("Host", "")]))
     parser.send(h11.EndOfMessage())
@@ -78,6 +81,8 @@
             return status, False, body, fields
         if isinstance(event, h11.Response):
             status = event.status_code
+            if begun is not None:
+                begun.set()
             fields = {k.decode(): v.decode() for k, v in event.headers}
         elif isinstance(event, h11.Data):
             body += event.data
