Judge the endpoint of a peer's tunnel as that of an own connection

Beside load, callers saw an unframed stream as complete whose endpoint had ended between two events, where the answer came through a peer. The peer probed once, and took an address that drops a new connection, or doesn't answer, for that of a sound endpoint; an endpoint that is ending drops them. The detector of own connections probes up to four times there and asks peers about a refusal: the same question was judged in two places. Tunnels now use it, with the endpoint as it was when the tunnel was opened, and the log tells the verdict.

The new test of the tunnel needs no timing.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -6,6 +6,7 @@
 from boragefold.entry import attempt_owner
 from boragefold.entry import break_evidence
 from boragefold.entry import caller_answer
+from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
 from boragefold.entry import refusals
 from boragefold.entry import request_sendings
@@ -229,11 +230,13 @@
         elif verdict is answer_end.Verdict.UNPROVEN:
             self._awaits_evidence = True
             guard = self._forwarding.admitted.guard
+            ran_seconds = self._ran_seconds()
             self._forwarding.context.crashes.detector.check_closing(
                 self.record,
-                causes=lambda: guard.causes,
-                ran_seconds=self._ran_seconds(),
                 on_evidence=self._judge_closing,
+                list_suspects=lambda: crash_detector.describe_suspects(
+                    guard.causes, ran_seconds
+                ),
             )
         else:
             self._finish()
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -10,7 +10,9 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
+import itertools
 import math
 from typing import NamedTuple
 
@@ -71,11 +73,13 @@
 ]
 
 
+ListSuspects = Callable[[], tuple[crash_messages.Suspect, ...]]
+
+
 class Closing(NamedTuple):
     """A request whose answer ended as its connection was closed."""
 
-    causes: Callable[[], crash_causes.RequestCauses]
-    ran_seconds: float
+    list_suspects: ListSuspects
     closed_at_seconds: float
     on_evidence: Callable[[break_evidence.ClosingEvidence], None]
 
@@ -84,8 +88,7 @@
 class BreakCase:
     """The connections that broke at one endpoint at about the same time.
 
-    ``closings`` are those that may have been closed behind whole answers,
-    ``parts`` tells of how many broken requests each part was in the prompt.
+    ``closings`` are those that may have been closed behind whole answers.
     """
 
     record: deployment.EndpointRecord
@@ -95,9 +98,6 @@
     suspects: list[crash_messages.Suspect] = dataclasses.field(
         default_factory=list
     )
-    parts: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
-    )
     closings: list[Closing] = dataclasses.field(default_factory=list)
     probes: int = 0
     cause: break_evidence.BreakCause = break_evidence.BreakCause.PENDING
@@ -164,40 +164,33 @@
         if reason not in BREAK_REASONS:
             return
         case = self._find_case(record)
-        suspects = _describe_suspects(causes, ran_seconds)
+        suspects = describe_suspects(causes, ran_seconds)
         case.broke_at_seconds = self._timers.now_seconds()
         case.reasons.add(reason)
         case.suspects += suspects
-        case.parts.update(causes.parts)
         if case.cause is break_evidence.BreakCause.CRASHED:
-            self._on_crash(
-                break_evidence.DetectedCrash(_life_of(record), suspects)
-            )
+            self._report(_life_of(record), suspects)
 
     def check_closing(
         self,
         record: deployment.EndpointRecord,
         *,
-        causes: Callable[[], crash_causes.RequestCauses],
-        ran_seconds: float,
         on_evidence: Callable[[break_evidence.ClosingEvidence], None],
+        list_suspects: ListSuspects = tuple,
     ) -> None:
         """Find out why an endpoint closed a connection behind an answer.
 
         :param record: the endpoint, as it was when the request was sent
-        :param causes: computes those of the request, if it is a suspect
-        :param ran_seconds: how long ago the request was sent there
         :param on_evidence: called once, within ``MAX_EVIDENCE_SECONDS``
+        :param list_suspects: called after a crash; a peer whose request it is
+            knows them itself
         """
         case = self._find_case(record)
         now_seconds = self._timers.now_seconds()
         case.reasons.add(CLOSED)
-        closing = Closing(causes, ran_seconds, now_seconds, on_evidence)
+        closing = Closing(list_suspects, now_seconds, on_evidence)
         if case.cause is break_evidence.BreakCause.CRASHED:
-            suspects = _describe_suspects(causes(), ran_seconds)
-            self._on_crash(
-                break_evidence.DetectedCrash(_life_of(record), suspects)
-            )
+            self._report(_life_of(record), list_suspects())
             on_evidence(_describe_evidence(case, closing, listens=False))
             return
         case.closings.append(closing)
@@ -264,18 +257,13 @@
         case.cause = break_evidence.find_cause(result, listed)
         closings, case.closings = case.closings, []
         if case.cause in MAY_CUT_CLOSINGS:
-            for closing in closings:
-                causes = closing.causes()
-                case.parts.update(causes.parts)
-                case.suspects += _describe_suspects(
-                    causes, closing.ran_seconds
-                )
+            case.suspects += itertools.chain.from_iterable(
+                closing.list_suspects() for closing in closings
+            )
         if case.suspects:
             self._write(life, case, result, listed)
         if case.cause is break_evidence.BreakCause.CRASHED:
-            self._on_crash(
-                break_evidence.DetectedCrash(life, tuple(case.suspects))
-            )
+            self._report(life, case.suspects)
             self._timers.once(
                 delay_seconds=CASE_SECONDS,
                 callback=lambda: self._close(life),
@@ -292,6 +280,15 @@
             evidence = _describe_evidence(case, closing, listens=listens)
             closing.on_evidence(evidence)
 
+    def _report(
+        self,
+        life: break_evidence.EndpointLife,
+        suspects: Iterable[crash_messages.Suspect],
+    ) -> None:
+        known = tuple(suspects)
+        if known:
+            self._on_crash(break_evidence.DetectedCrash(life, known))
+
     def _close(self, life: break_evidence.EndpointLife) -> None:
         del self._cases[life]
 
@@ -308,6 +305,11 @@
             for each in case.suspects
             if not crash_causes.is_part(each.fingerprint)
         ]
+        parts = collections.Counter(
+            each.fingerprint
+            for each in case.suspects
+            if crash_causes.is_part(each.fingerprint)
+        )
         took_seconds = self._timers.now_seconds() - case.began_at_seconds
         self._log.write(
             "endpoint_broke",
@@ -323,7 +325,7 @@
             },
             parts={
                 crash_causes.describe(part): count
-                for part, count in case.parts.most_common(MAX_LOGGED_SUSPECTS)
+                for part, count in parts.most_common(MAX_LOGGED_SUSPECTS)
             },
             probe=result.value,
             probes=case.probes,
@@ -337,9 +339,15 @@
     return break_evidence.EndpointLife(record.name, record.born_milliseconds)
 
 
-def _describe_suspects(
+def describe_suspects(
     causes: crash_causes.RequestCauses, ran_seconds: float
 ) -> tuple[crash_messages.Suspect, ...]:
+    """List what may have crashed an endpoint that cut off a request.
+
+    :param causes: those of the request
+    :param ran_seconds: how long ago the request was sent there
+    :return: the suspects
+    """
     ran_milliseconds = round(ran_seconds * MILLISECONDS)
     return tuple(
         crash_messages.Suspect(cause, ran_milliseconds) for cause in causes.all
@@ -359,4 +367,5 @@
 
 __all__ = [
     "CrashDetector",
+    "describe_suspects",
 ]
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import random
 import secrets
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import path_inquiries
 import boragefold.coordination.link as links
+from boragefold.entry import answer_end
 from boragefold.entry import break_evidence
 from boragefold.entry import crash_detector
 from boragefold.entry import endpoint_reach
@@ -17,6 +19,7 @@
 from boragefold.policy import service_choice
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
+from boragefold.state import deployment
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import decision_log
@@ -108,8 +111,15 @@
             token=self._token,
             resolve=self._resolve,
             connect_seconds=connect_seconds,
-            check_crash=self._check_crash,
         )
+        self._detector: crash_detector.CrashDetector | None = None
+
+    def use_detector(self, detector: crash_detector.CrashDetector) -> None:
+        """Judge from now on why endpoints close the connections of tunnels.
+
+        :param detector: judges broken connections
+        """
+        self._detector = detector
 
     def listen(self, settings: gateway_settings.GatewaySettings) -> None:
         """Bind the address at which peers ask for connections.
@@ -139,27 +149,35 @@
             return path_inquiries.Tunnel(0, "")
         return path_inquiries.Tunnel(self.port, self._token)
 
-    def _resolve(self, endpoint: str) -> str | None:
+    def _resolve(self, endpoint: str) -> tunnel_server.Target | None:
         record = self._fleet.endpoint(endpoint)
-        return None if record is None else record.address
+        if record is None:
+            return None
+        return tunnel_server.Target(
+            record.address, functools.partial(self._check_crash, record)
+        )
 
     def _check_crash(
-        self, endpoint: str, on_result: Callable[[bool], None]
+        self,
+        record: deployment.EndpointRecord,
+        on_result: Callable[[bool], None],
     ) -> None:
-        record = self._fleet.endpoint(endpoint)
-        if record is None or record.leaving:
-            on_result(False)
-            return
-        self._client.probe(
-            record.address,
-            lambda result: on_result(
-                break_evidence.find_cause(
-                    result, self._fleet.endpoint(endpoint)
-                )
-                is break_evidence.BreakCause.CRASHED
-            ),
-            settle_seconds=crash_detector.SETTLE_SECONDS,
-        )
+        def judge(evidence: break_evidence.ClosingEvidence) -> None:
+            verdict = answer_end.judge_closing(evidence)
+            self._log.write(
+                "tunnel_closed",
+                endpoint=record.name,
+                verdict=verdict.value,
+                cause=evidence.cause.value,
+                listens=evidence.listens,
+                others_broke=evidence.others_broke,
+            )
+            on_result(verdict is answer_end.Verdict.BROKEN)
+
+        if self._detector is None:
+            judge(break_evidence.NO_EVIDENCE)
+        else:
+            self._detector.check_closing(record, on_evidence=judge)
 
     def _is_near(self, peer: str) -> bool:
         return self._members.identity(peer).data_centre == self._data_centre
--- a/src/boragefold/entry/request_parts.py
+++ b/src/boragefold/entry/request_parts.py
@@ -63,6 +63,19 @@
     :param data_centre: where this instance is
     :return: the parts
     """
+    crashes = crash_protection.connect(
+        client=client,
+        fleet=fleet,
+        link=link,
+        members=members,
+        timers=timers,
+        counters=counters,
+        log=log,
+        rng=rng,
+        is_hub=is_hub,
+        check_refusal=paths.refusals.begin,
+    )
+    paths.use_detector(crashes.detector)
     return request_context.RequestContext(
         fleet=fleet,
         dialect=dialect,
@@ -80,18 +93,7 @@
             rng=rng,
         ),
         rate=rate,
-        crashes=crash_protection.connect(
-            client=client,
-            fleet=fleet,
-            link=link,
-            members=members,
-            timers=timers,
-            counters=counters,
-            log=log,
-            rng=rng,
-            is_hub=is_hub,
-            check_refusal=paths.refusals.begin,
-        ),
+        crashes=crashes,
         reach=paths.reach,
         rooms=loads.rooms,
         rejections=loads.rejections,
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import functools
 import hmac
+from typing import NamedTuple
 
 import h11
 
@@ -29,7 +29,18 @@
 STATUS_UNREACHABLE = 502
 STATUS_FULL = 503
 
-CheckCrash = Callable[[str, Callable[[bool], None]], None]
+CheckCrash = Callable[[Callable[[bool], None]], None]
+
+
+class Target(NamedTuple):
+    """A published endpoint.
+
+    ``check_crash`` finds out whether it has crashed when it closed a
+    connection in good order.
+    """
+
+    address: str
+    check_crash: CheckCrash
 
 
 class TunnelServer:
@@ -42,9 +53,8 @@
         timers: timing.TimerService,
         counters: telemetry.Counters,
         token: str,
-        resolve: Callable[[str], str | None],
+        resolve: Callable[[str], Target | None],
         connect_seconds: float,
-        check_crash: CheckCrash = lambda endpoint, on_result: on_result(False),
     ) -> None:
         """Begin without tunnels.
 
@@ -52,11 +62,9 @@
         :param timers: the process clock
         :param counters: counts the tunnels by outcome
         :param token: what peers must present
-        :param resolve: returns the address of a published endpoint, None if
-            there is none of that name or no tunnels are opened any more
+        :param resolve: returns a published endpoint, None if there is none of
+            that name or no tunnels are opened any more
         :param connect_seconds: how long a connection may take to open
-        :param check_crash: finds out whether an endpoint that closed a
-            connection in good order has crashed
         """
         self._sockets = sockets_
         self._timers = timers
@@ -64,7 +72,6 @@
         self._token = token
         self._resolve = resolve
         self._connect_seconds = connect_seconds
-        self._check_crash = check_crash
         self._tunnels: set[TunnelEntrance] = set()
 
     @property
@@ -104,29 +111,23 @@
             return STATUS_UNKNOWN
         return STATUS_FULL if self.open_count > MAX_TUNNELS else STATUS_OPENED
 
-    def resolve(self, head: h11.Request) -> str | None:
+    def resolve(self, head: h11.Request) -> Target | None:
         """Look up the endpoint that a request names.
 
         :param head: the peer's request
-        :return: its address, None if there is none
+        :return: the endpoint, None if there is none
         """
         return self._resolve(endpoint_name(head))
 
-    def open(
-        self, address: str, endpoint: str, entrance: TunnelEntrance
-    ) -> TunnelExit:
+    def open(self, target: Target, entrance: TunnelEntrance) -> TunnelExit:
         """Open the connection to an endpoint.
 
-        :param address: IP number and port
-        :param endpoint: name of the endpoint
+        :param target: the endpoint
         :param entrance: the peer's side
         :return: the endpoint's side, not yet connected
         """
-        host, _, port = address.rpartition(":")
-        far = TunnelExit(
-            entrance=entrance,
-            check_crash=functools.partial(self._check_crash, endpoint),
-        )
+        host, _, port = target.address.rpartition(":")
+        far = TunnelExit(entrance=entrance, check_crash=target.check_crash)
         far.stream = self._sockets.connect(
             host=host, port=int(port), handler=far
         )
@@ -232,12 +233,12 @@
 
     def _connect(self, head: h11.Request) -> None:
         status = self._server.check(head)
-        address = self._server.resolve(head)
-        if status != STATUS_OPENED or address is None:
+        target = self._server.resolve(head)
+        if status != STATUS_OPENED or target is None:
             self._refuse(status)
             return
         self._parser.next_event()
-        self._exit = self._server.open(address, endpoint_name(head), self)
+        self._exit = self._server.open(target, self)
 
     def _refuse(self, status: int, reason: str = "") -> None:
         self._server.record(reason or str(status))
@@ -258,10 +259,7 @@
     timeout: timing.Subscription
 
     def __init__(
-        self,
-        *,
-        entrance: TunnelEntrance,
-        check_crash: Callable[[Callable[[bool], None]], None],
+        self, *, entrance: TunnelEntrance, check_crash: CheckCrash
     ) -> None:
         self._entrance = entrance
         self._check_crash = check_crash
@@ -319,5 +317,6 @@
 
 
 __all__ = [
+    "Target",
     "TunnelServer",
 ]
--- a/tests/entry/test_crash_detector.py
+++ b/tests/entry/test_crash_detector.py
@@ -81,9 +81,10 @@
     def check_closing(self, fingerprint=7) -> None:
         self.detector.check_closing(
             ENDPOINT,
-            causes=lambda: crash_causes.RequestCauses(fingerprint),
-            ran_seconds=0.5,
             on_evidence=self.evidence.append,
+            list_suspects=lambda: crash_detector.describe_suspects(
+                crash_causes.RequestCauses(fingerprint), 0.5
+            ),
         )
 
     def break_off(self, reason="inside_event", *, parts=()) -> None:
--- a/tests/transport/test_tunnels.py
+++ b/tests/transport/test_tunnels.py
@@ -39,7 +39,13 @@
     def __init__(self):
         self.net = loopback.Loopback()
         self.endpoint = loopback.Listener()
-        self.published = {"e1": self.endpoint.address}
+        self.crashed = False
+        self.published = {
+            "e1": tunnel_server.Target(
+                self.endpoint.address,
+                lambda on_result: on_result(self.crashed),
+            )
+        }
         self.server = tunnel_server.TunnelServer(
             sockets_=self.net.sockets,
             timers=self.net.timers,
@@ -141,6 +147,18 @@
     assert side.ended[0].body == b"{}"
 
 
+def test_an_answer_behind_which_the_endpoint_crashed_isnt_whole(side) -> None:
+    # The kernel closes the connections of a crashed process in good order.
+    side.crashed = True
+    side.call()
+    sock = side.accept()
+    side.net.read(sock)
+    sock.sendall(UNTIL_CLOSED)
+    sock.close()
+    side.net.turn(lambda: bool(side.ended))
+    assert isinstance(side.ended[0], http_client.Failure)
+
+
 def test_a_peer_that_reaches_nothing_has_sent_nothing(side) -> None:
     # "Not run" must be true when the peer can't connect either.
     side.endpoint.close()
