Doubt ends at the same moment once only

A culprit that ran beside others could be sent four times after its third crash: three engines ended under it within 20 ms and counted once, then two and counted once, and only the third moment convicted it. Ends at once may have a cause outside of requests, but hardly each time: the doubt is given to one moment now, the other moments count up to two.

The new test failed before.

--- a/src/boragefold/policy/crash_attribution.py
+++ b/src/boragefold/policy/crash_attribution.py
@@ -106,8 +106,9 @@
 def count_causes(cause: int, crashes: Iterable[Crash]) -> int:
     """Count the crashes that speak against a cause.
 
-    Those of one moment count once, or twice if nothing else ran at two of
-    them but what all requests with that cause hold.
+    Several of one moment count twice. At one of the moments they count once,
+    unless nothing else ran at two of them but what all requests with that
+    cause hold.
 
     :param cause: the cause
     :param crashes: those under it
@@ -124,12 +125,13 @@
             moments[-1].append(crash)
         else:
             moments.append([crash])
-    return sum(
-        MAX_CAUSES_OF_A_MOMENT
-        if _has_nothing_else_in_common(cause, moment)
-        else 1
-        for moment in moments
+    counts = [min(len(each), MAX_CAUSES_OF_A_MOMENT) for each in moments]
+    doubts = (
+        count - 1
+        for count, moment in zip(counts, moments, strict=True)
+        if not _has_nothing_else_in_common(cause, moment)
     )
+    return sum(counts) - max(doubts, default=0)
 
 
 def _has_nothing_else_in_common(cause: int, moment: list[Crash]) -> bool:
--- a/tests/policy/test_several_culprits.py
+++ b/tests/policy/test_several_culprits.py
@@ -137,6 +137,16 @@
     assert instance.judge(ONE).quarantined == quarantined
 
 
+def test_ends_at_once_are_one_cause_only_once(instance) -> None:
+    # A culprit beside others crashed three engines, two, and another one.
+    for _ in range(3):
+        instance.crash(ONE, INNOCENT, after_seconds=0.01)
+    instance.crash(ONE, 40, INNOCENT)
+    assert not instance.judge(ONE).quarantined
+    instance.crash(ONE, 41, INNOCENT, after_seconds=0.09)
+    assert ONE in instance.known.quarantined
+
+
 def test_a_series_of_ends_is_more_than_one_moment(instance) -> None:
     # Each came soon after the one before, and all counted as one cause.
     for _ in range(4):
