Resume streams that break before their endpoint has reported its start

Beside load, callers of a resumable stream saw it broken off although another endpoint of its version was free: it ended some 35 ms after it had begun, and the report that tells which life sent it was still on its way. The decision on a repeat found no endpoint (has_endpoint false, obstacle no_endpoint), as a stream of an unknown life may go on nowhere.

A report on its way now counts as an endpoint that may be found: the next one is asked for its own life first, and the rest is asked for only if the first report has come by then. It speaks for a connection that has ended only if it came on one that was open before data last came, so the rule that a stream goes on only where its first life is known holds as before.

The new tests of the life and of the stream failed before.

--- a/src/boragefold/entry/endpoint_lives.py
+++ b/src/boragefold/entry/endpoint_lives.py
@@ -34,11 +34,12 @@
 
 
 class ReportedLife(NamedTuple):
-    """What an endpoint reported when it was asked."""
+    """What an endpoint reported when it was asked, and on which connection."""
 
     address: str
     born_milliseconds: int
     asked_at_seconds: float
+    opened_at_seconds: float
 
 
 OnConfirmed = Callable[[ConfirmedLife | None], None]
@@ -79,10 +80,13 @@
     def find(
         self, endpoint: str, connection: http_client.ClientConnection
     ) -> deployment.EndpointLife | None:
-        """Tell which life is at the other end of a connection.
+        """Tell which life is, or was, at the other end of a connection.
+
+        The report must have come from the life that was there when data last
+        came: on a connection that was open by then, asked for since.
 
         :param endpoint: name of the endpoint
-        :param connection: one on which data has come just now
+        :param connection: one on which data has come
         :return: the life, None as long as it isn't known
         """
         reported = self._reported.get(endpoint)
@@ -90,6 +94,7 @@
             reported is None
             or reported.address != connection.address
             or reported.asked_at_seconds < connection.opened_at_seconds
+            or reported.opened_at_seconds > connection.received_at_seconds
         ):
             return None
         return self._make_life(endpoint, reported.born_milliseconds)
@@ -111,6 +116,14 @@
         else:
             self._observe(record)
 
+    def is_observed(self, endpoint: str) -> bool:
+        """Tell whether an endpoint is being asked in the background.
+
+        :param endpoint: its name
+        :return: whether a report is on its way
+        """
+        return endpoint in self._observing
+
     def confirm(
         self, record: deployment.EndpointRecord, on_confirmed: OnConfirmed
     ) -> None:
@@ -173,16 +186,20 @@
             answer: whole_answer.WholeAnswer | http_client.Failure,
         ) -> None:
             born = self._read_born(answer)
+            used = pending.last_connection
             self._counters.add("life_reports", "told" if born else "failed")
-            if born:
+            if born and used is not None:
                 self._reported[record.name] = ReportedLife(
-                    record.address, born, asked_at_seconds
+                    record.address,
+                    born,
+                    asked_at_seconds,
+                    used.opened_at_seconds,
                 )
             else:
                 self._failed_at_seconds[record.name] = (
                     self._timers.now_seconds()
                 )
-            on_born(born, pending.last_connection)
+            on_born(born, used)
 
         call = self._dialect.report_call(record)._replace(
             endpoint=record.name, repeatable=True
--- a/src/boragefold/entry/stream_continuity.py
+++ b/src/boragefold/entry/stream_continuity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from boragefold.entry import endpoint_lives
 from boragefold.entry import request_context
@@ -19,6 +20,13 @@
 OnAllowed = Callable[[http_client.ClientConnection | None], None]
 
 
+class Arrival(NamedTuple):
+    """Where the events of a stream came from."""
+
+    record: deployment.EndpointRecord
+    connection: http_client.ClientConnection
+
+
 class StreamContinuity:
     """Decides where the stream of one request may begin or go on.
 
@@ -42,6 +50,7 @@
         self._binding = stream_origin.StreamBinding()
         self._unconfirmed: set[str] = set()
         self._published = False
+        self._began: Arrival | None = None
         self._reads_late = False
         if admitted.origin is not None:
             self._binding.identify(admitted.origin)
@@ -67,7 +76,7 @@
         return (
             record is not None
             and endpoint not in self._unconfirmed
-            and self._binding.allows(record.life)
+            and (self._is_observed or self._binding.allows(record.life))
         )
 
     def lacks_endpoint(self) -> bool:
@@ -128,19 +137,37 @@
             and connection is not None
             and not self._reads_late
         ):
-            self._identify(record, connection)
+            self._began = Arrival(record, connection)
+            self._identify(self._began)
+            if self._awaits_origin:
+                self._context.streams.lives.observe(record, connection)
         if self._binding.origin is not None:
             self._publish(self._binding.origin)
 
     def record_pause(self) -> None:
         """Record that events may be read long after they came."""
         self._reads_late = True
+        self._began = None
 
     @property
     def _awaits_origin(self) -> bool:
         return self._admitted.route.resumable and self._binding.origin is None
 
+    @property
+    def _is_observed(self) -> bool:
+        # Where the stream is to go on, its origin is asked for once more.
+        return (
+            self._awaits_origin
+            and self._began is not None
+            and self._context.streams.lives.is_observed(
+                self._began.record.name
+            )
+        )
+
     def _complete_origin(self) -> None:
+        # Reports come after the first events, and after short streams.
+        if self._awaits_origin and self._began is not None:
+            self._identify(self._began)
         # The entry of a new life comes after its first answers.
         origin = self._binding.origin
         if origin is not None:
@@ -148,15 +175,11 @@
             if stated is not None:
                 self._binding.complete(stated.life)
 
-    def _identify(
-        self,
-        record: deployment.EndpointRecord,
-        connection: http_client.ClientConnection,
-    ) -> None:
-        lives = self._context.streams.lives
-        life = lives.find(record.name, connection)
+    def _identify(self, began: Arrival) -> None:
+        life = self._context.streams.lives.find(
+            began.record.name, began.connection
+        )
         if life is None:
-            lives.observe(record, connection)
             return
         self._binding.identify(life)
         self._context.log.write_ordinary(
@@ -191,6 +214,7 @@
         confirmed: endpoint_lives.ConfirmedLife | None,
         on_allowed: OnAllowed,
     ) -> None:
+        self._complete_origin()
         origin = self._binding.origin
         allowed = confirmed is not None and self._binding.allows(
             confirmed.life
--- a/tests/entry/test_endpoint_lives.py
+++ b/tests/entry/test_endpoint_lives.py
@@ -25,10 +25,11 @@
     def __init__(self):
         self.calls = []
         self.idle = []
+        self.opened_at_seconds = 0.0
 
     def send(self, call, sink):
         connection = types.SimpleNamespace(
-            address=call.address, opened_at_seconds=0.0
+            address=call.address, opened_at_seconds=self.opened_at_seconds
         )
         pending = types.SimpleNamespace(last_connection=connection)
         self.calls.append((sink, connection))
@@ -55,7 +56,9 @@
 
     def connect(self):
         return types.SimpleNamespace(
-            address=RECORD.address, opened_at_seconds=self.now_seconds
+            address=RECORD.address,
+            opened_at_seconds=self.now_seconds,
+            received_at_seconds=self.now_seconds,
         )
 
     def answer(self, born, *, stays_open=True):
@@ -91,6 +94,22 @@
     assert case.lives.find("e1", connection) == RECORD.life
 
 
+@pytest.mark.parametrize(
+    ("opened_after_seconds", "life"), [(-0.001, RECORD.life), (0.001, None)]
+)
+def test_a_report_on_a_connection_opened_behind_the_data_tells_nothing(
+    case, opened_after_seconds, life
+) -> None:
+    # The endpoint may have started again when the stream had ended.
+    connection = case.connect()
+    case.client.opened_at_seconds = case.now_seconds + opened_after_seconds
+    case.lives.observe(RECORD, connection)
+    assert case.lives.is_observed("e1")
+    case.answer(7)
+    assert not case.lives.is_observed("e1")
+    assert case.lives.find("e1", connection) == life
+
+
 def test_a_report_tells_nothing_of_a_connection_opened_later(case) -> None:
     # The endpoint may have started again in between.
     case.lives.observe(RECORD, case.connect())
--- a/tests/entry/test_stream_continuity.py
+++ b/tests/entry/test_stream_continuity.py
@@ -53,6 +53,7 @@
     def __init__(self):
         self.present = {}
         self.known = True
+        self.is_asked = False
         self.observed = []
 
     def find(self, endpoint, connection):
@@ -61,6 +62,9 @@
     def observe(self, record, connection):
         self.observed.append(record.name)
 
+    def is_observed(self, endpoint):
+        return self.is_asked
+
     def confirm(self, record, on_confirmed):
         life = self.present.get(record.name)
         on_confirmed(life and endpoint_lives.ConfirmedLife(life, CONNECTION))
@@ -137,6 +141,25 @@
     assert case.lives.observed == ["e1"]
 
 
+def test_a_life_that_turns_out_behind_the_last_event_counts() -> None:
+    # A stream that broke sooner than its engine reported was broken off.
+    case = Case()
+    case.lives.known, case.lives.is_asked = False, True
+    case.send_events()
+    assert not case.continuity.lacks_endpoint()
+    case.lives.known, case.lives.is_asked = True, False
+    assert case.allows() == ["e1", "e2"]
+
+
+def test_a_stream_goes_on_nowhere_while_its_life_is_asked_for() -> None:
+    case = Case()
+    case.lives.known, case.lives.is_asked = False, True
+    case.send_events()
+    assert case.allows() == ["e1", "e2", "e3"]
+    case.confirm(RECORDS[1])
+    assert case.allowed == [None]
+
+
 def test_a_life_that_turns_out_at_a_later_event_counts() -> None:
     case = Case()
     case.lives.known = False
