--- a/tests/transport/test_tunnels.py
+++ b/tests/transport/test_tunnels.py
@@ -88,6 +88,13 @@
         self.net.turn(arrived)
         return found[0]
 
+    def answer_unframed(self):
+        self.call()
+        sock = self.accept()
+        self.net.read(sock)
+        sock.sendall(UNTIL_CLOSED)
+        return sock
+
     def ask(self, request):
         sock = self.net.connect(self.port)
         sock.sendall(request)
@@ -126,10 +133,7 @@
 
 def test_an_answer_that_is_reset_behind_the_tunnel_isnt_whole(side) -> None:
     # An answer without a length ends with its connection.
-    side.call()
-    sock = side.accept()
-    side.net.read(sock)
-    sock.sendall(UNTIL_CLOSED)
+    sock = side.answer_unframed()
     side.net.turn()
     sock.setsockopt(1, 13, streams.NO_LINGER)
     sock.close()
@@ -138,10 +142,7 @@
 
 
 def test_an_answer_that_ends_in_good_order_is_whole(side) -> None:
-    side.call()
-    sock = side.accept()
-    side.net.read(sock)
-    sock.sendall(UNTIL_CLOSED)
+    sock = side.answer_unframed()
     sock.close()
     side.net.turn(lambda: bool(side.ended))
     assert side.ended[0].body == b"{}"
@@ -150,10 +151,7 @@
 def test_an_answer_behind_which_the_endpoint_crashed_isnt_whole(side) -> None:
     # The kernel closes the connections of a crashed process in good order.
     side.crashed = True
-    side.call()
-    sock = side.accept()
-    side.net.read(sock)
-    sock.sendall(UNTIL_CLOSED)
+    sock = side.answer_unframed()
     sock.close()
     side.net.turn(lambda: bool(side.ended))
     assert isinstance(side.ended[0], http_client.Failure)
