Clear the causes of a success and of progress in one place

The quarantine recorded the sound parts and cleared suspects in two methods that differed only in what they cleared. The guard now says what that is. Behaviour is as before. The docstring on lives says which reports count in plainer words.

--- a/src/boragefold/entry/endpoint_lives.py
+++ b/src/boragefold/entry/endpoint_lives.py
@@ -82,8 +82,8 @@
     ) -> deployment.EndpointLife | None:
         """Tell which life is, or was, at the other end of a connection.
 
-        The report must have come from the life that was there when data last
-        came: on a connection that was open by then, asked for since.
+        A report counts if it was asked for after this connection was opened,
+        and came on one that was open when data last came on this one.
 
         :param endpoint: name of the endpoint
         :param connection: one on which data has come
--- a/src/boragefold/entry/quarantine.py
+++ b/src/boragefold/entry/quarantine.py
@@ -169,39 +169,25 @@
         self._publish()
         return True
 
-    def record_success(
+    def record_sound(
         self,
         request_id: str,
         parts: tuple[int, ...],
-        read_causes: Callable[[], crash_causes.RequestCauses],
+        list_causes: Callable[[], tuple[int, ...]],
     ) -> None:
-        """Record that a request ran to its end.
+        """Record that a request showed what crashes no endpoint.
 
         :param request_id: of the request, for the log
         :param parts: the shared parts of its prompt
-        :param read_causes: computes its causes, called only while there are
+        :param list_causes: lists what is cleared, called only while there are
             suspects
         """
         self._suspects.sound.record(
             parts, now_seconds=self._timers.now_seconds()
         )
-        if self._suspects.has_suspects:
-            self._clear(request_id, read_causes().all)
-
-    def record_progress(self, request_id: str, parts: tuple[int, ...]) -> None:
-        """Record that an answer went on for long enough to clear its parts.
-
-        :param request_id: of the request, for the log
-        :param parts: the shared parts of its prompt
-        """
-        self._suspects.sound.record(
-            parts, now_seconds=self._timers.now_seconds()
-        )
-        if self._suspects.has_suspects:
-            self._clear(request_id, parts)
-
-    def _clear(self, request_id: str, causes: tuple[int, ...]) -> None:
-        cleared = self._suspects.clear(*causes)
+        if not self._suspects.has_suspects:
+            return
+        cleared = self._suspects.clear(*list_causes())
         if not cleared:
             return
         self._log.write_ordinary(
--- a/src/boragefold/entry/request_guard.py
+++ b/src/boragefold/entry/request_guard.py
@@ -100,8 +100,8 @@
 
     def record_success(self) -> None:
         """Record that the request ran to its end."""
-        self._quarantine.record_success(
-            self._request_id, self._parts, self._read_causes
+        self._quarantine.record_sound(
+            self._request_id, self._parts, lambda: self.causes.all
         )
 
     def record_progress(self) -> None:
@@ -111,7 +111,9 @@
         """
         if not self._has_progressed:
             self._has_progressed = True
-            self._quarantine.record_progress(self._request_id, self._parts)
+            self._quarantine.record_sound(
+                self._request_id, self._parts, lambda: self._parts
+            )
 
     def _log_refusal(
         self, verdict: crash_verdict.Verdict
