Offer a request to engines beyond its adapter's order before it is refused

A burst of one adapter reaches the same few engines from all instances, since what is known of their queues is half a second old. Two further engines are asked now, chosen among four by a hash of the request, so that the refused requests don't meet again.

--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 from boragefold.entry import answer_deadline
@@ -12,6 +13,7 @@
 from boragefold.entry import refusals
 from boragefold.entry import request_context
 from boragefold.policy import engine_decisions
+from boragefold.policy import engine_ranking
 from boragefold.policy import engine_schedule
 from boragefold.policy import repeat_decision
 from boragefold.protocol import ids
@@ -23,6 +25,9 @@
 MAX_FAIL_FAST_TRIES = 3
 # Limit for all owners asked, when owners change or queues are too long.
 MAX_TRIES = 5
+# Owners of engines beyond the adapter's order that are asked before a request
+# is refused because the queues of that order are too long.
+MAX_OUTSIDE_TRIES = 2
 # Retry interval while no engine is available.
 RETRY_SECONDS = 0.1
 # Share of the response time that may pass without an available engine.
@@ -56,6 +61,7 @@
         self._tried: list[str] = []
         self._queue_seconds: dict[str, float] = {}
         self._not_loaded_count = 0
+        self._outside_count = 0
         self._engine = ""
         self._queue_times = engine_decisions.QueueTimes()
         self._retry_after_seconds = refusals.RETRY_AFTER_SECONDS
@@ -80,6 +86,9 @@
             )
             del self._queue_seconds[shortest]
             self._request_engine(shortest, eager=False)
+        elif (outside := self._next_outside_engine()) is not None:
+            self._outside_count += 1
+            self._request_engine(outside, eager=False)
         elif self._tried or not self._may_retry():
             self.refuse(
                 refusals.NOT_RUN,
@@ -206,18 +215,33 @@
         may_fail_fast = len(self._queue_seconds) < MAX_FAIL_FAST_TRIES
         if not may_fail_fast or len(self._tried) >= MAX_TRIES:
             return None
+        return next((engine.name for engine in self._untried_engines()), None)
+
+    def _next_outside_engine(self) -> str | None:
+        # Engines beyond the adapter's order need a further copy of it, so
+        # they are asked only for a request that would be refused otherwise.
+        if (
+            self._refusal_reason != engine_schedule.QUEUE_TOO_LONG
+            or self._outside_count >= MAX_OUTSIDE_TRIES
+        ):
+            return None
+        chosen = engine_ranking.choose_outside(
+            self._adapter,
+            self._untried_engines(),
+            request_id=self.admitted.request.request_id,
+        )
+        return None if chosen is None else chosen.name
+
+    def _untried_engines(self) -> Iterator[engine_ranking.EngineView]:
         ranked = self._owner_client.rank(
             self.admitted.service.name, self._adapter, self._owner.statuses()
         )
-        return next(
-            (
-                engine.name
-                for engine in ranked
-                if engine.name not in self._tried
-                and self.may_send_to(engine.name)
-                and not self._is_resting(engine.name)
-            ),
-            None,
+        return (
+            engine
+            for engine in ranked
+            if engine.name not in self._tried
+            and self.may_send_to(engine.name)
+            and not self._is_resting(engine.name)
         )
 
     def _is_resting(self, engine: str) -> bool:
--- a/src/boragefold/policy/engine_ranking.py
+++ b/src/boragefold/policy/engine_ranking.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable
 import functools
+import heapq
 from typing import NamedTuple
 
 import xxhash
@@ -29,6 +30,10 @@
 # Multiplied by the fraction of requests that an engine fails.
 UNHEALTHY_SECONDS = 2.0
 
+# Engines compared for a request that the first of its adapter's order refused.
+# Two remove most imbalance; two more make up for full ones.
+RANDOM_CHOICES = 4
+
 # Sized for the adapters that are requested again and again.
 RANK_CACHE_SIZE = 256
 # The backlog of an engine that no instance schedules is unknown.
@@ -78,6 +83,35 @@
     return [capable[position] for position in order]
 
 
+def choose_outside(
+    key: deployment.AdapterKey,
+    ranked: Iterable[EngineView],
+    *,
+    request_id: str,
+) -> EngineView | None:
+    """Choose an engine when those ranked first have refused a request.
+
+    Load pattern: many requests of one adapter at once. All instances ask the
+    same few engines of its order, which refuse while others are idle. A hash
+    of the request spreads them, so that no other engine takes them all.
+
+    :param key: the adapter that the request needs
+    :param ranked: the engines that may still be asked
+    :param request_id: id of the request
+    :return: the engine with the shortest wait of a few; None without engines
+    """
+    few = heapq.nsmallest(
+        RANDOM_CHOICES,
+        ranked,
+        key=lambda engine: xxhash.xxh3_64_intdigest(
+            "\0".join((request_id, engine.name)).encode()
+        ),
+    )
+    costs = _costs(key, few)
+    best = min(range(len(few)), key=costs.__getitem__, default=None)
+    return None if best is None else few[best]
+
+
 def _can_serve(key: deployment.AdapterKey, engine: EngineView) -> bool:
     if key.model not in engine.models and engine.models:
         return False
@@ -152,5 +186,6 @@
 
 __all__ = [
     "EngineView",
+    "choose_outside",
     "rank",
 ]
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -43,6 +43,8 @@
 MIN_RETRY_AFTER_SECONDS = 0.2
 # Reason of the refusal of an eager request.
 WOULD_BE_LATE = "busy"
+# Reason of the refusal of a request that would start too late to be useful.
+QUEUE_TOO_LONG = "queue_too_long"
 
 
 class EngineSchedule:
@@ -516,12 +518,13 @@
 ) -> engine_decisions.Refusal:
     return engine_decisions.Refusal(
         request=request,
-        reason="queue_too_long",
+        reason=QUEUE_TOO_LONG,
         retry_after_seconds=max(MIN_RETRY_AFTER_SECONDS, excess_seconds),
     )
 
 
 __all__ = [
     "EngineSchedule",
+    "QUEUE_TOO_LONG",
     "WOULD_BE_LATE",
 ]
--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/test_engine_choice.py
@@ -158,3 +158,26 @@
         )
     ]
     assert all(one == other for one, other in rounded)
+
+
+def test_requests_refused_by_an_adapters_order_dont_all_meet_again() -> None:
+    # Guards against refusals while most engines are idle: a burst of one
+    # adapter fills the first engines of its order at all instances.
+    key = engine_loads.key("a1")
+    names = [f"engine-{number}" for number in range(40)]
+    idle = [
+        view(name, backlog_seconds=1.0 if index % 4 == 0 else 0.0)
+        for index, name in enumerate(names)
+    ]
+    chosen = collections.Counter(
+        engine_ranking.choose_outside(key, idle, request_id=f"r{number}").name
+        for number in range(400)
+    )
+    assert max(chosen.values()) < 400 * 4 / len(names)
+    overloaded = sum(chosen[name] for name in names[::4])
+    assert overloaded < 400 / 100
+
+
+def test_nothing_is_chosen_where_no_engine_is_left() -> None:
+    key = engine_loads.key("a1")
+    assert engine_ranking.choose_outside(key, [], request_id="r1") is None
