Don't forward a request that is read after its caller has left

An overloaded instance reads a request seconds after it came; the end of the caller's connection lies right behind it, and the loop learns of it only after the requests of others. The end is looked for once more when a request is admitted, so that it is neither charged nor sent.

--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -140,6 +140,10 @@
         origin: deployment.EndpointLife | None = None,
     ) -> None:
         request, exchange, current, route, workspace, at_seconds = arrival
+        if exchange.has_caller_left():
+            # The connection's end follows and closes the exchange.
+            self._context.counters.add("requests_abandoned", route.kind.value)
+            return
         name = origin.service if origin else self._pick_service(route)
         service = current.services.get(name)
         if service is None:
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -26,6 +26,12 @@
     def abort(self) -> None:
         """Cut the connection."""
 
+    def has_ended(self) -> bool:
+        """Check whether the caller closed the connection.
+
+        :return: whether it did, also if the loop doesn't know it yet
+        """
+
 
 class Exchange:
     """One request and the answer to it."""
@@ -45,6 +51,16 @@
         """
         return self._connection
 
+    def has_caller_left(self) -> bool:
+        """Check whether the caller left before its request was handled.
+
+        In overload, a request may be read after its caller has given it up;
+        the loop learns of that only behind the requests of others.
+
+        :return: whether the caller closed the connection
+        """
+        return self._connection.has_ended()
+
     def start(self, status: int, headers: Headers) -> None:
         """Send the head of the answer; the body follows in pieces.
 
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -186,6 +186,13 @@
         self._exchange = None
         self.stream.abort()
 
+    def has_ended(self) -> bool:
+        """Check whether the caller closed the connection.
+
+        :return: whether it did, also if the loop doesn't know it yet
+        """
+        return self.stream.has_ended()
+
     def _ends_at_close(self, head: h11.Response) -> bool:
         # A caller of HTTP/1.0 knows no chunks.
         return self._parser.their_http_version != HTTP_1_1 and not any(
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -165,6 +165,19 @@
             self._set_linger(NO_LINGER)
         self.abort(reason)
 
+    def has_ended(self) -> bool:
+        """Check whether the other end closed right behind what was read.
+
+        :return: whether nothing more will come; False where bytes that
+            weren't read yet hide it
+        """
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except self.wants_read:
+            return False
+        except OSError:
+            return True
+
     def on_error(self) -> None:
         """Close after an error of the socket; called by the socket set."""
         if self.connecting:
--- a/src/boragefold/transport/tls_streams.py
+++ b/src/boragefold/transport/tls_streams.py
@@ -17,6 +17,13 @@
     wants_read = (BlockingIOError, ssl.SSLWantReadError)
     wants_write = (ssl.SSLWantWriteError,)
 
+    def has_ended(self) -> bool:
+        """Tell nothing: encrypted bytes can't be looked at in advance.
+
+        :return: False
+        """
+        return False
+
     def _decrypted_bytes(self) -> int:
         # Bytes that TLS has decrypted don't make the descriptor readable.
         assert isinstance(self.sock, ssl.SSLSocket)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -141,6 +141,21 @@
     assert not face.exchanges[0].send(b"to nobody")
 
 
+def test_a_caller_that_left_before_its_request_was_read_is_known():
+    # Guards against forwarding a request that its caller gave up while the
+    # loop was busy: the end is read only behind it.
+    face = Face()
+    face.application = face.hold
+    sock = face.net.connect(face.port)
+    sock.sendall(GOOD)
+    waits = face.net.connect(face.port)
+    waits.sendall(GOOD)
+    sock.close()
+    face.net.turn(lambda: len(face.exchanges) == 2)
+    assert [each.has_caller_left() for each in face.exchanges] == [True, False]
+    waits.close()
+
+
 def test_a_cut_answer_does_not_look_whole():
     # The endpoint breaks off. The caller must not see a clean end.
     face = Face()
