Refuse answers that go on without an end

The parser of httptools reports a header line when it has ended and joins what it has of it for every read, so a value of 100 MB took 96 MB and 55 s in the only loop; chunk extensions, interim answers and skipped answers had no limit at all. Bytes fed without payload, answers skipped and their bytes are limited now; payload is not. An answer that changes the protocol (101) raised an error of the parser that left the loop. A sink that collects an answer ends the call once it has too much, and the whole of a collected answer has a limit in time. A connection that always has bytes leaves the loop to others after four reads.

--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -7,14 +7,30 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+from typing import NoReturn
 
 import httptools
 
 MAX_HEADER_BYTES = 32_768
+# What a header line has beside its name and value.
+SEPARATOR_BYTES = len(": \r\n")
+# Bytes of a head that isn't complete, or of framing beyond its share.
+MAX_OVERHEAD_BYTES = 65_536
+# Framing that comes with each piece of a body; tokens are chunks of a few
+# bytes, and a chunk may carry a signature.
+FRAMING_SHARE_BYTES = 256
+# Interim answers, and those to other calls, before the one to this call.
+MAX_SKIPPED_ANSWERS = 64
+MAX_SKIPPED_BYTES = 1_048_576
 # Statuses whose answers have no body, whatever their headers say.
 BODILESS_STATUSES = frozenset({204, 304})
 INTERIM_STATUSES = range(100, 200)
 
+# Why an answer fails.
+MALFORMED = "malformed_answer"
+UNBOUNDED = "unbounded_answer"
+TOO_LARGE = "answer_too_large"
+
 Accepts = Callable[[Mapping[str, str]], bool]
 
 
@@ -43,7 +59,15 @@
 
 
 class AnswerSink(abc.ABC):
-    """Receives one answer; ends with exactly one ``end`` or ``failed``."""
+    """Receives one answer; ends with exactly one ``end`` or ``failed``.
+
+    ``collects`` tells that the answer is of use only when it is whole, so
+    that the time for all of it is limited. ``full`` tells that the sink takes
+    no more of it; the call then fails.
+    """
+
+    collects = False
+    full = False
 
     def sent_through(self, peer: str) -> None:
         """Learn that the call goes through the tunnel of a peer.
@@ -95,6 +119,9 @@
 
     On the way to callers each token is a chunk of its own; parsing these in
     Python took two fifths of the processor time of a streamed token.
+    llhttp reports a line when it has ended, and keeps what it has of it until
+    then, so what is fed without any payload is limited here. ``reason`` tells
+    why an answer is refused.
     """
 
     def __init__(
@@ -113,21 +140,30 @@
         self._accepts = accepts
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
+        self._overhead_bytes = 0
+        self._skipped_answers = 0
+        self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._skipping = False
         self.framing = Framing.NONE
         self.complete = False
         self.keeps_open = False
+        self.reason = MALFORMED
 
     def feed(self, data: bytes) -> bool:
         """Parse bytes.
 
         :param data: a part of the answer
-        :return: False when they are no well-formed answer
+        :return: False when they are no well-formed answer, or go beyond a
+            limit
         """
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES and not self.complete:
+            self.reason = UNBOUNDED
             return False
         return True
 
@@ -155,9 +191,9 @@
         :param name: its name
         :param value: its value
         """
-        self._header_bytes += len(name) + len(value)
+        self._header_bytes += len(name) + len(value) + SEPARATOR_BYTES
         if self._header_bytes > MAX_HEADER_BYTES:
-            raise ValueError("the header is too large")
+            self._refuse(UNBOUNDED)
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
         before = self._headers.get(key)
@@ -165,6 +201,7 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on; called by the parser."""
+        self._overhead_bytes = 0
         status = self._parser.get_status_code()
         # The final answer follows an interim one, and a late second answer to
         # an earlier call would reach another caller.
@@ -174,14 +211,28 @@
         self.framing = find_framing(status, self._headers)
         if not self._skipping:
             self._sink.head(status, self._headers)
+            return
+        self._skipped_answers += 1
+        if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+            self._refuse(UNBOUNDED)
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body on; called by the parser.
 
         :param body: the piece
         """
-        if not self._skipping:
-            self._sink.data(body)
+        size = len(body)
+        self._overhead_bytes -= size + FRAMING_SHARE_BYTES
+        if self._overhead_bytes < 0:
+            self._overhead_bytes = 0
+        if self._skipping:
+            self._skipped_bytes += size
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                self._refuse(UNBOUNDED)
+            return
+        self._sink.data(body)
+        if self._sink.full:
+            self._refuse(TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Note the end; called by the parser."""
@@ -192,6 +243,11 @@
         self.complete = True
         self.keeps_open = self._parser.should_keep_alive()
 
+    def _refuse(self, reason: str) -> NoReturn:
+        # llhttp parses no further after an error of a callback.
+        self.reason = reason
+        raise ValueError(reason)
+
 
 def find_framing(status: int, headers: Mapping[str, str]) -> Framing:
     """Find out what shows the end of an answer's body.
@@ -215,5 +271,8 @@
     "AnswerSink",
     "Failure",
     "Framing",
+    "MALFORMED",
+    "TOO_LARGE",
+    "UNBOUNDED",
     "find_framing",
 ]
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -15,13 +15,16 @@
 
 # These usually have no body and then carry no length either.
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+# Bytes that come singly end no silence of an answer that is collected.
+COLLECTING_FACTOR = 4
 
 
 class Call(NamedTuple):
     """One request to send.
 
     ``fresh`` asks for a new connection. ``progress_seconds`` is how long the
-    other end may be silent, not how long the whole answer may take.
+    other end may be silent, not how long the whole answer may take; one that
+    its sink collects may take ``COLLECTING_FACTOR`` times as long.
     ``may_send`` is asked right before the first byte is written, after any
     connecting; when it says no, nothing is sent. ``accepts`` tells whether an
     answer with these headers is the one to this call. ``expires`` lets nothing
@@ -108,6 +111,7 @@
         self.paused = False
         self.used_before = False
         self.opened_at_seconds = math.inf
+        self.begun_at_seconds = 0.0
         self.progressed_at_seconds = 0.0
         self.received_at_seconds = 0.0
         self._parser: answer_parser.AnswerParser | None = None
@@ -119,7 +123,8 @@
         """
         self.pending = pending
         pending.connection = pending.last_connection = self
-        self.progressed_at_seconds = self._client.now_seconds()
+        self.begun_at_seconds = self._client.now_seconds()
+        self.progressed_at_seconds = self.begun_at_seconds
         if self.opened:
             self._send_call()
 
@@ -147,7 +152,7 @@
             # The answer is whole, but the connection isn't reused.
             self._end(self.pending, self._parser, clean=parsed)
         elif not parsed:
-            self.stream.abort("malformed_answer")
+            self.stream.abort(self._parser.reason)
 
     def drained(self) -> None:
         """Do nothing: a call is written at once."""
@@ -176,6 +181,18 @@
         self.pending = None
         self.stream.abort()
 
+    def is_overdue(self, *, now_seconds: float) -> bool:
+        """Tell whether an answer that is collected takes too long.
+
+        :param now_seconds: reading of the clock
+        :return: whether it does
+        """
+        pending = self.pending
+        if pending is None or not pending.sink.collects:
+            return False
+        allowed = pending.call.progress_seconds * COLLECTING_FACTOR
+        return now_seconds - self.begun_at_seconds > allowed
+
     def give_up(self, reason: str) -> None:
         """Fail the running call and close.
 
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -328,7 +328,8 @@
         for connection in list(self._busy):
             silent = now_seconds - connection.progressed_at_seconds
             allowed = self._allowed_seconds(connection)
-            if silent > allowed and not connection.paused:
+            overdue = connection.is_overdue(now_seconds=now_seconds)
+            if overdue or (silent > allowed and not connection.paused):
                 connection.give_up("timeout")
         self._report_silence()
         for idle in list(self._idle.values()):
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -4,11 +4,14 @@
 
 import abc
 import errno
+import itertools
 import socket
 import struct
 from typing import Protocol
 
 READ_BYTES = 65536
+# Another end that sends without end leaves the loop to the others.
+MAX_READS_IN_A_ROW = 4
 # How a connection ends that the other end closed in good order, or reset.
 END_OF_INPUT = "eof"
 RESET = "reset"
@@ -174,7 +177,9 @@
 
     def on_readable(self) -> None:
         """Read what there is; called by the socket set."""
-        while self.open and self._reading:
+        for reads in itertools.count(1):
+            if not self.open or not self._reading:
+                return
             try:
                 data = self.sock.recv(READ_BYTES)
             except self.wants_read:
@@ -189,7 +194,9 @@
                 self.abort(END_OF_INPUT)
                 return
             self.handler.received(data)
-            if len(data) < READ_BYTES and not self._decrypted_bytes():
+            if self._decrypted_bytes():
+                continue
+            if len(data) < READ_BYTES or reads >= MAX_READS_IN_A_ROW:
                 return
 
     def on_writable(self) -> None:
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from boragefold.transport import answer_parser
 from boragefold.transport import http_client
 from boragefold.transport import streams
 
@@ -26,6 +27,8 @@
 class WholeAnswerSink(http_client.AnswerSink):
     """Collects an answer and passes it on once, or the failure."""
 
+    collects = True
+
     def __init__(
         self,
         *,
@@ -45,7 +48,6 @@
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._overflowed = False
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Note the head.
@@ -62,7 +64,7 @@
         :param data: the piece
         """
         if len(self._body) + len(data) > self._max_bytes:
-            self._overflowed = True
+            self.full = True
         else:
             self._body += data
 
@@ -71,9 +73,9 @@
 
         :param framing: what showed its end
         """
-        if self._overflowed:
+        if self.full:
             failure = http_client.Failure(
-                reason="answer_too_large", may_have_arrived=True
+                reason=answer_parser.TOO_LARGE, may_have_arrived=True
             )
             self._done(failure)
             return
