Read load reports with any number of figures

A fourth figure made the whole report unread, and a figure of thousands of digits raised an error in the conversion. Each figure is read by itself; what can't be read is listed by position, so that it can be logged.

--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -59,6 +59,9 @@
     endpoint's signature. ``busy`` and ``slots`` are the load of the endpoint,
     None if the response doesn't report it. ``bearable_rejections`` are those
     that an endpoint of the service bears in a second, None for any number.
+    ``work_factor`` is the time that work takes there now, relative to normal,
+    None if the response doesn't report it. ``unread_load_figures`` lists the
+    positions of figures of the load that can't be read.
     """
 
     status: int
@@ -69,6 +72,8 @@
     busy: int | None
     slots: int | None
     bearable_rejections: int | None = None
+    work_factor: float | None = None
+    unread_load_figures: tuple[int, ...] = ()
 
     @property
     def no_room(self) -> bool:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -169,6 +169,41 @@
     assert (facts.busy, facts.slots) == (None, None)
 
 
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,1,8", (4, 8, None, ())),
+        ("3, 1, 8, 140", (4, 8, 1.4, ())),
+        ("3,1,8,140,9,x", (4, 8, 1.4, ())),
+        ("3,1", (4, None, None, ())),
+        ("3,1,-8,50", (4, None, 0.5, (3,))),
+        ("3,,8,50.5", (3, 8, 0.505, (2,))),
+        ("3,1,8,nan", (4, 8, None, (4,))),
+        ("3,1,8,-20", (4, 8, None, (4,))),
+        ("3,1,8,0", (4, 8, 0.0, ())),
+        ("\u0663,1,8,100", (1, 8, 1.0, (1,))),
+        ("9" * 9000 + ",1,8,100", (10**9 + 1, 8, 1.0, ())),
+        ("", (None, None, None, (1,))),
+    ],
+)
+def test_what_can_be_read_of_a_load_is_kept(translator, text, load) -> None:
+    # A fourth figure made the whole load unread, and a huge one raised.
+    facts = translator.read_answer(200, {"boragefold-instance-load": text})
+    assert (
+        facts.busy,
+        facts.slots,
+        facts.work_factor,
+        facts.unread_load_figures,
+    ) == load
+
+
+def test_a_count_of_thousands_of_digits_is_bounded(translator) -> None:
+    # Converting it raises, and the caller gets no answer.
+    headers = {"server-brittle": "9" * 9000}
+    facts = translator.read_answer(200, headers)
+    assert facts.bearable_rejections == 10**15
+
+
 @pytest.mark.parametrize(
     ("headers", "bearable"),
     [
