Choose by the expected finish where endpoints report a factor

The load alone sends all instances to the same endpoint, and a slow endpoint gets as much as a fast one. The lasting speed is learned apart from the momentary factor; both the factor and the load of others decay to what is usual at the endpoint, with a random margin against herding. A rejection for want of room is no failure there, since its report tells the load.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -8,6 +8,7 @@
 from boragefold.entry import caller_answer
 from boragefold.entry import crash_detector
 from boragefold.entry import dialect as dialects
+from boragefold.entry import load_reports
 from boragefold.entry import refusals
 from boragefold.entry import request_sendings
 from boragefold.policy import repeat_decision
@@ -175,17 +176,16 @@
         context = self._forwarding.context
         facts = context.dialect.read_answer(status, headers)
         self._status, self._facts = status, facts
-        if facts.busy is not None and facts.slots is not None:
-            context.choice.reported(
-                self.record.name,
-                busy=facts.busy,
-                slots=facts.slots,
-                now_seconds=context.timers.now_seconds(),
-            )
+        load_reports.record(facts, record=self.record, context=context)
         self._record_limit(facts)
-        self._record_result(
-            failed=status in SERVER_ERRORS and not facts.not_held
-        )
+        if facts.no_room and facts.work_factor is not None:
+            # The load that was reported tells more than a failure would.
+            self._result_recorded = True
+            context.choice.withdrawn(self.record.name)
+        else:
+            self._record_result(
+                failed=status in SERVER_ERRORS and not facts.not_held
+            )
         if self._may_repeat(facts):
             self._retry_at_end = True
         elif not facts.not_run and not self._is_invalid(facts):
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -4,7 +4,9 @@
 fails part of its requests while its health check passes. With an even
 distribution, each instance keeps sending it an equal share. Here the observed
 requests decide: failures and slow answers lower an endpoint's share at once,
-and a small remaining share shows when the endpoint has recovered.
+and a small remaining share shows when the endpoint has recovered. Where
+endpoints report how long their work takes, they are ranked by when they would
+finish a request.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 import math
 import random
 
+from boragefold.policy import expected_finish
 from boragefold.policy import rejection_limits
 
 SMOOTHING = 0.2
@@ -27,6 +30,9 @@
 REPORT_SECONDS = 0.5
 # Ranks a failing endpoint behind any that is merely full.
 FAILURE_PENALTY = 4.0
+FAILURE_SECONDS = 10.0
+# Random, because all instances would choose the same endpoint.
+FINISH_JITTER = 0.3
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -62,6 +68,7 @@
             self_address="", peers=frozenset
         )
         self._records: dict[str, EndpointStats] = {}
+        self.finish = expected_finish.ExpectedFinish()
 
     def choose(
         self, endpoints: Iterable[tuple[str, int, bool]], *, now_seconds: float
@@ -71,8 +78,15 @@
         :param endpoints: name, slots and whether it is near, for each usable
             endpoint
         :param now_seconds: reading of the process clock
-        :return: the name of the least loaded one, or None if there is none
+        :return: the name of the least loaded one, or of that which would be
+            the first to finish; None if there is none
         """
+        endpoints = list(endpoints)
+        if any(
+            self.finish.reports_factor(name, now_seconds=now_seconds)
+            for name, _, _ in endpoints
+        ):
+            return self._choose_by_finish(endpoints, now_seconds)
         costs = [
             (self._cost(name, slots, near, now_seconds), name)
             for name, slots, near in endpoints
@@ -114,9 +128,16 @@
         record = self._record(endpoint)
         record.in_flight += 1
         record.sent_at_seconds = now_seconds
+        self.finish.record_sent(endpoint)
 
     def reported(
-        self, endpoint: str, *, busy: int, slots: int, now_seconds: float
+        self,
+        endpoint: str,
+        *,
+        busy: int,
+        slots: int,
+        now_seconds: float,
+        work_factor: float | None = None,
     ) -> None:
         """Record the load that an endpoint reported.
 
@@ -124,7 +145,17 @@
         :param busy: number of requests that run or wait there
         :param slots: number of requests that it runs at once
         :param now_seconds: reading of the process clock
+        :param work_factor: time that work takes there now, relative to
+            normal, None if the endpoint doesn't report it
         """
+        if work_factor is not None:
+            self.finish.record_report(
+                endpoint,
+                busy=busy,
+                slots=slots,
+                factor=work_factor,
+                now_seconds=now_seconds,
+            )
         record = self._record(endpoint)
         record.reported_slots = slots
         record.reported_load = max(0, busy - record.in_flight) / max(1, slots)
@@ -147,6 +178,11 @@
         """
         record = self._record(endpoint)
         record.in_flight = max(0, record.in_flight - 1)
+        self.finish.record_end(
+            endpoint,
+            took_seconds=None if failed else took_seconds,
+            now_seconds=now_seconds,
+        )
         failure_rate = self._failure_rate(record, now_seconds)
         record.failure_rate = failure_rate + SMOOTHING * (
             float(failed) - failure_rate
@@ -167,6 +203,7 @@
         """
         record = self._record(endpoint)
         record.in_flight = max(0, record.in_flight - 1)
+        self.finish.record_withdrawn(endpoint)
 
     def unreachable(self, endpoint: str, *, now_seconds: float) -> None:
         """Record that no connection to an endpoint could be opened.
@@ -190,6 +227,7 @@
         if record is not None:
             record.failure_rate = 0.0
             record.took_seconds = None
+            self.finish.forget_work(endpoint)
 
     def health(self, endpoint: str, *, now_seconds: float) -> float:
         """Return an endpoint's health.
@@ -209,6 +247,21 @@
         :param endpoint: its name
         """
         self._records.pop(endpoint, None)
+        self.finish.drop(endpoint)
+
+    def _choose_by_finish(
+        self, endpoints: list[tuple[str, int, bool]], now_seconds: float
+    ) -> str:
+        def cost(name: str, slots: int, near: bool) -> float:
+            failure_rate = self._failure_rate(self._record(name), now_seconds)
+            excess = max(0.0, failure_rate - TOLERATED_FAILURE_RATE)
+            rank_seconds = self.finish.rank_seconds(
+                name, slots=slots, near=near, now_seconds=now_seconds
+            )
+            jitter = 1.0 + FINISH_JITTER * self._rng.random()
+            return rank_seconds * jitter + FAILURE_SECONDS * excess
+
+        return min((cost(*each), each[0]) for each in endpoints)[1]
 
     def _cost(
         self, name: str, slots: int, near: bool, now_seconds: float
