--- a/src/boragefold/policy/expected_finish.py
+++ b/src/boragefold/policy/expected_finish.py
@@ -239,7 +239,7 @@
         if stats.work_seconds is None:
             return least_seconds * factor
         age_seconds = now_seconds - stats.worked_at_seconds
-        kept = 0.5 ** (age_seconds / WORK_HALF_LIFE_SECONDS)
+        kept = math.exp2(-age_seconds / WORK_HALF_LIFE_SECONDS)
         over_seconds = stats.work_seconds - least_seconds
         return (least_seconds + over_seconds * kept) * factor
 
