--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -15,15 +15,21 @@
 import tracemalloc
 from typing import NamedTuple
 
+from boragefold.entry import engine_messages
 from boragefold.policy import admission
 from boragefold.policy import endpoint_choice
 from boragefold.policy import endpoints as fleet
+from boragefold.policy import engine_decisions
+from boragefold.policy import engine_schedule
+from boragefold.policy import engine_slots
 from boragefold.policy import fair_queue
 from boragefold.policy import fair_share
 from boragefold.policy import overload
 from boragefold.policy import placement
 from boragefold.policy import token_balance
 from boragefold.policy import work as works
+from boragefold.protocol import ids
+from boragefold.state import deployment
 from boragefold.telemetry import counters as telemetry
 
 REPEAT = 5
@@ -31,6 +37,16 @@
 SLOTS = 16
 BATCH_SIZE = 29
 WORKSPACES = 40
+ENGINE_QUEUES = (10, 100, 1_000)
+ENGINE_ADAPTERS = 300
+ENGINE = deployment.Engine(
+    slots=64,
+    kv_tokens=1_000_000,
+    adapter_places=5,
+    weights_mb=74_500.0,
+    loads_per_second=4.0,
+    models=(deployment.Model("m", 2.1, 72_700.0),),
+)
 
 
 class Size(NamedTuple):
@@ -267,6 +283,87 @@
         self.endpoints.refresh(now_seconds=self.now)
 
 
+class EngineSetup:
+    """A full engine that an instance owns, with a queue."""
+
+    def __init__(self, waiting: int) -> None:
+        self.rng = random.Random(1)
+        self.now = 100.0
+        self.numbers = itertools.count()
+        slots = engine_slots.EngineSlots(engine=ENGINE, newest_versions={})
+        held = {f"a{number}": 0 for number in range(ENGINE.adapter_places)}
+        slots.apply_report({"m": held}, {}, now_seconds=0.0)
+        slots.may_order = True
+        self.schedule = engine_schedule.EngineSchedule(
+            engine=ENGINE, slots=slots
+        )
+        for number in range(ENGINE.slots):
+            request = self.request(number % ENGINE.adapter_places)
+            self.schedule.submit(request, now_seconds=self.now)
+            self.schedule.advance(now_seconds=self.now)
+            self.schedule.record_start(
+                request.request_id, now_seconds=self.now
+            )
+        while self.schedule.queued < waiting:
+            self.schedule.submit(self.request(), now_seconds=self.now)
+
+    def request(
+        self, adapter: int | None = None
+    ) -> engine_decisions.EngineRequest:
+        number = self.rng.randrange(ENGINE_ADAPTERS)
+        held = self.rng.randrange(ENGINE.adapter_places)
+        chosen = self.rng.choice((number, held))
+        return engine_decisions.EngineRequest(
+            request_id=f"request-{next(self.numbers)}",
+            sender=ids.InstanceId("here", "10.0.0.1:7000", "one"),
+            adapter=deployment.AdapterKey(
+                "m", f"a{chosen if adapter is None else adapter}"
+            ),
+            prompt_tokens=500,
+            output_tokens=300,
+            priority=self.rng.randrange(3),
+            start_deadline_at_seconds=self.now + self.rng.choice((0.5, 600)),
+            queue_deadline_at_seconds=self.now + 9_000,
+            end_deadline_at_seconds=self.now + 9_000,
+            event_gap_seconds=0.5,
+        )
+
+    def submit(self) -> None:
+        request = self.request()
+        self.schedule.submit(request, now_seconds=self.now)
+        self.schedule.remove(request.request_id, now_seconds=self.now)
+
+    def advance(self) -> None:
+        self.schedule.advance(now_seconds=self.now)
+
+    def due(self) -> None:
+        self.schedule.next_due_seconds(now_seconds=self.now)
+
+    def status(self) -> None:
+        engine_messages.write_status("e", self.schedule, now_seconds=self.now)
+
+    def whole(self) -> None:
+        request = self.request()
+        self.schedule.submit(request, now_seconds=self.now)
+        self.schedule.needs_order()
+        self.schedule.advance(now_seconds=self.now)
+        self.due()
+        self.status()
+        self.schedule.remove(request.request_id, now_seconds=self.now)
+
+
+def measure_engine(waiting: int) -> None:
+    setup = EngineSetup(waiting)
+    print(f"engine with a queue of {setup.schedule.queued}")
+    number = max(5, NUMBER // waiting)
+    show("engine: request", setup.request, number)
+    show("engine: submit and remove", setup.submit, number)
+    show("engine: advance", setup.advance, number)
+    show("engine: next due time", setup.due, number)
+    show("engine: status", setup.status, number)
+    show("engine: all of these", setup.whole, number)
+
+
 def measure(size: Size) -> None:
     tracemalloc.start()
     setup = Setup(size)
@@ -311,5 +408,7 @@
 
 
 if __name__ == "__main__":
+    for queue in ENGINE_QUEUES:
+        measure_engine(queue)
     for each in SIZES:
         measure(each)
