Decide on an engine's queue from sums that are kept with each change

Cause: each event, estimate and status scanned the whole queue, and shedding counted it once for each request without a slot, so that the cost of a decision grew with the square of the queue. Change: policy/engine_queue.py keeps the queue in the order of its rank, the requests and prompt tokens of each adapter and a heap of the queue deadlines; policy/slot_forecast.py holds the state of all adapters for one call of advance; policy/slot_orders.py determines once per order what is the same for all adapters; running requests keep their sums. A submit estimates its wait once instead of up to three times.

--- a/src/boragefold/policy/adapter_slot.py
+++ b/src/boragefold/policy/adapter_slot.py
@@ -30,6 +30,14 @@
     warm: bool = False
     replaces: bool = False
 
+    def is_loading(self, *, now_seconds: float) -> bool:
+        """Check whether the adapter should still be loading.
+
+        :param now_seconds: reading of the process clock
+        :return: whether its load is in progress
+        """
+        return not self.confirmed and self.ready_at_seconds > now_seconds
+
 
 def from_report(
     before: Mapping[AdapterKey, AdapterSlot],
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -12,13 +12,15 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import itertools
+from typing import NamedTuple
 
 from boragefold.policy import engine_decisions
+from boragefold.policy import engine_queue
 from boragefold.policy import engine_slots
 from boragefold.policy import engine_speed
 from boragefold.policy import request_states
@@ -30,6 +32,7 @@
 Action = engine_decisions.Action
 PromptTotals = request_states.PromptTotals
 QueuedRequest = request_states.QueuedRequest
+AdapterQueue = request_states.AdapterQueue
 
 # Part of the time until a request gives up that it may spend in the queue; the
 # rest is for the response.
@@ -45,6 +48,25 @@
 WOULD_BE_LATE = "busy"
 
 
+class SlotWait(NamedTuple):
+    """Estimates how long adapters wait for a slot of one engine."""
+
+    available: int
+    mean_run_seconds: float
+    capacity: int
+
+    def seconds(self, ahead: int) -> float:
+        """Estimate the wait of one adapter.
+
+        :param ahead: how many adapters wait for a slot before it
+        :return: seconds until a slot is free
+        """
+        behind = 1 + ahead - self.available
+        if behind <= 0:
+            return 0.0
+        return self.mean_run_seconds * behind / self.capacity
+
+
 class EngineSchedule:
     """The queue, the running requests and the adapters of one engine."""
 
@@ -58,8 +80,7 @@
         self.slots = slots
         # How long a request is queued before a load is ordered for it.
         self.order_delay_seconds = 0.0
-        self._queue: dict[str, QueuedRequest] = {}
-        self._arrivals = itertools.count()
+        self._queue = engine_queue.EngineQueue()
         self._speed = engine_speed.EngineSpeed()
         self._runs = running_requests.RunningRequests(
             engine=engine, speed=self._speed
@@ -107,13 +128,9 @@
         # prefilled when they have one: counted here, they would send requests
         # of loaded adapters to other engines, where each takes a further slot.
         soon = self._adapters_with_slots()
-        waiting = (
-            request
-            for request in self._queued_requests()
-            if request.adapter in soon
-        )
         return self._prefill_seconds(
-            self._runs.pending_prompts(), request_states.total_prompts(waiting)
+            self._runs.pending_prompts(),
+            *(adapter.totals() for adapter in soon),
         )
 
     def slot_wait_seconds(self) -> float:
@@ -121,7 +138,7 @@
 
         :return: seconds; 0 if a slot is empty or its adapter idle
         """
-        return self._estimate_slot_wait_seconds(self._adapters_without_slot())
+        return self._slot_wait().seconds(self._adapters_without_slot())
 
     def submit(
         self, request: EngineRequest, *, now_seconds: float
@@ -136,23 +153,23 @@
             # Senders retry in case a message was lost; the request keeps its
             # position in the queue.
             return None
-        waiting = QueuedRequest(
-            request=request,
-            arrival_number=next(self._arrivals),
-            queued_at_seconds=now_seconds,
-        )
-        if request.eager and self._would_be_late(waiting, now_seconds):
-            wait_seconds = self._wait_seconds(waiting, now_seconds)
+        waiting = self._queue.prepare(request, now_seconds=now_seconds)
+        wait_seconds = self._wait_seconds(waiting, now_seconds)
+        if request.eager and self._would_be_late(
+            request, wait_seconds, now_seconds
+        ):
             return engine_decisions.Refusal(
                 request=request,
                 reason=WOULD_BE_LATE,
                 retry_after_seconds=0.0,
                 wait_seconds=wait_seconds,
             )
-        excess_seconds = self._excess_seconds(waiting, now_seconds)
+        excess_seconds = self._excess_seconds(
+            request, wait_seconds, now_seconds
+        )
         if excess_seconds > 0:
             return self._refusal(request, excess_seconds)
-        self._queue[request.request_id] = waiting
+        self._queue.add(waiting)
         return None
 
     def find_grant(self, request_id: str) -> engine_decisions.Grant | None:
@@ -173,7 +190,7 @@
         :param request_id: id of the request
         :param now_seconds: reading of the process clock
         """
-        self._queue.pop(request_id, None)
+        self._queue.pop(request_id)
         request = self._runs.end(request_id, now_seconds=now_seconds)
         if request is not None:
             self.slots.record_end(request.adapter, now_seconds=now_seconds)
@@ -188,7 +205,7 @@
         :return: how many were removed
         """
         requests = [
-            *self._queued_requests(),
+            *self._queue.requests(),
             *self._runs.requests(),
         ]
         lost = list(filter(matches, requests))
@@ -216,16 +233,11 @@
         actions: list[Action] = [*self._expire(now_seconds)]
         by_urgency = self._by_urgency(now_seconds)
         actions.extend(self._shed(by_urgency, now_seconds))
-        self._record_progress(now_seconds)
-        ready = (
-            request
-            for request in self._still_queued(by_urgency)
-            if self.slots.is_ready(request.adapter, now_seconds=now_seconds)
-        )
-        for request in ready:
+        self._queue.record_progress(now_seconds=now_seconds)
+        for request in self._ready_requests(by_urgency):
             # Requests behind one that doesn't fit wait too: if shorter ones
             # could pass it, a long prompt would starve.
-            if not self._runs.has_room(request):
+            if not self._has_room(request):
                 break
             actions.append(self._grant(request, now_seconds))
         order = self._next_order(by_urgency, now_seconds)
@@ -237,10 +249,7 @@
         :return: whether a queued request needs an adapter that isn't loaded,
             or a newer version of a loaded one was published
         """
-        lacking = any(
-            not self.slots.holds(request.adapter)
-            for request in self._queued_requests()
-        )
+        lacking = self._adapters_without_slot() > 0
         return lacking or self.slots.outdated() is not None
 
     def next_due_seconds(self, *, now_seconds: float) -> float | None:
@@ -249,74 +258,51 @@
         :param now_seconds: reading of the process clock
         :return: reading of the process clock, or None
         """
-        if not self._queue:
+        expires_at_seconds = self._queue.first_deadline_at_seconds()
+        if expires_at_seconds is None:
             return None
-        expiries = (
-            request.queue_deadline_at_seconds
-            for request in self._queued_requests()
-        )
         dues = self.slots.due_times(now_seconds=now_seconds)
-        return min(itertools.chain(expiries, dues))
+        return min(itertools.chain((expires_at_seconds,), dues))
 
     def _next_order(
-        self, by_urgency: Iterable[QueuedRequest], now_seconds: float
+        self, by_urgency: Sequence[QueuedRequest], now_seconds: float
     ) -> engine_decisions.Order | None:
+        if not self.slots.can_order(now_seconds=now_seconds):
+            return None
         latest_seconds = now_seconds - self.order_delay_seconds
-        awaiting_slot = [
-            waiting.request
-            for waiting in by_urgency
-            if waiting.request.request_id in self._queue
-            and waiting.queued_at_seconds <= latest_seconds
-            and not self.slots.holds(waiting.request.adapter)
-        ]
+        # One request of each adapter, the most urgent one.
+        awaiting_slot: dict[AdapterKey, EngineRequest] = {}
+        for waiting in by_urgency:
+            if (
+                not waiting.adapter.held
+                and waiting.queued_at_seconds <= latest_seconds
+                and waiting.request.request_id in self._queue
+            ):
+                awaiting_slot.setdefault(waiting.adapter.key, waiting.request)
         return self.slots.next_order(
-            awaiting_slot,
-            self._queued_by_adapter(),
+            awaiting_slot.values(),
+            self._queue.counts,
             now_seconds=now_seconds,
             update_loaded=not self.order_delay_seconds,
         )
 
-    def _queued_requests(self) -> Iterator[EngineRequest]:
-        return (waiting.request for waiting in self._queue.values())
-
-    def _record_progress(self, now_seconds: float) -> None:
-        for waiting in self._queue.values():
-            adapter = waiting.request.adapter
-            waiting.record_progress(
-                placed=self.slots.holds(adapter),
-                ready=self.slots.is_ready(adapter, now_seconds=now_seconds),
-                now_seconds=now_seconds,
-            )
-
     def _by_urgency(self, now_seconds: float) -> list[QueuedRequest]:
-        return sorted(
-            self._queue.values(),
-            key=lambda waiting: self._urgency(waiting, now_seconds),
-        )
+        forecast = self.slots.forecast(now_seconds=now_seconds)
+        self._queue.apply_forecast(forecast, now_seconds=now_seconds)
+        return self._queue.by_urgency(self._speed)
 
-    def _still_queued(
+    def _ready_requests(
         self, by_urgency: Iterable[QueuedRequest]
     ) -> Iterator[EngineRequest]:
         return (
             waiting.request
             for waiting in by_urgency
-            if waiting.request.request_id in self._queue
+            if waiting.adapter.ready
+            and waiting.request.request_id in self._queue
         )
 
-    def _urgency(
-        self, waiting: QueuedRequest, now_seconds: float
-    ) -> tuple[bool, int, float, int]:
-        # Requests that can start on time go first. In overload the one that
-        # waited longest is late already; if it went first, it would make each
-        # of the others late in turn.
-        request = waiting.request
-        late = self._is_late(request, now_seconds)
-        return (
-            late,
-            request.priority,
-            request.start_deadline_at_seconds,
-            waiting.arrival_number,
-        )
+    def _has_room(self, request: EngineRequest) -> bool:
+        return self._runs.has_room(request)
 
     def _is_late(self, request: EngineRequest, now_seconds: float) -> bool:
         # A request whose adapter can't be loaded in time is late too: if it
@@ -331,10 +317,8 @@
         return starts_at_seconds > request.start_deadline_at_seconds
 
     def _excess_seconds(
-        self, waiting: QueuedRequest, now_seconds: float
+        self, request: EngineRequest, wait_seconds: float, now_seconds: float
     ) -> float:
-        request = waiting.request
-        wait_seconds = self._wait_seconds(waiting, now_seconds)
         remaining_seconds = request.queue_deadline_at_seconds - now_seconds
         excess_seconds = wait_seconds - MAX_WAIT_SHARE * remaining_seconds
         reading_seconds = self._speed.prefill_seconds(request.prompt_tokens)
@@ -350,19 +334,17 @@
         return max(excess_seconds, late_seconds)
 
     def _would_be_late(
-        self, waiting: QueuedRequest, now_seconds: float
+        self, request: EngineRequest, wait_seconds: float, now_seconds: float
     ) -> bool:
-        request = waiting.request
         # Other instances know the state of this engine as of half a second
         # ago; since then, the idle slot may be taken or a queue have formed.
         held = self.slots.holds(request.adapter)
         if not held and not self.slots.can_load_one_more(
             self._adapters_without_slot(),
-            self._queued_by_adapter(),
+            self._queue.counts,
             now_seconds=now_seconds,
         ):
             return True
-        wait_seconds = self._wait_seconds(waiting, now_seconds)
         reading_seconds = self._speed.prefill_seconds(request.prompt_tokens)
         starts_at_seconds = now_seconds + wait_seconds + reading_seconds
         return starts_at_seconds > request.start_deadline_at_seconds
@@ -370,16 +352,12 @@
     def _wait_seconds(
         self, waiting: QueuedRequest, now_seconds: float
     ) -> float:
-        urgency = self._urgency(waiting, now_seconds)
-        soon = self._adapters_with_slots() | {waiting.request.adapter}
-        ahead = (
-            other.request
-            for other in self._queue.values()
-            if other.request.adapter in soon
-            and self._urgency(other, now_seconds) < urgency
-        )
+        soon = self._adapters_with_slots()
+        if not any(adapter is waiting.adapter for adapter in soon):
+            soon.append(waiting.adapter)
         wait_seconds = self._prefill_seconds(
-            self._runs.pending_prompts(), request_states.total_prompts(ahead)
+            self._runs.pending_prompts(),
+            *self._prompts_ahead(waiting, soon, now_seconds),
         )
         adapter = waiting.request.adapter
         slot_seconds = self.slots.until_ready_seconds(
@@ -390,6 +368,22 @@
         # The engine prefills other prompts while it loads the adapter.
         return max(wait_seconds, slot_seconds)
 
+    def _prompts_ahead(
+        self,
+        waiting: QueuedRequest,
+        adapters: Iterable[AdapterQueue],
+        now_seconds: float,
+    ) -> Iterator[PromptTotals]:
+        # Of the requests that are more urgent than this one.
+        late = self._is_late(waiting.request, now_seconds)
+        for adapter in adapters:
+            ready_at_seconds = now_seconds + self.slots.until_ready_seconds(
+                adapter.key, now_seconds=now_seconds
+            )
+            yield adapter.totals_ahead(
+                waiting.rank, late, ready_at_seconds, self._speed
+            )
+
     def _refusal(
         self, request: EngineRequest, excess_seconds: float
     ) -> engine_decisions.Refusal:
@@ -411,45 +405,43 @@
         # any more before it gives up is refused now, while its caller has time
         # to try another engine.
         reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
+        slot_wait = self._slot_wait()
         awaiting_slot: set[AdapterKey] = set()
         for waiting in by_urgency:
             request = waiting.request
             remaining_seconds = request.queue_deadline_at_seconds - now_seconds
-            if self._has_slot(request):
+            if waiting.adapter.held:
                 wait_seconds = reading_seconds
                 reading_seconds += self._speed.prefill_seconds(
                     request.prompt_tokens
                 )
             else:
-                wait_seconds = self._estimate_slot_wait_seconds(
-                    len(awaiting_slot)
-                )
-                awaiting_slot.add(request.adapter)
-                if self._is_late(request, now_seconds):
+                wait_seconds = slot_wait.seconds(len(awaiting_slot))
+                awaiting_slot.add(waiting.adapter.key)
+                if waiting.late:
                     remaining_seconds *= MAX_LATE_WAIT_SHARE
             if wait_seconds > remaining_seconds:
                 self.remove(request.request_id, now_seconds=now_seconds)
+                slot_wait = self._slot_wait()
                 yield _queue_too_long(
                     request, wait_seconds - remaining_seconds
                 )
 
-    def _estimate_slot_wait_seconds(self, ahead: int) -> float:
-        # Until a slot is free for an adapter with so many others ahead of it.
-        behind = 1 + ahead - self.slots.available(self._queued_by_adapter())
-        if behind <= 0:
-            return 0.0
-        return (
-            self._speed.mean_run_seconds * behind / max(1, self.slots.capacity)
+    def _slot_wait(self) -> SlotWait:
+        return SlotWait(
+            available=self.slots.available(self._queue.counts),
+            mean_run_seconds=self._speed.mean_run_seconds,
+            capacity=max(1, self.slots.capacity),
         )
 
-    def _adapters_with_slots(self) -> set[AdapterKey]:
+    def _adapters_with_slots(self) -> list[AdapterQueue]:
         # The adapters that have a slot, and those that get an idle one now.
-        wanted = self._queued_by_adapter()
-        awaiting_slot = (key for key in wanted if not self.slots.holds(key))
-        coming = set(
-            itertools.islice(awaiting_slot, self.slots.available(wanted))
-        )
-        return coming | {key for key in wanted if self.slots.holds(key)}
+        held = self.slots.held_keys()
+        available = self.slots.available(self._queue.counts)
+        return [
+            *self._queue.adapters_of(held),
+            *self._queue.first_adapters_without(held, available),
+        ]
 
     def _has_slot(self, request: EngineRequest) -> bool:
         return self.slots.holds(request.adapter)
@@ -457,8 +449,11 @@
     def _grant(
         self, request: EngineRequest, now_seconds: float
     ) -> engine_decisions.Grant:
-        queue_times = self._queue.pop(request.request_id).queue_times(
-            now_seconds
+        waiting = self._queue.pop(request.request_id)
+        queue_times = (
+            engine_decisions.QueueTimes()
+            if waiting is None
+            else waiting.queue_times(now_seconds)
         )
         self._runs.add(request, now_seconds=now_seconds)
         self.slots.record_start(request.adapter, now_seconds=now_seconds)
@@ -474,28 +469,12 @@
         )
 
     def _adapters_without_slot(self) -> int:
-        return len(
-            {
-                request.adapter
-                for request in self._queued_requests()
-                if not self.slots.holds(request.adapter)
-            }
-        )
-
-    def _queued_by_adapter(self) -> collections.Counter[AdapterKey]:
-        return collections.Counter(
-            request.adapter for request in self._queued_requests()
-        )
+        return self._queue.count_without(self.slots.held_keys())
 
     def _expire(
         self, now_seconds: float
     ) -> Iterator[engine_decisions.Refusal]:
-        expired = [
-            request
-            for request in self._queued_requests()
-            if request.queue_deadline_at_seconds <= now_seconds
-        ]
-        for request in expired:
+        for request in self._queue.expired(now_seconds=now_seconds):
             self.remove(request.request_id, now_seconds=now_seconds)
             yield engine_decisions.Refusal(
                 request=request,
--- a/src/boragefold/policy/engine_slots.py
+++ b/src/boragefold/policy/engine_slots.py
@@ -10,17 +10,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
-from collections.abc import Sequence
 import itertools
 
-import xxhash
-
 from boragefold.policy import adapter_slot
 from boragefold.policy import engine_decisions
 from boragefold.policy import load_times
 from boragefold.policy import popularity
+from boragefold.policy import slot_forecast
+from boragefold.policy import slot_orders
 from boragefold.state import deployment
 
 AdapterKey = deployment.AdapterKey
@@ -164,6 +164,46 @@
             ready_at_seconds = max(ready_at_seconds, slot.ready_at_seconds)
         return max(0.0, ready_at_seconds - now_seconds)
 
+    def held_keys(self) -> frozenset[AdapterKey]:
+        """List the models and adapters that have their slot.
+
+        :return: those for which :meth:`holds` is true
+        """
+        models = (AdapterKey(model, "") for model in self._models)
+        return frozenset(
+            filter(self.holds, itertools.chain(models, self._slots))
+        )
+
+    def forecast(self, *, now_seconds: float) -> slot_forecast.SlotForecast:
+        """Estimate for all adapters when they could run.
+
+        :param now_seconds: reading of the process clock
+        :return: the same as :meth:`holds`, :meth:`is_ready` and
+            :meth:`until_ready_seconds` of each adapter
+        """
+        held = self.held_keys()
+        warm_seconds = self._load_times.warm_seconds + self.orders_in_seconds
+        until_ready_seconds = dict.fromkeys(
+            self._load_times.warm_adapters(), warm_seconds
+        )
+        for key in held:
+            until_ready_seconds[key] = self.until_ready_seconds(
+                key, now_seconds=now_seconds
+            )
+        cold_seconds = self._load_times.cold_seconds(
+            loads_in_progress=self.loading(now_seconds=now_seconds)
+        )
+        return slot_forecast.SlotForecast(
+            held=held,
+            ready=frozenset(
+                key
+                for key in held
+                if self.is_ready(key, now_seconds=now_seconds)
+            ),
+            until_ready_seconds=until_ready_seconds,
+            otherwise_seconds=cold_seconds + self.orders_in_seconds,
+        )
+
     def version(self, key: AdapterKey) -> int:
         """Look up which version of an adapter is loaded.
 
@@ -225,9 +265,17 @@
             return False
         return self.available(queued_by_adapter) > waiting
 
+    def can_order(self, *, now_seconds: float) -> bool:
+        """Check whether an order may be sent now.
+
+        :param now_seconds: reading of the process clock
+        :return: whether orders are allowed and no delay is in force
+        """
+        return self.may_order and now_seconds >= self._next_order_at_seconds
+
     def next_order(
         self,
-        awaiting_slot: Sequence[engine_decisions.EngineRequest],
+        awaiting_slot: Iterable[engine_decisions.EngineRequest],
         queued_by_adapter: Mapping[AdapterKey, int],
         *,
         now_seconds: float,
@@ -243,19 +291,28 @@
             loaded before a request needs them
         :return: the order; None if there is nothing to order now
         """
-        if not self.may_order or now_seconds < self._next_order_at_seconds:
+        if not self.can_order(now_seconds=now_seconds):
             return None
-        for request in awaiting_slot:
-            order = self._order_for(
-                request.adapter, queued_by_adapter, now_seconds
-            )
-            if order is not None:
-                return order
-        return (
-            self._update_order(queued_by_adapter, now_seconds)
-            if update_loaded
-            else None
+        choice = slot_orders.SlotOrders(
+            models=self._models,
+            loadable_models=()
+            if self._is_changing_model
+            else self._model_seconds,
+            slots=self._slots,
+            newest_versions=self._newest_versions,
+            has_free_slot=self._occupied_slots() < self.capacity,
+            idle=list(self._idle_adapters(queued_by_adapter)),
+            load_times=self._load_times,
+            popularity=self._popularity,
+            issuer=self._issuer,
+            now_seconds=now_seconds,
         )
+        outdated = self.outdated() if update_loaded else None
+        keys = itertools.chain(
+            (request.adapter for request in awaiting_slot),
+            () if outdated is None else (outdated,),
+        )
+        return choice.first_order(keys)
 
     def record_order(
         self,
@@ -355,7 +412,7 @@
         :return: a count
         """
         return sum(
-            not slot.confirmed and slot.ready_at_seconds > now_seconds
+            slot.is_loading(now_seconds=now_seconds)
             for slot in self._slots.values()
         )
 
@@ -411,50 +468,11 @@
         )
         return (due for due in expected if due > now_seconds)
 
-    def _order_for(
-        self,
-        key: AdapterKey,
-        queued_by_adapter: Mapping[AdapterKey, int],
-        now_seconds: float,
-    ) -> engine_decisions.Order | None:
-        if key.model not in self._models:
-            return self._model_order(key.model)
-        if self._models[key.model] > now_seconds or not key.adapter:
-            return None
-        if not self._load_times.may_load(
-            key, loads_in_progress=self.loading(now_seconds=now_seconds)
-        ):
-            return None
-        slot = self._slots.get(key)
-        if slot is not None and slot.unloading:
-            return None
-        if self._occupied_slots() < self.capacity:
-            return engine_decisions.Load(
-                key, self._newest_versions.get(key, 0)
-            )
-        if slot is not None and slot.confirmed and not slot.running_requests:
-            return engine_decisions.Unload(key)
-        victim = self._eviction_candidate(queued_by_adapter, now_seconds)
-        return None if victim is None else engine_decisions.Unload(victim)
-
     def _occupied_slots(self) -> int:
         return len(self._slots) + sum(
             slot.replaces for slot in self._slots.values()
         )
 
-    def _model_order(self, model: str) -> engine_decisions.Order | None:
-        # An engine that restarted is empty; one that holds another model has
-        # no room for this one. While an engine loads a model, it accepts a
-        # second order for it without counting it, so that two instances would
-        # use the same fencing number.
-        if (
-            self._is_changing_model
-            or self._models
-            or model not in self._model_seconds
-        ):
-            return None
-        return engine_decisions.Load(AdapterKey(model, ""), 0)
-
     def outdated(self) -> AdapterKey | None:
         """Find a loaded adapter of which a newer version was published.
 
@@ -468,35 +486,6 @@
         )
         return next(outdated, None)
 
-    def _update_order(
-        self, queued_by_adapter: Mapping[AdapterKey, int], now_seconds: float
-    ) -> engine_decisions.Order | None:
-        # No request may start on the older version much later, so it is
-        # replaced before a request needs the adapter.
-        key = self.outdated()
-        if key is None:
-            return None
-        return self._order_for(key, queued_by_adapter, now_seconds)
-
-    def _eviction_candidate(
-        self, queued_by_adapter: Mapping[AdapterKey, int], now_seconds: float
-    ) -> AdapterKey | None:
-        return min(
-            self._idle_adapters(queued_by_adapter),
-            key=lambda key: (
-                self._popularity.score(key, now_seconds=now_seconds),
-                self._tie_break(key),
-            ),
-            default=None,
-        )
-
-    def _tie_break(self, key: AdapterKey) -> int:
-        # Two instances that take over an engine at once have counted no
-        # requests yet. If both unloaded the same adapter, the engine would
-        # accept the second order without checking the count it expects.
-        text = f"{self._issuer}\0{key.model}\0{key.adapter}"
-        return xxhash.xxh3_64_intdigest(text.encode())
-
     def _idle_adapters(
         self, queued_by_adapter: Mapping[AdapterKey, int]
     ) -> Iterator[AdapterKey]:
--- a/src/boragefold/policy/load_times.py
+++ b/src/boragefold/policy/load_times.py
@@ -96,7 +96,23 @@
         :return: seconds
         """
         if self.is_warm(key):
-            return WARM_LOAD_SECONDS + LOAD_SLACK_SECONDS
+            return self.warm_seconds
+        return self.cold_seconds(loads_in_progress=loads_in_progress)
+
+    @property
+    def warm_seconds(self) -> float:
+        """Estimate how long a load from host memory takes.
+
+        :return: seconds
+        """
+        return WARM_LOAD_SECONDS + LOAD_SLACK_SECONDS
+
+    def cold_seconds(self, *, loads_in_progress: int) -> float:
+        """Estimate how long a load from the store takes that begins now.
+
+        :param loads_in_progress: how many loads the engine has in progress
+        :return: seconds
+        """
         concurrent = 1 + loads_in_progress + self._loads_elsewhere()
         slowdown = max(1.0, concurrent / self._full_speed_loads())
         load_seconds = COLD_LOAD_SECONDS * slowdown
@@ -113,8 +129,20 @@
         """
         if loads_in_progress >= MAX_CONCURRENT_LOADS:
             return False
-        if not loads_in_progress or self.is_warm(key):
+        return self.is_warm(key) or self.may_load_cold(
+            loads_in_progress=loads_in_progress
+        )
+
+    def may_load_cold(self, *, loads_in_progress: int) -> bool:
+        """Check whether one more load from the store may begin.
+
+        :param loads_in_progress: how many loads the engine has in progress
+        :return: whether the engine and the store have capacity for it
+        """
+        if not loads_in_progress:
             return True
+        if loads_in_progress >= MAX_CONCURRENT_LOADS:
+            return False
         return (
             loads_in_progress + self._loads_elsewhere()
             < self._full_speed_loads()
--- a/src/boragefold/policy/running_requests.py
+++ b/src/boragefold/policy/running_requests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterator
 import math
 
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_speed
 from boragefold.policy import prompt_spacing
+from boragefold.policy import removable_heap
 from boragefold.policy import request_states
 from boragefold.state import deployment
 
@@ -33,6 +35,14 @@
         self._engine = engine
         self._speed = speed
         self._runs: dict[str, request_states.RunningRequest] = {}
+        # Those whose response hasn't started, and sums over all.
+        self._unstarted: dict[str, request_states.RunningRequest] = {}
+        self._unstarted_tokens = 0
+        self._total_tokens = 0
+        self._event_gaps: collections.Counter[float] = collections.Counter()
+        self._ends: removable_heap.RemovableHeap[str] = (
+            removable_heap.RemovableHeap()
+        )
         self._last_start_seconds = -math.inf
         self._spacing = prompt_spacing.PromptSpacing(speed=speed)
 
@@ -67,10 +77,18 @@
             request.prompt_tokens,
             is_prefilling=self.pending_prompts().number > 0,
         )
-        self._runs[request.request_id] = request_states.RunningRequest(
+        run = request_states.RunningRequest(
             request=request,
             granted_at_seconds=now_seconds,
         )
+        request_id = request.request_id
+        if (previous := self._runs.get(request_id)) is not None:
+            self._uncount(previous)
+        self._runs[request_id] = self._unstarted[request_id] = run
+        self._unstarted_tokens += request.prompt_tokens
+        self._total_tokens += request.total_tokens
+        self._event_gaps[request.event_gap_seconds] += 1
+        self._ends.push(request_id, request.end_deadline_at_seconds)
 
     def end(
         self, request_id: str, *, now_seconds: float
@@ -84,6 +102,7 @@
         run = self._runs.pop(request_id, None)
         if run is None:
             return None
+        self._uncount(run)
         self._speed.record_end(now_seconds - run.granted_at_seconds)
         return run.request
 
@@ -99,7 +118,7 @@
         run = self._runs.get(request_id)
         if run is None or run.started:
             return None
-        run.started = True
+        self._set_started(run)
         # The engine prefills one prompt after another: this prefill began
         # when the one before it ended, or when the request was granted.
         since_seconds = max(run.granted_at_seconds, self._last_start_seconds)
@@ -114,8 +133,8 @@
 
         :return: their number and tokens
         """
-        return request_states.total_prompts(
-            run.request for run in self._runs.values() if not run.started
+        return request_states.PromptTotals(
+            number=len(self._unstarted), tokens=self._unstarted_tokens
         )
 
     def has_room(self, request: engine_decisions.EngineRequest) -> bool:
@@ -127,11 +146,9 @@
         """
         if len(self._runs) >= self._engine.slots:
             return False
-        if self.pending_prompts().number and self._pauses_responses_too_long(
-            request
-        ):
+        if self._unstarted and self._pauses_responses_too_long(request):
             return False
-        used = sum(each.total_tokens for each in self.requests())
+        used = self._total_tokens
         limit = MAX_KV_CACHE_SHARE * self._engine.kv_tokens
         return not used or used + request.total_tokens <= limit
 
@@ -140,12 +157,12 @@
 
         :param now_seconds: reading of the process clock
         """
-        for run in self._runs.values():
+        for run in list(self._unstarted.values()):
             if (
                 now_seconds - run.granted_at_seconds
                 > START_REPORT_TIMEOUT_SECONDS
             ):
-                run.started = True
+                self._set_started(run)
 
     def overdue(self, *, now_seconds: float) -> list[str]:
         """List the requests that must have ended.
@@ -153,6 +170,9 @@
         :param now_seconds: reading of the process clock
         :return: their ids
         """
+        first = self._ends.first()
+        if first is None or first[0] >= now_seconds:
+            return []
         return [
             request.request_id
             for request in self.requests()
@@ -164,9 +184,23 @@
     ) -> bool:
         return not self._spacing.allows(
             request.prompt_tokens,
-            (each.event_gap_seconds for each in (request, *self.requests())),
+            (request.event_gap_seconds, *self._event_gaps),
         )
 
+    def _uncount(self, run: request_states.RunningRequest) -> None:
+        request = run.request
+        self._set_started(run)
+        self._total_tokens -= request.total_tokens
+        self._event_gaps[request.event_gap_seconds] -= 1
+        if not self._event_gaps[request.event_gap_seconds]:
+            del self._event_gaps[request.event_gap_seconds]
+        self._ends.remove(request.request_id)
+
+    def _set_started(self, run: request_states.RunningRequest) -> None:
+        if self._unstarted.pop(run.request.request_id, None) is not None:
+            self._unstarted_tokens -= run.request.prompt_tokens
+        run.started = True
+
 
 __all__ = [
     "RunningRequests",
