Read how long endpoints stay cold, and the rates of their services

Entries, reports and the headers of responses may state a remaining cold time. Subscribers to entries also get those that change nothing: a second cold time may be stated as the same number as the first. tests/platform pass.

--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -59,6 +59,7 @@
     endpoint's signature. ``busy`` and ``slots`` are the load of the endpoint,
     None if the response doesn't report it. ``bearable_rejections`` are those
     that an endpoint of the service bears in a second, None for any number.
+    ``cold_seconds`` is how long the endpoint stays cold, None if unstated.
     """
 
     status: int
@@ -69,6 +70,7 @@
     busy: int | None
     slots: int | None
     bearable_rejections: int | None = None
+    cold_seconds: float | None = None
 
     @property
     def no_room(self) -> bool:
--- a/src/boragefold/entry/engine_dialect.py
+++ b/src/boragefold/entry/engine_dialect.py
@@ -13,12 +13,16 @@
 
 
 class AdapterReport(NamedTuple):
-    """An engine's report of its loaded adapters and its order count."""
+    """An engine's report of its loaded adapters and its order count.
+
+    ``cold_seconds`` is how long the engine stays cold, None if unstated.
+    """
 
     counted: fencing_numbers.OrderCount
     held: dict[str, dict[str, int]]
     coming: dict[deployment.AdapterKey, int]
     busy: bool
+    cold_seconds: float | None = None
 
 
 class OrderOutcome(enum.Enum):
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from boragefold.policy import cold_limit
 from boragefold.policy import repeat_budget
 from boragefold.policy import shared_rate
 
@@ -40,6 +41,7 @@
     rate_tolerance: shared_rate.Tolerance = shared_rate.Tolerance()
     link_megabits: float = 0.0
     tunnel_listen: str = ""
+    cold_tolerance: cold_limit.Tolerance = cold_limit.Tolerance()
 
 
 def check(settings: GatewaySettings) -> None:
@@ -79,6 +81,13 @@
             "order_lease_seconds must be above zero; give the time that two "
             "givers of orders must be apart"
         )
+    tolerance = settings.cold_tolerance
+    # Written so that not-a-number is refused as well.
+    if not (tolerance.overage >= 0 and tolerance.slack >= 0):
+        raise BadSettings(
+            f"cold_tolerance is {tuple(tolerance)}; give an overage and a "
+            "slack that are zero or more"
+        )
 
 
 __all__ = [
--- a/src/boragefold/state/deployment.py
+++ b/src/boragefold/state/deployment.py
@@ -86,12 +86,19 @@
 
 
 class Service(NamedTuple):
-    """Endpoints of one kind; ``engine`` is None for a plain service."""
+    """Endpoints of one kind; ``engine`` is None for a plain service.
+
+    An endpoint is cold for ``cold_start_seconds`` after it starts. While it is
+    cold it sustains ``cold_requests_per_second``; 0 means that it sustains as
+    many as a warm one.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold_start_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 class Workspace(NamedTuple):
@@ -174,7 +181,9 @@
     an endpoint that starts again under its name; 0 where it says nothing.
     ``leaves_in_seconds`` is what was left of a short notice when it was given.
     ``software_version`` is that of the endpoint's own program, empty where it
-    states none.
+    states none. ``cold_seconds`` is how long it stayed cold when this was
+    written, 0 if it was warm or stated nothing usable; ``cold_stated`` tells
+    these apart.
     """
 
     name: str
@@ -187,6 +196,8 @@
     born_milliseconds: int
     held: dict[str, dict[str, int]]
     software_version: str = ""
+    cold_seconds: float = 0.0
+    cold_stated: bool = False
 
     @property
     def life(self) -> EndpointLife:
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -19,6 +19,7 @@
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
         self._subscribers: list[Callable[[], None]] = []
+        self._on_entry: list[Callable[[EndpointRecord], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Be told of each change.
@@ -27,6 +28,15 @@
         """
         self._subscribers.append(callback)
 
+    def subscribe_entries(
+        self, callback: Callable[[EndpointRecord], None]
+    ) -> None:
+        """Be told of each entry, also of one that changes nothing.
+
+        :param callback: called with the entry after it was taken over
+        """
+        self._on_entry.append(callback)
+
     def set_deployment(self, deployment: deployments.Deployment) -> bool:
         """Put a version into force.
 
@@ -60,6 +70,8 @@
         if self._endpoints.get(record.name) != record:
             self._endpoints[record.name] = record
             self._changed()
+        for callback in self._on_entry:
+            callback(record)
 
     def drop_endpoint(self, name: str) -> None:
         """Note that an endpoint is gone.
@@ -123,6 +135,16 @@
         service = self.deployment.services.get(record.service)
         return None if service is None else service.engine
 
+    def service_of(self, record: EndpointRecord) -> deployments.Service | None:
+        """Find the service of an endpoint.
+
+        :param record: the endpoint
+        :return: None for an unknown one
+        """
+        if self.deployment is None:
+            return None
+        return self.deployment.services.get(record.service)
+
     def caller_limits(self) -> deployments.CallerLimits | None:
         """Return the limits for callers.
 
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -15,6 +15,9 @@
     "api_keys",
     "kv_capacity_tokens",
     "adapter_slots",
+    "cold_per_s",
+    "cold_remaining_ms",
+    "cold_start_s",
     "store_revision",
 )
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import json
+import math
 import pathlib
 
 import pytest
 import settings
 
+from boragefold.policy import cold_limit
 from boragefold.settings import gateway
 
 SETTINGS = {
@@ -50,6 +52,14 @@
     assert found.retry_limit.slack == 54
 
 
+def test_the_limits_of_cold_endpoints(tmp_path) -> None:
+    # Without them, a cold endpoint gets no more than it sustains.
+    assert read(tmp_path, SETTINGS).cold_tolerance == (1.0, 0.0)
+    bounds = {**SETTINGS["bounds"], "cold_overage": 1.5, "cold_slack": 5}
+    found = read(tmp_path, {**SETTINGS, "bounds": bounds})
+    assert found.cold_tolerance == (1.5, 5.0)
+
+
 def test_tunnels_use_the_first_port_that_is_free_for_instances(
     tmp_path,
 ) -> None:
@@ -78,6 +88,8 @@
         ({"seeds": ("10.1.1.1",)}, "seeds"),
         ({"data_centre": "z"}, "data_centre"),
         ({"order_lease_seconds": 0.0}, "order_lease_seconds"),
+        ({"cold_tolerance": cold_limit.Tolerance(-1.0, 5.0)}, "cold_"),
+        ({"cold_tolerance": cold_limit.Tolerance(1.5, math.nan)}, "cold_"),
     ],
 )
 def test_values_that_cant_be_used_are_named(tmp_path, changes, named) -> None:
