Keep an engine's grants within its rate while it is cold

One question before a grant, one record after it, one term in the estimates of queued requests and one due time. A request that would start late behind the rate is refused while other engines can still serve it on time.

--- a/src/boragefold/entry/engine_messages.py
+++ b/src/boragefold/entry/engine_messages.py
@@ -90,7 +90,12 @@
         name=name,
         models=slots.models(),
         adapters=tuple((key.model, key.adapter) for key in slots.held()),
-        backlog_seconds=_round_up(schedule.backlog_seconds()),
+        backlog_seconds=_round_up(
+            max(
+                schedule.backlog_seconds(),
+                schedule.cold_wait_seconds(now_seconds=now_seconds),
+            )
+        ),
         place_wait_seconds=_round_up(schedule.slot_wait_seconds()),
         loading=slots.loading(now_seconds=now_seconds),
         orders_in_seconds=_round_up(slots.orders_in_seconds),
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterator
 import itertools
 
+from boragefold.policy import cold_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_slots
 from boragefold.policy import engine_speed
@@ -56,6 +57,7 @@
     ) -> None:
         self.engine = engine
         self.slots = slots
+        self.cold = cold_limit.ColdLimit()
         # How long a request is queued before a load is ordered for it.
         self.order_delay_seconds = 0.0
         self._queue: dict[str, QueuedRequest] = {}
@@ -123,6 +125,14 @@
         """
         return self._estimate_slot_wait_seconds(self._adapters_without_slot())
 
+    def cold_wait_seconds(self, *, now_seconds: float) -> float:
+        """Estimate how long a cold engine's rate delays one more request.
+
+        :param now_seconds: reading of the process clock
+        :return: seconds; 0 if the engine is warm or has no such rate
+        """
+        return self.cold.wait_seconds(self.queued, now_seconds=now_seconds)
+
     def submit(
         self, request: EngineRequest, *, now_seconds: float
     ) -> engine_decisions.Refusal | None:
@@ -225,7 +235,9 @@
         for request in ready:
             # Requests behind one that doesn't fit wait too: if shorter ones
             # could pass it, a long prompt would starve.
-            if not self._runs.has_room(request):
+            if not self._runs.has_room(request) or not self.cold.may_send(
+                request.request_id, now_seconds=now_seconds
+            ):
                 break
             actions.append(self._grant(request, now_seconds))
         order = self._next_order(by_urgency, now_seconds)
@@ -256,7 +268,8 @@
             for request in self._queued_requests()
         )
         dues = self.slots.due_times(now_seconds=now_seconds)
-        return min(itertools.chain(expiries, dues))
+        cold_dues = self.cold.due_times(now_seconds=now_seconds)
+        return min(itertools.chain(expiries, dues, cold_dues))
 
     def _next_order(
         self, by_urgency: Iterable[QueuedRequest], now_seconds: float
@@ -344,6 +357,9 @@
         backlog_seconds = self.backlog_seconds()
         if not self._has_slot(request):
             backlog_seconds = max(backlog_seconds, self.slot_wait_seconds())
+        backlog_seconds = max(
+            backlog_seconds, self.cold_wait_seconds(now_seconds=now_seconds)
+        )
         late_seconds = (
             backlog_seconds - MAX_LATE_WAIT_SHARE * remaining_seconds
         )
@@ -378,8 +394,12 @@
             if other.request.adapter in soon
             and self._urgency(other, now_seconds) < urgency
         )
-        wait_seconds = self._prefill_seconds(
-            self._runs.pending_prompts(), request_states.total_prompts(ahead)
+        prompts_ahead = request_states.total_prompts(ahead)
+        wait_seconds = max(
+            self._prefill_seconds(self._runs.pending_prompts(), prompts_ahead),
+            self.cold.wait_seconds(
+                prompts_ahead.number, now_seconds=now_seconds
+            ),
         )
         adapter = waiting.request.adapter
         slot_seconds = self.slots.until_ready_seconds(
@@ -412,9 +432,13 @@
         # to try another engine.
         reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
         awaiting_slot: set[AdapterKey] = set()
+        kept = 0
         for waiting in by_urgency:
             request = waiting.request
             remaining_seconds = request.queue_deadline_at_seconds - now_seconds
+            cold_seconds = self.cold.wait_seconds(
+                kept, now_seconds=now_seconds
+            )
             if self._has_slot(request):
                 wait_seconds = reading_seconds
                 reading_seconds += self._speed.prefill_seconds(
@@ -427,11 +451,19 @@
                 awaiting_slot.add(request.adapter)
                 if self._is_late(request, now_seconds):
                     remaining_seconds *= MAX_LATE_WAIT_SHARE
+            if cold_seconds and self._is_late(
+                request, now_seconds + cold_seconds
+            ):
+                # An engine that isn't cold may still serve it on time.
+                remaining_seconds *= MAX_LATE_WAIT_SHARE
+            wait_seconds = max(wait_seconds, cold_seconds)
             if wait_seconds > remaining_seconds:
                 self.remove(request.request_id, now_seconds=now_seconds)
                 yield _queue_too_long(
                     request, wait_seconds - remaining_seconds
                 )
+            else:
+                kept += 1
 
     def _estimate_slot_wait_seconds(self, ahead: int) -> float:
         # Until a slot is free for an adapter with so many others ahead of it.
@@ -461,6 +493,7 @@
             now_seconds
         )
         self._runs.add(request, now_seconds=now_seconds)
+        self.cold.record(now_seconds=now_seconds)
         self.slots.record_start(request.adapter, now_seconds=now_seconds)
         version = self.slots.version(request.adapter)
         return engine_decisions.Grant(
