Limit what all instances send to cold endpoints

Owners apply the limit to the engines they own, and an engine without a known owner gets nothing while it is cold: each instance would send there at once.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -182,6 +182,8 @@
                 slots=facts.slots,
                 now_seconds=context.timers.now_seconds(),
             )
+        if facts.cold_seconds is not None:
+            context.cold.record_answer(self.record, facts.cold_seconds)
         self._record_limit(facts)
         self._record_result(
             failed=status in SERVER_ERRORS and not facts.not_held
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -9,6 +9,7 @@
 from boragefold.coordination.fleet import order_turns
 from boragefold.coordination.fleet import owner_changes
 import boragefold.coordination.link as links
+from boragefold.entry import cold_endpoints
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import engine_messages
 from boragefold.entry import owned_engine
@@ -53,6 +54,7 @@
             [deployment.EndpointRecord], owner_changes.OwnerChange
         ],
         is_cut_off: Callable[[str], bool] = lambda engine: False,
+        cold: cold_endpoints.ColdEndpoints | None = None,
     ) -> None:
         """Subscribe to the messages of instances that use owned engines.
 
@@ -72,6 +74,7 @@
             owning an engine
         :param is_cut_off: whether peers reach an engine and this instance
             doesn't
+        :param cold: knows the cold engines; None if none has a limit
         """
         self._link = link
         self._fleet = fleet
@@ -87,6 +90,7 @@
         self._count_other_loads = count_other_loads
         self._owner_change = owner_change
         self._is_cut_off = is_cut_off
+        self._cold = cold
         # Both are updated once per call of set_owned: computing them for each
         # decision costs more than the decision if there are many engines.
         self._other_loads = 0
@@ -259,6 +263,7 @@
             counters=self._counters,
             log=self._log,
             on_changed=lambda: self._run_engine(record.name),
+            cold=self._cold,
         )
 
     def _loads_on_other_engines(self, name: str) -> int:
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -156,9 +156,12 @@
         self._loads = service_loads.connect(
             link=self._link,
             members=self._members,
+            fleet=self._fleet,
             timers=self.timers,
             counters=self.counters,
+            log=self.log,
             rng=self._rng,
+            cold_tolerance=lambda: self.settings.cold_tolerance,
         )
         self._paths = peer_paths.PeerPaths(
             client=self._client,
@@ -190,6 +193,7 @@
             health=lambda endpoint: self._loads.choice.health(
                 endpoint, now_seconds=self.timers.now_seconds()
             ),
+            needs_grant=self._loads.cold.is_engine_limited,
         )
         self._relay = relay.Relay(
             link=self._link,
@@ -205,6 +209,10 @@
             timers=self.timers,
             limits=self._fleet.caller_limits,
             ready=self.ready,
+            status=lambda: {
+                "ready": self.ready(),
+                "cold_seconds": self._loads.cold.remaining_seconds(),
+            },
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -326,6 +334,7 @@
             count_other_loads=self._count_other_loads,
             owner_change=self._ownership.change,
             is_cut_off=self._paths.reach.is_cut_off,
+            cold=self._loads.cold,
         )
 
     def _count_other_loads(self) -> int:
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
+
+import msgspec
 
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
@@ -15,6 +18,8 @@
 
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
+STATUS_PATH = "/status"
+JSON = ("Content-Type", "application/json")
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -32,6 +37,7 @@
         timers: timing.TimerService,
         limits: Callable[[], deployment.CallerLimits | None],
         ready: Callable[[], bool],
+        status: Callable[[], dict[str, Any]],
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -42,12 +48,14 @@
         :param limits: returns the limits for callers; None before the first
             deployment
         :param ready: tells whether the balancer should send callers here
+        :param status: describes the state of this instance for operators
         """
         self._sockets = sockets_
         self._counters = counters
         self._timers = timers
         self._limits = limits
         self._ready = ready
+        self._status = status
         self.callers = callers.CallersFace(
             sockets_=sockets_,
             application=application,
@@ -66,7 +74,7 @@
         self.callers.listen(host=host, port=port, tls=None)
         self._serve(settings.ready_listen, self._answer_ready)
         if settings.metrics_listen:
-            self._serve(settings.metrics_listen, self._answer_metrics)
+            self._serve(settings.metrics_listen, self._answer_operators)
         self._timers.every(
             period_seconds=SLOW_CHECK_SECONDS,
             callback=self._refuse_slow_callers,
@@ -91,12 +99,16 @@
         status = STATUS_READY if self._ready() else STATUS_NOT_READY
         exchange.reply(status, [], b"")
 
-    def _answer_metrics(
+    def _answer_operators(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
         # Imported on first use: most instances are never scraped.
         from boragefold.telemetry import exposition
 
+        if request.target.partition("?")[0] == STATUS_PATH:
+            body = msgspec.json.encode(self._status())
+            exchange.reply(STATUS_READY, [JSON], body)
+            return
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
 
     def _refuse_slow_callers(self) -> None:
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -7,6 +7,7 @@
 
 from boragefold.coordination.fleet import order_lease
 from boragefold.coordination.fleet import order_turns
+from boragefold.entry import cold_endpoints
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import order_descriptions
 from boragefold.entry import sent_order
@@ -46,6 +47,7 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         on_changed: Callable[[], None],
+        cold: cold_endpoints.ColdEndpoints | None = None,
     ) -> None:
         self.record = record
         self.schedule = schedule
@@ -58,6 +60,7 @@
         self._counters = counters
         self._log = log
         self._on_changed = on_changed
+        self._cold = cold
         self._report_pending = False
         self._asked_report_at_seconds = -math.inf
         # When the newest known report was requested.
@@ -135,6 +138,7 @@
             or self._needs_report(elapsed_seconds)
         ):
             self.request_report()
+        self._update_cold()
         actions = self.schedule.advance(now_seconds=now_seconds)
         for action in actions:
             if isinstance(
@@ -143,6 +147,10 @@
                 self._send_order(action)
         return actions
 
+    def _update_cold(self) -> None:
+        if self._cold is not None:
+            self._cold.update_grants(self.record, self.schedule.cold)
+
     def _has_order_permission(self, now_seconds: float) -> bool:
         if self._lease.is_held(now_seconds=now_seconds):
             return True
@@ -205,6 +213,8 @@
             now_seconds=now_seconds,
         )
         self._apply_report(report, now_seconds)
+        if self._cold is not None:
+            self._cold.record_report(self.record, report)
         self._log.write(
             "engine_report",
             engine=self.record.name,
--- a/src/boragefold/entry/owner_client.py
+++ b/src/boragefold/entry/owner_client.py
@@ -30,6 +30,8 @@
 # A connection that looks open may be dead; both sides reconnect after this
 # many repetitions without a reply.
 RECONNECT_AFTER_RETRIES = 2
+# Reason of the refusal at an engine that gets only what its owner grants.
+WITHOUT_OWNER = "cold_without_owner"
 
 
 class GrantReceiver(abc.ABC):
@@ -88,6 +90,7 @@
         fleet: fleets.Fleet,
         timers: timing.TimerService,
         health: Callable[[str], float],
+        needs_grant: Callable[[str], bool] = lambda engine: False,
     ) -> None:
         """Subscribe to the owners' replies.
 
@@ -97,6 +100,8 @@
         :param fleet: the published deployment
         :param timers: the process clock
         :param health: health of an endpoint, from 0 to 1
+        :param needs_grant: tells whether an engine may get nothing without a
+            grant of its owner
         """
         self._link = link
         self._members = members
@@ -104,6 +109,7 @@
         self._fleet = fleet
         self._timers = timers
         self._health = health
+        self._needs_grant = needs_grant
         self._pending: dict[str, PendingRequest] = {}
         self._granted: dict[str, ids.InstanceId] = {}
         self._engine_views = engine_views.EngineViews()
@@ -140,12 +146,9 @@
         """
         owner = self._ownership.owner(engine)
         if owner is None:
-            # Without an owner, loaded adapters can still be used.
             self._timers.once(
                 delay_seconds=0.0,
-                callback=lambda: receiver.on_granted(
-                    engine, 0, engine_decisions.QueueTimes()
-                ),
+                callback=lambda: self._reply_without_owner(receiver, engine),
             )
             return
         pending = PendingRequest(
@@ -158,6 +161,15 @@
         self._pending[request.request_id] = pending
         self._send(pending)
 
+    def _reply_without_owner(
+        self, receiver: GrantReceiver, engine: str
+    ) -> None:
+        # Without an owner, loaded adapters can still be used.
+        if self._needs_grant(engine):
+            receiver.on_refused(engine, WITHOUT_OWNER, 0.0, 0.0)
+        else:
+            receiver.on_granted(engine, 0, engine_decisions.QueueTimes())
+
     def report_start(self, request_id: str, engine: str) -> None:
         """Tell an engine's owner that a response has started.
 
@@ -215,10 +227,17 @@
             status = statuses.get(record.name)
             if status is not None and not status.answers:
                 continue
+            if status is None and self._lacks_owner(record.name):
+                continue
             yield self._engine_views.view_of(
                 record, status, is_local=is_local, health=health
             )
 
+    def _lacks_owner(self, engine: str) -> bool:
+        return self._ownership.owner(engine) is None and self._needs_grant(
+            engine
+        )
+
     def _reported_statuses(self) -> dict[str, messages.EngineStatus]:
         return {
             status.name: status
--- a/src/boragefold/entry/request_context.py
+++ b/src/boragefold/entry/request_context.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from boragefold.coordination.fleet import rejection_news
+from boragefold.entry import cold_endpoints
 from boragefold.entry import crash_protection
 from boragefold.entry import dialect as dialects
 from boragefold.entry import endpoint_reach
@@ -39,6 +40,7 @@
     reach: endpoint_reach.EndpointReach
     rooms: room_queue.RoomQueue
     rejections: rejection_news.RejectionNews
+    cold: cold_endpoints.ColdEndpoints
     streams: stream_context.StreamContext
     data_centre: str
 
--- a/src/boragefold/entry/request_parts.py
+++ b/src/boragefold/entry/request_parts.py
@@ -97,6 +97,7 @@
         reach=paths.reach,
         rooms=loads.rooms,
         rejections=loads.rejections,
+        cold=loads.cold,
         streams=stream_context.connect(
             client=client,
             fleet=fleet,
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -47,6 +47,7 @@
             return True
         record = self._choose(candidates)
         if record is not None:
+            self.context.cold.record_sent(record)
             self.send(record, version=0)
         elif self._allowed_wait_seconds() <= 0:
             self.refuse(refusals.NOT_RUN, "no_room")
@@ -121,6 +122,9 @@
                     slots=record.slots,
                     now_seconds=now_seconds,
                 )
+                and context.cold.may_send(
+                    record, self.admitted.request.request_id
+                )
             ),
             now_seconds=now_seconds,
         )
--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -22,6 +22,7 @@
 from boragefold.entry import quarantine
 from boragefold.entry import request_parts
 from boragefold.entry import service_loads
+from boragefold.policy import cold_limit
 from boragefold.policy import shared_rate
 from boragefold.protocol import paths
 from boragefold.state import deployment
@@ -279,9 +280,12 @@
         loads = service_loads.connect(
             link=self.node.link,
             members=self.members,
+            fleet=self.published,
             timers=self.node.timers,
             counters=counters,
+            log=log,
             rng=rng,
+            cold_tolerance=cold_limit.Tolerance,
         )
         own_paths = peer_paths.PeerPaths(
             client=client,
