--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -177,6 +177,8 @@
         facts = context.dialect.read_answer(status, headers)
         self._status, self._facts = status, facts
         load_reports.record(facts, record=self.record, context=context)
+        if facts.cold_seconds is not None:
+            context.cold.record_answer(self.record, facts.cold_seconds)
         self._record_limit(facts)
         if facts.no_room and facts.work_factor is not None:
             # The load that was reported tells more than a failure would.
--- a/src/boragefold/entry/dialect.py
+++ b/src/boragefold/entry/dialect.py
@@ -62,6 +62,7 @@
     ``work_factor`` is the time that work takes there now, relative to normal,
     None if the response doesn't report it. ``unread_load_figures`` lists the
     positions of figures of the load that can't be read.
+    ``cold_seconds`` is how long the endpoint stays cold, None if unstated.
     """
 
     status: int
@@ -74,6 +75,7 @@
     bearable_rejections: int | None = None
     work_factor: float | None = None
     unread_load_figures: tuple[int, ...] = ()
+    cold_seconds: float | None = None
 
     @property
     def no_room(self) -> bool:
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -19,6 +19,7 @@
 import itertools
 from typing import NamedTuple
 
+from boragefold.policy import cold_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_queue
 from boragefold.policy import engine_slots
@@ -80,6 +81,7 @@
     ) -> None:
         self.engine = engine
         self.slots = slots
+        self.cold = cold_limit.ColdLimit()
         # How long a request is queued before a load is ordered for it.
         self.order_delay_seconds = 0.0
         self._queue = engine_queue.EngineQueue()
@@ -142,6 +144,14 @@
         """
         return self._slot_wait().seconds(self._adapters_without_slot())
 
+    def cold_wait_seconds(self, *, now_seconds: float) -> float:
+        """Estimate how long a cold engine's rate delays one more request.
+
+        :param now_seconds: reading of the process clock
+        :return: seconds; 0 if the engine is warm or has no such rate
+        """
+        return self.cold.wait_seconds(self.queued, now_seconds=now_seconds)
+
     def submit(
         self, request: EngineRequest, *, now_seconds: float
     ) -> engine_decisions.Refusal | None:
@@ -239,7 +249,9 @@
         for request in self._ready_requests(by_urgency):
             # Requests behind one that doesn't fit wait too: if shorter ones
             # could pass it, a long prompt would starve.
-            if not self._has_room(request):
+            if not self._has_room(request) or not self.cold.may_send(
+                request.request_id, now_seconds=now_seconds
+            ):
                 break
             actions.append(self._grant(request, now_seconds))
         order = self._next_order(by_urgency, now_seconds)
@@ -264,7 +276,8 @@
         if expires_at_seconds is None:
             return None
         dues = self.slots.due_times(now_seconds=now_seconds)
-        return min(itertools.chain((expires_at_seconds,), dues))
+        cold_dues = self.cold.due_times(now_seconds=now_seconds)
+        return min(itertools.chain((expires_at_seconds,), dues, cold_dues))
 
     def _next_order(
         self, by_urgency: Sequence[QueuedRequest], now_seconds: float
@@ -330,6 +343,9 @@
         backlog_seconds = self.backlog_seconds()
         if not self._has_slot(request):
             backlog_seconds = max(backlog_seconds, self.slot_wait_seconds())
+        backlog_seconds = max(
+            backlog_seconds, self.cold_wait_seconds(now_seconds=now_seconds)
+        )
         late_seconds = (
             backlog_seconds - MAX_LATE_WAIT_SHARE * remaining_seconds
         )
@@ -357,9 +373,15 @@
         soon = self._adapters_with_slots()
         if not any(adapter is waiting.adapter for adapter in soon):
             soon.append(waiting.adapter)
-        wait_seconds = self._prefill_seconds(
-            self._runs.pending_prompts(),
-            *self._prompts_ahead(waiting, soon, now_seconds),
+        prompts_ahead = tuple(self._prompts_ahead(waiting, soon, now_seconds))
+        wait_seconds = max(
+            self._prefill_seconds(
+                self._runs.pending_prompts(), *prompts_ahead
+            ),
+            self.cold.wait_seconds(
+                sum(prompts.number for prompts in prompts_ahead),
+                now_seconds=now_seconds,
+            ),
         )
         adapter = waiting.request.adapter
         slot_seconds = self.slots.until_ready_seconds(
@@ -409,9 +431,13 @@
         reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
         slot_wait = self._slot_wait()
         awaiting_slot: set[AdapterKey] = set()
+        kept = 0
         for waiting in by_urgency:
             request = waiting.request
             remaining_seconds = request.queue_deadline_at_seconds - now_seconds
+            cold_seconds = self.cold.wait_seconds(
+                kept, now_seconds=now_seconds
+            )
             if waiting.adapter.held:
                 wait_seconds = reading_seconds
                 reading_seconds += self._speed.prefill_seconds(
@@ -422,12 +448,20 @@
                 awaiting_slot.add(waiting.adapter.key)
                 if waiting.late:
                     remaining_seconds *= MAX_LATE_WAIT_SHARE
+            if cold_seconds and self._is_late(
+                request, now_seconds + cold_seconds
+            ):
+                # An engine that isn't cold may still serve it on time.
+                remaining_seconds *= MAX_LATE_WAIT_SHARE
+            wait_seconds = max(wait_seconds, cold_seconds)
             if wait_seconds > remaining_seconds:
                 self.remove(request.request_id, now_seconds=now_seconds)
                 slot_wait = self._slot_wait()
                 yield _queue_too_long(
                     request, wait_seconds - remaining_seconds
                 )
+            else:
+                kept += 1
 
     def _slot_wait(self) -> SlotWait:
         return SlotWait(
@@ -458,6 +492,7 @@
             else waiting.queue_times(now_seconds)
         )
         self._runs.add(request, now_seconds=now_seconds)
+        self.cold.record(now_seconds=now_seconds)
         self.slots.record_start(request.adapter, now_seconds=now_seconds)
         version = self.slots.version(request.adapter)
         return engine_decisions.Grant(
