Send nothing more to an evacuated data centre

While the key op/evacuate/DATA_CENTRE exists, no request and no order may reach its endpoints. Every instance decides from its copy of the published items: Fleet.endpoints_of omits the endpoints, an engine's owner refuses what is queued there and gives no order, a sender withdraws what waits at an owner, and each call is checked again before its first byte. The age of a change is known where it came as an event of a watch, or from a peer to an instance that lacked nothing shortly before; otherwise all moves at once. An instance whose calls on the store fail asks its peers at once for what it lacks, not only when its copy is three seconds old.

--- a/src/boragefold/coordination/fleet/relay.py
+++ b/src/boragefold/coordination/fleet/relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 from boragefold.coordination.fleet import removal_grace
 import boragefold.coordination.link as links
@@ -20,6 +21,9 @@
 
 # Without an answer within this time, the next peer is asked.
 ASK_PAUSE_SECONDS = 0.3
+# How old a heartbeat may be that shows that nothing was missing, so that what
+# comes now was published since.
+CURRENT_SECONDS = 1.5
 
 
 class Relay:
@@ -33,6 +37,7 @@
         timers: timing.TimerService,
         behind: Callable[[], bool],
         grace: removal_grace.RemovalGrace,
+        is_store_read: Callable[[], bool] = lambda: True,
     ) -> None:
         """Start to answer requests.
 
@@ -42,13 +47,16 @@
         :param grace: delays removals after the store recovers
         :param behind: tells whether this instance doesn't read the store, or
             the store has not answered it lately
+        :param is_store_read: tells whether a peer in contact reads the store
         """
         self._link = link
         self._items = items
         self._timers = timers
         self._behind = behind
         self._grace = grace
+        self._is_store_read = is_store_read
         self._asked_at_seconds = -ASK_PAUSE_SECONDS
+        self._current_at_seconds = -math.inf
         link.subscribe(messages.Pull, self._handle_pull)
         link.subscribe(messages.Published, self._handle_published)
 
@@ -59,7 +67,11 @@
         :param beat: its heartbeat
         """
         now_seconds = self._timers.now_seconds()
-        if not self._items.lacks(beat.told) or not self._behind():
+        if not self._items.lacks(beat.told):
+            if self._is_store_read():
+                self._current_at_seconds = now_seconds
+            return
+        if not self._behind():
             return
         if now_seconds - self._asked_at_seconds < ASK_PAUSE_SECONDS:
             return
@@ -71,7 +83,7 @@
         self, sender: ids.InstanceId, pull: messages.Pull
     ) -> None:
         items = tuple(
-            messages.PublishedItem(*item)
+            messages.PublishedItem(item.key, item.revision, item.value)
             for item in self._items.after(pull.told)
         )
         self._link.send(
@@ -88,7 +100,13 @@
     ) -> None:
         if body.settling_seconds:
             self._grace.store_recovered(body.settling_seconds)
-        items = (published_items.Item(*item) for item in body.items)
+        age_seconds = self._timers.now_seconds() - self._current_at_seconds
+        is_recent = age_seconds <= CURRENT_SECONDS
+        changed_at_seconds = self._current_at_seconds if is_recent else None
+        items = (
+            published_items.Item(*item, changed_at_seconds)
+            for item in body.items
+        )
         newest = max(body.told.values(), default=0)
         self._items.take(items, revision=newest, told=body.told)
 
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Any
 
 from boragefold.entry import answer_deadline
@@ -54,6 +55,8 @@
         self._adapter = adapter
         self._self_id = self_id
         self._tried: list[str] = []
+        # Data centres that are evacuated according to an engine's owner.
+        self._left_data_centres: set[str] = set()
         self._queue_seconds: dict[str, float] = {}
         self._not_loaded_count = 0
         self._engine = ""
@@ -71,6 +74,7 @@
             return
         if self.refuse_if_version_gone():
             return
+        self._forget_evacuated()
         engine = self._next_engine()
         if engine is not None:
             self._request_engine(engine, eager=self._can_be_on_time())
@@ -80,13 +84,18 @@
             )
             del self._queue_seconds[shortest]
             self._request_engine(shortest, eager=False)
-        elif self._tried or not self._may_retry():
+        elif self._tried:
             self.refuse(
                 refusals.NOT_RUN,
                 self._refusal_reason,
                 self._retry_after_seconds,
             )
+        elif not self._may_retry():
+            self.refuse_without_endpoint(
+                self._refusal_reason, self._retry_after_seconds
+            )
         else:
+            self._left_data_centres.clear()
             self.context.timers.once(
                 delay_seconds=RETRY_SECONDS, callback=self.begin
             )
@@ -102,7 +111,7 @@
     def on_granted(
         self, engine: str, version: int, waits: engine_decisions.QueueTimes
     ) -> None:
-        """Send the request, unless the engine is being removed by now.
+        """Send the request, unless the engine is removed or evacuated by now.
 
         :param engine: where
         :param version: of the adapter, 0 for any
@@ -112,7 +121,7 @@
             return
         self._queue_times = waits
         record = self.context.fleet.endpoint(engine)
-        if record is None or record.leaving:
+        if record is None or record.leaving or self._is_evacuated(record):
             self.begin()
         elif not self.is_key_valid():
             self.refuse(refusals.NO_KEY, "key_withdrawn")
@@ -149,6 +158,10 @@
             self._queue_seconds[engine] = wait_seconds
             self.begin()
             return
+        if reason == engine_decisions.EVACUATED:
+            record = self.context.fleet.endpoint(engine)
+            if record is not None:
+                self._left_data_centres.add(record.data_centre)
         self._refusal_reason = reason
         if retry_after_seconds:
             self._retry_after_seconds = retry_after_seconds
@@ -214,12 +227,28 @@
                 engine.name
                 for engine in ranked
                 if engine.name not in self._tried
+                and not self._must_leave(engine.name)
                 and self.may_send_to(engine.name)
                 and not self._is_resting(engine.name)
             ),
             None,
         )
 
+    def _must_leave(self, engine: str) -> bool:
+        record = self.context.fleet.endpoint(engine)
+        return record is not None and (
+            record.data_centre in self._left_data_centres
+            or self._is_evacuated(record)
+        )
+
+    def _forget_evacuated(self) -> None:
+        # They don't count as tries: other engines may have room.
+        self._tried = list(
+            itertools.filterfalse(self._must_leave, self._tried)
+        )
+        for engine in list(filter(self._must_leave, self._queue_seconds)):
+            del self._queue_seconds[engine]
+
     def _is_resting(self, engine: str) -> bool:
         return self.context.choice.limits.is_resting(
             self.admitted.service.name,
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -13,6 +13,7 @@
 from boragefold.entry import engine_messages
 from boragefold.entry import owned_engine
 from boragefold.entry import owner_client
+from boragefold.entry import owner_log
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
 from boragefold.policy import engine_slots
@@ -112,7 +113,8 @@
         for name in self._owned.keys() - wanted.keys():
             given_up = self._owned.pop(name)
             given_up.stop()
-            self._log_given_up(given_up.record)
+            change = self._owner_change(given_up.record)
+            owner_log.log_given_up(self._log, given_up.record, change)
         for name, record in wanted.items():
             owned = self._owned.get(name)
             if owned is None:
@@ -198,35 +200,12 @@
         for action in engine.advance():
             self._reply(name, action)
 
-    def _log_given_up(self, record: deployment.EndpointRecord) -> None:
-        change = self._owner_change(record)
-        self._log.write(
-            "engine_given_up",
-            engine=record.name,
-            reason=change.reason,
-            owner=change.owner,
-            instances_heard=change.instances_heard,
-            instances_known=change.instances_known,
-        )
-
-    def _log_taken_up(self, record: deployment.EndpointRecord) -> None:
-        change = self._owner_change(record)
-        heard_seconds = change.former_heard_seconds
-        self._log.write(
-            "engine_taken_up",
-            engine=record.name,
-            born_milliseconds=record.born_milliseconds,
-            former_owner=change.former_owner,
-            former_heard_seconds=heard_seconds and round(heard_seconds, 3),
-            instances_heard=change.instances_heard,
-            instances_known=change.instances_known,
-        )
-
     def _start_owning(self, record: deployment.EndpointRecord) -> None:
         engine = self._fleet.engine_of(record)
         if engine is None:
             return
-        self._log_taken_up(record)
+        change = self._owner_change(record)
+        owner_log.log_taken_up(self._log, record, change)
         turns = self._turns.setdefault(
             record.name,
             order_turns.OrderTurns(
@@ -259,6 +238,7 @@
             counters=self._counters,
             log=self._log,
             on_changed=lambda: self._run_engine(record.name),
+            is_evacuated=self._fleet.is_evacuated,
         )
 
     def _loads_on_other_engines(self, name: str) -> int:
@@ -286,6 +266,10 @@
             )
             return
         granted = owned.schedule.find_grant(ask.request_id)
+        if owned.must_move(ask.adapter):
+            # A grant that was given didn't arrive.
+            self._move(owned, ask)
+            return
         if granted is not None:
             # The request is repeated since the reply was lost.
             self._reply(body.engine, granted)
@@ -300,6 +284,20 @@
             self._link.send(to=sender, body=waits)
         self._run_engine(body.engine)
 
+    def _move(
+        self,
+        owned: owned_engine.OwnedEngine,
+        ask: engine_decisions.EngineRequest,
+    ) -> None:
+        now_seconds = self._timers.now_seconds()
+        owned.schedule.remove(ask.request_id, now_seconds=now_seconds)
+        name = owned.record.name
+        refusal = engine_decisions.Refusal(
+            ask, engine_decisions.EVACUATED, 0.0
+        )
+        self._reply(name, refusal)
+        self._run_engine(name)
+
     def _on_started(
         self, sender: ids.InstanceId, body: messages.RunStarted
     ) -> None:
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -12,6 +12,7 @@
 from boragefold.entry import request_end
 from boragefold.entry import sent_request
 from boragefold.policy import crash_causes
+from boragefold.policy import engine_decisions
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 from boragefold.transport import http_server
@@ -226,6 +227,21 @@
         )
         return True
 
+    def refuse_without_endpoint(
+        self,
+        reason: str,
+        retry_after_seconds: float = refusals.RETRY_AFTER_SECONDS,
+    ) -> None:
+        """Refuse the request because no endpoint may receive it.
+
+        :param reason: why, unless endpoints of its service are evacuated
+        :param retry_after_seconds: when to retry
+        """
+        service = self.admitted.service.name
+        if self.context.fleet.is_service_evacuated(service):
+            reason = engine_decisions.EVACUATED
+        self.refuse(refusals.NOT_RUN, reason, retry_after_seconds)
+
     def queue_time_fields(self) -> dict[str, Any]:
         """Return the time spent before the last attempt, as log fields.
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -34,6 +34,7 @@
 from boragefold.policy import shared_rate
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
+from boragefold.state import evacuations
 from boragefold.state import fleet as fleets
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
@@ -97,12 +98,22 @@
             counters=self.counters,
         )
         self._rng = random.Random()
-        self._fleet = fleets.Fleet()
+        self._fleet = fleets.Fleet(
+            evacuations=evacuations.Evacuations(
+                now_seconds=self.timers.now_seconds,
+                data_centres=settings.data_centres,
+                limit_seconds=settings.evacuate_seconds,
+            )
+        )
         self._items = published_items.PublishedItems(
             matters=must_relay, prefixes=prefixes
         )
         self._fleet_log = fleet_log.FleetLog(
-            fleet=self._fleet, items=self._items, log=self.log
+            fleet=self._fleet,
+            items=self._items,
+            log=self.log,
+            counters=self.counters,
+            now_seconds=self.timers.now_seconds,
         )
         self._grace = removal_grace.RemovalGrace(
             timers=self.timers,
@@ -195,8 +206,11 @@
             link=self._link,
             items=self._items,
             timers=self.timers,
-            behind=self._followers.any_stale,
+            behind=self._may_be_behind,
             grace=self._grace,
+            is_store_read=lambda: (
+                self._followers.is_store_healthy() or self._store_was_up()
+            ),
         )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
@@ -205,6 +219,7 @@
             timers=self.timers,
             limits=self._fleet.caller_limits,
             ready=self.ready,
+            status=self._status,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -262,6 +277,17 @@
         known = self._fleet.deployment is not None
         return known and not self.shutdown.has_begun
 
+    def _status(self) -> dict[str, object]:
+        return {
+            "instance": self.settings.instance_name,
+            "data_centre": self.settings.data_centre,
+            "ready": self.ready(),
+            "stopping": self.shutdown.has_begun,
+            "evacuations": fleet_log.describe_evacuations(
+                self._fleet, now_seconds=self.timers.now_seconds()
+            ),
+        }
+
     def _apply_settings(
         self, settings: gateway_settings.GatewaySettings
     ) -> None:
@@ -269,6 +295,7 @@
         self.settings = settings
         self._heartbeats.add_seeds(settings.seeds)
         self._rate.tolerance = settings.rate_tolerance
+        self._fleet.evacuations.limit_seconds = settings.evacuate_seconds
 
     def _must_read(self) -> bool:
         return readers.is_reader(self._link.self_id, self._members.reachable())
@@ -286,6 +313,9 @@
             unheard=self._members.silent_targets(),
         )
 
+    def _may_be_behind(self) -> bool:
+        return self._followers.any_stale() or self._followers.any_failing()
+
     def _store_was_up(self) -> bool:
         return any(beat.store_sound for beat in self._members.heartbeats())
 
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -1,9 +1,11 @@
-"""The listening sockets of a gateway: callers, readiness and metrics."""
+"""The listening sockets of a gateway: callers, readiness and operators."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import msgspec
+
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
 from boragefold.state import deployment
@@ -16,6 +18,8 @@
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
+JSON = ("Content-Type", "application/json")
+STATUS_PATH = "/status"
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -32,6 +36,7 @@
         timers: timing.TimerService,
         limits: Callable[[], deployment.CallerLimits | None],
         ready: Callable[[], bool],
+        status: Callable[[], dict[str, object]],
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -42,12 +47,14 @@
         :param limits: returns the limits for callers; None before the first
             deployment
         :param ready: tells whether the balancer should send callers here
+        :param status: describes the instance for operators
         """
         self._sockets = sockets_
         self._counters = counters
         self._timers = timers
         self._limits = limits
         self._ready = ready
+        self._status = status
         self.callers = callers.CallersFace(
             sockets_=sockets_,
             application=application,
@@ -94,6 +101,10 @@
     def _answer_metrics(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
+        if request.path == STATUS_PATH:
+            body = msgspec.json.encode(self._status())
+            exchange.reply(STATUS_READY, [JSON], body)
+            return
         # Imported on first use: most instances are never scraped.
         from boragefold.telemetry import exposition
 
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -9,6 +9,7 @@
 from boragefold.coordination.fleet import order_turns
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import order_descriptions
+from boragefold.entry import report_timer
 from boragefold.entry import sent_order
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
@@ -29,6 +30,11 @@
 # Outcome of an order without a response, which may have arrived.
 UNKNOWN = "unknown"
 
+MAX_SEND_DELAY_SECONDS = order_turns.MAX_SEND_DELAY_SECONDS
+IsEvacuated = Callable[
+    [deployment.EndpointRecord, deployment.AdapterKey | None], bool
+]
+
 
 class OwnedEngine:
     """Gives orders to one engine, and updates its schedule from reports."""
@@ -46,6 +52,7 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         on_changed: Callable[[], None],
+        is_evacuated: IsEvacuated = lambda record, adapter: False,
     ) -> None:
         self.record = record
         self.schedule = schedule
@@ -58,12 +65,14 @@
         self._counters = counters
         self._log = log
         self._on_changed = on_changed
+        self._is_evacuated = is_evacuated
         self._report_pending = False
         self._asked_report_at_seconds = -math.inf
         # When the newest known report was requested.
         self._reported_as_of_seconds = -math.inf
-        self._next_report: timing.Subscription | None = None
-        self._next_report_at_seconds = math.inf
+        self._next_report = report_timer.ReportTimer(
+            timers=timers, request=self.request_report
+        )
         self._stopped = False
         # Whether the last request for a report succeeded. An owner that is
         # cut off believes that it owns engines which it can't reach.
@@ -109,7 +118,8 @@
         :return: grants and refusals for requests
         """
         now_seconds = self._timers.now_seconds()
-        wants_order = self.schedule.needs_order()
+        evacuated = self._is_evacuated(self.record, None)
+        wants_order = not evacuated and self.schedule.needs_order()
         if wants_order and not self._stopped:
             self._lease.request()
         self._turns.restart_if_before(self._lease.foreign_lease_end_seconds())
@@ -121,6 +131,7 @@
             and self._turns.may_order(now_seconds=now_seconds)
             and not self._stopped
             and not self.record.leaving
+            and not evacuated
         )
         confirmed = self._turns.is_confirmed(now_seconds=now_seconds)
         self.schedule.slots.may_order = may_order and confirmed
@@ -135,7 +146,14 @@
             or self._needs_report(elapsed_seconds)
         ):
             self.request_report()
-        actions = self.schedule.advance(now_seconds=now_seconds)
+        actions: list[engine_decisions.Action] = []
+        if evacuated:
+            actions += self.schedule.refuse_queued(
+                self.must_move,
+                reason=engine_decisions.EVACUATED,
+                now_seconds=now_seconds,
+            )
+        actions += self.schedule.advance(now_seconds=now_seconds)
         for action in actions:
             if isinstance(
                 action, engine_decisions.Load | engine_decisions.Unload
@@ -143,6 +161,18 @@
                 self._send_order(action)
         return actions
 
+    def must_move(self, adapter: deployment.AdapterKey) -> bool:
+        """Check whether the requests of an adapter must go elsewhere.
+
+        :param adapter: what the requests need
+        :return: whether the data centre is evacuated, and the adapter handed
+            over or not loaded, since no adapter is loaded any more
+        """
+        return self._is_evacuated(self.record, adapter) or (
+            self._is_evacuated(self.record, None)
+            and not self.schedule.slots.holds(adapter)
+        )
+
     def _has_order_permission(self, now_seconds: float) -> bool:
         if self._lease.is_held(now_seconds=now_seconds):
             return True
@@ -168,7 +198,7 @@
 
     def request_report(self) -> None:
         """Request the engine's report of loaded adapters and order count."""
-        self._cancel_next_report()
+        self._next_report.cancel()
         if self._report_pending or self._stopped:
             return
         self._report_pending = True
@@ -191,7 +221,7 @@
             self._unreachable_since_seconds = self._timers.now_seconds()
         if report is None:
             self._counters.add("engine_reports", "failed")
-            self._schedule_report(REPORT_INTERVAL_SECONDS)
+            self._next_report.schedule(REPORT_INTERVAL_SECONDS)
             return
         now_seconds = self._timers.now_seconds()
         age_seconds = now_seconds - self._asked_report_at_seconds
@@ -227,7 +257,7 @@
         if other_giver_seen:
             self._counters.add("engine_orders", "other_giver_seen")
         if self._needs_next_report(now_seconds):
-            self._schedule_report(REPORT_INTERVAL_SECONDS)
+            self._next_report.schedule(REPORT_INTERVAL_SECONDS)
         self._on_changed()
 
     def _apply_report(
@@ -255,24 +285,6 @@
             or turns.awaits_other_lease(now_seconds=now_seconds)
         )
 
-    def _schedule_report(self, delay_seconds: float) -> None:
-        # Each report may schedule the next one. Keeping one timer prevents
-        # two series of reports from running side by side forever.
-        at_seconds = self._timers.now_seconds() + delay_seconds
-        if at_seconds >= self._next_report_at_seconds:
-            return
-        self._cancel_next_report()
-        self._next_report_at_seconds = at_seconds
-        self._next_report = self._timers.once(
-            delay_seconds=delay_seconds, callback=self.request_report
-        )
-
-    def _cancel_next_report(self) -> None:
-        if self._next_report is not None:
-            self._next_report.cancel()
-        self._next_report = None
-        self._next_report_at_seconds = math.inf
-
     def _send_order(self, order: engine_decisions.Order) -> None:
         now_seconds = self._timers.now_seconds()
         sent = sent_order.SentOrder(
@@ -303,10 +315,10 @@
 
     def _still_fresh(self, asked_at_seconds: float) -> bool:
         now_seconds = self._timers.now_seconds()
-        age_seconds = now_seconds - asked_at_seconds
-        fresh = age_seconds < order_turns.MAX_SEND_DELAY_SECONDS
+        fresh = now_seconds - asked_at_seconds < MAX_SEND_DELAY_SECONDS
         allowed = self._has_order_permission(now_seconds)
-        return not self._stopped and fresh and allowed
+        moved = self._stopped or self._is_evacuated(self.record, None)
+        return fresh and allowed and not moved
 
     def _on_order_response(
         self,
@@ -315,8 +327,7 @@
     ) -> None:
         self._order_pending = False
         now_seconds = self._timers.now_seconds()
-        order = sent.order
-        outcome = self._outcome(order, answer)
+        order, outcome = sent.order, self._outcome(sent.order, answer)
         self._counters.add("engine_orders", outcome)
         self._log.write(
             "engine_order",
@@ -350,7 +361,7 @@
                 count=sent.expected + 1,
             )
             if unloading:
-                self._schedule_report(REPORT_INTERVAL_SECONDS)
+                self._next_report.schedule(REPORT_INTERVAL_SECONDS)
         else:
             self._order_failed(sent, outcome, now_seconds)
         if self._stopped and outcome != UNKNOWN:
@@ -371,7 +382,7 @@
         else:
             self._turns.record_refused(now_seconds=now_seconds)
         self.schedule.slots.record_failed_order(now_seconds=now_seconds)
-        self._schedule_report(order_turns.REPORT_LAG_SECONDS)
+        self._next_report.schedule(order_turns.REPORT_LAG_SECONDS)
 
     def _outcome(
         self,
--- a/src/boragefold/entry/owner_client.py
+++ b/src/boragefold/entry/owner_client.py
@@ -124,7 +124,7 @@
         :param owned: status of the engines that this instance owns
         :return: the best first
         """
-        return engine_ranking.rank(key, self._views(service, owned))
+        return engine_ranking.rank(key, self._views(service, key, owned))
 
     def request(
         self,
@@ -188,7 +188,10 @@
             self._link.send(to=owner, body=body)
 
     def retry_pending(self) -> None:
-        """Repeat unanswered requests, and refuse those of former owners."""
+        """Repeat unanswered requests, and refuse those that must move.
+
+        Owners that don't know of an evacuation keep its requests queued.
+        """
         now_seconds = self._timers.now_seconds()
         for request_id, pending in list(self._pending.items()):
             if self._ownership.owner(pending.engine) != pending.owner:
@@ -196,6 +199,10 @@
                 pending.receiver.on_refused(
                     pending.engine, "owner_changed", 0.0, 0.0
                 )
+            elif self._must_move(pending):
+                pending.receiver.on_refused(
+                    pending.engine, engine_decisions.EVACUATED, 0.0, 0.0
+                )
             elif now_seconds - pending.sent_at_seconds > RETRY_SECONDS:
                 pending.sent_at_seconds = now_seconds
                 pending.unanswered += 1
@@ -203,13 +210,22 @@
                     self._link.reconnect(pending.owner)
                 self._send(pending)
 
+    def _must_move(self, pending: PendingRequest) -> bool:
+        record = self._fleet.endpoint(pending.engine)
+        return record is not None and self._fleet.is_evacuated(
+            record, pending.request.adapter
+        )
+
     def _views(
-        self, service: str, owned: tuple[messages.EngineStatus, ...]
+        self,
+        service: str,
+        key: deployment.AdapterKey,
+        owned: tuple[messages.EngineStatus, ...],
     ) -> Iterator[engine_ranking.EngineView]:
         statuses = self._reported_statuses()
         statuses.update((status.name, status) for status in owned)
         data_centre = self._link.self_id.data_centre
-        for record in self._fleet.endpoints_of(service):
+        for record in self._fleet.endpoints_of(service, key):
             is_local = record.data_centre == data_centre
             health = self._health(record.name)
             status = statuses.get(record.name)
--- a/src/boragefold/entry/sent_request.py
+++ b/src/boragefold/entry/sent_request.py
@@ -144,7 +144,7 @@
             target,
             admitted=admitted,
             dialect=context.dialect,
-            may_send=self._may_write,
+            may_send=lambda: self._may_write(record),
             remaining_seconds=self.remaining_seconds,
             is_repeat=self.sendings.count > 0,
             connection=connection,
@@ -154,15 +154,25 @@
     def _is_running(self) -> bool:
         return self._attempt is not None and self._attempt.running
 
-    def _may_write(self) -> bool:
+    def _is_evacuated(self, record: deployment.EndpointRecord) -> bool:
+        return self.context.fleet.is_evacuated(
+            record, self.admitted.request.adapter
+        )
+
+    def _may_write(self, record: deployment.EndpointRecord) -> bool:
         return (
             not self.finished
+            and not self._is_evacuated(record)
             and self.sendings.may_write()
             and self.admitted.guard.may_write()
         )
 
     def _record_unreachable(self, endpoint: str) -> None:
         self._sent_to.remove(endpoint)
+        record = self.context.fleet.endpoint(endpoint)
+        if record is not None and self._is_evacuated(record):
+            # The request wasn't written for this reason, and may be later.
+            return
         self._unreachable.add(endpoint)
         self.context.choice.unreachable(
             endpoint, now_seconds=self.context.timers.now_seconds()
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -43,7 +43,7 @@
             return True
         candidates = self._candidates()
         if not candidates:
-            self.refuse(refusals.NOT_RUN, "no_endpoint")
+            self.refuse_without_endpoint("no_endpoint")
             return True
         record = self._choose(candidates)
         if record is not None:
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -241,13 +241,24 @@
         if isinstance(events, StoreFailed):
             self._retry_later(events.reason, self._watch)
             return
+        was_current = not self.is_stale()
         self._record_success()
         if isinstance(events, HistoryLost):
             self._counters.add("store_histories_lost", self._prefix)
             self._list("")
             return
         self._revision = max(self._revision or 0, events.revision)
-        self._items.take(events.items, revision=self._revision)
+        now_seconds = self._timers.now_seconds()
+        self._items.take(
+            (
+                item._replace(changed_at_seconds=now_seconds)
+                for item in events.items
+            )
+            # Otherwise the changes may be as old as the gap in the reading.
+            if was_current
+            else events.items,
+            revision=self._revision,
+        )
         spent_seconds = self._timers.now_seconds() - self._asked_at_seconds
         self._timers.once(
             delay_seconds=max(0.0, READ_PAUSE_SECONDS - spent_seconds),
--- a/src/boragefold/entry/stream_continuity.py
+++ b/src/boragefold/entry/stream_continuity.py
@@ -87,7 +87,7 @@
         return self.bound and not any(
             self.allows(record.name)
             for record in self._context.fleet.endpoints_of(
-                self._admitted.service.name
+                self._admitted.service.name, self._admitted.request.adapter
             )
         )
 
--- a/src/boragefold/policy/engine_decisions.py
+++ b/src/boragefold/policy/engine_decisions.py
@@ -10,6 +10,9 @@
 from boragefold.protocol import ids
 from boragefold.state import deployment
 
+# Reason of a refusal because the engine's data centre is evacuated.
+EVACUATED = "evacuated"
+
 
 class EngineRequest(NamedTuple):
     """A request that is to run on an engine.
@@ -98,6 +101,7 @@
 
 __all__ = [
     "Action",
+    "EVACUATED",
     "EngineRequest",
     "Grant",
     "Load",
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -196,6 +196,32 @@
             self.remove(request.request_id, now_seconds=now_seconds)
         return len(lost)
 
+    def refuse_queued(
+        self,
+        matches: Callable[[AdapterKey], bool],
+        *,
+        reason: str,
+        now_seconds: float,
+    ) -> list[engine_decisions.Refusal]:
+        """Refuse the queued requests of some adapters; running ones go on.
+
+        :param matches: tells whether requests of an adapter are refused
+        :param reason: of the refusals
+        :param now_seconds: reading of the process clock
+        :return: the refusals
+        """
+        refused = [
+            request
+            for request in self._queued_requests()
+            if matches(request.adapter)
+        ]
+        for request in refused:
+            self.remove(request.request_id, now_seconds=now_seconds)
+        return [
+            engine_decisions.Refusal(request, reason, 0.0)
+            for request in refused
+        ]
+
     def record_start(self, request_id: str, *, now_seconds: float) -> None:
         """Record the first event of a response.
 
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -22,7 +22,8 @@
     ``tunnel_listen`` is where peers ask for connections to endpoints; any
     port of the address in ``peer_listen`` if it is empty or taken.
     ``link_megabits`` is the speed of the network link per second; instances
-    with fast links relay the heartbeats of the others.
+    with fast links relay the heartbeats of the others. ``evacuate_seconds`` is
+    the time limit of the evacuation of a data centre.
     """
 
     instance_name: str
@@ -40,6 +41,7 @@
     rate_tolerance: shared_rate.Tolerance = shared_rate.Tolerance()
     link_megabits: float = 0.0
     tunnel_listen: str = ""
+    evacuate_seconds: float = 5.0
 
 
 def check(settings: GatewaySettings) -> None:
@@ -74,6 +76,11 @@
             f"data_centre {settings.data_centre!r} is none of "
             f"{', '.join(settings.data_centres)}; name one that is listed"
         )
+    if settings.evacuate_seconds < 0:
+        raise BadSettings(
+            "evacuate_seconds must not be below zero; give the time in which "
+            "an evacuated data centre receives its last request"
+        )
     if settings.order_lease_seconds <= 0:
         raise BadSettings(
             "order_lease_seconds must be above zero; give the time that two "
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from boragefold.state import deployment as deployments
+from boragefold.state import evacuations as evacuations_module
 
 AdapterKey = deployments.AdapterKey
 EndpointRecord = deployments.EndpointRecord
@@ -14,7 +15,15 @@
 class Fleet:
     """What is routed to, and on what terms."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, evacuations: evacuations_module.Evacuations | None = None
+    ) -> None:
+        """Begin without a deployment and endpoints.
+
+        :param evacuations: the data centres that receive nothing; by default
+            evacuations come into force at once
+        """
+        self.evacuations = evacuations or evacuations_module.Evacuations()
         self.deployment: deployments.Deployment | None = None
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
@@ -69,6 +78,86 @@
         if self._endpoints.pop(name, None) is not None:
             self._changed()
 
+    def set_evacuated(
+        self,
+        data_centre: str,
+        evacuated: bool,
+        *,
+        changed_at_seconds: float | None = None,
+    ) -> None:
+        """Begin or end the evacuation of a data centre.
+
+        :param data_centre: which
+        :param evacuated: whether its endpoints are to receive nothing more
+        :param changed_at_seconds: reading of the process clock when that was
+            published; None if unknown
+        """
+        if self.evacuations.set(data_centre, evacuated, changed_at_seconds):
+            self._changed()
+
+    def is_evacuated(
+        self, record: EndpointRecord, adapter: AdapterKey | None = None
+    ) -> bool:
+        """Tell whether an endpoint must receive nothing now.
+
+        :param record: the endpoint
+        :param adapter: what the request needs; engines hand over their
+            adapters one after the other
+        :return: whether the evacuation of its data centre is in force
+        """
+        if not self.evacuations:
+            return False
+        if adapter is not None and self.engine_of(record) is None:
+            adapter = None
+        return self.evacuations.includes(record.data_centre, adapter)
+
+    def is_service_evacuated(self, service: str) -> bool:
+        """Tell whether endpoints of a service receive nothing for now.
+
+        :param service: its name
+        :return: whether one that isn't leaving is in an evacuated data centre
+        """
+        return any(
+            record.service == service
+            and not record.leaving
+            and self.is_evacuated(record)
+            for record in self._endpoints.values()
+        )
+
+    def has_data_centre(self, data_centre: str) -> bool:
+        """Tell whether a data centre exists.
+
+        :param data_centre: its name
+        :return: whether the settings or an endpoint name it
+        """
+        return data_centre in self.evacuations.data_centres or any(
+            record.data_centre == data_centre
+            for record in self._endpoints.values()
+        )
+
+    def evacuated_data_centres(self) -> dict[str, float]:
+        """List the evacuated data centres that exist.
+
+        :return: reading of the process clock when this instance learned of
+            it, by data centre
+        """
+        return {
+            data_centre: at_seconds
+            for data_centre, at_seconds in self.evacuations.in_force().items()
+            if self.has_data_centre(data_centre)
+        }
+
+    def count_endpoints(self, data_centre: str) -> int:
+        """Count the endpoints of a data centre.
+
+        :param data_centre: its name
+        :return: a count
+        """
+        return sum(
+            record.data_centre == data_centre
+            for record in self._endpoints.values()
+        )
+
     def endpoint(self, name: str) -> EndpointRecord | None:
         """Find an endpoint.
 
@@ -89,16 +178,21 @@
             if record.leaving or not leaving
         )
 
-    def endpoints_of(self, service: str) -> Iterator[EndpointRecord]:
+    def endpoints_of(
+        self, service: str, adapter: AdapterKey | None = None
+    ) -> Iterator[EndpointRecord]:
         """List the endpoints that a service's requests may go to.
 
         :param service: the service
-        :return: those that are not leaving
+        :param adapter: what the request needs, None if it needs none
+        :return: those that neither leave nor are evacuated
         """
         return (
             record
             for record in self._endpoints.values()
-            if record.service == service and not record.leaving
+            if record.service == service
+            and not record.leaving
+            and not (self.evacuations and self.is_evacuated(record, adapter))
         )
 
     def engines(self) -> Iterator[EndpointRecord]:
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -10,11 +10,16 @@
 
 
 class Item(NamedTuple):
-    """The newest value of a key, or its removal where ``value`` is None."""
+    """The newest value of a key, or its removal where ``value`` is None.
+
+    ``changed_at_seconds`` is the reading of the process clock when it was
+    published, None where that isn't known.
+    """
 
     key: str
     revision: int
     value: bytes | None
+    changed_at_seconds: float | None = None
 
 
 Matters = Callable[[Item | None, Item], bool]
--- a/src/boragefold/telemetry/counters.py
+++ b/src/boragefold/telemetry/counters.py
@@ -1,4 +1,4 @@
-"""Counters by name and reason, and latency histograms."""
+"""Counters by name and reason, gauges, and latency histograms."""
 
 from __future__ import annotations
 
@@ -21,10 +21,11 @@
 
 
 class Counters:
-    """All counters and histograms of a process."""
+    """All counters, gauges and histograms of a process."""
 
     def __init__(self) -> None:
         self._counts: dict[CounterKey, float] = collections.defaultdict(float)
+        self._gauges: dict[str, float] = {}
         self._histograms: dict[str, histogram.HdrHistogram] = {}
 
     def add(self, name: str, reason: str = "", amount: float = 1) -> None:
@@ -36,6 +37,21 @@
         """
         self._counts[CounterKey(name, reason)] += amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge.
+
+        :param name: of the gauge, such as ``evacuated_data_centres``
+        :param value: its current value
+        """
+        self._gauges[name] = value
+
+    def gauges(self) -> Iterator[tuple[str, float]]:
+        """Iterate over the gauges in the order of their names.
+
+        :return: pairs of a name and a value
+        """
+        return iter(sorted(self._gauges.items()))
+
     def value(self, name: str, reason: str = "") -> float:
         """Return the value of a counter for one reason.
 
--- a/src/boragefold/telemetry/exposition.py
+++ b/src/boragefold/telemetry/exposition.py
@@ -1,4 +1,4 @@
-"""Counters and histograms in the Prometheus text format."""
+"""Counters, gauges and histograms in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
         self._counters = counters
 
     def collect(self) -> Iterator[core.Metric]:
-        """Convert all counters and histograms.
+        """Convert all counters, gauges and histograms.
 
         :return: metric families
         """
@@ -35,6 +35,8 @@
                 families[key.name] = family
             family.add_metric([key.reason], value)
         yield from families.values()
+        for name, value in self._counters.gauges():
+            yield core.GaugeMetricFamily(PREFIX + name, name, value=value)
         yield from self._summaries()
 
     def _summaries(self) -> Iterator[core.Metric]:
--- a/tests/entry/test_engine_owner.py
+++ b/tests/entry/test_engine_owner.py
@@ -27,6 +27,9 @@
     def engines(self):
         return iter(gateways.ENGINES)
 
+    def is_evacuated(self, record, adapter=None):
+        return False
+
 
 @pytest.fixture
 def advances(monkeypatch):
--- a/tests/entry/test_sent_request.py
+++ b/tests/entry/test_sent_request.py
@@ -65,6 +65,7 @@
             admitted=types.SimpleNamespace(
                 request=types.SimpleNamespace(
                     request_id="r1",
+                    adapter=None,
                     http=types.SimpleNamespace(
                         method="POST", target="/", body=b""
                     ),
--- a/tests/entry/test_stream_continuity.py
+++ b/tests/entry/test_stream_continuity.py
@@ -93,7 +93,7 @@
         self.continuity = stream_continuity.StreamContinuity(
             admitted=types.SimpleNamespace(
                 request=types.SimpleNamespace(
-                    request_id="r1", deadline_seconds=4.0
+                    request_id="r1", deadline_seconds=4.0, adapter=None
                 ),
                 route=route,
                 workspace=None,
--- a/tests/fakes/fleet_walk.py
+++ b/tests/fakes/fleet_walk.py
@@ -99,6 +99,9 @@
     def engines(self) -> Iterator[Any]:
         return iter(self._records)
 
+    def is_evacuated(self, record: Any, adapter: Any = None) -> bool:
+        return False
+
 
 class AllHeld:
     """The leases of an owner that asks nobody."""
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -54,6 +54,9 @@
     def engines(self) -> Iterator[Any]:
         return iter([gateways.ENGINES[0]])
 
+    def is_evacuated(self, record: Any, adapter: Any = None) -> bool:
+        return False
+
 
 class Instance:
     """One incarnation of an instance that may own the engine."""
--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -223,3 +223,45 @@
     apply("op/version/base.a1", entry)
     apply("op/version/base.a1", {**entry, "version": 2})
     assert fleet.versions == {key: 3}
+
+
+def test_nothing_goes_to_an_evacuated_data_centre_until_the_removal(
+    fleet, apply
+) -> None:
+    apply("op/config", CONFIG)
+    apply("servers/i-1", ENTRY)
+    apply("op/evacuate/a", {})
+    assert not list(fleet.endpoints_of("llm"))
+    # Its requests that run still need the engine's owner.
+    assert [record.name for record in fleet.engines()] == ["i-1"]
+    apply("op/evacuate/a", None)
+    assert list(fleet.endpoints_of("llm"))
+
+
+@pytest.mark.parametrize("value", [b"\xff not JSON", [], b""])
+def test_an_evacuation_whose_value_cant_be_read_counts(
+    fleet, apply, value, caplog
+) -> None:
+    # Requests would go on to a data centre that its operators switch off.
+    apply("servers/i-1", ENTRY)
+    apply("op/evacuate/a", value)
+    assert fleet.is_evacuated(fleet.endpoint("i-1"))
+    assert "op/evacuate/a" in caplog.text
+
+
+def test_an_unknown_data_centre_is_named_once_and_not_evacuated(
+    fleet, apply, caplog
+) -> None:
+    apply("servers/i-1", ENTRY)
+    apply("op/evacuate/zz", {})
+    apply("op/evacuate/zz", {})
+    assert caplog.text.count("op/evacuate/zz") == 1
+    assert "remove the key" in caplog.text
+    assert list(fleet.endpoints_of("llm"))
+    assert not fleet.evacuated_data_centres()
+
+
+def test_evacuations_reach_instances_that_dont_read_the_store() -> None:
+    item = published_items.Item("op/evacuate/a", 3, b"{}")
+    assert published.must_relay(None, item)
+    assert published.must_relay(item, item._replace(value=None))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,6 +48,13 @@
     assert found.order_lease_seconds == 3.0
     assert found.rate_tolerance.slack == 17000
     assert found.retry_limit.slack == 54
+    assert found.evacuate_seconds == 5.0
+
+
+def test_the_limit_of_an_evacuation_is_read(tmp_path) -> None:
+    bounds = {**SETTINGS["bounds"], "evacuate_ms": 1500}
+    found = read(tmp_path, {**SETTINGS, "bounds": bounds})
+    assert found.evacuate_seconds == 1.5
 
 
 def test_tunnels_use_the_first_port_that_is_free_for_instances(
@@ -78,6 +85,7 @@
         ({"seeds": ("10.1.1.1",)}, "seeds"),
         ({"data_centre": "z"}, "data_centre"),
         ({"order_lease_seconds": 0.0}, "order_lease_seconds"),
+        ({"evacuate_seconds": -1.0}, "evacuate_seconds"),
     ],
 )
 def test_values_that_cant_be_used_are_named(tmp_path, changes, named) -> None:
