--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from boragefold.coordination.fleet import owner_changes
+from boragefold.coordination.fleet import relay
 from boragefold.state import published_items
 from tests.fakes import gateways
 
@@ -315,3 +316,34 @@
     assert [item.key for item in news] == ["s/two"]
     kept = {item.key for item in items.below("")}
     assert kept == {"s/one", "s/late", "op/x"}
+
+
+@pytest.mark.parametrize("was_in_touch", [True, False])
+def test_a_peers_news_is_recent_only_for_whoever_was_in_touch(
+    was_in_touch,
+) -> None:
+    # After a cut, an evacuation would begin with a hand-over though its limit
+    # is over. The store may be down by the time the peer tells.
+    fleet = settled()
+    late, reader, *others = fleet.instances.values()
+    late.behind = True
+    if not was_in_touch:
+        address = late.node.self_id.address
+        fleet.network.is_cut = lambda one, other: (
+            address in (one.address, other.address)
+        )
+        fleet.run(4.0)
+    for each in (reader, *others):
+        each.items.take(
+            [published_items.Item("op/evacuate/dc-a", 9, b"{}")], revision=9
+        )
+    published_at = fleet.network.clock.now_seconds()
+    fleet.network.is_cut = lambda one, other: False
+    while not late.items.revision:
+        fleet.run(0.1)
+    (found,) = late.items.below("op/")
+    if was_in_touch:
+        age_seconds = published_at - found.changed_at_seconds
+        assert -0.1 <= age_seconds <= relay.CURRENT_SECONDS
+    else:
+        assert found.changed_at_seconds is None
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -121,7 +121,15 @@
     return networks.Network(seed=1)
 
 
-def start_owning(node, engine, giver, *, log=None, client=None):
+def start_owning(
+    node,
+    engine,
+    giver,
+    *,
+    log=None,
+    client=None,
+    is_evacuated=lambda record, adapter: False,
+):
     slots = engine_slots.EngineSlots(
         engine=engine_loads.ENGINE, newest_versions={}
     )
@@ -141,6 +149,7 @@
         counters=counters.Counters(),
         log=log or types.SimpleNamespace(write=lambda event, **fields: None),
         on_changed=lambda: None,
+        is_evacuated=is_evacuated,
     )
 
 
@@ -237,3 +246,45 @@
     (told,) = rise["explained_by"]
     assert told.startswith(f"{lost['order']} {lost['adapter']}, sent ")
     assert rise["certain"]
+
+
+def test_no_order_is_given_in_an_evacuated_data_centre(
+    network, node, engine
+) -> None:
+    # Adapters would be loaded for requests that go elsewhere by now.
+    evacuated = []
+    owned = start_owning(
+        node, engine, 1, is_evacuated=lambda record, adapter: bool(evacuated)
+    )
+    queue_requests(owned, network, seconds=0.2)
+    evacuated.append(True)
+    queue_requests(owned, network, seconds=1.5)
+    assert not engine.accepted()
+    assert not owned.schedule.queued
+    evacuated.clear()
+    queue_requests(owned, network, seconds=1.5)
+    assert engine.accepted()
+
+
+def test_an_order_whose_connection_opens_meanwhile_isnt_written(
+    network, node, engine
+) -> None:
+    calls = []
+    evacuated = []
+    client = Client(engine=engine, timers=node.timers, giver=1)
+    keeping = types.SimpleNamespace(
+        send=lambda call, sink: (calls.append(call), client.send(call, sink))
+    )
+    owned = start_owning(
+        node,
+        engine,
+        1,
+        client=keeping,
+        is_evacuated=lambda record, adapter: bool(evacuated),
+    )
+    while not any(calls):
+        queue_requests(owned, network, seconds=0.1)
+    order = next(filter(None, calls))
+    assert owned._still_fresh(node.timers.now_seconds())
+    evacuated.append(True)
+    assert not order.may_send()
--- a/tests/entry/test_sent_request.py
+++ b/tests/entry/test_sent_request.py
@@ -166,3 +166,19 @@
     case.request.finished = True
     case.answer(E1.life)
     assert not case.calls
+
+
+@pytest.mark.parametrize("origin", [None, E1.life])
+def test_a_call_is_not_written_to_an_evacuated_endpoint(origin) -> None:
+    # Its connection opened, or its life was confirmed, in the meantime. A
+    # trial of a quarantined request is sent in the same way.
+    case = Case(origin=origin)
+    case.request.send(E1, 0)
+    if origin is not None:
+        case.answer(E1.life)
+    (call,) = case.calls
+    assert call.may_send()
+    case.fleet.set_evacuated(E1.data_centre, True)
+    assert not call.may_send()
+    case.fleet.set_evacuated(E1.data_centre, False)
+    assert call.may_send()
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -162,3 +162,22 @@
     wanted.append(True)
     harness.pass_time(store_follower.IDLE_CHECK_SECONDS)
     assert harness.take()[0] == ("watch", 5)
+
+
+def changed_at(harness, key):
+    (found,) = harness.items.below(key)
+    return found.changed_at_seconds
+
+
+def test_only_changes_that_come_without_a_gap_are_recent() -> None:
+    # An instance that starts, or reads the store again after a while, doesn't
+    # know how old a change is.
+    harness = Harness()
+    answer_listing(harness)
+    assert changed_at(harness, "s/a") is None
+    harness.pass_time(1.0)
+    harness.answer(store_follower.Events((item("s/b", 6),), 6))
+    assert changed_at(harness, "s/b") == harness.clock.now_seconds()
+    harness.pass_time(store_follower.STALE_SECONDS + 0.1)
+    harness.answer(store_follower.Events((item("s/c", 7),), 7))
+    assert changed_at(harness, "s/c") is None
