--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -1,9 +1,8 @@
-"""The listening sockets of a gateway: callers, readiness and metrics."""
+"""The listening sockets of a gateway: callers, readiness and operators."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
@@ -18,9 +17,9 @@
 
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
-STATUS_PATH = "/status"
-JSON = ("Content-Type", "application/json")
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
+JSON = ("Content-Type", "application/json")
+STATUS_PATH = "/status"
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -37,7 +36,7 @@
         timers: timing.TimerService,
         limits: Callable[[], deployment.CallerLimits | None],
         ready: Callable[[], bool],
-        status: Callable[[], dict[str, Any]],
+        status: Callable[[], dict[str, object]],
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -48,7 +47,7 @@
         :param limits: returns the limits for callers; None before the first
             deployment
         :param ready: tells whether the balancer should send callers here
-        :param status: describes the state of this instance for operators
+        :param status: describes the instance for operators
         """
         self._sockets = sockets_
         self._counters = counters
@@ -102,13 +101,13 @@
     def _answer_operators(
         self, request: http_server.Request, exchange: http_server.Exchange
     ) -> None:
-        # Imported on first use: most instances are never scraped.
-        from boragefold.telemetry import exposition
-
-        if request.target.partition("?")[0] == STATUS_PATH:
+        if request.path == STATUS_PATH:
             body = msgspec.json.encode(self._status())
             exchange.reply(STATUS_READY, [JSON], body)
             return
+        # Imported on first use: most instances are never scraped.
+        from boragefold.telemetry import exposition
+
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
 
     def _refuse_slow_callers(self) -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,6 +50,13 @@
     assert found.order_lease_seconds == 3.0
     assert found.rate_tolerance.slack == 17000
     assert found.retry_limit.slack == 54
+    assert found.evacuate_seconds == 5.0
+
+
+def test_the_limit_of_an_evacuation_is_read(tmp_path) -> None:
+    bounds = {**SETTINGS["bounds"], "evacuate_ms": 1500}
+    found = read(tmp_path, {**SETTINGS, "bounds": bounds})
+    assert found.evacuate_seconds == 1.5
 
 
 def test_the_limits_of_cold_endpoints(tmp_path) -> None:
@@ -90,6 +97,7 @@
         ({"order_lease_seconds": 0.0}, "order_lease_seconds"),
         ({"cold_tolerance": cold_limit.Tolerance(-1.0, 5.0)}, "cold_"),
         ({"cold_tolerance": cold_limit.Tolerance(1.5, math.nan)}, "cold_"),
+        ({"evacuate_seconds": -1.0}, "evacuate_seconds"),
     ],
 )
 def test_values_that_cant_be_used_are_named(tmp_path, changes, named) -> None:
