Limit what is kept of a listing of the store

A store that repeats a page was asked again at once and its items were kept without an end. A listing whose pages don't go on, or hold more than 200,000 items, fails as an unreadable answer does. The whole tree of the other platform client may take 64 MB instead of 256 MB: a small instance has 160 MB.

Tests: tests/entry/test_store_follower.py passes.

--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -29,6 +29,8 @@
 HEALTHY_SECONDS = 1.0
 # An answer this old no longer proves that the store works.
 STALE_SECONDS = 3.0
+# Far more than a deployment publishes; pages may go on without an end.
+MAX_LISTED_ITEMS = 200_000
 
 
 class Page(NamedTuple):
@@ -188,17 +190,22 @@
             self._listed = []
             self._listed_revision = None
         call = self._dialect.list_call(self._prefix, after_key)
-        self._send(call, self._handle_page)
+        self._send(call, lambda answer: self._handle_page(answer, after_key))
 
     def _handle_page(
-        self, answer: whole_answer.WholeAnswer | http_client.Failure
+        self,
+        answer: whole_answer.WholeAnswer | http_client.Failure,
+        after_key: str,
     ) -> None:
         page = (
             StoreFailed(answer.reason)
             if isinstance(answer, http_client.Failure)
             else self._dialect.read_page(answer)
         )
+        if isinstance(page, Page) and self._is_endless(page, after_key):
+            page = StoreFailed("endless")
         if isinstance(page, StoreFailed):
+            self._listed = []
             self._retry_later(page.reason, lambda: self._list(""))
             return
         self._record_success()
@@ -217,6 +224,11 @@
         self._listed = []
         self._watch()
 
+    def _is_endless(self, page: Page, after_key: str) -> bool:
+        if len(self._listed) + len(page.items) > MAX_LISTED_ITEMS:
+            return True
+        return page.more and page.last_key <= after_key
+
     def _watch(self) -> None:
         self._paused = not self._must_read()
         if self._paused:
--- a/src/boragefold/transport/platform_client.py
+++ b/src/boragefold/transport/platform_client.py
@@ -12,7 +12,8 @@
 STATUS_OK = 200
 # What the service may need beyond the wait of a long poll.
 GRACE_SECONDS = 5.0
-MAX_TREE_BYTES = 268_435_456
+# What an instance may take for control.
+MAX_TREE_BYTES = 67_108_864
 
 Answer = whole_answer.WholeAnswer | http_client.Failure
 
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -107,6 +107,28 @@
     assert {each.key for each in harness.items.below("s/")} == {"s/a", "s/b"}
 
 
+def test_pages_that_dont_go_on_end_the_listing() -> None:
+    # A store that repeats a page was asked, and its items kept, for ever.
+    harness = Harness()
+    page = store_follower.Page((item("s/a", 2),), 5, "s/a", True)
+    harness.answer(page)
+    harness.answer(page)
+    assert not harness.calls
+    assert harness.log.events == ["store_lost"]
+    harness.pass_time(store_follower.MAX_RETRY_SECONDS)
+    assert harness.take()[0] == ("list", "")
+
+
+def test_a_listing_without_end_is_given_up(monkeypatch) -> None:
+    # Its items are kept until the last page.
+    monkeypatch.setattr(store_follower, "MAX_LISTED_ITEMS", 2)
+    harness = Harness()
+    for key in ("s/a", "s/b", "s/c"):
+        harness.answer(store_follower.Page((item(key, 2),), 5, key, True))
+    assert not harness.calls
+    assert harness.log.events == ["store_lost"]
+
+
 def test_changes_in_quick_succession_are_read_together() -> None:
     harness = Harness()
     answer_listing(harness)
