End answers that nobody uses, and those whose caller has left

An answer that isn't forwarded (a rejection, an unsigned success) was read until the deadline; it has a limit of 1 MB now. A request that runs once goes on without its caller; its deadline went with the caller, and a body without an end was read for as long as it came. The deadline ends it now.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -22,6 +22,8 @@
 # An answer that goes on for so long shows that no part of its prompt crashes
 # the endpoint.
 PROGRESS_SECONDS = 2.0
+# Of an answer that isn't forwarded.
+MAX_UNUSED_BYTES = 1_048_576
 
 
 class Attempt(http_client.AnswerSink):
@@ -46,6 +48,7 @@
         self._ended = False
         self._retry_at_end = False
         self._forwarded = False
+        self._unused_bytes = 0
         self._first_data_at_seconds: float | None = None
         self._awaits_evidence = False
         # Whether the response is known to be whole if it has ended.
@@ -199,6 +202,8 @@
         :param data: the chunk
         """
         if not self._forwarded:
+            self._unused_bytes += len(data)
+            self.full = self._unused_bytes > MAX_UNUSED_BYTES
             return
         self._forwarding.forward_data(data)
         now_seconds = self._forwarding.context.timers.now_seconds()
--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -247,8 +247,17 @@
     def _on_caller_disconnected(self) -> None:
         route = self.admitted.route
         once = route.kind is deployment.RouteKind.NON_IDEMPOTENT
-        if self._attempt is not None and not once:
-            self._attempt.cancel()
+        attempt = self._attempt
+        if attempt is not None and not once:
+            attempt.cancel()
+        elif attempt is not None and attempt.running:
+            # It runs to its end, but the answer may have none.
+            self.context.timers.once(
+                delay_seconds=max(0.0, self.remaining_seconds()),
+                callback=lambda: (
+                    attempt.cancel(failed=True) if attempt.running else None
+                ),
+            )
         self._finish("caller_gone", 0)
 
     def _on_drained(self) -> None:
--- a/src/boragefold/standins/endpoint_faults.py
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from boragefold.standins import endless_answers
 from boragefold.standins import endpoint_connection
 from boragefold.standins import machines_http
 from boragefold.transport import http_server
@@ -21,7 +22,9 @@
     next one unless ``cut_between``, and other answers in their midst, all by
     ``ending``; with ``cut_body``, only those to requests whose body begins so.
     ``exit_when_done`` ends the process after its next whole answer,
-    ``unframed_calls`` sends reports and answers to orders without a framing.
+    ``endless`` sends an answer of this form instead, ``endless_calls`` does
+    so for reports and orders, and ``unframed_calls`` sends these without a
+    framing.
     ``unsigned`` leaves the signature out, ``silent`` never answers,
     ``delay_seconds`` answers later, ``resumed_status`` is the answer to the
     rest of a stream. ``crash_body`` ends the process under each request whose
@@ -44,6 +47,8 @@
     ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
     exit_when_done: bool = False
     unframed_calls: bool = False
+    endless: endless_answers.Form | None = None
+    endless_calls: endless_answers.Form | None = None
     unsigned: bool = False
     silent: bool = False
     delay_seconds: float = 0.0
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from boragefold.standins import endless_answers
 from boragefold.standins import endpoint_connection
 from boragefold.standins import endpoint_faults
 from boragefold.standins import machines_http
@@ -71,6 +72,7 @@
         self._count = 0
         self._faults = endpoint_faults.Faults()
         self._slots = run_slots.RunSlots(timers=timers)
+        self._endless = endless_answers.EndlessAnswers(timers=timers)
         self._share = endpoint_faults.FaultShare()
         self._running: list[http_server.Exchange] = []
         self._arrivals: list[dict[str, Any]] = []
@@ -97,6 +99,7 @@
                 "runs": self._runs,
                 "orders": self._orders,
                 "falls": self._slots.falls,
+                "endless": self._endless.seen,
             }
             machines_http.reply_json(exchange, machines_http.STATUS_OK, seen)
         elif request.path == "/control/break":
@@ -159,6 +162,9 @@
     def _reply_json(
         self, exchange: http_server.Exchange, status: int, body: Any
     ) -> None:
+        if self._faults.endless_calls:
+            self._endless.send(exchange, self._faults.endless_calls, [])
+            return
         if not self._faults.unframed_calls:
             machines_http.reply_json(exchange, status, body)
             return
@@ -200,6 +206,10 @@
         ):
             machines_http.reply_json(exchange, STATUS_MISDIRECTED, {})
             return
+        if self._faults.endless is endless_answers.Form.REFUSAL:
+            # What says that it didn't run must not run.
+            self._endless.send(exchange, self._faults.endless, [])
+            return
         rejects = self._faults.not_executed and self._share.draw(
             self._faults.share
         )
@@ -272,6 +282,9 @@
         ]
         if not self._faults.unsigned:
             headers.append((SIGNATURE, f"signed-by-{self._name}"))
+        if fails and faults.endless:
+            self._endless.send(exchange, faults.endless, headers)
+            return
         resumed = request.headers.get("last-event-id", "")
         status = faults.resumed_status if resumed else faults.status
         status = status if fails else machines_http.STATUS_OK
--- a/tests/entry/test_broken_tunnels.py
+++ b/tests/entry/test_broken_tunnels.py
@@ -21,6 +21,7 @@
 GOOD_ORDER = endpoint_connection.Ending.CLOSE.value
 LONG_EVENTS = 200
 BEGIN_SECONDS = 10.0
+CLOSED_SECONDS = 2.0
 
 
 @pytest.fixture(scope="module")
@@ -99,6 +100,29 @@
     assert (seen.status, seen.complete) == (200, False)
 
 
+def test_an_answer_without_end_through_a_peer_is_given_up(cut_off) -> None:
+    # Whatever a peer passes on is limited where it is parsed.
+    cut_off.faults("desk-0", endless="header_value")
+    sent = machines_module.eventually(
+        lambda: (
+            (seen := _ask(cut_off, "reads")).status == 200
+            and _answers_without_end(cut_off)
+            and seen
+        )
+    )
+    assert _peers_of(cut_off, sent.request_id)
+    machines_module.eventually(
+        lambda: (
+            not any(each["open"] for each in _answers_without_end(cut_off))
+        ),
+        seconds=CLOSED_SECONDS,
+    )
+
+
+def _answers_without_end(machines) -> list[dict[str, object]]:
+    return machines.seen("desk-0")["endless"]
+
+
 def test_an_answer_whose_peer_is_killed_isnt_complete(cut_off) -> None:
     # The kernel closes the tunnels of a killed peer in good order.
     request_id = "00112233445566aa"
--- a/tests/fakes/raw_caller.py
+++ b/tests/fakes/raw_caller.py
@@ -41,6 +41,38 @@
 ) -> Seen:
     # ``begun`` is set when the head of an answer has come.
     request_id = request_id or os.urandom(8).hex()
+    sent = compose(
+        path,
+        request_id,
+        version=version,
+        body=body,
+        events=events,
+        model=model,
+        headers=headers,
+    )
+    began = time.monotonic()
+    with connect(machines, number) as sock:
+        sock.sendall(sent)
+        status, complete, got, fields = _read(sock, begun)
+    seconds = time.monotonic() - began
+    return Seen(request_id, status, complete, got, fields, seconds)
+
+
+def connect(machines, number) -> socket.socket:
+    host, _, port = machines.gateways[number]["front"].rpartition(":")
+    return socket.create_connection((host, int(port)), TIMEOUT_SECONDS)
+
+
+def compose(
+    path,
+    request_id,
+    *,
+    version="1.1",
+    body=b"",
+    events=4,
+    model="base",
+    headers=None,
+) -> bytes:
     # Requests that are alike would share the blame for crashes.
     body = body or request_id.encode()
     sent = {
@@ -57,13 +89,7 @@
         del sent["Boragefold-Model"], sent["Boragefold-Token-Usage"]
     lines = [f"POST {path} HTTP/{version}"]
     lines += [f"{name}: {value}" for name, value in sent.items()]
-    host, _, port = machines.gateways[number]["front"].rpartition(":")
-    began = time.monotonic()
-    with socket.create_connection((host, int(port)), TIMEOUT_SECONDS) as sock:
-        sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
-        status, complete, got, fields = _read(sock, begun)
-    seconds = time.monotonic() - began
-    return Seen(request_id, status, complete, got, fields, seconds)
+    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 def _read(sock, begun):
@@ -95,4 +121,6 @@
 __all__ = [
     "Seen",
     "ask",
+    "compose",
+    "connect",
 ]
--- a/tests/transport/test_answer_bounds.py
+++ b/tests/transport/test_answer_bounds.py
@@ -9,6 +9,8 @@
 import pytest
 
 from boragefold.transport import answer_parser
+from boragefold.transport import client_connection
+from boragefold.transport import http_client
 from boragefold.transport import streams
 from boragefold.transport import whole_answer
 from tests.fakes import loopback
@@ -20,6 +22,7 @@
 MAX_KEPT_BYTES = 1_048_576
 # The loop serves all callers; the shortest time limits are half a second.
 MAX_PROCESSOR_SECONDS = 0.25
+PROGRESS_SECONDS = 5.0
 # Without a limit, a test ends here.
 STOP_BYTES = 33_554_432
 BOUND_BYTES = answer_parser.MAX_OVERHEAD_BYTES + streams.READ_BYTES
@@ -247,3 +250,35 @@
     assert sent > 1_000_000
     assert sum(receiver.sizes) == sent
     sock.close()
+
+
+@pytest.mark.parametrize("collects", [True, False])
+def test_a_collected_answer_has_a_limit_in_time(collects):
+    # A report that came byte by byte was waited for without an end; a
+    # stream of tokens may go on.
+    net, listener, ended = loopback.Loopback(), loopback.Listener(), []
+    sink = whole_answer.WholeAnswerSink(done=ended.append)
+    sink.collects = collects
+    call = http_client.Call(
+        address=listener.address,
+        method="GET",
+        target="/",
+        headers=[],
+        body=b"",
+        fresh=True,
+        progress_seconds=PROGRESS_SECONDS,
+    )
+    net.client.send(call, sink)
+    net.turn()
+    sock = listener.accept()
+    sock.send(HEAD + b"Content-Length: 1000\r\n\r\n")
+    for _ in range(client_connection.COLLECTING_FACTOR + 1):
+        sock.send(b"x")
+        net.turn()
+        net.pass_time(PROGRESS_SECONDS * 0.9)
+        if ended:
+            break
+    expected = http_client.Failure(reason="timeout", may_have_arrived=True)
+    assert ended == ([expected] if collects else [])
+    listener.close()
+    sock.close()
