--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -8,6 +8,7 @@
 import time
 from typing import NamedTuple
 
+from boragefold.standins import endless_answers
 from tests.fakes import cut_machines
 from tests.fakes import machines as machines_module
 from tests.soak import callers
@@ -91,6 +92,11 @@
     def _unframed_answers(self, fault: plan.Fault) -> None:
         self._faulty(fault, framing="close", unframed_calls=True)
 
+    def _endless_answers(self, fault: plan.Fault) -> None:
+        forms = tuple(endless_answers.Form)
+        form = forms[fault.what % len(forms)].value
+        self._faulty(fault, endless=form, endless_calls=form)
+
     def _unframed_breaks(self, fault: plan.Fault) -> None:
         rng = random.Random(fault.what)
         # Nothing tells the end of a body from a close by a living endpoint.
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -63,6 +63,7 @@
     "lost_share": 1,
     "streams_broken": 2,
     "engine_reborn": 2,
+    "endless_answers": 2,
 }
 
 
