--- a/tests/transport/test_answer_bounds.py
+++ b/tests/transport/test_answer_bounds.py
@@ -123,6 +123,13 @@
     assert peak_bytes < MAX_KEPT_BYTES
 
 
+def test_headers_count_with_their_separators():
+    # Joining many empty headers costs the square of their number.
+    parser = _make()
+    assert not parser.feed(HEAD + b"x:\r\n" * 12_000 + b"\r\n")
+    assert parser.reason == answer_parser.UNBOUNDED
+
+
 def test_a_line_that_comes_in_single_bytes_costs_little():
     # What a parser keeps of a line must not be copied for every read.
     parser = _make()
