Keep due times, loads and statuses of owned engines between decisions

Cause: an owner computed the due times of all its engines for each message, the loads in progress at all of them for each estimate, and all statuses for each request that it forwarded; refreshing ownership looked up the service of every endpoint, and applying a difference searched a tuple for each adapter. Change: entry/owned_summaries.py keeps these per engine and renews those of the engine that was advanced; the timer advances only the engines that are due, the refresh all of them as before. Fleet lists endpoints by service and engines from an index that each change drops. engine_diffs uses a frozenset.

--- a/src/boragefold/coordination/fleet/engine_diffs.py
+++ b/src/boragefold/coordination/fleet/engine_diffs.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import TypeVar
 
@@ -126,11 +127,10 @@
     return tuple(item for item in dict.fromkeys(new) if item not in known)
 
 
-def _kept(
-    before: Sequence[Item], dropped: tuple[int, ...]
-) -> tuple[Item, ...]:
+def _kept(before: Sequence[Item], dropped: Iterable[int]) -> tuple[Item, ...]:
+    indexes = frozenset(dropped)
     return tuple(
-        item for index, item in enumerate(before) if index not in dropped
+        item for index, item in enumerate(before) if index not in indexes
     )
 
 
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -12,6 +12,7 @@
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import engine_messages
 from boragefold.entry import owned_engine
+from boragefold.entry import owned_summaries
 from boragefold.entry import owner_client
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_schedule
@@ -96,7 +97,9 @@
         # must detect that others gave it orders in the meantime.
         self._turns: dict[str, order_turns.OrderTurns] = {}
         self._released_until_seconds: dict[str, float] = {}
+        self._summaries = owned_summaries.OwnedSummaries()
         self._next_run: timing.Subscription | None = None
+        self._next_run_at_seconds = 0.0
         link.subscribe(messages.EngineAsk, self._on_ask)
         link.subscribe(messages.RunStarted, self._on_started)
         link.subscribe(messages.RunEnded, self._on_ended)
@@ -112,6 +115,7 @@
         for name in self._owned.keys() - wanted.keys():
             given_up = self._owned.pop(name)
             given_up.stop()
+            self._summaries.remove(name)
             self._log_given_up(given_up.record)
         for name, record in wanted.items():
             owned = self._owned.get(name)
@@ -119,6 +123,7 @@
                 self._start_owning(record)
             elif owned.record != record:
                 owned.update_record(record)
+                self._update_summary(name, owned)
         self.run()
 
     def should_release(self, engine: str) -> bool:
@@ -158,9 +163,7 @@
         """
         now_seconds = self._timers.now_seconds()
         return tuple(
-            engine_messages.write_status(
-                name, engine.schedule, now_seconds=now_seconds
-            )._replace(answers=engine.is_responsive)
+            self._summaries.status(name, engine, now_seconds=now_seconds)
             for name, engine in self._owned.items()
         )
 
@@ -183,6 +186,16 @@
             self._advance(name)
         self._schedule_run()
 
+    def _run_due(self) -> None:
+        # The timer's reading may differ from the due time by rounding.
+        until_seconds = max(
+            self._timers.now_seconds(), self._next_run_at_seconds
+        )
+        self._next_run = None
+        for name in self._summaries.due(until_seconds=until_seconds):
+            self._advance(name)
+        self._schedule_run()
+
     def _run_engine(self, name: str) -> None:
         # Only one engine is advanced: if each message advanced all engines,
         # an instance that owns all of them because the others stopped would
@@ -195,9 +208,18 @@
         engine = self._owned.get(name)
         if engine is None:
             return
-        for action in engine.advance():
+        actions = engine.advance()
+        self._update_summary(name, engine)
+        for action in actions:
             self._reply(name, action)
 
+    def _update_summary(
+        self, name: str, engine: owned_engine.OwnedEngine
+    ) -> None:
+        self._summaries.update(
+            name, engine, now_seconds=self._timers.now_seconds()
+        )
+
     def _log_given_up(self, record: deployment.EndpointRecord) -> None:
         change = self._owner_change(record)
         self._log.write(
@@ -263,11 +285,7 @@
 
     def _loads_on_other_engines(self, name: str) -> int:
         now_seconds = self._timers.now_seconds()
-        own = sum(
-            engine.schedule.slots.loading(now_seconds=now_seconds)
-            for other, engine in self._owned.items()
-            if other != name
-        )
+        own = self._summaries.loads_except(name, now_seconds=now_seconds)
         return own + self._other_loads
 
     def _on_ask(
@@ -366,23 +384,18 @@
         )
 
     def _schedule_run(self) -> None:
-        now_seconds = self._timers.now_seconds()
-        due_times = (
-            engine.schedule.next_due_seconds(now_seconds=now_seconds)
-            for engine in self._owned.values()
-        )
-        due_seconds = min(
-            (due for due in due_times if due is not None), default=None
-        )
+        due_seconds = self._summaries.next_due_at_seconds()
         if self._next_run is not None:
+            if due_seconds == self._next_run_at_seconds:
+                return
             self._next_run.cancel()
-        self._next_run = (
-            None
-            if due_seconds is None
-            else self._timers.once(
-                delay_seconds=max(0.0, due_seconds - now_seconds),
-                callback=self.run,
-            )
+            self._next_run = None
+        if due_seconds is None:
+            return
+        self._next_run_at_seconds = due_seconds
+        delay_seconds = due_seconds - self._timers.now_seconds()
+        self._next_run = self._timers.once(
+            delay_seconds=max(0.0, delay_seconds), callback=self._run_due
         )
 
 
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -273,12 +273,14 @@
         # One request of each adapter, the most urgent one.
         awaiting_slot: dict[AdapterKey, EngineRequest] = {}
         for waiting in by_urgency:
+            adapter = waiting.adapter
             if (
-                not waiting.adapter.held
+                not adapter.held
+                and adapter.key not in awaiting_slot
                 and waiting.queued_at_seconds <= latest_seconds
                 and waiting.request.request_id in self._queue
             ):
-                awaiting_slot.setdefault(waiting.adapter.key, waiting.request)
+                awaiting_slot[adapter.key] = waiting.request
         return self.slots.next_order(
             awaiting_slot.values(),
             self._queue.counts,
@@ -287,6 +289,8 @@
         )
 
     def _by_urgency(self, now_seconds: float) -> list[QueuedRequest]:
+        if not self._queue:
+            return []
         forecast = self.slots.forecast(now_seconds=now_seconds)
         self._queue.apply_forecast(forecast, now_seconds=now_seconds)
         return self._queue.by_urgency(self._speed)
@@ -406,6 +410,7 @@
         # to try another engine.
         reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
         slot_wait = self._slot_wait()
+        slot_wait_seconds = slot_wait.seconds(0)
         awaiting_slot: set[AdapterKey] = set()
         for waiting in by_urgency:
             request = waiting.request
@@ -416,13 +421,16 @@
                     request.prompt_tokens
                 )
             else:
-                wait_seconds = slot_wait.seconds(len(awaiting_slot))
-                awaiting_slot.add(waiting.adapter.key)
+                wait_seconds = slot_wait_seconds
+                if waiting.adapter.key not in awaiting_slot:
+                    awaiting_slot.add(waiting.adapter.key)
+                    slot_wait_seconds = slot_wait.seconds(len(awaiting_slot))
                 if waiting.late:
                     remaining_seconds *= MAX_LATE_WAIT_SHARE
             if wait_seconds > remaining_seconds:
                 self.remove(request.request_id, now_seconds=now_seconds)
                 slot_wait = self._slot_wait()
+                slot_wait_seconds = slot_wait.seconds(len(awaiting_slot))
                 yield _queue_too_long(
                     request, wait_seconds - remaining_seconds
                 )
--- a/src/boragefold/policy/engine_slots.py
+++ b/src/boragefold/policy/engine_slots.py
@@ -416,6 +416,18 @@
             for slot in self._slots.values()
         )
 
+    def load_ends_at_seconds(self, *, now_seconds: float) -> tuple[float, ...]:
+        """List when the loads in progress should end.
+
+        :param now_seconds: reading of the process clock
+        :return: later readings of the process clock
+        """
+        return tuple(
+            slot.ready_at_seconds
+            for slot in self._slots.values()
+            if slot.is_loading(now_seconds=now_seconds)
+        )
+
     def apply_report(
         self,
         held: Mapping[str, Mapping[str, int]],
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -18,6 +18,9 @@
         self.deployment: deployments.Deployment | None = None
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
+        # Both follow from the endpoints, and are dropped with each change.
+        self._by_service: dict[str, list[EndpointRecord]] | None = None
+        self._engines: tuple[EndpointRecord, ...] | None = None
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -97,8 +100,8 @@
         """
         return (
             record
-            for record in self._endpoints.values()
-            if record.service == service and not record.leaving
+            for record in self._endpoints_by_service().get(service, ())
+            if not record.leaving
         )
 
     def engines(self) -> Iterator[EndpointRecord]:
@@ -106,11 +109,13 @@
 
         :return: records
         """
-        return (
-            record
-            for record in self._endpoints.values()
-            if self.engine_of(record) is not None
-        )
+        if self._engines is None:
+            self._engines = tuple(
+                record
+                for record in self._endpoints.values()
+                if self.engine_of(record) is not None
+            )
+        return iter(self._engines)
 
     def engine_of(self, record: EndpointRecord) -> deployments.Engine | None:
         """Tell what an endpoint can hold.
@@ -130,7 +135,17 @@
         """
         return None if self.deployment is None else self.deployment.limits
 
+    def _endpoints_by_service(self) -> dict[str, list[EndpointRecord]]:
+        if self._by_service is None:
+            by_service: dict[str, list[EndpointRecord]] = {}
+            for record in self._endpoints.values():
+                by_service.setdefault(record.service, []).append(record)
+            self._by_service = by_service
+        return self._by_service
+
     def _changed(self) -> None:
+        self._by_service = None
+        self._engines = None
         for callback in self._subscribers:
             callback()
 
