--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -111,6 +111,7 @@
         """
         self._other_loads = self._count_other_loads()
         self._engines = sum(1 for _ in self._fleet.engines())
+        now_seconds = self._timers.now_seconds()
         wanted = {record.name: record for record in records}
         for name in self._owned.keys() - wanted.keys():
             given_up = self._owned.pop(name)
@@ -123,7 +124,7 @@
                 self._start_owning(record)
             elif owned.record != record:
                 owned.update_record(record)
-                self._update_summary(name, owned)
+                self._summaries.update(name, owned, now_seconds=now_seconds)
         self.run()
 
     def should_release(self, engine: str) -> bool:
@@ -209,17 +210,11 @@
         if engine is None:
             return
         actions = engine.advance()
-        self._update_summary(name, engine)
+        now_seconds = self._timers.now_seconds()
+        self._summaries.update(name, engine, now_seconds=now_seconds)
         for action in actions:
             self._reply(name, action)
 
-    def _update_summary(
-        self, name: str, engine: owned_engine.OwnedEngine
-    ) -> None:
-        self._summaries.update(
-            name, engine, now_seconds=self._timers.now_seconds()
-        )
-
     def _log_given_up(self, record: deployment.EndpointRecord) -> None:
         change = self._owner_change(record)
         self._log.write(
