--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -13,6 +13,7 @@
 from boragefold.entry import engine_dialect as dialects
 from boragefold.entry import engine_messages
 from boragefold.entry import owned_engine
+from boragefold.entry import owned_summaries
 from boragefold.entry import owner_client
 from boragefold.entry import owner_log
 from boragefold.policy import engine_decisions
@@ -101,7 +102,9 @@
         # must detect that others gave it orders in the meantime.
         self._turns: dict[str, order_turns.OrderTurns] = {}
         self._released_until_seconds: dict[str, float] = {}
+        self._summaries = owned_summaries.OwnedSummaries()
         self._next_run: timing.Subscription | None = None
+        self._next_run_at_seconds = 0.0
         link.subscribe(messages.EngineAsk, self._on_ask)
         link.subscribe(messages.RunStarted, self._on_started)
         link.subscribe(messages.RunEnded, self._on_ended)
@@ -113,10 +116,12 @@
         """
         self._other_loads = self._count_other_loads()
         self._engines = sum(1 for _ in self._fleet.engines())
+        now_seconds = self._timers.now_seconds()
         wanted = {record.name: record for record in records}
         for name in self._owned.keys() - wanted.keys():
             given_up = self._owned.pop(name)
             given_up.stop()
+            self._summaries.remove(name)
             change = self._owner_change(given_up.record)
             owner_log.log_given_up(self._log, given_up.record, change)
         for name, record in wanted.items():
@@ -125,6 +130,7 @@
                 self._start_owning(record)
             elif owned.record != record:
                 owned.update_record(record)
+                self._summaries.update(name, owned, now_seconds=now_seconds)
         self.run()
 
     def should_release(self, engine: str) -> bool:
@@ -164,9 +170,7 @@
         """
         now_seconds = self._timers.now_seconds()
         return tuple(
-            engine_messages.write_status(
-                name, engine.schedule, now_seconds=now_seconds
-            )._replace(answers=engine.is_responsive)
+            self._summaries.status(name, engine, now_seconds=now_seconds)
             for name, engine in self._owned.items()
         )
 
@@ -189,6 +193,16 @@
             self._advance(name)
         self._schedule_run()
 
+    def _run_due(self) -> None:
+        # The timer's reading may differ from the due time by rounding.
+        until_seconds = max(
+            self._timers.now_seconds(), self._next_run_at_seconds
+        )
+        self._next_run = None
+        for name in self._summaries.due(until_seconds=until_seconds):
+            self._advance(name)
+        self._schedule_run()
+
     def _run_engine(self, name: str) -> None:
         # Only one engine is advanced: if each message advanced all engines,
         # an instance that owns all of them because the others stopped would
@@ -201,7 +215,10 @@
         engine = self._owned.get(name)
         if engine is None:
             return
-        for action in engine.advance():
+        actions = engine.advance()
+        now_seconds = self._timers.now_seconds()
+        self._summaries.update(name, engine, now_seconds=now_seconds)
+        for action in actions:
             self._reply(name, action)
 
     def _start_owning(self, record: deployment.EndpointRecord) -> None:
@@ -248,11 +265,7 @@
 
     def _loads_on_other_engines(self, name: str) -> int:
         now_seconds = self._timers.now_seconds()
-        own = sum(
-            engine.schedule.slots.loading(now_seconds=now_seconds)
-            for other, engine in self._owned.items()
-            if other != name
-        )
+        own = self._summaries.loads_except(name, now_seconds=now_seconds)
         return own + self._other_loads
 
     def _on_ask(
@@ -369,23 +382,18 @@
         )
 
     def _schedule_run(self) -> None:
-        now_seconds = self._timers.now_seconds()
-        due_times = (
-            engine.schedule.next_due_seconds(now_seconds=now_seconds)
-            for engine in self._owned.values()
-        )
-        due_seconds = min(
-            (due for due in due_times if due is not None), default=None
-        )
+        due_seconds = self._summaries.next_due_at_seconds()
         if self._next_run is not None:
+            if due_seconds == self._next_run_at_seconds:
+                return
             self._next_run.cancel()
-        self._next_run = (
-            None
-            if due_seconds is None
-            else self._timers.once(
-                delay_seconds=max(0.0, due_seconds - now_seconds),
-                callback=self.run,
-            )
+            self._next_run = None
+        if due_seconds is None:
+            return
+        self._next_run_at_seconds = due_seconds
+        delay_seconds = due_seconds - self._timers.now_seconds()
+        self._next_run = self._timers.once(
+            delay_seconds=max(0.0, delay_seconds), callback=self._run_due
         )
 
 
