Hold or refuse requests that all endpoints would finish too late

Where all endpoints of a service are full, each request that is sent on makes those behind it late. Where endpoints report factors, a request joins a queue while its expected finish is within the objective of the most urgent requests of its service, waits at the instance by urgency, or is refused at once with a Retry-After spaced by the pace of the queue. The end of a request logs what was expected, and a counter tells on time, late and refused.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -233,6 +233,13 @@
         """
         return {}
 
+    def decision_fields(self) -> dict[str, Any]:
+        """Return what the choice of an endpoint expected, as log fields.
+
+        :return: values by field name
+        """
+        return {}
+
     def _has_time(self) -> bool:
         return self.remaining_seconds() > answer_deadline.MARGIN_SECONDS
 
@@ -289,6 +296,7 @@
             times=self._answer.times,
             framing=None if self._attempt is None else self._attempt.framing,
             inside_event=self.inside_event,
+            decision_fields=self.decision_fields(),
         )
         request_end.record(end, admitted=self.admitted, context=self.context)
 
--- a/src/boragefold/entry/request_end.py
+++ b/src/boragefold/entry/request_end.py
@@ -18,7 +18,8 @@
     ``waited_seconds`` is the time before the last attempt, broken down by
     ``queue_time_fields``. ``framing`` is what showed the end of the last
     answer, None if no end of it came; ``inside_event`` is whether what the
-    caller got ends inside an event.
+    caller got ends inside an event. ``decision_fields`` tell what the choice
+    of an endpoint expected, empty where it expects nothing.
     """
 
     outcome: str
@@ -30,6 +31,7 @@
     times: answer_times.AnswerTimes
     framing: http_client.Framing | None = None
     inside_event: bool = False
+    decision_fields: dict[str, Any] | None = None
 
 
 def record(
@@ -63,6 +65,10 @@
         fields |= end.queue_time_fields | _stream_fields(
             end, admitted, context
         )
+    if end.decision_fields:
+        fields |= end.decision_fields
+        fields["waited_seconds"] = round(end.waited_seconds, 4)
+        _count_expected(end, context)
     context.counters.add("requests_ended", end.outcome)
     context.counters.observe_seconds("request_seconds", took_seconds)
     if end.outcome == "answered" and len(end.sent_to) == 1:
@@ -71,6 +77,18 @@
         context.log.write("request_ended", **fields)
 
 
+def _count_expected(
+    end: RequestEnd, context: request_context.RequestContext
+) -> None:
+    if end.outcome != "answered":
+        result = "refused"
+    elif end.decision_fields and end.decision_fields["on_time"]:
+        result = "on_time"
+    else:
+        result = "late"
+    context.counters.add("requests_by_finish", result)
+
+
 def _stream_fields(
     end: RequestEnd,
     admitted: request_context.AdmittedRequest,
--- a/src/boragefold/entry/room_queue.py
+++ b/src/boragefold/entry/room_queue.py
@@ -5,6 +5,7 @@
 import abc
 import collections
 
+from boragefold.policy import return_times
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 
@@ -25,6 +26,14 @@
         :return: whether it got its final answer, or its caller left
         """
 
+    @property
+    def rank(self) -> tuple[float, ...]:
+        """Tell who goes first.
+
+        :return: lower for what goes earlier; equal ones go as they came
+        """
+        return ()
+
     @abc.abstractmethod
     def try_room(self) -> bool:
         """Send the request if there is room, or refuse it.
@@ -34,7 +43,7 @@
 
 
 class RoomQueue:
-    """Lets waiting requests go in the order in which they came."""
+    """Lets waiting requests go by rank, then as they came."""
 
     def __init__(
         self, *, timers: timing.TimerService, counters: telemetry.Counters
@@ -50,6 +59,7 @@
         self._left_at_seconds: dict[str, float] = {}
         self._gap_seconds: dict[str, float] = {}
         self._next_check: timing.Subscription | None = None
+        self.returns = return_times.ReturnTimes()
 
     def is_empty(self, service: str) -> bool:
         """Tell whether no request waits for a service.
@@ -68,6 +78,42 @@
         waiting = self._waiting.get(service, ())
         return (1 + len(waiting)) * self._gap_seconds.get(service, 0.0)
 
+    def pace_seconds(self, service: str) -> float:
+        """Return the pace at which requests leave the queue of a service.
+
+        :param service: its name
+        :return: seconds from one to the next, 0 if none is known
+        """
+        gap_seconds = self._gap_seconds.get(service, 0.0)
+        if service not in self._waiting:
+            return gap_seconds
+        now_seconds = self._timers.now_seconds()
+        return max(gap_seconds, now_seconds - self._left_at_seconds[service])
+
+    def turn_seconds(self, service: str, rank: tuple[float, ...]) -> float:
+        """Estimate how long others go before a request.
+
+        :param service: name of its service
+        :param rank: of the request
+        :return: seconds, 0 if it is first
+        """
+        waiting = self._waiting.get(service, ())
+        ahead = sum(each.rank <= rank for each in waiting if not each.finished)
+        return ahead * self.pace_seconds(service) if ahead else 0.0
+
+    def is_first(self, service: str, rank: tuple[float, ...]) -> bool:
+        """Tell whether no waiting request goes before one.
+
+        :param service: name of its service
+        :param rank: of the request
+        :return: whether it is its turn
+        """
+        return not any(
+            each.rank <= rank
+            for each in self._waiting.get(service, ())
+            if not each.finished
+        )
+
     def add(self, service: str, waiter: RoomWaiter) -> None:
         """Let a request wait.
 
@@ -90,7 +136,10 @@
             self._schedule()
 
     def _release(self, service: str) -> None:
-        waiting = self._waiting[service]
+        waiting = collections.deque(
+            sorted(self._waiting[service], key=lambda each: each.rank)
+        )
+        self._waiting[service] = waiting
         while waiting:
             if waiting[0].finished:
                 waiting.popleft()
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -1,14 +1,20 @@
 """Forwards a request to the least loaded endpoint of a plain service.
 
-A request waits for room only where the endpoints can't bear its rejection.
+A request waits for room only where the endpoints can't bear its rejection, or
+report how long their work takes and would finish it too late.
 """
 
 from __future__ import annotations
 
+import functools
+from typing import Any
+
 from boragefold.entry import dialect as dialects
+from boragefold.entry import finish_turn
 from boragefold.entry import forwarding
 from boragefold.entry import refusals
 from boragefold.entry import room_queue
+from boragefold.policy import finish_admission
 from boragefold.policy import repeat_decision
 from boragefold.state import deployment
 
@@ -19,10 +25,26 @@
 class ServiceForwarding(forwarding.Forwarding, room_queue.RoomWaiter):
     """Forwards a request to an endpoint of a plain service."""
 
+    # Whether its endpoints report factors, so that urgency decides who goes.
+    _is_ranked = False
+
     def begin(self) -> None:
         """Send the request, let it wait for room, or refuse it."""
         rooms = self.context.rooms
         service = self.admitted.service.name
+        candidates = self._candidates()
+        self._is_ranked = self._turn.applies(candidates.values())
+        if self._is_ranked:
+            if rooms.is_first(service, self.rank) and self.try_room():
+                return
+            if self._turn.can_wait(
+                candidates.values(),
+                remaining_seconds=self.remaining_seconds(),
+            ):
+                rooms.add(service, self)
+            else:
+                self._refuse_until_room("late_by_estimate")
+            return
         if rooms.is_empty(service) and self.try_room():
             return
         wait_seconds = rooms.estimate_seconds(service)
@@ -45,6 +67,15 @@
         if not candidates:
             self.refuse(refusals.NOT_RUN, "no_endpoint")
             return True
+        if self._turn.applies(candidates.values()):
+            verdict = self._turn.decide(
+                candidates.values(), remaining_seconds=self.remaining_seconds()
+            )
+            if verdict is finish_admission.Verdict.WAIT:
+                return False
+            if verdict is finish_admission.Verdict.REFUSE:
+                self._refuse_until_room("late_by_estimate")
+                return True
         record = self._choose(candidates)
         if record is not None:
             self.send(record, version=0)
@@ -65,6 +96,37 @@
             may_wait or self._choose(candidates) is not None
         )
 
+    @property
+    def rank(self) -> tuple[float, ...]:
+        """Tell who goes first where endpoints report factors.
+
+        :return: lower for what goes earlier; equal ones go as they came
+        """
+        return self._turn.rank if self._is_ranked else ()
+
+    def decision_fields(self) -> dict[str, Any]:
+        """Return what was expected of the endpoints, as log fields.
+
+        :return: values by field name
+        """
+        return self._turn.describe()
+
+    @functools.cached_property
+    def _turn(self) -> finish_turn.FinishTurn:
+        return finish_turn.FinishTurn(
+            admitted=self.admitted, context=self.context
+        )
+
+    def _refuse_until_room(self, reason: str) -> None:
+        records = self.context.fleet.endpoints_of(self.admitted.service.name)
+        self.refuse(
+            refusals.NOT_RUN,
+            reason,
+            self._turn.draw_return_seconds(
+                list(records), remaining_seconds=self.remaining_seconds()
+            ),
+        )
+
     def on_answer_started(self) -> None:
         """Do nothing: no schedule tracks the request."""
 
@@ -81,6 +143,8 @@
             endpoint, repeat_decision.Setback.REJECTED, may_have_run=False
         ):
             self.begin()
+        elif facts.no_room and facts.work_factor is not None:
+            self._refuse_until_room(reason)
         else:
             self.refuse(refusals.NOT_RUN, reason)
 
--- a/src/boragefold/policy/rejection_limits.py
+++ b/src/boragefold/policy/rejection_limits.py
@@ -169,6 +169,13 @@
             and busy + 1 <= BORROWED_SHARE * load.slots
         )
 
+    def count_instances(self) -> int:
+        """Count the instances that send to the same endpoints.
+
+        :return: those that are reachable, and this one
+        """
+        return 1 + len(self._peers())
+
     def part_of_slots(self, endpoint: str, slots: int) -> int:
         """Return how many slots of an endpoint are this instance's part.
 
--- a/tests/entry/test_room_queue.py
+++ b/tests/entry/test_room_queue.py
@@ -77,3 +77,27 @@
         side.run(0.2)
     assert 0.4 < side.queue.estimate_seconds("desk") < 0.8
     assert side.queue.estimate_seconds("other") == 0.0
+
+
+class Ranked(Waiter):
+    rank = (1,)
+
+
+class Urgent(Waiter):
+    rank = (0,)
+
+
+def test_the_most_urgent_go_first() -> None:
+    # Urgent requests would wait behind all that came before.
+    side = Side()
+    for name, kind in (("a", Ranked), ("b", Urgent), ("c", Ranked)):
+        side.queue.add("desk", kind(side.rooms, name))
+    assert side.queue.is_first("desk", (-1,))
+    assert not side.queue.is_first("desk", (0,))
+    assert side.queue.turn_seconds("desk", (-1,)) == 0.0
+    side.rooms["free"] = 2
+    side.run(0.1)
+    assert side.rooms["order"] == ["b", "a"]
+    # Nobody has left since, so the pace is no better than that.
+    side.run(1.0)
+    assert side.queue.turn_seconds("desk", (1,)) > 0.9
