Make up for the time that an entry was kept before it is relayed

Only a longer cold time is relayed, so an instance that doesn't read the store keeps the entry that stated it. Whoever got it from there found the endpoint cold for the same time again, long after it was warm: an instance that starts would send nothing to any endpoint of a plain service.

--- a/src/boragefold/entry/cold_endpoints.py
+++ b/src/boragefold/entry/cold_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from boragefold.coordination.fleet import members as members_module
 from boragefold.entry import engine_dialect
@@ -160,8 +161,15 @@
         if limit is not None:
             limit.record(now_seconds=self._timers.now_seconds())
 
+    def status(self) -> dict[str, Any]:
+        """Describe the cold endpoints for operators.
+
+        :return: values that can be encoded as JSON
+        """
+        return {"cold_seconds": self.remaining_seconds()}
+
     def remaining_seconds(self) -> dict[str, float]:
-        """List the endpoints that are cold, for operators.
+        """List the endpoints that are cold.
 
         :return: the seconds that they stay so, by name
         """
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -66,6 +66,7 @@
         store_dialect: store_follower.StoreDialect,
         prefixes: tuple[str, ...],
         must_relay: published_items.Matters,
+        age_item: published_items.Age,
         make_subscriber: Callable[
             [fleets.Fleet, removal_grace.RemovalGrace],
             published_items.Subscriber,
@@ -81,6 +82,7 @@
         :param prefixes: key prefixes that are read from the store
         :param must_relay: tells which changes of published items must be
             relayed to instances that don't read the store
+        :param age_item: returns an item as it would be written later
         :param make_subscriber: creates the subscriber that applies published
             items
         :param read_settings: reads the settings again, for a reload
@@ -99,7 +101,10 @@
         self._rng = random.Random()
         self._fleet = fleets.Fleet()
         self._items = published_items.PublishedItems(
-            matters=must_relay, prefixes=prefixes
+            matters=must_relay,
+            prefixes=prefixes,
+            age=age_item,
+            now_seconds=self.timers.now_seconds,
         )
         self._fleet_log = fleet_log.FleetLog(
             fleet=self._fleet, items=self._items, log=self.log
@@ -209,10 +214,7 @@
             timers=self.timers,
             limits=self._fleet.caller_limits,
             ready=self.ready,
-            status=lambda: {
-                "ready": self.ready(),
-                "cold_seconds": self._loads.cold.remaining_seconds(),
-            },
+            status=self._loads.cold.status,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -106,7 +106,8 @@
         from boragefold.telemetry import exposition
 
         if request.target.partition("?")[0] == STATUS_PATH:
-            body = msgspec.json.encode(self._status())
+            status = {"ready": self._ready(), **self._status()}
+            body = msgspec.json.encode(status)
             exchange.reply(STATUS_READY, [JSON], body)
             return
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -433,11 +433,14 @@
         reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
         awaiting_slot: set[AdapterKey] = set()
         kept = 0
+        is_cold = self.cold.is_cold(now_seconds=now_seconds)
         for waiting in by_urgency:
             request = waiting.request
             remaining_seconds = request.queue_deadline_at_seconds - now_seconds
-            cold_seconds = self.cold.wait_seconds(
-                kept, now_seconds=now_seconds
+            cold_seconds = (
+                self.cold.wait_seconds(kept, now_seconds=now_seconds)
+                if is_cold
+                else 0.0
             )
             if self._has_slot(request):
                 wait_seconds = reading_seconds
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -18,6 +18,8 @@
 
 
 Matters = Callable[[Item | None, Item], bool]
+# Returns an item as it would be written so many seconds later.
+Age = Callable[[Item, float], Item]
 Subscriber = Callable[[list[Item]], None]
 
 
@@ -42,13 +44,21 @@
         *,
         matters: Matters = lambda old, new: True,
         prefixes: Iterable[str] = (),
+        age: Age = lambda item, seconds: item,
+        now_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Begin empty.
 
         :param matters: tells whether a change of an item, from what it was,
             has to reach instances that don't read the store
         :param prefixes: the starts of keys that are read apart
+        :param age: makes up for the time since an item was read, when others
+            get it: what counts down in it would begin anew there
+        :param now_seconds: reads the process clock
         """
+        self._age = age
+        self._now_seconds = now_seconds
+        self._read_at_seconds: dict[str, float] = {}
         self._matters = matters
         self._prefixes = tuple(prefixes)
         self._mattered: dict[str, int] = {}
@@ -84,6 +94,7 @@
                 self._mattered[item.key] = item.revision
                 self._raise_told(self._prefix_of(item.key), item.revision)
             self._items[item.key] = item
+            self._read_at_seconds[item.key] = self._now_seconds()
         for prefix, told_revision in (told or {}).items():
             self._raise_told(prefix, told_revision)
         self.revision = max(self.revision, revision)
@@ -131,8 +142,11 @@
         :param told: by prefix, the newest change that the asker has
         :return: items, removals included
         """
+        now_seconds = self._now_seconds()
         return (
-            self._items[key]
+            self._age(
+                self._items[key], now_seconds - self._read_at_seconds[key]
+            )
             for key, mattered_revision in self._mattered.items()
             if mattered_revision > told.get(self._prefix_of(key), 0)
         )
@@ -161,6 +175,7 @@
 
 
 __all__ = [
+    "Age",
     "Item",
     "Matters",
     "PublishedItems",
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -160,3 +160,20 @@
         forwarding.now = at_seconds
         attempt.data(b"data: x")
     assert forwarding.progress == [5.0 + attempts.PROGRESS_SECONDS]
+
+
+@pytest.mark.parametrize("stated", [None, 0.0, 5.0])
+def test_a_response_tells_how_long_its_endpoint_stays_cold(
+    forwarding, stated
+) -> None:
+    # The entry that tells it comes later, through the store.
+    told = []
+    forwarding.context.cold = types.SimpleNamespace(
+        record_answer=lambda record, seconds: told.append(seconds)
+    )
+    facts = FACTS._replace(cold_seconds=stated)
+    forwarding.context.dialect.read_answer = lambda *_: facts
+    record = gateways.engine("e1")
+    sent = attempts.Attempt(forwarding=forwarding, record=record, version=0)
+    sent.head(200, {})
+    assert told == ([] if stated is None else [stated])
--- a/tests/entry/test_cold_endpoints.py
+++ b/tests/entry/test_cold_endpoints.py
@@ -11,6 +11,7 @@
 from boragefold.entry import cold_endpoints
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
+from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
 from boragefold.entry import service_forwarding
 from boragefold.policy import cold_limit
@@ -19,6 +20,7 @@
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
+from boragefold.transport import http_client
 from tests.fakes import engine_loads
 from tests.fakes import gateways
 from tests.fakes import leases
@@ -56,6 +58,7 @@
         self.fleet = fleets.Fleet()
         self.counters = telemetry.Counters()
         self.lines = []
+        self.answers = False
         self.log = types.SimpleNamespace(
             write=lambda event, **fields: self.lines.append((event, fields))
         )
@@ -80,12 +83,13 @@
             )
         )
 
-    def own(self):
+    def own(self, **dialect):
+        dialect = dialect or {"report_call": lambda record: None}
         self.owner = engine_owner.EngineOwner(
             link=self.node.link,
             fleet=self.fleet,
-            dialect=types.SimpleNamespace(report_call=lambda record: None),
-            client=types.SimpleNamespace(send=lambda call, sink: None),
+            dialect=types.SimpleNamespace(**dialect),
+            client=types.SimpleNamespace(send=self._send),
             timers=self.node.timers,
             counters=self.counters,
             log=self.log,
@@ -101,6 +105,11 @@
         held = {engine_loads.MODEL: {"a1": 0}}
         self.engine.schedule.slots.apply_report(held, {}, now_seconds=0.0)
 
+    def _send(self, call, sink):
+        if self.answers:
+            sink.head(200, {})
+            sink.end(http_client.Framing.LENGTH)
+
     @property
     def engine(self):
         return self.owner._owned[ENGINE.name]
@@ -262,6 +271,53 @@
     assert owner.cold.remaining_seconds() == {ENGINE.name: START_SECONDS}
 
 
+def test_an_owner_reads_the_cold_time_of_a_report(network) -> None:
+    report = engine_dialect.AdapterReport(
+        fencing_numbers.OrderCount(1, 0), {}, {}, False, 5.0
+    )
+    one = Instance(network, "10.1.0.1:70")
+    one.state(0.0)
+    one.answers = True
+    one.own(
+        report_call=lambda record: None,
+        read_report=lambda status, body: report,
+    )
+    assert one.cold.is_limited(ENGINE)
+
+
+def test_others_rank_a_cold_engine_by_the_wait_for_its_rate(network) -> None:
+    # They would go on to send there what its owner has to refuse.
+    owner = start_owner(network)
+    (status,) = owner.owner.statuses()
+    assert 1.0 <= status.backlog_seconds <= 1.1
+    owner.state(0.0)
+    network.run_for(0.1)
+    (status,) = owner.owner.statuses()
+    assert status.backlog_seconds < 1.0
+
+
+def test_operators_see_what_is_cold(network) -> None:
+    one = Instance(network, "10.1.0.1:70")
+    one.state(5.0)
+    listeners = gateway_listeners.GatewayListeners(
+        sockets_=None,
+        application=None,
+        counters=one.counters,
+        timers=one.node.timers,
+        limits=lambda: None,
+        ready=lambda: True,
+        status=one.cold.status,
+    )
+    replies = []
+    listeners._answer_operators(
+        types.SimpleNamespace(target="/status?"),
+        types.SimpleNamespace(
+            reply=lambda status, headers, body: replies.append(body)
+        ),
+    )
+    assert replies == [b'{"ready":true,"cold_seconds":{"e0":5.0}}']
+
+
 def test_a_second_cold_time_as_long_as_the_first_counts(network) -> None:
     # The entry is the same as the one that was applied last, and no change.
     one = Instance(network, "10.1.0.1:70")
--- a/tests/platform/test_coldness.py
+++ b/tests/platform/test_coldness.py
@@ -104,6 +104,36 @@
     assert published.must_relay(one, moved)
 
 
+def test_an_instance_that_starts_later_gets_what_is_left(apply, fleet) -> None:
+    # It asks an instance that got the entry when the endpoint became cold, and
+    # would find it cold again long after.
+    clock = [0.0]
+    items = published_items.PublishedItems(
+        matters=published.must_relay,
+        age=published.age,
+        now_seconds=lambda: clock[0],
+    )
+    items.take([item("8000")], revision=1)
+    for clock[0], left in ((0.0, 8.0), (5.5, 2.5), (60.0, 0.0)):
+        later = published_items.PublishedItems()
+        later.subscribe(
+            lambda news: published.FleetSubscriber(
+                fleet=fleet,
+                grace=types.SimpleNamespace(cancel=lambda name: None),
+            ).apply(news)
+        )
+        later.take(items.after({}), revision=1)
+        record = fleet.endpoint("i-1")
+        assert (record.cold_seconds, record.cold_stated) == (left, True)
+
+
+@pytest.mark.parametrize("stated", [None, "0", *BAD])
+def test_an_entry_without_a_cold_time_is_handed_on_as_it_is(stated) -> None:
+    assert published.age(item(stated), 5.0) == item(stated)
+    removed = published_items.Item(KEY, 2, None)
+    assert published.age(removed, 5.0) == removed
+
+
 def test_the_rates_of_a_service_while_cold(fleet) -> None:
     llm, plain = test_published.CONFIG["services"]
     cold = {"cold_start_s": 8, "cold_per_s": 9.2}
