--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -67,6 +67,7 @@
         store_dialect: store_follower.StoreDialect,
         prefixes: tuple[str, ...],
         must_relay: published_items.Matters,
+        age_item: published_items.Age,
         make_subscriber: Callable[
             [fleets.Fleet, removal_grace.RemovalGrace],
             published_items.Subscriber,
@@ -82,6 +83,7 @@
         :param prefixes: key prefixes that are read from the store
         :param must_relay: tells which changes of published items must be
             relayed to instances that don't read the store
+        :param age_item: returns an item as it would be written later
         :param make_subscriber: creates the subscriber that applies published
             items
         :param read_settings: reads the settings again, for a reload
@@ -106,7 +108,10 @@
             )
         )
         self._items = published_items.PublishedItems(
-            matters=must_relay, prefixes=prefixes
+            matters=must_relay,
+            prefixes=prefixes,
+            age=age_item,
+            now_seconds=self.timers.now_seconds,
         )
         self._fleet_log = fleet_log.FleetLog(
             fleet=self._fleet,
@@ -287,7 +292,7 @@
             "data_centre": self.settings.data_centre,
             "ready": self.ready(),
             "stopping": self.shutdown.has_begun,
-            "cold_seconds": self._loads.cold.remaining_seconds(),
+            **self._loads.cold.status(),
             "evacuations": fleet_log.describe_evacuations(
                 self._fleet, now_seconds=self.timers.now_seconds()
             ),
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -463,11 +463,14 @@
         slot_wait_seconds = slot_wait.seconds(0)
         awaiting_slot: set[AdapterKey] = set()
         kept = 0
+        is_cold = self.cold.is_cold(now_seconds=now_seconds)
         for waiting in by_urgency:
             request = waiting.request
             remaining_seconds = request.queue_deadline_at_seconds - now_seconds
-            cold_seconds = self.cold.wait_seconds(
-                kept, now_seconds=now_seconds
+            cold_seconds = (
+                self.cold.wait_seconds(kept, now_seconds=now_seconds)
+                if is_cold
+                else 0.0
             )
             if waiting.adapter.held:
                 wait_seconds = reading_seconds
