--- a/src/boragefold/state/evacuations.py
+++ b/src/boragefold/state/evacuations.py
@@ -108,6 +108,20 @@
         hand_over_seconds = HAND_OVER_SHARE * self.limit_seconds
         return elapsed_seconds >= hand_over_seconds * _position(adapter)
 
+    def closed(
+        self, adapter: deployment.AdapterKey | None = None
+    ) -> frozenset[str]:
+        """List the data centres whose endpoints receive nothing.
+
+        :param adapter: as in :meth:`includes`
+        :return: their names
+        """
+        return frozenset(
+            data_centre
+            for data_centre in self._in_force
+            if self.includes(data_centre, adapter)
+        )
+
     def in_force(self) -> dict[str, float]:
         """List the evacuated data centres.
 
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -107,9 +107,10 @@
         """
         if not self.evacuations:
             return False
-        if adapter is not None and self.engine_of(record) is None:
-            adapter = None
-        return self.evacuations.includes(record.data_centre, adapter)
+        return self.evacuations.includes(
+            record.data_centre,
+            adapter if self._has_engines(record.service) else None,
+        )
 
     def is_service_evacuated(self, service: str) -> bool:
         """Tell whether endpoints of a service receive nothing for now.
@@ -187,12 +188,18 @@
         :param adapter: what the request needs, None if it needs none
         :return: those that neither leave nor are evacuated
         """
-        return (
+        records = (
             record
             for record in self._endpoints.values()
-            if record.service == service
-            and not record.leaving
-            and not (self.evacuations and self.is_evacuated(record, adapter))
+            if record.service == service and not record.leaving
+        )
+        if not self.evacuations:
+            return records
+        closed = self.evacuations.closed(
+            adapter if self._has_engines(service) else None
+        )
+        return (
+            record for record in records if record.data_centre not in closed
         )
 
     def engines(self) -> Iterator[EndpointRecord]:
@@ -224,6 +231,12 @@
         """
         return None if self.deployment is None else self.deployment.limits
 
+    def _has_engines(self, service: str) -> bool:
+        if self.deployment is None:
+            return False
+        found = self.deployment.services.get(service)
+        return found is not None and found.engine is not None
+
     def _changed(self) -> None:
         for callback in self._subscribers:
             callback()
--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -58,10 +58,7 @@
 
 
 class Case:
-    """Requests at one instance; desk-1 to desk-3 are in one data centre each.
-
-    Engine e-N is in the N-th data centre, and there are four of them.
-    """
+    """Requests at one instance, and an owner that the test plays."""
 
     def __init__(self) -> None:
         self.walk = crash_walk.CrashWalk(
@@ -88,13 +85,13 @@
             health=lambda endpoint: 1.0,
         )
 
-    def add(self, service, count) -> None:
+    def add(self, service, count, *, centres=gateways.CENTRES) -> None:
         prefix = "e" if service == "llm" else "desk"
         for number in range(count):
             record = gateways.engine(f"{prefix}-{number}")._replace(
                 service=service,
                 address=f"10.9.0.1:{len(self.walk.endpoints) + 1}",
-                data_centre=gateways.CENTRES[number % 3],
+                data_centre=centres[number % len(centres)],
                 held={"base": {"a1": 1}},
             )
             self.walk.endpoints[record.name] = crash_walk.Endpoint(
@@ -246,10 +243,12 @@
 
 def test_a_grant_on_its_way_isnt_used(case) -> None:
     case.add("llm", 3)
-    case.forward(service="llm")
+    forwarding = case.forward(service="llm")
     (first,) = case.link.asked()
     case.evacuate(first)
     case.grant(first)
+    # No connection is opened for it either.
+    assert not forwarding._sent_to
     case.walk.run(SEND_SECONDS)
     assert not case.ran()
     assert len(case.link.asked()) == 2
@@ -281,18 +280,15 @@
 def test_owners_refusals_dont_use_up_the_tries(case) -> None:
     # Refused by all engines of the data centre one after the other, a request
     # was refused though engines elsewhere had room.
-    case.add("llm", 24)
+    case.add("llm", 12, centres=[*["dc-b"] * 11, "dc-c"])
     case.forward(service="llm")
-    asked = case.link.asked()
-    for count in range(1, 3):
-        case.refuse(asked[-1])
-        asked = case.link.asked()
-        assert len(asked) == count + 1
-    centres = [case.fleet.endpoint(name).data_centre for name in asked]
-    assert len(set(centres)) == 3
-    case.grant(asked[-1])
+    (first,) = case.link.asked()
+    assert case.fleet.endpoint(first).data_centre == "dc-b"
+    case.refuse(first)
+    assert case.link.asked() == [first, "e-11"]
+    case.grant("e-11")
     case.walk.run(SEND_SECONDS)
-    assert case.ran() == [asked[-1]]
+    assert case.ran() == ["e-11"]
 
 
 class Owner:
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -266,25 +266,47 @@
     assert engine.accepted()
 
 
+def test_no_newer_version_is_loaded_in_an_evacuated_data_centre(
+    network, node, engine
+) -> None:
+    # Such a load is ordered without any request.
+    evacuated = [True]
+    owned = start_owning(
+        node, engine, 1, is_evacuated=lambda record, adapter: bool(evacuated)
+    )
+    owned.schedule.slots._newest_versions[engine_loads.key("a")] = 2
+    for _ in range(20):
+        owned.advance()
+        network.run_for(0.1)
+    assert not engine.accepted()
+    evacuated.clear()
+    for _ in range(20):
+        owned.advance()
+        network.run_for(0.1)
+    assert engine.accepted()
+
+
 def test_an_order_whose_connection_opens_meanwhile_isnt_written(
     network, node, engine
 ) -> None:
-    calls = []
     evacuated = []
     client = Client(engine=engine, timers=node.timers, giver=1)
-    keeping = types.SimpleNamespace(
-        send=lambda call, sink: (calls.append(call), client.send(call, sink))
-    )
+    allowed = []
+
+    def send(call, sink) -> None:
+        if call is not None:
+            allowed.append(call.may_send())
+            evacuated.append(True)
+            allowed.append(call.may_send())
+            evacuated.clear()
+        client.send(call, sink)
+
     owned = start_owning(
         node,
         engine,
         1,
-        client=keeping,
+        client=types.SimpleNamespace(send=send),
         is_evacuated=lambda record, adapter: bool(evacuated),
     )
-    while not any(calls):
-        queue_requests(owned, network, seconds=0.1)
-    order = next(filter(None, calls))
-    assert owned._still_fresh(node.timers.now_seconds())
-    evacuated.append(True)
-    assert not order.may_send()
+    queue_requests(owned, network, seconds=1.0)
+    assert allowed[:2] == [True, False]
