--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -122,9 +122,10 @@
         """
         if not self.evacuations:
             return False
-        if adapter is not None and self.engine_of(record) is None:
-            adapter = None
-        return self.evacuations.includes(record.data_centre, adapter)
+        return self.evacuations.includes(
+            record.data_centre,
+            adapter if self._has_engines(record.service) else None,
+        )
 
     def is_service_evacuated(self, service: str) -> bool:
         """Tell whether endpoints of a service receive nothing for now.
@@ -202,11 +203,18 @@
         :param adapter: what the request needs, None if it needs none
         :return: those that neither leave nor are evacuated
         """
-        return (
+        records = (
             record
             for record in self._endpoints_by_service().get(service, ())
             if not record.leaving
-            and not (self.evacuations and self.is_evacuated(record, adapter))
+        )
+        if not self.evacuations:
+            return records
+        closed = self.evacuations.closed(
+            adapter if self._has_engines(service) else None
+        )
+        return (
+            record for record in records if record.data_centre not in closed
         )
 
     def engines(self) -> Iterator[EndpointRecord]:
@@ -258,6 +266,12 @@
             self._by_service = by_service
         return self._by_service
 
+    def _has_engines(self, service: str) -> bool:
+        if self.deployment is None:
+            return False
+        found = self.deployment.services.get(service)
+        return found is not None and found.engine is not None
+
     def _changed(self) -> None:
         self._by_service = None
         self._engines = None
