Keep what was applied where a published value has another type

A host that is no text, or a route that is no object, raised an error that the subscriber didn't expect; the items behind it in the same read were lost.

--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -223,3 +223,30 @@
     apply("op/version/base.a1", entry)
     apply("op/version/base.a1", {**entry, "version": 2})
     assert fleet.versions == {key: 3}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routes": [{**ROUTE, "host": None}]},
+        {"routes": ["r-1"]},
+        {"services": [None]},
+        {"version": 1e400},
+    ],
+)
+def test_a_value_of_another_type_keeps_what_was_applied(changes) -> None:
+    # Its error left the subscriber, and the items behind it were lost.
+    text = json.dumps({**CONFIG, **changes}).replace("Infinity", "1e400")
+    fleet = fleets.Fleet()
+    subscriber = published.FleetSubscriber(fleet=fleet, grace=None)
+    version = {"model": "base", "adapter": "u1", "version": 3}
+    subscriber.apply(
+        [
+            published_items.Item("op/config", 1, text.encode()),
+            published_items.Item(
+                "op/version/base/u1", 2, json.dumps(version).encode()
+            ),
+        ]
+    )
+    assert fleet.deployment is None
+    assert fleet.versions
