--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -231,12 +231,12 @@
         {"routes": [{**ROUTE, "host": None}]},
         {"routes": ["r-1"]},
         {"services": [None]},
-        {"version": 1e400},
+        {"routes": [{**ROUTE, "timeout_ms": 10**400}]},
     ],
 )
 def test_a_value_of_another_type_keeps_what_was_applied(changes) -> None:
     # Its error left the subscriber, and the items behind it were lost.
-    text = json.dumps({**CONFIG, **changes}).replace("Infinity", "1e400")
+    text = json.dumps({**CONFIG, **changes})
     fleet = fleets.Fleet()
     subscriber = published.FleetSubscriber(fleet=fleet, grace=None)
     version = {"model": "base", "adapter": "u1", "version": 3}
