--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -265,3 +265,30 @@
     item = published_items.Item("op/evacuate/a", 3, b"{}")
     assert published.must_relay(None, item)
     assert published.must_relay(item, item._replace(value=None))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routes": [{**ROUTE, "host": None}]},
+        {"routes": ["r-1"]},
+        {"services": [None]},
+        {"routes": [{**ROUTE, "timeout_ms": 10**400}]},
+    ],
+)
+def test_a_value_of_another_type_keeps_what_was_applied(changes) -> None:
+    # Its error left the subscriber, and the items behind it were lost.
+    text = json.dumps({**CONFIG, **changes})
+    fleet = fleets.Fleet()
+    subscriber = published.FleetSubscriber(fleet=fleet, grace=None)
+    version = {"model": "base", "adapter": "u1", "version": 3}
+    subscriber.apply(
+        [
+            published_items.Item("op/config", 1, text.encode()),
+            published_items.Item(
+                "op/version/base/u1", 2, json.dumps(version).encode()
+            ),
+        ]
+    )
+    assert fleet.deployment is None
+    assert fleet.versions
