--- a/src/boragefold/entry/load_reports.py
+++ b/src/boragefold/entry/load_reports.py
@@ -45,6 +45,7 @@
         slots=record.slots if facts.slots is None else facts.slots,
         now_seconds=context.timers.now_seconds(),
         work_factor=facts.work_factor,
+        service=record.service,
     )
 
 
--- a/src/boragefold/policy/expected_finish.py
+++ b/src/boragefold/policy/expected_finish.py
@@ -39,9 +39,11 @@
 
     ``work_seconds`` is how long a request takes in a slot at factor 1, None
     before the first answer. ``others`` are the requests of other instances by
-    the last report, ``usual_others`` their average.
+    the last report, ``usual_others`` their average. ``service`` is empty
+    before the first report.
     """
 
+    service: str = ""
     in_flight: int = 0
     slots: int | None = None
     busy: int = 0
@@ -59,6 +61,7 @@
 
     def __init__(self) -> None:
         self._stats: dict[str, FinishStats] = {}
+        self._by_service: dict[str, dict[str, FinishStats]] = {}
 
     def reports_factor(self, endpoint: str, *, now_seconds: float) -> bool:
         """Tell whether an endpoint reports how long its work takes.
@@ -96,6 +99,7 @@
         slots: int,
         factor: float,
         now_seconds: float,
+        service: str = "",
     ) -> None:
         """Record what an endpoint reported, before its request has ended.
 
@@ -104,8 +108,11 @@
         :param slots: number of requests that it runs at once
         :param factor: time that work takes now, relative to normal
         :param now_seconds: reading of the process clock
+        :param service: name of the endpoint's service
         """
         stats = self._of(endpoint)
+        stats.service = service
+        self._by_service.setdefault(service, {})[endpoint] = stats
         factor = clamp_factor(factor)
         # The request that brought the report is no more among the busy ones.
         stats.busy = busy
@@ -219,7 +226,9 @@
 
         :param endpoint: its name
         """
-        self._stats.pop(endpoint, None)
+        stats = self._stats.pop(endpoint, None)
+        if stats is not None:
+            self._by_service.get(stats.service, {}).pop(endpoint, None)
 
     def _busy(
         self, stats: FinishStats, slots: int, now_seconds: float
@@ -235,7 +244,7 @@
         usual = 1.0 if stats.usual_factor is None else stats.usual_factor
         freshness = math.exp(-age_seconds / FACTOR_DECAY_SECONDS)
         factor = usual + (stats.factor - usual) * freshness
-        least_seconds = self._least_work_seconds()
+        least_seconds = self._least_work_seconds(stats.service)
         if stats.work_seconds is None:
             return least_seconds * factor
         age_seconds = now_seconds - stats.worked_at_seconds
@@ -243,11 +252,13 @@
         over_seconds = stats.work_seconds - least_seconds
         return (least_seconds + over_seconds * kept) * factor
 
-    def _least_work_seconds(self) -> float:
+    def _least_work_seconds(self, service: str) -> float:
+        # The work of another service takes another time.
+        known = self._by_service.get(service, self._stats)
         return min(
             (
                 each.work_seconds
-                for each in self._stats.values()
+                for each in known.values()
                 if each.work_seconds is not None
             ),
             default=DEFAULT_WORK_SECONDS,
--- a/src/boragefold/policy/finish_admission.py
+++ b/src/boragefold/policy/finish_admission.py
@@ -17,7 +17,7 @@
 # What is left of the limit is for requests that can be on time.
 LATE_SHARE = 0.4
 # Part of the limit of more urgent requests.
-LESS_URGENT_SHARE = 0.8
+LESS_URGENT_SHARE = 0.65
 # Of the time that is left; estimates of waits are rough.
 PATIENCE_SHARE = 0.7
 # The most urgent requests are sent late when they couldn't wait any longer.
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -138,6 +138,7 @@
         slots: int,
         now_seconds: float,
         work_factor: float | None = None,
+        service: str = "",
     ) -> None:
         """Record the load that an endpoint reported.
 
@@ -147,6 +148,7 @@
         :param now_seconds: reading of the process clock
         :param work_factor: time that work takes there now, relative to
             normal, None if the endpoint doesn't report it
+        :param service: name of the endpoint's service
         """
         if work_factor is not None:
             self.finish.record_report(
@@ -155,6 +157,7 @@
                 slots=slots,
                 factor=work_factor,
                 now_seconds=now_seconds,
+                service=service,
             )
         record = self._record(endpoint)
         record.reported_slots = slots
--- a/tests/policy/test_expected_finish.py
+++ b/tests/policy/test_expected_finish.py
@@ -114,6 +114,23 @@
     assert count(choice, 60.5)["one"] > 30
 
 
+def test_another_services_short_work_makes_no_estimate_shorter() -> None:
+    # Requests would be sent on in the belief that they can be on time.
+    finish = expected_finish.ExpectedFinish()
+    for name, service, took in (("a", "desk", 0.3), ("b", "other", 0.02)):
+        finish.record_report(
+            name,
+            busy=0,
+            slots=6,
+            factor=1.0,
+            now_seconds=0.0,
+            service=service,
+        )
+        finish.record_end(name, took_seconds=took, now_seconds=0.0)
+    seconds = finish.finish_seconds("a", slots=6, now_seconds=9.0)
+    assert seconds == pytest.approx(0.3)
+
+
 @pytest.mark.parametrize("factor", [0.0, 1e9])
 def test_an_impossible_factor_neither_attracts_nor_bans(factor, choice):
     # A factor of 0 would attract all requests, and one of millions none.
