Test that a rejection with a load report is no failure

A mutation that counted it as a failure passed all tests. With the guard removed, the test fails; without a factor it stays a failure as before.

--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -160,3 +160,26 @@
         forwarding.now = at_seconds
         attempt.data(b"data: x")
     assert forwarding.progress == [5.0 + attempts.PROGRESS_SECONDS]
+
+
+@pytest.mark.parametrize(("factor", "failures"), [(1.0, 0), (None, 1)])
+def test_a_rejection_for_want_of_room_is_no_failure_of_a_known_load(
+    forwarding, factor, failures
+) -> None:
+    # A full endpoint would rank behind slower ones for seconds after.
+    calls = []
+    choice = forwarding.context.choice
+    choice.sent = choice.reported = lambda *_, **fields: None
+    choice.withdrawn = lambda endpoint: calls.append("withdrawn")
+    choice.ended = lambda endpoint, *, failed, **fields: calls.append(failed)
+    facts = FACTS._replace(
+        status=503, not_run=True, busy=30, slots=6, work_factor=factor
+    )
+    forwarding.context.dialect.read_answer = lambda *_: facts
+    forwarding.context.rejections = types.SimpleNamespace(
+        record=lambda *_: None
+    )
+    attempts.Attempt(
+        forwarding=forwarding, record=gateways.engine("e1"), version=0
+    ).head(503, {})
+    assert calls == ([True] if failures else ["withdrawn"])
