--- a/src/boragefold/entry/finish_turn.py
+++ b/src/boragefold/entry/finish_turn.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+import functools
 from typing import Any
 
 from boragefold.entry import request_context
@@ -27,9 +28,6 @@
         self._admitted = admitted
         self._context = context
         self._expected_seconds: float | None = None
-        self._limit = finish_admission.find_limit(
-            self._own_urgency(), self._other_urgencies()
-        )
 
     @property
     def rank(self) -> tuple[float, ...]:
@@ -143,6 +141,12 @@
             "on_time": waited_seconds <= self._admitted.route.target_seconds,
         }
 
+    @functools.cached_property
+    def _limit(self) -> tuple[float, bool]:
+        return finish_admission.find_limit(
+            self._own_urgency(), self._other_urgencies()
+        )
+
     def _finish_seconds(
         self, records: Collection[deployment.EndpointRecord]
     ) -> float:
