Test that refused requests and repeated entries cost a cold endpoint nothing

Requests that are refused at an engine that becomes cold must not count as ahead of those behind them, and the entry of each heartbeat must neither begin a share anew nor leave a line. A service without a rate is tested on an instance that never knew one. The estimate at submission loses a term that the refusals of the same moment already made.

--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -357,9 +357,6 @@
         backlog_seconds = self.backlog_seconds()
         if not self._has_slot(request):
             backlog_seconds = max(backlog_seconds, self.slot_wait_seconds())
-        backlog_seconds = max(
-            backlog_seconds, self.cold_wait_seconds(now_seconds=now_seconds)
-        )
         late_seconds = (
             backlog_seconds - MAX_LATE_WAIT_SHARE * remaining_seconds
         )
--- a/tests/entry/test_cold_endpoints.py
+++ b/tests/entry/test_cold_endpoints.py
@@ -329,16 +329,16 @@
 
 
 def test_a_service_without_a_rate_behaves_as_before(network) -> None:
-    owner = start_owner(network)
+    owner = Instance(network, "10.1.0.1:70")
     publish(owner.fleet, per_second=0.0, version=2)
-    owner.lines.clear()
-    owner.state(15.0)
+    owner.state(20.0)
+    owner.own()
     sender = Sender(network, owner)
     sender.ask_for(2.0)
     assert len(sender.grants) > LIMIT * 2
     assert not owner.cold.is_engine_limited(ENGINE.name)
     assert owner.cold.may_send(DESK, "r")
-    assert not owner.lines
+    assert "endpoint_cold" not in dict(owner.lines)
 
 
 class Receiver(owner_client.GrantReceiver):
@@ -391,11 +391,12 @@
         )
         for address in addresses
     ]
-    for instance in instances:
-        instance.state(20.0, DESK)
     sent = []
-    for _ in range(500):
+    for number in range(500):
         now = network.clock.now_seconds()
+        if not number % 70:
+            for instance in instances:
+                instance.state(20.0 - number / 100, DESK)
         for instance in instances:
             if instance.cold.may_send(DESK, "r"):
                 instance.cold.record_sent(DESK)
@@ -408,6 +409,8 @@
     )
     assert window <= PER_SECOND
     assert len(sent) >= 0.9 * 3.5 * PER_SECOND
+    # A line for each heartbeat would fill the log.
+    assert all(len(instance.lines) == 1 for instance in instances)
 
 
 def test_an_instance_that_reaches_few_members_sends_nothing(network) -> None:
--- a/tests/policy/test_cold_schedule.py
+++ b/tests/policy/test_cold_schedule.py
@@ -86,6 +86,25 @@
         assert len(within) <= PER_SECOND
 
 
+def test_refused_requests_leave_the_rate_to_those_behind() -> None:
+    # The engine would get nothing while requests that can wait are refused.
+    bench = warm_bench()
+    for number in range(60):
+        hasty = request(f"hasty{number}", 1.0, priority=0, target=2.0)
+        bench.submit(1.0, hasty)
+    for number in range(5):
+        patient = request(f"patient{number}", 1.0, target=4.2, patience=4.2)
+        bench.submit(1.0, patient)
+    bench.run(COLD_AT_SECONDS)
+    bench.set_cold(WARM_AT_SECONDS, at=COLD_AT_SECONDS)
+    bench.run(6.0)
+    refused = [
+        name for name, outcome in bench.outcomes.items() if outcome.refused
+    ]
+    assert len(refused) > 2 * PER_SECOND
+    assert all(name.startswith("hasty") for name in refused)
+
+
 def test_an_eager_request_learns_that_the_rate_is_used_up() -> None:
     # Its sender can use an engine that isn't cold.
     bench = full_bench()
