Keep the evacuations that a fleet is given

A collection without evacuations is false, so Fleet replaced it by one without clock and limit; the age of each evacuation was then negative, and no adapter ever moved. A play of an evacuation showed 176 requests beyond the limit, and 3,482 seconds in force in the log of an evacuation that had just begun.

--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -23,7 +23,12 @@
         :param evacuations: the data centres that receive nothing; by default
             evacuations come into force at once
         """
-        self.evacuations = evacuations or evacuations_module.Evacuations()
+        # Empty ones are false, too.
+        self.evacuations = (
+            evacuations_module.Evacuations()
+            if evacuations is None
+            else evacuations
+        )
         self.deployment: deployments.Deployment | None = None
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -4,6 +4,7 @@
 
 from boragefold.state import deployment
 from boragefold.state import evacuations as evacuations_module
+from boragefold.state import fleet as fleets
 from boragefold.timing import clock as clocks
 
 LIMIT_SECONDS = 5.0
@@ -66,3 +67,10 @@
     assert evacuations.set("dc-a", False, None)
     assert not evacuations
     assert not evacuations.includes("dc-a", ADAPTERS[0])
+
+
+def test_a_fleet_keeps_the_evacuations_that_it_is_given() -> None:
+    # None are in force at first, and an empty collection is false: others
+    # without clock and limit took their place, and no adapter ever moved.
+    evacuations = make()
+    assert fleets.Fleet(evacuations=evacuations).evacuations is evacuations
