Limit the requests in flight at an engine that has come back

All queues turn to an engine that starts again; with all its slots at once it is overloaded while it warms up. Its owner grants an eighth of the slots first, and adapts that to the times to first event relative to what the prompts ahead take at the speed known before. Engines that were there have no limit.

--- a/src/boragefold/entry/order_descriptions.py
+++ b/src/boragefold/entry/order_descriptions.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from boragefold.coordination.fleet import unanswered_orders
+from boragefold.entry import engine_dialect as dialects
 from boragefold.policy import engine_decisions
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 
+# Outcome of an order without a response, which may have arrived.
+UNKNOWN = "unknown"
 # Unresolved orders named in one log line.
 MAX_LOGGED_ORDERS = 3
 
@@ -49,7 +52,26 @@
     return answer.status
 
 
+def outcome_of(
+    dialect: dialects.EngineDialect,
+    order: engine_decisions.Order,
+    answer: whole_answer.WholeAnswer | http_client.Failure,
+) -> str:
+    """Name the outcome of an order.
+
+    :param dialect: reads the engine's answers
+    :param order: the order
+    :param answer: the engine's answer, or why there is none
+    :return: one of a small fixed set
+    """
+    if isinstance(answer, http_client.Failure):
+        return UNKNOWN if answer.may_have_arrived else "not_sent"
+    return dialect.read_order_answer(order, answer.status).value
+
+
 __all__ = [
+    "UNKNOWN",
+    "outcome_of",
     "describe_order",
     "describe_unanswered",
     "status_of",
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -27,8 +27,8 @@
 MIN_REPORT_INTERVAL_SECONDS = 0.1
 # Orders without the lease need this time of ownership first.
 MIN_OWNED_SECONDS = 2.0
-# Outcome of an order without a response, which may have arrived.
-UNKNOWN = "unknown"
+# Failed reports in a row after which an engine counts as back.
+RECOVERED_FROM_REPORTS = 3
 
 MAX_SEND_DELAY_SECONDS = order_turns.MAX_SEND_DELAY_SECONDS
 IsEvacuated = Callable[
@@ -77,6 +77,7 @@
         # Whether the last request for a report succeeded. An owner that is
         # cut off believes that it owns engines which it can't reach.
         self.is_responsive = False
+        self._failed_reports = 0
         self._owned_since_seconds = timers.now_seconds()
         self._unreachable_since_seconds = self._owned_since_seconds
         turns.begin()
@@ -105,6 +106,7 @@
         restarted = record.born_milliseconds != self.record.born_milliseconds
         self.record = record
         if restarted:
+            self.schedule.restart_limit()
             # The restarted engine may be loading its model already. A load
             # that is ordered again before a report shows it isn't counted.
             self.schedule.slots.apply_report(
@@ -220,9 +222,13 @@
         if self.is_responsive:
             self._unreachable_since_seconds = self._timers.now_seconds()
         if report is None:
+            self._failed_reports += 1
             self._counters.add("engine_reports", "failed")
             self._next_report.schedule(REPORT_INTERVAL_SECONDS)
             return
+        if self._failed_reports >= RECOVERED_FROM_REPORTS:
+            self.schedule.restart_limit()
+        self._failed_reports = 0
         now_seconds = self._timers.now_seconds()
         age_seconds = now_seconds - self._asked_report_at_seconds
         self._reported_as_of_seconds = self._asked_report_at_seconds
@@ -327,7 +333,10 @@
     ) -> None:
         self._order_pending = False
         now_seconds = self._timers.now_seconds()
-        order, outcome = sent.order, self._outcome(sent.order, answer)
+        order, outcome = (
+            sent.order,
+            order_descriptions.outcome_of(self._dialect, sent.order, answer),
+        )
         self._counters.add("engine_orders", outcome)
         self._log.write(
             "engine_order",
@@ -364,14 +373,14 @@
                 self._next_report.schedule(REPORT_INTERVAL_SECONDS)
         else:
             self._order_failed(sent, outcome, now_seconds)
-        if self._stopped and outcome != UNKNOWN:
+        if self._stopped and outcome != order_descriptions.UNKNOWN:
             self._lease.release()
         self._on_changed()
 
     def _order_failed(
         self, sent: sent_order.SentOrder, outcome: str, now_seconds: float
     ) -> None:
-        if outcome == UNKNOWN:
+        if outcome == order_descriptions.UNKNOWN:
             self._turns.record_unanswered(
                 order=order_descriptions.describe_order(sent.order),
                 age_seconds=now_seconds - sent.order_sent_at_seconds,
@@ -384,15 +393,6 @@
         self.schedule.slots.record_failed_order(now_seconds=now_seconds)
         self._next_report.schedule(order_turns.REPORT_LAG_SECONDS)
 
-    def _outcome(
-        self,
-        order: engine_decisions.Order,
-        answer: whole_answer.WholeAnswer | http_client.Failure,
-    ) -> str:
-        if isinstance(answer, http_client.Failure):
-            return UNKNOWN if answer.may_have_arrived else "not_sent"
-        return self._dialect.read_order_answer(order, answer.status).value
-
 
 __all__ = [
     "OwnedEngine",
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -89,6 +89,7 @@
         return {
             "queued": len(self._queue),
             "running": len(self._runs),
+            "limit": self._runs.limit.describe(),
             "unstarted_tokens": self._runs.pending_prompts().tokens,
             "fixed_seconds": round(self._speed.fixed_seconds, 3),
             "tokens_per_second": round(self._speed.tokens_per_second),
@@ -196,6 +197,10 @@
             self.remove(request.request_id, now_seconds=now_seconds)
         return len(lost)
 
+    def restart_limit(self) -> None:
+        """Limit the requests in flight: the engine has just come back."""
+        self._runs.restart_limit()
+
     def refuse_queued(
         self,
         matches: Callable[[AdapterKey], bool],
@@ -379,6 +384,8 @@
         self, waiting: QueuedRequest, now_seconds: float
     ) -> bool:
         request = waiting.request
+        if not self._runs.limit.allows(len(self._queue)):
+            return True
         # Other instances know the state of this engine as of half a second
         # ago; since then, the idle slot may be taken or a queue have formed.
         held = self.slots.holds(request.adapter)
--- a/src/boragefold/policy/running_requests.py
+++ b/src/boragefold/policy/running_requests.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import math
 
+from boragefold.policy import concurrency_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_speed
 from boragefold.policy import prompt_spacing
@@ -34,6 +35,7 @@
         self._speed = speed
         self._runs: dict[str, request_states.RunningRequest] = {}
         self._last_start_seconds = -math.inf
+        self._limit = concurrency_limit.ConcurrencyLimit(slots=engine.slots)
         self._spacing = prompt_spacing.PromptSpacing(speed=speed)
 
     def __len__(self) -> int:
@@ -71,6 +73,12 @@
             request=request,
             granted_at_seconds=now_seconds,
         )
+        if self._limit.limit < math.inf:
+            self._limit.record_grant(
+                request.request_id,
+                self.pending_prompts(),
+                now_seconds=now_seconds,
+            )
 
     def end(
         self, request_id: str, *, now_seconds: float
@@ -84,6 +92,7 @@
         run = self._runs.pop(request_id, None)
         if run is None:
             return None
+        self._limit.record_end(request_id, now_seconds=now_seconds)
         self._speed.record_end(now_seconds - run.granted_at_seconds)
         return run.request
 
@@ -100,6 +109,7 @@
         if run is None or run.started:
             return None
         run.started = True
+        self._limit.record_start(request_id, now_seconds=now_seconds)
         # The engine prefills one prompt after another: this prefill began
         # when the one before it ended, or when the request was granted.
         since_seconds = max(run.granted_at_seconds, self._last_start_seconds)
@@ -127,6 +137,8 @@
         """
         if len(self._runs) >= self._engine.slots:
             return False
+        if not self._limit.allows():
+            return False
         if self.pending_prompts().number and self._pauses_responses_too_long(
             request
         ):
@@ -135,6 +147,18 @@
         limit = MAX_KV_CACHE_SHARE * self._engine.kv_tokens
         return not used or used + request.total_tokens <= limit
 
+    @property
+    def limit(self) -> concurrency_limit.ConcurrencyLimit:
+        """Return the limit of an engine that has just come back.
+
+        :return: the limit
+        """
+        return self._limit
+
+    def restart_limit(self) -> None:
+        """Limit the requests in flight: the engine has just come back."""
+        self._limit.restart(self._speed)
+
     def assume_started(self, *, now_seconds: float) -> None:
         """Take requests as started whose start is long unreported.
 
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -310,3 +310,44 @@
     )
     queue_requests(owned, network, seconds=1.0)
     assert allowed[:2] == [True, False]
+
+
+class SilentClient:
+    """Loses all calls while it is silent."""
+
+    def __init__(self, *, client) -> None:
+        self._client = client
+        self.silent = False
+
+    def send(self, call, sink) -> None:
+        if self.silent:
+            sink.failed(
+                http_client.Failure(reason="timeout", may_have_arrived=False)
+            )
+        else:
+            self._client.send(call, sink)
+
+
+def test_only_an_engine_that_comes_back_is_limited(
+    network, node, engine
+) -> None:
+    # After a change of owner, an engine in full use would be held back.
+    client = SilentClient(
+        client=Client(engine=engine, timers=node.timers, giver=1)
+    )
+    owned = start_owning(node, engine, 1, client=client)
+    network.run_for(1.0)
+    assert owned.schedule.summary()["limit"] is None
+    client.silent = True
+    owned.request_report()
+    network.run_for(1.0)
+    client.silent = False
+    network.run_for(1.0)
+    assert owned.schedule.summary()["limit"] == 8
+
+
+def test_an_engine_in_its_next_life_is_limited(network, node, engine) -> None:
+    owned = start_owning(node, engine, 1)
+    network.run_for(1.0)
+    owned.update_record(owned.record._replace(born_milliseconds=2))
+    assert owned.schedule.summary()["limit"] == 8
--- a/tests/policy/test_engine_schedule.py
+++ b/tests/policy/test_engine_schedule.py
@@ -326,3 +326,25 @@
     )
     assert bench.schedule.submit(joining, now_seconds=1.5) is None
     assert bench.schedule.backlog_seconds() < 0.5
+
+
+def test_an_engine_that_has_come_back_gets_few_requests_at_first() -> None:
+    # Eager requests go elsewhere at once; the others wait here.
+    bench = engine_loads.Bench()
+    bench.slots.apply_report(
+        {engine_loads.MODEL: {"a1": 1}}, {}, now_seconds=0.0
+    )
+    schedule = bench.schedule
+    schedule.restart_limit()
+    for number in range(12):
+        request = engine_loads.make_request(f"r{number}", "a1", prompt=100)
+        assert schedule.submit(request, now_seconds=0.0) is None
+    granted = schedule.advance(now_seconds=0.0)
+    assert (len(granted), schedule.queued) == (8, 4)
+    eager = request._replace(request_id="eager", eager=True)
+    refusal = schedule.submit(eager, now_seconds=0.0)
+    assert refusal is not None
+    assert refusal.reason == engine_schedule.WOULD_BE_LATE
+    schedule.record_start("r7", now_seconds=0.01)
+    schedule.remove("r7", now_seconds=0.02)
+    assert len(schedule.advance(now_seconds=0.02)) == 2
