--- a/tests/policy/test_concurrency_limit.py
+++ b/tests/policy/test_concurrency_limit.py
@@ -178,3 +178,14 @@
         replay.run(20.0)
     assert replays[0].limit.limit < replays[1].limit.limit
     assert replays[2].limit.limit == math.inf
+
+
+def test_overload_doesnt_become_the_engines_normal_speed() -> None:
+    # The running estimate follows the late starts, which are then on time.
+    replay = Replay()
+    replay.send()
+    for _ in range(100):
+        replay.speed.record_start(PROMPT_TOKENS, 10.0)
+    replay.send()
+    replay.limit.record_start("1", now_seconds=1.0)
+    assert replay.limit.limit < 8
