--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -206,20 +206,17 @@
             link=self._link,
             items=self._items,
             timers=self.timers,
-            behind=self._may_be_behind,
+            behind=self._followers.may_be_behind,
             grace=self._grace,
-            is_store_read=lambda: (
-                self._followers.is_store_healthy() or self._store_was_up()
-            ),
+            is_store_read=self._store_was_up,
         )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
             application=self._make_gateway(dialect, engines).handle,
             counters=self.counters,
             timers=self.timers,
-            limits=self._fleet.caller_limits,
+            fleet=self._fleet,
             ready=self.ready,
-            status=self._status,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -277,17 +274,6 @@
         known = self._fleet.deployment is not None
         return known and not self.shutdown.has_begun
 
-    def _status(self) -> dict[str, object]:
-        return {
-            "instance": self.settings.instance_name,
-            "data_centre": self.settings.data_centre,
-            "ready": self.ready(),
-            "stopping": self.shutdown.has_begun,
-            "evacuations": fleet_log.describe_evacuations(
-                self._fleet, now_seconds=self.timers.now_seconds()
-            ),
-        }
-
     def _apply_settings(
         self, settings: gateway_settings.GatewaySettings
     ) -> None:
@@ -313,9 +299,6 @@
             unheard=self._members.silent_targets(),
         )
 
-    def _may_be_behind(self) -> bool:
-        return self._followers.any_stale() or self._followers.any_failing()
-
     def _store_was_up(self) -> bool:
         return any(beat.store_sound for beat in self._members.heartbeats())
 
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
+from boragefold.entry import fleet_log
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
-from boragefold.state import deployment
+from boragefold.state import fleet as fleets
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 from boragefold.transport import callers
@@ -34,9 +35,8 @@
         application: http_server.Application,
         counters: telemetry.Counters,
         timers: timing.TimerService,
-        limits: Callable[[], deployment.CallerLimits | None],
+        fleet: fleets.Fleet,
         ready: Callable[[], bool],
-        status: Callable[[], dict[str, object]],
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -44,17 +44,15 @@
         :param application: handles callers' requests
         :param counters: metrics of this process
         :param timers: the process clock
-        :param limits: returns the limits for callers; None before the first
-            deployment
+        :param fleet: the published deployment
         :param ready: tells whether the balancer should send callers here
-        :param status: describes the instance for operators
         """
         self._sockets = sockets_
         self._counters = counters
         self._timers = timers
-        self._limits = limits
+        self._fleet = fleet
+        self._instance_name = ""
         self._ready = ready
-        self._status = status
         self.callers = callers.CallersFace(
             sockets_=sockets_,
             application=application,
@@ -69,6 +67,7 @@
         :param settings: validated settings
         :raises OSError: when an address can't be bound
         """
+        self._instance_name = settings.instance_name
         host, port = serve_settings.split_address(settings.callers_listen)
         self.callers.listen(host=host, port=port, tls=None)
         self._serve(settings.ready_listen, self._answer_ready)
@@ -110,15 +109,24 @@
 
         exchange.reply(STATUS_READY, [TEXT], exposition.write(self._counters))
 
+    def _status(self) -> dict[str, object]:
+        return {
+            "instance": self._instance_name,
+            "ready": self._ready(),
+            "evacuations": fleet_log.describe_evacuations(
+                self._fleet, now_seconds=self._timers.now_seconds()
+            ),
+        }
+
     def _refuse_slow_callers(self) -> None:
-        if (limits := self._limits()) is not None:
+        if (limits := self._fleet.caller_limits()) is not None:
             self.callers.refuse_slow(
                 idle_seconds=limits.idle_timeout_seconds,
                 request_seconds=limits.header_timeout_seconds,
             )
 
     def _max_body_bytes(self) -> int:
-        limits = self._limits()
+        limits = self._fleet.caller_limits()
         if limits is None:
             return http_server.MAX_BODY_BYTES
         return limits.max_body_bytes
--- a/src/boragefold/entry/store_followers.py
+++ b/src/boragefold/entry/store_followers.py
@@ -73,6 +73,13 @@
         """
         return any(follower.is_stale() for follower in self._followers)
 
+    def may_be_behind(self) -> bool:
+        """Tell whether peers may know more than this instance.
+
+        :return: whether it doesn't read the store, or has no good answer
+        """
+        return self.any_stale() or self.any_failing()
+
     def any_failing(self) -> bool:
         """Tell whether the store failed any follower.
 
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -5,6 +5,7 @@
 import random
 
 from boragefold.entry import store_follower
+from boragefold.entry import store_followers
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import clock as clocks
@@ -181,3 +182,18 @@
     harness.pass_time(store_follower.STALE_SECONDS + 0.1)
     harness.answer(store_follower.Events((item("s/c", 7),), 7))
     assert changed_at(harness, "s/c") is None
+
+
+def test_whose_calls_fail_is_behind_at_once() -> None:
+    # The store goes down right after an evacuation: whoever missed it must ask
+    # its peers before its copy is stale.
+    harness = Harness()
+    followers = store_followers.StoreFollowers.__new__(
+        store_followers.StoreFollowers
+    )
+    followers._followers = [harness.follower]
+    answer_listing(harness)
+    assert not followers.may_be_behind()
+    harness.fail()
+    assert not harness.follower.is_stale()
+    assert followers.may_be_behind()
