--- a/src/boragefold/policy/running_requests.py
+++ b/src/boragefold/policy/running_requests.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 import math
 
+from boragefold.policy import concurrency_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_speed
 from boragefold.policy import prompt_spacing
@@ -44,6 +45,7 @@
             removable_heap.RemovableHeap()
         )
         self._last_start_seconds = -math.inf
+        self._limit = concurrency_limit.ConcurrencyLimit(slots=engine.slots)
         self._spacing = prompt_spacing.PromptSpacing(speed=speed)
 
     def __len__(self) -> int:
@@ -89,6 +91,12 @@
         self._total_tokens += request.total_tokens
         self._event_gaps[request.event_gap_seconds] += 1
         self._ends.push(request_id, request.end_deadline_at_seconds)
+        if self._limit.limit < math.inf:
+            self._limit.record_grant(
+                request.request_id,
+                self.pending_prompts(),
+                now_seconds=now_seconds,
+            )
 
     def end(
         self, request_id: str, *, now_seconds: float
@@ -103,6 +111,7 @@
         if run is None:
             return None
         self._uncount(run)
+        self._limit.record_end(request_id, now_seconds=now_seconds)
         self._speed.record_end(now_seconds - run.granted_at_seconds)
         return run.request
 
@@ -119,6 +128,7 @@
         if run is None or run.started:
             return None
         self._set_started(run)
+        self._limit.record_start(request_id, now_seconds=now_seconds)
         # The engine prefills one prompt after another: this prefill began
         # when the one before it ended, or when the request was granted.
         since_seconds = max(run.granted_at_seconds, self._last_start_seconds)
@@ -146,12 +156,26 @@
         """
         if len(self._runs) >= self._engine.slots:
             return False
+        if not self._limit.allows():
+            return False
         if self._unstarted and self._pauses_responses_too_long(request):
             return False
         used = self._total_tokens
         limit = MAX_KV_CACHE_SHARE * self._engine.kv_tokens
         return not used or used + request.total_tokens <= limit
 
+    @property
+    def limit(self) -> concurrency_limit.ConcurrencyLimit:
+        """Return the limit of an engine that has just come back.
+
+        :return: the limit
+        """
+        return self._limit
+
+    def restart_limit(self) -> None:
+        """Limit the requests in flight: the engine has just come back."""
+        self._limit.restart(self._speed)
+
     def assume_started(self, *, now_seconds: float) -> None:
         """Take requests as started whose start is long unreported.
 
