--- a/tests/entry/test_service_forwarding.py
+++ b/tests/entry/test_service_forwarding.py
@@ -49,6 +49,10 @@
             routes=[_route(0), _route(1)]
         )
         self.data_centre = RECORD.data_centre
+        self.cold = types.SimpleNamespace(
+            may_send=lambda record, request_id: True,
+            record_sent=lambda record: None,
+        )
         self.lines = []
         self.log = types.SimpleNamespace(
             write_ordinary=lambda event, **fields: self.lines.append(fields)
@@ -81,6 +85,7 @@
         self.admitted = types.SimpleNamespace(
             route=_route(priority),
             service=types.SimpleNamespace(name=SERVICE),
+            request=types.SimpleNamespace(request_id="r", adapter=None),
             workspace=None,
             arrived_at_seconds=side.clock.now_seconds(),
         )
