Say in plain terms what the new parts decide

Cause: docstrings and comments of the parts for cold endpoints, limits and urgency used figures of speech, or began with what a caller may ask rather than with what is returned. Change: wording only, and the names of constants and private methods that a reader couldn't understand; no behaviour changes. Tests: policy (cold, limit, finish), state and platform files pass.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -23,7 +23,7 @@
 # An answer that goes on for so long shows that no part of its prompt crashes
 # the endpoint.
 PROGRESS_SECONDS = 2.0
-# Of an answer that isn't forwarded.
+# Limit for the body of an answer that isn't forwarded.
 MAX_UNUSED_BYTES = 1_048_576
 
 
@@ -184,7 +184,7 @@
             context.cold.record_answer(self.record, facts.cold_seconds)
         self._record_limit(facts)
         if facts.no_room and facts.work_factor is not None:
-            # The load that was reported tells more than a failure would.
+            # The reported load is used instead of a failure.
             self._result_recorded = True
             context.choice.withdrawn(self.record.name)
         else:
--- a/src/boragefold/entry/cold_endpoints.py
+++ b/src/boragefold/entry/cold_endpoints.py
@@ -1,4 +1,4 @@
-"""Tells which endpoints are cold, and what may be sent to them."""
+"""Decides what may be sent to endpoints that are cold."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class ColdEndpoints:
-    """Knows the cold endpoints, and this instance's shares of their rates."""
+    """The cold endpoints, and this instance's shares of their rates."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
         fleet.subscribe_entries(self._on_entry)
 
     def allowed_per_second(self, record: deployment.EndpointRecord) -> float:
-        """Return what all senders may send to an endpoint while it is cold.
+        """Return the rate of all senders to an endpoint while it is cold.
 
         :param record: the endpoint
         :return: requests per second, 0 if its service has no such limit
@@ -68,7 +68,7 @@
         )
 
     def is_limited(self, record: deployment.EndpointRecord) -> bool:
-        """Tell whether an endpoint is cold and has a limit while it is.
+        """Return whether an endpoint is cold and has a limit while it is.
 
         :param record: the endpoint
         :return: whether it may only get what its owner or a share allows
@@ -80,7 +80,7 @@
         )
 
     def is_engine_limited(self, engine: str) -> bool:
-        """Tell whether an engine may get nothing without a grant.
+        """Return whether an engine may get nothing without a grant.
 
         :param engine: its name
         :return: whether it is cold and has a limit while it is
@@ -132,7 +132,7 @@
     def may_send(
         self, record: deployment.EndpointRecord, request_id: str
     ) -> bool:
-        """Tell whether this instance may send a request that no owner grants.
+        """Return whether this instance may send a request without a grant.
 
         :param record: the endpoint
         :param request_id: id of the request
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -61,7 +61,7 @@
         self._self_id = self_id
         self._tried: list[str] = []
         # Data centres that are evacuated according to an engine's owner.
-        self._left_data_centres: set[str] = set()
+        self._evacuated_data_centres: set[str] = set()
         self._queue_seconds: dict[str, float] = {}
         self._not_loaded_count = 0
         self._outside_count = 0
@@ -80,7 +80,7 @@
             return
         if self.refuse_if_version_gone():
             return
-        self._forget_evacuated()
+        self._remove_evacuated()
         engine = self._next_engine()
         if engine is not None:
             self._request_engine(engine, eager=self._can_be_on_time())
@@ -104,7 +104,7 @@
                 self._refusal_reason, self._retry_after_seconds
             )
         else:
-            self._left_data_centres.clear()
+            self._evacuated_data_centres.clear()
             self.context.timers.once(
                 delay_seconds=RETRY_SECONDS, callback=self.begin
             )
@@ -170,7 +170,7 @@
         if reason == engine_decisions.EVACUATED:
             record = self.context.fleet.endpoint(engine)
             if record is not None:
-                self._left_data_centres.add(record.data_centre)
+                self._evacuated_data_centres.add(record.data_centre)
         self._refusal_reason = reason
         if retry_after_seconds:
             self._retry_after_seconds = retry_after_seconds
@@ -253,24 +253,24 @@
             engine
             for engine in ranked
             if engine.name not in self._tried
-            and not self._must_leave(engine.name)
+            and not self._is_excluded(engine.name)
             and self.may_send_to(engine.name)
             and not self._is_resting(engine.name)
         )
 
-    def _must_leave(self, engine: str) -> bool:
+    def _is_excluded(self, engine: str) -> bool:
         record = self.context.fleet.endpoint(engine)
         return record is not None and (
-            record.data_centre in self._left_data_centres
+            record.data_centre in self._evacuated_data_centres
             or self._is_evacuated(record)
         )
 
-    def _forget_evacuated(self) -> None:
-        # They don't count as tries: other engines may have room.
+    def _remove_evacuated(self) -> None:
+        # Evacuated engines don't count as tries: others may have room.
         self._tried = list(
-            itertools.filterfalse(self._must_leave, self._tried)
+            itertools.filterfalse(self._is_excluded, self._tried)
         )
-        for engine in list(filter(self._must_leave, self._queue_seconds)):
+        for engine in list(filter(self._is_excluded, self._queue_seconds)):
             del self._queue_seconds[engine]
 
     def _is_resting(self, engine: str) -> bool:
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -76,7 +76,7 @@
             owning an engine
         :param is_cut_off: whether peers reach an engine and this instance
             doesn't
-        :param cold: knows the cold engines; None if none has a limit
+        :param cold: the cold engines; None if none has a limit
         """
         self._link = link
         self._fleet = fleet
--- a/src/boragefold/entry/finish_turn.py
+++ b/src/boragefold/entry/finish_turn.py
@@ -1,4 +1,4 @@
-"""The turn of one request among those of a service that reports factors."""
+"""Decides on the turn of one request whose endpoints report factors."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class FinishTurn:
-    """Decides for one request by when an endpoint would finish it."""
+    """Decides whether one request is sent by when it would be finished."""
 
     def __init__(
         self,
@@ -20,7 +20,7 @@
         admitted: request_context.AdmittedRequest,
         context: request_context.RequestContext,
     ) -> None:
-        """Expect nothing yet.
+        """Begin without an expected finish.
 
         :param admitted: the request
         :param context: what all requests use
@@ -31,16 +31,16 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        """Tell who goes first: the urgent, then who can still be on time.
+        """Return the rank: by urgency, then those that can still be on time.
 
-        :return: lower for what goes earlier
+        :return: lower for requests that are sent earlier
         """
         target_seconds = self._admitted.route.target_seconds
         is_late = self._waited_seconds() > target_seconds
         return (self._own_urgency().priority, float(is_late))
 
     def applies(self, records: Collection[deployment.EndpointRecord]) -> bool:
-        """Tell whether endpoints report how long their work takes.
+        """Return whether endpoints report how long their work takes.
 
         :param records: the endpoints that the request may go to
         :return: whether any does
@@ -58,7 +58,7 @@
         *,
         remaining_seconds: float,
     ) -> finish_admission.Verdict:
-        """Decide what becomes of the request in its turn.
+        """Decide whether the request is sent, waits or is refused.
 
         :param records: the endpoints that it may go to
         :param remaining_seconds: time until its deadline
@@ -80,7 +80,7 @@
 
         :param records: the endpoints that it may go to
         :param remaining_seconds: time until its deadline
-        :return: False if it would wait in vain
+        :return: False if it couldn't be finished before its deadline
         """
         return finish_admission.can_wait(
             self._terms(remaining_seconds),
@@ -128,9 +128,9 @@
         )
 
     def describe(self) -> dict[str, Any]:
-        """Describe what was expected and what came, as log fields.
+        """Return the expected finish, the limit and the result as log fields.
 
-        :return: values by field name, empty if nothing was expected
+        :return: values by field name, empty before the first decision
         """
         if self._expected_seconds is None:
             return {}
@@ -152,7 +152,7 @@
     ) -> float:
         finish = self._context.choice.finish
         now_seconds = self._context.timers.now_seconds()
-        # An endpoint that wasn't observed yet is tried.
+        # An endpoint without an observed response time is tried.
         return min(
             (
                 finish.finish_seconds(
--- a/src/boragefold/entry/load_reports.py
+++ b/src/boragefold/entry/load_reports.py
@@ -1,4 +1,4 @@
-"""Passes on the load that endpoints report, and logs what can't be used."""
+"""Records the load that endpoints report, and logs unusable reports."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
     :param facts: the information from the response
     :param record: the endpoint
-    :param context: knows the loads of all endpoints
+    :param context: what all requests use
     """
     fault = _find_fault(facts)
     if fault:
--- a/src/boragefold/entry/owned_summaries.py
+++ b/src/boragefold/entry/owned_summaries.py
@@ -1,8 +1,8 @@
-"""What is known of owned engines between two of their decisions.
+"""Summaries of owned engines between two of their decisions.
 
 Load pattern: an instance owns dozens of engines, since others stopped, and
-each message concerns one of them. If each message examined all engines, the
-instance would do little else.
+each message concerns one of them. The cost of examining all engines for each
+message would exceed that of all other work.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 
 class StatusBasis(NamedTuple):
-    """What changes the status of an engine between two decisions."""
+    """The state on which the status of an engine depends."""
 
     is_responsive: bool
     loading: int
@@ -40,7 +40,7 @@
         *,
         now_seconds: float,
     ) -> None:
-        """Summarise an engine again after a decision or a change.
+        """Update the summary of an engine after a decision or a change.
 
         :param name: of the engine
         :param engine: the engine
--- a/src/boragefold/entry/report_timer.py
+++ b/src/boragefold/entry/report_timer.py
@@ -29,9 +29,9 @@
         self._due_at_seconds = math.inf
 
     def schedule(self, delay_seconds: float) -> None:
-        """Request a report after a delay, unless one is due sooner.
+        """Schedule a report after a delay, unless one is due sooner.
 
-        :param delay_seconds: the delay
+        :param delay_seconds: time until the report is requested
         """
         at_seconds = self._timers.now_seconds() + delay_seconds
         if at_seconds >= self._due_at_seconds:
--- a/src/boragefold/entry/request_end.py
+++ b/src/boragefold/entry/request_end.py
@@ -18,8 +18,8 @@
     ``waited_seconds`` is the time before the last attempt, broken down by
     ``queue_time_fields``. ``framing`` is what showed the end of the last
     answer, None if no end of it came; ``inside_event`` is whether what the
-    caller got ends inside an event. ``decision_fields`` tell what the choice
-    of an endpoint expected, empty where it expects nothing.
+    caller got ends inside an event. ``decision_fields`` are the log
+    fields of the expected finish, empty where none was expected.
     """
 
     outcome: str
--- a/src/boragefold/entry/room_queue.py
+++ b/src/boragefold/entry/room_queue.py
@@ -28,9 +28,10 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        """Tell who goes first.
+        """Return the rank of the request.
 
-        :return: lower for what goes earlier; equal ones go as they came
+        :return: lower for requests that are sent earlier; equal ones are sent
+            in the order of their arrival
         """
         return ()
 
@@ -43,7 +44,7 @@
 
 
 class RoomQueue:
-    """Lets waiting requests go by rank, then as they came."""
+    """Sends waiting requests by rank, then in the order of arrival."""
 
     def __init__(
         self, *, timers: timing.TimerService, counters: telemetry.Counters
@@ -79,7 +80,7 @@
         return (1 + len(waiting)) * self._gap_seconds.get(service, 0.0)
 
     def pace_seconds(self, service: str) -> float:
-        """Return the pace at which requests leave the queue of a service.
+        """Return the time between requests that leave a service's queue.
 
         :param service: its name
         :return: seconds from one to the next, 0 if none is known
@@ -91,7 +92,7 @@
         return max(gap_seconds, now_seconds - self._left_at_seconds[service])
 
     def turn_seconds(self, service: str, rank: tuple[float, ...]) -> float:
-        """Estimate how long others go before a request.
+        """Estimate the time until a request is first in its queue.
 
         :param service: name of its service
         :param rank: of the request
@@ -102,7 +103,7 @@
         return ahead * self.pace_seconds(service) if ahead else 0.0
 
     def is_first(self, service: str, rank: tuple[float, ...]) -> bool:
-        """Tell whether no waiting request goes before one.
+        """Return whether no waiting request goes before one.
 
         :param service: name of its service
         :param rank: of the request
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -1,6 +1,6 @@
 """Forwards a request to the least loaded endpoint of a plain service.
 
-A request waits for room only where the endpoints can't bear its rejection, or
+A request waits for room only where the endpoints fail when they reject it, or
 report how long their work takes and would finish it too late.
 """
 
@@ -25,7 +25,7 @@
 class ServiceForwarding(forwarding.Forwarding, room_queue.RoomWaiter):
     """Forwards a request to an endpoint of a plain service."""
 
-    # Whether its endpoints report factors, so that urgency decides who goes.
+    # Whether its endpoints report factors, so that requests go by urgency.
     _is_ranked = False
 
     def begin(self) -> None:
@@ -99,14 +99,15 @@
 
     @property
     def rank(self) -> tuple[float, ...]:
-        """Tell who goes first where endpoints report factors.
+        """Return the rank, which differs where endpoints report factors.
 
-        :return: lower for what goes earlier; equal ones go as they came
+        :return: lower for requests that are sent earlier; equal ones are sent
+            in the order of their arrival
         """
         return self._turn.rank if self._is_ranked else ()
 
     def decision_fields(self) -> dict[str, Any]:
-        """Return what was expected of the endpoints, as log fields.
+        """Return the expected finish as log fields.
 
         :return: values by field name
         """
--- a/src/boragefold/entry/store_followers.py
+++ b/src/boragefold/entry/store_followers.py
@@ -74,7 +74,7 @@
         return any(follower.is_stale() for follower in self._followers)
 
     def may_be_behind(self) -> bool:
-        """Tell whether peers may know more than this instance.
+        """Return whether peers may know more than this instance.
 
         :return: whether it doesn't read the store, or has no good answer
         """
--- a/src/boragefold/policy/cold_limit.py
+++ b/src/boragefold/policy/cold_limit.py
@@ -2,9 +2,10 @@
 
 Load pattern: an endpoint that has just started sustains a few requests per
 second and crashes well above that, while many wait for it. A token bucket
-would let the end of one burst meet the beginning of the next. Here the times
-of the last requests are kept, and one more is allowed when the oldest of them
-has left the window. This module reads no clock and no socket.
+would allow two bursts within one second, at the end of one period and at the
+beginning of the next. Here the times of the last requests are kept, and one
+more is allowed when the oldest of them is outside the window. This module
+reads no clock and no socket.
 """
 
 from __future__ import annotations
@@ -15,12 +16,12 @@
 from typing import NamedTuple
 
 WINDOW_SECONDS = 1.0
-# Requests may arrive closer together than they were granted.
+# Requests may arrive closer together than they were sent.
 TRANSIT_SECONDS = 0.05
-# Two instances may believe that they own an engine during a partition.
+# Two instances may act as owner of an engine during a partition.
 SHARE_OF_LIMIT = 0.5
-# The time of each request in the window is kept.
-MAX_PER_SECOND = 10_000.0
+# Limits memory: the time of each request in the window is kept.
+MAX_REQUESTS_PER_SECOND = 10_000.0
 
 
 class Tolerance(NamedTuple):
@@ -80,7 +81,7 @@
         self._per_second = per_second
         size = 0
         if per_second > 0:
-            size = max(1, int(min(per_second, MAX_PER_SECOND)))
+            size = max(1, int(min(per_second, MAX_REQUESTS_PER_SECOND)))
             # A rate below one allows a single request in a longer window.
             self._window_seconds = TRANSIT_SECONDS + max(
                 WINDOW_SECONDS, 1 / per_second
@@ -89,7 +90,7 @@
         self._sent.extend([now_seconds] * (size - len(self._sent)))
 
     def is_cold(self, *, now_seconds: float) -> bool:
-        """Tell whether the limit applies.
+        """Return whether the limit applies.
 
         :param now_seconds: reading of the process clock
         :return: whether the endpoint is cold and its rate limited
@@ -97,9 +98,10 @@
         return bool(self._sent) and now_seconds < self.until_seconds
 
     def may_send(self, request_id: str, *, now_seconds: float) -> bool:
-        """Tell whether one more request may be sent now.
+        """Return whether one more request may be sent now.
 
-        :param request_id: id of the request, to count each that is held back
+        :param request_id: id of the request; checking it again doesn't count
+            it again as held back
         :param now_seconds: reading of the process clock
         :return: whether it may
         """
@@ -118,7 +120,7 @@
         self._sent.append(now_seconds)
 
     def wait_seconds(self, ahead: int, *, now_seconds: float) -> float:
-        """Compute when a request may be sent behind others.
+        """Compute how long a request waits that is sent after others.
 
         :param ahead: number of requests that are sent before it
         :param now_seconds: reading of the process clock
@@ -147,7 +149,7 @@
         return held
 
     def _next_at_seconds(self, ahead: int, now_seconds: float) -> float:
-        # At most the end of the cold time.
+        # Never later than the end of the cold time.
         if not self.is_cold(now_seconds=now_seconds):
             return now_seconds
         windows, position = divmod(ahead, len(self._sent))
--- a/src/boragefold/policy/cold_shares.py
+++ b/src/boragefold/policy/cold_shares.py
@@ -1,10 +1,10 @@
 """Divides the rate of a cold endpoint of a plain service among instances.
 
 Load pattern: all instances send to the few endpoints of a plain service, and
-a cold one bears a few requests per second of all of them together. They can't
-ask each other before each request, and a part for each of 64 instances would
-be less than one request. Therefore a few instances have a share, which all
-members compute alike.
+a cold one sustains a few requests per second from all of them together. The
+instances can't ask each other before each request, and an equal share for each
+of many instances would be less than one request. Therefore a few instances
+have a share, which all members compute alike.
 """
 
 from __future__ import annotations
@@ -13,11 +13,12 @@
 
 import xxhash
 
-# More would have less than one request per second each at common rates; with
-# one, its end would leave the endpoint without requests.
-SENDERS = 3
-# Below this part of the members, others may send instead.
-MIN_REACHED = 0.5
+# With more, each would have less than one request per second at common rates;
+# with a single one, the endpoint would get nothing after that fails.
+MAX_SENDERS = 3
+# An instance that reaches a smaller share of the members sends nothing, since
+# others may send instead.
+MIN_REACHED_SHARE = 0.5
 
 
 def share(
@@ -38,14 +39,16 @@
     :return: requests per second; the shares of all instances that reach each
         other add up to the rate, without its fraction if it is one or more
     """
-    if allowed_per_second <= 0 or 1 + len(reached) < MIN_REACHED * (1 + known):
+    if allowed_per_second <= 0 or 1 + len(reached) < MIN_REACHED_SHARE * (
+        1 + known
+    ):
         return 0.0
     whole = int(allowed_per_second)
     own = _rank(endpoint, self_address)
     position = sum(_rank(endpoint, address) < own for address in reached)
     if not whole:
         return 0.0 if position else allowed_per_second
-    senders = min(SENDERS, whole, 1 + len(reached))
+    senders = min(MAX_SENDERS, whole, 1 + len(reached))
     if position >= senders:
         return 0.0
     each, rest = divmod(whole, senders)
--- a/src/boragefold/policy/cold_times.py
+++ b/src/boragefold/policy/cold_times.py
@@ -1,4 +1,4 @@
-"""Knows until when each endpoint is cold.
+"""Records until when each endpoint is cold.
 
 Endpoints state how long they stay cold: in their entries, which all instances
 read or get from others, and in what they answer to one instance. Neither is
@@ -12,8 +12,8 @@
 import math
 from typing import NamedTuple
 
-# Restarted endpoints may have new names; beyond this number, those that are
-# warm are forgotten.
+# Restarted endpoints may have new names; beyond this number, warm ones are
+# removed.
 MAX_ENDPOINTS = 4_096
 
 
@@ -21,7 +21,7 @@
     """What an endpoint states about itself.
 
     ``cold_seconds`` is how long it stays cold, None if it states nothing
-    usable. ``born_milliseconds`` tells apart its lives, 0 where it is unknown.
+    usable. ``born_milliseconds`` identifies its life, 0 where it is unknown.
     """
 
     cold_seconds: float | None
@@ -143,7 +143,7 @@
         known.assumed_life = life
         known.assumed_until_seconds = assumed_until_seconds
     if is_new:
-        # An entry of the life before may still arrive.
+        # An entry of the previous life may still arrive.
         known.lives = (*known.lives[-1:], life)
 
 
--- a/src/boragefold/policy/concurrency_limit.py
+++ b/src/boragefold/policy/concurrency_limit.py
@@ -1,15 +1,15 @@
 """Limits the requests in flight at an engine that has just come back.
 
 Load pattern: an engine that starts again, or is reachable again, is idle, and
-the queues of a whole fleet turn to it. It gets more than it can bear while its
-caches are empty, or is held back for a fixed time although it could take all.
-The limit follows its responses instead: it grows while their first events come
-about when the prompts ahead of them allow it, and shrinks when they don't.
+all instances send it their queued requests. Without a limit it is overloaded
+while its caches are empty; with one for a fixed time it may be underused. Here
+the limit depends on its responses: it grows while their first events come
+about as soon as the prompts ahead of them permit, and shrinks when they don't.
 
 Expected times come from the engine's speed as it was known at the restart: a
 running estimate would take an overload for the engine's normal speed. At the
-lowest limit, a late start shows how slow the engine is, not that it has too
-much to do; later starts are compared with that.
+lowest limit, a late start shows that the engine is slow, not that it is
+overloaded; later starts are compared with that.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
 START_SHARE = 0.125
 # Two, so that one request that hangs doesn't stop all others.
 MIN_LIMIT = 2.0
-# A start is late beyond this multiple of the expected time, and this constant
-# for messages and a step of the batch.
+# A start is late beyond this multiple of the expected time plus the slack,
+# which covers messages and a step of the batch.
 TOLERANCE = 2.0
 SLACK_SECONDS = 0.05
 DECREASE = 0.7
@@ -82,7 +82,7 @@
         return None if self._limit == math.inf else round(self._limit, 1)
 
     def restart(self, speed: engine_speed.EngineSpeed) -> None:
-        """Begin with few requests: the engine has just come back.
+        """Reset the limit to few requests: the engine has just come back.
 
         :param speed: what is known of the engine's speed
         """
@@ -95,7 +95,7 @@
         self._flights.clear()
 
     def allows(self, ahead: int = 0) -> bool:
-        """Tell whether one more request may be sent.
+        """Return whether one more request may be sent.
 
         :param ahead: how many are sent before it
         :return: whether the limit allows it
@@ -170,8 +170,9 @@
         self._threshold = self._limit
 
     def _record_on_time(self, flight: Flight) -> None:
-        # A start shows what the engine bore when the request was sent. Where
-        # starts take long, the limit would otherwise run ahead of them.
+        # A start shows that the engine could run the requests in flight when
+        # this one was sent. Where starts take long, the limit would otherwise
+        # grow without evidence.
         if self._limit > MAX_GROWTH * flight.in_flight:
             return
         is_doubling = self._limit < self._threshold
@@ -182,7 +183,7 @@
             self._flights.clear()
 
     def _observe(self, flight: Flight, took_seconds: float) -> None:
-        # At higher limits only what is faster tells of the engine itself.
+        # At higher limits a slow start may be due to the load instead.
         slowness = max(
             1.0, (took_seconds - SLACK_SECONDS) / flight.expected_seconds
         )
--- a/src/boragefold/policy/engine_queue.py
+++ b/src/boragefold/policy/engine_queue.py
@@ -1,8 +1,8 @@
 """The requests that wait at one engine, with sums for each adapter.
 
 Load pattern: queues of a thousand requests for hundreds of adapters. If each
-decision counted and sorted the queue anew, the cost of a burst would grow with
-the square of its length.
+decision counted and sorted the whole queue, the cost of a burst would grow
+with the square of its length.
 """
 
 from __future__ import annotations
@@ -187,7 +187,7 @@
     def apply_forecast(
         self, forecast: slot_forecast.SlotForecast, *, now_seconds: float
     ) -> None:
-        """Note at each adapter when it is expected to be loaded.
+        """Record for each adapter when it is expected to be loaded.
 
         :param forecast: of the engine's slots
         :param now_seconds: reading of the process clock
--- a/src/boragefold/policy/expected_finish.py
+++ b/src/boragefold/policy/expected_finish.py
@@ -2,10 +2,11 @@
 
 Load pattern: endpoints of one service differ in speed by a factor of two and
 more, and each is slower for tenths of a second now and then. Dozens of
-instances hear of an endpoint about once a second, through their own answers.
-If each sends by the newest report alone, all choose the same endpoint. Here
-the lasting speed is learned apart from the momentary factor, and an old report
-counts less than what the endpoint's usual load is.
+instances get a report of an endpoint about once a second each, with the
+responses to their own requests. If each chooses by the newest report alone,
+all choose the same endpoint. Here an endpoint's lasting speed is estimated
+separately from its momentary factor, and an old report has less weight than
+the endpoint's usual load.
 """
 
 from __future__ import annotations
@@ -13,23 +14,23 @@
 import dataclasses
 import math
 
-# A response time says more of its request than of the endpoint.
+# A response time depends more on its request than on the endpoint.
 WORK_SMOOTHING = 0.1
 FACTOR_SMOOTHING = 0.05
 LOAD_SMOOTHING = 0.3
-# A machine's factor changes within tenths of a second.
+# A factor changes within tenths of a second.
 FACTOR_DECAY_SECONDS = 0.3
-# Then the usual load says more: the others have sent and the endpoint worked.
+# The other instances send, and the endpoint completes work, in the meantime.
 LOAD_DECAY_SECONDS = 0.5
 # An endpoint that seems slow is tried again, since it may have recovered.
 WORK_HALF_LIFE_SECONDS = 10.0
-# Without a factor for so long, a service's endpoints report none any more.
+# An endpoint without a reported factor for this time no longer reports any.
 REPORTING_SECONDS = 10.0
 MIN_FACTOR = 0.1
 MAX_FACTOR = 20.0
-# The link to another data centre, where no response time includes it yet.
+# Added for another data centre until a response time includes the link.
 LINK_SECONDS = 0.003
-# Assumed before the first answer; only ranks endpoints.
+# Assumed before the first response; used only to rank endpoints.
 DEFAULT_WORK_SECONDS = 0.05
 
 
@@ -57,14 +58,14 @@
 
 
 class ExpectedFinish:
-    """Learns endpoints' speeds, and estimates when they finish a request."""
+    """Estimates endpoints' speeds, and when they would finish a request."""
 
     def __init__(self) -> None:
         self._stats: dict[str, FinishStats] = {}
         self._by_service: dict[str, dict[str, FinishStats]] = {}
 
     def reports_factor(self, endpoint: str, *, now_seconds: float) -> bool:
-        """Tell whether an endpoint reports how long its work takes.
+        """Return whether an endpoint reports how long its work takes.
 
         :param endpoint: its name
         :param now_seconds: reading of the process clock
@@ -76,10 +77,10 @@
         )
 
     def is_known(self, endpoint: str) -> bool:
-        """Tell whether the time of an endpoint's work has been observed.
+        """Return whether the time of an endpoint's work has been observed.
 
         :param endpoint: its name
-        :return: whether an estimate rests on at least one answer
+        :return: whether an estimate is based on at least one response
         """
         stats = self._stats.get(endpoint)
         return stats is not None and stats.work_seconds is not None
@@ -114,7 +115,7 @@
         stats.service = service
         self._by_service.setdefault(service, {})[endpoint] = stats
         factor = clamp_factor(factor)
-        # The request that brought the report is no more among the busy ones.
+        # The request whose response has the report is no longer counted in it.
         stats.busy = busy
         stats.others = max(0.0, busy - max(0, stats.in_flight - 1))
         stats.usual_others = _smooth(
@@ -128,7 +129,7 @@
         stats.reported_at_seconds = now_seconds
 
     def record_withdrawn(self, endpoint: str) -> None:
-        """Record that a request ended without telling about the work there.
+        """Record that a request ended without showing how long its work takes.
 
         :param endpoint: its name
         """
@@ -142,7 +143,7 @@
 
         :param endpoint: its name
         :param took_seconds: time from sending to the first byte, None if it
-            tells nothing about the endpoint's work
+            doesn't depend on the endpoint's work
         :param now_seconds: reading of the process clock
         """
         self.record_withdrawn(endpoint)
@@ -163,15 +164,15 @@
     def rank_seconds(
         self, endpoint: str, *, slots: int, near: bool, now_seconds: float
     ) -> float:
-        """Compute what endpoints are ranked by.
+        """Compute the cost by which endpoints are ranked.
 
         :param endpoint: name of an endpoint
         :param slots: number of requests that it runs at once, unless its
             answers tell otherwise
         :param near: whether it is in this data centre
         :param now_seconds: reading of the process clock
-        :return: time that one request more adds to the work of its slots,
-            with what was there before
+        :return: seconds until each slot has done its share of the work, with
+            one request more
         """
         stats = self._of(endpoint)
         slots = max(1, slots if stats.slots is None else stats.slots)
@@ -185,7 +186,7 @@
     def finish_seconds(
         self, endpoint: str, *, slots: int, now_seconds: float
     ) -> float:
-        """Estimate when a request would be finished that is sent now.
+        """Estimate how soon a request that is sent now would be finished.
 
         :param endpoint: name of the endpoint
         :param slots: number of requests that it runs at once, unless its
@@ -201,7 +202,7 @@
     def served_per_second(
         self, endpoint: str, *, slots: int, now_seconds: float
     ) -> float:
-        """Estimate how many requests an endpoint finishes.
+        """Estimate how many requests per second an endpoint finishes.
 
         :param endpoint: its name
         :param slots: as for ``finish_seconds``
@@ -213,7 +214,7 @@
         return slots / self._slot_seconds(stats, now_seconds)
 
     def forget_work(self, endpoint: str) -> None:
-        """Forget the learned speed of an endpoint.
+        """Reset the estimated speed of an endpoint.
 
         :param endpoint: its name
         """
@@ -222,7 +223,7 @@
             stats.work_seconds = None
 
     def drop(self, endpoint: str) -> None:
-        """Forget an endpoint.
+        """Remove an endpoint.
 
         :param endpoint: its name
         """
@@ -253,7 +254,7 @@
         return (least_seconds + over_seconds * kept) * factor
 
     def _least_work_seconds(self, service: str) -> float:
-        # The work of another service takes another time.
+        # Requests of other services take other times.
         known = self._by_service.get(service, self._stats)
         return min(
             (
@@ -269,10 +270,10 @@
 
 
 def clamp_factor(factor: float) -> float:
-    """Bound a reported factor.
+    """Return a reported factor, limited to what is plausible.
 
     :param factor: as the endpoint reported it
-    :return: the nearest that a machine can have
+    :return: the nearest factor from ``MIN_FACTOR`` to ``MAX_FACTOR``
     """
     return min(max(factor, MIN_FACTOR), MAX_FACTOR)
 
--- a/src/boragefold/policy/finish_admission.py
+++ b/src/boragefold/policy/finish_admission.py
@@ -1,11 +1,11 @@
 """Decides whether a request goes to an endpoint now, waits or is refused.
 
-Load pattern: all endpoints of a service have full slots and long queues. Sent
-on regardless, each request makes those behind it late, and in the end all are
-late. Here a request joins an endpoint's queue while it can be on time; one
+Load pattern: all endpoints of a service have full slots and long queues. If
+requests are sent regardless, each makes those behind it late, and finally all
+are late. Here a request joins an endpoint's queue while it can be on time; one
 that can't waits at its instance, in order of urgency, and is served late where
-that makes no other late. A less urgent request finds less room than the most
-urgent of its service.
+that makes no other late. Less urgent requests may join only shorter queues
+than the most urgent of their service.
 """
 
 from __future__ import annotations
@@ -14,13 +14,16 @@
 import enum
 from typing import NamedTuple
 
-# What is left of the limit is for requests that can be on time.
+# Share of the limit up to which late requests may be sent; the rest is for
+# requests that can be on time.
 LATE_SHARE = 0.4
-# Part of the limit of more urgent requests.
+# Limit of less urgent requests, as a share of that of more urgent ones.
 LESS_URGENT_SHARE = 0.65
-# Of the time that is left; estimates of waits are rough.
-PATIENCE_SHARE = 0.7
-# The most urgent requests are sent late when they couldn't wait any longer.
+# Longest expected wait as a share of the time until the deadline; estimates of
+# waits are rough.
+MAX_WAIT_SHARE = 0.7
+# The most urgent requests are sent late once the time until their deadline is
+# below this multiple of the expected finish.
 LAST_CHANCE_FACTOR = 1.3
 
 
@@ -40,11 +43,11 @@
 
 
 class Terms(NamedTuple):
-    """What a request allows.
+    """The conditions under which a request may be sent.
 
     ``limit_seconds`` is the longest expected finish with which a request of
-    its urgency may join an endpoint's queue. ``takes_last_chance`` tells that
-    it goes before others that are less urgent, even late.
+    its urgency may join an endpoint's queue. ``takes_last_chance`` tells
+    whether it is sent, even late, rather than miss its deadline.
     """
 
     target_seconds: float
@@ -55,9 +58,9 @@
 
     @property
     def allowed_seconds(self) -> float:
-        """Tell with which expected finish the request may be sent.
+        """Return the longest expected finish with which it may be sent.
 
-        :return: the longest, in seconds
+        :return: seconds
         """
         on_time_seconds = self.target_seconds - self.waited_seconds
         usual_seconds = min(on_time_seconds, self.limit_seconds)
@@ -66,7 +69,7 @@
 
 
 def find_limit(own: Urgency, others: Iterable[Urgency]) -> tuple[float, bool]:
-    """Find out what requests of one urgency may expect.
+    """Return the limit for requests of one urgency.
 
     :param own: the urgency
     :param others: those of all requests of the service
@@ -82,10 +85,10 @@
 
 
 def decide_turn(terms: Terms, *, finish_seconds: float) -> Verdict:
-    """Decide what becomes of a request that no waiting one goes before.
+    """Decide on a request that is first in order of urgency.
 
-    :param terms: what it allows
-    :param finish_seconds: when the best endpoint would finish it
+    :param terms: its conditions
+    :param finish_seconds: how soon the best endpoint would finish it
     :return: the decision
     """
     remaining_seconds = terms.remaining_seconds
@@ -104,15 +107,15 @@
 def can_wait(
     terms: Terms, *, finish_seconds: float, turn_seconds: float
 ) -> bool:
-    """Decide whether a request that comes may wait for its turn.
+    """Decide whether a new request may wait for its turn.
 
-    :param terms: what it allows
-    :param finish_seconds: when the best endpoint would finish it now
-    :param turn_seconds: for those that go before it
-    :return: False if it would wait in vain
+    :param terms: its conditions
+    :param finish_seconds: how soon the best endpoint would finish it now
+    :param turn_seconds: time until its turn
+    :return: False if it couldn't be finished before its deadline
     """
     needed_seconds = turn_seconds + min(finish_seconds, terms.limit_seconds)
-    return needed_seconds <= PATIENCE_SHARE * terms.remaining_seconds
+    return needed_seconds <= MAX_WAIT_SHARE * terms.remaining_seconds
 
 
 __all__ = [
--- a/src/boragefold/policy/request_states.py
+++ b/src/boragefold/policy/request_states.py
@@ -143,7 +143,7 @@
         for other in self.waiting.values():
             by_rank = other.rank < rank
             if by_rank == late:
-                # Its own lateness doesn't matter.
+                # Whether the other is late doesn't matter.
                 ahead = late
             else:
                 prompt_tokens = other.request.prompt_tokens
--- a/src/boragefold/policy/return_times.py
+++ b/src/boragefold/policy/return_times.py
@@ -1,14 +1,14 @@
-"""When refused requests are to return.
+"""Chooses when refused requests are to return.
 
 Load pattern: many requests are refused at the same moment. If all return
-together, most are refused again. Here they return at the pace at which the
-requests that wait get their turn.
+together, most are refused again. Here they return at the rate at which queued
+requests are sent.
 """
 
 from __future__ import annotations
 
 MIN_SECONDS = 0.3
-# Estimates of a longer wait are worth nothing.
+# Estimates of longer waits are unreliable.
 MAX_SECONDS = 5.0
 
 
@@ -30,7 +30,8 @@
 
         :param service: name of its service
         :param room_in_seconds: when there is likely to be room for it
-        :param gap_seconds: from one request that gets its turn to the next
+        :param gap_seconds: time from one queued request that is sent to the
+            next
         :param now_seconds: reading of the process clock
         :return: seconds from now
         """
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -31,7 +31,7 @@
 # Ranks a failing endpoint behind any that is merely full.
 FAILURE_PENALTY = 4.0
 FAILURE_SECONDS = 10.0
-# Random, because all instances would choose the same endpoint.
+# Random, since all instances would choose the same endpoint otherwise.
 FINISH_JITTER = 0.3
 
 
@@ -78,8 +78,8 @@
         :param endpoints: name, slots and whether it is near, for each usable
             endpoint
         :param now_seconds: reading of the process clock
-        :return: the name of the least loaded one, or of that which would be
-            the first to finish; None if there is none
+        :return: the name of the least loaded one, or of the one expected to
+            finish first; None if there is none
         """
         endpoints = list(endpoints)
         if any(
--- a/src/boragefold/policy/slot_forecast.py
+++ b/src/boragefold/policy/slot_forecast.py
@@ -1,4 +1,4 @@
-"""When each adapter could run on an engine, for one moment."""
+"""A forecast of when each adapter could run on an engine."""
 
 from __future__ import annotations
 
--- a/src/boragefold/policy/slot_orders.py
+++ b/src/boragefold/policy/slot_orders.py
@@ -130,7 +130,7 @@
         )
 
     def _tie_break(self, key: AdapterKey) -> int:
-        # Two instances that take over an engine at once have counted no
+        # Two instances that begin to own an engine at once have counted no
         # requests yet. If both unloaded the same adapter, the engine would
         # accept the second order without checking the count it expects.
         text = f"{self._issuer}\0{key.model}\0{key.adapter}"
--- a/src/boragefold/standins/endless_answers.py
+++ b/src/boragefold/standins/endless_answers.py
@@ -18,7 +18,7 @@
 
 
 class Form(enum.Enum):
-    """What goes on: how the bytes begin, and what is repeated behind."""
+    """The part of an answer that goes on without an end."""
 
     HEADER_NAME = "header_name"
     HEADER_VALUE = "header_value"
@@ -39,10 +39,10 @@
 
 
 class EndlessAnswers:
-    """Sends them, and knows how much of each was taken."""
+    """Sends answers without an end, and records how much was written."""
 
     def __init__(self, *, timers: timing.TimerService) -> None:
-        """Begin without any.
+        """Begin without an answer.
 
         :param timers: of the process
         """
@@ -65,9 +65,9 @@
     ) -> None:
         """Answer without an end.
 
-        :param exchange: whose
-        :param form: what goes on
-        :param headers: of a sound answer
+        :param exchange: the exchange to answer
+        :param form: the part that goes on
+        :param headers: of an ordinary answer
         """
         connection = exchange.connection
         assert isinstance(connection, endpoint_connection.EndpointConnection)
--- a/src/boragefold/state/deployment_check.py
+++ b/src/boragefold/state/deployment_check.py
@@ -1,6 +1,6 @@
-"""Finds what doesn't fit together in a version of a deployment.
+"""Finds faults and contradictions in a version of a deployment.
 
-None of it keeps a version out of force: it is for whoever publishes one.
+The findings are for whoever publishes it; instances don't evaluate them.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class Severity(enum.Enum):
-    """Whether something can't work, or may be meant."""
+    """Whether a finding is a fault, or may be intended."""
 
     ERROR = "error"
     WARNING = "warning"
@@ -110,10 +110,10 @@
 
 
 def find_repeated(place: str, names: Iterable[str]) -> list[Finding]:
-    """Check that names stand once.
+    """Check that each name is used once.
 
-    :param place: what is named
-    :param names: all names, in the order in which they stand
+    :param place: the kind of parts that are named
+    :param names: all names, in the order of the configuration
     :return: findings
     """
     return [
--- a/src/boragefold/state/deployment_diff.py
+++ b/src/boragefold/state/deployment_diff.py
@@ -13,7 +13,7 @@
 
 
 class Difference(NamedTuple):
-    """What one place held before and holds now; ``-`` is nothing."""
+    """A part of the configuration before and after; ``-`` is nothing."""
 
     place: str
     before: str
--- a/src/boragefold/state/evacuations.py
+++ b/src/boragefold/state/evacuations.py
@@ -1,9 +1,9 @@
-"""The data centres whose endpoints receive nothing more.
+"""The data centres whose endpoints receive no further requests.
 
 An evacuation comes into force adapter by adapter, so that not all adapters of
 a data centre are loaded elsewhere at the same moment. All instances compute
-the same order. What needs no adapter moves at once, and so does everything
-where the age of the evacuation isn't known.
+the same order. Requests without an adapter move at once, and so do all
+requests if the age of the evacuation isn't known.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 # Share of the time limit of an evacuation; the rest is for its publication.
 HAND_OVER_SHARE = 0.4
-# Enough for the adapters that are requested again and again.
+# Sized for the adapters that are requested again and again.
 HASH_CACHE_SIZE = 4_096
 HASH_RANGE = 2.0**64
 
@@ -69,7 +69,7 @@
     ) -> bool:
         """Begin or end an evacuation.
 
-        :param data_centre: which
+        :param data_centre: its name
         :param evacuated: whether it is to be evacuated
         :param changed_at_seconds: when that was published; None if unknown
         :return: whether this is a change
@@ -92,7 +92,7 @@
     def includes(
         self, data_centre: str, adapter: deployment.AdapterKey | None = None
     ) -> bool:
-        """Tell whether endpoints of a data centre receive nothing.
+        """Return whether endpoints of a data centre receive nothing.
 
         :param data_centre: where the endpoints are
         :param adapter: what a request to an engine needs; None for requests
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -23,7 +23,7 @@
         :param evacuations: the data centres that receive nothing; by default
             evacuations come into force at once
         """
-        # Empty ones are false, too.
+        # Without an evacuation in force, the object is false, too.
         self.evacuations = (
             evacuations_module.Evacuations()
             if evacuations is None
@@ -32,7 +32,7 @@
         self.deployment: deployments.Deployment | None = None
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
-        # Both follow from the endpoints, and are dropped with each change.
+        # Caches of what follows from the endpoints, reset by each change.
         self._by_service: dict[str, list[EndpointRecord]] | None = None
         self._engines: tuple[EndpointRecord, ...] | None = None
         self._subscribers: list[Callable[[], None]] = []
@@ -48,9 +48,9 @@
     def subscribe_entries(
         self, callback: Callable[[EndpointRecord], None]
     ) -> None:
-        """Be told of each entry, also of one that changes nothing.
+        """Call back for each entry, also for one that changes nothing.
 
-        :param callback: called with the entry after it was taken over
+        :param callback: called with the entry after it was applied
         """
         self._on_entry.append(callback)
 
@@ -118,7 +118,7 @@
     def is_evacuated(
         self, record: EndpointRecord, adapter: AdapterKey | None = None
     ) -> bool:
-        """Tell whether an endpoint must receive nothing now.
+        """Return whether an endpoint must receive nothing now.
 
         :param record: the endpoint
         :param adapter: what the request needs; engines hand over their
@@ -133,7 +133,7 @@
         )
 
     def is_service_evacuated(self, service: str) -> bool:
-        """Tell whether endpoints of a service receive nothing for now.
+        """Return whether endpoints of a service receive nothing for now.
 
         :param service: its name
         :return: whether one that isn't leaving is in an evacuated data centre
@@ -146,7 +146,7 @@
         )
 
     def has_data_centre(self, data_centre: str) -> bool:
-        """Tell whether a data centre exists.
+        """Return whether a data centre exists.
 
         :param data_centre: its name
         :return: whether the settings or an endpoint name it
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -12,9 +12,9 @@
 import httptools
 
 MAX_HEADER_BYTES = 32_768
-# What a header line has beside its name and value.
+# Separator and line end of a header line.
 SEPARATOR_BYTES = len(": \r\n")
-# Bytes of a head that isn't complete, or of framing beyond its share.
+# Limit for an incomplete head, or for framing beyond its share.
 MAX_OVERHEAD_BYTES = 65_536
 # Framing that comes with each piece of a body; tokens are chunks of a few
 # bytes, and a chunk may carry a signature.
@@ -61,9 +61,9 @@
 class AnswerSink(abc.ABC):
     """Receives one answer; ends with exactly one ``end`` or ``failed``.
 
-    ``collects`` tells that the answer is of use only when it is whole, so
-    that the time for all of it is limited. ``full`` tells that the sink takes
-    no more of it; the call then fails.
+    ``collects`` tells whether only a whole answer is of use, so that the time
+    for all of it is limited. ``full`` tells whether the sink accepts no more
+    data; the call then fails.
     """
 
     collects = False
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -15,7 +15,8 @@
 
 # These usually have no body and then carry no length either.
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-# Bytes that come singly end no silence of an answer that is collected.
+# Limits an answer that is collected, whose other end may send single bytes
+# without ever being silent for long.
 COLLECTING_FACTOR = 4
 
 
@@ -182,7 +183,7 @@
         self.stream.abort()
 
     def is_overdue(self, *, now_seconds: float) -> bool:
-        """Tell whether an answer that is collected takes too long.
+        """Return whether an answer that is collected takes too long.
 
         :param now_seconds: reading of the clock
         :return: whether it does
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -29,7 +29,7 @@
     def has_ended(self) -> bool:
         """Check whether the caller closed the connection.
 
-        :return: whether it did, also if the loop doesn't know it yet
+        :return: whether it did, also if the loop hasn't detected it yet
         """
 
 
@@ -55,7 +55,7 @@
         """Check whether the caller left before its request was handled.
 
         In overload, a request may be read after its caller has given it up;
-        the loop learns of that only behind the requests of others.
+        the loop detects that only after it has read other requests.
 
         :return: whether the caller closed the connection
         """
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -189,7 +189,7 @@
     def has_ended(self) -> bool:
         """Check whether the caller closed the connection.
 
-        :return: whether it did, also if the loop doesn't know it yet
+        :return: whether it did, also if the loop hasn't detected it yet
         """
         return self.stream.has_ended()
 
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 READ_BYTES = 65536
-# Another end that sends without end leaves the loop to the others.
+# Limits how long one connection that keeps sending occupies the loop.
 MAX_READS_IN_A_ROW = 4
 # How a connection ends that the other end closed in good order, or reset.
 END_OF_INPUT = "eof"
@@ -169,10 +169,10 @@
         self.abort(reason)
 
     def has_ended(self) -> bool:
-        """Check whether the other end closed right behind what was read.
+        """Check whether the other end closed after the bytes read so far.
 
-        :return: whether nothing more will come; False where bytes that
-            weren't read yet hide it
+        :return: whether nothing more will come; False while unread bytes
+            precede the end
         """
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
--- a/src/boragefold/transport/tls_streams.py
+++ b/src/boragefold/transport/tls_streams.py
@@ -18,7 +18,7 @@
     wants_write = (ssl.SSLWantWriteError,)
 
     def has_ended(self) -> bool:
-        """Tell nothing: encrypted bytes can't be looked at in advance.
+        """Return False: encrypted bytes can't be read in advance.
 
         :return: False
         """
