Record cold times by source, and log refusals with the owner's lines

Change: the statement's source is an argument; the log line of a refusal moves to owner_log.py. No behaviour, event or field changes. Tests: test_cold_times, test_cold_endpoints and test_engine_owner pass.

--- a/src/boragefold/entry/cold_endpoints.py
+++ b/src/boragefold/entry/cold_endpoints.py
@@ -112,7 +112,7 @@
         :param cold_seconds: how long it stays cold
         """
         statement = cold_times.ColdStatement(cold_seconds)
-        self._record(self._times.record_answer, record, statement)
+        self._record(cold_times.Source.ANSWER, record, statement)
 
     def record_report(
         self,
@@ -127,7 +127,7 @@
         statement = cold_times.ColdStatement(
             report.cold_seconds, report.counted.born_milliseconds
         )
-        self._record(self._times.record_answer, record, statement)
+        self._record(cold_times.Source.ANSWER, record, statement)
 
     def may_send(
         self, record: deployment.EndpointRecord, request_id: str
@@ -204,7 +204,7 @@
 
     def _on_entry(self, record: deployment.EndpointRecord) -> None:
         self._record(
-            self._times.record_entry,
+            cold_times.Source.ENTRY,
             record,
             cold_times.ColdStatement(
                 record.cold_seconds if record.cold_stated else None,
@@ -214,16 +214,17 @@
 
     def _record(
         self,
-        apply: Callable[..., None],
+        source: cold_times.Source,
         record: deployment.EndpointRecord,
         statement: cold_times.ColdStatement,
     ) -> None:
         now_seconds = self._timers.now_seconds()
         before_seconds = self._times.until_seconds(record.name)
         service = self._fleet.service_of(record)
-        apply(
+        self._times.record(
             record.name,
             statement,
+            source=source,
             cold_start_seconds=service.cold_start_seconds if service else 0.0,
             now_seconds=now_seconds,
         )
--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -285,8 +285,8 @@
             return
         granted = owned.schedule.find_grant(ask.request_id)
         if owned.must_move(ask.adapter):
-            # A grant that was given didn't arrive.
-            self._move(owned, ask)
+            # The grant, if there was one, didn't arrive.
+            self._refuse_evacuated(owned, ask)
             return
         if granted is not None:
             # The request is repeated since the reply was lost.
@@ -302,7 +302,7 @@
             self._link.send(to=sender, body=waits)
         self._run_engine(body.engine)
 
-    def _move(
+    def _refuse_evacuated(
         self,
         owned: owned_engine.OwnedEngine,
         ask: engine_decisions.EngineRequest,
@@ -355,7 +355,8 @@
             self._counters.add("engine_asks_refused", action.reason)
             if action.reason != engine_schedule.WOULD_BE_LATE:
                 # The requesting instance logs where the request went instead.
-                self._log_refusal(engine, action)
+                owned = self._owned.get(engine)
+                owner_log.log_refusal(self._log, engine, action, owned)
             self._link.send(
                 to=action.request.sender,
                 body=messages.EngineRefusal(
@@ -367,20 +368,6 @@
                 ),
             )
 
-    def _log_refusal(
-        self, engine: str, action: engine_decisions.Refusal
-    ) -> None:
-        owned = self._owned.get(engine)
-        state = {} if owned is None else owned.schedule.summary()
-        self._log.write(
-            "engine_turned_away",
-            request_id=action.request.request_id,
-            engine=engine,
-            adapter=action.request.adapter.adapter,
-            reason=action.reason,
-            **state,
-        )
-
     def _schedule_run(self) -> None:
         due_seconds = self._summaries.next_due_at_seconds()
         if self._next_run is not None:
--- a/src/boragefold/policy/cold_times.py
+++ b/src/boragefold/policy/cold_times.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 from typing import NamedTuple
 
@@ -17,6 +18,13 @@
 MAX_ENDPOINTS = 4_096
 
 
+class Source(enum.Enum):
+    """Where an endpoint states how long it stays cold."""
+
+    ENTRY = "entry"
+    ANSWER = "answer"
+
+
 class ColdStatement(NamedTuple):
     """What an endpoint states about itself.
 
@@ -37,8 +45,9 @@
     """
 
     lives: tuple[int, ...] = ()
-    entry_until_seconds: float = -math.inf
-    answer_until_seconds: float = -math.inf
+    stated_until_seconds: dict[Source, float] = dataclasses.field(
+        default_factory=dict
+    )
     assumed_until_seconds: float = -math.inf
     assumed_life: int = 0
 
@@ -49,9 +58,7 @@
         :return: the latest of all times
         """
         return max(
-            self.entry_until_seconds,
-            self.answer_until_seconds,
-            self.assumed_until_seconds,
+            (self.assumed_until_seconds, *self.stated_until_seconds.values())
         )
 
 
@@ -61,44 +68,28 @@
     def __init__(self) -> None:
         self._times: dict[str, ColdTime] = {}
 
-    def record_entry(
-        self,
-        endpoint: str,
-        statement: ColdStatement,
-        *,
-        cold_start_seconds: float,
-        now_seconds: float,
-    ) -> None:
-        """Record a new entry of an endpoint when it is first read.
-
-        :param endpoint: its name
-        :param statement: what the entry states
-        :param cold_start_seconds: how long it is cold after it starts
-        :param now_seconds: reading of the process clock
-        """
-        known = self._find(endpoint, now_seconds)
-        if statement.cold_seconds is not None:
-            known.entry_until_seconds = now_seconds + statement.cold_seconds
-        _record_life(known, statement, now_seconds + cold_start_seconds)
-
-    def record_answer(
+    def record(
         self,
         endpoint: str,
         statement: ColdStatement,
         *,
+        source: Source,
         cold_start_seconds: float,
         now_seconds: float,
     ) -> None:
-        """Record what an endpoint answered.
+        """Record a statement when it is first read.
 
         :param endpoint: its name
-        :param statement: what the answer states
+        :param statement: what the endpoint states
+        :param source: where it states that
         :param cold_start_seconds: how long it is cold after it starts
         :param now_seconds: reading of the process clock
         """
         known = self._find(endpoint, now_seconds)
         if statement.cold_seconds is not None:
-            known.answer_until_seconds = now_seconds + statement.cold_seconds
+            known.stated_until_seconds[source] = (
+                now_seconds + statement.cold_seconds
+            )
         _record_life(known, statement, now_seconds + cold_start_seconds)
 
     def until_seconds(self, endpoint: str) -> float:
@@ -150,4 +141,5 @@
 __all__ = [
     "ColdStatement",
     "ColdTimes",
+    "Source",
 ]
--- a/tests/policy/test_cold_times.py
+++ b/tests/policy/test_cold_times.py
@@ -13,17 +13,19 @@
     """Records statements of one endpoint."""
 
     def entry(self, cold, *, born=1, at=0.0):
-        self.record_entry(
+        self.record(
             "e1",
             cold_times.ColdStatement(cold, born),
+            source=cold_times.Source.ENTRY,
             cold_start_seconds=START_SECONDS,
             now_seconds=at,
         )
 
     def answer(self, cold, *, born=1, at=0.0):
-        self.record_answer(
+        self.record(
             "e1",
             cold_times.ColdStatement(cold, born),
+            source=cold_times.Source.ANSWER,
             cold_start_seconds=START_SECONDS,
             now_seconds=at,
         )
@@ -93,9 +95,10 @@
     monkeypatch.setattr(cold_times, "MAX_ENDPOINTS", 3)
     times.entry(50.0)
     for number in range(9):
-        times.record_entry(
+        times.record(
             f"gone{number}",
             cold_times.ColdStatement(0.0, 1),
+            source=cold_times.Source.ENTRY,
             cold_start_seconds=START_SECONDS,
             now_seconds=1.0,
         )
