--- a/src/boragefold/entry/cold_endpoints.py
+++ b/src/boragefold/entry/cold_endpoints.py
@@ -1,4 +1,4 @@
-"""Tells which endpoints are cold, and what may be sent to them."""
+"""Decides what may be sent to endpoints that are cold."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class ColdEndpoints:
-    """Knows the cold endpoints, and this instance's shares of their rates."""
+    """The cold endpoints, and this instance's shares of their rates."""
 
     def __init__(
         self,
@@ -55,7 +55,7 @@
         fleet.subscribe_entries(self._on_entry)
 
     def allowed_per_second(self, record: deployment.EndpointRecord) -> float:
-        """Return what all senders may send to an endpoint while it is cold.
+        """Return the rate of all senders to an endpoint while it is cold.
 
         :param record: the endpoint
         :return: requests per second, 0 if its service has no such limit
@@ -68,7 +68,7 @@
         )
 
     def is_limited(self, record: deployment.EndpointRecord) -> bool:
-        """Tell whether an endpoint is cold and has a limit while it is.
+        """Return whether an endpoint is cold and has a limit while it is.
 
         :param record: the endpoint
         :return: whether it may only get what its owner or a share allows
@@ -80,7 +80,7 @@
         )
 
     def is_engine_limited(self, engine: str) -> bool:
-        """Tell whether an engine may get nothing without a grant.
+        """Return whether an engine may get nothing without a grant.
 
         :param engine: its name
         :return: whether it is cold and has a limit while it is
@@ -112,7 +112,7 @@
         :param cold_seconds: how long it stays cold
         """
         statement = cold_times.ColdStatement(cold_seconds)
-        self._record(self._times.record_answer, record, statement)
+        self._record(cold_times.Source.ANSWER, record, statement)
 
     def record_report(
         self,
@@ -127,12 +127,12 @@
         statement = cold_times.ColdStatement(
             report.cold_seconds, report.counted.born_milliseconds
         )
-        self._record(self._times.record_answer, record, statement)
+        self._record(cold_times.Source.ANSWER, record, statement)
 
     def may_send(
         self, record: deployment.EndpointRecord, request_id: str
     ) -> bool:
-        """Tell whether this instance may send a request that no owner grants.
+        """Return whether this instance may send a request without a grant.
 
         :param record: the endpoint
         :param request_id: id of the request
@@ -204,7 +204,7 @@
 
     def _on_entry(self, record: deployment.EndpointRecord) -> None:
         self._record(
-            self._times.record_entry,
+            cold_times.Source.ENTRY,
             record,
             cold_times.ColdStatement(
                 record.cold_seconds if record.cold_stated else None,
@@ -214,16 +214,17 @@
 
     def _record(
         self,
-        apply: Callable[..., None],
+        source: cold_times.Source,
         record: deployment.EndpointRecord,
         statement: cold_times.ColdStatement,
     ) -> None:
         now_seconds = self._timers.now_seconds()
         before_seconds = self._times.until_seconds(record.name)
         service = self._fleet.service_of(record)
-        apply(
+        self._times.record(
             record.name,
             statement,
+            source=source,
             cold_start_seconds=service.cold_start_seconds if service else 0.0,
             now_seconds=now_seconds,
         )
--- a/src/boragefold/policy/cold_times.py
+++ b/src/boragefold/policy/cold_times.py
@@ -1,4 +1,4 @@
-"""Knows until when each endpoint is cold.
+"""Records until when each endpoint is cold.
 
 Endpoints state how long they stay cold: in their entries, which all instances
 read or get from others, and in what they answer to one instance. Neither is
@@ -9,19 +9,27 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 from typing import NamedTuple
 
-# Restarted endpoints may have new names; beyond this number, those that are
-# warm are forgotten.
+# Restarted endpoints may have new names; beyond this number, warm ones are
+# removed.
 MAX_ENDPOINTS = 4_096
 
 
+class Source(enum.Enum):
+    """Where an endpoint states how long it stays cold."""
+
+    ENTRY = "entry"
+    ANSWER = "answer"
+
+
 class ColdStatement(NamedTuple):
     """What an endpoint states about itself.
 
     ``cold_seconds`` is how long it stays cold, None if it states nothing
-    usable. ``born_milliseconds`` tells apart its lives, 0 where it is unknown.
+    usable. ``born_milliseconds`` identifies its life, 0 where it is unknown.
     """
 
     cold_seconds: float | None
@@ -37,8 +45,9 @@
     """
 
     lives: tuple[int, ...] = ()
-    entry_until_seconds: float = -math.inf
-    answer_until_seconds: float = -math.inf
+    stated_until_seconds: dict[Source, float] = dataclasses.field(
+        default_factory=dict
+    )
     assumed_until_seconds: float = -math.inf
     assumed_life: int = 0
 
@@ -49,9 +58,7 @@
         :return: the latest of all times
         """
         return max(
-            self.entry_until_seconds,
-            self.answer_until_seconds,
-            self.assumed_until_seconds,
+            (self.assumed_until_seconds, *self.stated_until_seconds.values())
         )
 
 
@@ -61,44 +68,28 @@
     def __init__(self) -> None:
         self._times: dict[str, ColdTime] = {}
 
-    def record_entry(
-        self,
-        endpoint: str,
-        statement: ColdStatement,
-        *,
-        cold_start_seconds: float,
-        now_seconds: float,
-    ) -> None:
-        """Record a new entry of an endpoint when it is first read.
-
-        :param endpoint: its name
-        :param statement: what the entry states
-        :param cold_start_seconds: how long it is cold after it starts
-        :param now_seconds: reading of the process clock
-        """
-        known = self._find(endpoint, now_seconds)
-        if statement.cold_seconds is not None:
-            known.entry_until_seconds = now_seconds + statement.cold_seconds
-        _record_life(known, statement, now_seconds + cold_start_seconds)
-
-    def record_answer(
+    def record(
         self,
         endpoint: str,
         statement: ColdStatement,
         *,
+        source: Source,
         cold_start_seconds: float,
         now_seconds: float,
     ) -> None:
-        """Record what an endpoint answered.
+        """Record a statement when it is first read.
 
         :param endpoint: its name
-        :param statement: what the answer states
+        :param statement: what the endpoint states
+        :param source: where it states that
         :param cold_start_seconds: how long it is cold after it starts
         :param now_seconds: reading of the process clock
         """
         known = self._find(endpoint, now_seconds)
         if statement.cold_seconds is not None:
-            known.answer_until_seconds = now_seconds + statement.cold_seconds
+            known.stated_until_seconds[source] = (
+                now_seconds + statement.cold_seconds
+            )
         _record_life(known, statement, now_seconds + cold_start_seconds)
 
     def until_seconds(self, endpoint: str) -> float:
@@ -143,11 +134,12 @@
         known.assumed_life = life
         known.assumed_until_seconds = assumed_until_seconds
     if is_new:
-        # An entry of the life before may still arrive.
+        # An entry of the previous life may still arrive.
         known.lives = (*known.lives[-1:], life)
 
 
 __all__ = [
     "ColdStatement",
     "ColdTimes",
+    "Source",
 ]
