Name the limits of requests and the parts of a finish estimate

Cause: a limit was a pair without names, a request without a response a flight, and the choice of a return time was one long function. Change: JoinLimit, UnstartedRequest, factors named as such, local instead of near, remove and reset instead of drop and forget; the unused time until the deadline is no longer passed to draw_return_seconds. No behaviour changes.

--- a/src/boragefold/entry/finish_turn.py
+++ b/src/boragefold/entry/finish_turn.py
@@ -45,7 +45,7 @@
         :param records: the endpoints that the request may go to
         :return: whether any does
         """
-        now_seconds = self._context.timers.now_seconds()
+        now_seconds = self._now_seconds()
         finish = self._context.choice.finish
         return any(
             finish.reports_factor(each.name, now_seconds=now_seconds)
@@ -93,38 +93,23 @@
     def draw_return_seconds(
         self,
         records: Collection[deployment.EndpointRecord],
-        *,
-        remaining_seconds: float,
     ) -> float:
         """Choose when the request is to return if it is refused now.
 
         :param records: the endpoints that it may go to
-        :param remaining_seconds: time until its deadline
         :return: seconds
         """
-        context, service = self._context, self._admitted.service.name
-        now_seconds = context.timers.now_seconds()
-        terms = self._terms(remaining_seconds)
-        excess_seconds = (
-            self._finish_seconds(records)
-            - finish_admission.LATE_SHARE * terms.limit_seconds
-        )
-        served_per_second = sum(
-            context.choice.finish.served_per_second(
-                each.name, slots=each.slots, now_seconds=now_seconds
-            )
-            for each in records
-        )
-        instances = context.choice.limits.count_instances()
-        turn_seconds = context.rooms.turn_seconds(service, self.rank)
-        return context.rooms.returns.draw_seconds(
+        rooms, service = self._context.rooms, self._admitted.service.name
+        late_seconds = finish_admission.LATE_SHARE * self._limit.seconds
+        excess_seconds = self._finish_seconds(records) - late_seconds
+        turn_seconds = rooms.turn_seconds(service, self.rank)
+        return rooms.returns.draw_seconds(
             service,
-            room_in_seconds=turn_seconds + max(0.0, excess_seconds),
+            until_room_seconds=turn_seconds + max(0.0, excess_seconds),
             gap_seconds=max(
-                context.rooms.pace_seconds(service),
-                instances / served_per_second if served_per_second else 0.0,
+                rooms.pace_seconds(service), self._share_gap_seconds(records)
             ),
-            now_seconds=now_seconds,
+            now_seconds=self._now_seconds(),
         )
 
     def describe(self) -> dict[str, Any]:
@@ -137,12 +122,12 @@
         waited_seconds = self._waited_seconds()
         return {
             "expected_seconds": round(self._expected_seconds, 4),
-            "limit_seconds": round(self._limit[0], 4),
+            "limit_seconds": round(self._limit.seconds, 4),
             "on_time": waited_seconds <= self._admitted.route.target_seconds,
         }
 
     @functools.cached_property
-    def _limit(self) -> tuple[float, bool]:
+    def _limit(self) -> finish_admission.JoinLimit:
         return finish_admission.find_limit(
             self._own_urgency(), self._other_urgencies()
         )
@@ -151,7 +136,7 @@
         self, records: Collection[deployment.EndpointRecord]
     ) -> float:
         finish = self._context.choice.finish
-        now_seconds = self._context.timers.now_seconds()
+        now_seconds = self._now_seconds()
         # An endpoint without an observed response time is tried.
         return min(
             (
@@ -165,19 +150,35 @@
             default=0.0,
         )
 
+    def _share_gap_seconds(
+        self, records: Collection[deployment.EndpointRecord]
+    ) -> float:
+        # Time between two requests if all instances send equally many.
+        finish = self._context.choice.finish
+        now_seconds = self._now_seconds()
+        served_per_second = sum(
+            finish.served_per_second(
+                each.name, slots=each.slots, now_seconds=now_seconds
+            )
+            for each in records
+        )
+        instances = self._context.choice.limits.count_instances()
+        return instances / served_per_second if served_per_second else 0.0
+
     def _terms(self, remaining_seconds: float) -> finish_admission.Terms:
-        limit_seconds, takes_last_chance = self._limit
         return finish_admission.Terms(
             target_seconds=self._admitted.route.target_seconds,
-            limit_seconds=limit_seconds,
-            takes_last_chance=takes_last_chance,
+            limit_seconds=self._limit.seconds,
+            takes_last_chance=self._limit.takes_last_chance,
             waited_seconds=self._waited_seconds(),
             remaining_seconds=remaining_seconds,
         )
 
     def _waited_seconds(self) -> float:
-        now_seconds = self._context.timers.now_seconds()
-        return now_seconds - self._admitted.arrived_at_seconds
+        return self._now_seconds() - self._admitted.arrived_at_seconds
+
+    def _now_seconds(self) -> float:
+        return self._context.timers.now_seconds()
 
     def _own_urgency(self) -> finish_admission.Urgency:
         route, workspace = self._admitted.route, self._admitted.workspace
--- a/src/boragefold/entry/service_forwarding.py
+++ b/src/boragefold/entry/service_forwarding.py
@@ -124,9 +124,7 @@
         self.refuse(
             refusals.NOT_RUN,
             reason,
-            self._turn.draw_return_seconds(
-                list(records), remaining_seconds=self.remaining_seconds()
-            ),
+            self._turn.draw_return_seconds(list(records)),
         )
 
     def on_answer_started(self) -> None:
--- a/src/boragefold/policy/concurrency_limit.py
+++ b/src/boragefold/policy/concurrency_limit.py
@@ -27,17 +27,17 @@
 MIN_LIMIT = 2.0
 # A start is late beyond this multiple of the expected time plus the slack,
 # which covers messages and a step of the batch.
-TOLERANCE = 2.0
+TOLERANCE_FACTOR = 2.0
 SLACK_SECONDS = 0.05
-DECREASE = 0.7
-# How far the limit may exceed the requests in flight of which a start was on
-# time.
-MAX_GROWTH = 1.5
+DECREASE_FACTOR = 0.7
+# The limit grows up to this multiple of the requests that were in flight when
+# one that started on time was sent.
+MAX_GROWTH_FACTOR = 1.5
 # Weight of a newer start in the slowness of the engine.
 SMOOTHING = 0.3
 
 
-class Flight(NamedTuple):
+class UnstartedRequest(NamedTuple):
     """A request whose response hasn't started.
 
     ``in_flight`` is how many were in flight when it was sent, itself included.
@@ -64,7 +64,7 @@
         self._decreased_at_seconds = -math.inf
         # Those sent since the restart; of earlier ones no end may be reported.
         self._in_flight: set[str] = set()
-        self._flights: dict[str, Flight] = {}
+        self._unstarted: dict[str, UnstartedRequest] = {}
 
     @property
     def limit(self) -> float:
@@ -92,7 +92,7 @@
         self._speed = copy.copy(speed)
         self._decreased_at_seconds = -math.inf
         self._in_flight.clear()
-        self._flights.clear()
+        self._unstarted.clear()
 
     def allows(self, ahead: int = 0) -> bool:
         """Return whether one more request may be sent.
@@ -116,7 +116,7 @@
         :param now_seconds: reading of the process clock
         """
         self._in_flight.add(request_id)
-        self._flights[request_id] = Flight(
+        self._unstarted[request_id] = UnstartedRequest(
             granted_at_seconds=now_seconds,
             expected_seconds=self._speed.prefill_seconds(
                 pending.tokens, pending.number
@@ -130,15 +130,15 @@
         :param request_id: id of the request
         :param now_seconds: reading of the process clock
         """
-        flight = self._flights.pop(request_id, None)
-        if flight is None:
+        request = self._unstarted.pop(request_id, None)
+        if request is None:
             return
-        took_seconds = now_seconds - flight.granted_at_seconds
-        if self._is_late(flight, now_seconds):
-            self._record_late(flight, now_seconds)
+        took_seconds = now_seconds - request.granted_at_seconds
+        if self._is_late(request, now_seconds):
+            self._record_late(request, now_seconds)
         else:
-            self._observe(flight, took_seconds)
-            self._record_on_time(flight)
+            self._observe(request, took_seconds)
+            self._record_on_time(request)
 
     def record_end(self, request_id: str, *, now_seconds: float) -> None:
         """Adapt the limit to a request that ended, perhaps without a start.
@@ -147,45 +147,47 @@
         :param now_seconds: reading of the process clock
         """
         self._in_flight.discard(request_id)
-        flight = self._flights.pop(request_id, None)
-        if flight is not None and self._is_late(flight, now_seconds):
-            self._record_late(flight, now_seconds)
+        request = self._unstarted.pop(request_id, None)
+        if request is not None and self._is_late(request, now_seconds):
+            self._record_late(request, now_seconds)
 
-    def _is_late(self, flight: Flight, now_seconds: float) -> bool:
+    def _is_late(self, request: UnstartedRequest, now_seconds: float) -> bool:
         allowed_seconds = (
-            TOLERANCE * self._slowness * flight.expected_seconds
+            TOLERANCE_FACTOR * self._slowness * request.expected_seconds
             + SLACK_SECONDS
         )
-        return now_seconds - flight.granted_at_seconds > allowed_seconds
+        return now_seconds - request.granted_at_seconds > allowed_seconds
 
-    def _record_late(self, flight: Flight, now_seconds: float) -> None:
+    def _record_late(
+        self, request: UnstartedRequest, now_seconds: float
+    ) -> None:
         if self._limit <= MIN_LIMIT:
-            self._observe(flight, now_seconds - flight.granted_at_seconds)
+            self._observe(request, now_seconds - request.granted_at_seconds)
             return
-        if flight.granted_at_seconds <= self._decreased_at_seconds:
+        if request.granted_at_seconds <= self._decreased_at_seconds:
             # It was sent under the limit that was lowered since.
             return
         self._decreased_at_seconds = now_seconds
-        self._limit = max(MIN_LIMIT, DECREASE * self._limit)
+        self._limit = max(MIN_LIMIT, DECREASE_FACTOR * self._limit)
         self._threshold = self._limit
 
-    def _record_on_time(self, flight: Flight) -> None:
+    def _record_on_time(self, request: UnstartedRequest) -> None:
         # A start shows that the engine could run the requests in flight when
         # this one was sent. Where starts take long, the limit would otherwise
         # grow without evidence.
-        if self._limit > MAX_GROWTH * flight.in_flight:
+        if self._limit > MAX_GROWTH_FACTOR * request.in_flight:
             return
         is_doubling = self._limit < self._threshold
         self._limit += 1.0 if is_doubling else 1.0 / self._limit
         if self._limit >= self._slots:
             self._limit = math.inf
             self._in_flight.clear()
-            self._flights.clear()
+            self._unstarted.clear()
 
-    def _observe(self, flight: Flight, took_seconds: float) -> None:
+    def _observe(self, request: UnstartedRequest, took_seconds: float) -> None:
         # At higher limits a slow start may be due to the load instead.
         slowness = max(
-            1.0, (took_seconds - SLACK_SECONDS) / flight.expected_seconds
+            1.0, (took_seconds - SLACK_SECONDS) / request.expected_seconds
         )
         if slowness < self._slowness or self._limit <= MIN_LIMIT:
             self._slowness += SMOOTHING * (slowness - self._slowness)
--- a/src/boragefold/policy/expected_finish.py
+++ b/src/boragefold/policy/expected_finish.py
@@ -162,14 +162,14 @@
         stats.worked_at_seconds = now_seconds
 
     def rank_seconds(
-        self, endpoint: str, *, slots: int, near: bool, now_seconds: float
+        self, endpoint: str, *, slots: int, is_local: bool, now_seconds: float
     ) -> float:
         """Compute the cost by which endpoints are ranked.
 
         :param endpoint: name of an endpoint
         :param slots: number of requests that it runs at once, unless its
             answers tell otherwise
-        :param near: whether it is in this data centre
+        :param is_local: whether it is in this data centre
         :param now_seconds: reading of the process clock
         :return: seconds until each slot has done its share of the work, with
             one request more
@@ -179,7 +179,9 @@
         busy = self._busy(stats, slots, now_seconds)
         work_seconds = self._slot_seconds(stats, now_seconds)
         link_seconds = (
-            LINK_SECONDS if stats.work_seconds is None and not near else 0.0
+            LINK_SECONDS
+            if stats.work_seconds is None and not is_local
+            else 0.0
         )
         return link_seconds + (busy + 1) * work_seconds / slots
 
@@ -213,7 +215,7 @@
         slots = max(1, slots if stats.slots is None else stats.slots)
         return slots / self._slot_seconds(stats, now_seconds)
 
-    def forget_work(self, endpoint: str) -> None:
+    def reset_work(self, endpoint: str) -> None:
         """Reset the estimated speed of an endpoint.
 
         :param endpoint: its name
@@ -222,7 +224,7 @@
         if stats is not None:
             stats.work_seconds = None
 
-    def drop(self, endpoint: str) -> None:
+    def remove(self, endpoint: str) -> None:
         """Remove an endpoint.
 
         :param endpoint: its name
--- a/src/boragefold/policy/finish_admission.py
+++ b/src/boragefold/policy/finish_admission.py
@@ -42,6 +42,17 @@
     target_seconds: float
 
 
+class JoinLimit(NamedTuple):
+    """Up to which expected finish a request may join an endpoint's queue.
+
+    ``takes_last_chance`` tells whether it is sent, even late, rather than miss
+    its deadline.
+    """
+
+    seconds: float
+    takes_last_chance: bool
+
+
 class Terms(NamedTuple):
     """The conditions under which a request may be sent.
 
@@ -68,20 +79,21 @@
         return min(self.remaining_seconds, max(usual_seconds, late_seconds))
 
 
-def find_limit(own: Urgency, others: Iterable[Urgency]) -> tuple[float, bool]:
+def find_limit(own: Urgency, others: Iterable[Urgency]) -> JoinLimit:
     """Return the limit for requests of one urgency.
 
     :param own: the urgency
     :param others: those of all requests of the service
-    :return: the limit in seconds, and whether a request takes its last chance
+    :return: the limit
     """
     known = [own, *others]
     limit_seconds = min(
         each.target_seconds for each in known if each.priority <= own.priority
     )
     if any(each.priority < own.priority for each in known):
-        return LESS_URGENT_SHARE * limit_seconds, False
-    return limit_seconds, any(each.priority > own.priority for each in known)
+        return JoinLimit(LESS_URGENT_SHARE * limit_seconds, False)
+    has_less_urgent = any(each.priority > own.priority for each in known)
+    return JoinLimit(limit_seconds, has_less_urgent)
 
 
 def decide_turn(terms: Terms, *, finish_seconds: float) -> Verdict:
@@ -119,6 +131,7 @@
 
 
 __all__ = [
+    "JoinLimit",
     "Terms",
     "Urgency",
     "Verdict",
--- a/src/boragefold/policy/return_times.py
+++ b/src/boragefold/policy/return_times.py
@@ -22,21 +22,21 @@
         self,
         service: str,
         *,
-        room_in_seconds: float,
+        until_room_seconds: float,
         gap_seconds: float,
         now_seconds: float,
     ) -> float:
         """Choose when a request that is refused now is to return.
 
         :param service: name of its service
-        :param room_in_seconds: when there is likely to be room for it
+        :param until_room_seconds: when there is likely to be room for it
         :param gap_seconds: time from one queued request that is sent to the
             next
         :param now_seconds: reading of the process clock
         :return: seconds from now
         """
         at_seconds = max(
-            now_seconds + max(MIN_SECONDS, room_in_seconds),
+            now_seconds + max(MIN_SECONDS, until_room_seconds),
             self._last_at_seconds.get(service, now_seconds) + gap_seconds,
         )
         at_seconds = min(at_seconds, now_seconds + MAX_SECONDS)
--- a/src/boragefold/policy/service_choice.py
+++ b/src/boragefold/policy/service_choice.py
@@ -25,7 +25,7 @@
 # Some services fail part of their requests in normal operation.
 TOLERATED_FAILURE_RATE = 0.25
 # Load added to endpoints of another data centre.
-FAR_PENALTY = 0.15
+REMOTE_PENALTY = 0.15
 # A reported load of other instances' requests is used this long.
 REPORT_SECONDS = 0.5
 # Ranks a failing endpoint behind any that is merely full.
@@ -75,7 +75,7 @@
     ) -> str | None:
         """Choose an endpoint.
 
-        :param endpoints: name, slots and whether it is near, for each usable
+        :param endpoints: name, slots and whether it is local, for each usable
             endpoint
         :param now_seconds: reading of the process clock
         :return: the name of the least loaded one, or of the one expected to
@@ -88,8 +88,8 @@
         ):
             return self._choose_by_finish(endpoints, now_seconds)
         costs = [
-            (self._cost(name, slots, near, now_seconds), name)
-            for name, slots, near in endpoints
+            (self._cost(name, slots, is_local, now_seconds), name)
+            for name, slots, is_local in endpoints
         ]
         return min(costs, default=(0.0, None))[1]
 
@@ -230,7 +230,7 @@
         if record is not None:
             record.failure_rate = 0.0
             record.took_seconds = None
-            self.finish.forget_work(endpoint)
+            self.finish.reset_work(endpoint)
 
     def health(self, endpoint: str, *, now_seconds: float) -> float:
         """Return an endpoint's health.
@@ -250,16 +250,16 @@
         :param endpoint: its name
         """
         self._records.pop(endpoint, None)
-        self.finish.drop(endpoint)
+        self.finish.remove(endpoint)
 
     def _choose_by_finish(
         self, endpoints: list[tuple[str, int, bool]], now_seconds: float
     ) -> str:
-        def cost(name: str, slots: int, near: bool) -> float:
+        def cost(name: str, slots: int, is_local: bool) -> float:
             failure_rate = self._failure_rate(self._record(name), now_seconds)
             excess = max(0.0, failure_rate - TOLERATED_FAILURE_RATE)
             rank_seconds = self.finish.rank_seconds(
-                name, slots=slots, near=near, now_seconds=now_seconds
+                name, slots=slots, is_local=is_local, now_seconds=now_seconds
             )
             jitter = 1.0 + FINISH_JITTER * self._rng.random()
             return rank_seconds * jitter + FAILURE_SECONDS * excess
@@ -267,7 +267,7 @@
         return min((cost(*each), each[0]) for each in endpoints)[1]
 
     def _cost(
-        self, name: str, slots: int, near: bool, now_seconds: float
+        self, name: str, slots: int, is_local: bool, now_seconds: float
     ) -> float:
         record = self._record(name)
         load = record.in_flight / max(1, slots)
@@ -281,7 +281,7 @@
         load += self._slowness(record)
         # Random, because all instances see the same idle endpoint.
         jitter = self._rng.random() / max(1, slots)
-        return load + (0.0 if near else FAR_PENALTY) + jitter
+        return load + (0.0 if is_local else REMOTE_PENALTY) + jitter
 
     def _slowness(self, record: EndpointStats) -> float:
         median_seconds = self._median_seconds()
--- a/tests/fakes/service_replay.py
+++ b/tests/fakes/service_replay.py
@@ -181,9 +181,7 @@
         self._replay.count(request, "refused")
         if not request.returned:
             replay.timers.once(
-                delay_seconds=self._turn.draw_return_seconds(
-                    self._records, remaining_seconds=self._left
-                ),
+                delay_seconds=self._turn.draw_return_seconds(self._records),
                 callback=lambda: replay.begin(request, self._queue),
             )
 
--- a/tests/policy/test_concurrency_limit.py
+++ b/tests/policy/test_concurrency_limit.py
@@ -150,7 +150,7 @@
         replay.send()
     for name in list(replay.in_flight):
         replay.limit.record_start(name, now_seconds=10.0)
-    assert replay.limit.limit == 8 * concurrency_limit.DECREASE
+    assert replay.limit.limit == 8 * concurrency_limit.DECREASE_FACTOR
 
 
 def test_requests_of_the_former_life_dont_count() -> None:
--- a/tests/policy/test_finish_admission.py
+++ b/tests/policy/test_finish_admission.py
@@ -104,7 +104,7 @@
     def draw(now_seconds=1.0):
         return returns.draw_seconds(
             "desk",
-            room_in_seconds=0.4,
+            until_room_seconds=0.4,
             gap_seconds=0.1,
             now_seconds=now_seconds,
         )
