Shorten the files of a gateway instance and its owned engines

Change: the member table answers what its heartbeats tell; advance hands the decisions and the need of a report to methods of their own; the log fields of orders and reports move to order_descriptions.py. Fields keep their names; those of engine_report come in another order. Tests: test_owned_engine, test_engine_owner, test_evacuation, test_fleet and test_engine_schedule pass.

--- a/src/boragefold/coordination/fleet/member_table.py
+++ b/src/boragefold/coordination/fleet/member_table.py
@@ -158,6 +158,24 @@
             if member.beat is not None
         ]
 
+    def is_store_read(self) -> bool:
+        """Return whether a reachable instance reads the store.
+
+        :return: whether one reports that its store answers
+        """
+        return any(beat.store_sound for beat in self.heartbeats())
+
+    def count_loads(self) -> int:
+        """Count the loads in progress at engines of reachable instances.
+
+        :return: a count
+        """
+        return sum(
+            engine.loading
+            for beat in self.heartbeats()
+            for engine in beat.engines
+        )
+
     def unreachable(self) -> list[member_module.Member]:
         """List the instances that are known but not reachable.
 
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -123,7 +123,7 @@
         self._grace = removal_grace.RemovalGrace(
             timers=self.timers,
             drop=self._fleet.drop_endpoint,
-            peer_had_store=self._store_was_up,
+            peer_had_store=lambda: self._members.is_store_read(),
         )
         self._items.subscribe(make_subscriber(self._fleet, self._grace))
         self._sockets = sockets.SocketSet(poller=self.loop.poller)
@@ -217,7 +217,7 @@
             timers=self.timers,
             behind=self._followers.may_be_behind,
             grace=self._grace,
-            is_store_read=self._store_was_up,
+            is_store_read=self._members.is_store_read,
         )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
@@ -309,15 +309,11 @@
             unheard=self._members.silent_targets(),
         )
 
-    def _store_was_up(self) -> bool:
-        return any(beat.store_sound for beat in self._members.heartbeats())
-
     def _refresh(self) -> None:
         engines = {record.name: record for record in self._fleet.engines()}
         self._ownership.refresh(engines.values())
         self._fleet_log.log_silence()
-        claimed = self._ownership.owned
-        self._owner.set_owned(engines[name] for name in claimed)
+        self._owner.set_owned(engines[name] for name in self._ownership.owned)
         self._heartbeats.refresh()
         self._owner_client.retry_pending()
 
@@ -346,19 +342,12 @@
                 rng=self._rng,
                 log=self.log,
             ),
-            count_other_loads=self._count_other_loads,
+            count_other_loads=self._members.count_loads,
             owner_change=self._ownership.change,
             is_cut_off=self._paths.reach.is_cut_off,
             cold=self._loads.cold,
         )
 
-    def _count_other_loads(self) -> int:
-        return sum(
-            engine.loading
-            for beat in self._members.heartbeats()
-            for engine in beat.engines
-        )
-
     def _make_gateway(
         self,
         dialect: dialects.Dialect,
--- a/src/boragefold/entry/order_descriptions.py
+++ b/src/boragefold/entry/order_descriptions.py
@@ -1,9 +1,12 @@
-"""Descriptions of orders to engines for the log."""
+"""Descriptions of orders to engines, and of their reports, for the log."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from boragefold.coordination.fleet import unanswered_orders
 from boragefold.entry import engine_dialect as dialects
+from boragefold.entry import sent_order
 from boragefold.policy import engine_decisions
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
@@ -24,6 +27,39 @@
     return f"{kind} {order.key.adapter or order.key.model}"
 
 
+def describe_sent(sent: sent_order.SentOrder) -> dict[str, Any]:
+    """Describe an order as it was sent.
+
+    :param sent: the order
+    :return: values by log field
+    """
+    return {
+        "order": type(sent.order).__name__.lower(),
+        "model": sent.order.key.model,
+        "adapter": sent.order.key.adapter,
+        "count": sent.expected,
+        "count_age_seconds": round(sent.count_age_seconds, 3),
+        "report_age_seconds": round(sent.report_age_seconds, 3),
+        "in_doubt": sent.in_doubt,
+        "fence": sent.fence,
+        "leased": sent.leased,
+    }
+
+
+def describe_report(report: dialects.AdapterReport) -> dict[str, Any]:
+    """Describe an engine's report.
+
+    :param report: the report
+    :return: values by log field
+    """
+    return {
+        "count": report.counted.orders,
+        "born_milliseconds": report.counted.born_milliseconds,
+        "coming": len(report.coming),
+        "busy": report.busy,
+    }
+
+
 def describe_unanswered(
     orders: tuple[unanswered_orders.UnansweredOrder, ...], now_seconds: float
 ) -> list[str]:
@@ -71,8 +107,10 @@
 
 __all__ = [
     "UNKNOWN",
-    "outcome_of",
     "describe_order",
+    "describe_report",
+    "describe_sent",
     "describe_unanswered",
+    "outcome_of",
     "status_of",
 ]
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -31,7 +31,7 @@
 # Failed reports in a row after which an engine counts as back.
 RECOVERED_FROM_REPORTS = 3
 
-MAX_SEND_DELAY_SECONDS = order_turns.MAX_SEND_DELAY_SECONDS
+# Whether an engine receives nothing, for all requests or those of one adapter.
 IsEvacuated = Callable[
     [deployment.EndpointRecord, deployment.AdapterKey | None], bool
 ]
@@ -144,14 +144,16 @@
             self._turns.orders_in_seconds(now_seconds=now_seconds),
             self._lease.unavailable_seconds(now_seconds=now_seconds),
         )
-        elapsed_seconds = now_seconds - self._asked_report_at_seconds
-        if elapsed_seconds >= MIN_REPORT_INTERVAL_SECONDS and (
-            self.schedule.slots.has_overdue_load(now_seconds=now_seconds)
-            or (may_order and not confirmed and wants_order)
-            or self._needs_report(elapsed_seconds)
-        ):
+        awaits_count = may_order and not confirmed and wants_order
+        if self._needs_report(now_seconds, awaits_count=awaits_count):
             self.request_report()
-        self._update_cold()
+        if self._cold is not None:
+            self._cold.update_grants(self.record, self.schedule.cold)
+        return self._decide(now_seconds, evacuated=evacuated)
+
+    def _decide(
+        self, now_seconds: float, *, evacuated: bool
+    ) -> list[engine_decisions.Action]:
         actions: list[engine_decisions.Action] = []
         if evacuated:
             actions += self.schedule.refuse_queued(
@@ -161,16 +163,10 @@
             )
         actions += self.schedule.advance(now_seconds=now_seconds)
         for action in actions:
-            if isinstance(
-                action, engine_decisions.Load | engine_decisions.Unload
-            ):
+            if isinstance(action, engine_decisions.Order):
                 self._send_order(action)
         return actions
 
-    def _update_cold(self) -> None:
-        if self._cold is not None:
-            self._cold.update_grants(self.record, self.schedule.cold)
-
     def must_move(self, adapter: deployment.AdapterKey) -> bool:
         """Check whether the requests of an adapter must go elsewhere.
 
@@ -191,7 +187,13 @@
             owned_seconds >= MIN_OWNED_SECONDS and self._lease.majority_lost()
         )
 
-    def _needs_report(self, elapsed_seconds: float) -> bool:
+    def _needs_report(self, now_seconds: float, *, awaits_count: bool) -> bool:
+        elapsed_seconds = now_seconds - self._asked_report_at_seconds
+        if elapsed_seconds < MIN_REPORT_INTERVAL_SECONDS:
+            return False
+        slots = self.schedule.slots
+        if awaits_count or slots.has_overdue_load(now_seconds=now_seconds):
+            return True
         # A turn that is starting requests reports until it has started. If it
         # starts anew after a pause, nothing else requests one.
         intervals = elapsed_seconds / REPORT_INTERVAL_SECONDS
@@ -227,8 +229,6 @@
             else self._dialect.read_report(answer.status, answer.body)
         )
         self.is_responsive = report is not None
-        if self.is_responsive:
-            self._unreachable_since_seconds = self._timers.now_seconds()
         if report is None:
             self._failed_reports += 1
             self._counters.add("engine_reports", "failed")
@@ -238,6 +238,7 @@
             self.schedule.restart_limit()
         self._failed_reports = 0
         now_seconds = self._timers.now_seconds()
+        self._unreachable_since_seconds = now_seconds
         age_seconds = now_seconds - self._asked_report_at_seconds
         self._reported_as_of_seconds = self._asked_report_at_seconds
         believed = self._turns.expected
@@ -254,13 +255,10 @@
         self._log.write(
             "engine_report",
             engine=self.record.name,
-            count=report.counted.orders,
+            **order_descriptions.describe_report(report),
             believed=believed,
-            born_milliseconds=report.counted.born_milliseconds,
             age_seconds=round(age_seconds, 3),
             adapters=len(self.schedule.slots.held()),
-            coming=len(report.coming),
-            busy=report.busy,
             other_giver=other_giver_seen,
             certain=self._turns.count_known,
             in_doubt=in_doubt,
@@ -331,7 +329,8 @@
 
     def _still_fresh(self, asked_at_seconds: float) -> bool:
         now_seconds = self._timers.now_seconds()
-        fresh = now_seconds - asked_at_seconds < MAX_SEND_DELAY_SECONDS
+        age_seconds = now_seconds - asked_at_seconds
+        fresh = age_seconds < order_turns.MAX_SEND_DELAY_SECONDS
         allowed = self._has_order_permission(now_seconds)
         moved = self._stopped or self._is_evacuated(self.record, None)
         return fresh and allowed and not moved
@@ -343,23 +342,13 @@
     ) -> None:
         self._order_pending = False
         now_seconds = self._timers.now_seconds()
-        order, outcome = (
-            sent.order,
-            order_descriptions.outcome_of(self._dialect, sent.order, answer),
-        )
+        order = sent.order
+        outcome = order_descriptions.outcome_of(self._dialect, order, answer)
         self._counters.add("engine_orders", outcome)
         self._log.write(
             "engine_order",
             engine=self.record.name,
-            order=type(order).__name__.lower(),
-            model=order.key.model,
-            adapter=order.key.adapter,
-            count=sent.expected,
-            count_age_seconds=round(sent.count_age_seconds, 3),
-            report_age_seconds=round(sent.report_age_seconds, 3),
-            in_doubt=sent.in_doubt,
-            fence=sent.fence,
-            leased=sent.leased,
+            **order_descriptions.describe_sent(sent),
             took_seconds=round(now_seconds - sent.order_sent_at_seconds, 3),
             places=self.schedule.slots.summary(),
             status=order_descriptions.status_of(answer),
