--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -280,7 +280,7 @@
         for request in self._ready_requests(by_urgency):
             # Requests behind one that doesn't fit wait too: if shorter ones
             # could pass it, a long prompt would starve.
-            if not self._has_room(request) or not self.cold.may_send(
+            if not self._runs.has_room(request) or not self.cold.may_send(
                 request.request_id, now_seconds=now_seconds
             ):
                 break
@@ -351,9 +351,6 @@
             and waiting.request.request_id in self._queue
         )
 
-    def _has_room(self, request: EngineRequest) -> bool:
-        return self._runs.has_room(request)
-
     def _is_late(self, request: EngineRequest, now_seconds: float) -> bool:
         # A request whose adapter can't be loaded in time is late too: if it
         # got the next slot, one that could start on time would miss it.
