Split the choice of the next engine from its refusal

Cause: EngineForwarding.begin decided five things, and a few comments described the age of published items in a roundabout way. Change: what follows when no engine is left is a method of its own; wording. No behaviour changes. Tests: test_evacuation, test_evacuated_machines, test_fleet, test_published, test_engines and tests/state pass.

--- a/src/boragefold/coordination/fleet/relay.py
+++ b/src/boragefold/coordination/fleet/relay.py
@@ -21,8 +21,8 @@
 
 # Without an answer within this time, the next peer is asked.
 ASK_PAUSE_SECONDS = 0.3
-# How old a heartbeat may be that shows that nothing was missing, so that what
-# comes now was published since.
+# An item counts as published since the last heartbeat that showed nothing
+# missing, if that isn't older than this.
 CURRENT_SECONDS = 1.5
 
 
--- a/src/boragefold/entry/engine_forwarding.py
+++ b/src/boragefold/entry/engine_forwarding.py
@@ -93,7 +93,11 @@
         elif (outside := self._next_outside_engine()) is not None:
             self._outside_count += 1
             self._request_engine(outside, eager=False)
-        elif self._tried:
+        else:
+            self._retry_or_refuse()
+
+    def _retry_or_refuse(self) -> None:
+        if self._tried:
             self.refuse(
                 refusals.NOT_RUN,
                 self._refusal_reason,
--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -141,7 +141,7 @@
     ) -> None:
         request, exchange, current, route, workspace, at_seconds = arrival
         if exchange.has_caller_left():
-            # The connection's end follows and closes the exchange.
+            # The loop closes the exchange when it reads the connection's end.
             self._context.counters.add("requests_abandoned", route.kind.value)
             return
         name = origin.service if origin else self._pick_service(route)
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -23,7 +23,7 @@
 
 
 Matters = Callable[[Item | None, Item], bool]
-# Returns an item as it would be written so many seconds later.
+# Returns an item as it would be published some seconds later.
 Age = Callable[[Item, float], Item]
 Subscriber = Callable[[list[Item]], None]
 
@@ -57,8 +57,8 @@
         :param matters: tells whether a change of an item, from what it was,
             has to reach instances that don't read the store
         :param prefixes: the starts of keys that are read apart
-        :param age: makes up for the time since an item was read, when others
-            get it: what counts down in it would begin anew there
+        :param age: reduces what counts down in an item by the time since it
+            was read, for other instances: it would begin anew there
         :param now_seconds: reads the process clock
         """
         self._age = age
