Let the callers of the crash walk say that they haven't left

The gateway asks a caller's connection that since requests are no longer forwarded whose callers have left; the walk's connection lacked it, and all of its 55 cases ended in an AttributeError.

--- a/tests/fakes/crash_walk.py
+++ b/tests/fakes/crash_walk.py
@@ -241,6 +241,9 @@
     def abort(self) -> None:
         self._on_end(0, "")
 
+    def has_ended(self) -> bool:
+        return False
+
 
 class Log:
     """Keeps the lines on crashes for whoever looks at one walk."""
