Show how old what an instance knows of the store is

Cause: the logs couldn't tell an instance that has stopped following from a store that is quiet, nor a request that was thrown away unread from a connection that was idle. Nothing else tells the hypotheses of the incident apart. Change: an age since something last showed that nothing newer is published (the store to its readers, heartbeats to the others), as a gauge, in /status, with each request_sent, and in a line when it passes 5 s. Idle connections that are closed at a stop are counted, by whether something lay unread on them.

--- a/src/boragefold/coordination/fleet/relay.py
+++ b/src/boragefold/coordination/fleet/relay.py
@@ -60,6 +60,13 @@
         link.subscribe(messages.Pull, self._handle_pull)
         link.subscribe(messages.Published, self._handle_published)
 
+    def confirmed_at_seconds(self) -> float:
+        """Return when a peer last showed that nothing newer is published.
+
+        :return: reading of the process clock, minus infinity if none did
+        """
+        return self._current_at_seconds
+
     def on_beat(self, sender: ids.InstanceId, beat: messages.Beat) -> None:
         """Request the missing changes from a peer that has newer ones.
 
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -164,6 +164,7 @@
                 connecting_seconds=self._ran_seconds(),
                 waited_seconds=forwarding.waited_seconds(),
                 remaining_seconds=forwarding.remaining_seconds(),
+                published_age_seconds=forwarding.context.fleet.age_seconds(),
             )
         )
         # Without a pending call, the call is being sent by ``begin``.
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -24,6 +24,7 @@
 from boragefold.entry import gateway_listeners
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
+from boragefold.entry import published_age
 from boragefold.entry import request_parts
 from boragefold.entry import service_loads
 from boragefold.entry import settings_reload
@@ -105,7 +106,8 @@
                 now_seconds=self.timers.now_seconds,
                 data_centres=settings.data_centres,
                 limit_seconds=settings.evacuate_seconds,
-            )
+            ),
+            age_seconds=lambda: self._published_age.seconds(),
         )
         self._items = published_items.PublishedItems(
             matters=must_relay,
@@ -219,6 +221,15 @@
             grace=self._grace,
             is_store_read=self._members.is_store_read,
         )
+        self._published_age = published_age.PublishedAge(
+            confirmed_at_seconds=lambda: max(
+                self._followers.confirmed_at_seconds(),
+                self._relay.confirmed_at_seconds(),
+            ),
+            timers=self.timers,
+            counters=self.counters,
+            log=self.log,
+        )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
             application=self._make_gateway(dialect, engines).handle,
@@ -264,6 +275,7 @@
         )
         self._fleet.subscribe(self._fleet_log.log_changes)
         self._followers.start()
+        self._published_age.start()
         self._heartbeats.start()
         self.timers.every(
             period_seconds=REFRESH_SECONDS, callback=self._refresh
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -117,6 +117,7 @@
         return {
             "instance": self._instance_name,
             "ready": self._ready(),
+            "published_age_seconds": round(self._fleet.age_seconds(), 3),
             **self._cold.status(),
             "evacuations": fleet_log.describe_evacuations(
                 self._fleet, now_seconds=self._timers.now_seconds()
--- a/src/boragefold/entry/request_sendings.py
+++ b/src/boragefold/entry/request_sendings.py
@@ -18,7 +18,8 @@
     """A request as it was written to a connection.
 
     ``version`` is that of the adapter, 0 for any. ``connecting_seconds`` is
-    how long it took to get the connection. ``software_version`` and
+    how long it took to get the connection. ``published_age_seconds`` is how
+    old what this instance knows of the endpoints is. ``software_version`` and
     ``born_milliseconds`` are those of the endpoint by its entry,
     ``resume_after`` is the event after which a stream is to go on.
     """
@@ -32,6 +33,7 @@
     connecting_seconds: float
     waited_seconds: float
     remaining_seconds: float
+    published_age_seconds: float = 0.0
 
 
 class RequestSendings:
@@ -120,6 +122,7 @@
             connecting_seconds=round(written.connecting_seconds, 4),
             reused_connection=written.reused_connection,
             remaining_seconds=round(written.remaining_seconds, 4),
+            published_age_seconds=round(written.published_age_seconds, 3),
         )
 
     def close(self) -> None:
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -4,6 +4,7 @@
 
 import abc
 from collections.abc import Callable
+import math
 import random
 from typing import NamedTuple
 
@@ -168,6 +169,15 @@
         now_seconds = self._timers.now_seconds()
         return now_seconds - self._answered_at_seconds > STALE_SECONDS
 
+    def confirmed_at_seconds(self) -> float:
+        """Return when the store last showed that nothing newer is published.
+
+        :return: reading of the process clock, minus infinity if it never did
+        """
+        if self._answered_at_seconds is None:
+            return -math.inf
+        return self._answered_at_seconds
+
     def is_healthy(self) -> bool:
         """Tell whether the store has just answered this instance.
 
--- a/src/boragefold/entry/store_followers.py
+++ b/src/boragefold/entry/store_followers.py
@@ -73,6 +73,16 @@
         """
         return any(follower.is_stale() for follower in self._followers)
 
+    def confirmed_at_seconds(self) -> float:
+        """Return when the store last showed that nothing newer is published.
+
+        :return: reading of the process clock for the prefix that is followed
+            worst, minus infinity if one was never read
+        """
+        return min(
+            follower.confirmed_at_seconds() for follower in self._followers
+        )
+
     def may_be_behind(self) -> bool:
         """Return whether peers may know more than this instance.
 
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -16,13 +16,19 @@
     """What is routed to, and on what terms."""
 
     def __init__(
-        self, *, evacuations: evacuations_module.Evacuations | None = None
+        self,
+        *,
+        evacuations: evacuations_module.Evacuations | None = None,
+        age_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Begin without a deployment and endpoints.
 
         :param evacuations: the data centres that receive nothing; by default
             evacuations come into force at once
+        :param age_seconds: returns the time since it was last shown that
+            nothing newer is published
         """
+        self.age_seconds = age_seconds
         # Without an evacuation in force, the object is false, too.
         self.evacuations = (
             evacuations_module.Evacuations()
--- a/src/boragefold/transport/callers.py
+++ b/src/boragefold/transport/callers.py
@@ -71,6 +71,10 @@
         """
         for connection in list(self._connections):
             if connection.idle:
+                unread = connection.stream.is_readable()
+                self._counters.add(
+                    "idle_connections_closed", "unread" if unread else "quiet"
+                )
                 connection.stream.close()
         return len(self._connections)
 
