--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -202,8 +202,11 @@
         self.put(f"servers/{name}", entry)
 
     def put(self, key, value):
+        return self.put_bytes(key, json.dumps(value))
+
+    def put_bytes(self, key, value):
         target = f"/control/item?{parse.urlencode({'key': key})}"
-        return call(self.store, "PUT", target, body=json.dumps(value))
+        return call(self.store, "PUT", target, body=value)
 
     def remove(self, key):
         target = f"/control/item?{parse.urlencode({'key': key})}"
