Read what other writers leave within bounds, or refuse it as a whole

What callers saw: requests went to endpoints that leave, 2 s and more after the store had taken that, at the two instances of one data centre (20 of 30 requests); with an odd port or a host name, each request that tried the entry ended 504 at its deadline. Cause: what reading may raise was listed error by error, in two lists. RecursionError was in neither, so an entry that is nested deeply ended the callback that would have asked the store for the next change. Ports and hosts were tried only when a connection was opened; integers had no bounds, though no message to a peer holds more than 64 bits. A weight below zero no longer makes the choice of a service raise. Changed test: test_what_instances_cant_read_is_told_apart expected the text of a Python error ("int()") for a version that is null; the error now names the field. A version in quotes is refused, too.

--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -228,7 +228,7 @@
 
     def _pick_service(self, route: deployment.Route) -> str:
         weights = [each.weight for each in route.services]
-        if len(weights) == 1 or not sum(weights):
+        if len(weights) == 1 or sum(weights) <= 0:
             return route.services[0].service
         return self._rng.choices(route.services, weights)[0].service
 
--- a/src/boragefold/protocol/envelope.py
+++ b/src/boragefold/protocol/envelope.py
@@ -87,7 +87,12 @@
             if decoder is None:
                 return Malformed(reason="unknown_kind")
             body = decoder.decode(envelope.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error):
+        except (
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+            RecursionError,
+            zlib.error,
+        ):
             return Malformed(reason="undecodable")
         return Received(sender=envelope.sender, body=body)
 
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -7,6 +7,7 @@
 from boragefold.policy import cold_limit
 from boragefold.policy import repeat_budget
 from boragefold.policy import shared_rate
+from boragefold.protocol import addresses as protocol_addresses
 
 
 class BadSettings(Exception):
@@ -68,10 +69,9 @@
     }
     addresses |= {name: given for name, given in optional.items() if given}
     for name, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
+        if not protocol_addresses.is_address(address):
             raise BadSettings(
-                f"{name} is {address!r}; give an IP number and a port"
+                f"{name} is {address!r:.60}; give an IP number and a port"
             )
     if settings.data_centre not in settings.data_centres:
         raise BadSettings(
--- a/src/boragefold/settings/serve.py
+++ b/src/boragefold/settings/serve.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import ipaddress
 import pathlib
 from typing import NamedTuple
 
+from boragefold.protocol import addresses
 from boragefold.state import paths
 from boragefold.transport import peer_keys
 
-HIGHEST_PORT = 65_535
-
 
 class ServeSettings(NamedTuple):
     """The settings of ``boragefold serve``; see the operators' page."""
@@ -65,7 +63,7 @@
 def _address_faults(settings: ServeSettings) -> Iterator[Fault]:
     names = ("listen", "peer_listen", "operators_listen", "platform")
     for name in names:
-        if not _is_address(getattr(settings, name)):
+        if not addresses.is_address(getattr(settings, name)):
             yield Fault(name, "give an IPv4 number and a port: 10.0.0.1:8080")
     if settings.peer_listen.startswith("0.0.0.0:"):
         yield Fault(
@@ -77,7 +75,7 @@
 def _seed_faults(settings: ServeSettings) -> Iterator[Fault]:
     for seed in settings.seeds:
         data_centre, _, address = seed.partition("/")
-        if not (paths.is_name(data_centre) and _is_address(address)):
+        if not (paths.is_name(data_centre) and addresses.is_address(address)):
             yield Fault("seeds", f"write {seed!r} as DATA_CENTRE/IP:PORT")
 
 
@@ -108,15 +106,6 @@
         yield Fault("stop_notice_seconds", "give zero or more seconds")
 
 
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-        return 0 < int(port) <= HIGHEST_PORT
-    except ValueError:
-        return False
-
-
 __all__ = [
     "Fault",
     "ServeSettings",
--- a/src/boragefold/state/checks.py
+++ b/src/boragefold/state/checks.py
@@ -12,11 +12,11 @@
 from typing import Any
 from typing import NamedTuple
 
+from boragefold.protocol import addresses as protocol_addresses
 from boragefold.state import documents
 from boragefold.state import paths
 
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
-MAX_PORT = 65535
 
 
 class Fault(NamedTuple):
@@ -75,7 +75,7 @@
         ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    return protocol_addresses.is_port(port)
 
 
 def _addresses(where: str, addresses: Iterable[str]) -> Iterator[Fault]:
@@ -163,8 +163,8 @@
     :return: what is wrong
     """
     yield from _names(document["addresses"])
-    for data_centre, addresses in document["addresses"].items():
-        yield from _addresses(data_centre, addresses)
+    for data_centre, listed in document["addresses"].items():
+        yield from _addresses(data_centre, listed)
     yield from _references("workspaces", document["workspaces"])
     calls = [(route["method"], route["path"]) for route in document["routes"]]
     if len(set(calls)) < len(calls):
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -110,7 +110,7 @@
         return False
     try:
         msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return False
     return True
 
--- a/tests/platform/test_checking.py
+++ b/tests/platform/test_checking.py
@@ -192,7 +192,8 @@
 @pytest.mark.parametrize(
     ("changes", "text"),
     [
-        ({"version": None}, "int()"),
+        ({"version": None}, "'version' is missing"),
+        ({"version": "2"}, "version is '2'; a whole number"),
         ({"routes": [{"name": "x"}]}, "routes[0]: 'service' is missing"),
         ({"services": [{}]}, "services[0]: 'name' is missing"),
         ({"tenants": ["x"]}, "tenants[0]"),
