Send header values as the bytes that they came as

What callers saw: a request with a byte beyond ASCII in a header got no answer before its deadline; an endpoint's answer with such a byte, or with spaces behind a value, was taken for malformed (502). Cause: headers are decoded as Latin-1 and were encoded as ASCII; what h11 refuses raised an error inside the loop's callback. Change: headers are encoded as Latin-1, without spaces around values. A call that HTTP can't express fails before it is sent, and says so.

--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -11,6 +11,7 @@
 
 from boragefold.protocol import paths
 from boragefold.transport import answer_parser
+from boragefold.transport import header_bytes
 from boragefold.transport import streams
 
 # These usually have no body and then carry no length either.
@@ -18,6 +19,8 @@
 # Limits an answer that is collected, whose other end may send single bytes
 # without ever being silent for long.
 COLLECTING_FACTOR = 4
+# Why a call fails that HTTP can't express.
+UNSENDABLE = "unsendable_call"
 
 
 class Call(NamedTuple):
@@ -236,11 +239,16 @@
             # slept.
             self._client.fail_later(self, "right_ended")
             return
+        try:
+            data = _write_call(self.pending.call)
+        except (h11.LocalProtocolError, UnicodeEncodeError):
+            self._client.fail_later(self, UNSENDABLE)
+            return
         self.pending.may_have_arrived = True
         self._parser = answer_parser.AnswerParser(
             sink=self.pending.sink, accepts=self.pending.call.accepts
         )
-        self.stream.write(_write_call(self.pending.call))
+        self.stream.write(data)
         self.pending.sink.written(reused=self.used_before)
 
     def _end(
@@ -324,7 +332,11 @@
         headers.insert(0, ("Host", call.address))
     if call.body or call.method not in BODILESS_METHODS:
         headers.append(("Content-Length", str(len(call.body))))
-    head = h11.Request(method=call.method, target=call.target, headers=headers)
+    head = h11.Request(
+        method=call.method,
+        target=call.target,
+        headers=header_bytes.encode(headers),
+    )
     events = (head, h11.Data(data=call.body), h11.EndOfMessage())
     return b"".join(writer.send(event) or b"" for event in events)
 
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from boragefold.transport import header_bytes
+
 Headers = list[tuple[str, str]]
 
 
@@ -71,7 +73,9 @@
             return
         self.started = True
         self._connection.send(
-            h11.Response(status_code=status, headers=headers)
+            h11.Response(
+                status_code=status, headers=header_bytes.encode(headers)
+            )
         )
 
     def send(self, data: bytes) -> bool:
