Keep an error within the callback of the loop that raised it

Cause: what raises within a callback ends the chain of calls that would have scheduled the next, what else is due in the same pass of the timers, and the rest of the inbox, whose descriptor is edge-triggered. Change: timers, sockets, messages of peers, requests and subscribers of the fleet run each callback behind a guard that counts callback_errors, logs callback_failed and goes on. A connection whose handler failed is closed; a caller whose request failed here is answered 502. A follower of the store begins again with a listing when a step of it failed, and when nothing was asked or answered for five checks of a second. Connecting to what is no address fails at once. Parts of the loop are made in process_loop.py, which leaves gateway_instance.py shorter.

--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 import random
-import sys
 
 from boragefold.coordination.fleet import fencing_numbers
 from boragefold.coordination.fleet import heartbeats
@@ -22,8 +21,10 @@
 from boragefold.entry import gateway
 from boragefold.entry import gateway_link
 from boragefold.entry import gateway_listeners
+from boragefold.entry import guarded_application
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
+from boragefold.entry import process_loop
 from boragefold.entry import published_age
 from boragefold.entry import request_parts
 from boragefold.entry import service_loads
@@ -38,13 +39,7 @@
 from boragefold.state import evacuations
 from boragefold.state import fleet as fleets
 from boragefold.state import published_items
-from boragefold.telemetry import counters as telemetry
-from boragefold.telemetry import decision_log
-from boragefold.timing import clock as clocks
-from boragefold.timing import timers as timing
 from boragefold.transport import http_client
-from boragefold.transport import loop as loops
-from boragefold.transport import sockets
 
 # Ownership of engines and pending engine requests are refreshed this often.
 REFRESH_SECONDS = 0.1
@@ -90,16 +85,10 @@
         :param read_settings: reads the settings again, for a reload
         """
         self.settings = settings
-        self.counters = telemetry.Counters()
-        self.loop = loops.Loop(
-            timers=timing.TimerService(clock=clocks.BootClock())
-        )
-        self.timers = self.loop.timers
-        self.log = decision_log.DecisionLog(
-            descriptor=sys.stdout.fileno(),
-            now_seconds=self.timers.now_seconds,
-            counters=self.counters,
-        )
+        process = process_loop.ProcessLoop()
+        self.counters, self.log = process.counters, process.log
+        self.loop, self.timers = process.loop, process.timers
+        self._guard, self._sockets = process.guard, process.sockets
         self._rng = random.Random()
         self._fleet = fleets.Fleet(
             evacuations=evacuations.Evacuations(
@@ -108,6 +97,7 @@
                 limit_seconds=settings.evacuate_seconds,
             ),
             age_seconds=lambda: self._published_age.seconds(),
+            run=self._guard.runner("fleet"),
         )
         self._items = published_items.PublishedItems(
             matters=must_relay,
@@ -128,8 +118,6 @@
             peer_had_store=lambda: self._members.is_store_read(),
         )
         self._items.subscribe(make_subscriber(self._fleet, self._grace))
-        self._sockets = sockets.SocketSet(poller=self.loop.poller)
-        self._sockets.register(self.loop)
         self._client = http_client.HttpClient(
             sockets_=self._sockets,
             timers=self.timers,
@@ -148,7 +136,10 @@
             grace=self._grace,
         )
         self._link = gateway_link.open_link(
-            settings=settings, loop=self.loop, counters=self.counters
+            settings=settings,
+            loop=self.loop,
+            counters=self.counters,
+            guard=self._guard,
         )
         self._members = members_module.Members(
             timers=self.timers, self_id=self._link.self_id
@@ -232,7 +223,10 @@
         )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
-            application=self._make_gateway(dialect, engines).handle,
+            application=guarded_application.GuardedApplication(
+                application=self._make_gateway(dialect, engines).handle,
+                guard=self._guard,
+            ).handle,
             counters=self.counters,
             timers=self.timers,
             fleet=self._fleet,
--- a/src/boragefold/entry/gateway_link.py
+++ b/src/boragefold/entry/gateway_link.py
@@ -9,6 +9,7 @@
 from boragefold.protocol import peer_messages
 from boragefold.settings import gateway as gateway_settings
 from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import error_guard
 from boragefold.transport import loop as loops
 from boragefold.transport import peer_link
 
@@ -18,12 +19,14 @@
     settings: gateway_settings.GatewaySettings,
     loop: loops.Loop,
     counters: telemetry.Counters,
+    guard: error_guard.ErrorGuard,
 ) -> self_link.SelfLink:
     """Create the link and run it on a loop.
 
     :param settings: address and data centre of this instance
     :param loop: the event loop of the process
     :param counters: counts messages and bytes
+    :param guard: keeps an error within the message that led to it
     :return: the link, as a new incarnation of this instance, which reaches
         the instance itself, too
     """
@@ -40,6 +43,7 @@
         ),
         counters=counters,
         heartbeats=False,
+        run=guard.runner("peer"),
     )
     link.register(loop)
     return self_link.SelfLink(link=link, timers=loop.timers)
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -30,6 +30,10 @@
 HEALTHY_SECONDS = 1.0
 # An answer this old no longer proves that the store works.
 STALE_SECONDS = 3.0
+# A step of the reading takes less than these checks together. Checks are
+# counted, not seconds: a process that stood still has something to catch up.
+PROGRESS_CHECK_SECONDS = 1.0
+MAX_CHECKS_WITHOUT_STEP = 4
 # Far more than a deployment publishes; pages may go on without an end.
 MAX_LISTED_ITEMS = 200_000
 
@@ -154,10 +158,16 @@
         self._asked_at_seconds = 0.0
         self._answered_at_seconds: float | None = None
         self._failing = False
+        self._run_number = 0
+        self._checks_without_step = 0
 
     def start(self) -> None:
-        """Begin with a full listing."""
+        """Begin with a full listing, and begin again if nothing goes on."""
         self._list("")
+        self._timers.every(
+            period_seconds=PROGRESS_CHECK_SECONDS,
+            callback=self._check_progress,
+        )
 
     def is_stale(self) -> bool:
         """Tell whether the last answer of the store is too old.
@@ -195,6 +205,29 @@
         """
         return self._failing or (not self._paused and self.is_stale())
 
+    def _check_progress(self) -> None:
+        self._checks_without_step += 1
+        if self._checks_without_step > MAX_CHECKS_WITHOUT_STEP:
+            self._begin_again("stalled")
+
+    def _begin_again(self, reason: str) -> None:
+        # Whatever is still to come of the reading so far is ignored.
+        self._run_number += 1
+        self._retry_seconds = MAX_RETRY_SECONDS
+        self._retry_later(reason, lambda: self._list(""))
+
+    def _call_later(
+        self, delay_seconds: float, callback: Callable[[], None]
+    ) -> None:
+        self._checks_without_step = 0
+        run_number = self._run_number
+        self._timers.once(
+            delay_seconds=delay_seconds,
+            callback=lambda: (
+                callback() if run_number == self._run_number else None
+            ),
+        )
+
     def _list(self, after_key: str) -> None:
         if not after_key:
             self._listed = []
@@ -243,9 +276,7 @@
         self._paused = not self._must_read()
         if self._paused:
             # Enough other instances of the data centre read the store.
-            self._timers.once(
-                delay_seconds=IDLE_CHECK_SECONDS, callback=self._watch
-            )
+            self._call_later(IDLE_CHECK_SECONDS, self._watch)
             return
         call = self._dialect.watch_call(
             self._prefix, self._revision or 0, LONG_POLL_SECONDS
@@ -282,9 +313,8 @@
             revision=self._revision,
         )
         spent_seconds = self._timers.now_seconds() - self._asked_at_seconds
-        self._timers.once(
-            delay_seconds=max(0.0, READ_PAUSE_SECONDS - spent_seconds),
-            callback=self._watch,
+        self._call_later(
+            max(0.0, READ_PAUSE_SECONDS - spent_seconds), self._watch
         )
 
     def _send(
@@ -293,8 +323,30 @@
         done: Callable[[whole_answer.WholeAnswer | http_client.Failure], None],
     ) -> None:
         self._asked_at_seconds = self._timers.now_seconds()
+        self._checks_without_step = 0
         self._counters.add("store_calls", self._prefix)
-        self._client.send(call, whole_answer.WholeAnswerSink(done=done))
+        run_number = self._run_number
+        self._client.send(
+            call,
+            whole_answer.WholeAnswerSink(
+                done=lambda answer: self._take(answer, done, run_number)
+            ),
+        )
+
+    def _take(
+        self,
+        answer: whole_answer.WholeAnswer | http_client.Failure,
+        done: Callable[[whole_answer.WholeAnswer | http_client.Failure], None],
+        run_number: int,
+    ) -> None:
+        if run_number != self._run_number:
+            return
+        try:
+            done(answer)
+        except Exception:
+            # The step that would have asked for more was left out.
+            self._begin_again("handler_failed")
+            raise
 
     def _record_success(self) -> None:
         self._answered_at_seconds = self._timers.now_seconds()
@@ -318,7 +370,7 @@
         # once.
         delay_seconds = self._retry_seconds * (0.5 + self._rng.random())
         self._retry_seconds = min(2 * self._retry_seconds, MAX_RETRY_SECONDS)
-        self._timers.once(delay_seconds=delay_seconds, callback=again)
+        self._call_later(delay_seconds, again)
 
 
 __all__ = [
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import functools
 
 from boragefold.state import deployment as deployments
 from boragefold.state import evacuations as evacuations_module
@@ -20,6 +21,9 @@
         *,
         evacuations: evacuations_module.Evacuations | None = None,
         age_seconds: Callable[[], float] = lambda: 0.0,
+        run: Callable[[Callable[[], None]], object] = lambda callback: (
+            callback()
+        ),
     ) -> None:
         """Begin without a deployment and endpoints.
 
@@ -27,7 +31,9 @@
             evacuations come into force at once
         :param age_seconds: returns the time since it was last shown that
             nothing newer is published
+        :param run: runs a subscriber, and may keep its errors within it
         """
+        self._run = run
         self.age_seconds = age_seconds
         # Without an evacuation in force, the object is false, too.
         self.evacuations = (
@@ -94,7 +100,7 @@
             self._endpoints[record.name] = record
             self._changed()
         for callback in self._on_entry:
-            callback(record)
+            self._run(functools.partial(callback, record))
 
     def drop_endpoint(self, name: str) -> None:
         """Note that an endpoint is gone.
@@ -287,7 +293,7 @@
         self._by_service = None
         self._engines = None
         for callback in self._subscribers:
-            callback()
+            self._run(callback)
 
 
 __all__ = [
--- a/src/boragefold/telemetry/error_guard.py
+++ b/src/boragefold/telemetry/error_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import traceback
 from typing import ParamSpec
 from typing import Protocol
@@ -39,8 +40,8 @@
     def __init__(
         self,
         *,
-        counters: telemetry.Counters | None = None,
-        log: ErrorLog | None = None,
+        counters: telemetry.Counters,
+        log: ErrorLog,
     ) -> None:
         """Begin without errors.
 
@@ -51,15 +52,6 @@
         self._log = log
         self._logged = 0
 
-    def use(self, *, counters: telemetry.Counters, log: ErrorLog) -> None:
-        """Count and log from now on.
-
-        :param counters: count errors by where they were caught
-        :param log: gets a line for each error, up to a limit
-        """
-        self._counters = counters
-        self._log = log
-
     def run(
         self,
         where: str,
@@ -80,15 +72,22 @@
             return False
         return True
 
+    def runner(self, where: str) -> Callable[[Callable[[], None]], bool]:
+        """Return a function that runs callbacks of one kind.
+
+        :param where: one of a small fixed set
+        :return: runs a callback, and returns whether it raised nothing
+        """
+        return functools.partial(self.run, where)
+
     def record(self, where: str, error: Exception) -> None:
         """Count and log an error that was caught.
 
         :param where: one of a small fixed set
         :param error: what was raised
         """
-        if self._counters is not None:
-            self._counters.add("callback_errors", where)
-        if self._log is None or self._logged >= MAX_LOGGED:
+        self._counters.add("callback_errors", where)
+        if self._logged >= MAX_LOGGED:
             return
         self._logged += 1
         frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
--- a/src/boragefold/timing/timers.py
+++ b/src/boragefold/timing/timers.py
@@ -9,6 +9,11 @@
 from boragefold.timing import clock as clocks
 
 Callback = Callable[[], None]
+Run = Callable[[Callback], object]
+
+
+def _run_unguarded(callback: Callback) -> None:
+    callback()
 
 
 class Subscription:
@@ -29,8 +34,17 @@
 class TimerService:
     """Runs callbacks when they are due."""
 
-    def __init__(self, *, clock: clocks.Clock) -> None:
+    def __init__(
+        self, *, clock: clocks.Clock, run: Run = _run_unguarded
+    ) -> None:
+        """Begin without callbacks.
+
+        :param clock: tells when they are due
+        :param run: runs one, and may keep its errors within it; by default
+            an error ends the pass
+        """
         self._clock = clock
+        self._run_callback = run
         self._heap: list[tuple[float, int, Subscription]] = []
         self._order = itertools.count()
 
@@ -105,7 +119,7 @@
             subscription = heapq.heappop(self._heap)[2]
             if subscription.period_seconds is not None:
                 self._push(subscription.period_seconds, subscription)
-            subscription.callback()
+            self._run_callback(subscription.callback)
             ran += 1
         return ran
 
--- a/src/boragefold/transport/peer_link.py
+++ b/src/boragefold/transport/peer_link.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 from typing import Any
 from typing import NamedTuple
 
@@ -58,6 +59,7 @@
         counters: telemetry.Counters,
         keys: peer_keys.PeerKeys | None = None,
         heartbeats: bool = True,
+        run: timing.Run = lambda callback: callback(),
     ) -> None:
         """Bind the address that peers send to.
 
@@ -69,8 +71,11 @@
         :param keys: for encrypted links, or None
         :param heartbeats: whether ZeroMQ looks after idle connections; if
             not, users of the link reconnect to peers that don't answer
+        :param run: handles one message, and may keep its errors within it; by
+            default the rest of the inbox stays unread
         """
         super().__init__()
+        self._run = run
         self._heartbeats = heartbeats
         self._poller = poller
         self._self_id = self_id
@@ -179,7 +184,7 @@
                 frames = self._inbox.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self._take(frames)
+            self._run(functools.partial(self._take, frames))
 
     def _take(self, frames: list[bytes]) -> None:
         if len(frames) != 2:
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -17,6 +17,13 @@
 
 LISTEN_BACKLOG = 1024
 
+Run = Callable[[Callable[[], None]], bool]
+
+
+def _run_unguarded(callback: Callable[[], None]) -> bool:
+    callback()
+    return True
+
 
 class SocketSet(circuits.BaseComponent):  # type: ignore[misc]
     """Every listening and connected TCP socket of the process.
@@ -28,8 +35,17 @@
 
     channel = "sockets"
 
-    def __init__(self, *, poller: pollers.BasePoller) -> None:
+    def __init__(
+        self, *, poller: pollers.BasePoller, run: Run = _run_unguarded
+    ) -> None:
+        """Begin without sockets.
+
+        :param poller: of the loop
+        :param run: runs what reacts to a connection, keeps its errors within
+            it, and returns whether there were none
+        """
         super().__init__()
+        self._run = run
         self._poller = poller
         self._streams: dict[socket.socket, streams.Stream] = {}
         self._listeners: dict[
@@ -84,7 +100,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex((host, port))
+        code = _begin_connecting(sock, host, port)
         stream = streams.Stream(
             owner=self, sock=sock, handler=handler, connecting=True
         )
@@ -137,21 +153,28 @@
     @circuits.handler("_read")  # type: ignore[untyped-decorator]
     def _on_read(self, sock: socket.socket) -> None:
         if sock in self._listeners:
-            self._accept(sock)
+            self._run(lambda: self._accept(sock))
         elif (stream := self._streams.get(sock)) is not None:
-            stream.on_readable()
+            self._react(stream, stream.on_readable)
 
     @circuits.handler("_write")  # type: ignore[untyped-decorator]
     def _on_write(self, sock: socket.socket) -> None:
         if (stream := self._streams.get(sock)) is not None:
-            stream.on_writable()
+            self._react(stream, stream.on_writable)
 
     @circuits.handler(  # type: ignore[untyped-decorator]
         "_disconnect", "_error"
     )
     def _on_disconnect(self, sock: socket.socket, *_: object) -> None:
         if (stream := self._streams.get(sock)) is not None:
-            stream.on_error()
+            self._react(stream, stream.on_error)
+
+    def _react(
+        self, stream: streams.Stream, callback: Callable[[], None]
+    ) -> None:
+        if not self._run(callback):
+            # What the other end is owed isn't known any more.
+            self._run(lambda: stream.abort(streams.HANDLER_FAILED))
 
     def _accepted(
         self,
@@ -190,6 +213,14 @@
             stream.resume_reading()
 
 
+def _begin_connecting(sock: socket.socket, host: str, port: int) -> int:
+    try:
+        return sock.connect_ex((host, port))
+    except (OSError, OverflowError, TypeError, ValueError):
+        # No address at all; connecting is told to have failed as any other.
+        return errno.EADDRNOTAVAIL
+
+
 __all__ = [
     "SocketSet",
 ]
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -15,6 +15,8 @@
 # How a connection ends that the other end closed in good order, or reset.
 END_OF_INPUT = "eof"
 RESET = "reset"
+# An error left the code that reacts to the connection.
+HANDLER_FAILED = "handler_failed"
 # Backpressure: above this, reading from the endpoint pauses until half has
 # drained.
 HIGH_WATER_BYTES = 262_144
@@ -47,7 +49,7 @@
         """Learn that the connection is gone; called once, also on failure.
 
         :param reason: ``eof``, ``refused``, ``unreachable``, ``timeout``,
-            ``reset`` or ``closed_here``; only ``refused`` tells that nothing
+            ``reset``, ``handler_failed`` or ``closed_here``; only ``refused`` tells that nothing
             listens at the address
         """
 
@@ -314,6 +316,7 @@
 
 __all__ = [
     "END_OF_INPUT",
+    "HANDLER_FAILED",
     "HIGH_WATER_BYTES",
     "RESET",
     "Stream",
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -4,6 +4,8 @@
 
 import random
 
+import pytest
+
 from boragefold.entry import store_follower
 from boragefold.entry import store_followers
 from boragefold.state import published_items
@@ -219,3 +221,48 @@
     harness.fail()
     assert not harness.follower.is_stale()
     assert followers.may_be_behind()
+
+
+def page(*items, revision=1):
+    return store_follower.Page(
+        items=items, revision=revision, last_key="", more=False
+    )
+
+
+def test_an_error_in_a_subscriber_doesnt_end_the_reading():
+    harness = Harness()
+    harness.answer(page())
+    failing = [True]
+    harness.items.subscribe(lambda news: 1 / (not failing[0]))
+    mark = published_items.Item("s/a", 2, b"leaving")
+    with pytest.raises(ZeroDivisionError):
+        harness.answer(store_follower.Events((mark,), 2))
+    failing[0] = False
+    harness.pass_time(store_follower.MAX_RETRY_SECONDS * 2)
+    assert harness.answer(page(mark, revision=2)) == ("list", "")
+    assert harness.log.events == ["store_lost", "store_regained"]
+    assert harness.calls[0][0] == ("watch", 2)
+
+
+def test_a_watch_that_gets_no_answer_at_all_is_begun_again():
+    harness = Harness()
+    harness.answer(page())
+    _, lost = harness.take()
+    harness.pass_time(
+        store_follower.PROGRESS_CHECK_SECONDS
+        * (store_follower.MAX_CHECKS_WITHOUT_STEP + 1)
+        + 2 * store_follower.MAX_RETRY_SECONDS
+    )
+    assert harness.take()[0] == ("list", "")
+    late = store_follower.Events((published_items.Item("s/a", 9, b"x"),), 9)
+    lost._done(whole_answer.WholeAnswer(200, {}, late))
+    assert not harness.calls
+    assert not list(harness.items.below("s/"))
+
+
+def test_an_instance_that_need_not_read_isnt_taken_for_stalled():
+    harness = Harness(must_read=lambda: False)
+    harness.answer(page())
+    harness.pass_time(60.0)
+    assert not harness.calls
+    assert not harness.log.events
