Read what has arrived before a connection is closed

What callers saw: a request around a SIGTERM ended without an answer. Cause: a connection counted as idle if no request had been parsed. Until then no answer said that it was the last, so that all kept connections ended together, with whatever crossed the close. Change: before a listener closes, all that waits is accepted. A connection is idle if nothing is received, answered, or readable, and nothing has happened for 0.5 s. Answers say Connection: close from SIGTERM on; one that began before leaves its connection open until the listening stops. Closing ends the writing and goes on reading for a second, so that no reset takes the answer. Whoever still waits at the limit gets 503 or 504. Idle and slow callers, and peers that ask for a tunnel, are read before they are timed out.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -41,6 +41,7 @@
         )
         exchange.on_closed = self._on_caller_disconnected
         exchange.on_drained = self._on_drained
+        exchange.on_given_up = self._on_stopped
         self._timeout = context.timers.once(
             delay_seconds=self.remaining_seconds(), callback=self._on_timeout
         )
@@ -288,17 +289,25 @@
             self._attempt.resume()
 
     def _on_timeout(self) -> None:
+        self._give_up(
+            not_run="not_started_in_time", unknown="timeout", failed=True
+        )
+
+    def _on_stopped(self) -> None:
+        self._give_up(not_run="stopping", unknown="stopping", failed=False)
+
+    def _give_up(self, *, not_run: str, unknown: str, failed: bool) -> None:
         if self._finished:
             return
         attempt = self._attempt
         if attempt is not None and attempt.end_without_evidence():
             return
         if attempt is not None:
-            attempt.cancel(failed=True)
+            attempt.cancel(failed=failed)
         if attempt is None or attempt.not_run:
-            self.refuse(refusals.NOT_RUN, "not_started_in_time")
+            self.refuse(refusals.NOT_RUN, not_run)
         else:
-            self.refuse(refusals.TIMED_OUT, "timeout")
+            self.refuse(refusals.TIMED_OUT, unknown)
 
     def _finish(
         self, outcome: str, status: int, retry_after_seconds: float = 0.0
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -236,7 +236,9 @@
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
             notice_seconds=STOP_NOTICE_SECONDS,
+            announce=self._listeners.callers.announce_stop,
             hand_over=self._stop_accepting,
+            give_up=self._listeners.callers.give_up,
             is_finished=self._is_idle,
             stop=self._stop,
             log_step=lambda step: self.log.write("stopping", step=step),
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -61,7 +61,7 @@
             sockets_=sockets_,
             application=application,
             counters=counters,
-            now_seconds=timers.now_seconds,
+            timers=timers,
             max_body_bytes=self._max_body_bytes,
         )
 
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -81,10 +81,12 @@
             sockets_=self._sockets,
             application=self._make_router(),
             counters=self.counters,
+            timers=self.timers,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
             notice_seconds=settings.stop_notice_seconds,
+            announce=self._callers.announce_stop,
             hand_over=self._hand_over,
             is_finished=self._is_finished,
             stop=self._stop,
--- a/src/boragefold/entry/shutdown.py
+++ b/src/boragefold/entry/shutdown.py
@@ -31,24 +31,32 @@
         *,
         timers: timing.TimerService,
         notice_seconds: float,
+        announce: Callable[[], None],
         hand_over: Callable[[], None],
         is_finished: Callable[[], bool],
         stop: Callable[[], None],
         log_step: Callable[[str], None],
         limit_seconds: float | None = None,
+        give_up: Callable[[], None] = lambda: None,
     ) -> None:
         """Create a shutdown that waits for the signal.
 
         :param timers: the process clock
         :param notice_seconds: how long connections are still accepted
+        :param announce: makes each answer from now on the last on its
+            connection
         :param hand_over: releases leases and closes the listening sockets
         :param is_finished: tells whether nothing is left to finish
         :param stop: ends the event loop
         :param log_step: logs each step
         :param limit_seconds: time after the signal at which the process ends
             even if requests still run; None waits for as long as they do
+        :param give_up: answers the requests that still run at the limit
         """
         super().__init__()
+        self._announce = announce
+        self._give_up = give_up
+        self._has_given_up = False
         self._limit_seconds = limit_seconds
         self._begun_at_seconds = 0.0
         self._timers = timers
@@ -66,6 +74,7 @@
         self.has_begun = True
         self._begun_at_seconds = self._timers.now_seconds()
         self._log_step("not ready, accepting for a while longer")
+        self._announce()
         self._timers.once(
             delay_seconds=self._notice_seconds, callback=self._stop_accepting
         )
@@ -87,11 +96,14 @@
         if self._is_finished():
             self._log_step("finished")
             self._stop_loop()
+        elif self._has_given_up:
+            self._stop_loop()
         elif self._is_over_limit():
             # A caller that doesn't read its response keeps its connection
             # open.
             self._log_step("the time for it is over")
-            self._stop_loop()
+            self._has_given_up = True
+            self._give_up()
 
     def _is_over_limit(self) -> bool:
         if self._limit_seconds is None:
--- a/src/boragefold/transport/callers.py
+++ b/src/boragefold/transport/callers.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
 from boragefold.transport import http_server
 from boragefold.transport import sockets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import ssl
 
+# What a caller has sent arrives within this time, also when it is sent again.
+QUIET_SECONDS = 0.5
+# How long a caller may take to read the end of a last answer.
+LINGER_SECONDS = 1.0
+
 
 class CallersFace:
     """Accepts callers and knows which of them are being served."""
@@ -22,7 +28,7 @@
         sockets_: sockets.SocketSet,
         application: http_server.Application,
         counters: telemetry.Counters,
-        now_seconds: Callable[[], float] = lambda: 0.0,
+        timers: timing.TimerService,
         max_body_bytes: Callable[[], int] = lambda: http_server.MAX_BODY_BYTES,
     ) -> None:
         """Begin without connections.
@@ -30,54 +36,69 @@
         :param sockets_: holds them
         :param application: answers requests
         :param counters: of this process
-        :param now_seconds: the process clock
+        :param timers: the process clock
         :param max_body_bytes: how large a request's body may be
         """
-        self._now_seconds = now_seconds
+        self._timers = timers
         self._max_body_bytes = max_body_bytes
         self._sockets = sockets_
         self._application = application
         self._counters = counters
         self._connections: set[http_server.ServerConnection] = set()
         self._last_answers = False
+        self._stopped = False
 
     def listen(
         self, *, host: str, port: int, tls: ssl.SSLContext | None
-    ) -> None:
+    ) -> int:
         """Accept connections.
 
         :param host: the IP number to bind
-        :param port: the port
+        :param port: the port, or 0 for any
         :param tls: how to encrypt, if at all
+        :return: the port that was bound
         :raises OSError: when the address can't be bound
         """
-        self._sockets.listen(
+        return self._sockets.listen(
             host=host, port=port, make_handler=self._connect, tls=tls
         )
 
-    def stop_listening(self) -> None:
-        """Accept no new connection, and make each next answer the last.
+    def announce_stop(self) -> None:
+        """Make each next answer the last on its connection.
 
-        A caller with an open connection would go on using it for as long as
-        it has requests; told to close, it connects anew, elsewhere.
+        A caller with an open connection would go on using it until it is
+        closed, and a request may cross the close; told to close, the caller
+        connects anew, elsewhere.
         """
         self._last_answers = True
+
+    def stop_listening(self) -> None:
+        """Accept no new connection, and end each behind its next answer.
+
+        What comes later might not be served before the process ends.
+        """
+        self.announce_stop()
+        self._stopped = True
         self._sockets.stop_listening()
 
     def close_idle(self) -> int:
-        """Close the connections that neither receive nor answer a request.
+        """Close the connections on which no request is or can be on its way.
 
         :return: how many connections are left
         """
         for connection in list(self._connections):
-            if connection.idle:
-                unread = connection.stream.is_readable()
-                self._counters.add(
-                    "idle_connections_closed", "unread" if unread else "quiet"
-                )
-                connection.stream.close()
+            if connection.is_idle(quiet_seconds=QUIET_SECONDS):
+                self._counters.add("connections_closed", "stopping")
+                connection.end()
         return len(self._connections)
 
+    def give_up(self) -> None:
+        """Answer all requests now that have no whole answer yet."""
+        for connection in list(self._connections):
+            if connection.exchange is not None:
+                self._counters.add("connections_closed", "given_up")
+                connection.exchange.give_up()
+
     def refuse_slow(
         self, *, idle_seconds: float, request_seconds: float
     ) -> None:
@@ -96,17 +117,27 @@
             application=self._application,
             on_bad_request=self._refused,
             last_answer=lambda: self._last_answers,
+            must_end=lambda: self._stopped,
             on_gone=self._connections.discard,
-            now_seconds=self._now_seconds,
+            now_seconds=self._timers.now_seconds,
             max_body_bytes=self._max_body_bytes(),
+            on_ended=self._linger,
         )
         self._connections.add(connection)
         return connection
 
+    def _linger(self, connection: http_server.ServerConnection) -> None:
+        connection.stream.end_writing()
+        self._timers.once(
+            delay_seconds=LINGER_SECONDS, callback=connection.stream.abort
+        )
+
     def _refused(self, reason: str) -> None:
         self._counters.add("requests_refused", reason)
 
 
 __all__ = [
     "CallersFace",
+    "LINGER_SECONDS",
+    "QUIET_SECONDS",
 ]
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -44,6 +44,7 @@
         self.finished = False
         self.on_closed: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
+        self.on_given_up: Callable[[], None] | None = None
 
     @property
     def connection(self) -> Answering:
@@ -122,6 +123,11 @@
         if self.on_closed is not None:
             self.on_closed()
 
+    def give_up(self) -> None:
+        """Demand the final answer now; called when the process ends."""
+        if self.on_given_up is not None and not self.finished:
+            self.on_given_up()
+
     def drained(self) -> None:
         """Learn that the caller caught up; called by the connection."""
         if self.on_drained is not None and not self.finished:
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -68,11 +68,32 @@
         on_bad_request: Callable[[str], None],
         max_body_bytes: int = MAX_BODY_BYTES,
         last_answer: Callable[[], bool] = lambda: False,
+        must_end: Callable[[], bool] | None = None,
         on_gone: Callable[[ServerConnection], None] = lambda gone: None,
         now_seconds: Callable[[], float] = lambda: 0.0,
+        on_ended: Callable[[ServerConnection], None] = (
+            lambda ended: ended.stream.close()
+        ),
     ) -> None:
+        """Wait for a request.
+
+        :param application: handles the requests
+        :param on_bad_request: told why one wasn't handled
+        :param max_body_bytes: how large a request's body may be
+        :param last_answer: tells whether the next answer is the last, which
+            its head then says
+        :param must_end: tells whether an answer is the last even if its head
+            could not say so yet; by default as ``last_answer``
+        :param on_gone: called when the connection is closed
+        :param now_seconds: reads the process clock
+        :param on_ended: called when nothing more will be answered; has to
+            close the connection
+        """
+        self._on_ended = on_ended
+        self._ended = False
         self._application = application
         self._last_answer = last_answer
+        self._must_end = must_end or last_answer
         self._on_gone = on_gone
         self._on_bad_request = on_bad_request
         self._max_body_bytes = max_body_bytes
@@ -84,13 +105,33 @@
         self._body = bytearray()
         self._exchange: Exchange | None = None
 
+    def is_idle(self, *, quiet_seconds: float) -> bool:
+        """Tell whether the connection can be closed without loss.
+
+        :param quiet_seconds: what is sent now may take so long to arrive
+        :return: whether no request is answered, received, or waits unread,
+            and nothing has happened for that time
+        """
+        if self._exchange is not None or self._receiving:
+            return False
+        quiet_at_seconds = self._moved_at_seconds + quiet_seconds
+        if self._now_seconds() < quiet_at_seconds:
+            return False
+        return not self.stream.is_readable()
+
     @property
-    def idle(self) -> bool:
-        """Tell whether no request is being received or answered.
+    def exchange(self) -> Exchange | None:
+        """Return the request that is being answered.
 
-        :return: whether the connection could be closed without loss
+        :return: its exchange, None if there is none
         """
-        return self._exchange is None and self._head is None
+        return self._exchange
+
+    def end(self) -> None:
+        """Answer nothing more, and close once the other end has read."""
+        if not self._ended:
+            self._ended = True
+            self._on_ended(self)
 
     def refuse_slow(
         self, *, idle_seconds: float, request_seconds: float
@@ -104,14 +145,17 @@
         :param request_seconds: how long the head of one may take to arrive;
             its body has as long as an idle connection
         """
-        if self._exchange is not None:
+        if self._exchange is not None or self._ended:
+            return
+        if self.stream.is_readable():
+            # This process was late, not the caller.
             return
         waited_seconds = self._now_seconds() - self._moved_at_seconds
         limit_seconds = request_seconds if self._head is None else idle_seconds
         if self._receiving and waited_seconds > limit_seconds:
             self._refuse("request_too_slow", STATUS_REQUEST_TIMEOUT)
         elif not self._receiving and waited_seconds > idle_seconds:
-            self.stream.close()
+            self.end()
 
     def connected(self) -> None:
         """Do nothing: the caller speaks first."""
@@ -121,6 +165,8 @@
 
         :param data: bytes
         """
+        if self._ended:
+            return
         if not self._receiving and self._exchange is None:
             self._receiving = True
             self._moved_at_seconds = self._now_seconds()
@@ -172,14 +218,15 @@
         self._exchange = None
         self._head = None
         self._moved_at_seconds = self._now_seconds()
-        if self._parser.our_state is h11.MUST_CLOSE or self._last_answer():
+        if self._parser.our_state is h11.MUST_CLOSE or self._must_end():
             # This answer is the last: a request behind it would get none.
-            self.stream.close()
+            self.end()
             return
         if self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
             self.stream.resume_reading()
             self._parse()
+            self._receiving = bool(self._parser.trailing_data[0])
 
     def abort(self) -> None:
         """Cut the connection, so that the answer doesn't look whole."""
@@ -206,6 +253,8 @@
 
     def _parse(self) -> None:
         while self.stream.open and self._exchange is None:
+            if self._ended:
+                return
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -284,7 +333,7 @@
             events = (response, h11.Data(data=body), h11.EndOfMessage())
             for event in events:
                 self.stream.write(self._parser.send(event) or b"")
-        self.stream.close()
+        self.end()
 
 
 __all__ = [
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import errno
+import functools
 import socket
 from typing import TYPE_CHECKING
 
@@ -81,8 +82,13 @@
         return int(sock.getsockname()[1])
 
     def stop_listening(self) -> None:
-        """Accept no further connection; open ones stay."""
+        """Accept what has come so far and nothing after it.
+
+        The kernel resets the connections that wait when a listener closes.
+        Open connections stay.
+        """
         for sock in list(self._listeners):
+            self._run(functools.partial(self._accept, sock))
             self._poller.discard(sock)
             sock.close()
         self._listeners.clear()
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -78,6 +78,7 @@
         self.connecting = connecting
         self.open = True
         self._closing = False
+        self._keeps_reading = False
         self._resets_unless_closed = False
         self._reading = False
         self._above_high_water = False
@@ -146,6 +147,17 @@
         if not self._unsent:
             self._close_in_good_order()
 
+    def end_writing(self) -> None:
+        """Tell the other end that nothing follows, and go on reading.
+
+        Closing with bytes unread resets the connection, which may take what
+        was written from the other end.
+        """
+        self._closing = self._keeps_reading = True
+        self._set_reading(True)
+        if not self._unsent:
+            self._shut_writing()
+
     def abort(self, reason: str = "closed_here") -> None:
         """Close now and drop what is unsent.
 
@@ -223,12 +235,24 @@
             del self._unsent[:sent]
         if self.open and not self._unsent:
             self._owner.want_write(self, False)
-            if self._closing:
+            if self._keeps_reading:
+                self._shut_writing()
+            elif self._closing:
                 self._close_in_good_order()
         if self._above_high_water and self._below_half():
             self._above_high_water = False
             self.handler.drained()
 
+    def _shut_writing(self) -> None:
+        if not self.open:
+            return
+        if self._resets_unless_closed:
+            self._set_linger(DEFAULT_LINGER)
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._owner.fail_later(self, RESET)
+
     def _close_in_good_order(self) -> None:
         if self.open and self._resets_unless_closed:
             self._set_linger(DEFAULT_LINGER)
--- a/src/boragefold/transport/tls_streams.py
+++ b/src/boragefold/transport/tls_streams.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 import ssl
 
 from boragefold.transport import streams
@@ -17,6 +18,22 @@
     wants_read = (BlockingIOError, ssl.SSLWantReadError)
     wants_write = (ssl.SSLWantWriteError,)
 
+    def is_readable(self) -> bool:
+        """Tell whether bytes or the end of the connection wait to be read.
+
+        :return: whether something was received, decrypted or not
+        """
+        if self._decrypted_bytes():
+            return True
+        try:
+            # Encrypted bytes can be looked at without being taken.
+            socket.socket.recv(self.sock, 1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def has_ended(self) -> bool:
         """Return False: encrypted bytes can't be read in advance.
 
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -137,6 +137,15 @@
         )
         return far
 
+    def expect_request(self, entrance: TunnelEntrance) -> None:
+        """End a tunnel unless its peer asks for an endpoint in time.
+
+        :param entrance: the peer's side
+        """
+        self._timers.once(
+            delay_seconds=REQUEST_SECONDS, callback=entrance.end_if_silent
+        )
+
     def record(self, outcome: str) -> None:
         """Count a tunnel.
 
@@ -154,9 +163,7 @@
     def _accept(self) -> TunnelEntrance:
         entrance = TunnelEntrance(server=self)
         self._tunnels.add(entrance)
-        self._timers.once(
-            delay_seconds=REQUEST_SECONDS, callback=entrance.end_if_silent
-        )
+        self.expect_request(entrance)
         return entrance
 
 
@@ -212,7 +219,12 @@
 
     def end_if_silent(self) -> None:
         """Close a connection on which the peer asked for nothing."""
-        if self._exit is None:
+        if self._exit is not None or not self.stream.open:
+            return
+        if self.stream.is_readable():
+            # This process was late, not the peer.
+            self._server.expect_request(self)
+        else:
             self.stream.abort("timeout")
 
     def opened(self) -> None:
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -22,11 +22,9 @@
                 200, [], request.body
             ),
             counters=telemetry.Counters(),
-            now_seconds=self.net.timers.now_seconds,
+            timers=self.net.timers,
         )
-        self.face.listen(host="127.0.0.1", port=0, tls=None)
-        (listener,) = self.net.sockets._listeners
-        self.port = listener.getsockname()[1]
+        self.port = self.face.listen(host="127.0.0.1", port=0, tls=None)
 
     def connect(self):
         return self.net.connect(self.port)
@@ -90,3 +88,78 @@
     case.close_idle()
     case.net.turn()
     assert sock.recv(1) == b""
+
+
+def test_answers_say_that_they_are_the_last_once_a_stop_has_begun(case):
+    sock = case.keep()
+    case.face.announce_stop()
+    sock.sendall(REQUEST)
+    assert b"Connection: close" in case.net.read(sock)
+    assert case.face.close_idle() == 1
+    sock.close()
+    case.net.turn()
+    assert case.face.close_idle() == 0
+
+
+def test_an_answer_that_began_before_the_stop_leaves_its_connection_open(case):
+    exchanges = []
+    case.face._application = lambda request, exchange: exchanges.append(
+        exchange
+    )
+    sock = case.connect()
+    sock.sendall(REQUEST)
+    case.net.turn()
+    exchanges[0].start(200, [])
+    case.face.announce_stop()
+    exchanges[0].finish()
+    sock.sendall(REQUEST)
+    case.net.turn()
+    assert len(exchanges) == 2
+
+
+def test_a_request_that_crosses_the_close_doesnt_reset_the_answer(case):
+    sock = case.connect()
+    case.face.announce_stop()
+    sock.sendall(REQUEST * 2)
+    answer = case.net.read(sock)
+    assert answer.count(b"HTTP/1.1 200") == 1
+    assert sock.recv(1) == b""
+    case.net.pass_time(callers.LINGER_SECONDS + 0.1)
+    assert case.face.close_idle() == 0
+
+
+def test_what_has_just_happened_on_a_connection_keeps_it_open(case):
+    socks = [case.keep(), case.connect()]
+    case.net.turn()
+    case.face.stop_listening()
+    assert case.face.close_idle() == len(socks)
+    case.net.pass_time(callers.QUIET_SECONDS + 0.1)
+    case.face.close_idle()
+    case.net.pass_time(callers.LINGER_SECONDS + 0.1)
+    assert case.face.close_idle() == 0
+
+
+def test_whoever_still_waits_when_the_time_is_over_gets_an_answer(case):
+    def handle(request, exchange):
+        exchange.on_given_up = lambda: exchange.reply(503, [], b"")
+
+    case.face._application = handle
+    sock = case.connect()
+    sock.sendall(REQUEST)
+    case.net.turn()
+    case.face.stop_listening()
+    assert case.face.close_idle() == 1
+    case.face.give_up()
+    assert b"503" in case.net.read(sock)
+
+
+def test_a_late_process_reads_before_it_calls_a_caller_slow(case):
+    sock = case.connect()
+    sock.sendall(REQUEST[:20])
+    case.net.turn()
+    case.net.clock.move_to(REQUEST_SECONDS + 5)
+    sock.sendall(REQUEST[20:])
+    case.face.refuse_slow(
+        idle_seconds=IDLE_SECONDS, request_seconds=REQUEST_SECONDS
+    )
+    assert b"200" in case.net.read(sock)
--- a/tests/transport/test_guarded_loop.py
+++ b/tests/transport/test_guarded_loop.py
@@ -122,10 +122,10 @@
             application=handle, guard=case.guard
         ).handle,
         counters=case.counters,
+        timers=case.net.timers,
     )
-    face.listen(host="127.0.0.1", port=0, tls=None)
-    (listener,) = case.net.sockets._listeners
-    sock = case.net.connect(listener.getsockname()[1])
+    port = face.listen(host="127.0.0.1", port=0, tls=None)
+    sock = case.net.connect(port)
     sock.sendall(REQUEST)
     answer = case.net.read(sock)
     assert answer.startswith(b"HTTP/1.1 502") and b"internal_error" in answer
--- a/tests/transport/test_header_bytes.py
+++ b/tests/transport/test_header_bytes.py
@@ -54,10 +54,10 @@
             200, [("X-Note", value)], b""
         ),
         counters=None,
+        timers=net.timers,
     )
-    face.listen(host="127.0.0.1", port=0, tls=None)
-    (listener,) = net.sockets._listeners
-    sock = net.connect(listener.getsockname()[1])
+    port = face.listen(host="127.0.0.1", port=0, tls=None)
+    sock = net.connect(port)
     sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
     expected = f"X-Note: {value.strip()}\r\n".encode("latin-1")
     assert expected in net.read(sock)
