Ask whether an endpoint leaves right before a request is written

Change: a request isn't written to an endpoint that leaves or is gone by its entry; another one is chosen, and nothing is held against the first.

--- a/src/boragefold/entry/sent_request.py
+++ b/src/boragefold/entry/sent_request.py
@@ -159,9 +159,16 @@
             record, self.admitted.request.adapter
         )
 
+    def _has_left(self, endpoint: str) -> bool:
+        record = self.context.fleet.endpoint(endpoint)
+        return record is None or record.leaving
+
     def _may_write(self, record: deployment.EndpointRecord) -> bool:
+        # The endpoint may have said that it leaves while the connection to it
+        # was opened.
         return (
             not self.finished
+            and not self._has_left(record.name)
             and not self._is_evacuated(record)
             and self.sendings.may_write()
             and self.admitted.guard.may_write()
@@ -174,9 +181,10 @@
             # The request wasn't written for this reason, and may be later.
             return
         self._unreachable.add(endpoint)
-        self.context.choice.unreachable(
-            endpoint, now_seconds=self.context.timers.now_seconds()
-        )
+        if not self._has_left(endpoint):
+            self.context.choice.unreachable(
+                endpoint, now_seconds=self.context.timers.now_seconds()
+            )
 
 
 __all__ = [
