Let the soak leave odd entries and stop processes that stand still

The kinds odd_entry and stop_still, and a check that no request around such a stop ends without an answer later than 0.2 s after it was sent. Callers go on with the instance until it accepts them no longer.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,7 @@
 from tests.fakes import versioned_engines
 from tests.soak import callers
 from tests.soak import culprits
+from tests.soak import stalls
 from tests.soak import versions
 
 NOT_RUN = (408, 421, 429, 503)
@@ -57,6 +58,7 @@
         *_withdrawn(run, seen),
         *_leaving(run),
         *_planned_stops(run, seen),
+        *_still_stops(run, seen),
         *_repeats(run, seen),
         *_culprits(run),
         *_herds(run, seen),
@@ -172,6 +174,12 @@
                     yield f"LOST at a planned stop: {each}"
 
 
+def _still_stops(run, seen) -> Iterator[str]:
+    for each in stalls.list_lost(run.still_stops, seen):
+        if not run.touched(each.gateway, each.sent_at_seconds):
+            yield f"LOST around a stop: {each}"
+
+
 def _culprits(run) -> Iterator[str]:
     lines = [
         line
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -64,6 +64,8 @@
     "streams_broken": 2,
     "engine_reborn": 2,
     "endless_answers": 2,
+    "odd_entry": 3,
+    "stop_still": 2,
 }
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 from tests.soak import endpoint_faults
 from tests.soak import plan
 from tests.soak import proxy
+from tests.soak import stalls
 from tests.soak import versions
 
 # What a fault did to an instance is over so long after it ended.
@@ -72,6 +73,7 @@
     endpoint_faults.EndpointFaults,
     culprits.CulpritFaults,
     versions.VersionFaults,
+    stalls.StallFaults,
 ):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
@@ -110,6 +112,7 @@
         self.cuts: list[endpoint_faults.Cut] = []
         self.falls: list[int] = []
         self.planned_stops: list[tuple[int, float]] = []
+        self.still_stops: list[stalls.StillStop] = []
         self.herds: list[Herd] = []
         self.herd_on: int | None = None
         self.calm_from_seconds = 0.0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,6 +75,14 @@
     assert any(len(line["endpoints"]) > 1 for line in ended)
 
 
+def test_odd_entries_and_stops_that_stand_still_lose_nothing(tmp_path) -> None:
+    # Instances stopped following the store, and threw unread requests away.
+    kinds = ("odd_entry", "odd_entry", "stop_still", "endpoint_leaves")
+    faults = plan.make(62, kinds=kinds, length_seconds=24.0)
+    assert {fault.kind for fault in faults} == set(kinds)
+    _play(tmp_path, seed=62, faults=faults, length_seconds=24.0)
+
+
 def test_repeats_stay_within_their_budget(tmp_path) -> None:
     # Requests whose connections broke were sent again outside of the budget.
     faults = [
