Take what is nested too deeply for malformed everywhere

Where what is nested reaches the decoder, it raised into the loop, or ended the command. Change: one tuple, protocol/decoding.py, used by all. A time in a log line that is too large for a number skips the line.

--- a/src/boragefold/cli/check.py
+++ b/src/boragefold/cli/check.py
@@ -8,8 +8,8 @@
 from urllib import request
 
 import click
-import msgspec
 
+from boragefold.protocol import decoding
 from boragefold.protocol import platform_api
 from boragefold.state import catalogue as catalogues
 from boragefold.state import crosscheck
@@ -62,7 +62,7 @@
         raise click.ClickException(f"there is no {source}; check the path")
     try:
         return tree_file.load(path)
-    except msgspec.DecodeError as failure:
+    except decoding.ERRORS as failure:
         raise click.ClickException(
             f"{source} is no JSON object of documents by path ({failure})"
         ) from failure
--- a/src/boragefold/coordination/once/tickets.py
+++ b/src/boragefold/coordination/once/tickets.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from boragefold.coordination.once import reachability as reachabilities
+from boragefold.protocol import decoding
 from boragefold.protocol import ids
 from boragefold.protocol import once_messages
 from boragefold.timing import timers as timing
@@ -141,7 +142,7 @@
     try:
         data = base64.urlsafe_b64decode(encoded + padding)
         return msgspec.msgpack.decode(data, type=once_messages.Ticket)
-    except (binascii.Error, ValueError, msgspec.MsgspecError):
+    except (binascii.Error, ValueError, *decoding.ERRORS):
         return InvalidTicket()
 
 
--- a/src/boragefold/entry/engine_answer.py
+++ b/src/boragefold/entry/engine_answer.py
@@ -8,6 +8,7 @@
 
 from boragefold.policy import work as works
 from boragefold.protocol import chat
+from boragefold.protocol import decoding
 from boragefold.transport import http_client
 
 STATUS_OK = 200
@@ -144,7 +145,7 @@
             return ""
         try:
             decoded = _DECODER.decode(payload)
-        except msgspec.MsgspecError:
+        except decoding.ERRORS:
             return "malformed_answer"
         if decoded.usage is not None:
             self._usage = decoded.usage
--- a/src/boragefold/entry/load_poller.py
+++ b/src/boragefold/entry/load_poller.py
@@ -10,6 +10,7 @@
 from boragefold.policy import endpoints as fleet
 from boragefold.policy import fleet_events
 from boragefold.policy import work as works
+from boragefold.protocol import decoding
 from boragefold.state import catalogue as catalogues
 from boragefold.state import documents
 from boragefold.state import endpoints as published
@@ -218,7 +219,7 @@
             return
         try:
             report = _DECODER.decode(answer.body)
-        except msgspec.MsgspecError:
+        except decoding.ERRORS:
             self._counters.add("load_reports_missed", "malformed")
             return
         running = {
--- a/src/boragefold/entry/order_client.py
+++ b/src/boragefold/entry/order_client.py
@@ -8,6 +8,7 @@
 
 from boragefold.coordination.orders import sender as sending
 from boragefold.entry import answers
+from boragefold.protocol import decoding
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 
@@ -84,7 +85,7 @@
         return sending.Failed(reason=answer.reason)
     try:
         response = _DECODER.decode(answer.body)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return sending.NoAnswer(reason="malformed_answer")
     if answer.status == STATUS_OK:
         return sending.Done()
--- a/src/boragefold/protocol/chat.py
+++ b/src/boragefold/protocol/chat.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
+
 MAX_MESSAGES = 1_000
 DONE = b"data: [DONE]\n\n"
 
@@ -63,7 +65,7 @@
     """
     try:
         request = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return BadChatRequest(
             reason="body_invalid",
             remedy=f"send a chat completion request as JSON: {error}",
--- a/src/boragefold/protocol/envelope.py
+++ b/src/boragefold/protocol/envelope.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
 from boragefold.protocol import ids
 
 # Shorter messages gain nothing from compression.
@@ -87,12 +88,7 @@
             if decoder is None:
                 return Malformed(reason="unknown_kind")
             body = decoder.decode(envelope.body)
-        except (
-            msgspec.MsgspecError,
-            UnicodeDecodeError,
-            RecursionError,
-            zlib.error,
-        ):
+        except (*decoding.ERRORS, zlib.error):
             return Malformed(reason="undecodable")
         return Received(sender=envelope.sender, body=body)
 
--- a/src/boragefold/protocol/platform_api.py
+++ b/src/boragefold/protocol/platform_api.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
+
 TREE_PATH = "/v1/tree"
 LIST_PATH = "/v1/list"
 
@@ -108,7 +110,7 @@
     """
     try:
         answer = _TREE_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return PlatformFailed(reason="malformed")
     changes = (
         PublishedChange(
@@ -148,7 +150,7 @@
     """
     try:
         answer = _LIST_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return PlatformFailed(reason="malformed")
     instances = (
         ListedInstance(**instance) for instance in answer["instances"]
--- a/src/boragefold/state/patch.py
+++ b/src/boragefold/state/patch.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
+
 _MISSING = object()
 
 
@@ -44,7 +46,7 @@
     document: dict[str, Any] = msgspec.json.decode(before)
     try:
         entries = msgspec.json.decode(patch.entries, type=dict[str, Any])
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
     kept = {
         name: value
--- a/src/boragefold/state/validation.py
+++ b/src/boragefold/state/validation.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
 from boragefold.state import checks
 from boragefold.state import documents
 from boragefold.state import paths
@@ -99,7 +100,7 @@
 def _validate(path: str, schema: _Schema, data: bytes) -> Accepted | Rejected:
     try:
         raw = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except decoding.ERRORS:
         return Rejected(
             path=path, reason="bad_json", remedy="publish valid JSON"
         )
--- a/src/boragefold/telemetry/log_story.py
+++ b/src/boragefold/telemetry/log_story.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
+
 # State changes up to this long before a request's first line are included.
 STATE_EVENT_SECONDS = 10.0
 # Events that change the state of a process, apart from those of requests.
@@ -77,7 +79,13 @@
                 str(fields.pop("event")),
                 fields,
             )
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        except (
+            *decoding.ERRORS,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ):
             continue
 
 
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from boragefold.protocol import decoding
 from boragefold.transport import answer_parser
 from boragefold.transport import http_client
 from boragefold.transport import streams
@@ -110,7 +111,7 @@
         return False
     try:
         msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except decoding.ERRORS:
         return False
     return True
 
