--- a/tests/state/test_fleet.py
+++ b/tests/state/test_fleet.py
@@ -37,3 +37,25 @@
     assert not list(fleet.engines())
     fleet.drop_endpoint(record.name)
     assert not list(fleet.endpoints_of("llm"))
+
+
+def test_a_subscriber_that_fails_leaves_the_others_and_the_change():
+    errors, told = [], []
+
+    def run(callback):
+        try:
+            callback()
+        except ZeroDivisionError as error:
+            errors.append(error)
+
+    fleet = fleets.Fleet(run=run)
+    for subscribe in (fleet.subscribe, fleet.subscribe_entries):
+        subscribe(lambda *record: 1 / 0)
+        subscribe(lambda *record: told.append(record))
+    record = deployment.EndpointRecord(
+        "e1", "llm", "10.0.0.1:1", "a", 1, False, None, 1, {}
+    )
+    fleet.set_endpoint(record)
+    assert fleet.endpoint("e1") == record
+    assert told == [(), (record,)]
+    assert len(errors) == 2
--- a/tests/transport/test_guarded_loop.py
+++ b/tests/transport/test_guarded_loop.py
@@ -134,6 +134,31 @@
     assert case.errors("request") == 1
 
 
+def test_an_answer_that_began_isnt_made_to_look_whole(case):
+    closed = []
+
+    def handle(request, exchange):
+        exchange.on_closed = lambda: closed.append(True)
+        exchange.start(200, [])
+        exchange.send(b"part")
+        fail()
+
+    face = callers.CallersFace(
+        sockets_=case.net.sockets,
+        application=guarded_application.GuardedApplication(
+            application=handle, guard=case.guard
+        ).handle,
+        counters=case.counters,
+        timers=case.net.timers,
+    )
+    sock = case.net.connect(face.listen(host="127.0.0.1", port=0, tls=None))
+    sock.sendall(REQUEST)
+    answer = case.net.read(sock)
+    assert b"part" in answer and not answer.endswith(b"0\r\n\r\n")
+    # What was begun for the request is told that its caller is gone.
+    assert closed == [True]
+
+
 @pytest.mark.parametrize(
     ("host", "port"),
     [
--- a/tests/transport/test_tunnels.py
+++ b/tests/transport/test_tunnels.py
@@ -204,3 +204,29 @@
             side.net.turn()
     # Kernel buffers and the high-water mark, on four connections' ends.
     assert sent < 24_000_000
+
+
+def test_a_late_process_reads_before_it_calls_a_peer_silent():
+    side = Side()
+    sock = side.net.connect(side.port)
+    side.net.turn()
+    side.net.clock.move_to(tunnel_server.REQUEST_SECONDS + 1)
+    sock.sendall(CONNECT % (b"e1", b"Bearer issued"))
+    side.net.timers.run_due()
+    assert b" 200 " in side.net.read(sock)
+    side.endpoint.accept().sendall(WHOLE)
+    assert side.net.read(sock) == WHOLE
+
+
+def test_a_peer_that_goes_on_asking_for_nothing_is_closed():
+    side = Side()
+    sock = side.net.connect(side.port)
+    side.net.turn()
+    side.net.clock.move_to(tunnel_server.REQUEST_SECONDS + 1)
+    sock.sendall(b"CONNECT e1:80")
+    side.net.timers.run_due()
+    side.net.turn()
+    assert side.server.open_count == 1
+    side.net.pass_time(tunnel_server.REQUEST_SECONDS + 1)
+    assert side.server.open_count == 0
+    sock.close()
