--- a/tests/platform/test_reading.py
+++ b/tests/platform/test_reading.py
@@ -67,6 +67,17 @@
     assert sorted(fleet.names()) == ["a", "z"]
 
 
+@pytest.mark.parametrize("kind", odd_entries.ENDPOINTS)
+def test_an_endpoint_whose_entry_turns_odd_is_used_no_more(kind):
+    fleet = fleets.Fleet()
+    apply = subscriber(fleet).apply
+    apply([published_items.Item("servers/a", 1, odd_entries.entry())])
+    assert list(fleet.names()) == ["a"]
+    odd = odd_entries.ENDPOINTS[kind]
+    apply([published_items.Item("servers/a", 2, odd)])
+    assert not list(fleet.names())
+
+
 @pytest.mark.parametrize("kind", odd_entries.ENDPOINTS)
 def test_an_odd_entry_is_relayed_as_it_is(kind):
     item = published_items.Item("servers/odd", 2, odd_entries.ENDPOINTS[kind])
