Guard the callbacks of boragefold serve as those of the gateway

Same class, looked for elsewhere: the product's own interface runs on the same loop. Errors are logged as warnings and counted; its callers are answered 502. A mutation that left a connection open whose handler had failed survived; the test asks for its end now.

--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -85,7 +85,7 @@
         :param read_settings: reads the settings again, for a reload
         """
         self.settings = settings
-        process = process_loop.ProcessLoop()
+        process = process_loop.GatewayLoop()
         self.counters, self.log = process.counters, process.log
         self.loop, self.timers = process.loop, process.timers
         self._guard, self._sockets = process.guard, process.sockets
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -11,8 +11,10 @@
 from boragefold.entry import chat_assembly
 from boragefold.entry import chat_handler
 from boragefold.entry import cluster_services
+from boragefold.entry import guarded_application
 from boragefold.entry import instance_status
 from boragefold.entry import operators
+from boragefold.entry import process_loop
 from boragefold.entry import router as routers
 from boragefold.entry import service_handler
 from boragefold.entry import shutdown
@@ -21,16 +23,15 @@
 from boragefold.protocol import ids
 from boragefold.settings import serve as serve_settings
 from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import logs
 from boragefold.telemetry import request_events as recorded_events
 from boragefold.timing import clock as clocks
-from boragefold.timing import timers as timing
 from boragefold.transport import callers
 from boragefold.transport import http_client
 from boragefold.transport import loop as loops
 from boragefold.transport import peer_keys
 from boragefold.transport import peer_link
 from boragefold.transport import platform_client
-from boragefold.transport import sockets
 
 # A new rate holder waits for its predecessor's grants to end, and then starts
 # with an empty bucket.
@@ -50,14 +51,16 @@
         self.settings = settings
         self._joined_at_seconds: float | None = None
         self._left_at_seconds = 0.0
-        self.counters = telemetry.Counters()
-        self.request_events = recorded_events.RequestEvents()
-        self.loop = loop or loops.Loop(
-            timers=timing.TimerService(clock=clocks.BootClock())
+        process = process_loop.ProcessLoop(
+            clock=clocks.BootClock(),
+            counters=telemetry.Counters(),
+            log=logs.WarningLog(),
+            loop=loop,
         )
-        self.timers = self.loop.timers
-        self._sockets = sockets.SocketSet(poller=self.loop.poller)
-        self._sockets.register(self.loop)
+        self.counters = process.counters
+        self.request_events = recorded_events.RequestEvents()
+        self.loop, self.timers = process.loop, process.timers
+        self._guard, self._sockets = process.guard, process.sockets
         self._client = http_client.HttpClient(
             sockets_=self._sockets, timers=self.timers
         )
@@ -79,7 +82,9 @@
         )
         self._callers = callers.CallersFace(
             sockets_=self._sockets,
-            application=self._make_router(),
+            application=guarded_application.GuardedApplication(
+                application=self._make_router(), guard=self._guard
+            ).handle,
             counters=self.counters,
             timers=self.timers,
         )
@@ -164,6 +169,7 @@
             codec=envelope.Codec(kinds=cluster_services.KINDS),
             counters=self.counters,
             keys=None if isinstance(keys, peer_keys.BadPeerKey) else keys,
+            run=self._guard.runner("peer"),
         )
         link.register(self.loop)
         return link
--- a/src/boragefold/entry/process_loop.py
+++ b/src/boragefold/entry/process_loop.py
@@ -16,27 +16,51 @@
 class ProcessLoop:
     """One loop: timers and sockets whose callbacks can't end each other."""
 
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        counters: telemetry.Counters,
+        log: error_guard.ErrorLog,
+        loop: loops.Loop | None = None,
+    ) -> None:
+        """Create the loop without running it.
+
+        :param clock: the process clock
+        :param counters: metrics of this process
+        :param log: gets a line for each error
+        :param loop: one that several instances share; its timers stay as they
+            are
+        """
+        self.counters = counters
+        self.guard = error_guard.ErrorGuard(counters=counters, log=log)
+        self.loop = loop or loops.Loop(
+            timers=timing.TimerService(
+                clock=clock, run=self.guard.runner("timer")
+            )
+        )
+        self.timers = self.loop.timers
+        self.sockets = sockets.SocketSet(
+            poller=self.loop.poller, run=self.guard.runner("socket")
+        )
+        self.sockets.register(self.loop)
+
+
+class GatewayLoop(ProcessLoop):
+    """The loop of a gateway, which logs decisions to standard output."""
+
     def __init__(self) -> None:
         clock = clocks.BootClock()
-        self.counters = telemetry.Counters()
+        counters = telemetry.Counters()
         self.log = decision_log.DecisionLog(
             descriptor=sys.stdout.fileno(),
             now_seconds=clock.now_seconds,
-            counters=self.counters,
-        )
-        self.guard = error_guard.ErrorGuard(
-            counters=self.counters, log=self.log
+            counters=counters,
         )
-        self.timers = timing.TimerService(
-            clock=clock, run=self.guard.runner("timer")
-        )
-        self.loop = loops.Loop(timers=self.timers)
-        self.sockets = sockets.SocketSet(
-            poller=self.loop.poller, run=self.guard.runner("socket")
-        )
-        self.sockets.register(self.loop)
+        super().__init__(clock=clock, counters=counters, log=self.log)
 
 
 __all__ = [
+    "GatewayLoop",
     "ProcessLoop",
 ]
--- a/src/boragefold/telemetry/logs.py
+++ b/src/boragefold/telemetry/logs.py
@@ -26,6 +26,18 @@
         return msgspec.json.encode(line).decode()
 
 
+class WarningLog:
+    """Writes events as warnings of the process."""
+
+    def write(self, event: str, **fields: object) -> None:
+        """Write a line.
+
+        :param event: the kind of event
+        :param fields: what it says
+        """
+        logging.warning("%s %s", event, fields)
+
+
 def begin(*, json_lines: bool) -> None:
     """Send log lines to standard error.
 
@@ -40,5 +52,6 @@
 
 __all__ = [
     "JsonFormatter",
+    "WarningLog",
     "begin",
 ]
--- a/tests/transport/test_guarded_loop.py
+++ b/tests/transport/test_guarded_loop.py
@@ -99,9 +99,15 @@
             whole_answer.WholeAnswerSink(done=each),
         )
     case.net.turn()
-    for accepted in (listener.accept(), listener.accept()):
-        accepted.sendall(ANSWER)
+    accepted = [listener.accept(), listener.accept()]
+    for each in accepted:
+        assert each.recv(4096)
+        each.sendall(ANSWER)
     case.net.turn()
+    # The one whose state isn't known any more is used for nothing else.
+    assert accepted[0].recv(1) == b""
+    with pytest.raises(BlockingIOError):
+        accepted[1].recv(1)
     assert [each.body for each in done] == [b"ok"]
     assert case.errors("socket") == 1
     listener.close()
