--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -59,11 +59,28 @@
     sock.sendall(REQUEST[:20])
     case.net.turn()
     case.face.stop_listening()
-    case.face.close_idle()
+    case.close_idle()
     sock.sendall(REQUEST[20:])
     assert b"200" in case.net.read(sock)
 
 
+def test_half_a_request_behind_another_is_answered(case):
+    sock = case.connect()
+    sock.sendall(REQUEST + REQUEST[:20])
+    assert b"200" in case.net.read(sock)
+    case.face.stop_listening()
+    case.close_idle()
+    sock.sendall(REQUEST[20:])
+    assert b"200" in case.net.read(sock)
+
+
+def test_answers_say_that_they_are_the_last_once_nothing_is_accepted(case):
+    sock = case.keep()
+    case.face.stop_listening()
+    sock.sendall(REQUEST)
+    assert b"Connection: close" in case.net.read(sock)
+
+
 def test_a_connection_that_waits_to_be_accepted_is_served(case):
     sock = case.connect()
     sock.sendall(REQUEST)
@@ -133,6 +150,10 @@
     case.net.turn()
     case.face.stop_listening()
     assert case.face.close_idle() == len(socks)
+    case.net.turn()
+    for sock in socks:
+        with pytest.raises(BlockingIOError):
+            sock.recv(1)
     case.net.pass_time(callers.QUIET_SECONDS + 0.1)
     case.face.close_idle()
     case.net.pass_time(callers.LINGER_SECONDS + 0.1)
