--- a/tests/entry/test_odd_entries.py
+++ b/tests/entry/test_odd_entries.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import itertools
+import random
 import time
+import types
 
 import pytest
 
+from boragefold.entry import gateway
+from boragefold.state import deployment
 from boragefold.timing import clock as clocks
 from tests.fakes import machines as machines_module
 from tests.fakes import odd_entries
@@ -105,3 +109,21 @@
         for number in range(GATEWAYS)
     }
     assert statuses == {200}
+
+
+@pytest.mark.parametrize("weights", [(1.0, -2.0), (0.0, 0.0), (-1.0, 1.0)])
+def test_weights_without_a_sum_still_choose_a_service(weights):
+    chooser = gateway.Gateway(
+        context=None,
+        members=None,
+        client=None,
+        owner=None,
+        self_id=None,
+        rng=random.Random(1),
+    )
+    services = tuple(
+        deployment.WeightedService(name, weight)
+        for name, weight in zip(("first", "second"), weights, strict=True)
+    )
+    route = types.SimpleNamespace(services=services)
+    assert chooser._pick_service(route) == "first"
