--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -56,13 +56,18 @@
 
     def __init__(self, *, gateways=2, hosts=None, zones=ZONES):
         """Choose addresses; `hosts` are the gateways' last two numbers."""
+        # A script that is stopped has to end what it started, too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         drawn = random.SystemRandom()
         self.net = f"127.{drawn.randrange(1, 250)}.{drawn.randrange(250)}"
         self.next_host = 1
         self.zones = zones
         self.store = self.address()
+        # Where a gateway finds the store, if not at its own address.
+        self.store_of = {}
         self.replicas = {}
+        self.entries = {}
         self.processes = {}
         self.names = [f"front-{n}" for n in range(gateways)]
         self.listen = {}
@@ -112,21 +117,27 @@
         self.spawn(name, [sys.executable, script, name, address, *figures])
         eventually(lambda: call(address, "GET", "/control/seen")[0] == 200)
         models = [{"name": "m0", "version": 1, "adapters": []}]
-        self.put(
-            f"servers/{name}",
-            {
-                "service": service,
-                "address": address,
-                "zone": self.zones[len(self.replicas) % len(self.zones)],
-                "slots": slots,
-                "state": "ready",
-                "models": models if events else [],
-                "born": 1,
-                "version": "v1",
-                "cold_remaining_ms": 0,
-                "sequence": 1,
-            },
-        )
+        self.entries[name] = {
+            "service": service,
+            "address": address,
+            "zone": self.zones[len(self.replicas) % len(self.zones)],
+            "slots": slots,
+            "state": "ready",
+            "models": models if events else [],
+            "born": 1,
+            "version": "v1",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+        self.publish(name)
+
+    def publish(self, name, **changes):
+        """Write a replica's entry, as it does itself now and then."""
+        with self.lock:
+            entry = self.entries[name]
+            entry.update(changes, sequence=entry["sequence"] + 1)
+            self.put(f"servers/{name}", entry)
+            return time.time()
 
     def put(self, key, value):
         query = parse.urlencode({"key": key})
@@ -144,8 +155,8 @@
             "serves": ["front", "control"],
             "ip": listen["front"].rpartition(":")[0],
             "zone": self.zones[number % len(self.zones)],
-            "region": "sul",
-            "zones": dict.fromkeys(ZONES, "sul"),
+            "region": "region",
+            "zones": dict.fromkeys(self.zones, "region"),
             "listen": listen,
             "seeds": [each["control"] for each in self.listen.values()][:3],
             "bootstrap": True,
@@ -163,7 +174,10 @@
                 "quota_overage": 0.25,
                 "quota_slack": 17000,
             },
-            "platform": {"address": self.store, "form": "read"},
+            "platform": {
+                "address": self.store_of.get(name, self.store),
+                "form": "read",
+            },
         }
 
     def start_gateway(self, name):
@@ -226,8 +240,11 @@
         return found
 
     def stop(self):
+        for each in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(each, signal.SIG_IGN)
         self.over.set()
-        time.sleep(0.1)
+        # Whoever restarts a process may be about to do so.
+        time.sleep(RESTART_SECONDS + 0.2)
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
