Show by which revision an endpoint was chosen, and where instances differ

Nothing is decided by it yet.

The digests are a message of their own, so an older instance refuses them and nothing else.

--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -45,6 +45,7 @@
         self._facts: dialects.AnswerFacts | None = None
         self.framing: http_client.Framing | None = None
         self._sent_at_seconds = 0.0
+        self._chosen_revision = 0
         self._result_recorded = False
         self._ended = False
         self._retry_at_end = False
@@ -93,6 +94,7 @@
         :param call: the request in the form that the endpoint receives
         """
         context = self._forwarding.context
+        self._chosen_revision = context.fleet.entry_revision(self.record.name)
         self._sent_at_seconds = context.timers.now_seconds()
         context.choice.sent(
             self.record.name, now_seconds=self._sent_at_seconds
@@ -153,6 +155,7 @@
         :param reused: whether the connection was used before
         """
         forwarding = self._forwarding
+        fleet = forwarding.context.fleet
         forwarding.sendings.record_written(
             request_sendings.Written(
                 endpoint=self.record.name,
@@ -164,7 +167,9 @@
                 connecting_seconds=self._ran_seconds(),
                 waited_seconds=forwarding.waited_seconds(),
                 remaining_seconds=forwarding.remaining_seconds(),
-                published_age_seconds=forwarding.context.fleet.age_seconds(),
+                published_age_seconds=fleet.age_seconds(),
+                chosen_revision=self._chosen_revision,
+                entry_revision=fleet.entry_revision(self.record.name),
             )
         )
         # Without a pending call, the call is being sent by ``begin``.
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -10,6 +10,7 @@
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import ownership as ownerships
+from boragefold.coordination.fleet import published_digests
 from boragefold.coordination.fleet import rate_messages
 from boragefold.coordination.fleet import readers
 from boragefold.coordination.fleet import relay
@@ -64,6 +65,7 @@
         prefixes: tuple[str, ...],
         must_relay: published_items.Matters,
         age_item: published_items.Age,
+        relayed_content: published_items.Content,
         make_subscriber: Callable[
             [fleets.Fleet, removal_grace.RemovalGrace],
             published_items.Subscriber,
@@ -80,6 +82,8 @@
         :param must_relay: tells which changes of published items must be
             relayed to instances that don't read the store
         :param age_item: returns an item as it would be written later
+        :param relayed_content: returns what instances have to agree on of an
+            item
         :param make_subscriber: creates the subscriber that applies published
             items
         :param read_settings: reads the settings again, for a reload
@@ -103,6 +107,7 @@
             matters=must_relay,
             prefixes=prefixes,
             age=age_item,
+            content=relayed_content,
             now_seconds=self.timers.now_seconds,
         )
         self._fleet_log = fleet_log.FleetLog(
@@ -212,6 +217,15 @@
             grace=self._grace,
             is_store_read=self._members.is_store_read,
         )
+        self._digests = published_digests.DigestExchange(
+            link=self._link,
+            items=self._items,
+            members=self._members,
+            timers=self.timers,
+            counters=self.counters,
+            log=self.log,
+            rng=self._rng,
+        )
         self._published_age = published_age.PublishedAge(
             confirmed_at_seconds=lambda: max(
                 self._followers.confirmed_at_seconds(),
@@ -232,6 +246,7 @@
             fleet=self._fleet,
             cold=self._loads.cold,
             ready=self.ready,
+            items=self._items,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -272,6 +287,7 @@
         self._fleet.subscribe(self._fleet_log.log_changes)
         self._followers.start()
         self._published_age.start()
+        self._digests.start()
         self._heartbeats.start()
         self.timers.every(
             period_seconds=REFRESH_SECONDS, callback=self._refresh
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -11,6 +11,7 @@
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
 from boragefold.state import fleet as fleets
+from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 from boragefold.transport import callers
@@ -39,6 +40,7 @@
         fleet: fleets.Fleet,
         cold: cold_endpoints.ColdEndpoints,
         ready: Callable[[], bool],
+        items: published_items.PublishedItems,
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -49,12 +51,14 @@
         :param fleet: the published deployment
         :param cold: the endpoints that are cold
         :param ready: tells whether the balancer should send callers here
+        :param items: the published items
         """
         self._sockets = sockets_
         self._counters = counters
         self._timers = timers
         self._fleet = fleet
         self._cold = cold
+        self._items = items
         self._instance_name = ""
         self._ready = ready
         self.callers = callers.CallersFace(
@@ -118,6 +122,7 @@
             "instance": self._instance_name,
             "ready": self._ready(),
             "published_age_seconds": round(self._fleet.age_seconds(), 3),
+            "published": [state._asdict() for state in self._items.states()],
             **self._cold.status(),
             "evacuations": fleet_log.describe_evacuations(
                 self._fleet, now_seconds=self._timers.now_seconds()
--- a/src/boragefold/entry/request_sendings.py
+++ b/src/boragefold/entry/request_sendings.py
@@ -19,7 +19,9 @@
 
     ``version`` is that of the adapter, 0 for any. ``connecting_seconds`` is
     how long it took to get the connection. ``published_age_seconds`` is how
-    old what this instance knows of the endpoints is. ``software_version`` and
+    old what this instance knows of the endpoints is, ``chosen_revision`` that
+    of the endpoint's entry when it was chosen, and ``entry_revision`` when the
+    request was written. ``software_version`` and
     ``born_milliseconds`` are those of the endpoint by its entry,
     ``resume_after`` is the event after which a stream is to go on.
     """
@@ -34,6 +36,8 @@
     waited_seconds: float
     remaining_seconds: float
     published_age_seconds: float = 0.0
+    chosen_revision: int = 0
+    entry_revision: int = 0
 
 
 class RequestSendings:
@@ -123,6 +127,8 @@
             reused_connection=written.reused_connection,
             remaining_seconds=round(written.remaining_seconds, 4),
             published_age_seconds=round(written.published_age_seconds, 3),
+            chosen_revision=written.chosen_revision,
+            entry_revision=written.entry_revision,
         )
 
     def close(self) -> None:
--- a/src/boragefold/protocol/peer_messages.py
+++ b/src/boragefold/protocol/peer_messages.py
@@ -13,6 +13,7 @@
 from boragefold.protocol import load_messages
 from boragefold.protocol import origin_messages
 from boragefold.protocol import path_messages
+from boragefold.protocol import published_messages
 from boragefold.protocol import rate_ledger_messages
 
 
@@ -279,6 +280,7 @@
     *load_messages.KINDS,
     *origin_messages.KINDS,
     *path_messages.KINDS,
+    *published_messages.KINDS,
     *rate_ledger_messages.KINDS,
 )
 
--- a/src/boragefold/state/fleet.py
+++ b/src/boragefold/state/fleet.py
@@ -44,6 +44,7 @@
         self.deployment: deployments.Deployment | None = None
         self.versions: dict[AdapterKey, int] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
+        self._entry_revisions: dict[str, int] = {}
         # Caches of what follows from the endpoints, reset by each change.
         self._by_service: dict[str, list[EndpointRecord]] | None = None
         self._engines: tuple[EndpointRecord, ...] | None = None
@@ -91,11 +92,15 @@
             self.versions[key] = version
             self._changed()
 
-    def set_endpoint(self, record: EndpointRecord) -> None:
+    def set_endpoint(
+        self, record: EndpointRecord, *, revision: int = 0
+    ) -> None:
         """Take over what an endpoint says of itself.
 
         :param record: the newest
+        :param revision: of the entry that it was read from
         """
+        self._entry_revisions[record.name] = revision
         if self._endpoints.get(record.name) != record:
             self._endpoints[record.name] = record
             self._changed()
@@ -107,6 +112,7 @@
 
         :param name: which
         """
+        self._entry_revisions.pop(name, None)
         if self._endpoints.pop(name, None) is not None:
             self._changed()
 
@@ -199,6 +205,14 @@
         """
         return self._endpoints.get(name)
 
+    def entry_revision(self, name: str) -> int:
+        """Return the revision of the entry that is in force for an endpoint.
+
+        :param name: the endpoint
+        :return: a revision of the store, 0 if there is no entry
+        """
+        return self._entry_revisions.get(name, 0)
+
     def names(self, *, leaving: bool = False) -> Iterator[str]:
         """List the endpoints by name.
 
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import xxhash
+
 
 class Item(NamedTuple):
     """The newest value of a key, or its removal where ``value`` is None.
@@ -25,9 +27,29 @@
 Matters = Callable[[Item | None, Item], bool]
 # Returns an item as it would be published some seconds later.
 Age = Callable[[Item, float], Item]
+# Returns the part of an item that has to be the same at all instances.
+Content = Callable[[Item], bytes]
 Subscriber = Callable[[list[Item]], None]
 
 
+class PrefixState(NamedTuple):
+    """What is known of the items below one prefix.
+
+    Every change that matters is known up to ``complete_revision``; the newest
+    of them is ``newest_revision``. ``digest`` covers what matters of all items
+    below the prefix.
+    """
+
+    prefix: str
+    newest_revision: int
+    complete_revision: int
+    digest: int
+
+
+def _content_of(item: Item) -> bytes:
+    return item.value or b""
+
+
 class PublishedItems:
     """Items by key; none ever goes back to an earlier revision.
 
@@ -50,6 +72,7 @@
         matters: Matters = lambda old, new: True,
         prefixes: Iterable[str] = (),
         age: Age = lambda item, seconds: item,
+        content: Content = _content_of,
         now_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Begin empty.
@@ -59,9 +82,13 @@
         :param prefixes: the starts of keys that are read apart
         :param age: reduces what counts down in an item by the time since it
             was read, for other instances: it would begin anew there
+        :param content: returns what matters of an item that exists
         :param now_seconds: reads the process clock
         """
         self._age = age
+        self._content = content
+        self._digests: dict[str, int] = {}
+        self._prefix_digests: dict[str, int] = {}
         self._now_seconds = now_seconds
         self._read_at_seconds: dict[str, float] = {}
         self._matters = matters
@@ -98,6 +125,7 @@
             if self._matters(self._items.get(item.key), item):
                 self._mattered[item.key] = item.revision
                 self._raise_told(self._prefix_of(item.key), item.revision)
+                self._update_digest(item)
             self._items[item.key] = item
             self._read_at_seconds[item.key] = self._now_seconds()
         for prefix, told_revision in (told or {}).items():
@@ -168,6 +196,33 @@
             if key.startswith(prefix) and item.value is not None
         )
 
+    def states(self) -> Iterator[PrefixState]:
+        """Describe what is known, to compare it between instances.
+
+        :return: the state of each prefix
+        """
+        return (
+            PrefixState(
+                prefix,
+                self.told.get(prefix, 0),
+                self.told.get(prefix, 0),
+                self._prefix_digests.get(prefix, 0),
+            )
+            for prefix in self._prefixes
+        )
+
+    def _update_digest(self, item: Item) -> None:
+        prefix = self._prefix_of(item.key)
+        digest = 0
+        if item.value is not None:
+            named = item.key.encode() + b"\0" + self._content(item)
+            digest = xxhash.xxh3_64_intdigest(named)
+        change = self._digests.get(item.key, 0) ^ digest
+        self._digests[item.key] = digest
+        self._prefix_digests[prefix] = (
+            self._prefix_digests.get(prefix, 0) ^ change
+        )
+
     def _prefix_of(self, key: str) -> str:
         return next(filter(key.startswith, self._prefixes), "")
 
@@ -181,8 +236,10 @@
 
 __all__ = [
     "Age",
+    "Content",
     "Item",
     "Matters",
+    "PrefixState",
     "PublishedItems",
     "Subscriber",
 ]
--- a/tests/entry/test_cold_endpoints.py
+++ b/tests/entry/test_cold_endpoints.py
@@ -20,6 +20,7 @@
 from boragefold.protocol import peer_messages as messages
 from boragefold.state import deployment
 from boragefold.state import fleet as fleets
+from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from boragefold.transport import http_client
 from tests.fakes import engine_loads
@@ -308,6 +309,7 @@
         fleet=one.fleet,
         cold=one.cold,
         ready=lambda: True,
+        items=published_items.PublishedItems(),
     )
     replies = []
     listeners._answer_operators(
