Reproduce requests to endpoints that leave, in two ways

What callers saw: requests reached endpoints later than 2 s after these had said that they leave. Both tests run real processes and fail on this code:

* An instance starts and rests after its listing of two pages.

--- a/src/boragefold/coordination/fleet/readers.py
+++ b/src/boragefold/coordination/fleet/readers.py
@@ -40,10 +40,10 @@
         and not member.beat.store_lost
         and not member.beat.leaving
     ]
-    own_rank = _rank(self_id)
+    own_rank = rank(self_id)
     better_ranked = sum(
         instance.data_centre == self_id.data_centre
-        and _rank(instance) < own_rank
+        and rank(instance) < own_rank
         for instance in eligible
     )
     hears_others = any(
@@ -54,7 +54,7 @@
     )
 
 
-def _rank(instance: ids.InstanceId) -> int:
+def rank(instance: ids.InstanceId) -> int:
     return xxhash.xxh3_64_intdigest(instance.address.encode())
 
 
@@ -62,4 +62,5 @@
     "CONNECTED_READERS",
     "ISOLATED_READERS",
     "is_reader",
+    "rank",
 ]
--- /dev/null
+++ b/tests/entry/test_missed_marks.py
@@ -0,0 +1,90 @@
+"""Endpoints that leave while an instance begins to read the store."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from boragefold.coordination.fleet import readers
+from boragefold.protocol import ids
+from boragefold.timing import clock as clocks
+from tests.fakes import gated_store
+from tests.fakes import machines as machines_module
+
+# Two in the first data centre, of which one reads the store.
+GATEWAYS = 3
+# With these, the entries fill two pages.
+FURTHER_ENTRIES = 70
+FURTHER_ENTRY = {
+    "service": "other",
+    "address": "127.0.0.1:9",
+    "zone": "dc-a",
+    "slots": 1,
+    "state": "ready",
+}
+# An endpoint that leaves serves for so long after the store has taken it.
+SERVED_ON_SECONDS = 2.0
+REQUESTS = 30
+# An instance has heard of the others by then; no call on the store is overdue.
+CALL_SECONDS = 0.4
+
+
+@pytest.fixture
+def machines(tmp_path):
+    machines = gated_store.GatedMachines(tmp_path, gateways=GATEWAYS)
+    try:
+        yield machines.start()
+    finally:
+        machines.stop()
+
+
+def resting_gateway(machines):
+    """Find the gateway that leaves reading the store to another one."""
+    return max(
+        (0, 2),
+        key=lambda number: readers.rank(
+            ids.InstanceId("", machines.gateways[number]["control"], "")
+        ),
+    )
+
+
+def restart(machines, number):
+    machines.processes[f"gateway-{number}"].kill()
+    machines.wait(number)
+    machines.start_gateway(number)
+    machines_module.eventually(lambda: machines.is_ready(number))
+
+
+def late_arrivals(machines, number, left_at_seconds):
+    for _ in range(REQUESTS):
+        machines.ask("/reads/1", number=number)
+    return sum(
+        each["at_seconds"] > left_at_seconds + SERVED_ON_SECONDS
+        for each in machines.seen("desk-0")["arrivals"]
+    )
+
+
+def test_a_mark_between_the_pages_of_a_listing_is_learned(machines):
+    # An endpoint of the first page leaves, and the second page is newer.
+    for number in range(FURTHER_ENTRIES):
+        machines.put(f"servers/further-{number:02}", FURTHER_ENTRY)
+    number = resting_gateway(machines)
+    gate = machines.gate(number)
+    marked_at_seconds = []
+
+    def mark_before_second_page(target):
+        if "servers" not in target or "kv-range" not in target:
+            return
+        time.sleep(CALL_SECONDS)
+        if "after=" in target and not marked_at_seconds:
+            machines.publish("desk-0", state="draining")
+            marked_at_seconds.append(clocks.BootClock().now_seconds())
+            machines.put("servers/joined", FURTHER_ENTRY)
+
+    gate.before_call = mark_before_second_page
+    restart(machines, number)
+    machines_module.eventually(lambda: marked_at_seconds)
+    (left_at_seconds,) = marked_at_seconds
+    time.sleep(SERVED_ON_SECONDS)
+    assert late_arrivals(machines, number, left_at_seconds) == 0
--- /dev/null
+++ b/tests/entry/test_silent_readers.py
@@ -0,0 +1,90 @@
+"""Instances that read the store for the others, and are cut off from it."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from boragefold.coordination.fleet import readers
+from boragefold.protocol import ids
+from boragefold.timing import clock as clocks
+from tests.fakes import machines as machines_module
+from tests.fakes import repeat_rule
+from tests.soak import proxy
+from tests.soak import run
+
+GATEWAYS = 6
+# Every endpoint renews its entry within this time.
+RENEW_SECONDS = 1.2
+# A configuration makes the long polls young.
+POLL_AGE_SECONDS = 0.3
+# An endpoint that leaves serves for so long after the store has taken it.
+SERVED_ON_SECONDS = 2.0
+ASK_SECONDS = 3.5
+
+
+@pytest.fixture
+def machines(tmp_path):
+    machines = run.SoakMachines(
+        tmp_path, limit=repeat_rule.LIMIT, gateways=GATEWAYS, direct=True
+    )
+    over = threading.Event()
+    try:
+        machines.start()
+        renewing = threading.Thread(target=renew, args=(machines, over))
+        renewing.start()
+        # Until the instances know each other.
+        time.sleep(2.0)
+        yield machines
+        over.set()
+        renewing.join()
+    finally:
+        over.set()
+        machines.stop()
+
+
+def renew(machines, over):
+    others = [name for name in machines.endpoints if name != "desk-0"]
+    while True:
+        for name in others:
+            if over.wait(RENEW_SECONDS / len(others)):
+                return
+            machines.publish(name)
+
+
+def store_readers(machines):
+    """Find the gateways that read the store, one of each data centre."""
+    by_centre = {}
+    for number, addresses in enumerate(machines.gateways):
+        centre = machines_module.CENTRES[number % 3]
+        by_centre.setdefault(centre, []).append(
+            (
+                readers.rank(ids.InstanceId("", addresses["control"], "")),
+                number,
+            )
+        )
+    return [min(ranked)[1] for ranked in by_centre.values()]
+
+
+def test_a_mark_is_learned_while_all_readers_are_cut_off_in_silence(machines):
+    # Nobody else asks the store until the long polls of the readers are late.
+    cut = store_readers(machines)
+    sound = [each for each in range(GATEWAYS) if each not in cut]
+    machines.put("op/config", machines_module.deployment(2))
+    time.sleep(POLL_AGE_SECONDS)
+    for number in cut:
+        machines.proxies.set(f"store-{number}", proxy.Mode.SILENT)
+    machines.publish("desk-0", state="draining")
+    left_at_seconds = clocks.BootClock().now_seconds()
+    while clocks.BootClock().now_seconds() < left_at_seconds + ASK_SECONDS:
+        for number in sound:
+            machines.ask("/reads/1", number=number)
+        time.sleep(0.02)
+    late_seconds = [
+        each["at_seconds"] - left_at_seconds
+        for each in machines.seen("desk-0")["arrivals"]
+        if each["at_seconds"] > left_at_seconds + SERVED_ON_SECONDS
+    ]
+    assert late_seconds == []
