Count as known only what was read without a gap

What callers saw: requests reached an endpoint up to 13.5 s after it had said that it leaves, from instances that had started shortly before.

Cause: a number that stands for "complete up to here" was raised by a part that came out of order. Whoever rests after its listing never asked for the mark, as its number said that it lacked nothing, and handed that number on.

Change: PublishedItems keeps, for each prefix, up to where it is complete. Only a listing (up to its first page) and changes that go on from there raise it; what lies beyond is used and proves nothing. Whoever lists several pages reads the changes since the first before it rests. Instances whose digests differ at the same numbers pull from each other all that lies below the prefix, ever less often where that doesn't help. A listing may hide a change and its reversal, so all that it changed is told to whoever asks.

The same class elsewhere: an answer to a peer may exceed what a link takes (2 MiB) and was then lost as a whole, for good; it is bounded, complete up to its last change, and the rest is pulled at once. Events of one answer in another order put the older one into force. An instance counted as ready before it had read the endpoints.

--- a/src/boragefold/coordination/fleet/published_digests.py
+++ b/src/boragefold/coordination/fleet/published_digests.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import random
+from typing import NamedTuple
 
 from boragefold.coordination.fleet import members as members_module
 import boragefold.coordination.link as links
@@ -23,6 +24,17 @@
 # an instance lasts.
 COMPARE_SECONDS = 1.0
 DIFFERENCES = "published_differences"
+# Instances of two releases may differ in what matters to them: what a pull
+# doesn't mend is pulled ever less often.
+FIRST_PAUSE_SECONDS = 2.0
+MAX_PAUSE_SECONDS = 60.0
+
+
+class Difference(NamedTuple):
+    """What a peer knows of a prefix differs; it is pulled again later."""
+
+    again_at_seconds: float
+    pause_seconds: float
 
 
 class DigestExchange:
@@ -38,9 +50,7 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        on_difference: Callable[[ids.InstanceId, str], None] = (
-            lambda peer, prefix: None
-        ),
+        pull_all: Callable[[ids.InstanceId, str, int], None],
     ) -> None:
         """Compare what is received, and send nothing yet.
 
@@ -51,8 +61,8 @@
         :param counters: counts the differences by prefix
         :param log: gets a line when a prefix begins or ceases to differ
         :param rng: chooses the peer
-        :param on_difference: called with a peer and the prefix of which it
-            knows something else
+        :param pull_all: requests from a peer what it knows below a prefix,
+            of which the newest change has a revision
         """
         self._link = link
         self._items = items
@@ -61,8 +71,9 @@
         self._counters = counters
         self._log = log
         self._rng = rng
-        self._on_difference = on_difference
-        self._differing: set[str] = set()
+        self._pull_all = pull_all
+        # By address of the peer, and prefix.
+        self._differences: dict[tuple[str, str], Difference] = {}
         link.subscribe(messages.PublishedDigests, self._handle)
 
     def start(self) -> None:
@@ -92,34 +103,46 @@
             if theirs.prefix in own
             and _is_comparable(theirs, own[theirs.prefix])
         ]
-        differing = [
-            theirs.prefix
-            for theirs, ours in compared
-            if theirs.digest != ours.digest
-        ]
+        differing = [pair for pair in compared if _differ(*pair)]
         for theirs, ours in compared:
-            self._record(sender, theirs, ours)
-        for prefix in differing:
-            self._on_difference(sender, prefix)
+            if _differ(theirs, ours):
+                self._handle_difference(sender, theirs, ours)
+            elif self._differences.pop((sender.address, ours.prefix), None):
+                self._write("published_agrees", sender, theirs, ours)
         if differing and not body.is_reply:
             self._send(sender, is_reply=True)
 
-    def _record(
+    def _handle_difference(
         self,
         sender: ids.InstanceId,
         theirs: messages.PrefixDigest,
         ours: published_items.PrefixState,
     ) -> None:
-        prefix = theirs.prefix
-        differs = theirs.digest != ours.digest
-        if differs:
-            self._counters.add(DIFFERENCES, prefix)
-        if differs == (prefix in self._differing):
+        self._counters.add(DIFFERENCES, ours.prefix)
+        now_seconds = self._timers.now_seconds()
+        known = self._differences.get((sender.address, ours.prefix))
+        if known is None:
+            self._write("published_differs", sender, theirs, ours)
+            pause_seconds = FIRST_PAUSE_SECONDS
+        elif now_seconds >= known.again_at_seconds:
+            pause_seconds = min(2 * known.pause_seconds, MAX_PAUSE_SECONDS)
+        else:
             return
-        self._differing ^= {prefix}
+        self._differences[sender.address, ours.prefix] = Difference(
+            now_seconds + pause_seconds, pause_seconds
+        )
+        self._pull_all(sender, theirs.prefix, theirs.newest_revision)
+
+    def _write(
+        self,
+        event: str,
+        sender: ids.InstanceId,
+        theirs: messages.PrefixDigest,
+        ours: published_items.PrefixState,
+    ) -> None:
         self._log.write(
-            "published_differs" if differs else "published_agrees",
-            prefix=prefix,
+            event,
+            prefix=ours.prefix,
             peer=sender.address,
             newest_revision=ours.newest_revision,
             complete_revision=ours.complete_revision,
@@ -128,6 +151,12 @@
         )
 
 
+def _differ(
+    theirs: messages.PrefixDigest, ours: published_items.PrefixState
+) -> bool:
+    return theirs.digest != ours.digest
+
+
 def _is_comparable(
     theirs: messages.PrefixDigest, ours: published_items.PrefixState
 ) -> bool:
@@ -141,5 +170,6 @@
 __all__ = [
     "COMPARE_SECONDS",
     "DIFFERENCES",
+    "Difference",
     "DigestExchange",
 ]
--- a/src/boragefold/coordination/fleet/relay.py
+++ b/src/boragefold/coordination/fleet/relay.py
@@ -4,13 +4,15 @@
 would continue with outdated routes, keys and endpoints, while other instances
 answer the same callers differently. Each heartbeat carries the newest
 revision of its sender; an instance that is behind, and gets no answer from
-the store, requests the missing changes.
+the store, requests the missing changes. An answer is bounded; the rest is
+requested as soon as it has come.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 import math
+from typing import NamedTuple
 
 from boragefold.coordination.fleet import removal_grace
 import boragefold.coordination.link as links
@@ -24,6 +26,20 @@
 # An item counts as published since the last heartbeat that showed nothing
 # missing, if that isn't older than this.
 CURRENT_SECONDS = 1.5
+# Of the values in one answer; a link drops messages above 2 MiB.
+MAX_ANSWER_BYTES = 1_000_000
+
+
+class PullProgress(NamedTuple):
+    """The changes that were requested last.
+
+    By prefix, all changes after ``known`` are requested until ``wanted`` is
+    reached.
+    """
+
+    peer: str
+    known: dict[str, int]
+    wanted: dict[str, int]
 
 
 class Relay:
@@ -57,6 +73,7 @@
         self._is_store_read = is_store_read
         self._asked_at_seconds = -ASK_PAUSE_SECONDS
         self._current_at_seconds = -math.inf
+        self._progress = PullProgress("", {}, {})
         link.subscribe(messages.Pull, self._handle_pull)
         link.subscribe(messages.Published, self._handle_published)
 
@@ -83,20 +100,45 @@
         if now_seconds - self._asked_at_seconds < ASK_PAUSE_SECONDS:
             return
         self._asked_at_seconds = now_seconds
-        pull = messages.Pull(told=dict(self._items.told))
-        self._link.send(to=sender, body=pull)
+        self._pull(sender, known=self._items.complete, wanted=beat.told)
+
+    def pull_all(
+        self, peer: ids.InstanceId, prefix: str, revision: int
+    ) -> None:
+        """Request all that a peer knows below a prefix.
+
+        :param peer: it knows something else than this instance, at the same
+            revision
+        :param prefix: the start of the keys
+        :param revision: of the newest change that it knows
+        """
+        known = {**self._items.complete, prefix: 0}
+        self._pull(peer, known=known, wanted={prefix: revision})
+
+    def _pull(
+        self,
+        peer: ids.InstanceId,
+        *,
+        known: dict[str, int],
+        wanted: dict[str, int],
+    ) -> None:
+        self._progress = PullProgress(peer.address, known, wanted)
+        self._link.send(to=peer, body=messages.Pull(told=known))
 
     def _handle_pull(
         self, sender: ids.InstanceId, pull: messages.Pull
     ) -> None:
+        changes = self._items.changes_after(
+            pull.told, max_bytes=MAX_ANSWER_BYTES
+        )
         items = tuple(
             messages.PublishedItem(item.key, item.revision, item.value)
-            for item in self._items.after(pull.told)
+            for item in changes.items
         )
         self._link.send(
             to=sender,
             body=messages.Published(
-                told=dict(self._items.told),
+                told=changes.told,
                 items=items,
                 settling_seconds=self._grace.remaining_seconds(),
             ),
@@ -114,10 +156,27 @@
             published_items.Item(*item, changed_at_seconds)
             for item in body.items
         )
-        newest = max(body.told.values(), default=0)
-        self._items.take(items, revision=newest, told=body.told)
+        self._items.receive(items, told=body.told)
+        self._pull_rest(sender, body.told)
+
+    def _pull_rest(self, sender: ids.InstanceId, told: dict[str, int]) -> None:
+        before = self._progress
+        if sender.address != before.peer:
+            return
+        known = {
+            prefix: max(told.get(prefix, 0), before.known.get(prefix, 0))
+            for prefix in told.keys() | before.known.keys()
+        }
+        is_whole = all(
+            known.get(prefix, 0) >= revision
+            for prefix, revision in before.wanted.items()
+        )
+        if known != before.known and not is_whole:
+            self._pull(sender, known=known, wanted=before.wanted)
 
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
+    "PullProgress",
     "Relay",
 ]
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -225,6 +225,7 @@
             counters=self.counters,
             log=self.log,
             rng=self._rng,
+            pull_all=self._relay.pull_all,
         )
         self._published_age = published_age.PublishedAge(
             confirmed_at_seconds=lambda: max(
@@ -303,10 +304,13 @@
     def ready(self) -> bool:
         """Tell whether the balancer should send callers to this instance.
 
-        :return: whether it has a deployment and isn't stopping
+        :return: whether it knows the deployment and the endpoints, and isn't
+            stopping
         """
-        known = self._fleet.deployment is not None
-        return known and not self.shutdown.has_begun
+        is_known = (
+            self._fleet.deployment is not None and self._items.is_complete()
+        )
+        return is_known and not self.shutdown.has_begun
 
     def _apply_settings(
         self, settings: gateway_settings.GatewaySettings
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -154,6 +154,9 @@
         self._listed: list[published_items.Item] = []
         self._listed_revision: int | None = None
         self._revision: int | None = None
+        # The revision of the listing's last page: what changed until then is
+        # read before the follower may rest.
+        self._listed_until_revision = 0
         self._retry_seconds = FIRST_RETRY_SECONDS
         self._asked_at_seconds = 0.0
         self._answered_at_seconds: float | None = None
@@ -257,6 +260,7 @@
             # Pages are no snapshot: the watch starts at the revision of the
             # first one, so that changes made while reading aren't missed.
             self._listed_revision = page.revision
+        self._listed_until_revision = page.revision
         if page.more:
             self._list(page.last_key)
             return
@@ -273,18 +277,26 @@
         return page.more and page.last_key <= after_key
 
     def _watch(self) -> None:
-        self._paused = not self._must_read()
+        known_revision = self._revision or 0
+        is_caught_up = known_revision >= self._listed_until_revision
+        self._paused = is_caught_up and not self._must_read()
         if self._paused:
             # Enough other instances of the data centre read the store.
             self._call_later(IDLE_CHECK_SECONDS, self._watch)
             return
         call = self._dialect.watch_call(
-            self._prefix, self._revision or 0, LONG_POLL_SECONDS
+            self._prefix,
+            known_revision,
+            LONG_POLL_SECONDS if is_caught_up else 0.0,
+        )
+        self._send(
+            call, lambda answer: self._handle_events(answer, known_revision)
         )
-        self._send(call, self._handle_events)
 
     def _handle_events(
-        self, answer: whole_answer.WholeAnswer | http_client.Failure
+        self,
+        answer: whole_answer.WholeAnswer | http_client.Failure,
+        after_revision: int,
     ) -> None:
         events = (
             StoreFailed(answer.reason)
@@ -300,7 +312,7 @@
             self._counters.add("store_histories_lost", self._prefix)
             self._list("")
             return
-        self._revision = max(self._revision or 0, events.revision)
+        self._revision = max(after_revision, events.revision)
         now_seconds = self._timers.now_seconds()
         self._items.take(
             (
@@ -310,6 +322,8 @@
             # Otherwise the changes may be as old as the gap in the reading.
             if was_current
             else events.items,
+            prefix=self._prefix,
+            after_revision=after_revision,
             revision=self._revision,
         )
         spent_seconds = self._timers.now_seconds() - self._asked_at_seconds
--- a/src/boragefold/state/published_items.py
+++ b/src/boragefold/state/published_items.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 from typing import NamedTuple
 
 import xxhash
@@ -50,6 +51,13 @@
     return item.value or b""
 
 
+class Changes(NamedTuple):
+    """Changes that matter, complete up to ``told`` by prefix."""
+
+    items: tuple[Item, ...]
+    told: dict[str, int]
+
+
 class PublishedItems:
     """Items by key; none ever goes back to an earlier revision.
 
@@ -58,8 +66,11 @@
     in force already. Removals are kept as well: without them an older copy
     of the item would bring it back.
 
-    ``revision`` is up to where all was read. ``told`` has for each prefix the
-    revision of the newest change that matters to instances that don't read the
+    For each prefix, all changes that matter are known up to some revision.
+    Only a reading without a gap raises it: a listing, up to the revision of
+    its first page, and changes that go on from what was complete. What is read
+    beyond it is used, and proves nothing about what lies between. ``told`` has
+    the newest change that matters within it, for instances that don't read the
     store. Prefixes are read apart: an instance that knows the newest
     configuration may not know yet that an endpoint leaves which was announced
     before it. With one number for both, whoever learned of the first from it
@@ -85,20 +96,49 @@
         :param content: returns what matters of an item that exists
         :param now_seconds: reads the process clock
         """
+        self._matters = matters
+        self._prefixes = tuple(prefixes) or ("",)
         self._age = age
         self._content = content
-        self._digests: dict[str, int] = {}
-        self._prefix_digests: dict[str, int] = {}
         self._now_seconds = now_seconds
+        self._items: dict[str, Item] = {}
         self._read_at_seconds: dict[str, float] = {}
-        self._matters = matters
-        self._prefixes = tuple(prefixes)
+        # By key: the newest change that may matter to another instance.
         self._mattered: dict[str, int] = {}
-        self._items: dict[str, Item] = {}
+        self._digests: dict[str, int] = {}
+        self._prefix_digests = dict.fromkeys(self._prefixes, 0)
+        self._complete: dict[str, int] = {}
+        # By prefix: changes that matter beyond what is complete.
+        self._ahead: dict[str, set[int]] = {
+            prefix: set() for prefix in self._prefixes
+        }
         self._subscribers: list[Subscriber] = []
-        self.revision = 0
         self.told: dict[str, int] = {}
 
+    @property
+    def revision(self) -> int:
+        """Return the newest revision up to which a prefix is complete.
+
+        :return: a revision of the store, 0 before anything was read
+        """
+        return max(self._complete.values(), default=0)
+
+    @property
+    def complete(self) -> dict[str, int]:
+        """Return up to where all changes that matter are known.
+
+        :return: a revision of the store by prefix, without those of which
+            nothing was read
+        """
+        return dict(self._complete)
+
+    def is_complete(self) -> bool:
+        """Tell whether all prefixes were read.
+
+        :return: whether all changes up to some revision of each are known
+        """
+        return self._complete.keys() == set(self._prefixes)
+
     def subscribe(self, callback: Subscriber) -> None:
         """Be told of each change.
 
@@ -110,31 +150,23 @@
         self,
         items: Iterable[Item],
         *,
+        prefix: str = "",
+        after_revision: int = 0,
         revision: int,
-        told: Mapping[str, int] | None = None,
     ) -> list[Item]:
-        """Take over what was read.
+        """Take over the changes between two revisions, as the store has them.
 
         :param items: in any order
-        :param revision: up to which these are complete
-        :param told: by prefix, the newest change that a peer told us of
+        :param prefix: start of the keys that were read, empty for all
+        :param after_revision: the revision that the changes come after
+        :param revision: up to which they are complete
         :return: the items that were news
         """
-        news = [item for item in items if self._is_news(item)]
-        for item in news:
-            if self._matters(self._items.get(item.key), item):
-                self._mattered[item.key] = item.revision
-                self._raise_told(self._prefix_of(item.key), item.revision)
-                self._update_digest(item)
-            self._items[item.key] = item
-            self._read_at_seconds[item.key] = self._now_seconds()
-        for prefix, told_revision in (told or {}).items():
-            self._raise_told(prefix, told_revision)
-        self.revision = max(self.revision, revision)
-        if news:
-            for callback in self._subscribers:
-                callback(news)
-        return news
+        news = self._apply(items)
+        for each in self._prefixes_below(prefix):
+            if after_revision <= self._complete.get(each, 0):
+                self._raise_complete(each, revision)
+        return self._publish(news)
 
     def replace(
         self, items: Iterable[Item], *, prefix: str, revision: int
@@ -156,33 +188,69 @@
             and item.value is not None
             and item.revision <= revision
         ]
-        return self.take([*listed, *removed], revision=revision)
+        news = self._apply([*listed, *removed], is_gapless=False)
+        for each in self._prefixes_below(prefix):
+            self._raise_complete(each, revision)
+        return self._publish(news)
+
+    def receive(
+        self, items: Iterable[Item], *, told: Mapping[str, int]
+    ) -> list[Item]:
+        """Take over a peer's answer to a request for what is missing here.
+
+        :param items: in any order
+        :param told: by prefix, up to where the answer is complete, from what
+            was complete here when it was requested
+        :return: the items that were news
+        """
+        news = self._apply(items)
+        for prefix, revision in told.items():
+            if prefix in self._ahead:
+                self._raise_complete(prefix, revision)
+                self._raise_told(prefix, revision)
+        return self._publish(news)
 
     def lacks(self, told: Mapping[str, int]) -> bool:
         """Tell whether somebody knows more than we do.
 
         :param told: by prefix, the newest change that it knows
-        :return: whether one of them is newer than ours
+        :return: whether one of them is newer than what is complete here
         """
         return any(
-            revision > self.told.get(prefix, 0)
+            revision > self._complete.get(prefix, 0)
             for prefix, revision in told.items()
+            if prefix in self._ahead
         )
 
-    def after(self, told: Mapping[str, int]) -> Iterator[Item]:
-        """List what changed since in a way that matters.
+    def changes_after(
+        self, known: Mapping[str, int], *, max_bytes: int
+    ) -> Changes:
+        """List what changed since in a way that matters, oldest first.
 
-        :param told: by prefix, the newest change that the asker has
-        :return: items, removals included
+        :param known: by prefix, up to where the asker knows all changes
+        :param max_bytes: the values together aren't larger, but for the first
+        :return: items, removals included, and up to where these are complete
         """
-        now_seconds = self._now_seconds()
-        return (
-            self._age(
-                self._items[key], now_seconds - self._read_at_seconds[key]
-            )
-            for key, mattered_revision in self._mattered.items()
-            if mattered_revision > told.get(self._prefix_of(key), 0)
+        missing = sorted(
+            (revision, key)
+            for key, revision in self._mattered.items()
+            if revision > known.get(self._prefix_of(key), 0)
         )
+        sizes = itertools.accumulate(
+            len(self._items[key].value or b"") for _, key in missing
+        )
+        fitting = sum(size <= max_bytes for size in sizes) or 1
+        if fitting >= len(missing):
+            chosen, told = missing, dict(self.told)
+        else:
+            # Changes of one revision stay together.
+            last_revision = missing[fitting - 1][0]
+            chosen = [each for each in missing if each[0] <= last_revision]
+            told = {
+                prefix: min(revision, last_revision)
+                for prefix, revision in self.told.items()
+            }
+        return Changes(tuple(self._aged(key) for _, key in chosen), told)
 
     def below(self, prefix: str) -> Iterator[Item]:
         """List what exists.
@@ -199,43 +267,87 @@
     def states(self) -> Iterator[PrefixState]:
         """Describe what is known, to compare it between instances.
 
-        :return: the state of each prefix
+        :return: the state of each prefix of which nothing is known beyond what
+            is complete
         """
         return (
             PrefixState(
                 prefix,
                 self.told.get(prefix, 0),
-                self.told.get(prefix, 0),
-                self._prefix_digests.get(prefix, 0),
+                self._complete.get(prefix, 0),
+                self._prefix_digests[prefix],
             )
             for prefix in self._prefixes
+            if not self._ahead[prefix]
         )
 
-    def _update_digest(self, item: Item) -> None:
+    def _apply(
+        self, items: Iterable[Item], *, is_gapless: bool = True
+    ) -> list[Item]:
+        news = []
+        for item in items:
+            known = self._items.get(item.key)
+            if known is not None and item.revision <= known.revision:
+                continue
+            if self._matters(known, item):
+                self._record_change(item)
+            elif not is_gapless:
+                # A change and its reversal may lie between the two.
+                self._mattered[item.key] = item.revision
+            self._items[item.key] = item
+            self._read_at_seconds[item.key] = self._now_seconds()
+            news.append(item)
+        return news
+
+    def _publish(self, news: list[Item]) -> list[Item]:
+        if news:
+            for callback in self._subscribers:
+                callback(news)
+        return news
+
+    def _record_change(self, item: Item) -> None:
         prefix = self._prefix_of(item.key)
+        self._mattered[item.key] = item.revision
+        self._update_digest(prefix, item)
+        if item.revision <= self._complete.get(prefix, 0):
+            self._raise_told(prefix, item.revision)
+        else:
+            self._ahead[prefix].add(item.revision)
+
+    def _update_digest(self, prefix: str, item: Item) -> None:
         digest = 0
         if item.value is not None:
             named = item.key.encode() + b"\0" + self._content(item)
             digest = xxhash.xxh3_64_intdigest(named)
-        change = self._digests.get(item.key, 0) ^ digest
+        self._prefix_digests[prefix] ^= self._digests.get(item.key, 0) ^ digest
         self._digests[item.key] = digest
-        self._prefix_digests[prefix] = (
-            self._prefix_digests.get(prefix, 0) ^ change
-        )
 
-    def _prefix_of(self, key: str) -> str:
-        return next(filter(key.startswith, self._prefixes), "")
+    def _raise_complete(self, prefix: str, revision: int) -> None:
+        complete = max(self._complete.get(prefix, 0), revision)
+        self._complete[prefix] = complete
+        reached = {each for each in self._ahead[prefix] if each <= complete}
+        self._ahead[prefix] -= reached
+        if reached:
+            self._raise_told(prefix, max(reached))
 
     def _raise_told(self, prefix: str, revision: int) -> None:
         self.told[prefix] = max(self.told.get(prefix, 0), revision)
 
-    def _is_news(self, item: Item) -> bool:
-        known = self._items.get(item.key)
-        return known is None or item.revision > known.revision
+    def _aged(self, key: str) -> Item:
+        age_seconds = self._now_seconds() - self._read_at_seconds[key]
+        return self._age(self._items[key], age_seconds)
+
+    def _prefixes_below(self, start: str) -> list[str]:
+        found = [each for each in self._prefixes if each.startswith(start)]
+        return found or [self._prefix_of(start)]
+
+    def _prefix_of(self, key: str) -> str:
+        return next(filter(key.startswith, self._prefixes), self._prefixes[0])
 
 
 __all__ = [
     "Age",
+    "Changes",
     "Content",
     "Item",
     "Matters",
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -283,11 +283,29 @@
     # heartbeat.
     items = published_items.PublishedItems(prefixes=["op/"])
     items.take([published_items.Item("op/x", 5, b"x")], revision=5)
-    items.take([], revision=7, told={"op/": 7})
+    items.receive([], told={"op/": 7})
     assert not items.lacks({"op/": 7})
     assert items.lacks({"op/": 8})
 
 
+def test_more_than_one_message_holds_is_requested_in_parts() -> None:
+    # A link drops a larger message, and its receiver lacked all of it for good.
+    fleet = settled()
+    refused, reader, *_ = fleet.instances.values()
+    size = relay.MAX_ANSWER_BYTES // 3
+    many = [
+        published_items.Item(f"servers/e{number}", number, bytes(size))
+        for number in range(1, 11)
+    ]
+    received = []
+    refused.items.subscribe(lambda news: received.append(len(news)))
+    refused.behind = True
+    reader.items.take(many, revision=10)
+    fleet.run(2.0)
+    assert received == [3, 3, 3, 1]
+    assert refused.items.told == reader.items.told
+
+
 def test_nothing_published_ever_goes_back() -> None:
     items = published_items.PublishedItems()
     items.take([published_items.Item("k", 5, b"new")], revision=5)
--- a/tests/coordination/fleet/test_published_digests.py
+++ b/tests/coordination/fleet/test_published_digests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from boragefold.coordination.fleet import published_digests
+from boragefold.protocol import peer_messages
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from tests.fakes import gateways
@@ -24,7 +25,11 @@
         self.events.append((event, fields.get("prefix")))
 
 
-def add_digests(instance, **options):
+def ignore(peer, prefix, revision):
+    pass
+
+
+def add_digests(instance, *, mends=False):
     log = Log()
     exchange = published_digests.DigestExchange(
         link=instance.node.link,
@@ -34,7 +39,7 @@
         counters=telemetry.Counters(),
         log=log,
         rng=random.Random(1),
-        **options,
+        pull_all=instance.relay.pull_all if mends else ignore,
     )
     exchange.start()
     return log
@@ -57,11 +62,39 @@
     told = [log for log in logs if log.events]
     assert logs[0] in told
     assert len(told) > 1
-    lacking.items.take([LEAVING], revision=3)
-    fleet.run(10.0)
-    assert {log.events[-1] for log in told} == {
-        ("published_agrees", "servers/")
-    }
+
+
+def test_a_difference_at_the_same_number_is_mended(fleet) -> None:
+    lacking, contagious, *others = fleet.instances.values()
+    for each in fleet.instances.values():
+        add_digests(each, mends=True)
+    for each in others:
+        each.items.take([READY, LEAVING, LATER], revision=3)
+    for each in (lacking, contagious):
+        each.items.take([READY, LATER], revision=3)
+    fleet.run(5.0)
+    assert {
+        state
+        for each in fleet.instances.values()
+        for state in each.items.states()
+    } == {*others[0].items.states()}
+    assert LEAVING.value in {x.value for x in lacking.items.below("servers/")}
+
+
+def test_what_a_pull_doesnt_mend_is_pulled_ever_less_often(fleet) -> None:
+    # Two releases may differ in what matters to them.
+    odd, *others = fleet.instances.values()
+    for each in fleet.instances.values():
+        add_digests(each, mends=True)
+    odd.items._content = lambda item: b"other"
+    pulls = []
+    for each in fleet.instances.values():
+        each.relay._link.subscribe(
+            peer_messages.Pull, lambda sender, pull: pulls.append(sender)
+        )
+        each.items.take([READY], revision=1)
+    fleet.run(60.0)
+    assert 0 < len(pulls) < 20 * len(others)
 
 
 def test_whoever_is_behind_by_the_numbers_doesnt_differ(fleet) -> None:
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -266,3 +266,19 @@
     harness.pass_time(60.0)
     assert not harness.calls
     assert not harness.log.events
+
+
+def test_whoever_rests_reads_first_what_changed_between_its_pages():
+    # An endpoint of the first page left while the second one was read.
+    harness = Harness(must_read=lambda: False)
+    harness.answer(store_follower.Page((item("s/a", 2),), 5, "s/a", True))
+    harness.answer(store_follower.Page((item("s/b", 7),), 7, "s/b", False))
+    assert harness.items.complete == {"": 5}
+    harness.fail()
+    harness.pass_time(2 * store_follower.FIRST_RETRY_SECONDS)
+    mark = published_items.Item("s/a", 6, b"leaving")
+    events = store_follower.Events((mark, item("s/b", 7)), 8)
+    assert harness.answer(events) == ("watch", 5)
+    assert harness.items.complete == {"": 8}
+    harness.pass_time(10.0)
+    assert not harness.calls
--- a/tests/platform/test_coldness.py
+++ b/tests/platform/test_coldness.py
@@ -122,7 +122,8 @@
                 grace=types.SimpleNamespace(cancel=lambda name: None),
             ).apply(news)
         )
-        later.take(items.after({}), revision=1)
+        changes = items.changes_after({}, max_bytes=1_000)
+        later.receive(changes.items, told=changes.told)
         record = fleet.endpoint("i-1")
         assert (record.cold_seconds, record.cold_stated) == (left, True)
 
