Notice within a second that the readers of the store are cut off

Cause: one instance of a data centre reads the store for all. A silent link shows when a long poll is overdue, after 2.0 + 0.7 s, and nobody else reads until then. The class: the time after which a silence counts is longer than the time within which what it hides has to be in force.

Change: below the prefix whose items are renewed all the time the store is asked to wait 0.3 s, not 2 s; it answers sooner anyway while it works, so calls stay as many (one in 0.7 s). That the store doesn't answer an instance is passed on at once, as the end of an engine's owner is, and whoever has to read instead checks ten times a second, by a role that is decided anew only when a peer changed.

--- a/src/boragefold/coordination/fleet/member.py
+++ b/src/boragefold/coordination/fleet/member.py
@@ -87,13 +87,13 @@
 
     :param beat: the state that an instance reports of itself
     :return: engines it owns and whether each can load now, whether it is
-        leaving, engines it can't reach, and the newest published revisions
-        that it has
+        leaving, engines it can't reach, the newest published revisions that
+        it has, and whether the store doesn't answer it
     """
     engines = tuple(
         (engine.name, engine.orders_in_seconds > 0) for engine in beat.engines
     )
-    return engines, beat.leaving, beat.avoids, beat.told
+    return engines, beat.leaving, beat.avoids, beat.told, beat.store_lost
 
 
 def ownership_state(beat: messages.Beat) -> tuple[object, ...]:
--- a/src/boragefold/coordination/fleet/readers.py
+++ b/src/boragefold/coordination/fleet/readers.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from boragefold.coordination.fleet import member as member_module
+from boragefold.coordination.fleet import members as members_module
 from boragefold.protocol import ids
 
 # In a data centre that reaches no other: one may fail without a gap.
@@ -24,6 +25,35 @@
 CONNECTED_READERS = 1
 
 
+class ReaderRole:
+    """Whether this instance reads the store now."""
+
+    def __init__(
+        self, *, self_id: ids.InstanceId, members: members_module.Members
+    ) -> None:
+        """Decide nothing yet.
+
+        :param self_id: the identity of this instance
+        :param members: the other instances
+        """
+        self._self_id = self_id
+        self._members = members
+        self._decided_for = (-1, -1)
+        self._must_read = True
+
+    def must_read(self) -> bool:
+        """Tell whether this instance has to read the store.
+
+        :return: decided anew only when a peer has changed
+        """
+        reachable = self._members.reachable()
+        versions = (self._members.version, self._members.urgent_version)
+        if versions != self._decided_for:
+            self._decided_for = versions
+            self._must_read = is_reader(self._self_id, reachable)
+        return self._must_read
+
+
 def is_reader(
     self_id: ids.InstanceId, members: Iterable[member_module.Member]
 ) -> bool:
@@ -61,6 +91,7 @@
 __all__ = [
     "CONNECTED_READERS",
     "ISOLATED_READERS",
+    "ReaderRole",
     "is_reader",
     "rank",
 ]
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -63,6 +63,7 @@
         engines: engine_dialect.EngineDialect,
         store_dialect: store_follower.StoreDialect,
         prefixes: tuple[str, ...],
+        renewed_prefix: str,
         must_relay: published_items.Matters,
         age_item: published_items.Age,
         relayed_content: published_items.Content,
@@ -79,6 +80,7 @@
         :param engines: encodes and decodes the calls that manage adapters
         :param store_dialect: encodes and decodes the calls on the store
         :param prefixes: key prefixes that are read from the store
+        :param renewed_prefix: the one whose items are renewed all the time
         :param must_relay: tells which changes of published items must be
             relayed to instances that don't read the store
         :param age_item: returns an item as it would be written later
@@ -130,6 +132,7 @@
         )
         self._followers = store_followers.StoreFollowers(
             prefixes=prefixes,
+            renewed_prefix=renewed_prefix,
             dialect=store_dialect,
             client=self._client,
             items=self._items,
@@ -137,7 +140,7 @@
             counters=self.counters,
             log=self.log,
             rng=self._rng,
-            must_read=self._must_read,
+            must_read=lambda: self._reader_role.must_read(),
             grace=self._grace,
         )
         self._link = gateway_link.open_link(
@@ -149,6 +152,9 @@
         self._members = members_module.Members(
             timers=self.timers, self_id=self._link.self_id
         )
+        self._reader_role = readers.ReaderRole(
+            self_id=self._link.self_id, members=self._members
+        )
         self._rate = shared_rate.SharedRate(tolerance=settings.rate_tolerance)
         self._heartbeats = heartbeats.Heartbeats(
             link=self._link,
@@ -321,9 +327,6 @@
         self._rate.tolerance = settings.rate_tolerance
         self._fleet.evacuations.limit_seconds = settings.evacuate_seconds
 
-    def _must_read(self) -> bool:
-        return readers.is_reader(self._link.self_id, self._members.reachable())
-
     def _make_beat(self) -> messages.Beat:
         return messages.Beat(
             uptime_seconds=self._members.uptime_seconds,
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -17,6 +17,10 @@
 
 # Long-poll time; also bounds how long a dead connection goes unnoticed.
 LONG_POLL_SECONDS = 2.0
+# The same below a prefix where items are renewed all the time. A dead
+# connection shows early enough for another instance to read a change before
+# it has to be in force.
+RENEWED_POLL_SECONDS = 0.3
 # How long an answer may be late after the end of a long poll.
 ANSWER_MARGIN_SECONDS = 0.7
 # Changes that come in quick succession share one read.
@@ -24,7 +28,7 @@
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.0
 # How often an instance that doesn't read the store checks whether it has to.
-IDLE_CHECK_SECONDS = 0.3
+IDLE_CHECK_SECONDS = 0.1
 # Endpoints renew their entries at least this often, so a watch on them is
 # answered within this time while the store works.
 HEALTHY_SECONDS = 1.0
@@ -123,6 +127,7 @@
         counters: telemetry.Counters,
         log: decision_log.DecisionLog,
         rng: random.Random,
+        poll_seconds: float = LONG_POLL_SECONDS,
         must_read: Callable[[], bool] = lambda: True,
         on_recovery: Callable[[], None] = lambda: None,
     ) -> None:
@@ -136,6 +141,7 @@
         :param counters: metrics of this process
         :param log: decision log of this process
         :param rng: adds jitter to the retries
+        :param poll_seconds: how long the store waits for a change
         :param must_read: tells whether this instance has to go on reading the
             store after its first listing
         :param on_recovery: called when the store answers after a failure
@@ -148,6 +154,7 @@
         self._counters = counters
         self._log = log
         self._rng = rng
+        self._poll_seconds = poll_seconds
         self._must_read = must_read
         self._on_recovery = on_recovery
         self._paused = False
@@ -287,7 +294,7 @@
         call = self._dialect.watch_call(
             self._prefix,
             known_revision,
-            LONG_POLL_SECONDS if is_caught_up else 0.0,
+            self._poll_seconds if is_caught_up else 0.0,
         )
         self._send(
             call, lambda answer: self._handle_events(answer, known_revision)
--- a/src/boragefold/entry/store_followers.py
+++ b/src/boragefold/entry/store_followers.py
@@ -21,6 +21,7 @@
         self,
         *,
         prefixes: tuple[str, ...],
+        renewed_prefix: str,
         dialect: store_follower.StoreDialect,
         client: http_client.HttpClient,
         items: published_items.PublishedItems,
@@ -34,6 +35,7 @@
         """Create the followers without starting them.
 
         :param prefixes: key prefixes that are read
+        :param renewed_prefix: the one whose items are renewed all the time
         :param dialect: encodes and decodes the calls on the store
         :param client: sends the calls
         :param items: stores the published items
@@ -55,6 +57,11 @@
                 counters=counters,
                 log=log,
                 rng=rng,
+                poll_seconds=(
+                    store_follower.RENEWED_POLL_SECONDS
+                    if prefix == renewed_prefix
+                    else store_follower.LONG_POLL_SECONDS
+                ),
                 must_read=must_read,
                 on_recovery=grace.store_recovered,
             )
