Let go of finished requests when their timers are cancelled

Cause: a cancelled timer stays in the heap until it would have been due, and kept its callback, a bound method of a request; so each finished request stayed in memory, body included, until its time-out. The class: what is over is kept alive by what would have ended it. The same elsewhere: an exchange and its request refer to each other, so both stayed until a collection of garbage.

Change: cancelling drops the callback; an exchange drops its callbacks when it is over.

Evidence: test_what_was_cancelled_holds_nothing_until_it_would_be_due fails without the change to the timers.

--- a/src/boragefold/timing/timers.py
+++ b/src/boragefold/timing/timers.py
@@ -16,6 +16,10 @@
     callback()
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class Subscription:
     """A scheduled callback that can be cancelled."""
 
@@ -27,8 +31,10 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Prevent all further calls."""
+        """Prevent all further calls, and let go of the callback."""
         self.cancelled = True
+        # The heap keeps the subscription until it would have been due.
+        self.callback = _do_nothing
 
 
 class TimerService:
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -92,7 +92,7 @@
     def finish(self) -> None:
         """End the answer; only a whole answer may be ended."""
         if not self.finished:
-            self.finished = True
+            self._release()
             self._connection.finish()
 
     def abort(self) -> None:
@@ -102,7 +102,7 @@
         a whole one.
         """
         if not self.finished:
-            self.finished = True
+            self._release()
             self._connection.abort()
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
@@ -119,9 +119,10 @@
 
     def closed(self) -> None:
         """Learn that the caller is gone; called by the connection."""
-        self.finished = True
-        if self.on_closed is not None:
-            self.on_closed()
+        on_closed = self.on_closed
+        self._release()
+        if on_closed is not None:
+            on_closed()
 
     def give_up(self) -> None:
         """Demand the final answer now; called when the process ends."""
@@ -133,6 +134,12 @@
         if self.on_drained is not None and not self.finished:
             self.on_drained()
 
+    def _release(self) -> None:
+        # These and the exchange refer to each other, with a whole request,
+        # which would stay until the next collection of garbage.
+        self.finished = True
+        self.on_closed = self.on_drained = self.on_given_up = None
+
 
 __all__ = [
     "Answering",
--- a/tests/timing/test_timers.py
+++ b/tests/timing/test_timers.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import gc
+import weakref
+
 from boragefold.timing import clock as clocks
 from boragefold.timing import timers
 
@@ -31,3 +34,22 @@
     clock.move_to(2.0)
     assert service.run_due() == 0
     assert not calls
+
+
+def test_what_was_cancelled_holds_nothing_until_it_would_be_due() -> None:
+    # Finished requests stayed in memory, body included, until their time-out.
+    class Request:
+        def time_out(self) -> None:
+            raise AssertionError
+
+    service = timers.TimerService(clock=clocks.VirtualClock())
+    request = Request()
+    subscription = service.once(delay_seconds=15.0, callback=request.time_out)
+    held = weakref.ref(request)
+    gc.disable()
+    try:
+        subscription.cancel()
+        del request
+        assert held() is None
+    finally:
+        gc.enable()
