Put 24 bits of the address into fencing tokens

Cause: a number that was meant to be unique took 10 bits of an address. Change: the low 24 bits, and no longer the position of the data centre; tokens take 61 bits.

--- a/src/boragefold/coordination/fleet/fencing_numbers.py
+++ b/src/boragefold/coordination/fleet/fencing_numbers.py
@@ -6,18 +6,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 import ipaddress
 from typing import NamedTuple
 
 # Tokens hold the millisecond at which the engine started, so that they differ
 # after a restart under the same name. Counted from the start of 2024, UTC.
 EPOCH_MILLISECONDS = 1_704_067_200_000
-# Low bits of a token that hold the sending instance's number.
-ISSUER_BITS = 15
-# Low bits of that number that come from the instance's address; the others are
-# the position of its data centre.
-ADDRESS_BITS = 10
+# Low bits of a token that hold the sending instance's number. A token stays
+# below two to the power of 63 until 2041.
+ISSUER_BITS = 24
 
 
 class OrderCount(NamedTuple):
@@ -27,21 +24,15 @@
     orders: int
 
 
-def issuer_number(
-    *, data_centres: Iterable[str], data_centre: str, address: str
-) -> int:
+def issuer_number(*, address: str) -> int:
     """Compute the number of an instance for its fencing tokens.
 
-    :param data_centres: all data centres, the same on every instance
-    :param data_centre: the instance's data centre
     :param address: its IPv4 address, optionally with a port
-    :return: below two to the power of ISSUER_BITS; unique for the first 1,024
-        addresses in each of 32 data centres
+    :return: below two to the power of ISSUER_BITS; unique among addresses
+        that have their first 8 bits in common
     """
-    position = sorted(data_centres).index(data_centre)
     number = int(ipaddress.IPv4Address(address.partition(":")[0]))
-    low_bits = number % (1 << ADDRESS_BITS)
-    return ((position << ADDRESS_BITS) | low_bits) % (1 << ISSUER_BITS)
+    return number % (1 << ISSUER_BITS)
 
 
 def fence(counted: OrderCount | None, *, issuer: int) -> int:
--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -361,11 +361,7 @@
             counters=self.counters,
             log=self.log,
             lease_seconds=settings.order_lease_seconds,
-            issuer=fencing_numbers.issuer_number(
-                data_centres=settings.data_centres,
-                data_centre=settings.data_centre,
-                address=settings.peer_listen,
-            ),
+            issuer=fencing_numbers.issuer_number(address=settings.peer_listen),
             leases=order_leases.connect(
                 link=self._link,
                 members=self._members,
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -289,7 +289,7 @@
 
 
 def test_more_than_one_message_holds_is_requested_in_parts() -> None:
-    # A link drops a larger message, and its receiver lacked all of it for good.
+    # A link drops a larger message, and its receiver lacked all of it.
     fleet = settled()
     refused, reader, *_ = fleet.instances.values()
     size = relay.MAX_ANSWER_BYTES // 3
--- a/tests/coordination/fleet/test_order_turns.py
+++ b/tests/coordination/fleet/test_order_turns.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import ipaddress
 import itertools
 
 import pytest
@@ -504,15 +505,22 @@
 
 
 def test_each_instance_has_a_number_of_its_own() -> None:
-    centres = [f"dc-{number:02}" for number in range(29)]
     numbers = {
-        fencing_numbers.issuer_number(
-            data_centres=centres,
-            data_centre=centre,
-            address=f"10.{place}.0.{host}:8000",
-        )
-        for place, centre in enumerate(centres)
+        fencing_numbers.issuer_number(address=f"10.{place}.0.{host}:8000")
+        for place in range(29)
         for host in range(1, 32)
     }
     assert len(numbers) == 29 * 31
     assert max(numbers) < 2**fencing_numbers.ISSUER_BITS
+
+
+@pytest.mark.parametrize("bit", range(fencing_numbers.ISSUER_BITS))
+def test_no_two_subnets_share_their_tokens(bit) -> None:
+    # Addresses of one data centre that were equal modulo 1,024 shared them.
+    base = ipaddress.IPv4Address("10.1.0.25")
+    other = ipaddress.IPv4Address(int(base) ^ 1 << bit)
+    one, two = (
+        fencing_numbers.issuer_number(address=f"{each}:7000")
+        for each in (base, other)
+    )
+    assert one != two
--- a/tests/fakes/fleet_walk.py
+++ b/tests/fakes/fleet_walk.py
@@ -131,11 +131,7 @@
             counters=counters.Counters(),
             log=log,
             lease_seconds=model_engine.LEASE_SECONDS,
-            issuer=fencing_numbers.issuer_number(
-                data_centres=walk.centres,
-                data_centre=centre,
-                address=address,
-            ),
+            issuer=fencing_numbers.issuer_number(address=address),
             leases=self._leases(log) if walk.has_leases else AllHeld(),
             count_other_loads=lambda: 0,
             owner_change=self.ownership.change,
--- a/tests/fakes/order_walk.py
+++ b/tests/fakes/order_walk.py
@@ -86,9 +86,7 @@
             counters=counters.Counters(),
             log=log,
             lease_seconds=model_engine.LEASE_SECONDS,
-            issuer=fencing_numbers.issuer_number(
-                data_centres=[CENTRE], data_centre=CENTRE, address=address
-            ),
+            issuer=fencing_numbers.issuer_number(address=address),
             leases=leases.voted(
                 self.node,
                 walk.voters,
