Take a success that stops behind its head for broken off

Reports and orders of engines, the store and tickets need a whole document, and the product's own interface the terminator of a stream.

What did happen: a head that is whole, states neither length nor chunks, and is all that comes. Change: a success without framing of which no byte of a body came is broken off, unless it takes up a stream, of which nothing may be left. An endpoint that means an empty body can say so by a length of 0.

--- a/src/boragefold/entry/answer_end.py
+++ b/src/boragefold/entry/answer_end.py
@@ -22,17 +22,25 @@
 
 
 def judge_end(
-    framing: http_client.Framing, *, inside_event: bool, confirmed: bool
+    framing: http_client.Framing,
+    *,
+    is_empty_success: bool,
+    inside_event: bool,
+    confirmed: bool,
 ) -> Verdict:
     """Judge an answer by itself.
 
     :param framing: what showed its end
+    :param is_empty_success: whether it is a success of which no body came
     :param inside_event: whether it is a stream whose last event is incomplete
     :param confirmed: whether a peer has checked why the connection closed
     :return: ``UNPROVEN`` if the endpoint has to be looked at
     """
     if inside_event:
         return Verdict.BROKEN
+    if framing is http_client.Framing.CLOSE and is_empty_success:
+        # Endpoints state a length of 0; this one stopped behind its head.
+        return Verdict.BROKEN
     if framing is http_client.Framing.CLOSE and not confirmed:
         return Verdict.UNPROVEN
     return Verdict.WHOLE
--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -231,13 +231,19 @@
             return
         verdict = answer_end.judge_end(
             framing,
+            is_empty_success=self._is_empty_success(),
             inside_event=self._forwarding.inside_event,
             confirmed=self._pending is not None and bool(self._pending.peer),
         )
         if verdict is answer_end.Verdict.BROKEN:
             self.failed(
                 http_client.Failure(
-                    reason=break_evidence.INSIDE_EVENT, may_have_arrived=True
+                    reason=(
+                        break_evidence.INSIDE_EVENT
+                        if self._forwarding.inside_event
+                        else break_evidence.BEHIND_HEAD
+                    ),
+                    may_have_arrived=True,
                 )
             )
         elif verdict is answer_end.Verdict.UNPROVEN:
@@ -254,6 +260,14 @@
         else:
             self._finish()
 
+    def _is_empty_success(self) -> bool:
+        # Of a stream that is taken up, nothing may be left.
+        return (
+            self._status in caller_answer.SUCCESSES
+            and self._first_data_at_seconds is None
+            and not self._forwarding.resume_after
+        )
+
     def end_without_evidence(self) -> bool:
         """Finish the request if only the end of its response is in question.
 
--- a/src/boragefold/entry/break_evidence.py
+++ b/src/boragefold/entry/break_evidence.py
@@ -13,6 +13,7 @@
 
 # How a stream is broken off that seems to end in good order.
 INSIDE_EVENT = "inside_event"
+BEHIND_HEAD = "behind_head"
 
 
 class BreakCause(enum.Enum):
@@ -86,6 +87,7 @@
 
 
 __all__ = [
+    "BEHIND_HEAD",
     "BreakCause",
     "ClosingEvidence",
     "DetectedCrash",
--- a/src/boragefold/entry/crash_detector.py
+++ b/src/boragefold/entry/crash_detector.py
@@ -33,7 +33,12 @@
 # How answers of a process that has ended break. Others fail a request for
 # reasons of its own, such as its deadline.
 BREAK_REASONS = frozenset(
-    {streams.END_OF_INPUT, streams.RESET, break_evidence.INSIDE_EVENT}
+    {
+        streams.END_OF_INPUT,
+        streams.RESET,
+        break_evidence.INSIDE_EVENT,
+        break_evidence.BEHIND_HEAD,
+    }
 )
 # A lost packet delays the answer to a probe beyond its timeout, and a process
 # that ends accepts connections for a moment.
--- a/src/boragefold/standins/endpoint_connection.py
+++ b/src/boragefold/standins/endpoint_connection.py
@@ -4,6 +4,7 @@
 
 import enum
 import os
+from typing import NamedTuple
 
 import h11
 
@@ -31,8 +32,27 @@
     EXIT = "exit"
 
 
+class HeadFault(NamedTuple):
+    """Breaks a head off.
+
+    ``sent`` bounds the bytes of it that are sent, counted from its end if it
+    is negative. ``interim`` sends a whole interim answer before it.
+    """
+
+    sent: int
+    interim: bool = False
+
+
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
 class EndpointConnection(http_server.ServerConnection):
-    """Sends an answer that is to close the connection without any framing."""
+    """Sends an answer that is to close the connection without any framing.
+
+    With a ``head_fault``, the head of the next answer is broken off.
+    """
+
+    head_fault: HeadFault | None = None
 
     def send(self, event: h11.Event) -> bool:
         """Send a part of an answer.
@@ -43,6 +63,11 @@
         if isinstance(event, h11.Response) and _is_unframed(event):
             # Answers to HTTP/1.0 have no chunks.
             self._parser.their_http_version = HTTP_1_0
+        if isinstance(event, h11.Response) and self.head_fault is not None:
+            interim = INTERIM if self.head_fault.interim else b""
+            head = self._parser.send(event) or b""
+            self.stream.write(interim + head[: self.head_fault.sent])
+            return False
         return super().send(event)
 
     def _ends_at_close(self, head: h11.Response) -> bool:
@@ -97,6 +122,7 @@
     "EndpointConnection",
     "Ending",
     "Framing",
+    "HeadFault",
     "break_off",
     "framing_headers",
 ]
--- a/src/boragefold/standins/endpoint_faults.py
+++ b/src/boragefold/standins/endpoint_faults.py
@@ -21,6 +21,7 @@
     events. ``cut_after`` breaks a stream off after so many events, inside the
     next one unless ``cut_between``, and other answers in their midst, all by
     ``ending``; with ``cut_body``, only those to requests whose body begins so.
+    ``cut_head`` breaks the heads of answers off by ``ending``.
     ``exit_when_done`` ends the process after its next whole answer,
     ``endless`` sends an answer of this form instead, ``endless_calls`` does
     so for reports and orders, and ``unframed_calls`` sends these without a
@@ -45,6 +46,7 @@
     cut_body: str = ""
     cut_parts: tuple[str, ...] = ()
     ending: endpoint_connection.Ending = endpoint_connection.Ending.CLOSE
+    cut_head: endpoint_connection.HeadFault | None = None
     exit_when_done: bool = False
     unframed_calls: bool = False
     endless: endless_answers.Form | None = None
--- a/src/boragefold/standins/machines_endpoint.py
+++ b/src/boragefold/standins/machines_endpoint.py
@@ -282,6 +282,9 @@
         ]
         if not self._faults.unsigned:
             headers.append((SIGNATURE, f"signed-by-{self._name}"))
+        if fails and faults.cut_head is not None:
+            self._break_head_off(request, exchange, headers)
+            return
         if fails and faults.endless:
             self._endless.send(exchange, faults.endless, headers)
             return
@@ -309,6 +312,23 @@
         whole = faults.cut_after if is_cut else None
         self._stream(exchange, iter(pieces), whole)
 
+    def _break_head_off(
+        self,
+        request: http_server.Request,
+        exchange: http_server.Exchange,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        connection = exchange.connection
+        if isinstance(connection, endpoint_connection.EndpointConnection):
+            connection.head_fault = self._faults.cut_head
+        framing = self._faults.framing or endpoint_connection.Framing.LENGTH
+        # The length that the head would state must not be that of no body.
+        framed = endpoint_connection.framing_headers(
+            framing, len(request.target)
+        )
+        exchange.start(machines_http.STATUS_OK, [*headers, *framed])
+        self._break_off(exchange)
+
     def _event(self, number: int) -> bytes:
         text = f"t{number} {self._software_version}".rstrip()
         lines = (f"id: {number}", f"data: {text}", "", "")
--- a/tests/entry/test_answer_end.py
+++ b/tests/entry/test_answer_end.py
@@ -16,7 +16,9 @@
 @pytest.mark.parametrize("framing", FRAMING)
 def test_no_framing_completes_an_event(framing) -> None:
     # An engine that crashes inside an event may end its chunks properly.
-    verdict = answer_end.judge_end(framing, inside_event=True, confirmed=True)
+    verdict = answer_end.judge_end(
+        framing, is_empty_success=False, inside_event=True, confirmed=True
+    )
     assert verdict is VERDICT.BROKEN
 
 
@@ -33,11 +35,26 @@
 def test_a_close_alone_proves_nothing(framing, confirmed, verdict) -> None:
     # The kernel closes the connections of a crashed process in good order.
     found = answer_end.judge_end(
-        framing, inside_event=False, confirmed=confirmed
+        framing,
+        is_empty_success=False,
+        inside_event=False,
+        confirmed=confirmed,
     )
     assert found is verdict
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_a_success_without_framing_and_body_isnt_whole(confirmed) -> None:
+    # An endpoint that stopped behind its head closes in good order.
+    found = answer_end.judge_end(
+        FRAMING.CLOSE,
+        is_empty_success=True,
+        inside_event=False,
+        confirmed=confirmed,
+    )
+    assert found is VERDICT.BROKEN
+
+
 @pytest.mark.parametrize(
     ("cause", "listens", "others_broke", "verdict"),
     [
