Let the soak mark endpoints beside listings, and silence the readers

Two named kinds: an endpoint leaves and others join while an instance starts and reads a store of several pages; and all readers are cut off in silence while an endpoint leaves. A further check holds every instance that nothing was done to at the 2 s that an endpoint serves on, where the older one allows 3 s to all.

The proxies close both ends of their connections at the end of a run: writers that were left behind failed within whatever ran when they were collected.

--- a/tests/entry/test_missed_marks.py
+++ b/tests/entry/test_missed_marks.py
@@ -6,11 +6,10 @@
 
 import pytest
 
-from boragefold.coordination.fleet import readers
-from boragefold.protocol import ids
 from boragefold.timing import clock as clocks
 from tests.fakes import gated_store
 from tests.fakes import machines as machines_module
+from tests.fakes import store_readers
 
 # Two in the first data centre, of which one reads the store.
 GATEWAYS = 3
@@ -41,12 +40,7 @@
 
 def resting_gateway(machines):
     """Find the gateway that leaves reading the store to another one."""
-    return max(
-        (0, 2),
-        key=lambda number: readers.rank(
-            ids.InstanceId("", machines.gateways[number]["control"], "")
-        ),
-    )
+    return max((0, 2), key=lambda each: store_readers.rank(machines, each))
 
 
 def restart(machines, number):
--- a/tests/entry/test_silent_readers.py
+++ b/tests/entry/test_silent_readers.py
@@ -7,11 +7,10 @@
 
 import pytest
 
-from boragefold.coordination.fleet import readers
-from boragefold.protocol import ids
 from boragefold.timing import clock as clocks
 from tests.fakes import machines as machines_module
 from tests.fakes import repeat_rule
+from tests.fakes import store_readers
 from tests.soak import proxy
 from tests.soak import run
 
@@ -54,23 +53,9 @@
             machines.publish(name)
 
 
-def store_readers(machines):
-    """Find the gateways that read the store, one of each data centre."""
-    by_centre = {}
-    for number, addresses in enumerate(machines.gateways):
-        centre = machines_module.CENTRES[number % 3]
-        by_centre.setdefault(centre, []).append(
-            (
-                readers.rank(ids.InstanceId("", addresses["control"], "")),
-                number,
-            )
-        )
-    return [min(ranked)[1] for ranked in by_centre.values()]
-
-
 def test_a_mark_is_learned_while_all_readers_are_cut_off_in_silence(machines):
     # Nobody else asks the store until the long polls of the readers are late.
-    cut = store_readers(machines)
+    cut = store_readers.of_each_data_centre(machines)
     sound = [each for each in range(GATEWAYS) if each not in cut]
     machines.put("op/config", machines_module.deployment(2))
     time.sleep(POLL_AGE_SECONDS)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -22,6 +22,8 @@
 KEY_SECONDS = 3.0
 # The same for an endpoint that was announced to leave.
 LEAVING_SECONDS = 3.0
+# The same at instances that nothing was done to.
+SERVED_ON_SECONDS = 2.0
 # Of any route, and repeats with more time than is left, unless these are less
 # than a fifth of those sent late.
 MAX_ATTEMPTS = 2
@@ -57,6 +59,7 @@
         *_orders(run),
         *_withdrawn(run, seen),
         *_leaving(run),
+        *_left_late(run, seen),
         *_planned_stops(run, seen),
         *_still_stops(run, seen),
         *_repeats(run, seen),
@@ -165,6 +168,19 @@
             yield f"DRAIN: {name} still got {len(late)}: {late[0]}"
 
 
+def _left_late(run, seen) -> Iterator[str]:
+    gateway_of = {each.request_id: each.gateway for each in seen}
+    for name, (gone, back) in run.left.items():
+        for each in run.machines.seen(name)["runs"]:
+            at_seconds = each["at_seconds"]
+            gateway = gateway_of.get(_attempt(each))
+            if gateway is None or run.touched(gateway, at_seconds):
+                continue
+            if gone + SERVED_ON_SECONDS < at_seconds < back:
+                late_seconds = at_seconds - gone
+                yield f"DRAIN: {name} got {each} {late_seconds:.2f} s late"
+
+
 def _planned_stops(run, seen) -> Iterator[str]:
     for gateway, at_seconds in run.planned_stops:
         for each in seen:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -66,6 +66,8 @@
     "endless_answers": 2,
     "odd_entry": 3,
     "stop_still": 2,
+    "mark_beside_start": 3,
+    "readers_silent": 2,
 }
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -157,6 +157,8 @@
         self.by_name[name].silenced.discard(source)
 
     def close(self) -> None:
+        for each in self.by_name.values():
+            self._loop.call_soon_threadsafe(each.reset)
         asyncio.run_coroutine_threadsafe(_cancel_all(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from tests.soak import checks
 from tests.soak import culprits
 from tests.soak import endpoint_faults
+from tests.soak import listings
 from tests.soak import plan
 from tests.soak import proxy
 from tests.soak import stalls
@@ -74,6 +75,7 @@
     culprits.CulpritFaults,
     versions.VersionFaults,
     stalls.StallFaults,
+    listings.ListingFaults,
 ):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -83,6 +83,16 @@
     _play(tmp_path, seed=62, faults=faults, length_seconds=24.0)
 
 
+def test_marks_are_learned_while_instances_start_and_readers_are_cut_off(
+    tmp_path,
+) -> None:
+    # Of several pages and of the links of readers, nothing shows a gap.
+    kinds = ("mark_beside_start", "readers_silent")
+    faults = plan.make(68, kinds=kinds, length_seconds=24.0)
+    assert {fault.kind for fault in faults} == set(kinds)
+    _play(tmp_path, seed=68, faults=faults, length_seconds=24.0)
+
+
 def test_repeats_stay_within_their_budget(tmp_path) -> None:
     # Requests whose connections broke were sent again outside of the budget.
     faults = [
