Let a process that starts grant no burst anew

Cause: a bucket that a process doesn't know began full, and with the whole tolerance. The class: who knows nothing of the past assumes the best of it.

Change: a bucket is never fuller than one that was drained when the process started, the tolerance used up. What was asked for first waits as long as it takes at the workspace's rate.

Evidence: test_a_process_that_starts_grants_no_burst_anew fails before (10 and 10 of 20 are admitted).

--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -155,7 +155,10 @@
         self._reader_role = readers.ReaderRole(
             self_id=self._link.self_id, members=self._members
         )
-        self._rate = shared_rate.SharedRate(tolerance=settings.rate_tolerance)
+        self._rate = shared_rate.SharedRate(
+            tolerance=settings.rate_tolerance,
+            started_at_seconds=self.timers.now_seconds(),
+        )
         self._heartbeats = heartbeats.Heartbeats(
             link=self._link,
             timers=self.timers,
--- a/src/boragefold/policy/shared_rate.py
+++ b/src/boragefold/policy/shared_rate.py
@@ -26,8 +26,7 @@
 # After this, the callers of an ended instance use other instances.
 PEER_EXPIRY_SECONDS = 20.0
 MIN_RETRY_AFTER_SECONDS = 0.1
-# The rest covers what others admitted since their last heartbeat, and buckets
-# that start full.
+# The rest covers what others admitted since their last heartbeat.
 TOLERANCE_SHARE = 0.5
 
 
@@ -74,7 +73,20 @@
 class SharedRate:
     """The buckets of all workspaces on one instance."""
 
-    def __init__(self, *, tolerance: Tolerance | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        tolerance: Tolerance | None = None,
+        started_at_seconds: float = -math.inf,
+    ) -> None:
+        """Begin without buckets.
+
+        :param tolerance: how far a workspace may exceed its rate
+        :param started_at_seconds: when this process started: what was admitted
+            before that is unknown, so no bucket is fuller than one that was
+            drained then
+        """
+        self._started_at_seconds = started_at_seconds
         self.tolerance = tolerance or Tolerance()
         self._buckets: dict[str, Bucket] = {}
         self._admitted: dict[str, float] = {}
@@ -181,9 +193,7 @@
     ) -> Bucket:
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = Bucket(
-                level=workspace.burst, filled_at_seconds=now_seconds
-            )
+            bucket = self._make_bucket(workspace, now_seconds)
             self._buckets[workspace.name] = bucket
         elapsed_seconds = max(0.0, now_seconds - bucket.filled_at_seconds)
         rate = workspace.rate_per_second * share
@@ -198,6 +208,18 @@
             bucket.withheld_until_seconds = now_seconds
         return bucket
 
+    def _make_bucket(
+        self, workspace: deployment.Workspace, now_seconds: float
+    ) -> Bucket:
+        filled_seconds = max(0.0, now_seconds - self._started_at_seconds)
+        filled = workspace.rate_per_second * filled_seconds
+        # What may be admitted beyond the rate may have been, too.
+        drained = -self.tolerance.extra(workspace)
+        return Bucket(
+            level=min(workspace.burst, drained + filled),
+            filled_at_seconds=now_seconds,
+        )
+
 
 def reachable_share(
     peer_ages_seconds: Iterable[float], silent_seconds: float
--- a/tests/policy/test_shared_rate.py
+++ b/tests/policy/test_shared_rate.py
@@ -179,3 +179,34 @@
     rate = shared_rate.SharedRate()
     free = workspace(rate=0.0, burst=0.0)
     assert rate.admit(free, 1e9, share=1.0, now_seconds=0.0) is None
+
+
+def test_a_process_that_starts_grants_no_burst_anew() -> None:
+    # Kills under a workspace beyond its limit granted the burst once a process.
+    started_at = 100.0
+    rate = shared_rate.SharedRate(started_at_seconds=started_at)
+    offers = {"at once": 0.15, "later": 0.55}
+    admitted = {
+        name: sum(
+            rate.admit(
+                workspace()._replace(name=name),
+                100.0,
+                share=1.0,
+                now_seconds=started_at + after_seconds,
+            )
+            is None
+            for _ in range(20)
+        )
+        for name, after_seconds in offers.items()
+    }
+    assert admitted == {"at once": 1, "later": 5}
+    # Whoever has run for long knows that nothing was admitted.
+    assert (
+        rate.admit(
+            workspace()._replace(name="quiet"),
+            1_000.0,
+            share=1.0,
+            now_seconds=started_at + 60.0,
+        )
+        is None
+    )
