--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -10,11 +10,7 @@
 from boragefold.coordination.fleet import members as members_module
 from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import ownership as ownerships
-from boragefold.coordination.fleet import published_digests
 from boragefold.coordination.fleet import rate_messages
-from boragefold.coordination.fleet import readers
-from boragefold.coordination.fleet import relay
-from boragefold.coordination.fleet import removal_grace
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
@@ -26,20 +22,17 @@
 from boragefold.entry import owner_client
 from boragefold.entry import peer_paths
 from boragefold.entry import process_loop
-from boragefold.entry import published_age
+from boragefold.entry import published_parts
 from boragefold.entry import request_parts
 from boragefold.entry import service_loads
 from boragefold.entry import settings_reload
 from boragefold.entry import shutdown
-from boragefold.entry import store_follower
-from boragefold.entry import store_followers
 from boragefold.policy import admission_counts
 from boragefold.policy import shared_rate
 from boragefold.protocol import peer_messages as messages
 from boragefold.settings import gateway as gateway_settings
 from boragefold.state import evacuations
 from boragefold.state import fleet as fleets
-from boragefold.state import published_items
 from boragefold.transport import http_client
 
 # Ownership of engines and pending engine requests are refreshed this often.
@@ -61,16 +54,7 @@
         settings: gateway_settings.GatewaySettings,
         dialect: dialects.Dialect,
         engines: engine_dialect.EngineDialect,
-        store_dialect: store_follower.StoreDialect,
-        prefixes: tuple[str, ...],
-        renewed_prefix: str,
-        must_relay: published_items.Matters,
-        age_item: published_items.Age,
-        relayed_content: published_items.Content,
-        make_subscriber: Callable[
-            [fleets.Fleet, removal_grace.RemovalGrace],
-            published_items.Subscriber,
-        ],
+        published: published_parts.PublishedFormat,
         read_settings: Callable[[], gateway_settings.GatewaySettings],
     ) -> None:
         """Create and connect the parts, without binding any address.
@@ -78,16 +62,7 @@
         :param settings: validated settings
         :param dialect: encodes and decodes HTTP of callers and endpoints
         :param engines: encodes and decodes the calls that manage adapters
-        :param store_dialect: encodes and decodes the calls on the store
-        :param prefixes: key prefixes that are read from the store
-        :param renewed_prefix: the one whose items are renewed all the time
-        :param must_relay: tells which changes of published items must be
-            relayed to instances that don't read the store
-        :param age_item: returns an item as it would be written later
-        :param relayed_content: returns what instances have to agree on of an
-            item
-        :param make_subscriber: creates the subscriber that applies published
-            items
+        :param published: how the platform publishes items
         :param read_settings: reads the settings again, for a reload
         """
         self.settings = settings
@@ -102,47 +77,14 @@
                 data_centres=settings.data_centres,
                 limit_seconds=settings.evacuate_seconds,
             ),
-            age_seconds=lambda: self._published_age.seconds(),
+            age_seconds=lambda: self._published.age.seconds(),
             run=self._guard.runner("fleet"),
         )
-        self._items = published_items.PublishedItems(
-            matters=must_relay,
-            prefixes=prefixes,
-            age=age_item,
-            content=relayed_content,
-            now_seconds=self.timers.now_seconds,
-        )
-        self._fleet_log = fleet_log.FleetLog(
-            fleet=self._fleet,
-            items=self._items,
-            log=self.log,
-            counters=self.counters,
-            now_seconds=self.timers.now_seconds,
-        )
-        self._grace = removal_grace.RemovalGrace(
-            timers=self.timers,
-            drop=self._fleet.drop_endpoint,
-            peer_had_store=lambda: self._members.is_store_read(),
-        )
-        self._items.subscribe(make_subscriber(self._fleet, self._grace))
         self._client = http_client.HttpClient(
             sockets_=self._sockets,
             timers=self.timers,
             connect_seconds=CONNECT_SECONDS,
         )
-        self._followers = store_followers.StoreFollowers(
-            prefixes=prefixes,
-            renewed_prefix=renewed_prefix,
-            dialect=store_dialect,
-            client=self._client,
-            items=self._items,
-            timers=self.timers,
-            counters=self.counters,
-            log=self.log,
-            rng=self._rng,
-            must_read=lambda: self._reader_role.must_read(),
-            grace=self._grace,
-        )
         self._link = gateway_link.open_link(
             settings=settings,
             loop=self.loop,
@@ -152,8 +94,23 @@
         self._members = members_module.Members(
             timers=self.timers, self_id=self._link.self_id
         )
-        self._reader_role = readers.ReaderRole(
-            self_id=self._link.self_id, members=self._members
+        self._published = published_parts.PublishedParts(
+            published=published,
+            fleet=self._fleet,
+            client=self._client,
+            link=self._link,
+            members=self._members,
+            timers=self.timers,
+            counters=self.counters,
+            log=self.log,
+            rng=self._rng,
+        )
+        self._fleet_log = fleet_log.FleetLog(
+            fleet=self._fleet,
+            items=self._published.items,
+            log=self.log,
+            counters=self.counters,
+            now_seconds=self.timers.now_seconds,
         )
         self._rate = shared_rate.SharedRate(
             tolerance=settings.rate_tolerance,
@@ -218,33 +175,6 @@
             ),
             needs_grant=self._loads.cold.is_engine_limited,
         )
-        self._relay = relay.Relay(
-            link=self._link,
-            items=self._items,
-            timers=self.timers,
-            behind=self._followers.may_be_behind,
-            grace=self._grace,
-            is_store_read=self._members.is_store_read,
-        )
-        self._digests = published_digests.DigestExchange(
-            link=self._link,
-            items=self._items,
-            members=self._members,
-            timers=self.timers,
-            counters=self.counters,
-            log=self.log,
-            rng=self._rng,
-            pull_all=self._relay.pull_all,
-        )
-        self._published_age = published_age.PublishedAge(
-            confirmed_at_seconds=lambda: max(
-                self._followers.confirmed_at_seconds(),
-                self._relay.confirmed_at_seconds(),
-            ),
-            timers=self.timers,
-            counters=self.counters,
-            log=self.log,
-        )
         self._listeners = gateway_listeners.GatewayListeners(
             sockets_=self._sockets,
             application=guarded_application.GuardedApplication(
@@ -256,7 +186,7 @@
             fleet=self._fleet,
             cold=self._loads.cold,
             ready=self.ready,
-            items=self._items,
+            items=self._published.items,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -290,14 +220,12 @@
         self._settings_reloader.register(self.loop)
         self._settings_reloader.start()
         self._members.subscribe(
-            on_beat=self._relay.on_beat,
+            on_beat=self._published.relay.on_beat,
             on_replaced=self._owner.remove_peer,
             on_silent=self._fleet_log.record_silence,
         )
         self._fleet.subscribe(self._fleet_log.log_changes)
-        self._followers.start()
-        self._published_age.start()
-        self._digests.start()
+        self._published.start()
         self._heartbeats.start()
         self.timers.every(
             period_seconds=REFRESH_SECONDS, callback=self._refresh
@@ -317,7 +245,8 @@
             stopping
         """
         is_known = (
-            self._fleet.deployment is not None and self._items.is_complete()
+            self._fleet.deployment is not None
+            and self._published.items.is_complete()
         )
         return is_known and not self.shutdown.has_begun
 
@@ -334,12 +263,12 @@
         return messages.Beat(
             uptime_seconds=self._members.uptime_seconds,
             leaving=self.shutdown.has_begun,
-            told=dict(self._items.told),
+            told=dict(self._published.items.told),
             engines=self._owner.statuses(),
             avoids=self._owner.engines_to_release(),
             link_megabits=self.settings.link_megabits,
-            store_sound=self._followers.is_store_healthy(),
-            store_lost=self._followers.any_failing(),
+            store_sound=self._published.followers.is_store_healthy(),
+            store_lost=self._published.followers.any_failing(),
             unheard=self._members.silent_targets(),
         )
 
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -17,13 +17,13 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import itertools
-from typing import NamedTuple
 
 from boragefold.policy import cold_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_queue
 from boragefold.policy import engine_slots
 from boragefold.policy import engine_speed
+from boragefold.policy import engine_waits
 from boragefold.policy import request_states
 from boragefold.policy import running_requests
 from boragefold.state import deployment
@@ -31,18 +31,8 @@
 AdapterKey = deployment.AdapterKey
 EngineRequest = engine_decisions.EngineRequest
 Action = engine_decisions.Action
-PromptTotals = request_states.PromptTotals
 QueuedRequest = request_states.QueuedRequest
-AdapterQueue = request_states.AdapterQueue
-
-# Part of the time until a request gives up that it may spend in the queue; the
-# rest is for the response.
-MAX_WAIT_SHARE = 0.8
-# Requests that will start late run when none can start on time any more. They
-# may wait behind a backlog of this part of the time until they give up: such a
-# backlog remains after a burst and is worked off after it. Behind a longer one
-# they would wait in vain, since the overload lasts.
-MAX_LATE_WAIT_SHARE = 0.3
+
 # A queue takes this long to change: earlier retries would be refused again.
 MIN_RETRY_AFTER_SECONDS = 0.2
 # Reason of the refusal of an eager request.
@@ -51,25 +41,6 @@
 QUEUE_TOO_LONG = "queue_too_long"
 
 
-class SlotWait(NamedTuple):
-    """Estimates how long adapters wait for a slot of one engine."""
-
-    available: int
-    mean_run_seconds: float
-    capacity: int
-
-    def seconds(self, ahead: int) -> float:
-        """Estimate the wait of one adapter.
-
-        :param ahead: how many adapters wait for a slot before it
-        :return: seconds until a slot is free
-        """
-        behind = 1 + ahead - self.available
-        if behind <= 0:
-            return 0.0
-        return self.mean_run_seconds * behind / self.capacity
-
-
 class EngineSchedule:
     """The queue, the running requests and the adapters of one engine."""
 
@@ -89,6 +60,13 @@
         self._runs = running_requests.RunningRequests(
             engine=engine, speed=self._speed
         )
+        self._waits = engine_waits.EngineWaits(
+            slots=slots,
+            cold=self.cold,
+            queue=self._queue,
+            speed=self._speed,
+            runs=self._runs,
+        )
 
     @property
     def running(self) -> int:
@@ -118,8 +96,8 @@
             "unstarted_tokens": self._runs.pending_prompts().tokens,
             "fixed_seconds": round(self._speed.fixed_seconds, 3),
             "tokens_per_second": round(self._speed.tokens_per_second),
-            "backlog_seconds": round(self.backlog_seconds(), 3),
-            "place_wait_seconds": round(self.slot_wait_seconds(), 3),
+            "backlog_seconds": round(self._waits.backlog_seconds(), 3),
+            "place_wait_seconds": round(self._waits.slot_wait_seconds(), 3),
             "orders_in_seconds": round(self.slots.orders_in_seconds, 3),
             "places": self.slots.summary(),
         }
@@ -129,21 +107,14 @@
 
         :return: seconds; without the load of an adapter
         """
-        # Without the requests that wait for an adapter slot, which are
-        # prefilled when they have one: counted here, they would send requests
-        # of loaded adapters to other engines, where each takes a further slot.
-        soon = self._adapters_with_slots()
-        return self._prefill_seconds(
-            self._runs.pending_prompts(),
-            *(adapter.totals() for adapter in soon),
-        )
+        return self._waits.backlog_seconds()
 
     def slot_wait_seconds(self) -> float:
         """Estimate how long an adapter that isn't loaded waits for a slot.
 
         :return: seconds; 0 if a slot is empty or its adapter idle
         """
-        return self._slot_wait().seconds(self._adapters_without_slot())
+        return self._waits.slot_wait_seconds()
 
     def cold_wait_seconds(self, *, now_seconds: float) -> float:
         """Estimate how long a cold engine's rate delays one more request.
@@ -167,8 +138,8 @@
             # position in the queue.
             return None
         waiting = self._queue.prepare(request, now_seconds=now_seconds)
-        wait_seconds = self._wait_seconds(waiting, now_seconds)
-        if request.eager and self._would_be_late(
+        wait_seconds = self._waits.wait_seconds(waiting, now_seconds)
+        if request.eager and self._waits.would_be_late(
             request, wait_seconds, now_seconds
         ):
             return engine_decisions.Refusal(
@@ -177,7 +148,7 @@
                 retry_after_seconds=0.0,
                 wait_seconds=wait_seconds,
             )
-        excess_seconds = self._excess_seconds(
+        excess_seconds = self._waits.excess_seconds(
             request, wait_seconds, now_seconds
         )
         if excess_seconds > 0:
@@ -294,7 +265,7 @@
         :return: whether a queued request needs an adapter that isn't loaded,
             or a newer version of a loaded one was published
         """
-        lacking = self._adapters_without_slot() > 0
+        lacking = self._waits.adapters_without_slot() > 0
         return lacking or self.slots.outdated() is not None
 
     def next_due_seconds(self, *, now_seconds: float) -> float | None:
@@ -351,94 +322,6 @@
             and waiting.request.request_id in self._queue
         )
 
-    def _is_late(self, request: EngineRequest, now_seconds: float) -> bool:
-        # A request whose adapter can't be loaded in time is late too: if it
-        # got the next slot, one that could start on time would miss it.
-        starts_at_seconds = (
-            now_seconds
-            + self.slots.until_ready_seconds(
-                request.adapter, now_seconds=now_seconds
-            )
-            + self._speed.prefill_seconds(request.prompt_tokens)
-        )
-        return starts_at_seconds > request.start_deadline_at_seconds
-
-    def _excess_seconds(
-        self, request: EngineRequest, wait_seconds: float, now_seconds: float
-    ) -> float:
-        remaining_seconds = request.queue_deadline_at_seconds - now_seconds
-        excess_seconds = wait_seconds - MAX_WAIT_SHARE * remaining_seconds
-        reading_seconds = self._speed.prefill_seconds(request.prompt_tokens)
-        starts_at_seconds = now_seconds + wait_seconds + reading_seconds
-        if starts_at_seconds <= request.start_deadline_at_seconds:
-            return excess_seconds
-        backlog_seconds = self.backlog_seconds()
-        if not self._has_slot(request):
-            backlog_seconds = max(backlog_seconds, self.slot_wait_seconds())
-        late_seconds = (
-            backlog_seconds - MAX_LATE_WAIT_SHARE * remaining_seconds
-        )
-        return max(excess_seconds, late_seconds)
-
-    def _would_be_late(
-        self, request: EngineRequest, wait_seconds: float, now_seconds: float
-    ) -> bool:
-        if not self._runs.limit.allows(len(self._queue)):
-            return True
-        # Other instances know the state of this engine as of half a second
-        # ago; since then, the idle slot may be taken or a queue have formed.
-        held = self.slots.holds(request.adapter)
-        if not held and not self.slots.can_load_one_more(
-            self._adapters_without_slot(),
-            self._queue.counts,
-            now_seconds=now_seconds,
-        ):
-            return True
-        reading_seconds = self._speed.prefill_seconds(request.prompt_tokens)
-        starts_at_seconds = now_seconds + wait_seconds + reading_seconds
-        return starts_at_seconds > request.start_deadline_at_seconds
-
-    def _wait_seconds(
-        self, waiting: QueuedRequest, now_seconds: float
-    ) -> float:
-        soon = self._adapters_with_slots()
-        if not any(adapter is waiting.adapter for adapter in soon):
-            soon.append(waiting.adapter)
-        prompts_ahead = tuple(self._prompts_ahead(waiting, soon, now_seconds))
-        wait_seconds = max(
-            self._prefill_seconds(
-                self._runs.pending_prompts(), *prompts_ahead
-            ),
-            self.cold.wait_seconds(
-                sum(prompts.number for prompts in prompts_ahead),
-                now_seconds=now_seconds,
-            ),
-        )
-        adapter = waiting.request.adapter
-        slot_seconds = self.slots.until_ready_seconds(
-            adapter, now_seconds=now_seconds
-        )
-        if not self.slots.holds(adapter):
-            slot_seconds += self.slot_wait_seconds()
-        # The engine prefills other prompts while it loads the adapter.
-        return max(wait_seconds, slot_seconds)
-
-    def _prompts_ahead(
-        self,
-        waiting: QueuedRequest,
-        adapters: Iterable[AdapterQueue],
-        now_seconds: float,
-    ) -> Iterator[PromptTotals]:
-        # Of the requests that are more urgent than this one.
-        late = self._is_late(waiting.request, now_seconds)
-        for adapter in adapters:
-            ready_at_seconds = now_seconds + self.slots.until_ready_seconds(
-                adapter.key, now_seconds=now_seconds
-            )
-            yield adapter.totals_ahead(
-                waiting.rank, late, ready_at_seconds, self._speed
-            )
-
     def _refusal(
         self, request: EngineRequest, excess_seconds: float
     ) -> engine_decisions.Refusal:
@@ -459,8 +342,10 @@
         # More urgent requests may have come since. A request that can't start
         # any more before it gives up is refused now, while its caller has time
         # to try another engine.
-        reading_seconds = self._prefill_seconds(self._runs.pending_prompts())
-        slot_wait = self._slot_wait()
+        reading_seconds = self._waits.prefill_seconds(
+            self._runs.pending_prompts()
+        )
+        slot_wait = self._waits.slot_wait()
         slot_wait_seconds = slot_wait.seconds(0)
         awaiting_slot: set[AdapterKey] = set()
         kept = 0
@@ -484,16 +369,16 @@
                     awaiting_slot.add(waiting.adapter.key)
                     slot_wait_seconds = slot_wait.seconds(len(awaiting_slot))
                 if waiting.late:
-                    remaining_seconds *= MAX_LATE_WAIT_SHARE
-            if cold_seconds and self._is_late(
+                    remaining_seconds *= engine_waits.MAX_LATE_WAIT_SHARE
+            if cold_seconds and self._waits.is_late(
                 request, now_seconds + cold_seconds
             ):
                 # An engine that isn't cold may still serve it on time.
-                remaining_seconds *= MAX_LATE_WAIT_SHARE
+                remaining_seconds *= engine_waits.MAX_LATE_WAIT_SHARE
             wait_seconds = max(wait_seconds, cold_seconds)
             if wait_seconds > remaining_seconds:
                 self.remove(request.request_id, now_seconds=now_seconds)
-                slot_wait = self._slot_wait()
+                slot_wait = self._waits.slot_wait()
                 slot_wait_seconds = slot_wait.seconds(len(awaiting_slot))
                 yield _queue_too_long(
                     request, wait_seconds - remaining_seconds
@@ -501,25 +386,6 @@
             else:
                 kept += 1
 
-    def _slot_wait(self) -> SlotWait:
-        return SlotWait(
-            available=self.slots.available(self._queue.counts),
-            mean_run_seconds=self._speed.mean_run_seconds,
-            capacity=max(1, self.slots.capacity),
-        )
-
-    def _adapters_with_slots(self) -> list[AdapterQueue]:
-        # The adapters that have a slot, and those that get an idle one now.
-        held = self.slots.held_keys()
-        available = self.slots.available(self._queue.counts)
-        return [
-            *self._queue.adapters_of(held),
-            *self._queue.first_adapters_without(held, available),
-        ]
-
-    def _has_slot(self, request: EngineRequest) -> bool:
-        return self.slots.holds(request.adapter)
-
     def _grant(
         self, request: EngineRequest, now_seconds: float
     ) -> engine_decisions.Grant:
@@ -537,15 +403,6 @@
             request=request, version=version, queue_times=queue_times
         )
 
-    def _prefill_seconds(self, *parts: PromptTotals) -> float:
-        return self._speed.prefill_seconds(
-            sum(part.tokens for part in parts),
-            prompts=sum(part.number for part in parts),
-        )
-
-    def _adapters_without_slot(self) -> int:
-        return self._queue.count_without(self.slots.held_keys())
-
     def _expire(
         self, now_seconds: float
     ) -> Iterator[engine_decisions.Refusal]:
--- a/tests/policy/test_shared_rate.py
+++ b/tests/policy/test_shared_rate.py
@@ -182,7 +182,7 @@
 
 
 def test_a_process_that_starts_grants_no_burst_anew() -> None:
-    # Kills under a workspace beyond its limit granted the burst once a process.
+    # Kills under a workspace beyond its limit granted its burst once each.
     started_at = 100.0
     rate = shared_rate.SharedRate(started_at_seconds=started_at)
     offers = {"at once": 0.15, "later": 0.55}
