Apply a hub's changes of engines to that hub's own last report

What callers saw: requests went to engines that didn't hold their adapters, and loads were ordered that weren't needed, as long as a view differed.

Cause: a hub reports an engine as positions dropped from, and adapters added to, what it reported last. An instance hears two hubs or more and applied the changes of each to one common state: to that of the other hub, or twice.

Change: the reader of each hub keeps the engines as that hub reported them, applies changes to these alone and only without a gap, and passes them on in full; what goes over the wire is as before.

The test of what is reported looks at the report itself now, with the same assertions.

--- a/src/boragefold/coordination/fleet/reports.py
+++ b/src/boragefold/coordination/fleet/reports.py
@@ -182,6 +182,8 @@
         self.first_hand = False
         self._number = -1
         self._instances: dict[int, ids.InstanceId] = {}
+        # As this hub has reported them; its changes refer to these.
+        self._engines: dict[int, engine_diffs.Engines] = {}
 
     def apply(
         self, report: messages.Report, *, now_seconds: float
@@ -190,7 +192,7 @@
 
         :param report: the report, possibly duplicated or out of order
         :param now_seconds: reading of the process clock
-        :return: its entries, by instance
+        :return: its entries, by instance, with engines in full
         """
         whole = report.since is None
         if report.number < self._number or (
@@ -204,8 +206,10 @@
         self.heard_at_seconds = now_seconds
         if whole:
             self._instances.clear()
+            self._engines.clear()
         for number in report.silent:
             self._instances.pop(number, None)
+            self._engines.pop(number, None)
         told = [*self._resolve_numbers(report.told)]
         named = any(entry.instance is not None for entry in report.told)
         if whole or report.silent or named:
@@ -226,7 +230,18 @@
                 # The report that introduced this number was missed.
                 self.complete = False
             else:
-                yield instance, told
+                yield instance, self._with_engines(told)
+
+    def _with_engines(self, told: messages.Told) -> messages.Told:
+        engines = told.engines
+        if told.changes is not None:
+            # Another hub's report, or a gap, is no base for these changes.
+            base = self._engines.get(told.number) if self.complete else None
+            engines = base and engine_diffs.patch(base, told.changes)
+            self.complete &= engines is not None
+        if engines is not None:
+            self._engines[told.number] = engines
+        return told._replace(engines=engines, changes=None)
 
 
 def _standing_of(beat: messages.Beat) -> messages.Standing:
--- a/src/boragefold/coordination/fleet/state_merge.py
+++ b/src/boragefold/coordination/fleet/state_merge.py
@@ -91,7 +91,7 @@
     """Apply what a hub reports of an instance.
 
     :param member: the instance
-    :param told: the parts that changed
+    :param told: the parts that changed, engines in full
     :param now_seconds: reading of the process clock
     :return: whether the change must be sent on at once
     """
@@ -107,26 +107,15 @@
         _note_start(member, now_seconds - standing.uptime_seconds)
         beat = beat._replace(**standing._asdict())
     if said_milliseconds >= member.engines_uptime_milliseconds:
-        engines = _engines_of(beat, told)
-        if engines is not None:
+        if told.engines is not None:
             member.engines_uptime_milliseconds = said_milliseconds
-            beat = beat._replace(engines=engines)
+            beat = beat._replace(engines=told.engines)
     member.beat = beat
     return before is None or (
         beat is not before and _has_urgent_change(before, beat)
     )
 
 
-def _engines_of(
-    beat: messages.Beat, told: messages.Told
-) -> tuple[messages.EngineStatus, ...] | None:
-    if told.engines is not None:
-        return told.engines
-    if told.changes is None:
-        return None
-    return engine_diffs.patch(beat.engines, told.changes)
-
-
 def _note_start(
     member: member_module.Member, started_at_seconds: float
 ) -> None:
--- a/tests/coordination/fleet/test_hubs.py
+++ b/tests/coordination/fleet/test_hubs.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from boragefold.coordination.fleet import hubs
+from boragefold.protocol import peer_messages as messages
 from boragefold.state import published_items
 from tests.fakes import gateways
 
@@ -240,3 +243,39 @@
     fleet.heal()
     fleet.run(5.0)
     assert everyone_hears_everyone(fleet)
+
+
+def test_several_hubs_changes_of_engines_add_up_to_their_state() -> None:
+    # Each hub's changes refer to its own last report; applied to another's,
+    # or twice, they left adapters out for good.
+    fleet = gateways.Gateways(24)
+    held = {
+        engine.name: [f"a{number}" for number in range(5)]
+        for engine in fleet.engines
+    }
+    fleet.status = lambda name: messages.EngineStatus(
+        name,
+        ("base",),
+        tuple(("base", each) for each in held[name]),
+        *(0.0, 0.0, 0, 0.0),
+    )
+    fleet.run(8.0)
+    rng = random.Random(1)
+    for step in range(40):
+        adapters = held[rng.choice(sorted(held))]
+        adapters.pop(rng.randrange(len(adapters)))
+        adapters.append(f"n{step}")
+        fleet.run(rng.uniform(0.05, 0.6))
+    fleet.run(3.0)
+    views = [
+        (engine.name, sorted(adapter for _, adapter in engine.adapters))
+        for instance in fleet.instances.values()
+        for beat in instance.members.heartbeats()
+        for engine in beat.engines
+    ]
+    assert len(views) > len(held)
+    assert [
+        (name, adapters)
+        for name, adapters in views
+        if adapters != sorted(held[name])
+    ] == []
--- a/tests/coordination/fleet/test_reports.py
+++ b/tests/coordination/fleet/test_reports.py
@@ -79,7 +79,10 @@
     held = (("base", "a1"), ("base", "a2"))
     hub.tell([member(0, (engine(0.0, held, (7, 8)),))])
     changed = engine(0.24, (("base", "a3"), ("base", "a2")), (7, 9))
-    ((_, told),) = hub.tell([member(0, (changed,))])[ONE]
+    ((report, _),) = hub.writer.write(
+        [member(0, (changed,))], [ONE], now_seconds=1.0
+    )
+    (told,) = report.told
     assert told.engines is None
     (change,) = told.changes
     assert change.load.backlog_milliseconds == 240
