Ask an owner again that hasn't taken its engine up yet

What callers saw: 503 not_owner for two streams, 1.2 s after a restart: peers took the instance for the owner 15 ms before it took the engines up.

Cause: a refusal that a moment changes was taken for final. Change: a queued request whose owner refuses as no owner is asked again after 0.5 s, three times, unless another owner is known meanwhile; one that is tried at several engines goes on to the next.

--- a/src/boragefold/entry/engine_owner.py
+++ b/src/boragefold/entry/engine_owner.py
@@ -280,7 +280,8 @@
         owned = self._owned.get(body.engine)
         if owned is None:
             self._reply(
-                body.engine, engine_decisions.Refusal(ask, "not_owner", 0.0)
+                body.engine,
+                engine_decisions.Refusal(ask, engine_decisions.NOT_OWNER, 0.0),
             )
             return
         granted = owned.schedule.find_grant(ask.request_id)
--- a/src/boragefold/entry/owner_client.py
+++ b/src/boragefold/entry/owner_client.py
@@ -30,6 +30,8 @@
 # A connection that looks open may be dead; both sides reconnect after this
 # many repetitions without a reply.
 RECONNECT_AFTER_RETRIES = 2
+# An owner is known to others a moment before it takes an engine up.
+MAX_NOT_OWNER = 3
 # Reason of the refusal at an engine that gets only what its owner grants.
 WITHOUT_OWNER = "cold_without_owner"
 
@@ -76,6 +78,7 @@
     owner: ids.InstanceId
     sent_at_seconds: float
     unanswered: int = 0
+    not_owner: int = 0
 
 
 class OwnerClient:
@@ -294,6 +297,8 @@
     def _on_refusal(
         self, sender: ids.InstanceId, body: messages.EngineRefusal
     ) -> None:
+        if self._may_take_up(sender, body):
+            return
         pending = self._pop_pending(sender, body.request_id, body.engine)
         if pending is not None:
             pending.receiver.on_refused(
@@ -303,6 +308,21 @@
                 body.wait_seconds,
             )
 
+    def _may_take_up(
+        self, sender: ids.InstanceId, body: messages.EngineRefusal
+    ) -> bool:
+        # Asked again by ``retry_pending``, unless another owner is known.
+        pending = self._pending.get(body.request_id)
+        if (
+            body.reason != engine_decisions.NOT_OWNER
+            or pending is None
+            or pending.request.eager
+            or (pending.engine, pending.owner) != (body.engine, sender)
+        ):
+            return False
+        pending.not_owner += 1
+        return pending.not_owner <= MAX_NOT_OWNER
+
     def _on_waits(
         self, sender: ids.InstanceId, body: messages.EngineWaits
     ) -> None:
--- a/src/boragefold/policy/engine_decisions.py
+++ b/src/boragefold/policy/engine_decisions.py
@@ -12,6 +12,8 @@
 
 # Reason of a refusal because the engine's data centre is evacuated.
 EVACUATED = "evacuated"
+# The instance that was asked doesn't schedule the engine, or not yet.
+NOT_OWNER = "not_owner"
 
 
 class EngineRequest(NamedTuple):
@@ -102,6 +104,7 @@
 __all__ = [
     "Action",
     "EVACUATED",
+    "NOT_OWNER",
     "EngineRequest",
     "Grant",
     "Load",
