Wait for a store that is only slow, and let others read meanwhile

Found on reading: with the short wait below the renewed prefix, an answer later than a second was thrown away, where one of up to 2.7 s was used before, so with a slow store nobody would have learned anything. A watch that is overdue is told to others at once; its answer is used for as long as before.

--- a/src/boragefold/entry/published_parts.py
+++ b/src/boragefold/entry/published_parts.py
@@ -13,7 +13,7 @@
 from boragefold.coordination.fleet import removal_grace
 import boragefold.coordination.link as links
 from boragefold.entry import published_age
-from boragefold.entry import store_follower
+from boragefold.entry import store_dialect
 from boragefold.entry import store_followers
 from boragefold.state import fleet as fleets
 from boragefold.state import published_items
@@ -34,7 +34,7 @@
     applies items to the fleet.
     """
 
-    dialect: store_follower.StoreDialect
+    dialect: store_dialect.StoreDialect
     prefixes: tuple[str, ...]
     renewed_prefix: str
     must_relay: published_items.Matters
--- a/src/boragefold/entry/store_follower.py
+++ b/src/boragefold/entry/store_follower.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
 import math
 import random
-from typing import NamedTuple
 
+from boragefold.entry import store_dialect
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from boragefold.telemetry import decision_log
@@ -15,7 +14,7 @@
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 
-# Long-poll time; also bounds how long a dead connection goes unnoticed.
+# Long-poll time; also bounds how long a dead connection is kept.
 LONG_POLL_SECONDS = 2.0
 # The same below a prefix where items are renewed all the time. A dead
 # connection shows early enough for another instance to read a change before
@@ -42,77 +41,6 @@
 MAX_LISTED_ITEMS = 200_000
 
 
-class Page(NamedTuple):
-    """A page of a listing; the next page begins after ``last_key``."""
-
-    items: tuple[published_items.Item, ...]
-    revision: int
-    last_key: str
-    more: bool
-
-
-class Events(NamedTuple):
-    """The changes after one revision up to another."""
-
-    items: tuple[published_items.Item, ...]
-    revision: int
-
-
-class HistoryLost(NamedTuple):
-    """The store no longer has the changes: all keys must be listed again."""
-
-
-class StoreFailed(NamedTuple):
-    """The store gave no usable answer."""
-
-    reason: str
-
-
-class StoreDialect(abc.ABC):
-    """Encodes the calls on the store and decodes its answers."""
-
-    @abc.abstractmethod
-    def list_call(self, prefix: str, after_key: str) -> http_client.Call:
-        """Create the call for a page of a listing.
-
-        :param prefix: key prefix
-        :param after_key: last key of the previous page, or empty
-        :return: the call
-        """
-
-    @abc.abstractmethod
-    def read_page(
-        self, answer: whole_answer.WholeAnswer
-    ) -> Page | StoreFailed:
-        """Decode a page of a listing.
-
-        :param answer: as received
-        :return: the page, or the failure
-        """
-
-    @abc.abstractmethod
-    def watch_call(
-        self, prefix: str, after_revision: int, wait_seconds: float
-    ) -> http_client.Call:
-        """Create the long poll that waits for changes.
-
-        :param prefix: key prefix
-        :param after_revision: the last known revision
-        :param wait_seconds: how long to wait when nothing changes
-        :return: the call
-        """
-
-    @abc.abstractmethod
-    def read_events(
-        self, answer: whole_answer.WholeAnswer
-    ) -> Events | HistoryLost | StoreFailed:
-        """Decode the answer to a watch.
-
-        :param answer: as received
-        :return: the changes, or why there are none
-        """
-
-
 class StoreFollower:
     """Keeps the published items below one key prefix up to date."""
 
@@ -120,7 +48,7 @@
         self,
         *,
         prefix: str,
-        dialect: StoreDialect,
+        dialect: store_dialect.StoreDialect,
         client: http_client.HttpClient,
         items: published_items.PublishedItems,
         timers: timing.TimerService,
@@ -166,6 +94,8 @@
         self._listed_until_revision = 0
         self._retry_seconds = FIRST_RETRY_SECONDS
         self._asked_at_seconds = 0.0
+        # When the answer to a watch that is under way is overdue.
+        self._due_at_seconds = math.inf
         self._answered_at_seconds: float | None = None
         self._failing = False
         self._run_number = 0
@@ -213,7 +143,11 @@
 
         :return: whether others can't rely on this instance to read the store
         """
-        return self._failing or (not self._paused and self.is_stale())
+        return (
+            self._failing
+            or self._timers.now_seconds() > self._due_at_seconds
+            or (not self._paused and self.is_stale())
+        )
 
     def _check_progress(self) -> None:
         self._checks_without_step += 1
@@ -223,6 +157,7 @@
     def _begin_again(self, reason: str) -> None:
         # Whatever is still to come of the reading so far is ignored.
         self._run_number += 1
+        self._due_at_seconds = math.inf
         self._retry_seconds = MAX_RETRY_SECONDS
         self._retry_later(reason, lambda: self._list(""))
 
@@ -251,13 +186,15 @@
         after_key: str,
     ) -> None:
         page = (
-            StoreFailed(answer.reason)
+            store_dialect.StoreFailed(answer.reason)
             if isinstance(answer, http_client.Failure)
             else self._dialect.read_page(answer)
         )
-        if isinstance(page, Page) and self._is_endless(page, after_key):
-            page = StoreFailed("endless")
-        if isinstance(page, StoreFailed):
+        if isinstance(page, store_dialect.Page) and self._is_endless(
+            page, after_key
+        ):
+            page = store_dialect.StoreFailed("endless")
+        if isinstance(page, store_dialect.StoreFailed):
             self._listed = []
             self._retry_later(page.reason, lambda: self._list(""))
             return
@@ -278,7 +215,7 @@
         self._listed = []
         self._watch()
 
-    def _is_endless(self, page: Page, after_key: str) -> bool:
+    def _is_endless(self, page: store_dialect.Page, after_key: str) -> bool:
         if len(self._listed) + len(page.items) > MAX_LISTED_ITEMS:
             return True
         return page.more and page.last_key <= after_key
@@ -291,10 +228,13 @@
             # Enough other instances of the data centre read the store.
             self._call_later(IDLE_CHECK_SECONDS, self._watch)
             return
+        poll_seconds = self._poll_seconds if is_caught_up else 0.0
         call = self._dialect.watch_call(
-            self._prefix,
-            known_revision,
-            self._poll_seconds if is_caught_up else 0.0,
+            self._prefix, known_revision, poll_seconds
+        )
+        # Others read meanwhile; a slow store's answer is still waited for.
+        self._due_at_seconds = (
+            self._timers.now_seconds() + poll_seconds + ANSWER_MARGIN_SECONDS
         )
         self._send(
             call, lambda answer: self._handle_events(answer, known_revision)
@@ -306,16 +246,16 @@
         after_revision: int,
     ) -> None:
         events = (
-            StoreFailed(answer.reason)
+            store_dialect.StoreFailed(answer.reason)
             if isinstance(answer, http_client.Failure)
             else self._dialect.read_events(answer)
         )
-        if isinstance(events, StoreFailed):
+        if isinstance(events, store_dialect.StoreFailed):
             self._retry_later(events.reason, self._watch)
             return
         was_current = not self.is_stale()
         self._record_success()
-        if isinstance(events, HistoryLost):
+        if isinstance(events, store_dialect.HistoryLost):
             self._counters.add("store_histories_lost", self._prefix)
             self._list("")
             return
@@ -362,6 +302,7 @@
     ) -> None:
         if run_number != self._run_number:
             return
+        self._due_at_seconds = math.inf
         try:
             done(answer)
         except Exception:
@@ -395,10 +336,5 @@
 
 
 __all__ = [
-    "Events",
-    "HistoryLost",
-    "Page",
-    "StoreDialect",
-    "StoreFailed",
     "StoreFollower",
 ]
--- a/src/boragefold/entry/store_followers.py
+++ b/src/boragefold/entry/store_followers.py
@@ -6,6 +6,7 @@
 import random
 
 from boragefold.coordination.fleet import removal_grace
+from boragefold.entry import store_dialect
 from boragefold.entry import store_follower
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
@@ -22,7 +23,7 @@
         *,
         prefixes: tuple[str, ...],
         renewed_prefix: str,
-        dialect: store_follower.StoreDialect,
+        dialect: store_dialect.StoreDialect,
         client: http_client.HttpClient,
         items: published_items.PublishedItems,
         timers: timing.TimerService,
--- a/tests/entry/test_store_follower.py
+++ b/tests/entry/test_store_follower.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from boragefold.entry import store_dialect
 from boragefold.entry import store_follower
 from boragefold.entry import store_followers
 from boragefold.state import published_items
@@ -16,7 +17,7 @@
 from boragefold.transport import whole_answer
 
 
-class FakeDialect(store_follower.StoreDialect):
+class FakeDialect(store_dialect.StoreDialect):
     def list_call(self, prefix, after_key):
         return ("list", after_key)
 
@@ -95,7 +96,7 @@
 
 
 def answer_listing(harness, revision=5):
-    page = store_follower.Page((item("s/a", 2),), revision, "s/a", False)
+    page = store_dialect.Page((item("s/a", 2),), revision, "s/a", False)
     assert harness.answer(page) == ("list", "")
 
 
@@ -103,8 +104,8 @@
     # The watch must start at the first page's revision, or a change made
     # while the pages are read is missed.
     harness = Harness()
-    harness.answer(store_follower.Page((item("s/a", 2),), 5, "s/a", True))
-    harness.answer(store_follower.Page((item("s/b", 7),), 7, "s/b", False))
+    harness.answer(store_dialect.Page((item("s/a", 2),), 5, "s/a", True))
+    harness.answer(store_dialect.Page((item("s/b", 7),), 7, "s/b", False))
     call, _ = harness.take()
     assert call == ("watch", 5)
     assert {each.key for each in harness.items.below("s/")} == {"s/a", "s/b"}
@@ -113,7 +114,7 @@
 def test_pages_that_dont_go_on_end_the_listing() -> None:
     # A store that repeats a page was asked, and its items kept, for ever.
     harness = Harness()
-    page = store_follower.Page((item("s/a", 2),), 5, "s/a", True)
+    page = store_dialect.Page((item("s/a", 2),), 5, "s/a", True)
     harness.answer(page)
     harness.answer(page)
     assert not harness.calls
@@ -127,7 +128,7 @@
     monkeypatch.setattr(store_follower, "MAX_LISTED_ITEMS", 2)
     harness = Harness()
     for key in ("s/a", "s/b", "s/c"):
-        harness.answer(store_follower.Page((item(key, 2),), 5, key, True))
+        harness.answer(store_dialect.Page((item(key, 2),), 5, key, True))
     assert not harness.calls
     assert harness.log.events == ["store_lost"]
 
@@ -135,7 +136,7 @@
 def test_changes_in_quick_succession_are_read_together() -> None:
     harness = Harness()
     answer_listing(harness)
-    harness.answer(store_follower.Events((item("s/b", 6),), 6))
+    harness.answer(store_dialect.Events((item("s/b", 6),), 6))
     assert not harness.calls
     harness.pass_time(store_follower.READ_PAUSE_SECONDS)
     assert harness.take()[0] == ("watch", 6)
@@ -144,8 +145,8 @@
 def test_a_lost_history_is_listed_anew() -> None:
     harness = Harness()
     answer_listing(harness)
-    harness.answer(store_follower.HistoryLost())
-    page = store_follower.Page((item("s/b", 8),), 9, "s/b", False)
+    harness.answer(store_dialect.HistoryLost())
+    page = store_dialect.Page((item("s/b", 8),), 9, "s/b", False)
     assert harness.answer(page) == ("list", "")
     assert {each.key for each in harness.items.below("s/")} == {"s/b"}
 
@@ -164,7 +165,7 @@
     assert harness.follower.is_failing()
     while not harness.calls:
         harness.pass_time(0.1)
-    harness.answer(store_follower.Events((), 5))
+    harness.answer(store_dialect.Events((), 5))
     assert harness.log.events == ["store_lost", "store_regained"]
     assert not harness.follower.is_failing()
 
@@ -201,10 +202,10 @@
     answer_listing(harness)
     assert changed_at(harness, "s/a") is None
     harness.pass_time(1.0)
-    harness.answer(store_follower.Events((item("s/b", 6),), 6))
+    harness.answer(store_dialect.Events((item("s/b", 6),), 6))
     assert changed_at(harness, "s/b") == harness.clock.now_seconds()
     harness.pass_time(store_follower.STALE_SECONDS + 0.1)
-    harness.answer(store_follower.Events((item("s/c", 7),), 7))
+    harness.answer(store_dialect.Events((item("s/c", 7),), 7))
     assert changed_at(harness, "s/c") is None
 
 
@@ -224,7 +225,7 @@
 
 
 def page(*items, revision=1):
-    return store_follower.Page(
+    return store_dialect.Page(
         items=items, revision=revision, last_key="", more=False
     )
 
@@ -236,7 +237,7 @@
     harness.items.subscribe(lambda news: 1 / (not failing[0]))
     mark = published_items.Item("s/a", 2, b"leaving")
     with pytest.raises(ZeroDivisionError):
-        harness.answer(store_follower.Events((mark,), 2))
+        harness.answer(store_dialect.Events((mark,), 2))
     failing[0] = False
     harness.pass_time(store_follower.MAX_RETRY_SECONDS * 2)
     assert harness.answer(page(mark, revision=2)) == ("list", "")
@@ -254,7 +255,7 @@
         + 2 * store_follower.MAX_RETRY_SECONDS
     )
     assert harness.take()[0] == ("list", "")
-    late = store_follower.Events((published_items.Item("s/a", 9, b"x"),), 9)
+    late = store_dialect.Events((published_items.Item("s/a", 9, b"x"),), 9)
     lost._done(whole_answer.WholeAnswer(200, {}, late))
     assert not harness.calls
     assert not list(harness.items.below("s/"))
@@ -271,14 +272,30 @@
 def test_whoever_rests_reads_first_what_changed_between_its_pages():
     # An endpoint of the first page left while the second one was read.
     harness = Harness(must_read=lambda: False)
-    harness.answer(store_follower.Page((item("s/a", 2),), 5, "s/a", True))
-    harness.answer(store_follower.Page((item("s/b", 7),), 7, "s/b", False))
+    harness.answer(store_dialect.Page((item("s/a", 2),), 5, "s/a", True))
+    harness.answer(store_dialect.Page((item("s/b", 7),), 7, "s/b", False))
     assert harness.items.complete == {"": 5}
     harness.fail()
     harness.pass_time(2 * store_follower.FIRST_RETRY_SECONDS)
     mark = published_items.Item("s/a", 6, b"leaving")
-    events = store_follower.Events((mark, item("s/b", 7)), 8)
+    events = store_dialect.Events((mark, item("s/b", 7)), 8)
     assert harness.answer(events) == ("watch", 5)
     assert harness.items.complete == {"": 8}
     harness.pass_time(10.0)
     assert not harness.calls
+
+
+def test_a_late_answer_makes_others_read_and_is_still_used():
+    # With a store that is only slow, nobody would learn anything any more.
+    harness = Harness()
+    answer_listing(harness)
+    due_seconds = (
+        store_follower.LONG_POLL_SECONDS + store_follower.ANSWER_MARGIN_SECONDS
+    )
+    harness.pass_time(due_seconds - 0.1)
+    assert not harness.follower.is_failing()
+    harness.pass_time(0.2)
+    assert harness.follower.is_failing()
+    harness.answer(store_dialect.Events((item("s/b", 6),), 6))
+    assert not harness.follower.is_failing()
+    assert harness.log.events == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 import pytest
 import store
 
-from boragefold.entry import store_follower
+from boragefold.entry import store_dialect
 from boragefold.state import published_items
 from boragefold.transport import whole_answer
 
@@ -62,7 +62,7 @@
 
 def test_a_lost_history(translator) -> None:
     found = translator.read_events(answer(410, {}))
-    assert found == store_follower.HistoryLost()
+    assert found == store_dialect.HistoryLost()
 
 
 @pytest.mark.parametrize(
@@ -85,6 +85,6 @@
     ],
 )
 def test_failures(translator, status, body, reason) -> None:
-    failed = store_follower.StoreFailed(reason)
+    failed = store_dialect.StoreFailed(reason)
     assert translator.read_page(answer(status, body)) == failed
     assert translator.read_events(answer(status, body)) == failed
