Test readiness without endpoints, and the role and news of readers

Each fails without its guard: an instance was ready while its listing of the endpoints was held up; the role of a reader was kept when a peer changed; the loss of the store waited for the next heartbeat.

--- a/tests/coordination/fleet/test_readers.py
+++ b/tests/coordination/fleet/test_readers.py
@@ -83,3 +83,39 @@
         )
     }
     assert len(reading_here) == readers.ISOLATED_READERS
+
+
+class Members:
+    """Members whose changes are counted."""
+
+    def __init__(self):
+        self.members = [member(each) for each in INSTANCES[1:]]
+        self.version = self.urgent_version = 0
+        self.asked = 0
+
+    def reachable(self):
+        self.asked += 1
+        return self.members
+
+
+def test_a_role_is_decided_anew_when_a_peer_has_changed() -> None:
+    # A reader was replaced 0.3 s after its loss of the store was known.
+    members = Members()
+    role = readers.ReaderRole(self_id=INSTANCES[0], members=members)
+    before = role.must_read()
+    members.members = [member(each, lost=True) for each in INSTANCES[1:]]
+    members.urgent_version += 1
+    assert (before, role.must_read()) == (INSTANCES[0] in reading(), True)
+    members.members = [member(each) for each in INSTANCES[1:]]
+    members.version += 1
+    assert role.must_read() == before
+
+
+def test_a_lost_store_is_told_at_once() -> None:
+    # It waited for the next heartbeat, at each hub on the way.
+    sound, lost = (
+        member(INSTANCES[0], lost=each).beat for each in (False, True)
+    )
+    assert member_module.urgent_state(sound) != member_module.urgent_state(
+        lost
+    )
--- a/tests/entry/test_missed_marks.py
+++ b/tests/entry/test_missed_marks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 
 import pytest
@@ -82,3 +83,30 @@
     (left_at_seconds,) = marked_at_seconds
     time.sleep(SERVED_ON_SECONDS)
     assert late_arrivals(machines, number, left_at_seconds) == 0
+
+
+def test_an_instance_that_knows_no_endpoints_isnt_ready(tmp_path):
+    # Callers were sent to one that could refuse them only.
+    machines = gated_store.GatedMachines(tmp_path, gateways=1)
+    try:
+        machines.start()
+        gate = machines.gate(0)
+        called, passed = threading.Event(), threading.Event()
+
+        def hold_endpoints(target):
+            if "servers" in target:
+                called.set()
+                passed.wait(machines_module.PATIENCE_SECONDS)
+
+        gate.before_call = hold_endpoints
+        machines.processes["gateway-0"].kill()
+        machines.wait(0)
+        machines.start_gateway(0)
+        assert called.wait(machines_module.PATIENCE_SECONDS)
+        time.sleep(CALL_SECONDS)
+        assert not machines.is_ready(0)
+        passed.set()
+        machines_module.eventually(lambda: machines.is_ready(0))
+    finally:
+        passed.set()
+        machines.stop()
