--- a/src/boragefold/entry/guarded_application.py
+++ b/src/boragefold/entry/guarded_application.py
@@ -36,6 +36,7 @@
         """
         if self._guard.run("request", self._application, request, exchange):
             return
+        on_closed = exchange.on_closed
         if exchange.started:
             exchange.abort()
         else:
@@ -47,7 +48,8 @@
                 retry_after_seconds=refusals.RETRY_AFTER_SECONDS,
                 headers=[],
             )
-        self._guard.run("request", exchange.closed)
+        if on_closed is not None:
+            self._guard.run("request", on_closed)
 
 
 __all__ = [
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -36,6 +36,7 @@
 
     def __init__(self) -> None:
         self.finished = self.inside_event = False
+        self.resume_after = ""
         self.ends: list[str] = []
         self.now = 1.0
         self.progress: list[float] = []
@@ -98,6 +99,7 @@
         forwarding=forwarding, record=gateways.engine("e1"), version=0
     )
     attempt.head(200, {})
+    attempt.data(b"all of it")
     attempt.end(http_client.Framing.CLOSE)
     return attempt
 
