--- a/src/boragefold/coordination/fleet/reports.py
+++ b/src/boragefold/coordination/fleet/reports.py
@@ -237,7 +237,11 @@
         if told.changes is not None:
             # Another hub's report, or a gap, is no base for these changes.
             base = self._engines.get(told.number) if self.complete else None
-            engines = base and engine_diffs.patch(base, told.changes)
+            engines = (
+                None
+                if base is None
+                else engine_diffs.patch(base, told.changes)
+            )
             self.complete &= engines is not None
         if engines is not None:
             self._engines[told.number] = engines
--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -47,7 +47,9 @@
                 causes=crash_causes.RequestCauses(1),
                 record_progress=lambda: self.progress.append(self.now),
             ),
-            request=types.SimpleNamespace(request_id="r"),
+            request=types.SimpleNamespace(
+                request_id="r", http=types.SimpleNamespace(method="POST")
+            ),
             route=types.SimpleNamespace(repeatable=False),
             service=types.SimpleNamespace(name="desk"),
         )
@@ -116,6 +118,24 @@
     assert not attempt.running
 
 
+@pytest.mark.parametrize(
+    ("method", "resume_after"), [("HEAD", ""), ("POST", "7")]
+)
+def test_an_answer_that_may_be_empty_is_judged_by_evidence(
+    forwarding, method, resume_after
+) -> None:
+    # Any success without framing and body counted as broken off.
+    forwarding.admitted.request.http.method = method
+    forwarding.resume_after = resume_after
+    attempt = attempts.Attempt(
+        forwarding=forwarding, record=gateways.engine("e1"), version=0
+    )
+    attempt.head(200, {})
+    attempt.end(http_client.Framing.CLOSE)
+    forwarding.waiting[0](ALIVE)
+    assert forwarding.ends == ["whole"]
+
+
 def test_an_end_without_evidence_proves_no_innocence(
     attempt, forwarding
 ) -> None:
