--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -301,7 +301,8 @@
     refused.items.subscribe(lambda news: received.append(len(news)))
     refused.behind = True
     reader.items.take(many, revision=10)
-    fleet.run(2.0)
+    # Less than four times the pause between requests of one heartbeat each.
+    fleet.run(0.7)
     assert received == [3, 3, 3, 1]
     assert refused.items.told == reader.items.told
 
--- a/tests/coordination/fleet/test_reports.py
+++ b/tests/coordination/fleet/test_reports.py
@@ -117,6 +117,16 @@
             assert one.backlog_seconds == other.backlog_seconds
 
 
+def test_changes_behind_a_lost_report_are_applied_to_nothing() -> None:
+    hub = Hub()
+    held = [("base", f"a{number}") for number in range(4)]
+    hub.tell([member(0, (engine(0.0, tuple(held)),))])
+    hub.tell([member(0, (engine(0.0, tuple(held[1:])),))], lost=[ONE])
+    ((_, told),) = hub.tell([member(0, (engine(0.0, tuple(held[2:])),))])[ONE]
+    assert told.engines is None
+    assert not hub.readers[ONE].complete
+
+
 def test_a_lost_report_is_followed_by_a_full_one() -> None:
     # A receiver that missed a change must not keep outdated state for ever.
     hub = Hub()
--- a/tests/policy/test_shared_rate.py
+++ b/tests/policy/test_shared_rate.py
@@ -3,6 +3,8 @@
 import collections
 import random
 
+import pytest
+
 from boragefold.policy import shared_rate
 from boragefold.state import deployment
 
@@ -181,10 +183,15 @@
     assert rate.admit(free, 1e9, share=1.0, now_seconds=0.0) is None
 
 
-def test_a_process_that_starts_grants_no_burst_anew() -> None:
+@pytest.mark.parametrize(
+    "tolerance", [None, shared_rate.Tolerance(8.0, 0.25, 1_000.0)]
+)
+def test_a_process_that_starts_grants_no_burst_anew(tolerance) -> None:
     # Kills under a workspace beyond its limit granted its burst once each.
     started_at = 100.0
-    rate = shared_rate.SharedRate(started_at_seconds=started_at)
+    rate = shared_rate.SharedRate(
+        tolerance=tolerance, started_at_seconds=started_at
+    )
     offers = {"at once": 0.15, "later": 0.55}
     admitted = {
         name: sum(
--- a/tests/state/test_published_items.py
+++ b/tests/state/test_published_items.py
@@ -82,10 +82,11 @@
     assert names_after(items, 2, max_bytes=1) == ["c"]
 
 
-def test_removals_of_one_revision_stay_together(items) -> None:
+def test_changes_of_one_revision_stay_together(items) -> None:
+    # The removals that a listing shows bear the revision of its first page.
     items.take([item("a", 1), item("b", 2)], prefix=PREFIX, revision=2)
-    items.replace([item("c", 9)], prefix=PREFIX, revision=8)
-    assert names_after(items, 2, max_bytes=0) == ["a", "b"]
+    items.replace([item("c", 9), item("z", 8)], prefix=PREFIX, revision=8)
+    assert names_after(items, 2, max_bytes=0) == ["a", "b", "z"]
 
 
 def test_the_order_of_events_within_an_answer_doesnt_matter(items) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+import types
+import weakref
+
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from boragefold.transport import exchange as exchanges
 from boragefold.transport import http_server
 from boragefold.transport import streams
 from tests.fakes import loopback
@@ -280,3 +284,19 @@
     assert len(taken) == 1
     assert b"HTTP/1.1 200" in net.read(sock)
     sock.close()
+
+
+def test_an_exchange_that_is_over_holds_no_request() -> None:
+    # Each held the other, body included, until a collection of garbage.
+    class Request:
+        def leave(self) -> None:
+            pass
+
+    connection = types.SimpleNamespace(finish=lambda: None)
+    exchange = exchanges.Exchange(connection=connection)
+    request = Request()
+    exchange.on_closed = exchange.on_drained = request.leave
+    held = weakref.ref(request)
+    exchange.finish()
+    del request
+    assert held() is None
