--- a/src/boragefold/entry/attempt.py
+++ b/src/boragefold/entry/attempt.py
@@ -23,8 +23,8 @@
 # An answer that goes on for so long shows that no part of its prompt crashes
 # the endpoint.
 PROGRESS_SECONDS = 2.0
-# Its answers have no body, whatever their heads say.
-BODILESS_METHOD = "HEAD"
+# Answers to requests with this method have no body.
+BODILESS_ANSWER_METHOD = "HEAD"
 # Limit for the body of an answer that isn't forwarded.
 MAX_UNUSED_BYTES = 1_048_576
 
@@ -266,7 +266,7 @@
         # Of a stream that is taken up, nothing may be left.
         forwarding = self._forwarding
         return (
-            forwarding.admitted.request.http.method != BODILESS_METHOD
+            forwarding.admitted.request.http.method != BODILESS_ANSWER_METHOD
             and self._status in caller_answer.SUCCESSES
             and self._first_data_at_seconds is None
             and not forwarding.resume_after
--- a/src/boragefold/entry/owner_client.py
+++ b/src/boragefold/entry/owner_client.py
@@ -297,7 +297,7 @@
     def _on_refusal(
         self, sender: ids.InstanceId, body: messages.EngineRefusal
     ) -> None:
-        if self._may_take_up(sender, body):
+        if self._keep_pending(sender, body):
             return
         pending = self._pop_pending(sender, body.request_id, body.engine)
         if pending is not None:
@@ -308,10 +308,10 @@
                 body.wait_seconds,
             )
 
-    def _may_take_up(
+    def _keep_pending(
         self, sender: ids.InstanceId, body: messages.EngineRefusal
     ) -> bool:
-        # Asked again by ``retry_pending``, unless another owner is known.
+        # ``retry_pending`` asks again, or refuses if the owner has changed.
         pending = self._pending.get(body.request_id)
         if (
             body.reason != engine_decisions.NOT_OWNER
--- a/tests/entry/test_missed_marks.py
+++ b/tests/entry/test_missed_marks.py
@@ -10,19 +10,11 @@
 from boragefold.timing import clock as clocks
 from tests.fakes import gated_store
 from tests.fakes import machines as machines_module
+from tests.fakes import store_pages
 from tests.fakes import store_readers
 
 # Two in the first data centre, of which one reads the store.
 GATEWAYS = 3
-# With these, the entries fill two pages.
-FURTHER_ENTRIES = 70
-FURTHER_ENTRY = {
-    "service": "other",
-    "address": "127.0.0.1:9",
-    "zone": "dc-a",
-    "slots": 1,
-    "state": "ready",
-}
 # An endpoint that leaves serves for so long after the store has taken it.
 SERVED_ON_SECONDS = 2.0
 REQUESTS = 30
@@ -62,8 +54,7 @@
 
 def test_a_mark_between_the_pages_of_a_listing_is_learned(machines):
     # An endpoint of the first page leaves, and the second page is newer.
-    for number in range(FURTHER_ENTRIES):
-        machines.put(f"servers/further-{number:02}", FURTHER_ENTRY)
+    store_pages.fill(machines)
     number = resting_gateway(machines)
     gate = machines.gate(number)
     marked_at_seconds = []
@@ -75,7 +66,7 @@
         if "after=" in target and not marked_at_seconds:
             machines.publish("desk-0", state="draining")
             marked_at_seconds.append(clocks.BootClock().now_seconds())
-            machines.put("servers/joined", FURTHER_ENTRY)
+            machines.put("servers/joined", store_pages.FURTHER_ENTRY)
 
     gate.before_call = mark_before_second_page
     restart(machines, number)
--- a/tests/soak/listings.py
+++ b/tests/soak/listings.py
@@ -6,24 +6,15 @@
 import signal
 import time
 
+from tests.fakes import store_pages
 from tests.fakes import store_readers
 from tests.soak import callers
 from tests.soak import plan
 from tests.soak import proxy
 
-# With these, the entries fill more than one page.
-FURTHER_ENTRIES = 70
-FURTHER = {
-    "service": "other",
-    "address": "127.0.0.1:9",
-    "zone": "dc-a",
-    "slots": 1,
-    "state": "ready",
-}
 # How long after a process was started the mark comes, at most; within this
 # time it reads the store.
 START_SECONDS = 0.6
-AWAY_SECONDS = 6.0
 # Beyond what a link may be silent without being noticed.
 SILENT_SECONDS = 4.0
 
@@ -43,43 +34,34 @@
         self.machines.processes[f"gateway-{number}"].wait(20)
         self.machines.start_gateway(number)
         time.sleep(START_SECONDS * fault.for_seconds / 3)
-        self._leave_and_join(fault)
+        self._endpoint_leaves(fault, after_mark=self._join)
         self._busy.discard(f"gateway-{number}")
 
     def _readers_silent(self, fault: plan.Fault) -> None:
         if not self._claim("readers"):
             return
+        begin_seconds = callers.clock()
         numbers = store_readers.of_each_data_centre(self.machines)
         for number in numbers:
             self._note(number, SILENT_SECONDS)
             self.machines.proxies.set(f"store-{number}", proxy.Mode.SILENT)
         time.sleep(fault.for_seconds / 10)
-        self._leave_and_join(fault, before_return=SILENT_SECONDS)
+        self._endpoint_leaves(fault, after_mark=self._join)
+        silent_seconds = callers.clock() - begin_seconds
+        time.sleep(max(0.0, SILENT_SECONDS - silent_seconds))
         for number in numbers:
             self.machines.proxies.set(f"store-{number}", proxy.Mode.PASS)
         self._busy.discard("readers")
 
-    def _leave_and_join(
-        self, fault: plan.Fault, *, before_return: float = 0.0
-    ) -> None:
-        name = self._name(fault)
-        if not self._claim("leaving"):
-            time.sleep(before_return)
-            return
-        self.machines.publish(name, state="draining")
-        gone = callers.clock()
+    def _join(self) -> None:
         for _ in range(3):
-            self.machines.put(f"servers/joined-{next(self._joins)}", FURTHER)
+            key = f"servers/joined-{next(self._joins)}"
+            self.machines.put(key, store_pages.FURTHER_ENTRY)
             time.sleep(0.05)
-        time.sleep(AWAY_SECONDS)
-        self.left[name] = (gone, callers.clock())
-        self.machines.publish(name)
-        self._busy.discard("leaving")
 
     def _fill_pages(self) -> None:
         if self._claim("further entries"):
-            for number in range(FURTHER_ENTRIES):
-                self.machines.put(f"servers/further-{number:02}", FURTHER)
+            store_pages.fill(self.machines)
 
 
 __all__ = [
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import pathlib
 import signal
 import threading
@@ -305,12 +306,18 @@
     def _store_resets_one(self, fault: plan.Fault) -> None:
         self._store(fault, proxy.Mode.RESET)
 
-    def _endpoint_leaves(self, fault: plan.Fault) -> None:
+    def _endpoint_leaves(
+        self,
+        fault: plan.Fault,
+        *,
+        after_mark: Callable[[], None] = lambda: None,
+    ) -> None:
         name = self._name(fault)
         if not self._claim("leaving"):
             return
         self.machines.publish(name, state="draining")
         gone = callers.clock()
+        after_mark()
         time.sleep(AWAY_SECONDS)
         self.left[name] = (gone, callers.clock())
         self.machines.publish(name)
