--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -213,7 +213,14 @@
             self.platform, f"/control/tree/{path}", body=document, method="PUT"
         )
 
-    def chat(self, entry: Entry, model: str, **members: Any) -> Reply:
+    def chat(
+        self,
+        entry: Entry,
+        model: str,
+        *,
+        timeout_seconds: float = 60.0,
+        **members: Any,
+    ) -> Reply:
         body = {
             "model": model,
             "messages": [{"role": "user", "content": "translate this"}],
@@ -221,7 +228,11 @@
             **members,
         }
         return call(
-            entry.address, "/v1/chat/completions", key=self.key, body=body
+            entry.address,
+            "/v1/chat/completions",
+            key=self.key,
+            body=body,
+            timeout_seconds=timeout_seconds,
         )
 
     def adapter(self, number: int = 0) -> str:
