Send large bodies without copying them, and free closed connections at once

Callers saw a process end for lack of memory: a body of 4 MB towards an endpoint was held up to four times. It was joined with its head, copied into the write buffer, and the whole rest was copied again for each write, which also took time quadratic in its size. The write buffer now keeps large pieces as views of the body, and sends what the kernel takes. A stream and its handler referred to each other, so that a closed connection kept its body until the next collection of garbage; a closed stream lets go of its handler. Bodies are counted for as long as any reference to them is left.

--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -19,6 +19,7 @@
 # Limits an answer that is collected, whose other end may send single bytes
 # without ever being silent for long.
 COLLECTING_FACTOR = 4
+JOINED_BODY_BYTES = 16_384
 # Why a call fails that HTTP can't express.
 UNSENDABLE = "unsendable_call"
 
@@ -240,7 +241,7 @@
             self._client.fail_later(self, "right_ended")
             return
         try:
-            data = _write_call(self.pending.call)
+            head = _write_head(self.pending.call)
         except (h11.LocalProtocolError, UnicodeEncodeError):
             self._client.fail_later(self, UNSENDABLE)
             return
@@ -248,7 +249,8 @@
         self._parser = answer_parser.AnswerParser(
             sink=self.pending.sink, accepts=self.pending.call.accepts
         )
-        self.stream.write(data)
+        for piece in _pieces(head, self.pending.call.body):
+            self.stream.write(piece)
         self.pending.sink.written(reused=self.used_before)
 
     def _end(
@@ -325,7 +327,7 @@
         """
 
 
-def _write_call(call: Call) -> bytes:
+def _write_head(call: Call) -> bytes:
     writer = h11.Connection(h11.CLIENT)
     headers = [*call.headers, *call.make_late_headers()]
     if not any(name.lower() == "host" for name, _ in headers):
@@ -337,8 +339,14 @@
         target=call.target,
         headers=header_bytes.encode(headers),
     )
-    events = (head, h11.Data(data=call.body), h11.EndOfMessage())
-    return b"".join(writer.send(event) or b"" for event in events)
+    return writer.send(head) or b""
+
+
+def _pieces(head: bytes, body: bytes) -> list[bytes]:
+    # A large body isn't copied; a small one leaves with its head.
+    if len(body) > JOINED_BODY_BYTES:
+        return [head, body]
+    return [head + body]
 
 
 __all__ = [
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from boragefold.transport import unsent_budget
+from boragefold.transport import write_buffer
 
 READ_BYTES = 65536
 # Limits how long one connection that keeps sending occupies the loop.
@@ -26,7 +27,21 @@
 
 
 class StreamHandler(abc.ABC):
-    """Reacts to what happens on one connection."""
+    """Reacts to what happens on one connection.
+
+    ``reads_in_a_row`` bounds how often the connection is read in one turn of
+    the loop.
+    """
+
+    reads_in_a_row = MAX_READS_IN_A_ROW
+
+    @property
+    def read_bytes(self) -> int:
+        """Return how much is read at once.
+
+        :return: bytes
+        """
+        return READ_BYTES
 
     @abc.abstractmethod
     def connected(self) -> None:
@@ -53,6 +68,31 @@
         """
 
 
+class _Gone(StreamHandler):
+    """Stands for the handler of a connection that is closed."""
+
+    def connected(self) -> None:
+        """Do nothing."""
+
+    def received(self, data: bytes) -> None:
+        """Do nothing.
+
+        :param data: dropped
+        """
+
+    def drained(self) -> None:
+        """Do nothing."""
+
+    def closed(self, reason: str) -> None:
+        """Do nothing.
+
+        :param reason: known already
+        """
+
+
+GONE = _Gone()
+
+
 class Stream:
     """One TCP connection.
 
@@ -73,7 +113,7 @@
     ) -> None:
         self._owner = owner
         self.sock = sock
-        self.handler = handler
+        self.handler: StreamHandler = handler
         self.connecting = connecting
         self.open = True
         self._closing = False
@@ -81,7 +121,8 @@
         self._resets_unless_closed = False
         self._reading = False
         self._above_high_water = False
-        self._unsent = bytearray()
+        self._unsent = write_buffer.WriteBuffer()
+        self._counted_bytes = 0
 
     @property
     def unsent_bytes(self) -> int:
@@ -91,10 +132,11 @@
         """
         return len(self._unsent)
 
-    def write(self, data: bytes) -> bool:
+    def write(self, data: write_buffer.Piece) -> bool:
         """Send bytes, buffering what the kernel doesn't take.
 
-        :param data: what to send; ignored once the connection is closed
+        :param data: what to send, which isn't changed any more; ignored once
+            the connection is closed
         :return: whether the caller may go on writing at once
         """
         if not self.open or self._closing:
@@ -103,7 +145,8 @@
             self._hold(data)
         else:
             sent = self._send(data)
-            self._hold(data[sent:])
+            if sent < len(data):
+                self._hold(memoryview(data)[sent:])
             if self._unsent and self.open:
                 self._owner.want_write(self, True)
         if len(self._unsent) > self._owner.unsent.high_water_bytes():
@@ -165,11 +208,14 @@
         if not self.open:
             return
         self.open = False
-        self._owner.unsent.add(-len(self._unsent))
+        self._count(-self._counted_bytes)
         self._unsent.clear()
         self._owner.forget(self)
         self.sock.close()
-        self.handler.closed(reason)
+        # They refer to each other, and would stay until the next collection
+        # of garbage.
+        handler, self.handler = self.handler, GONE
+        handler.closed(reason)
 
     def reset(self, reason: str = "closed_here") -> None:
         """Close now, and let nothing arrive any more that was written.
@@ -209,7 +255,8 @@
             if not self.open or not self._reading:
                 return
             try:
-                data = self.sock.recv(READ_BYTES)
+                wanted_bytes = self.handler.read_bytes
+                data = self.sock.recv(wanted_bytes)
             except self.wants_read:
                 return
             except self.wants_write:
@@ -224,17 +271,16 @@
             self.handler.received(data)
             if self._decrypted_bytes():
                 continue
-            if len(data) < READ_BYTES or reads >= MAX_READS_IN_A_ROW:
+            is_last = reads >= self.handler.reads_in_a_row
+            if len(data) < wanted_bytes or is_last:
                 return
 
     def on_writable(self) -> None:
         """Finish connecting or go on sending; called by the socket set."""
         if self.connecting and not self._finish_connecting():
             return
-        if self._unsent:
-            sent = self._send(bytes(self._unsent))
-            del self._unsent[:sent]
-            self._owner.unsent.add(-sent)
+        while self._unsent and self._send_first():
+            pass
         if self.open and not self._unsent:
             self._owner.want_write(self, False)
             if self._keeps_reading:
@@ -245,6 +291,18 @@
             self._above_high_water = False
             self.handler.drained()
 
+    def _send_first(self) -> bool:
+        """Send what comes first.
+
+        :return: whether the kernel took all of it
+        """
+        with self._unsent.first() as piece:
+            wanted = len(piece)
+            sent = self._send(piece)
+        self._unsent.drop(sent)
+        self._count(-min(sent, self._counted_bytes))
+        return sent == wanted and self.open
+
     def _shut_writing(self) -> None:
         if not self.open:
             return
@@ -263,10 +321,15 @@
     def _set_linger(self, linger: bytes) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    def _hold(self, data: bytes) -> None:
+    def _hold(self, data: write_buffer.Piece) -> None:
         if self.open:
-            self._unsent += data
-            self._owner.unsent.add(len(data))
+            self._unsent.append(data)
+            if not write_buffer.is_counted_elsewhere(data):
+                self._count(len(data))
+
+    def _count(self, count: int) -> None:
+        self._counted_bytes += count
+        self._owner.unsent.add(count)
 
     def _below_half(self) -> bool:
         half_bytes = self._owner.unsent.high_water_bytes() // 2
@@ -285,7 +348,7 @@
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return connect_failure(code) if code else ""
 
-    def _send(self, data: bytes) -> int:
+    def _send(self, data: write_buffer.Piece) -> int:
         try:
             return self.sock.send(data)
         except (*self.wants_read, *self.wants_write):
--- a/src/boragefold/transport/unsent_budget.py
+++ b/src/boragefold/transport/unsent_budget.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from boragefold.transport import caller_memory
+
 # Backpressure: above this, reading from the endpoint pauses until half has
 # drained.
 HIGH_WATER_BYTES = 262_144
@@ -21,6 +23,18 @@
     def __init__(self) -> None:
         """Begin with nothing held."""
         self._bytes = 0
+        self._max_bytes = MAX_BYTES
+        self._account: caller_memory.Account = caller_memory.CallerMemory()
+
+    def share(self, account: caller_memory.Account, *, max_bytes: int) -> None:
+        """Count in the account of callers from now on.
+
+        :param account: counts all that they make the process hold
+        :param max_bytes: above this each connection holds less
+        """
+        account.add(self._bytes)
+        self._account = account
+        self._max_bytes = min(MAX_BYTES, max_bytes)
 
     @property
     def held_bytes(self) -> int:
@@ -36,13 +50,16 @@
         :param count: bytes; negative for those that were sent or dropped
         """
         self._bytes += count
+        self._account.add(count)
 
     def high_water_bytes(self) -> int:
         """Return how much one connection may hold before it has to wait.
 
         :return: bytes
         """
-        return HIGH_WATER_BYTES if self._bytes < MAX_BYTES else LOW_WATER_BYTES
+        if self._bytes < self._max_bytes:
+            return HIGH_WATER_BYTES
+        return LOW_WATER_BYTES
 
 
 __all__ = [
