Stop watching a listener while there is no place for a connection

Callers saw no answer, and a processor was busy, once as many connections were open as there are descriptors: accepting failed, the listener stayed readable, and the loop spun; endpoints and the store couldn't be reached either. A gate now decides before each accept; without place, or without a descriptor, the listener isn't watched until a connection closes. One turn accepts 64 connections at most. Peers' tunnels, two descriptors each, and those that ask for one are bounded by the same settings.

--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -49,6 +49,7 @@
         choice: service_choice.ServiceChoice,
         is_leaving: Callable[[], bool],
         connect_seconds: float,
+        max_tunnels: int = tunnel_server.MAX_TUNNELS,
     ) -> None:
         """Connect the parts, without binding an address.
 
@@ -64,6 +65,7 @@
         :param choice: forgets failures whose cause was a path
         :param is_leaving: whether this instance is stopping
         :param connect_seconds: how long a connection may take to open
+        :param max_tunnels: how many peers' tunnels may be open
         """
         self._is_leaving = is_leaving
         self._token = secrets.token_hex(TOKEN_BYTES)
@@ -111,6 +113,7 @@
             token=self._token,
             resolve=self._resolve,
             connect_seconds=connect_seconds,
+            max_tunnels=max_tunnels,
         )
         self._detector: crash_detector.CrashDetector | None = None
 
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextlib
 import errno
 import functools
 import socket
@@ -11,6 +12,7 @@
 import circuits
 from circuits.core import pollers
 
+from boragefold.transport import accept_gate
 from boragefold.transport import streams
 from boragefold.transport import unsent_budget
 
@@ -19,6 +21,12 @@
 
 LISTEN_BACKLOG = 1024
 
+# Bounds how long accepting occupies the loop.
+ACCEPTS_IN_A_ROW = 64
+# What the kernel keeps for a connection that isn't read.
+RECEIVE_BUFFER_BYTES = 65_536
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+
 Run = Callable[[Callable[[], None]], bool]
 
 
@@ -51,10 +59,8 @@
         self._poller = poller
         self.unsent = unsent_budget.UnsentBudget()
         self._streams: dict[socket.socket, streams.Stream] = {}
-        self._listeners: dict[
-            socket.socket,
-            tuple[Callable[[], streams.StreamHandler], ssl.SSLContext | None],
-        ] = {}
+        self._listeners: dict[socket.socket, accept_gate.Listener] = {}
+        self._paused: set[socket.socket] = set()
 
     def listen(
         self,
@@ -63,6 +69,7 @@
         port: int,
         make_handler: Callable[[], streams.StreamHandler],
         tls: ssl.SSLContext | None = None,
+        gate: accept_gate.AcceptGate | None = None,
     ) -> int:
         """Accept connections.
 
@@ -71,15 +78,23 @@
         :param make_handler: makes the handler of each new connection; its
             attribute ``stream`` is set before it is called
         :param tls: how to encrypt, if at all
+        :param gate: bounds the connections; without it, all are accepted
         :return: the port that was bound
         :raises OSError: when the address can't be bound
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            # Inherited by the connections.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
         sock.setblocking(False)
-        self._listeners[sock] = (make_handler, tls)
+        self._listeners[sock] = accept_gate.Listener(
+            make_handler, tls, gate or accept_gate.OpenGate()
+        )
         self._poller.addReader(self, sock)
         return int(sock.getsockname()[1])
 
@@ -90,10 +105,17 @@
         Open connections stay.
         """
         for sock in list(self._listeners):
-            self._run(functools.partial(self._accept, sock))
+            self._run(functools.partial(self._accept_all, sock))
             self._poller.discard(sock)
             sock.close()
         self._listeners.clear()
+        self._paused.clear()
+
+    def resume_accepting(self) -> None:
+        """Watch the listeners again that had no place."""
+        paused, self._paused = self._paused, set()
+        for sock in paused:
+            self._poller.addReader(self, sock)
 
     def connect(
         self, *, host: str, port: int, handler: streams.StreamHandler
@@ -149,6 +171,8 @@
         """
         self._streams.pop(stream.sock, None)
         self._poller.discard(stream.sock)
+        if self._paused:
+            self.resume_accepting()
 
     def fail_later(self, stream: streams.Stream, why: str) -> None:
         """Abort a stream from the loop instead of from inside a call.
@@ -204,21 +228,51 @@
             owner=self, sock=wrapped, handler=handler, connecting=False
         )
 
+    def _accept_all(self, listener: socket.socket) -> None:
+        while self._accept_one(listener):
+            pass
+
     def _accept(self, listener: socket.socket) -> None:
-        make_handler, tls = self._listeners[listener]
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
+        for _ in range(ACCEPTS_IN_A_ROW):
+            if not self._accept_one(listener):
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            handler = make_handler()
-            stream = self._accepted(sock, handler, tls)
-            self._streams[stream.sock] = stream
-            handler.stream = stream  # type: ignore[attr-defined]
-            handler.connected()
-            stream.resume_reading()
+
+    def _accept_one(self, listener: socket.socket) -> bool:
+        """Accept a connection if one waits and there is place.
+
+        :return: whether one was accepted
+        """
+        make_handler, tls, gate = self._listeners[listener]
+        if not gate.may_accept():
+            self._pause_accepting(listener)
+            return False
+        try:
+            sock, _ = listener.accept()
+        except OSError as error:
+            if error.errno in NO_DESCRIPTORS:
+                self._pause_accepting(listener)
+            return False
+        self._open(sock, make_handler(), tls)
+        return True
+
+    def _open(
+        self,
+        sock: socket.socket,
+        handler: streams.StreamHandler,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = self._accepted(sock, handler, tls)
+        self._streams[stream.sock] = stream
+        handler.stream = stream  # type: ignore[attr-defined]
+        handler.connected()
+        stream.resume_reading()
+
+    def _pause_accepting(self, listener: socket.socket) -> None:
+        # A listener that stays readable would keep the loop spinning.
+        self._poller.removeReader(listener)
+        self._paused.add(listener)
 
 
 def _begin_connecting(sock: socket.socket, host: str, port: int) -> int:
@@ -230,5 +284,6 @@
 
 
 __all__ = [
+    "RECEIVE_BUFFER_BYTES",
     "SocketSet",
 ]
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -15,11 +15,14 @@
 
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
+from boragefold.transport import accept_gate
 from boragefold.transport import sockets
 from boragefold.transport import streams
 
 # Bounds the descriptors that peers may take.
 MAX_TUNNELS = 512
+# So many connections of peers per tunnel; the rest are told that it's full.
+ASKING_FACTOR = 2
 # A peer asks as soon as its connection is open.
 REQUEST_SECONDS = 2.0
 STATUS_OPENED = 200
@@ -43,7 +46,7 @@
     check_crash: CheckCrash
 
 
-class TunnelServer:
+class TunnelServer(accept_gate.AcceptGate):
     """Accepts the tunnels of peers."""
 
     def __init__(
@@ -55,6 +58,7 @@
         token: str,
         resolve: Callable[[str], Target | None],
         connect_seconds: float,
+        max_tunnels: int = MAX_TUNNELS,
     ) -> None:
         """Begin without tunnels.
 
@@ -65,7 +69,9 @@
         :param resolve: returns a published endpoint, None if there is none of
             that name or no tunnels are opened any more
         :param connect_seconds: how long a connection may take to open
+        :param max_tunnels: bounds the descriptors that peers may take
         """
+        self._max_tunnels = max_tunnels
         self._sockets = sockets_
         self._timers = timers
         self._counters = counters
@@ -91,9 +97,16 @@
         :raises OSError: when the address can't be bound
         """
         return self._sockets.listen(
-            host=host, port=port, make_handler=self._accept
+            host=host, port=port, make_handler=self._accept, gate=self
         )
 
+    def may_accept(self) -> bool:
+        """Tell whether a peer may ask for a tunnel.
+
+        :return: whether it may; one that asks for too many is told so
+        """
+        return self.open_count < ASKING_FACTOR * self._max_tunnels
+
     def check(self, head: h11.Request) -> int:
         """Decide whether a connection may be opened.
 
@@ -109,7 +122,11 @@
             return STATUS_DENIED
         if self.resolve(head) is None:
             return STATUS_UNKNOWN
-        return STATUS_FULL if self.open_count > MAX_TUNNELS else STATUS_OPENED
+        return (
+            STATUS_FULL
+            if self.open_count > self._max_tunnels
+            else STATUS_OPENED
+        )
 
     def resolve(self, head: h11.Request) -> Target | None:
         """Look up the endpoint that a request names.
