Bound the lines that refused requests write

Callers can cause a line request_refused at any rate, with requests that cost them nothing. Above 300 lines a second they are counted in log_lines_lost (thinned) instead; the lines of refusals are told by their counter in any case.

--- a/src/boragefold/entry/gateway.py
+++ b/src/boragefold/entry/gateway.py
@@ -23,11 +23,15 @@
 from boragefold.policy import rate_verdict
 from boragefold.protocol import ids
 from boragefold.state import deployment
+from boragefold.telemetry import line_rate
 from boragefold.transport import http_server
 
 # An instance receives its configuration within a second of its start.
 STARTING_RETRY_SECONDS = 0.5
 
+# Callers can cause refusals at any rate.
+REFUSAL_LINES_PER_SECOND = 300.0
+
 
 class Arrival(NamedTuple):
     """A caller's request with what its route and key say of it."""
@@ -65,6 +69,9 @@
         self._owner = owner
         self._self_id = self_id
         self._rng = rng
+        self._refusal_lines = line_rate.LineRate(
+            per_second=REFUSAL_LINES_PER_SECOND
+        )
 
     def handle(
         self, request: http_server.Request, exchange: http_server.Exchange
@@ -252,6 +259,31 @@
     ) -> None:
         context = self._context
         context.counters.add("requests_refused", reason)
+        if self._refusal_lines.allows(
+            now_seconds=context.timers.now_seconds()
+        ):
+            self._log_refusal(
+                request, kind, reason, retry_after_seconds, **fields
+            )
+        else:
+            context.counters.add("log_lines_lost", "thinned")
+        refusals.send_error(
+            exchange,
+            kind,
+            reason,
+            retry_after_seconds=retry_after_seconds,
+            headers=context.dialect.refusal_headers(request),
+        )
+
+    def _log_refusal(
+        self,
+        request: dialects.CallerRequest | None,
+        kind: refusals.ErrorKind,
+        reason: str,
+        retry_after_seconds: float,
+        **fields: object,
+    ) -> None:
+        context = self._context
         context.log.write(
             "request_refused",
             request_id=request.request_id if request else "",
@@ -264,13 +296,6 @@
             retry_after_seconds=round(retry_after_seconds, 3),
             **fields,
         )
-        refusals.send_error(
-            exchange,
-            kind,
-            reason,
-            retry_after_seconds=retry_after_seconds,
-            headers=context.dialect.refusal_headers(request),
-        )
 
 
 def _charge(
--- a/src/boragefold/telemetry/decision_log.py
+++ b/src/boragefold/telemetry/decision_log.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from boragefold.telemetry import counters as telemetry
+from boragefold.telemetry import line_rate
 
 # Limits only the lines of ordinary successes.
 ORDINARY_PER_SECOND = 60.0
@@ -43,8 +44,7 @@
         self._counters = counters
         self._unwritten = bytearray()
         self._lost_lines = 0
-        self._allowance = ORDINARY_PER_SECOND
-        self._allowed_at_seconds = now_seconds()
+        self._ordinary = line_rate.LineRate(per_second=ORDINARY_PER_SECOND)
         self._encoder = msgspec.json.Encoder()
         os.set_blocking(descriptor, False)
 
@@ -74,18 +74,10 @@
         :param event: the kind of event, one of a small fixed set
         :param fields: the values that led to the decision
         """
-        now_seconds = self._now_seconds()
-        elapsed_seconds = now_seconds - self._allowed_at_seconds
-        self._allowed_at_seconds = now_seconds
-        self._allowance = min(
-            ORDINARY_PER_SECOND,
-            self._allowance + ORDINARY_PER_SECOND * elapsed_seconds,
-        )
-        if self._allowance < 1:
+        if self._ordinary.allows(now_seconds=self._now_seconds()):
+            self.write(event, **fields)
+        else:
             self._counters.add("log_lines_lost", "thinned")
-            return
-        self._allowance -= 1
-        self.write(event, **fields)
 
     def flush(self) -> None:
         """Write as much of the buffer as the descriptor accepts."""
