Count all that callers hold in one account, and let the halted give way

Callers saw a process of a machine of 160 MB take 840 MB for 100 bodies that stopped one byte short, 1,381 MB for 100 whole ones to slow endpoints: each was within the limits, and nothing bounded their sum, nor connections. Heads, bodies, what lies behind a running request, unsent answers and the connections themselves are now in one account, from the first byte to the end of the answer; what a body takes is given back when its last reference goes. Half of memory_mb above 48 MB is the callers', three quarters of that for requests above 64 KB, three quarters of the sockets for their connections. At a bound, large requests that brought less than 8 KB for 0.25 s give way, longest first; small ones take the room of large ones, and of halted small ones; at the bound of connections the ended, the halted and at last the idle ones make place. Those that give way and those without room get 503 with Retry-After, which is true: bodies are judged before anything runs.

Limits are read anew for each request, lengths over the limit are refused at the head, before 100 Continue; the published limit of headers is applied. Of requests in a row one is handled in each turn of the loop; 900 short ones nested their answers until the stack ended.

--- a/src/boragefold/entry/gateway_instance.py
+++ b/src/boragefold/entry/gateway_instance.py
@@ -11,6 +11,7 @@
 from boragefold.coordination.fleet import order_leases
 from boragefold.coordination.fleet import ownership as ownerships
 from boragefold.coordination.fleet import rate_messages
+from boragefold.entry import caller_bounds
 from boragefold.entry import dialect as dialects
 from boragefold.entry import engine_dialect
 from boragefold.entry import engine_owner
@@ -81,6 +82,14 @@
             age_seconds=lambda: self._published.age.seconds(),
             run=self._guard.runner("fleet"),
         )
+        self._admission = caller_bounds.connect(
+            process=process,
+            memory_mb=settings.memory_mb,
+            max_fds=settings.max_fds,
+            max_body_bytes=lambda: (
+                gateway_listeners.limits_of(self._fleet).max_body_bytes
+            ),
+        )
         self._client = http_client.HttpClient(
             sockets_=self._sockets,
             timers=self.timers,
@@ -166,6 +175,7 @@
             choice=self._loads.choice,
             is_leaving=lambda: self.shutdown.has_begun,
             connect_seconds=CONNECT_SECONDS,
+            max_tunnels=self._admission.budget.tunnels,
         )
         self._ownership = ownerships.Ownership(
             self_id=self._link.self_id,
@@ -197,6 +207,7 @@
             cold=self._loads.cold,
             ready=self.ready,
             items=self._published.items,
+            admission=self._admission,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -8,18 +8,28 @@
 
 from boragefold.entry import cold_endpoints
 from boragefold.entry import fleet_log
+from boragefold.policy import caller_budget
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
 from boragefold.state import fleet as fleets
 from boragefold.state import published_items
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
+from boragefold.transport import caller_admission
 from boragefold.transport import callers
 from boragefold.transport import http_server
+from boragefold.transport import requests
 from boragefold.transport import sockets
 
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
+# For probes and scrapes, apart from the callers.
+OPERATORS_BUDGET = caller_budget.CallerBudget(
+    memory_bytes=4 * caller_budget.MEGABYTE,
+    large_bytes=caller_budget.MEGABYTE,
+    connections=32,
+    tunnels=0,
+)
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 JSON = ("Content-Type", "application/json")
 STATUS_PATH = "/status"
@@ -41,6 +51,7 @@
         cold: cold_endpoints.ColdEndpoints,
         ready: Callable[[], bool],
         items: published_items.PublishedItems,
+        admission: caller_admission.CallerAdmission,
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -52,6 +63,7 @@
         :param cold: the endpoints that are cold
         :param ready: tells whether the balancer should send callers here
         :param items: the published items
+        :param admission: what callers may take together
         """
         self._sockets = sockets_
         self._counters = counters
@@ -66,7 +78,8 @@
             application=application,
             counters=counters,
             timers=timers,
-            max_body_bytes=self._max_body_bytes,
+            limits=lambda: limits_of(fleet),
+            admission=admission,
         )
 
     def listen(self, settings: gateway_settings.GatewaySettings) -> None:
@@ -90,14 +103,16 @@
         self, address: str, application: http_server.Application
     ) -> None:
         host, port = serve_settings.split_address(address)
-        self._sockets.listen(
-            host=host,
-            port=port,
-            make_handler=lambda: http_server.ServerConnection(
-                application=application,
-                on_bad_request=lambda reason: None,
+        face = callers.CallersFace(
+            sockets_=self._sockets,
+            application=application,
+            counters=self._counters,
+            timers=self._timers,
+            admission=caller_admission.CallerAdmission(
+                budget=OPERATORS_BUDGET, now_seconds=self._timers.now_seconds
             ),
         )
+        face.listen(host=host, port=port, tls=None)
 
     def _answer_ready(
         self, request: http_server.Request, exchange: http_server.Exchange
@@ -136,13 +151,23 @@
                 request_seconds=limits.header_timeout_seconds,
             )
 
-    def _max_body_bytes(self) -> int:
-        limits = self._fleet.caller_limits()
-        if limits is None:
-            return http_server.MAX_BODY_BYTES
-        return limits.max_body_bytes
+
+def limits_of(fleet: fleets.Fleet) -> requests.RequestLimits:
+    """Return the published limits of a request.
+
+    :param fleet: the published deployment
+    :return: those in force, the defaults before any is known
+    """
+    limits = fleet.caller_limits()
+    if limits is None:
+        return requests.RequestLimits()
+    return requests.RequestLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+    )
 
 
 __all__ = [
     "GatewayListeners",
+    "limits_of",
 ]
--- a/src/boragefold/settings/gateway.py
+++ b/src/boragefold/settings/gateway.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from boragefold.policy import caller_budget
 from boragefold.policy import cold_limit
 from boragefold.policy import rate_tolerance
 from boragefold.policy import repeat_budget
@@ -27,7 +28,10 @@
     with fast links relay the heartbeats of the others. ``evacuate_seconds`` is
     the time limit of the evacuation of a data centre. ``renewal_seconds`` is
     the interval at which endpoints renew their entries; if it is 0, entries
-    are taken to lapse in any outage of the store.
+    are taken to lapse in any outage of the store. ``memory_mb`` and
+    ``max_fds`` are what the process may take of memory and descriptors, which
+    bounds what callers may make it hold; 0 descriptors stands for the limit
+    of the process.
     """
 
     instance_name: str
@@ -48,6 +52,8 @@
     cold_tolerance: cold_limit.Tolerance = cold_limit.Tolerance()
     evacuate_seconds: float = 5.0
     renewal_seconds: float = 0.0
+    memory_mb: float = caller_budget.DEFAULT_MEMORY_MB
+    max_fds: int = 0
 
 
 def check(settings: GatewaySettings) -> None:
@@ -91,6 +97,16 @@
             "renewal_seconds must not be below zero; give the interval at "
             "which endpoints renew their entries"
         )
+    if not settings.memory_mb > 0:
+        raise BadSettings(
+            "memory_mb must be above zero; give the memory that the process "
+            "may take"
+        )
+    if settings.max_fds < 0:
+        raise BadSettings(
+            "max_fds must not be below zero; give the descriptors that the "
+            "process may open, or 0 for its limit"
+        )
     if settings.order_lease_seconds <= 0:
         raise BadSettings(
             "order_lease_seconds must be above zero; give the time that two "
--- a/src/boragefold/standins/endpoint_connection.py
+++ b/src/boragefold/standins/endpoint_connection.py
@@ -62,10 +62,10 @@
         """
         if isinstance(event, h11.Response) and _is_unframed(event):
             # Answers to HTTP/1.0 have no chunks.
-            self._parser.their_http_version = HTTP_1_0
+            self._reader.parser.their_http_version = HTTP_1_0
         if isinstance(event, h11.Response) and self.head_fault is not None:
             interim = INTERIM if self.head_fault.interim else b""
-            head = self._parser.send(event) or b""
+            head = self._reader.parser.send(event) or b""
             self.stream.write(interim + head[: self.head_fault.sent])
             return False
         return super().send(event)
--- a/src/boragefold/transport/callers.py
+++ b/src/boragefold/transport/callers.py
@@ -6,7 +6,10 @@
 
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
+from boragefold.transport import accept_gate
+from boragefold.transport import caller_admission
 from boragefold.transport import http_server
+from boragefold.transport import requests
 from boragefold.transport import sockets
 
 if TYPE_CHECKING:
@@ -17,9 +20,11 @@
 QUIET_SECONDS = 0.5
 # How long a caller may take to read the end of a last answer.
 LINGER_SECONDS = 1.0
+# While no caller gives way, whether one does now is checked this often.
+PLACE_CHECK_SECONDS = 0.1
 
 
-class CallersFace:
+class CallersFace(accept_gate.AcceptGate):
     """Accepts callers and knows which of them are being served."""
 
     def __init__(
@@ -29,7 +34,8 @@
         application: http_server.Application,
         counters: telemetry.Counters,
         timers: timing.TimerService,
-        max_body_bytes: Callable[[], int] = lambda: http_server.MAX_BODY_BYTES,
+        limits: Callable[[], requests.RequestLimits] = requests.RequestLimits,
+        admission: caller_admission.CallerAdmission | None = None,
     ) -> None:
         """Begin without connections.
 
@@ -37,10 +43,13 @@
         :param application: answers requests
         :param counters: of this process
         :param timers: the process clock
-        :param max_body_bytes: how large a request's body may be
+        :param limits: returns how large a request may be
+        :param admission: what callers may take together
         """
         self._timers = timers
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
+        self._admission = admission or caller_admission.for_one()
+        self._checks_place = False
         self._sockets = sockets_
         self._application = application
         self._counters = counters
@@ -60,9 +69,28 @@
         :raises OSError: when the address can't be bound
         """
         return self._sockets.listen(
-            host=host, port=port, make_handler=self._connect, tls=tls
+            host=host,
+            port=port,
+            make_handler=self._connect,
+            tls=tls,
+            gate=self,
         )
 
+    def may_accept(self) -> bool:
+        """Make place for one more caller.
+
+        :return: whether there is place
+        """
+        if self._admission.make_place():
+            return True
+        self._counters.add("connections_held_back", "no_place")
+        if not self._checks_place:
+            self._checks_place = True
+            self._timers.once(
+                delay_seconds=PLACE_CHECK_SECONDS, callback=self._check_place
+            )
+        return False
+
     def announce_stop(self) -> None:
         """Make each next answer the last on its connection.
 
@@ -120,12 +148,21 @@
             must_end=lambda: self._stopped,
             on_gone=self._connections.discard,
             now_seconds=self._timers.now_seconds,
-            max_body_bytes=self._max_body_bytes(),
+            limits=self._limits,
+            admission=self._admission,
+            call_later=self._call_later,
             on_ended=self._linger,
         )
         self._connections.add(connection)
         return connection
 
+    def _call_later(self, callback: Callable[[], None]) -> None:
+        self._timers.once(delay_seconds=0.0, callback=callback)
+
+    def _check_place(self) -> None:
+        self._checks_place = False
+        self._sockets.resume_accepting()
+
     def _linger(self, connection: http_server.ServerConnection) -> None:
         connection.stream.end_writing()
         self._timers.once(
--- a/src/boragefold/transport/exchange.py
+++ b/src/boragefold/transport/exchange.py
@@ -38,8 +38,10 @@
 class Exchange:
     """One request and the answer to it."""
 
-    def __init__(self, *, connection: Answering) -> None:
+    def __init__(self, *, connection: Answering, body: bytes = b"") -> None:
         self._connection = connection
+        # Counted until the answer ends: what was made of it is as large.
+        self._body = body
         self.started = False
         self.finished = False
         self.on_closed: Callable[[], None] | None = None
@@ -138,6 +140,7 @@
         # These and the exchange refer to each other, with a whole request,
         # which would stay until the next collection of garbage.
         self.finished = True
+        self._body = b""
         self.on_closed = self.on_drained = self.on_given_up = None
 
 
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -1,65 +1,45 @@
-"""HTTP/1.1 towards callers: parsed by h11, with bounds on everything."""
+"""HTTP/1.1 towards callers: parsed by libraries, with bounds on everything."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple
-from urllib import parse
 
 import h11
-import msgspec
 
+from boragefold.transport import caller_admission
+from boragefold.transport import caller_memory
 from boragefold.transport import exchange
+from boragefold.transport import refusal_answers
+from boragefold.transport import requests
+from boragefold.transport import sockets
 from boragefold.transport import streams
 
-MAX_HEADER_BYTES = 32_768
-MAX_BODY_BYTES = 4_194_304
-STATUS_BAD_REQUEST = 400
-STATUS_REQUEST_TIMEOUT = 408
-STATUS_TOO_LARGE = 413
+MAX_BODY_BYTES = requests.MAX_BODY_BYTES
+MAX_HEADER_BYTES = requests.MAX_HEADER_BYTES
 HTTP_1_1 = b"1.1"
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
+# What an open connection takes, with its parser.
+CONNECTION_BYTES = 16_384
+# A head is kept as bytes and as fields.
+HEAD_FACTOR = 2
+# Read at once of anything but a body without chunks, which costs little.
+HEAD_READ_BYTES = 16_384
+COSTLY_READ_BYTES = 2_048
 
 Exchange = exchange.Exchange
 Headers = exchange.Headers
-
-
-class Request(NamedTuple):
-    """One whole request; header names are in lower case.
-
-    ``target`` and ``fields`` are the request line's target and all headers,
-    repeated ones included, as they were sent.
-    """
-
-    method: str
-    path: str
-    query: str
-    headers: dict[str, str]
-    body: bytes
-    target: str = ""
-    fields: tuple[tuple[str, str], ...] = ()
-
-
-def bad_request_body(reason: str) -> bytes:
-    """Write the body that tells a caller its bytes were no request.
-
-    :param reason: why
-    :return: JSON
-    """
-    error = {
-        "outcome": "not_run",
-        "reason": reason,
-        "remedy": "send one well-formed HTTP/1.1 request within the limits",
-    }
-    return msgspec.json.encode({"error": error})
-
+Phase = caller_admission.Phase
+Request = requests.Request
+RequestLimits = requests.RequestLimits
 
 Application = Callable[[Request, Exchange], None]
 
 
-class ServerConnection(streams.StreamHandler):
+class ServerConnection(streams.StreamHandler, caller_admission.Caller):
     """One caller's connection: requests one after the other."""
 
     stream: streams.Stream
+    reads_in_a_row = 1
 
     def __init__(
         self,
@@ -67,6 +47,11 @@
         application: Application,
         on_bad_request: Callable[[str], None],
         max_body_bytes: int = MAX_BODY_BYTES,
+        limits: Callable[[], RequestLimits] | None = None,
+        admission: caller_admission.CallerAdmission | None = None,
+        call_later: Callable[[Callable[[], None]], object] = (
+            lambda callback: callback()
+        ),
         last_answer: Callable[[], bool] = lambda: False,
         must_end: Callable[[], bool] | None = None,
         on_gone: Callable[[ServerConnection], None] = lambda gone: None,
@@ -80,6 +65,11 @@
         :param application: handles the requests
         :param on_bad_request: told why one wasn't handled
         :param max_body_bytes: how large a request's body may be
+        :param limits: returns the limits of a request, which may change; by
+            default ``max_body_bytes``
+        :param admission: what all callers may take together; by default of
+            this connection alone
+        :param call_later: runs a callback in the next turn of the loop
         :param last_answer: tells whether the next answer is the last, which
             its head then says
         :param must_end: tells whether an answer is the last even if its head
@@ -96,15 +86,49 @@
         self._must_end = must_end or last_answer
         self._on_gone = on_gone
         self._on_bad_request = on_bad_request
-        self._max_body_bytes = max_body_bytes
         self._now_seconds = now_seconds
+        self._call_later = call_later
         self._moved_at_seconds = now_seconds()
         self._receiving = False
-        self._parser = self._new_parser()
-        self._head: h11.Request | None = None
-        self._body = bytearray()
+        self._drops_rest = False
+        self._admission = admission or caller_admission.for_one()
+        self._held_bytes = 0
+        self._unmoved_bytes = 0
+        self._phase = Phase.NEW
+        fixed = RequestLimits(max_body_bytes=max_body_bytes)
+        self._reader = requests.RequestReader(
+            limits=limits or (lambda: fixed),
+            account=self._admission.memory,
+        )
         self._exchange: Exchange | None = None
 
+    @property
+    def read_bytes(self) -> int:
+        """Return how much is read at once.
+
+        :return: bytes
+        """
+        if self._reader.is_costly:
+            return COSTLY_READ_BYTES
+        if self._reader.receives_plain_body:
+            return streams.READ_BYTES
+        return HEAD_READ_BYTES
+
+    def give_way(self) -> None:
+        """Drop what is being received, and say that it didn't run."""
+        if self._exchange is None:
+            self._refuse(refusal_answers.GAVE_WAY)
+            return
+        self._drops_rest = True
+        self._reader.drop()
+        self._settle()
+        self.stream.resume_reading()
+
+    def cut(self) -> None:
+        """Close at once."""
+        self._ended = True
+        self.stream.abort()
+
     def is_idle(self, *, quiet_seconds: float) -> bool:
         """Tell whether the connection can be closed without loss.
 
@@ -131,6 +155,9 @@
         """Answer nothing more, and close once the other end has read."""
         if not self._ended:
             self._ended = True
+            self._reader.drop()
+            if self.stream.open:
+                self._move(Phase.ENDED)
             self._on_ended(self)
 
     def refuse_slow(
@@ -151,30 +178,29 @@
             # This process was late, not the caller.
             return
         waited_seconds = self._now_seconds() - self._moved_at_seconds
-        limit_seconds = request_seconds if self._head is None else idle_seconds
+        has_head = self._reader.has_head
+        limit_seconds = idle_seconds if has_head else request_seconds
         if self._receiving and waited_seconds > limit_seconds:
-            self._refuse("request_too_slow", STATUS_REQUEST_TIMEOUT)
+            self._refuse(refusal_answers.TOO_SLOW)
         elif not self._receiving and waited_seconds > idle_seconds:
             self.end()
 
     def connected(self) -> None:
-        """Do nothing: the caller speaks first."""
+        """Count the connection: the caller speaks first."""
+        self._move(Phase.NEW)
 
     def received(self, data: bytes) -> None:
         """Parse what the caller sent.
 
         :param data: bytes
         """
-        if self._ended:
+        if self._ended or self._drops_rest:
             return
         if not self._receiving and self._exchange is None:
             self._receiving = True
             self._moved_at_seconds = self._now_seconds()
-        try:
-            self._parser.receive_data(data)
-        except h11.RemoteProtocolError:
-            self._refuse("malformed", STATUS_BAD_REQUEST)
-            return
+        self._unmoved_bytes += len(data)
+        self._reader.feed(data)
         self._parse()
 
     def drained(self) -> None:
@@ -187,6 +213,11 @@
 
         :param reason: why
         """
+        self._ended = True
+        self._reader.drop()
+        self._admission.forget(self)
+        self._admission.memory.add(-self._held_bytes)
+        self._held_bytes = 0
         self._on_gone(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None and not exchange.finished:
@@ -200,12 +231,13 @@
         """
         if not self.stream.open:
             return False
-        if isinstance(event, h11.Response) and self._last_answer():
+        is_last = self._drops_rest or self._last_answer()
+        if isinstance(event, h11.Response) and is_last:
             headers = [*event.headers, (b"Connection", b"close")]
             event = h11.Response(
                 status_code=event.status_code, headers=headers
             )
-        data = self._parser.send(event)
+        data = self._reader.parser.send(event)
         if isinstance(event, h11.Response) and self._ends_at_close(event):
             self.stream.reset_unless_closed()
         return self.stream.write(data) if data else True
@@ -214,21 +246,23 @@
         """End the answer and turn to the next request, if one waits."""
         if not self.stream.open:
             return
-        self.stream.write(self._parser.send(h11.EndOfMessage()) or b"")
+        parser = self._reader.parser
+        self.stream.write(parser.send(h11.EndOfMessage()) or b"")
         self._exchange = None
-        self._head = None
         self._moved_at_seconds = self._now_seconds()
-        if self._parser.our_state is h11.MUST_CLOSE or self._must_end():
+        must_end = self._drops_rest or self._must_end()
+        if parser.our_state is h11.MUST_CLOSE or must_end:
             # This answer is the last: a request behind it would get none.
             self.end()
-            return
-        if self._parser.their_state is h11.DONE:
-            self._parser.start_next_cycle()
-            self.stream.resume_reading()
-            self._parse()
-            self._receiving = self._exchange is None and (
-                self._head is not None or bool(self._parser.trailing_data[0])
-            )
+        elif parser.their_state is h11.DONE:
+            self._reader.next_request()
+            self._receiving = self._reader.unparsed_bytes > 0
+            if self._receiving:
+                # Many short requests in a row mustn't occupy the loop.
+                self._call_later(self._go_on)
+            else:
+                self.stream.resume_reading()
+            self._settle()
 
     def abort(self) -> None:
         """Cut the connection, so that the answer doesn't look whole."""
@@ -244,97 +278,88 @@
 
     def _ends_at_close(self, head: h11.Response) -> bool:
         # A caller of HTTP/1.0 knows no chunks.
-        return self._parser.their_http_version != HTTP_1_1 and not any(
+        version = self._reader.parser.their_http_version
+        return version != HTTP_1_1 and not any(
             name == b"content-length" for name, _ in head.headers
         )
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
-        )
+    def _go_on(self) -> None:
+        if self._ended or self._exchange is not None:
+            return
+        self.stream.resume_reading()
+        self._parse()
 
     def _parse(self) -> None:
-        while self.stream.open and self._exchange is None:
-            if self._ended:
+        if self._exchange is None:
+            outcome = self._reader.read()
+            self._settle()
+            if isinstance(outcome, requests.Refused):
+                self._refuse(outcome)
                 return
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse("malformed", error.error_status_hint)
+            if not self._has_room(outcome):
+                self._refuse(refusal_answers.NO_ROOM)
                 return
-            if event in (h11.NEED_DATA, h11.PAUSED):
-                return
-            if not self._take(event):
-                return
-        if self._exchange is not None and self._parser.trailing_data[0]:
+            if self._reader.take_awaits_continue() and outcome is None:
+                self.send(CONTINUE)
+            if outcome is not None:
+                self._dispatch(outcome)
+        if self._exchange is not None and self._reader.unparsed_bytes:
             # Bounds the buffer of a caller that pipelines and never reads.
             self.stream.pause_reading()
+        if self.stream.open:
+            self._settle()
 
-    def _take(self, event: object) -> bool:
-        if isinstance(event, h11.Request):
-            return self._take_head(event)
-        if isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > self._max_body_bytes:
-                self._refuse("body_too_large", STATUS_TOO_LARGE)
-                return False
-        elif isinstance(event, h11.EndOfMessage):
-            self._dispatch()
-        elif isinstance(event, h11.ConnectionClosed):
-            return False
-        return True
+    def _dispatch(self, request: Request) -> None:
+        self._receiving = False
+        self._exchange = Exchange(connection=self, body=request.body)
+        self._move(Phase.RUNNING)
+        self._application(request, self._exchange)
 
-    def _take_head(self, head: h11.Request) -> bool:
-        names = {name for name, _ in head.headers}
-        if {b"content-length", b"transfer-encoding"} <= names:
-            # Request smuggling: a proxy in front may follow the other framing.
-            self._refuse("conflicting_framing", STATUS_BAD_REQUEST)
-            return False
-        self._head = head
-        self._body = bytearray()
-        expected = dict(head.headers).get(b"expect", b"")
-        if expected.lower() == b"100-continue":
-            self.send(h11.InformationalResponse(status_code=100, headers=[]))
-        return True
-
-    def _dispatch(self) -> None:
-        head = self._head
-        if head is None:
+    def _has_room(self, request: Request | None) -> bool:
+        large = self._reader.is_large
+        if request is not None:
+            large = caller_memory.is_large(request.body)
+        return self._admission.make_room(self, large=large)
+
+    def _settle(self) -> None:
+        """Count what the connection holds, and record what it does."""
+        if self._ended:
             return
-        target = parse.urlsplit(head.target.decode("latin-1"))
-        fields = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers
-        )
-        request = Request(
-            method=head.method.decode("latin-1"),
-            path=parse.unquote(target.path),
-            query=target.query,
-            headers=dict(fields),
-            body=bytes(self._body),
-            target=head.target.decode("latin-1"),
-            fields=fields,
+        held_bytes = CONNECTION_BYTES
+        held_bytes += HEAD_FACTOR * self._reader.unparsed_bytes
+        phase = self._phase_now()
+        if phase is Phase.PIPELINING:
+            held_bytes += sockets.RECEIVE_BUFFER_BYTES
+        self._admission.memory.add(held_bytes - self._held_bytes)
+        self._held_bytes = held_bytes
+        if (
+            phase is not self._phase
+            or self._unmoved_bytes >= caller_admission.PROGRESS_BYTES
+        ):
+            self._move(phase)
+
+    def _phase_now(self) -> Phase:
+        if self._exchange is not None:
+            is_ahead = self._reader.unparsed_bytes and not self._drops_rest
+            return Phase.PIPELINING if is_ahead else Phase.RUNNING
+        if not self._receiving:
+            return Phase.NEW if self._phase is Phase.NEW else Phase.IDLE
+        return (
+            Phase.RECEIVING_LARGE if self._reader.is_large else Phase.RECEIVING
         )
-        self._body = bytearray()
-        self._receiving = False
-        self._exchange = Exchange(connection=self)
-        self._application(request, self._exchange)
 
-    def _refuse(self, reason: str, status: int) -> None:
-        self._on_bad_request(reason)
-        body = bad_request_body(reason)
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            response = h11.Response(
-                status_code=status,
-                headers=[
-                    ("Content-Type", "application/json"),
-                    ("Content-Length", str(len(body))),
-                    ("Connection", "close"),
-                ],
-            )
-            events = (response, h11.Data(data=body), h11.EndOfMessage())
-            for event in events:
-                self.stream.write(self._parser.send(event) or b"")
+    def _move(self, phase: Phase) -> None:
+        self._phase = phase
+        self._unmoved_bytes = 0
+        self._admission.move(self, phase)
+
+    def _refuse(self, refused: requests.Refused) -> None:
+        self._on_bad_request(refused.reason)
+        self._reader.drop()
+        parser = self._reader.parser
+        if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            for event in refusal_answers.write(refused):
+                self.stream.write(parser.send(event) or b"")
         self.end()
 
 
@@ -342,6 +367,9 @@
     "Application",
     "Exchange",
     "Headers",
+    "MAX_BODY_BYTES",
+    "MAX_HEADER_BYTES",
     "Request",
+    "RequestLimits",
     "ServerConnection",
 ]
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import gc
+import socket
+import struct
 import types
 import weakref
 
@@ -7,11 +10,15 @@
 from hypothesis import strategies
 import pytest
 
+from boragefold.policy import caller_budget
+from boragefold.transport import caller_admission
 from boragefold.transport import exchange as exchanges
 from boragefold.transport import http_server
 from boragefold.transport import unsent_budget
 from tests.fakes import loopback
 
+NO_LINGER = struct.pack("ii", 1, 0)
+CHUNKED = b"Transfer-Encoding: chunked"
 GOOD = b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
 
 
@@ -300,3 +307,190 @@
     exchange.finish()
     del request
     assert held() is None
+
+
+class BoundedFace(Face):
+    """Connections of one admission, whose turns the loop takes."""
+
+    def __init__(self, **budget):
+        super().__init__()
+        self.max_body_bytes = 100_000
+        self.connections = []
+        self.admission = caller_admission.CallerAdmission(
+            budget=caller_budget.CallerBudget(
+                **{
+                    "memory_bytes": 1_000_000,
+                    "large_bytes": 750_000,
+                    "connections": 10,
+                    "tunnels": 0,
+                    **budget,
+                }
+            ),
+            now_seconds=self.net.clock.now_seconds,
+        )
+        self.port = self.net.sockets.listen(
+            host="127.0.0.1", port=0, make_handler=self.connect
+        )
+
+    def connect(self):
+        connection = http_server.ServerConnection(
+            application=lambda *both: self.application(*both),
+            on_bad_request=self.refused.append,
+            limits=lambda: http_server.RequestLimits(
+                max_body_bytes=self.max_body_bytes
+            ),
+            admission=self.admission,
+            now_seconds=self.net.clock.now_seconds,
+            call_later=lambda callback: self.net.timers.once(
+                delay_seconds=0.0, callback=callback
+            ),
+        )
+        self.connections.append(connection)
+        return connection
+
+
+def post(length, *fields):
+    lines = ["POST /echo HTTP/1.1", "Host: a", f"Content-Length: {length}"]
+    return ("\r\n".join([*lines, *fields]) + "\r\n\r\n").encode()
+
+
+def test_many_short_requests_in_a_row_are_all_answered():
+    # Their answers were nested in one another until the stack ended.
+    face = BoundedFace()
+    sock = face.net.connect(face.port)
+    sock.sendall(GOOD * 900)
+    face.net.turn(lambda: len(face.requests) == 900)
+    assert len(face.requests) == 900
+    sock.close()
+
+
+@pytest.mark.parametrize("fields", [(), ("Expect: 100-continue",)])
+def test_a_length_over_the_limit_is_refused_before_the_body(fields):
+    # The process received what it was to refuse, and asked for it.
+    face = BoundedFace()
+    answer = face.say(post(face.max_body_bytes + 1, *fields))
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert face.refused == ["body_too_large"]
+
+
+def test_headers_over_the_published_limit_are_refused():
+    # The published limit of headers was read and not applied.
+    face = BoundedFace()
+    field = "X: " + "x" * http_server.MAX_HEADER_BYTES
+    assert face.say(post(0, field)).startswith(b"HTTP/1.1 431")
+    assert face.refused == ["head_too_large"]
+
+
+def test_a_new_limit_holds_for_the_next_request_of_a_connection():
+    # Kept connections kept the limit under which they were opened.
+    face = BoundedFace()
+    sock = face.net.connect(face.port)
+    sock.sendall(post(50) + b"x" * 50)
+    assert b"200" in face.net.read(sock)
+    face.max_body_bytes = 10
+    sock.sendall(post(50) + b"x" * 50)
+    assert b"HTTP/1.1 413" in face.net.read(sock)
+    sock.close()
+
+
+FORMS = {
+    "length": post(90_000) + b"x" * 80_000,
+    "chunks": post(0).replace(b"Content-Length: 0", CHUNKED)
+    + b"13880\r\n"
+    + b"x" * 80_000,
+    "head": post(0, "X: " + "x" * 9_000)[:-4],
+}
+
+
+@pytest.mark.parametrize("form", FORMS)
+@pytest.mark.parametrize("ending", ["reset", "close", "refused", "cut"])
+def test_what_a_closed_connection_held_is_given_back(form, ending):
+    # Bodies of closed connections stayed until a collection of garbage.
+    face = BoundedFace()
+    gc.collect()
+    gc.disable()
+    try:
+        sock = face.net.connect(face.port)
+        sock.sendall(FORMS[form])
+        least_bytes = len(FORMS[form]) * 0.9
+        face.net.turn(lambda: face.admission.memory.held_bytes > least_bytes)
+        assert face.admission.memory.held_bytes > least_bytes
+        (connection,) = face.connections
+        gone = weakref.ref(connection)
+        if ending == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        if ending == "refused":
+            connection.refuse_slow(idle_seconds=-1.0, request_seconds=-1.0)
+        if ending == "cut":
+            connection.cut()
+        face.connections.clear()
+        del connection
+        sock.close()
+        face.net.turn(lambda: gone() is None)
+        assert gone() is None
+        assert face.admission.memory.held_bytes == 0
+        assert face.admission.connections == 0
+    finally:
+        gc.enable()
+
+
+def test_a_body_stays_counted_while_its_request_runs():
+    # Whole requests at slow endpoints were in no sum.
+    face = BoundedFace()
+    face.application = face.hold
+    sock = face.net.connect(face.port)
+    sock.sendall(post(80_000) + b"x" * 80_000)
+    face.net.turn(lambda: bool(face.exchanges))
+    assert face.admission.memory.large_bytes >= 80_000
+    face.exchanges.pop().reply(200, [], b"")
+    assert face.admission.memory.large_bytes == 0
+    sock.close()
+
+
+def test_requests_behind_a_running_one_give_way_to_others():
+    # Callers who send ahead kept the room of those who don't.
+    face = BoundedFace(memory_bytes=220_000, large_bytes=100_000)
+    face.application = face.hold
+    ahead = [face.net.connect(face.port) for _ in range(2)]
+    for sock in ahead:
+        sock.sendall(GOOD + GOOD[:-1] * 200)
+    face.net.turn(lambda: len(face.exchanges) == 2)
+    face.net.turn(lambda: False)
+    other = face.net.connect(face.port)
+    other.sendall(GOOD)
+    face.net.turn(lambda: len(face.exchanges) == 3)
+    assert len(face.exchanges) == 3
+    for exchange in face.exchanges:
+        exchange.reply(200, [], b"")
+    answer = face.net.read(ahead[0])
+    assert b"200" in answer and b"connection: close" in answer.lower()
+    for sock in (*ahead, other):
+        sock.close()
+
+
+def test_without_room_a_request_is_refused_and_may_come_again():
+    # A refusal for lack of room promises that nothing ran.
+    face = BoundedFace(memory_bytes=150_000, large_bytes=100_000)
+    face.application = face.hold
+    first = face.net.connect(face.port)
+    first.sendall(post(70_000) + b"x" * 70_000)
+    face.net.turn(lambda: bool(face.exchanges))
+    answer = face.say(post(80_000) + b"x" * 80_000)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1" in answer.lower()
+    assert face.refused == ["no_room"]
+    assert b"not_run" in answer
+    first.close()
+
+
+def test_one_turn_reads_little_of_one_connection():
+    # One connection with tiny chunks kept the loop for as long as it sent.
+    face = BoundedFace()
+    sock = face.net.connect(face.port)
+    sock.sendall(FORMS["chunks"])
+    face.net.turn(lambda: bool(face.connections))
+    (connection,) = face.connections
+    face.net.turn(lambda: connection.is_idle(quiet_seconds=0.0) is False)
+    assert connection.reads_in_a_row == 1
+    assert connection.read_bytes <= 16_384
+    sock.close()
