End slow callers at boragefold serve, and bound what they hold

Callers saw an entry instance answer nobody: it never ended a caller that stopped within a request or stayed idle, and shared the missing bounds of the gateway. serve takes memory_mb, max_fds, header_timeout_seconds and idle_timeout_seconds as checked settings, and uses the same admission.

--- a/src/boragefold/cli/serve.py
+++ b/src/boragefold/cli/serve.py
@@ -9,6 +9,7 @@
 import zmq
 
 from boragefold.entry import instance as instances
+from boragefold.policy import caller_budget
 from boragefold.settings import serve as serve_settings
 from boragefold.telemetry import logs
 
@@ -45,6 +46,30 @@
     show_default=True,
     help="How log lines are written.",
 )
+@click.option(
+    "--memory-mb",
+    default=caller_budget.DEFAULT_MEMORY_MB,
+    show_default=True,
+    help="Memory that the process may take; bounds what callers may hold.",
+)
+@click.option(
+    "--max-fds",
+    default=0,
+    show_default=True,
+    help="Descriptors that the process may open; 0 for its limit.",
+)
+@click.option(
+    "--header-timeout-seconds",
+    default=10.0,
+    show_default=True,
+    help="How long the head of a request may take to arrive.",
+)
+@click.option(
+    "--idle-timeout-seconds",
+    default=75.0,
+    show_default=True,
+    help="How long a connection may idle, and a body take to arrive.",
+)
 def serve(**options: Any) -> None:
     """Run one entry instance."""
     settings = serve_settings.ServeSettings(**options)
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from boragefold.coordination.configuration import readiness
+from boragefold.entry import caller_bounds
 from boragefold.entry import chat_assembly
 from boragefold.entry import chat_handler
 from boragefold.entry import cluster_services
@@ -28,6 +29,7 @@
 from boragefold.timing import clock as clocks
 from boragefold.transport import callers
 from boragefold.transport import http_client
+from boragefold.transport import http_server
 from boragefold.transport import loop as loops
 from boragefold.transport import peer_keys
 from boragefold.transport import peer_link
@@ -37,6 +39,8 @@
 # with an empty bucket.
 SETTLE_SECONDS = 3.0
 LEAVE_LIMIT_SECONDS = 10.0
+# Connections are checked for exceeded timeouts this often.
+SLOW_CHECK_SECONDS = 1.0
 
 
 class Instance:
@@ -87,6 +91,12 @@
             ).handle,
             counters=self.counters,
             timers=self.timers,
+            admission=caller_bounds.connect(
+                process=process,
+                memory_mb=settings.memory_mb,
+                max_fds=settings.max_fds,
+                max_body_bytes=lambda: http_server.MAX_BODY_BYTES,
+            ),
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -106,6 +116,13 @@
         """
         host, port = serve_settings.split_address(self.settings.listen)
         self._callers.listen(host=host, port=port, tls=self._tls())
+        self.timers.every(
+            period_seconds=SLOW_CHECK_SECONDS,
+            callback=lambda: self._callers.refuse_slow(
+                idle_seconds=self.settings.idle_timeout_seconds,
+                request_seconds=self.settings.header_timeout_seconds,
+            ),
+        )
         if serve_operators:
             self.shutdown.register(self.loop)
             host, port = serve_settings.split_address(
--- a/src/boragefold/settings/serve.py
+++ b/src/boragefold/settings/serve.py
@@ -6,6 +6,7 @@
 import pathlib
 from typing import NamedTuple
 
+from boragefold.policy import caller_budget
 from boragefold.protocol import addresses
 from boragefold.state import paths
 from boragefold.transport import peer_keys
@@ -25,6 +26,10 @@
     stop_notice_seconds: float = 5.0
     seeds: tuple[str, ...] = ()
     json_logs: bool = False
+    memory_mb: float = caller_budget.DEFAULT_MEMORY_MB
+    max_fds: int = 0
+    header_timeout_seconds: float = 10.0
+    idle_timeout_seconds: float = 75.0
 
 
 class Fault(NamedTuple):
@@ -47,6 +52,7 @@
         *_tls_faults(settings),
         *_stop_faults(settings),
         *_seed_faults(settings),
+        *_caller_faults(settings),
     ]
 
 
@@ -106,6 +112,17 @@
         yield Fault("stop_notice_seconds", "give zero or more seconds")
 
 
+def _caller_faults(settings: ServeSettings) -> Iterator[Fault]:
+    # Written so that not-a-number is a fault as well.
+    for name in ("header_timeout_seconds", "idle_timeout_seconds"):
+        if not getattr(settings, name) > 0:
+            yield Fault(name, "give more than zero seconds")
+    if not settings.memory_mb > 0:
+        yield Fault("memory_mb", "give the memory that the process may take")
+    if settings.max_fds < 0:
+        yield Fault("max_fds", "give a count of descriptors, or 0")
+
+
 __all__ = [
     "Fault",
     "ServeSettings",
