Show operators what callers hold, and play crowds in the soak

/status and a gauge tell what callers hold and may hold; whoever is cut at the bound of connections is counted as made_place. A memory_mb of 0 stands for the default instead of ending the start.

--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -73,6 +73,7 @@
         self._items = items
         self._instance_name = ""
         self._ready = ready
+        self._admission = admission
         self.callers = callers.CallersFace(
             sockets_=sockets_,
             application=application,
@@ -138,6 +139,7 @@
             "ready": self._ready(),
             "published_age_seconds": round(self._fleet.age_seconds(), 3),
             "published": [state._asdict() for state in self._items.states()],
+            "callers": self._admission.status(),
             **self._cold.status(),
             "evacuations": fleet_log.describe_evacuations(
                 self._fleet, now_seconds=self._timers.now_seconds()
@@ -145,6 +147,9 @@
         }
 
     def _refuse_slow_callers(self) -> None:
+        self._counters.set_gauge(
+            "callers_held_bytes", self._admission.memory.held_bytes
+        )
         if (limits := self._fleet.caller_limits()) is not None:
             self.callers.refuse_slow(
                 idle_seconds=limits.idle_timeout_seconds,
--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -97,6 +97,20 @@
         """
         return len(self._places)
 
+    def status(self) -> dict[str, int]:
+        """Describe what callers take, and what they may take.
+
+        :return: bytes and counts by name
+        """
+        return {
+            "held_bytes": self.memory.held_bytes,
+            "large_bytes": self.memory.large_bytes,
+            "connections": self.connections,
+            "max_held_bytes": self.budget.memory_bytes,
+            "max_large_bytes": self.budget.large_bytes,
+            "max_connections": self.budget.connections,
+        }
+
     def move(self, caller: Caller, phase: Phase) -> None:
         """Record what a caller does now, and that it has moved.
 
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -125,7 +125,9 @@
         self.stream.resume_reading()
 
     def cut(self) -> None:
-        """Close at once."""
+        """Close at once, to make place."""
+        if not self._ended:
+            self._on_bad_request("made_place")
         self._ended = True
         self.stream.abort()
 
--- a/src/boragefold/transport/streams.py
+++ b/src/boragefold/transport/streams.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import abc
 import errno
 import itertools
 import socket
 import struct
 from typing import Protocol
 
+from boragefold.transport import stream_handler
 from boragefold.transport import unsent_budget
 from boragefold.transport import write_buffer
 
-READ_BYTES = 65536
-# Limits how long one connection that keeps sending occupies the loop.
-MAX_READS_IN_A_ROW = 4
 # How a connection ends that the other end closed in good order, or reset.
 END_OF_INPUT = "eof"
 RESET = "reset"
@@ -25,72 +22,9 @@
 # Closing goes on in the background with what is unsent.
 DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
-
-class StreamHandler(abc.ABC):
-    """Reacts to what happens on one connection.
-
-    ``reads_in_a_row`` bounds how often the connection is read in one turn of
-    the loop.
-    """
-
-    reads_in_a_row = MAX_READS_IN_A_ROW
-
-    @property
-    def read_bytes(self) -> int:
-        """Return how much is read at once.
-
-        :return: bytes
-        """
-        return READ_BYTES
-
-    @abc.abstractmethod
-    def connected(self) -> None:
-        """Learn that the connection is open for writing."""
-
-    @abc.abstractmethod
-    def received(self, data: bytes) -> None:
-        """Take bytes that arrived.
-
-        :param data: at least one byte
-        """
-
-    @abc.abstractmethod
-    def drained(self) -> None:
-        """Learn that the write buffer fell below half its high-water mark."""
-
-    @abc.abstractmethod
-    def closed(self, reason: str) -> None:
-        """Learn that the connection is gone; called once, also on failure.
-
-        :param reason: ``eof``, ``refused``, ``unreachable``, ``timeout``,
-            ``reset``, ``handler_failed`` or ``closed_here``; only ``refused``
-            tells that nothing listens at the address
-        """
-
-
-class _Gone(StreamHandler):
-    """Stands for the handler of a connection that is closed."""
-
-    def connected(self) -> None:
-        """Do nothing."""
-
-    def received(self, data: bytes) -> None:
-        """Do nothing.
-
-        :param data: dropped
-        """
-
-    def drained(self) -> None:
-        """Do nothing."""
-
-    def closed(self, reason: str) -> None:
-        """Do nothing.
-
-        :param reason: known already
-        """
-
-
-GONE = _Gone()
+READ_BYTES = stream_handler.READ_BYTES
+MAX_READS_IN_A_ROW = stream_handler.MAX_READS_IN_A_ROW
+StreamHandler = stream_handler.StreamHandler
 
 
 class Stream:
@@ -214,7 +148,7 @@
         self.sock.close()
         # They refer to each other, and would stay until the next collection
         # of garbage.
-        handler, self.handler = self.handler, GONE
+        handler, self.handler = self.handler, stream_handler.GONE
         handler.closed(reason)
 
     def reset(self, reason: str = "closed_here") -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 import settings
 
+from boragefold.policy import caller_budget
 from boragefold.policy import cold_limit
 from boragefold.settings import gateway
 
@@ -53,6 +54,29 @@
     assert found.evacuate_seconds == 5.0
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_mb", "max_fds"),
+    [
+        ({"memory_mb": 160, "max_fds": 3075}, 160, 3075),
+        ({"memory_mb": 0}, caller_budget.DEFAULT_MEMORY_MB, 0),
+        (None, caller_budget.DEFAULT_MEMORY_MB, 0),
+    ],
+)
+def test_what_the_machine_has_is_read(tmp_path, limits, memory_mb, max_fds):
+    given = SETTINGS if limits is None else {**SETTINGS, "limits": limits}
+    found = read(tmp_path, given)
+    gateway.check(found)
+    assert (found.memory_mb, found.max_fds) == (memory_mb, max_fds)
+
+
+@pytest.mark.parametrize(
+    "limits", [{"memory_mb": -1}, {"memory_mb": 160, "max_fds": -1}]
+)
+def test_no_machine_has_less_than_nothing(tmp_path, limits) -> None:
+    with pytest.raises(gateway.BadSettings, match="must"):
+        gateway.check(read(tmp_path, {**SETTINGS, "limits": limits}))
+
+
 def test_the_limit_of_an_evacuation_is_read(tmp_path) -> None:
     bounds = {**SETTINGS["bounds"], "evacuate_ms": 1500}
     found = read(tmp_path, {**SETTINGS, "bounds": bounds})
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,6 +12,7 @@
 from tests.fakes import repeat_load
 from tests.fakes import versioned_engines
 from tests.soak import callers
+from tests.soak import crowds
 from tests.soak import culprits
 from tests.soak import spells
 from tests.soak import stalls
@@ -68,6 +69,7 @@
         *_herds(run, seen),
         *_cut_off(run, seen),
         *_falls(run),
+        *crowds.check(run),
         *_versions(run, seen),
         *_taken_up(run),
         *_served(run, seen),
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -70,6 +70,11 @@
     "readers_silent": 2,
     "spell": 4,
     "limits_change": 2,
+    "crowd_short": 2,
+    "crowd_resets": 2,
+    "crowd_over": 1,
+    "crowd_tiny": 2,
+    "crowd_heads": 2,
 }
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 from tests.fakes import versioned_engines
 from tests.soak import callers
 from tests.soak import checks
+from tests.soak import crowds
 from tests.soak import culprits
 from tests.soak import endpoint_faults
 from tests.soak import listings
@@ -51,12 +52,14 @@
     """The fleet, with a proxy before each store as well.
 
     A proxy accepts connections for an endpoint that is gone; ``direct`` leaves
-    the endpoints' own addresses published. ``limit`` is that of repeats.
+    the endpoints' own addresses published. ``limit`` is that of repeats,
+    ``machine_limits`` are those of memory and descriptors, if any.
     """
 
-    def __init__(self, folder, *, limit, **options) -> None:
+    def __init__(self, folder, *, limit, machine_limits, **options) -> None:
         super().__init__(folder, **options)
         self.limit = limit
+        self.machine_limits = machine_limits
 
     def _settings(self, number):
         name = f"store-{number}"
@@ -70,7 +73,12 @@
             "budget_ratio": self.limit.ratio,
             "retry_slack": self.limit.slack,
         }
-        return {**settings, "platform": {"address": address}, "bounds": bounds}
+        return {
+            **settings,
+            "platform": {"address": address},
+            "bounds": bounds,
+            "limits": self.machine_limits,
+        }
 
 
 class Run(
@@ -80,6 +88,7 @@
     stalls.StallFaults,
     listings.ListingFaults,
     spells.SpellFaults,
+    crowds.CrowdFaults,
 ):
     """Plays one plan; ``broken`` lists the promises that did not hold."""
 
@@ -105,6 +114,11 @@
                 if any(fault.kind in REPEAT_FAULTS for fault in faults)
                 else repeat_rule.LIMIT
             ),
+            machine_limits=(
+                crowds.LIMITS
+                if any(fault.kind in crowds.KINDS for fault in faults)
+                else {}
+            ),
         )
         super().__init__()
         self.over = threading.Event()
@@ -119,6 +133,7 @@
         self.falls: list[int] = []
         self.planned_stops: list[tuple[int, float]] = []
         self.still_stops: list[stalls.StillStop] = []
+        self.crowd_peaks = []
         self.herds: list[Herd] = []
         self.herd_on: int | None = None
         self.calm_from_seconds = 0.0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.fakes import versioned_engines
+from tests.soak import crowds
 from tests.soak import plan
 from tests.soak import run
 
@@ -233,3 +234,11 @@
     assert first == plan.make(5, length_seconds=24.0)
     assert first != plan.make(6, length_seconds=24.0)
     assert all(fault.kind in plan.KINDS for fault in first)
+
+
+def test_crowds_of_unruly_callers_harm_nobody_else(tmp_path) -> None:
+    # Bodies that never end took all memory; processes were killed meanwhile.
+    kinds = (*sorted(crowds.KINDS), "kill", "stop", "pause", "cut_off")
+    faults = plan.make(74, kinds=kinds, length_seconds=LENGTH_SECONDS)
+    one = _play(tmp_path, faults=faults, seed=74)
+    assert one.crowd_peaks
