Refuse a large body at its head that running requests leave no room for

It was received for as long as that took, and refused then. What is known to be unservable is refused at once now, by the length that is announced. Bodies without chunks are read four times in a turn again: they cost little.

--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -36,6 +36,14 @@
 class Caller(abc.ABC):
     """A connection of a caller, as admission meets it."""
 
+    @property
+    @abc.abstractmethod
+    def receiving_bytes(self) -> int:
+        """Return how much of a body has been received.
+
+        :return: bytes; 0 once its request runs
+        """
+
     @abc.abstractmethod
     def give_way(self) -> None:
         """Drop what is being received, and say that it didn't run."""
@@ -142,6 +150,21 @@
             victim.cut()
         return victim is not None
 
+    def could_hold(self, body_bytes: int) -> bool:
+        """Tell whether a body would fit beside the requests that run.
+
+        :param body_bytes: its announced length
+        :return: False if nobody could give way to it
+        """
+        if body_bytes <= caller_budget.SMALL_REQUEST_BYTES:
+            return True
+        receiving_bytes = sum(
+            caller.receiving_bytes
+            for caller in self._by_phase[Phase.RECEIVING_LARGE]
+        )
+        running_bytes = self.memory.large_bytes - receiving_bytes
+        return running_bytes + body_bytes <= self._budget_now().large_bytes
+
     def make_room(self, caller: Caller, *, large: bool) -> bool:
         """Make room in memory for what a caller has sent.
 
@@ -160,11 +183,14 @@
         return True
 
     def _is_over(self, *, large: bool) -> bool:
-        budget = self.budget.with_room_for(self._max_body_bytes())
+        budget = self._budget_now()
         if large and self.memory.large_bytes > budget.large_bytes:
             return True
         return self.memory.held_bytes > budget.memory_bytes
 
+    def _budget_now(self) -> caller_budget.CallerBudget:
+        return self.budget.with_room_for(self._max_body_bytes())
+
     def _memory_victim(self, *, large: bool) -> Caller | None:
         if large:
             return self._first(LARGE_ORDER, only_stopped=True)
--- a/src/boragefold/transport/caller_memory.py
+++ b/src/boragefold/transport/caller_memory.py
@@ -70,6 +70,14 @@
         self._counted_bytes = 0
         self._counted_large = False
 
+    @property
+    def counted_bytes(self) -> int:
+        """Return what the body takes.
+
+        :return: bytes, as counted last
+        """
+        return self._counted_bytes
+
     @property
     def is_large(self) -> bool:
         """Return whether the body competes with the large ones.
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -39,7 +39,6 @@
     """One caller's connection: requests one after the other."""
 
     stream: streams.Stream
-    reads_in_a_row = 1
 
     def __init__(
         self,
@@ -102,6 +101,16 @@
         )
         self._exchange: Exchange | None = None
 
+    @property
+    def reads_in_a_row(self) -> int:
+        """Return how often the connection is read in one turn of the loop.
+
+        :return: the count; a body without chunks costs little
+        """
+        if self._reader.receives_plain_body:
+            return streams.MAX_READS_IN_A_ROW
+        return 1
+
     @property
     def read_bytes(self) -> int:
         """Return how much is read at once.
@@ -114,6 +123,14 @@
             return streams.READ_BYTES
         return HEAD_READ_BYTES
 
+    @property
+    def receiving_bytes(self) -> int:
+        """Return how much of a body has been received.
+
+        :return: bytes; 0 once its request runs
+        """
+        return self._reader.body_bytes
+
     def give_way(self) -> None:
         """Drop what is being received, and say that it didn't run."""
         if self._exchange is None:
@@ -318,6 +335,9 @@
         self._application(request, self._exchange)
 
     def _has_room(self, request: Request | None) -> bool:
+        announced_bytes = self._reader.take_announced_bytes()
+        if not self._admission.could_hold(announced_bytes):
+            return False
         large = self._reader.is_large
         if request is not None:
             large = caller_memory.is_large(request.body)
--- a/src/boragefold/transport/requests.py
+++ b/src/boragefold/transport/requests.py
@@ -91,6 +91,7 @@
         self._chunks: chunked_body.ChunkedBody | None = None
         self._unparsed_bytes = 0
         self._awaits_continue = False
+        self._announced_bytes = 0
 
     @property
     def has_head(self) -> bool:
@@ -116,6 +117,14 @@
         """
         return self._body is not None and self._body.is_large
 
+    @property
+    def body_bytes(self) -> int:
+        """Return what the body so far takes.
+
+        :return: bytes
+        """
+        return 0 if self._body is None else self._body.counted_bytes
+
     @property
     def is_costly(self) -> bool:
         """Return whether few bytes should be read at once.
@@ -173,6 +182,14 @@
         awaits, self._awaits_continue = self._awaits_continue, False
         return awaits
 
+    def take_announced_bytes(self) -> int:
+        """Return once how long a body was announced to be.
+
+        :return: bytes; 0 if this was returned before, or nothing announced
+        """
+        announced, self._announced_bytes = self._announced_bytes, 0
+        return announced
+
     def next_request(self) -> None:
         """Turn to the next request, once one has been answered."""
         self._head = None
@@ -212,6 +229,7 @@
             self._failure = refused
             return
         fields = dict(head.headers)
+        self._announced_bytes = int(fields.get(b"content-length", 0))
         expected = fields.get(b"expect", b"").lower()
         self._awaits_continue = expected == b"100-continue"
         if CHUNKED in head.headers:
--- a/src/boragefold/transport/stream_handler.py
+++ b/src/boragefold/transport/stream_handler.py
@@ -10,13 +10,15 @@
 
 
 class StreamHandler(abc.ABC):
-    """Reacts to what happens on one connection.
+    """Reacts to what happens on one connection."""
 
-    ``reads_in_a_row`` bounds how often the connection is read in one turn of
-    the loop.
-    """
+    @property
+    def reads_in_a_row(self) -> int:
+        """Return how often the connection is read in one turn of the loop.
 
-    reads_in_a_row = MAX_READS_IN_A_ROW
+        :return: the count
+        """
+        return MAX_READS_IN_A_ROW
 
     @property
     def read_bytes(self) -> int:
--- a/tests/transport/test_caller_admission.py
+++ b/tests/transport/test_caller_admission.py
@@ -26,6 +26,10 @@
         case.admission.memory.add(held, large=large)
         case.admission.move(self, phase)
 
+    @property
+    def receiving_bytes(self):
+        return 0 if self.phase is Phase.RUNNING else self.held
+
     def give_way(self):
         self.outcome = "gave way"
         self.release()
@@ -42,11 +46,11 @@
 
 
 class Case:
-    def __init__(self):
+    def __init__(self, budget=BUDGET):
         self.now_seconds = 0.0
         self.max_body_bytes = 0
         self.admission = caller_admission.CallerAdmission(
-            budget=BUDGET,
+            budget=budget,
             now_seconds=lambda: self.now_seconds,
             max_body_bytes=lambda: self.max_body_bytes,
         )
@@ -90,6 +94,15 @@
     assert not case.make_room(large)
 
 
+def test_a_body_that_cannot_fit_beside_running_requests_is_known_at_once():
+    # It was received for as long as it took, and refused then.
+    case = Case(BUDGET._replace(memory_bytes=500_000, large_bytes=300_000))
+    case.add(Phase.RUNNING, 150_000, large=True)
+    case.add(Phase.RECEIVING_LARGE, 100_000, large=True)
+    assert case.admission.could_hold(150_000)
+    assert not case.admission.could_hold(151_000)
+
+
 def test_a_small_request_takes_the_room_of_a_large_one(case):
     large = case.add(Phase.RECEIVING_LARGE, 700, large=True)
     case.add(Phase.RUNNING, 250)
