Keep few idle connections through peers, and leave descriptors for tunnels

A tunnel takes two descriptors of the peer; up to 32 idle ones for each address stayed open, and an instance of 500 descriptors opens 18. An instance of 4,100 descriptors opens 512 tunnels as before.

--- a/src/boragefold/policy/caller_budget.py
+++ b/src/boragefold/policy/caller_budget.py
@@ -22,10 +22,10 @@
 SMALL_REQUEST_BYTES = 65_536
 FILE_DESCRIPTORS = 200
 # The rest is left to endpoints, peers and the store.
-CALLER_CONNECTIONS_PART = 0.75
+CALLER_CONNECTIONS_PART = 0.6
 MIN_CONNECTIONS = 16
 # Peers' tunnels take two descriptors each of what is left.
-TUNNELS_PART = 0.25
+TUNNELS_PART = 1 / 3
 MAX_TUNNELS = 512
 
 
--- a/src/boragefold/policy/engine_schedule.py
+++ b/src/boragefold/policy/engine_schedule.py
@@ -21,6 +21,7 @@
 from boragefold.policy import cold_limit
 from boragefold.policy import engine_decisions
 from boragefold.policy import engine_queue
+from boragefold.policy import engine_refusals
 from boragefold.policy import engine_slots
 from boragefold.policy import engine_speed
 from boragefold.policy import engine_waits
@@ -33,12 +34,8 @@
 Action = engine_decisions.Action
 QueuedRequest = request_states.QueuedRequest
 
-# A queue takes this long to change: earlier retries would be refused again.
-MIN_RETRY_AFTER_SECONDS = 0.2
-# Reason of the refusal of an eager request.
-WOULD_BE_LATE = "busy"
-# Reason of the refusal of a request that would start too late to be useful.
-QUEUE_TOO_LONG = "queue_too_long"
+QUEUE_TOO_LONG = engine_refusals.QUEUE_TOO_LONG
+WOULD_BE_LATE = engine_refusals.WOULD_BE_LATE
 
 
 class EngineSchedule:
@@ -142,17 +139,14 @@
         if request.eager and self._waits.would_be_late(
             request, wait_seconds, now_seconds
         ):
-            return engine_decisions.Refusal(
-                request=request,
-                reason=WOULD_BE_LATE,
-                retry_after_seconds=0.0,
-                wait_seconds=wait_seconds,
-            )
+            return engine_refusals.would_be_late(request, wait_seconds)
         excess_seconds = self._waits.excess_seconds(
             request, wait_seconds, now_seconds
         )
         if excess_seconds > 0:
-            return self._refusal(request, excess_seconds)
+            return engine_refusals.starts_too_late(
+                request, excess_seconds, self.slots
+            )
         self._queue.add(waiting)
         return None
 
@@ -188,10 +182,7 @@
         :param now_seconds: reading of the process clock
         :return: how many were removed
         """
-        requests = [
-            *self._queue.requests(),
-            *self._runs.requests(),
-        ]
+        requests = [*self._queue.requests(), *self._runs.requests()]
         lost = list(filter(matches, requests))
         for request in lost:
             self.remove(request.request_id, now_seconds=now_seconds)
@@ -215,11 +206,8 @@
         :param now_seconds: reading of the process clock
         :return: the refusals
         """
-        refused = [
-            request
-            for request in self._queue.requests()
-            if matches(request.adapter)
-        ]
+        queued = self._queue.requests()
+        refused = [each for each in queued if matches(each.adapter)]
         for request in refused:
             self.remove(request.request_id, now_seconds=now_seconds)
         return [
@@ -322,20 +310,6 @@
             and waiting.request.request_id in self._queue
         )
 
-    def _refusal(
-        self, request: EngineRequest, excess_seconds: float
-    ) -> engine_decisions.Refusal:
-        orders_in_seconds = self.slots.orders_in_seconds
-        if not orders_in_seconds or self.slots.holds(request.adapter):
-            return _queue_too_long(request, excess_seconds)
-        # A retry before orders are allowed would be refused again, and most
-        # callers retry only once.
-        return engine_decisions.Refusal(
-            request=request,
-            reason="orders_wait",
-            retry_after_seconds=max(excess_seconds, orders_in_seconds),
-        )
-
     def _shed(
         self, by_urgency: Iterable[QueuedRequest], now_seconds: float
     ) -> Iterator[engine_decisions.Refusal]:
@@ -380,7 +354,7 @@
                 self.remove(request.request_id, now_seconds=now_seconds)
                 slot_wait = self._waits.slot_wait()
                 slot_wait_seconds = slot_wait.seconds(len(awaiting_slot))
-                yield _queue_too_long(
+                yield engine_refusals.queue_too_long(
                     request, wait_seconds - remaining_seconds
                 )
             else:
@@ -408,11 +382,7 @@
     ) -> Iterator[engine_decisions.Refusal]:
         for request in self._queue.expired(now_seconds=now_seconds):
             self.remove(request.request_id, now_seconds=now_seconds)
-            yield engine_decisions.Refusal(
-                request=request,
-                reason="waited_too_long",
-                retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
-            )
+            yield engine_refusals.waited_too_long(request)
 
     def _expire_unreported(self, now_seconds: float) -> None:
         # The report of a start or an end may be lost with its message or its
@@ -422,16 +392,6 @@
             self.remove(request_id, now_seconds=now_seconds)
 
 
-def _queue_too_long(
-    request: EngineRequest, excess_seconds: float
-) -> engine_decisions.Refusal:
-    return engine_decisions.Refusal(
-        request=request,
-        reason=QUEUE_TOO_LONG,
-        retry_after_seconds=max(MIN_RETRY_AFTER_SECONDS, excess_seconds),
-    )
-
-
 __all__ = [
     "EngineSchedule",
     "QUEUE_TOO_LONG",
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -29,6 +29,8 @@
 # The longer a connection idled, the likelier it is dead without a sign.
 MAX_IDLE_SECONDS = 15.0
 MAX_IDLE_PER_ADDRESS = 32
+# A tunnel takes two descriptors of the peer, which has them for all others.
+MAX_IDLE_THROUGH_PEER = 4
 
 AnswerSink = answer_parser.AnswerSink
 Call = client_connection.Call
@@ -192,7 +194,10 @@
         """
         self._busy.discard(connection)
         idle = self._idle[connection.address, connection.path]
-        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+        is_direct = not connection.path.peer
+        if len(idle) >= (
+            MAX_IDLE_PER_ADDRESS if is_direct else MAX_IDLE_THROUGH_PEER
+        ):
             connection.stream.close()
         else:
             idle.append(connection)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -2,9 +2,11 @@
 
 import socket
 import struct
+import types
 
 import pytest
 
+from boragefold.protocol import paths
 from boragefold.transport import http_client
 from boragefold.transport import whole_answer
 from tests.fakes import loopback
@@ -395,3 +397,24 @@
     sock.sendall(b"HTTP/1.1 %s\r\nX-Id: mine\r\n\r\n" % status)
     side.net.turn(lambda: bool(side.ended))
     assert str(side.ended[0].status).encode() == status[:3]
+
+
+@pytest.mark.parametrize(
+    ("path", "kept"),
+    [
+        (paths.DIRECT, http_client.MAX_IDLE_PER_ADDRESS),
+        (paths.Path(peer="p"), http_client.MAX_IDLE_THROUGH_PEER),
+    ],
+)
+def test_idle_tunnels_leave_their_peers_descriptors(side, path, kept):
+    # Idle tunnels of some kept all others from opening any.
+    closed = []
+    for _ in range(40):
+        connection = http_client.ClientConnection(
+            client=side.net.client, address="127.0.0.1:1", path=path
+        )
+        connection.stream = types.SimpleNamespace(
+            close=lambda: closed.append(True)
+        )
+        side.net.client.release(connection)
+    assert 40 - len(closed) == kept
