--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -51,7 +51,7 @@
         cold: cold_endpoints.ColdEndpoints,
         ready: Callable[[], bool],
         items: published_items.PublishedItems,
-        admission: caller_admission.CallerAdmission,
+        admission: caller_admission.CallerAdmission | None = None,
     ) -> None:
         """Create the listeners without binding an address.
 
@@ -63,7 +63,8 @@
         :param cold: the endpoints that are cold
         :param ready: tells whether the balancer should send callers here
         :param items: the published items
-        :param admission: what callers may take together
+        :param admission: what callers may take together; by default that of a
+            whole machine
         """
         self._sockets = sockets_
         self._counters = counters
@@ -73,14 +74,14 @@
         self._items = items
         self._instance_name = ""
         self._ready = ready
-        self._admission = admission
+        self._admission = admission or caller_admission.for_one()
         self.callers = callers.CallersFace(
             sockets_=sockets_,
             application=application,
             counters=counters,
             timers=timers,
             limits=lambda: limits_of(fleet),
-            admission=admission,
+            admission=self._admission,
         )
 
     def listen(self, settings: gateway_settings.GatewaySettings) -> None:
