Close an idle connection only for a caller that has come

At the bound, each turn in which somebody connected closed one idle connection more than callers came: place was made before the listener was asked whether anybody waits. Found by its own test, which failed so (2 connections where 3 have place); place is now made once a connection has been accepted.

--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -138,17 +138,22 @@
         if place is not None:
             del self._by_phase[place.phase][caller]
 
-    def make_place(self) -> bool:
-        """Make place for one more connection.
+    def has_place(self) -> bool:
+        """Tell whether one more caller may connect.
 
-        :return: whether there is place
+        :return: whether there is place, or somebody to make it
         """
         if self.connections < self.budget.connections:
             return True
+        return self._first(CONNECTION_ORDER, only_stopped=True) is not None
+
+    def make_place(self) -> None:
+        """Make place for a caller that has connected, if need be."""
+        if self.connections < self.budget.connections:
+            return
         victim = self._first(CONNECTION_ORDER, only_stopped=True)
         if victim is not None:
             victim.cut()
-        return victim is not None
 
     def could_hold(self, body_bytes: int) -> bool:
         """Tell whether a body would fit beside the requests that run.
--- a/src/boragefold/transport/callers.py
+++ b/src/boragefold/transport/callers.py
@@ -77,11 +77,11 @@
         )
 
     def may_accept(self) -> bool:
-        """Make place for one more caller.
+        """Tell whether one more caller may connect.
 
-        :return: whether there is place
+        :return: whether there is place, or an open connection may be closed
         """
-        if self._admission.make_place():
+        if self._admission.has_place():
             return True
         self._counters.add("connections_held_back", "no_place")
         if not self._checks_place:
@@ -141,6 +141,7 @@
             )
 
     def _connect(self) -> http_server.ServerConnection:
+        self._admission.make_place()
         connection = http_server.ServerConnection(
             application=self._application,
             on_bad_request=self._refused,
--- a/tests/transport/test_caller_admission.py
+++ b/tests/transport/test_caller_admission.py
@@ -149,7 +149,8 @@
     # Connections that say nothing kept everybody else out.
     callers = [case.add(phase, 1) for phase in phases]
     case.now_seconds += LATER_SECONDS
-    assert case.admission.make_place()
+    assert case.admission.has_place()
+    case.admission.make_place()
     assert [each.outcome == "cut" for each in callers].index(True) == cut
     assert case.admission.connections == BUDGET.connections - 1
 
@@ -157,7 +158,9 @@
 def test_running_requests_and_new_callers_keep_their_place(case):
     for phase in (Phase.RUNNING, Phase.RUNNING, Phase.RECEIVING):
         case.add(phase, 1)
-    assert not case.admission.make_place()
+    assert not case.admission.has_place()
+    case.admission.make_place()
+    assert case.admission.connections == BUDGET.connections
 
 
 def test_a_body_is_counted_until_its_last_reference_is_gone():
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import errno
+
 import pytest
 
+from boragefold.policy import caller_budget
 from boragefold.telemetry import counters as telemetry
+from boragefold.transport import accept_gate
+from boragefold.transport import caller_admission
 from boragefold.transport import callers
 from tests.fakes import loopback
 
@@ -14,8 +19,16 @@
 
 
 class Case:
-    def __init__(self):
+    def __init__(self, connections=100):
         self.net = loopback.Loopback()
+        self.held = []
+        limits = caller_budget.MachineLimits(memory_mb=160, max_fds=500)
+        self.admission = caller_admission.CallerAdmission(
+            budget=caller_budget.derive(limits)._replace(
+                connections=connections
+            ),
+            now_seconds=self.net.clock.now_seconds,
+        )
         self.face = callers.CallersFace(
             sockets_=self.net.sockets,
             application=lambda request, exchange: exchange.reply(
@@ -23,6 +36,7 @@
             ),
             counters=telemetry.Counters(),
             timers=self.net.timers,
+            admission=self.admission,
         )
         self.port = self.face.listen(host="127.0.0.1", port=0, tls=None)
 
@@ -188,3 +202,67 @@
         idle_seconds=IDLE_SECONDS, request_seconds=REQUEST_SECONDS
     )
     assert b"200" in case.net.read(sock)
+
+
+def test_a_new_caller_takes_the_place_of_the_one_idle_for_longest():
+    # Connections that say nothing took all descriptors.
+    case = Case(connections=3)
+    idle = [case.keep() for _ in range(3)]
+    case.net.pass_time(1.0)
+    idle[0].sendall(REQUEST)
+    assert b"200" in case.net.read(idle[0])
+    fourth = case.keep()
+    assert idle[1].recv(100) == b""
+    assert case.admission.connections == 3
+    for sock in (*idle, fourth):
+        sock.close()
+
+
+def hold_all(case):
+    case.face._application = lambda request, exchange: case.held.append(
+        exchange
+    )
+    socks = [case.connect() for _ in range(3)]
+    for sock in socks:
+        sock.sendall(REQUEST)
+    case.net.turn(lambda: len(case.held) == 3)
+    return socks
+
+
+@pytest.mark.parametrize("how", ["one leaves", "one is idle"])
+def test_a_caller_without_place_waits_for_one(how):
+    # The listener stayed readable, and the loop spun.
+    case = Case(connections=3)
+    socks = hold_all(case)
+    fourth = case.connect()
+    fourth.sendall(REQUEST)
+    case.net.turn(lambda: bool(case.net.sockets._paused))
+    (listener,) = case.net.sockets._paused
+    assert not case.net.loop.poller.isReading(listener)
+    if how == "one leaves":
+        socks.pop().close()
+    else:
+        case.held[0].reply(200, [], b"")
+        case.net.pass_time(5.0)
+    case.net.turn(lambda: len(case.held) == 4)
+    assert len(case.held) == 4
+    for sock in (*socks, fourth):
+        sock.close()
+
+
+class FullListener:
+    def accept(self):
+        raise OSError(errno.EMFILE, "too many open files")
+
+
+def test_without_descriptors_a_listener_is_not_watched(case, monkeypatch):
+    # Accepting failed, and was tried again at once for ever.
+    removed = []
+    sockets = case.net.sockets
+    listener = FullListener()
+    sockets._listeners[listener] = accept_gate.Listener(
+        case.face._connect, None, accept_gate.OpenGate()
+    )
+    monkeypatch.setattr(sockets._poller, "removeReader", removed.append)
+    sockets._accept(listener)
+    assert removed == [listener]
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -460,6 +460,11 @@
     other.sendall(GOOD)
     face.net.turn(lambda: len(face.exchanges) == 3)
     assert len(face.exchanges) == 3
+    held_bytes = face.admission.memory.held_bytes
+    for sock in ahead:
+        sock.sendall(GOOD * 200)
+    face.net.turn(lambda: False)
+    assert face.admission.memory.held_bytes <= held_bytes
     for exchange in face.exchanges:
         exchange.reply(200, [], b"")
     answer = face.net.read(ahead[0])
@@ -493,4 +498,7 @@
     face.net.turn(lambda: connection.is_idle(quiet_seconds=0.0) is False)
     assert connection.reads_in_a_row == 1
     assert connection.read_bytes <= 16_384
+    sock.sendall(b"\r\nffff\r\n" + b"\n0" * 5_000)
+    face.net.turn(lambda: connection.read_bytes <= 2_048)
+    assert connection.read_bytes <= 2_048
     sock.close()
--- a/tests/transport/test_unsent_budget.py
+++ b/tests/transport/test_unsent_budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from boragefold.transport import caller_memory
 from boragefold.transport import streams
 from boragefold.transport import unsent_budget
 
@@ -85,3 +88,36 @@
         stream.on_writable()
     assert owner.unsent.held_bytes == 0
     assert all(stream.handler.drains == 1 for stream in opened[1::2])
+
+
+@pytest.mark.parametrize("rest_bytes", [10, 2 * CHUNK_BYTES])
+def test_a_body_that_waits_to_be_sent_is_counted_once(rest_bytes) -> None:
+    # Counted twice, half of what fits would be refused.
+    owner = Owner()
+    memory = caller_memory.CallerMemory()
+    owner.unsent.share(memory, max_bytes=unsent_budget.MAX_BYTES)
+    body = caller_memory.HeldBody(account=memory)
+    body += bytes(CHUNK_BYTES + rest_bytes)
+    body.settle()
+    counted_bytes = memory.held_bytes
+    stream = streams.Stream(
+        owner=owner, sock=DeafSocket(), handler=Handler(), connecting=False
+    )
+    stream.write(body)
+    stream.write(memoryview(body)[CHUNK_BYTES:])
+    assert memory.held_bytes == counted_bytes
+    stream.write(bytes(100))
+    assert memory.held_bytes == counted_bytes + 100
+    stream.sock.reads = True
+    stream.on_writable()
+    assert memory.held_bytes == counted_bytes
+
+
+def test_less_memory_narrows_what_waits_to_be_sent() -> None:
+    # The sum of unread answers was the same on every machine.
+    owner = Owner()
+    most_bytes = CONNECTIONS * CHUNK_BYTES
+    owner.unsent.share(caller_memory.CallerMemory(), max_bytes=most_bytes)
+    fill(owner)
+    beyond_bytes = 2 * CONNECTIONS * unsent_budget.LOW_WATER_BYTES
+    assert owner.unsent.held_bytes <= most_bytes + beyond_bytes
