--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -10,6 +10,8 @@
 import abc
 from collections.abc import Callable
 import enum
+import gc
+import math
 from typing import NamedTuple
 
 from boragefold.policy import caller_budget
@@ -19,6 +21,8 @@
 PROGRESS_BYTES = 8_192
 # One that has brought nothing for this long has stopped.
 STOPPED_SECONDS = 0.25
+# Answered requests are cycles of references; collecting them takes a while.
+COLLECT_SECONDS = 0.5
 
 
 class Phase(enum.Enum):
@@ -80,6 +84,7 @@
         budget: caller_budget.CallerBudget,
         now_seconds: Callable[[], float] = lambda: 0.0,
         max_body_bytes: Callable[[], int] = lambda: 0,
+        collect: Callable[[], object] = gc.collect,
     ) -> None:
         """Begin without callers.
 
@@ -87,11 +92,14 @@
         :param now_seconds: reads the process clock
         :param max_body_bytes: the published limit of a body, for which there
             is always room
+        :param collect: frees what nothing refers to any more
         """
         self.memory = caller_memory.CallerMemory()
         self.budget = budget
         self._now_seconds = now_seconds
         self._max_body_bytes = max_body_bytes
+        self._collect = collect
+        self._collected_at_seconds = -math.inf
         self._places: dict[Caller, _Place] = {}
         self._by_phase: dict[Phase, dict[Caller, None]] = {
             phase: {} for phase in Phase
@@ -163,12 +171,9 @@
         """
         if body_bytes <= caller_budget.SMALL_REQUEST_BYTES:
             return True
-        receiving_bytes = sum(
-            caller.receiving_bytes
-            for caller in self._by_phase[Phase.RECEIVING_LARGE]
+        return self._fits(body_bytes) or (
+            self._has_collected() and self._fits(body_bytes)
         )
-        running_bytes = self.memory.large_bytes - receiving_bytes
-        return running_bytes + body_bytes <= self._budget_now().large_bytes
 
     def make_room(self, caller: Caller, *, large: bool) -> bool:
         """Make room in memory for what a caller has sent.
@@ -178,6 +183,8 @@
         :return: whether there is room
         """
         while self._is_over(large=large):
+            if self._has_collected():
+                continue
             victim = self._memory_victim(large=large)
             if victim is None or victim is caller:
                 return False
@@ -187,12 +194,32 @@
                 victim.give_way()
         return True
 
+    def _fits(self, body_bytes: int) -> bool:
+        receiving_bytes = sum(
+            caller.receiving_bytes
+            for caller in self._by_phase[Phase.RECEIVING_LARGE]
+        )
+        running_bytes = self.memory.large_bytes - receiving_bytes
+        return running_bytes + body_bytes <= self._budget_now().large_bytes
+
     def _is_over(self, *, large: bool) -> bool:
         budget = self._budget_now()
         if large and self.memory.large_bytes > budget.large_bytes:
             return True
         return self.memory.held_bytes > budget.memory_bytes
 
+    def _has_collected(self) -> bool:
+        """Free the bodies of answered requests, unless it was done lately.
+
+        :return: whether it was done now
+        """
+        now_seconds = self._now_seconds()
+        if now_seconds - self._collected_at_seconds < COLLECT_SECONDS:
+            return False
+        self._collected_at_seconds = now_seconds
+        self._collect()
+        return True
+
     def _budget_now(self) -> caller_budget.CallerBudget:
         return self.budget.with_room_for(self._max_body_bytes())
 
--- a/tests/transport/test_caller_admission.py
+++ b/tests/transport/test_caller_admission.py
@@ -49,12 +49,20 @@
     def __init__(self, budget=BUDGET):
         self.now_seconds = 0.0
         self.max_body_bytes = 0
+        self.garbage = []
+        self.collections = 0
         self.admission = caller_admission.CallerAdmission(
             budget=budget,
             now_seconds=lambda: self.now_seconds,
             max_body_bytes=lambda: self.max_body_bytes,
+            collect=self.collect,
         )
 
+    def collect(self):
+        self.collections += 1
+        while self.garbage:
+            self.garbage.pop().release()
+
     def add(self, phase, held, **options):
         return Caller(self, phase, held, **options)
 
@@ -103,6 +111,30 @@
     assert not case.admission.could_hold(151_000)
 
 
+def test_bodies_of_answered_requests_are_freed_before_anyone_is_refused():
+    # Callers within the limits were refused for what nobody needed any more.
+    case = Case(BUDGET._replace(memory_bytes=500_000, large_bytes=300_000))
+    case.garbage += [
+        case.add(Phase.RUNNING, 100_000, large=True) for _ in range(3)
+    ]
+    halted = case.add(Phase.RECEIVING_LARGE, 10_000, large=True)
+    case.now_seconds += LATER_SECONDS
+    assert case.make_room(case.add(Phase.RECEIVING_LARGE, 100, large=True))
+    assert halted.outcome == ""
+    case.now_seconds += LATER_SECONDS
+    case.garbage += [case.add(Phase.RUNNING, 200_000, large=True)]
+    assert case.admission.could_hold(150_000)
+
+
+def test_garbage_is_collected_twice_a_second_at_most():
+    # Each refusal would take as long as a collection.
+    case = Case()
+    case.add(Phase.RUNNING, 2_000)
+    for _ in range(10):
+        assert not case.make_room(case.add(Phase.RECEIVING, 1))
+    assert case.collections == 1
+
+
 def test_a_small_request_takes_the_room_of_a_large_one(case):
     large = case.add(Phase.RECEIVING_LARGE, 700, large=True)
     case.add(Phase.RUNNING, 250)
