--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -373,6 +373,18 @@
     assert face.refused == ["body_too_large"]
 
 
+def test_chunks_over_the_limit_are_refused_and_their_bytes_freed():
+    # What had come of a refused body stayed while its connection lingered.
+    face = BoundedFace()
+    sock = face.net.connect(face.port)
+    opening = post(0).replace(b"Content-Length: 0", CHUNKED)
+    sock.sendall(opening + b"%x\r\n" % 150_000 + b"x" * 150_000)
+    assert b"HTTP/1.1 413" in face.net.read(sock)
+    assert face.refused == ["body_too_large"]
+    assert face.admission.memory.large_bytes == 0
+    sock.close()
+
+
 def test_headers_over_the_published_limit_are_refused():
     # The published limit of headers was read and not applied.
     face = BoundedFace()
