Let the soak's fleet do without limits of its machines, and hold two guards

test_silent_readers made the fleet without the new argument and failed in its setup since. Two guards that mutants had survived have tests: the connections of peers that ask for tunnels are bounded, and serve ends a head that stops.

--- a/tests/entry/test_unruly_callers.py
+++ b/tests/entry/test_unruly_callers.py
@@ -219,6 +219,7 @@
             **os.environ,
             "BORAGEFOLD_SERVE_MEMORY_MB": str(MEMORY_MB),
             "BORAGEFOLD_SERVE_MAX_FDS": str(MAX_FDS),
+            "BORAGEFOLD_SERVE_HEADER_TIMEOUT_SECONDS": str(PATIENCE_SECONDS),
         }
         process = subprocess.Popen(
             [sys.executable, "-m", module, *options], env=environment
@@ -268,3 +269,12 @@
         )
         assert ordinary.status == 200
     assert entry.process.poll() is None
+
+
+def test_an_entry_instance_ends_a_head_that_stops(serving):
+    # Nothing ended it, however long it stayed.
+    host, _, port = serving.entries[0].address.rpartition(":")
+    patience = machines_module.PATIENCE_SECONDS
+    with socket.create_connection((host, int(port)), patience) as sock:
+        sock.sendall(ANNOUNCED[:40])
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 408")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -56,7 +56,9 @@
     ``machine_limits`` are those of memory and descriptors, if any.
     """
 
-    def __init__(self, folder, *, limit, machine_limits, **options) -> None:
+    def __init__(
+        self, folder, *, limit, machine_limits=None, **options
+    ) -> None:
         super().__init__(folder, **options)
         self.limit = limit
         self.machine_limits = machine_limits
@@ -77,7 +79,7 @@
             **settings,
             "platform": {"address": address},
             "bounds": bounds,
-            "limits": self.machine_limits,
+            "limits": self.machine_limits or {},
         }
 
 
@@ -117,7 +119,7 @@
             machine_limits=(
                 crowds.LIMITS
                 if any(fault.kind in crowds.KINDS for fault in faults)
-                else {}
+                else None
             ),
         )
         super().__init__()
--- a/tests/transport/test_tunnels.py
+++ b/tests/transport/test_tunnels.py
@@ -36,7 +36,7 @@
 
 
 class Side:
-    def __init__(self):
+    def __init__(self, **options):
         self.net = loopback.Loopback()
         self.endpoint = loopback.Listener()
         self.crashed = False
@@ -53,6 +53,7 @@
             token=TOKEN,
             resolve=self.published.get,
             connect_seconds=0.25,
+            **options,
         )
         self.port = self.server.listen(host="127.0.0.1", port=0)
         self.finder = OneTunnel(
@@ -230,3 +231,18 @@
     side.net.pass_time(tunnel_server.REQUEST_SECONDS + 1)
     assert side.server.open_count == 0
     sock.close()
+
+
+def test_peers_that_ask_for_too_many_tunnels_leave_descriptors():
+    # Those that ask were accepted without a bound.
+    side = Side(max_tunnels=1)
+    socks = [side.net.connect(side.port) for _ in range(5)]
+    side.net.turn()
+    assert side.server.open_count == tunnel_server.ASKING_FACTOR
+    asking = CONNECT % (b"e1", b"Bearer issued")
+    socks[0].sendall(asking)
+    assert b" 503 " in side.net.read(socks[0])
+    side.net.turn()
+    assert side.server.open_count == tunnel_server.ASKING_FACTOR
+    for sock in socks:
+        sock.close()
