Keep one idle connection through a peer

Three instances with four idle tunnels to each of four endpoints took all 40 that the last one opens.

--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -30,7 +30,7 @@
 MAX_IDLE_SECONDS = 15.0
 MAX_IDLE_PER_ADDRESS = 32
 # A tunnel takes two descriptors of the peer, which has them for all others.
-MAX_IDLE_THROUGH_PEER = 4
+MAX_IDLE_THROUGH_PEER = 1
 
 AnswerSink = answer_parser.AnswerSink
 Call = client_connection.Call
