Say once what the change said twice

The fields of a head and what lies behind it were computed twice, the latter for every request and used for chunks only.

--- a/src/boragefold/entry/caller_bounds.py
+++ b/src/boragefold/entry/caller_bounds.py
@@ -9,9 +9,6 @@
 from boragefold.policy import caller_budget
 from boragefold.transport import caller_admission
 
-# Answers that aren't read may take this part of what callers may take.
-UNSENT_PART = 0.25
-
 
 def connect(
     *,
@@ -35,7 +32,7 @@
         max_body_bytes=max_body_bytes,
     )
     process.sockets.unsent.share(
-        admission.memory, max_bytes=int(budget.memory_bytes * UNSENT_PART)
+        admission.memory, max_bytes=budget.unsent_bytes
     )
     return admission
 
--- a/src/boragefold/entry/peer_paths.py
+++ b/src/boragefold/entry/peer_paths.py
@@ -15,6 +15,7 @@
 from boragefold.entry import crash_detector
 from boragefold.entry import endpoint_reach
 from boragefold.entry import refusal_check
+from boragefold.policy import caller_budget
 from boragefold.policy import endpoint_paths
 from boragefold.policy import service_choice
 from boragefold.settings import gateway as gateway_settings
@@ -49,7 +50,7 @@
         choice: service_choice.ServiceChoice,
         is_leaving: Callable[[], bool],
         connect_seconds: float,
-        max_tunnels: int = tunnel_server.MAX_TUNNELS,
+        max_tunnels: int = caller_budget.MAX_TUNNELS,
     ) -> None:
         """Connect the parts, without binding an address.
 
--- a/src/boragefold/policy/caller_budget.py
+++ b/src/boragefold/policy/caller_budget.py
@@ -20,6 +20,8 @@
 LARGE_PART = 0.75
 # A request above this competes for room with the other large ones.
 SMALL_REQUEST_BYTES = 65_536
+# Answers that aren't read may take this part before each is held back.
+UNSENT_PART = 0.25
 FILE_DESCRIPTORS = 200
 # The rest is left to endpoints, peers and the store.
 CALLER_CONNECTIONS_PART = 0.6
@@ -48,6 +50,14 @@
     connections: int
     tunnels: int
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return what answers that aren't read may take of it.
+
+        :return: bytes, above which each connection may hold less
+        """
+        return int(self.memory_bytes * UNSENT_PART)
+
     def with_room_for(self, body_bytes: int) -> CallerBudget:
         """Return a budget that one body fits into.
 
@@ -87,6 +97,7 @@
     "CallerBudget",
     "DEFAULT_FDS",
     "DEFAULT_MEMORY_MB",
+    "MAX_TUNNELS",
     "MEGABYTE",
     "MachineLimits",
     "SMALL_REQUEST_BYTES",
--- a/src/boragefold/transport/caller_memory.py
+++ b/src/boragefold/transport/caller_memory.py
@@ -93,16 +93,14 @@
             return
         self._account.add(-self._counted_bytes, large=self._counted_large)
         self._counted_bytes = allocated_bytes
-        self._counted_large = (
-            allocated_bytes > caller_budget.SMALL_REQUEST_BYTES
-        )
+        self._counted_large = is_large(self)
         self._account.add(allocated_bytes, large=self._counted_large)
 
     def __del__(self) -> None:
         self._account.add(-self._counted_bytes, large=self._counted_large)
 
 
-def is_large(body: bytes) -> bool:
+def is_large(body: bytes | bytearray) -> bool:
     """Tell whether a request competes with the large ones.
 
     :param body: its body
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -144,7 +144,7 @@
     def cut(self) -> None:
         """Close at once, to make place."""
         if not self._ended:
-            self._on_bad_request("made_place")
+            self._on_bad_request(refusal_answers.MADE_PLACE)
         self._ended = True
         self.stream.abort()
 
--- a/src/boragefold/transport/refusal_answers.py
+++ b/src/boragefold/transport/refusal_answers.py
@@ -13,6 +13,8 @@
 NO_ROOM_RETRY_SECONDS = 1
 REMEDY = "send one well-formed HTTP/1.1 request within the limits"
 NO_ROOM_REMEDY = "come back later"
+# Why a connection is cut without an answer.
+MADE_PLACE = "made_place"
 TOO_SLOW = requests.Refused("request_too_slow", STATUS_REQUEST_TIMEOUT)
 NO_ROOM = requests.Refused("no_room", STATUS_NO_ROOM)
 GAVE_WAY = requests.Refused("gave_way", STATUS_NO_ROOM)
@@ -47,6 +49,7 @@
 
 __all__ = [
     "GAVE_WAY",
+    "MADE_PLACE",
     "NO_ROOM",
     "TOO_SLOW",
     "write",
--- a/src/boragefold/transport/requests.py
+++ b/src/boragefold/transport/requests.py
@@ -222,26 +222,29 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        rest = self.parser.trailing_data[0]
         limits = self._limits()
         self._max_body_bytes = limits.max_body_bytes
-        if (refused := _check_head(head, limits)) is not None:
-            self._failure = refused
-            return
         fields = dict(head.headers)
         self._announced_bytes = int(fields.get(b"content-length", 0))
+        self._failure = _check_head(head, fields, limits)
+        if self._failure is not None:
+            return
         expected = fields.get(b"expect", b"").lower()
         self._awaits_continue = expected == b"100-continue"
         if CHUNKED in head.headers:
-            self._body = caller_memory.HeldBody(account=self._account)
-            self._chunks = chunked_body.ChunkedBody(body=self._body)
-            # Chunks don't go through this parser, which still has to know
-            # how the answer is framed, and whether it is the last.
-            self.parser = self._new_parser()
-            self.parser.receive_data(_head_for_answer(head))
-            self.parser.next_event()
-            if rest:
-                self.feed(rest)
+            self._begin_chunks(head)
+
+    def _begin_chunks(self, head: h11.Request) -> None:
+        rest = self.parser.trailing_data[0]
+        self._body = caller_memory.HeldBody(account=self._account)
+        self._chunks = chunked_body.ChunkedBody(body=self._body)
+        # Chunks don't go through this parser, which still has to know how the
+        # answer is framed, and whether it is the last.
+        self.parser = self._new_parser()
+        self.parser.receive_data(_head_for_answer(head))
+        self.parser.next_event()
+        if rest:
+            self.feed(rest)
 
     def _take_data(self, data: bytes) -> None:
         if self._body is None:
@@ -254,9 +257,7 @@
             self._failure = BODY_TOO_LARGE
 
     def _settle(self) -> None:
-        if self._failure is not None:
-            self.drop()
-        elif self._head is not None:
+        if self._head is not None:
             self._unparsed_bytes = 0
         if self._body is not None:
             self._body.settle()
@@ -287,8 +288,9 @@
         )
 
 
-def _check_head(head: h11.Request, limits: RequestLimits) -> Refused | None:
-    fields = dict(head.headers)
+def _check_head(
+    head: h11.Request, fields: dict[bytes, bytes], limits: RequestLimits
+) -> Refused | None:
     if b"content-length" in fields and b"transfer-encoding" in fields:
         # Request smuggling: a proxy in front may follow the other framing.
         return CONFLICTING_FRAMING
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -85,7 +85,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         with contextlib.suppress(OSError):
-            # Inherited by the connections.
+            # Inherited by the connections; without it, they have the
+            # kernel's default.
             sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
--- a/src/boragefold/transport/tunnel_server.py
+++ b/src/boragefold/transport/tunnel_server.py
@@ -13,14 +13,13 @@
 
 import h11
 
+from boragefold.policy import caller_budget
 from boragefold.telemetry import counters as telemetry
 from boragefold.timing import timers as timing
 from boragefold.transport import accept_gate
 from boragefold.transport import sockets
 from boragefold.transport import streams
 
-# Bounds the descriptors that peers may take.
-MAX_TUNNELS = 512
 # So many connections of peers per tunnel; the rest are told that it's full.
 ASKING_FACTOR = 2
 # A peer asks as soon as its connection is open.
@@ -58,7 +57,7 @@
         token: str,
         resolve: Callable[[str], Target | None],
         connect_seconds: float,
-        max_tunnels: int = MAX_TUNNELS,
+        max_tunnels: int = caller_budget.MAX_TUNNELS,
     ) -> None:
         """Begin without tunnels.
 
--- a/tests/entry/test_unruly_callers.py
+++ b/tests/entry/test_unruly_callers.py
@@ -92,10 +92,6 @@
 SLOW = ("whole-to-a-service", "whole-to-engines", "unread")
 
 
-def limit_descriptors():
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
-
-
 class LimitedMachines(machines_module.Machines):
     def __init__(self, folder):
         super().__init__(folder, gateways=1)
