Order nothing again that an engine's reports have shown since its restart

The record of a restart empties the slots, so that no request is sent for what is gone. Where reports of the new life have been read, they have done so, and the slots hold what was ordered since. The slots are now emptied only if the order count is still that of another life. Engines whose reports tell no start keep the former way.

--- a/src/boragefold/coordination/fleet/order_turns.py
+++ b/src/boragefold/coordination/fleet/order_turns.py
@@ -144,6 +144,14 @@
         """
         return self._count_known
 
+    @property
+    def born_milliseconds(self) -> int:
+        """Return when the life of the engine began that the count is of.
+
+        :return: Unix time; 0 before the first report
+        """
+        return 0 if self._counted is None else self._counted.born_milliseconds
+
     @property
     def unanswered_count(self) -> int:
         """Count the unanswered orders of this turn.
--- a/src/boragefold/entry/owned_engine.py
+++ b/src/boragefold/entry/owned_engine.py
@@ -108,14 +108,16 @@
         """
         restarted = record.born_milliseconds != self.record.born_milliseconds
         self.record = record
-        if restarted:
-            self.schedule.restart_limit()
-            # The restarted engine may be loading its model already. A load
-            # that is ordered again before a report shows it isn't counted.
+        if not restarted:
+            return
+        self.schedule.restart_limit()
+        # A load that is ordered again isn't counted: what reports have shown
+        # since the restart stays, and it may be loading its model.
+        if self._turns.born_milliseconds != record.born_milliseconds:
             self.schedule.slots.apply_report(
                 {}, {}, now_seconds=self._timers.now_seconds(), busy=True
             )
-            self.request_report()
+        self.request_report()
 
     def advance(self) -> list[engine_decisions.Action]:
         """Decide what to do now, and give the order that is due.
--- a/tests/entry/test_owned_engine.py
+++ b/tests/entry/test_owned_engine.py
@@ -28,9 +28,12 @@
 class Engine:
     """A full engine with a long-running request on each adapter."""
 
-    def __init__(self, *, clock) -> None:
+    def __init__(self, *, clock, tells_start=False) -> None:
         self.model = model_engine.ModelEngine(
-            clock=clock, models=(engine_loads.MODEL,), load_seconds=0.0
+            clock=clock,
+            models=(engine_loads.MODEL,),
+            load_seconds=0.0,
+            tells_start=tells_start,
         )
         for expected, key in enumerate(map(engine_loads.key, "abcde")):
             self.model.order(
@@ -351,3 +354,23 @@
     network.run_for(1.0)
     owned.update_record(owned.record._replace(born_milliseconds=2))
     assert owned.schedule.summary()["limit"] == 8
+
+
+def test_a_record_that_tells_of_a_known_restart_repeats_no_order(
+    network, node
+) -> None:
+    # The engine answers a load of what it holds without counting it, and the
+    # next owner's order bore a lower fencing token.
+    engine = Engine(clock=network.clock, tells_start=True)
+    network.run_for(0.5)
+    owned = start_owning(node, engine, 1)
+    network.run_for(1.0)
+    engine.model.restart(models=(engine_loads.MODEL,))
+    queue_requests(owned, network, seconds=0.3)
+    assert engine.accepted()
+    born_milliseconds = engine.model.report().counted.born_milliseconds
+    owned.update_record(
+        owned.record._replace(born_milliseconds=born_milliseconds)
+    )
+    queue_requests(owned, network, seconds=0.5)
+    assert all(order.counted for order in engine.accepted())
