Receive large bodies of a known length without the parser

Cause: such a body comes in some 17 reads of 64 KB. Each passed through the parser, which copies it twice and costs as much for a part of a body as for a head, was counted twice, and looked up the published limit.

Large bodies are now appended as they come, as those in chunks are: the part behind the head has one interface (transport/request_body.py). A connection is settled once for each read, and the published limit is looked up only where the budget is exceeded.

--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -203,7 +203,14 @@
         return running_bytes + body_bytes <= self._budget_now().large_bytes
 
     def _is_over(self, *, large: bool) -> bool:
-        budget = self._budget_now()
+        # The published limit is looked up only if that may matter.
+        return self._exceeds(self.budget, large=large) and self._exceeds(
+            self._budget_now(), large=large
+        )
+
+    def _exceeds(
+        self, budget: caller_budget.CallerBudget, *, large: bool
+    ) -> bool:
         if large and self.memory.large_bytes > budget.large_bytes:
             return True
         return self.memory.held_bytes > budget.memory_bytes
--- a/src/boragefold/transport/chunked_body.py
+++ b/src/boragefold/transport/chunked_body.py
@@ -6,6 +6,8 @@
 
 import httptools
 
+from boragefold.transport import request_body
+
 # What the decoder is told before the first chunk.
 PRELUDE = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 # Bounds a chunk's head with its extensions, and the trailers.
@@ -20,7 +22,7 @@
     """Reports bytes that are no chunks; the message tells why."""
 
 
-class ChunkedBody:
+class ChunkedBody(request_body.RequestBody):
     """Appends the content of chunks to a body.
 
     The library doesn't tell where a body ends, so that from each place where
--- a/src/boragefold/transport/http_server.py
+++ b/src/boragefold/transport/http_server.py
@@ -325,7 +325,7 @@
         if self._exchange is not None and self._reader.unparsed_bytes:
             # Bounds the buffer of a caller that pipelines and never reads.
             self.stream.pause_reading()
-        if self.stream.open:
+        if self._exchange is not None and self.stream.open:
             self._settle()
 
     def _dispatch(self, request: Request) -> None:
--- a/src/boragefold/transport/requests.py
+++ b/src/boragefold/transport/requests.py
@@ -9,8 +9,10 @@
 
 import h11
 
+from boragefold.policy import caller_budget
 from boragefold.transport import caller_memory
 from boragefold.transport import chunked_body
+from boragefold.transport import request_body
 
 # The limit of headers doesn't cover the request line.
 REQUEST_LINE_BYTES = 8_192
@@ -23,7 +25,6 @@
 STATUS_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
 CHUNKED = (b"transfer-encoding", b"chunked")
-LAST_CHUNK = b"0\r\n\r\n"
 
 
 class Request(NamedTuple):
@@ -88,7 +89,8 @@
         self._head: h11.Request | None = None
         self._max_body_bytes = 0
         self._body: caller_memory.HeldBody | None = None
-        self._chunks: chunked_body.ChunkedBody | None = None
+        # Of bodies that don't pass through the parser.
+        self._content: request_body.RequestBody | None = None
         self._unparsed_bytes = 0
         self._awaits_continue = False
         self._announced_bytes = 0
@@ -131,7 +133,7 @@
 
         :return: whether the last ones took much work
         """
-        return self._chunks is not None and self._chunks.is_costly
+        return self._content is not None and self._content.is_costly
 
     @property
     def receives_plain_body(self) -> bool:
@@ -139,7 +141,9 @@
 
         :return: whether they do
         """
-        return self._head is not None and self._chunks is None
+        if self._content is not None:
+            return self._content.is_plain
+        return self._head is not None
 
     def feed(self, data: bytes) -> None:
         """Take bytes that were received.
@@ -156,7 +160,7 @@
 
         :return: the request, why it is refused, or None while it goes on
         """
-        while self._failure is None:
+        while self._failure is None and self._content is None:
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -199,9 +203,9 @@
         """Let go of everything that was received."""
         self._body = None
         self._unparsed_bytes = 0
-        if self._chunks is not None:
-            self._chunks.close()
-            self._chunks = None
+        if self._content is not None:
+            self._content.close()
+            self._content = None
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(
@@ -209,16 +213,17 @@
         )
 
     def _feed(self, data: bytes) -> None:
-        if self._chunks is None:
+        if self._content is None:
             self._unparsed_bytes += len(data)
             self.parser.receive_data(data)
             return
-        rest = self._chunks.feed(data)
+        rest = self._content.feed(data)
         self._check_size()
         if rest is not None:
-            self._chunks.close()
-            self._chunks = None
-            self.parser.receive_data(LAST_CHUNK + rest)
+            self._content.close()
+            self._content = None
+            if rest:
+                self.parser.receive_data(rest)
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
@@ -232,14 +237,25 @@
         expected = fields.get(b"expect", b"").lower()
         self._awaits_continue = expected == b"100-continue"
         if CHUNKED in head.headers:
-            self._begin_chunks(head)
+            body = self._begin_body()
+            self._begin_content(head, chunked_body.ChunkedBody(body=body))
+        elif self._announced_bytes > caller_budget.SMALL_REQUEST_BYTES:
+            content = request_body.PlainBody(
+                body=self._begin_body(), length_bytes=self._announced_bytes
+            )
+            self._begin_content(head, content)
+
+    def _begin_body(self) -> caller_memory.HeldBody:
+        self._body = caller_memory.HeldBody(account=self._account)
+        return self._body
 
-    def _begin_chunks(self, head: h11.Request) -> None:
+    def _begin_content(
+        self, head: h11.Request, content: request_body.RequestBody
+    ) -> None:
         rest = self.parser.trailing_data[0]
-        self._body = caller_memory.HeldBody(account=self._account)
-        self._chunks = chunked_body.ChunkedBody(body=self._body)
-        # Chunks don't go through this parser, which still has to know how the
-        # answer is framed, and whether it is the last.
+        self._content = content
+        # The body doesn't go through this parser, which still has to know how
+        # the answer is framed, and whether it is the last.
         self.parser = self._new_parser()
         self.parser.receive_data(_head_for_answer(head))
         self.parser.next_event()
@@ -247,9 +263,8 @@
             self.feed(rest)
 
     def _take_data(self, data: bytes) -> None:
-        if self._body is None:
-            self._body = caller_memory.HeldBody(account=self._account)
-        self._body += data
+        body = self._begin_body() if self._body is None else self._body
+        body += data
         self._check_size()
 
     def _check_size(self) -> None:
@@ -306,15 +321,15 @@
 
 
 def _head_for_answer(head: h11.Request) -> bytes:
-    kept = [
-        field
-        for field in head.headers
-        if field == CHUNKED or field[0] == b"connection"
-    ]
+    kept = (
+        b"%s: %s" % (name, value)
+        for name, value in head.headers
+        if name == b"connection"
+    )
     lines = [
         b"%s / HTTP/%s" % (head.method, head.http_version),
         b"host: caller",
-        *(b"%s: %s" % (name, value) for name, value in kept),
+        *kept,
     ]
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
