Let go of a request as soon as it is answered

What callers saw: at the bound of what callers may hold, a process stopped to collect garbage up to twice a second, since bodies of answered requests were counted until then; without such a crowd they took memory for nothing.

Cause: a request and its attempt, the attempt and its call, the request and its lease, and an answer's parser and the library's refer to each other. The body is counted until its last reference is gone, which waited for the collector.

Each of these lets go of the other when its part is over: a call of its sink once that was told the end, a connection of the parser, a request of its attempt and its lease. A call that is given up within its own answer no longer parses on. A request that runs on after its caller left still waits for the collector, as it may be held by what comes of it; the collection at the bound stays.

--- a/src/boragefold/entry/forwarding.py
+++ b/src/boragefold/entry/forwarding.py
@@ -333,6 +333,9 @@
             decision_fields=self.decision_fields(),
         )
         request_end.record(end, admitted=self.admitted, context=self.context)
+        if not self._is_running():
+            # They refer to each other, with the whole request.
+            self._attempt = None
 
     def _refund_unused(self) -> None:
         # A request that didn't run isn't charged to the rate limit.
--- a/src/boragefold/entry/guarded_request.py
+++ b/src/boragefold/entry/guarded_request.py
@@ -89,7 +89,7 @@
             crashed its endpoint
         """
         self.context.crashes.quarantine.unwatch(self)
-        self._lease.end(settles=settles)
+        self._lease.close(settles=settles)
 
     def _refuse_if_quarantined(self) -> bool:
         return self._refuse(self.admitted.guard.refusal())
--- a/src/boragefold/entry/request_lease.py
+++ b/src/boragefold/entry/request_lease.py
@@ -62,6 +62,16 @@
         self._is_held = False
         self._leases.request(key, self)
 
+    def close(self, *, settles: bool) -> None:
+        """Give the lease back for good, and let go of the request.
+
+        :param settles: whether it may turn out only now that the request
+            crashed its endpoint
+        """
+        self.end(settles=settles)
+        self._remaining_seconds = lambda: 0.0
+        self._begin = self._refuse = lambda: None
+
     def end(self, *, settles: bool) -> None:
         """Give the lease back.
 
--- a/src/boragefold/transport/answer_parser.py
+++ b/src/boragefold/transport/answer_parser.py
@@ -114,6 +114,38 @@
         """
 
 
+class _Gone(AnswerSink):
+    """Stands for the sink of a call that is over."""
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Do nothing.
+
+        :param status: dropped
+        :param headers: dropped
+        """
+
+    def data(self, data: bytes) -> None:
+        """Do nothing.
+
+        :param data: dropped
+        """
+
+    def end(self, framing: Framing) -> None:
+        """Do nothing.
+
+        :param framing: dropped
+        """
+
+    def failed(self, failure: Failure) -> None:
+        """Do nothing.
+
+        :param failure: dropped
+        """
+
+
+GONE = _Gone()
+
+
 class AnswerParser:
     """Parses one answer with llhttp and passes it on as it comes.
 
@@ -167,6 +199,10 @@
             return False
         return True
 
+    def close(self) -> None:
+        """Let go of the library's parser, which refers to this one."""
+        del self._parser
+
     def end_of_input(self) -> bool:
         """Learn that the other end closed the connection in good order.
 
@@ -271,6 +307,7 @@
     "AnswerSink",
     "Failure",
     "Framing",
+    "GONE",
     "MALFORMED",
     "TOO_LARGE",
     "UNBOUNDED",
--- a/src/boragefold/transport/client_connection.py
+++ b/src/boragefold/transport/client_connection.py
@@ -76,9 +76,21 @@
         self.may_have_arrived = False
         self.cancelled = False
 
+    def take_sink(self) -> answer_parser.AnswerSink:
+        """Let go of the sink, which refers to this call in turn.
+
+        With it, a whole request would stay until the next collection of
+        garbage.
+
+        :return: the sink, to be told how the call ended
+        """
+        sink, self.sink = self.sink, answer_parser.GONE
+        return sink
+
     def cancel(self) -> None:
         """Give the call up; its sink hears nothing more."""
         self.cancelled = True
+        self.take_sink()
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.cancel()
@@ -149,15 +161,19 @@
         """
         self.progressed_at_seconds = self._client.now_seconds()
         self.received_at_seconds = self.progressed_at_seconds
-        if self._parser is None:
+        parser = self._parser
+        if parser is None:
             self.stream.abort("unasked_answer")
             return
-        parsed = self._parser.feed(data)
-        if self._parser.complete and self.pending is not None:
+        parsed = parser.feed(data)
+        if self.pending is None:
+            # The call was given up by what came of its answer.
+            return
+        if parser.complete:
             # The answer is whole, but the connection isn't reused.
-            self._end(self.pending, self._parser, clean=parsed)
+            self._end(parser, clean=parsed)
         elif not parsed:
-            self.stream.abort(self._parser.reason)
+            self.stream.abort(parser.reason)
 
     def drained(self) -> None:
         """Do nothing: a call is written at once."""
@@ -176,14 +192,14 @@
             and parser is not None
             and parser.end_of_input()
         ):
-            self._end(self.pending, parser, clean=False)
+            self._end(parser, clean=False)
         else:
             self._fail(reason)
 
     def cancel(self) -> None:
         """Give up the running call; the sink hears nothing more."""
         self._client.call_given_up(self)
-        self.pending = None
+        self._take_pending()
         self.stream.abort()
 
     def is_overdue(self, *, now_seconds: float) -> bool:
@@ -220,10 +236,9 @@
         self.stream.resume_reading()
 
     def _fail(self, reason: str) -> None:
-        pending, self.pending = self.pending, None
+        pending = self._take_pending()
         if pending is None:
             return
-        pending.connection = None
         failure = answer_parser.Failure(
             reason=reason,
             may_have_arrived=pending.may_have_arrived,
@@ -231,6 +246,15 @@
         )
         self._client.call_failed(self, pending, failure)
 
+    def _take_pending(self) -> Pending | None:
+        pending, self.pending = self.pending, None
+        parser, self._parser = self._parser, None
+        if parser is not None:
+            parser.close()
+        if pending is not None:
+            pending.connection = None
+        return pending
+
     def _send_call(self) -> None:
         if self.pending is None:
             self.stream.close()
@@ -253,16 +277,8 @@
             self.stream.write(piece)
         self.pending.sink.written(reused=self.used_before)
 
-    def _end(
-        self,
-        pending: Pending,
-        parser: answer_parser.AnswerParser,
-        *,
-        clean: bool,
-    ) -> None:
-        self.pending = None
-        self._parser = None
-        pending.connection = None
+    def _end(self, parser: answer_parser.AnswerParser, *, clean: bool) -> None:
+        pending = self._take_pending()
         # The unsent rest of the body would be taken for the next request.
         all_sent = self.stream.unsent_bytes == 0
         if clean and parser.keeps_open and all_sent:
@@ -270,7 +286,8 @@
             self._client.release(self)
         else:
             self.stream.close()
-        pending.sink.end(parser.framing)
+        if pending is not None:
+            pending.take_sink().end(parser.framing)
 
 
 class ConnectionOwner(Protocol):
--- a/src/boragefold/transport/http_client.py
+++ b/src/boragefold/transport/http_client.py
@@ -145,7 +145,7 @@
             )
             self._dispatch(pending, fresh=True, reason=failure.reason)
         else:
-            pending.sink.failed(failure)
+            pending.take_sink().failed(failure)
 
     def call_given_up(self, connection: ClientConnection) -> None:
         """Check the path of a call that is given up without an answer.
@@ -258,8 +258,7 @@
         )
 
     def _tell_failed(self, pending: Pending, failure: Failure) -> None:
-        if not pending.cancelled:
-            pending.sink.failed(failure)
+        pending.take_sink().failed(failure)
 
     def _begin(
         self, pending: Pending, path: paths.Path, *, fresh: bool
