Bound what the operators' port of boragefold serve takes

What callers saw: nothing yet. 800 silent connections to that port, or bodies of 1 MB all but a byte, took all 400 descriptors and 364 MB of 96; a chat of an ordinary caller then got no answer in 10 s.

Cause: the port had a server of its own, without any bound, which also kept the loop spinning at its last descriptor.

It now has the server that the callers' port has, with the gateway's bounds for probes and scrapes (entry/operators.py, one place for both faces). Its listener is in a set of sockets of its own, as it stays open while an instance that stops accepts no callers any more. An unknown page is answered 404 with the pages that exist.

--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -8,7 +8,7 @@
 
 from boragefold.entry import cold_endpoints
 from boragefold.entry import fleet_log
-from boragefold.policy import caller_budget
+from boragefold.entry import operators
 from boragefold.settings import gateway as gateway_settings
 from boragefold.settings import serve as serve_settings
 from boragefold.state import fleet as fleets
@@ -23,13 +23,6 @@
 
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
-# For probes and scrapes, apart from the callers.
-OPERATORS_BUDGET = caller_budget.CallerBudget(
-    memory_bytes=4 * caller_budget.MEGABYTE,
-    large_bytes=caller_budget.MEGABYTE,
-    connections=32,
-    tunnels=0,
-)
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 JSON = ("Content-Type", "application/json")
 STATUS_PATH = "/status"
@@ -104,17 +97,13 @@
     def _serve(
         self, address: str, application: http_server.Application
     ) -> None:
-        host, port = serve_settings.split_address(address)
-        face = callers.CallersFace(
+        operators.listen(
             sockets_=self._sockets,
-            application=application,
             counters=self._counters,
             timers=self._timers,
-            admission=caller_admission.CallerAdmission(
-                budget=OPERATORS_BUDGET, now_seconds=self._timers.now_seconds
-            ),
+            address=address,
+            application=application,
         )
-        face.listen(host=host, port=port, tls=None)
 
     def _answer_ready(
         self, request: http_server.Request, exchange: http_server.Exchange
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -41,6 +41,7 @@
 LEAVE_LIMIT_SECONDS = 10.0
 # Connections are checked for exceeded timeouts this often.
 SLOW_CHECK_SECONDS = 1.0
+OPERATORS_CHANNEL = "operators"
 
 
 class Instance:
@@ -61,6 +62,7 @@
             log=logs.WarningLog(),
             loop=loop,
         )
+        self._process = process
         self.counters = process.counters
         self.request_events = recorded_events.RequestEvents()
         self.loop, self.timers = process.loop, process.timers
@@ -125,14 +127,15 @@
         )
         if serve_operators:
             self.shutdown.register(self.loop)
-            host, port = serve_settings.split_address(
-                self.settings.operators_listen
-            )
-            operators.serve(
-                root=self.loop,
-                host=host,
-                port=port,
-                state=self._instance_status(),
+            # Probes and scrapes go on while the callers' listener is closed.
+            operators.listen(
+                sockets_=self._process.open_sockets(OPERATORS_CHANNEL),
+                counters=self.counters,
+                timers=self.timers,
+                address=self.settings.operators_listen,
+                application=operators.OperatorsHandler(
+                    state=self._instance_status()
+                ).handle,
             )
         self.cluster.start()
         self.chats.start()
--- a/src/boragefold/entry/operators.py
+++ b/src/boragefold/entry/operators.py
@@ -5,16 +5,34 @@
 import abc
 import datetime
 from typing import Any
+from typing import NamedTuple
+from urllib import parse
 
-import circuits
-from circuits import web
 import msgspec
 
+from boragefold.policy import caller_budget
+from boragefold.settings import serve as serve_settings
+from boragefold.telemetry import counters as telemetry
+from boragefold.timing import timers as timing
+from boragefold.transport import caller_admission
+from boragefold.transport import callers
+from boragefold.transport import http_server
+from boragefold.transport import sockets
+
+STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
-CHANNEL = "operators"
 JSON = "application/json"
+PLAIN_TEXT = "text/plain; charset=utf-8"
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
+# For probes and scrapes, apart from the callers.
+BUDGET = caller_budget.CallerBudget(
+    memory_bytes=4 * caller_budget.MEGABYTE,
+    large_bytes=caller_budget.MEGABYTE,
+    connections=32,
+    tunnels=0,
+)
 
 
 class InstanceState(abc.ABC):
@@ -64,96 +82,114 @@
         """
 
 
-class OperatorsController(web.Controller):  # type: ignore[misc]
-    """Handles the operators' requests on a port that needs no API key."""
-
-    channel = "/"
+class Page(NamedTuple):
+    """What the operators' port answers."""
 
-    def __init__(self, *, state: InstanceState) -> None:
-        super().__init__()
-        self._state = state
+    content_type: str
+    body: bytes
+    status: int = STATUS_OK
 
-    def health(self) -> str:
-        """Answer the liveness probe.
 
-        :return: plain text
-        """
-        return "ok\n"
+class OperatorsHandler:
+    """Handles the operators' requests on a port that needs no API key."""
 
-    def ready(self) -> str:
-        """Answer the balancer's readiness probe.
+    def __init__(self, *, state: InstanceState) -> None:
+        """Answer from an instance.
 
-        :return: plain text
+        :param state: reads the state of the instance
         """
-        if self._state.ready():
-            return "ready\n"
-        self.response.status = STATUS_UNAVAILABLE
-        return "not ready\n"
-
-    def metrics(self) -> str:
-        """Return the counters.
-
-        :return: Prometheus text
+        self._state = state
+        self._pages = {
+            "/health": self._health,
+            "/ready": self._ready,
+            "/metrics": self._metrics,
+            "/status": self._status,
+            "/explain": self._explain,
+            "/audit": self._audit,
+        }
+
+    def handle(
+        self, request: http_server.Request, exchange: http_server.Exchange
+    ) -> None:
+        """Answer one request.
+
+        :param request: names the page
+        :param exchange: takes the page
         """
-        self.response.headers["Content-Type"] = PROMETHEUS_TEXT
-        return self._state.metrics().decode()
+        make_page = self._pages.get(request.path, self._not_found)
+        page = make_page(dict(parse.parse_qsl(request.query)))
+        exchange.reply(
+            page.status, [("Content-Type", page.content_type)], page.body
+        )
 
-    def status(self) -> str:
-        """Return the current state of the instance.
+    def _health(self, query: dict[str, str]) -> Page:
+        return Page(PLAIN_TEXT, b"ok\n")
 
-        :return: JSON
-        """
-        return self._json(self._state.status())
+    def _ready(self, query: dict[str, str]) -> Page:
+        if self._state.ready():
+            return Page(PLAIN_TEXT, b"ready\n")
+        return Page(PLAIN_TEXT, b"not ready\n", STATUS_UNAVAILABLE)
 
-    def explain(self, request_id: str = "") -> str:
-        """Return the recorded events of one request.
+    def _metrics(self, query: dict[str, str]) -> Page:
+        return Page(PROMETHEUS_TEXT, self._state.metrics())
 
-        :param request_id: from the response's header
-        :return: JSON
-        """
-        return self._json(self._state.explain(request_id))
+    def _status(self, query: dict[str, str]) -> Page:
+        return _json(self._state.status())
 
-    def audit(self, path: str = "", at: str = "") -> str:
-        """Return the configuration that was in force.
+    def _explain(self, query: dict[str, str]) -> Page:
+        return _json(self._state.explain(query.get("request_id", "")))
 
-        :param path: path of the published tree
-        :param at: time, such as ``2026-12-01T10:00:00Z``
-        :return: JSON
-        """
+    def _audit(self, query: dict[str, str]) -> Page:
+        at = query.get("at", "")
         try:
             moment = datetime.datetime.fromisoformat(at) if at else None
         except ValueError:
-            self.response.status = STATUS_BAD_REQUEST
-            return self._json({"remedy": "write at as 2026-12-01T10:00:00Z"})
+            remedy = {"remedy": "write at as 2026-12-01T10:00:00Z"}
+            return _json(remedy, status=STATUS_BAD_REQUEST)
         at_seconds = None if moment is None else moment.timestamp()
-        return self._json(self._state.audit(path, at_seconds))
+        return _json(self._state.audit(query.get("path", ""), at_seconds))
+
+    def _not_found(self, query: dict[str, str]) -> Page:
+        remedy = {"remedy": f"ask for one of: {', '.join(self._pages)}"}
+        return _json(remedy, status=STATUS_NOT_FOUND)
 
-    def _json(self, data: Any) -> str:
-        self.response.headers["Content-Type"] = JSON
-        return msgspec.json.encode(data).decode()
 
+def _json(data: Any, *, status: int = STATUS_OK) -> Page:
+    return Page(JSON, msgspec.json.encode(data), status)
 
-def serve(
+
+def listen(
     *,
-    root: circuits.BaseComponent,
-    host: str,
-    port: int,
-    state: InstanceState,
+    sockets_: sockets.SocketSet,
+    counters: telemetry.Counters,
+    timers: timing.TimerService,
+    address: str,
+    application: http_server.Application,
 ) -> None:
-    """Start the operators' HTTP server on the event loop.
-
-    :param root: the event loop
-    :param host: the IP number to bind
-    :param port: the port
-    :param state: reads the state of the instance
+    """Listen for probes and scrapes, which have bounds of their own.
+
+    :param sockets_: holds the connections
+    :param counters: of this process
+    :param timers: the process clock
+    :param address: IP number and port
+    :param application: answers the requests
+    :raises OSError: when the address can't be bound
     """
-    server = web.Server((host, port), channel=CHANNEL, display_banner=False)
-    server.register(root)
-    OperatorsController(state=state).register(server)
+    host, port = serve_settings.split_address(address)
+    face = callers.CallersFace(
+        sockets_=sockets_,
+        application=application,
+        counters=counters,
+        timers=timers,
+        admission=caller_admission.CallerAdmission(
+            budget=BUDGET, now_seconds=timers.now_seconds
+        ),
+    )
+    face.listen(host=host, port=port, tls=None)
 
 
 __all__ = [
     "InstanceState",
-    "OperatorsController",
-    "serve",
+    "OperatorsHandler",
+    "listen",
 ]
--- a/src/boragefold/entry/process_loop.py
+++ b/src/boragefold/entry/process_loop.py
@@ -45,6 +45,20 @@
         )
         self.sockets.register(self.loop)
 
+    def open_sockets(self, channel: str) -> sockets.SocketSet:
+        """Make a further set of sockets, whose listeners stop by themselves.
+
+        :param channel: a name of its own on the loop
+        :return: the set
+        """
+        opened = sockets.SocketSet(
+            poller=self.loop.poller,
+            run=self.guard.runner("socket"),
+            channel=channel,
+        )
+        opened.register(self.loop)
+        return opened
+
 
 class GatewayLoop(ProcessLoop):
     """The loop of a gateway, which logs decisions to standard output."""
--- a/src/boragefold/transport/sockets.py
+++ b/src/boragefold/transport/sockets.py
@@ -46,15 +46,20 @@
     channel = "sockets"
 
     def __init__(
-        self, *, poller: pollers.BasePoller, run: Run = _run_unguarded
+        self,
+        *,
+        poller: pollers.BasePoller,
+        run: Run = _run_unguarded,
+        channel: str = channel,
     ) -> None:
         """Begin without sockets.
 
         :param poller: of the loop
         :param run: runs what reacts to a connection, keeps its errors within
             it, and returns whether there were none
+        :param channel: on which the poller tells this set of its sockets
         """
-        super().__init__()
+        super().__init__(channel=channel)
         self._run = run
         self._poller = poller
         self.unsent = unsent_budget.UnsentBudget()
--- a/tests/entry/test_unruly_callers.py
+++ b/tests/entry/test_unruly_callers.py
@@ -267,6 +267,27 @@
     assert entry.process.poll() is None
 
 
+@pytest.mark.parametrize(
+    "script",
+    [unruly.say(), unruly.say(ANNOUNCED, SHORT)],
+    ids=["idle", "body"],
+)
+def test_a_crowd_at_the_operators_port_takes_nothing(serving, script):
+    # The port had no bound: it took all descriptors.
+    entry = serving.entries[0]
+    pid = entry.process.pid
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    with unruly.Crowd(entry.operators) as crowd:
+        crowd.play(800, script)
+        watch_bounds(pid)
+        ordinary = serving.chat(
+            entry, "base-0", timeout_seconds=PATIENCE_SECONDS
+        )
+        assert ordinary.status == 200
+        assert entry.status()["ready"]
+    assert entry.process.poll() is None
+
+
 def test_an_entry_instance_ends_a_head_that_stops(serving):
     # Nothing ended it, however long it stayed.
     host, _, port = serving.entries[0].address.rpartition(":")
