Count the answers that an entry instance collects with what callers hold

What callers saw: nothing yet. 120 callers that asked a plain service for 2 MB each and read nothing brought a process of 96 MB above it.

Cause: an answer that is collected was bounded by itself (4 MB), and the sum of them by nothing.

They are counted in the account of callers, in one copy, until their last reference is gone. Without room, callers that have stopped give way first; then the call fails as one whose answer was lost, which says that it may have run.

--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -86,6 +86,12 @@
             counters=self.counters,
             request_events=self.request_events,
         )
+        self._admission = caller_bounds.connect(
+            process=process,
+            memory_mb=settings.memory_mb,
+            max_fds=settings.max_fds,
+            max_body_bytes=lambda: http_server.MAX_BODY_BYTES,
+        )
         self._callers = callers.CallersFace(
             sockets_=self._sockets,
             application=guarded_application.GuardedApplication(
@@ -93,12 +99,7 @@
             ).handle,
             counters=self.counters,
             timers=self.timers,
-            admission=caller_bounds.connect(
-                process=process,
-                memory_mb=settings.memory_mb,
-                max_fds=settings.max_fds,
-                max_body_bytes=lambda: http_server.MAX_BODY_BYTES,
-            ),
+            admission=self._admission,
         )
         self.shutdown = shutdown.GracefulShutdown(
             timers=self.timers,
@@ -219,6 +220,7 @@
             client=self._client,
             tickets=tickets,
             new_request_id=new_request_id,
+            admission=self._admission,
         )
         return routers.Router(
             catalogue=cluster.catalogue,
--- a/src/boragefold/entry/service_call.py
+++ b/src/boragefold/entry/service_call.py
@@ -8,6 +8,7 @@
 
 from boragefold.policy import retry_budget
 from boragefold.telemetry import counters as telemetry
+from boragefold.transport import caller_admission
 from boragefold.transport import http_client
 from boragefold.transport import http_server
 from boragefold.transport import whole_answer
@@ -62,6 +63,7 @@
         idempotent: bool,
         progress_seconds: float,
         on_result: Callable[[Result], None],
+        admission: caller_admission.CallerAdmission | None = None,
     ) -> None:
         self._client = client
         self._counters = counters
@@ -71,6 +73,7 @@
         self._idempotent = idempotent
         self._progress_seconds = progress_seconds
         self._on_result = on_result
+        self._admission = admission
         self._address = ""
         self._broken_attempts = 0
 
@@ -96,7 +99,9 @@
             fresh=not self._idempotent or self._broken_attempts > 0,
             progress_seconds=self._progress_seconds,
         )
-        sink = whole_answer.WholeAnswerSink(done=self._on_response)
+        sink = whole_answer.WholeAnswerSink(
+            done=self._on_response, admission=self._admission
+        )
         self._client.send(call, sink)
 
     def _on_response(
--- a/src/boragefold/entry/service_handler.py
+++ b/src/boragefold/entry/service_handler.py
@@ -17,6 +17,7 @@
 from boragefold.state import documents
 from boragefold.state import paths
 from boragefold.telemetry import counters as telemetry
+from boragefold.transport import caller_admission
 from boragefold.transport import http_client
 from boragefold.transport import http_server
 from boragefold.transport import whole_answer
@@ -46,7 +47,9 @@
         client: http_client.HttpClient,
         tickets: ticket_handler.TicketHandler,
         new_request_id: Callable[[], str],
+        admission: caller_admission.CallerAdmission | None = None,
     ) -> None:
+        self._admission = admission
         self._data_centre = data_centre
         self._catalogue = catalogue
         self._counters = counters
@@ -156,6 +159,7 @@
             idempotent=idempotent,
             progress_seconds=PROGRESS_SECONDS,
             on_result=done,
+            admission=self._admission,
         ).begin()
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
--- a/src/boragefold/entry/ticketed_call.py
+++ b/src/boragefold/entry/ticketed_call.py
@@ -135,7 +135,7 @@
             "content-type", service_call.DEFAULT_CONTENT_TYPE
         )
         stored = once_messages.StoredAnswer(
-            answer.status, content_type, answer.body
+            answer.status, content_type, bytes(answer.body)
         )
         self._runner.store_answer(attempt, stored)
         headers = answers.outcome_headers("ran", "", self._request_id)
--- a/src/boragefold/standins/service.py
+++ b/src/boragefold/standins/service.py
@@ -19,10 +19,15 @@
     """Runs every call it gets, as often as it gets it, and counts."""
 
     def __init__(
-        self, *, timers: timing.TimerService, answer_seconds: float
+        self,
+        *,
+        timers: timing.TimerService,
+        answer_seconds: float,
+        answer_bytes: int = 0,
     ) -> None:
         self._timers = timers
         self.answer_seconds = answer_seconds
+        self._filler = "x" * answer_bytes
         self.silent = False
         self.keys_seen = 0
         self.runs: collections.Counter[str] = collections.Counter()
@@ -47,7 +52,11 @@
         self.runs[key] += 1
         if self.silent:
             return
-        reply = {"path": request.path, "run": self.runs[key]}
+        reply = {
+            "path": request.path,
+            "run": self.runs[key],
+            **({"filler": self._filler} if self._filler else {}),
+        }
         self._timers.once(
             delay_seconds=self.answer_seconds,
             callback=lambda: exchange.reply(
@@ -59,12 +68,15 @@
 @click.command()
 @click.option("--listen", required=True, help="IP number and port.")
 @click.option("--answer-seconds", default=0.01, show_default=True)
-def main(listen: str, answer_seconds: float) -> None:
+@click.option("--answer-bytes", default=0, help="What answers hold beside.")
+def main(listen: str, answer_seconds: float, answer_bytes: int) -> None:
     """Run one plain service stand-in."""
     process.run(
         listen,
         lambda timers: ServiceFace(
-            timers=timers, answer_seconds=answer_seconds
+            timers=timers,
+            answer_seconds=answer_seconds,
+            answer_bytes=answer_bytes,
         ),
     )
 
--- a/src/boragefold/transport/caller_admission.py
+++ b/src/boragefold/transport/caller_admission.py
@@ -175,11 +175,12 @@
             self._has_collected() and self._fits(body_bytes)
         )
 
-    def make_room(self, caller: Caller, *, large: bool) -> bool:
-        """Make room in memory for what a caller has sent.
+    def make_room(self, caller: Caller | None, *, large: bool) -> bool:
+        """Make room in memory for what a caller has sent, or an answer.
 
-        :param caller: one whose bytes are counted already
-        :param large: whether its request is large
+        :param caller: one whose bytes are counted already; None for an answer
+            that is collected
+        :param large: whether its request, or the answer, is large
         :return: whether there is room
         """
         while self._is_over(large=large):
--- a/src/boragefold/transport/whole_answer.py
+++ b/src/boragefold/transport/whole_answer.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 import msgspec
 
 from boragefold.protocol import decoding
 from boragefold.transport import answer_parser
+from boragefold.transport import caller_admission
+from boragefold.transport import caller_memory
 from boragefold.transport import http_client
 from boragefold.transport import streams
 
@@ -18,7 +21,10 @@
 
 
 class WholeAnswer(NamedTuple):
-    """A complete answer; header names are in lower case."""
+    """A complete answer; header names are in lower case.
+
+    ``body`` is not to be changed.
+    """
 
     status: int
     headers: dict[str, str]
@@ -36,19 +42,27 @@
         done: Callable[[WholeAnswer | http_client.Failure], None],
         max_bytes: int = MAX_ANSWER_BYTES,
         may_be_empty: bool = False,
+        admission: caller_admission.CallerAdmission | None = None,
     ) -> None:
         """Collect nothing yet.
 
         :param done: called once with the answer, or why there is none
         :param max_bytes: a longer answer is a failure
         :param may_be_empty: whether the status is enough
+        :param admission: counts an answer that a caller has asked for, which
+            is a failure where no room is left
         """
         self._done = done
         self._max_bytes = max_bytes
         self._may_be_empty = may_be_empty
         self._status = 0
         self._headers: dict[str, str] = {}
-        self._body = bytearray()
+        self._admission = admission
+        self._body = (
+            bytearray()
+            if admission is None
+            else caller_memory.HeldBody(account=admission.memory)
+        )
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Note the head.
@@ -68,6 +82,7 @@
             self.full = True
         else:
             self._body += data
+            self.full = not self._has_room()
 
     def end(self, framing: http_client.Framing) -> None:
         """Pass the whole answer on.
@@ -86,7 +101,11 @@
             )
             self._done(failure)
             return
-        self._done(WholeAnswer(self._status, self._headers, bytes(self._body)))
+        # Used as bytes are, and never changed.
+        body: Any = self._body
+        if not isinstance(body, caller_memory.HeldBody):
+            body = bytes(body)
+        self._done(WholeAnswer(self._status, self._headers, body))
 
     def failed(self, failure: http_client.Failure) -> None:
         """Pass the failure on.
@@ -95,6 +114,15 @@
         """
         self._done(failure)
 
+    def _has_room(self) -> bool:
+        body = self._body
+        if self._admission is None or not isinstance(
+            body, caller_memory.HeldBody
+        ):
+            return True
+        body.settle()
+        return self._admission.make_room(None, large=body.is_large)
+
     def _is_proven(self) -> bool:
         if not self._body:
             return self._may_be_empty
--- a/tests/entry/test_unruly_callers.py
+++ b/tests/entry/test_unruly_callers.py
@@ -295,3 +295,43 @@
     with socket.create_connection((host, int(port)), patience) as sock:
         sock.sendall(ANNOUNCED[:40])
         assert sock.recv(65_536).startswith(b"HTTP/1.1 408")
+
+
+class LargeAnswersFleet(LimitedFleet):
+    def run(self, module, *options):
+        if module.endswith(".service"):
+            options = (*options, "--answer-bytes", str(2 * BODY_BYTES))
+        return super().run(module, *options)
+
+
+@pytest.fixture
+def serving_large_answers(tmp_path_factory):
+    fleet = LargeAnswersFleet(
+        tmp_path_factory.mktemp("large"), data_centres=("dc-a",), engines=1
+    )
+    try:
+        yield fleet.start()
+    finally:
+        fleet.stop()
+
+
+def test_answers_that_nobody_reads_take_no_memory(serving_large_answers):
+    # Each answer that is collected was bounded, their sum was not.
+    fleet = serving_large_answers
+    entry = fleet.entries[0]
+    asking = unruly.head(
+        "/services/rights/catalogue",
+        f"Authorization: Bearer {fleet.key}",
+        unruly.length(0),
+    )
+    with unruly.Crowd(entry.address) as crowd:
+        crowd.play(120, unruly.say(asking))
+        watch_bounds(entry.process.pid)
+        ordinary = fleet.chat(
+            entry, "base-0", timeout_seconds=PATIENCE_SECONDS
+        )
+        assert ordinary.status == 200
+    answer = processes.call(
+        entry.address, "/services/rights/catalogue", key=fleet.key, body={}
+    )
+    assert answer.status == 200 and len(answer.body) > 2 * BODY_BYTES
