Keep what lies behind a running request out of the parser

Cause: what had been received behind the running request lay in the parser's buffer. A caller that gave way dropped it from the account, while the parser kept it until the connection was closed.

It is now held beside the parser, which is fed with it when its request is turned to, and freed when the caller gives way.

--- a/src/boragefold/transport/requests.py
+++ b/src/boragefold/transport/requests.py
@@ -91,6 +91,8 @@
         self._body: caller_memory.HeldBody | None = None
         # Of bodies that don't pass through the parser.
         self._content: request_body.RequestBody | None = None
+        # What lies behind the request that is being answered.
+        self._ahead: bytearray | None = None
         self._unparsed_bytes = 0
         self._awaits_continue = False
         self._announced_bytes = 0
@@ -198,11 +200,16 @@
         """Turn to the next request, once one has been answered."""
         self._head = None
         self.parser.start_next_cycle()
+        ahead, self._ahead = self._ahead, None
+        if ahead:
+            self.parser.receive_data(bytes(ahead))
 
     def drop(self) -> None:
         """Let go of everything that was received."""
         self._body = None
         self._unparsed_bytes = 0
+        if self._ahead is not None:
+            self._ahead.clear()
         if self._content is not None:
             self._content.close()
             self._content = None
@@ -213,6 +220,10 @@
         )
 
     def _feed(self, data: bytes) -> None:
+        if self._ahead is not None:
+            self._unparsed_bytes += len(data)
+            self._ahead += data
+            return
         if self._content is None:
             self._unparsed_bytes += len(data)
             self.parser.receive_data(data)
@@ -254,13 +265,16 @@
     ) -> None:
         rest = self.parser.trailing_data[0]
         self._content = content
-        # The body doesn't go through this parser, which still has to know how
-        # the answer is framed, and whether it is the last.
+        self._renew_parser(head)
+        if rest:
+            self.feed(rest)
+
+    def _renew_parser(self, head: h11.Request) -> None:
+        # What follows the head doesn't go through this parser, which still has
+        # to know how the answer is framed, and whether it is the last.
         self.parser = self._new_parser()
         self.parser.receive_data(_head_for_answer(head))
         self.parser.next_event()
-        if rest:
-            self.feed(rest)
 
     def _take_data(self, data: bytes) -> None:
         body = self._begin_body() if self._body is None else self._body
@@ -277,6 +291,14 @@
         if self._body is not None:
             self._body.settle()
 
+    def _hold_ahead(self, head: h11.Request) -> None:
+        # The parser would keep it until the connection is closed.
+        self._ahead = bytearray(self.parser.trailing_data[0])
+        self._unparsed_bytes = len(self._ahead)
+        if self._ahead:
+            self._renew_parser(head)
+            self.parser.next_event()
+
     def _make_request(self) -> Request | None:
         # Used as bytes are, and never changed.
         body: Any = self._body
@@ -286,7 +308,7 @@
         if body is not None:
             body.settle()
         self._body = None
-        self._unparsed_bytes = len(self.parser.trailing_data[0])
+        self._hold_ahead(head)
         target = parse.urlsplit(head.target.decode("latin-1"))
         fields = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/tests/transport/test_request_body.py
+++ b/tests/transport/test_request_body.py
@@ -18,11 +18,15 @@
 TWO = b"".join(HEAD % (number, len(BODY)) + BODY for number in (1, 2))
 
 
-def read_all(pieces):
-    """Answer each request, and return all of them."""
-    reader = requests.RequestReader(
+def new_reader():
+    return requests.RequestReader(
         limits=requests.RequestLimits, account=caller_memory.CallerMemory()
     )
+
+
+def read_all(pieces):
+    """Answer each request, and return all of them."""
+    reader = new_reader()
     found = []
     for piece in pieces:
         reader.feed(piece)
@@ -47,3 +51,13 @@
         ("/1", BODY),
         ("/2", BODY),
     ]
+
+
+def test_what_lies_behind_a_request_is_dropped_with_it():
+    # The parser kept it, uncounted, until the connection was closed.
+    reader = new_reader()
+    reader.feed(TWO)
+    assert reader.read().path == "/1"
+    assert reader.unparsed_bytes == len(TWO) // 2
+    reader.drop()
+    assert reader.unparsed_bytes == len(reader.parser.trailing_data[0]) == 0
