Say that an idempotent call may have run when its answer is lost

What callers saw: an idempotent call of a plain service whose answer was lost was refused with 503, which promises that it never ran, though its body said that this is unknown. Since answers that find no room are lost, too, a crowd could bring that about.

It is refused with 502 and answer_lost now; 503 stays for calls that weren't sent. Before, both were 503; a test holds the difference now.

--- a/src/boragefold/entry/service_handler.py
+++ b/src/boragefold/entry/service_handler.py
@@ -23,7 +23,9 @@
 from boragefold.transport import whole_answer
 
 STATUS_NOT_FOUND = 404
+STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
+RETRY_SECONDS = 1.0
 # A connection without any progress for longer than this is considered dead.
 PROGRESS_SECONDS = 10.0
 
@@ -106,7 +108,7 @@
             if isinstance(result, whole_answer.WholeAnswer):
                 self._forward(exchange, request_id, result)
             else:
-                self._refuse(exchange, _idempotent_refusal(result), request_id)
+                self._refuse(exchange, refuse_idempotent(result), request_id)
 
         prepared = service_call.create_request(request, path)
         self._start(prepared, target, True, done)
@@ -214,19 +216,27 @@
         answers.send_error(exchange, refusal, request_id, **extra)
 
 
-def _idempotent_refusal(
+def refuse_idempotent(
     result: service_call.NotSent | service_call.AnswerLost,
 ) -> outcomes.NotRun | outcomes.Unknown:
-    kind = (
-        outcomes.NotRun
-        if isinstance(result, service_call.NotSent)
-        else outcomes.Unknown
-    )
-    return kind(
-        status=STATUS_UNAVAILABLE,
-        reason="service_unreachable",
-        remedy="repeat the call; it is safe to repeat",
-        retry_after_seconds=1.0,
+    """Create the refusal of an idempotent call without an answer.
+
+    :param result: how the call ended
+    :return: 503 only if the call didn't run
+    """
+    remedy = "repeat the call; it is safe to repeat"
+    if isinstance(result, service_call.NotSent):
+        return outcomes.NotRun(
+            status=STATUS_UNAVAILABLE,
+            reason="service_unreachable",
+            remedy=remedy,
+            retry_after_seconds=RETRY_SECONDS,
+        )
+    return outcomes.Unknown(
+        status=STATUS_BAD_GATEWAY,
+        reason="answer_lost",
+        remedy=remedy,
+        retry_after_seconds=RETRY_SECONDS,
     )
 
 
@@ -244,4 +254,5 @@
 
 __all__ = [
     "ServiceHandler",
+    "refuse_idempotent",
 ]
--- a/tests/entry/test_service_call.py
+++ b/tests/entry/test_service_call.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from boragefold.entry import service_call
+from boragefold.entry import service_handler
 from boragefold.policy import retry_budget
 from boragefold.telemetry import counters
 from boragefold.transport import http_client
@@ -67,3 +70,16 @@
     client = Breaking(reused_connection=True)
     call(client, new_budget(), addresses=1)
     assert len(client.addresses) == 2
+
+
+@pytest.mark.parametrize(
+    ("result", "status", "tag"),
+    [
+        (service_call.NotSent(reason="refused"), 503, "not_run"),
+        (service_call.AnswerLost(reason="reset"), 502, "unknown"),
+    ],
+)
+def test_only_a_call_that_never_ran_is_refused_as_such(result, status, tag):
+    # An idempotent call whose answer was lost got 503, which promises that.
+    refusal = service_handler.refuse_idempotent(result)
+    assert (refusal.status, refusal.tag) == (status, tag)
