--- a/src/boragefold/entry/gateway_listeners.py
+++ b/src/boragefold/entry/gateway_listeners.py
@@ -21,8 +21,6 @@
 from boragefold.transport import requests
 from boragefold.transport import sockets
 
-# Connections are checked for exceeded timeouts this often.
-SLOW_CHECK_SECONDS = 1.0
 TEXT = ("Content-Type", "text/plain; version=0.0.4")
 JSON = ("Content-Type", "application/json")
 STATUS_PATH = "/status"
@@ -90,7 +88,7 @@
         if settings.metrics_listen:
             self._serve(settings.metrics_listen, self._answer_operators)
         self._timers.every(
-            period_seconds=SLOW_CHECK_SECONDS,
+            period_seconds=callers.SLOW_CHECK_SECONDS,
             callback=self._refuse_slow_callers,
         )
 
--- a/src/boragefold/entry/instance.py
+++ b/src/boragefold/entry/instance.py
@@ -39,8 +39,6 @@
 # with an empty bucket.
 SETTLE_SECONDS = 3.0
 LEAVE_LIMIT_SECONDS = 10.0
-# Connections are checked for exceeded timeouts this often.
-SLOW_CHECK_SECONDS = 1.0
 OPERATORS_CHANNEL = "operators"
 
 
@@ -120,7 +118,7 @@
         host, port = serve_settings.split_address(self.settings.listen)
         self._callers.listen(host=host, port=port, tls=self._tls())
         self.timers.every(
-            period_seconds=SLOW_CHECK_SECONDS,
+            period_seconds=callers.SLOW_CHECK_SECONDS,
             callback=lambda: self._callers.refuse_slow(
                 idle_seconds=self.settings.idle_timeout_seconds,
                 request_seconds=self.settings.header_timeout_seconds,
--- a/src/boragefold/transport/callers.py
+++ b/src/boragefold/transport/callers.py
@@ -20,6 +20,8 @@
 QUIET_SECONDS = 0.5
 # How long a caller may take to read the end of a last answer.
 LINGER_SECONDS = 1.0
+# Connections are checked for exceeded timeouts this often.
+SLOW_CHECK_SECONDS = 1.0
 # While no caller gives way, whether one does now is checked this often.
 PLACE_CHECK_SECONDS = 0.1
 
@@ -178,4 +180,5 @@
     "CallersFace",
     "LINGER_SECONDS",
     "QUIET_SECONDS",
+    "SLOW_CHECK_SECONDS",
 ]
